Begin the workspace: typed messages, codec, tables, events and module map

Cause: an empty repository. The messages between routers and the table model are pinned first, so that decisions and tasks can be built apart and fit.

--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demo and experiments; nothing here is needed to run a fleet."""
--- /dev/null
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: every process between callers and backend servers."""
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_codec.py
@@ -0,0 +1,122 @@
+"""Encode typed messages with msgpack; reject anything that is not one."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import msgpack
+from attrs import fields
+from cattrs.preconf.msgpack import make_converter
+
+from fulmarroad import _messages as m
+from fulmarroad.exceptions import MessageError
+
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+"""A frame above this is refused before it is read.
+
+Without a limit one broken peer could fill the memory of a small VM; tables are
+the largest messages and their parts are below 1 MB.
+"""
+
+T = TypeVar("T")
+
+# A tag never changes its meaning, as routers of two releases talk to each other.
+_TAGS: dict[int, type] = {
+    1: m.Hello,
+    2: m.Demand,
+    3: m.Withdraw,
+    4: m.Lend,
+    5: m.Started,
+    6: m.Progress,
+    7: m.Finished,
+    8: m.Goodbye,
+    20: m.Welcome,
+    21: m.Grant,
+    22: m.Move,
+    23: m.Refuse,
+    24: m.Heartbeat,
+    25: m.StepDown,
+    40: m.ServiceReport,
+    50: m.TablesWanted,
+    51: m.TablesGiven,
+    60: m.KeyRecorded,
+    61: m.KeyStart,
+    62: m.KeyFence,
+    63: m.KeyFinish,
+    64: m.KeyCopyWanted,
+    65: m.KeyCopyGiven,
+    80: m.Ping,
+    81: m.PingRequest,
+    82: m.Ack,
+}
+_TAG_OF = {cls: tag for tag, cls in _TAGS.items()}
+
+_converter = make_converter(forbid_extra_keys=False)
+
+
+def _check_number(value: Any, cls: type) -> Any:
+    if type(value) is cls or (cls is float and type(value) is int):
+        return cls(value)
+    raise ValueError(f"{value!r} is no {cls.__name__}")
+
+
+def _check_text(value: Any, _: type) -> str:
+    if type(value) is str:
+        return value
+    raise ValueError(f"{value!r} is no text")
+
+
+# cattrs turns "3" into 3 and 3 into "3" by default, which would hide a broken peer.
+_converter.register_structure_hook(int, _check_number)
+_converter.register_structure_hook(float, _check_number)
+_converter.register_structure_hook(bool, _check_number)
+_converter.register_structure_hook(str, _check_text)
+
+
+def encode(*messages: Any) -> bytes:
+    """Return one frame that holds the messages in order."""
+    frame = [
+        (_TAG_OF[type(message)], _converter.unstructure(message))
+        for message in messages
+    ]
+    return msgpack.packb(frame, use_bin_type=True)
+
+
+def decode(frame: bytes) -> tuple[Any, ...]:
+    """Return the messages of a frame.
+
+    Raise `MessageError` for anything that `encode` could not have made.
+    """
+    if len(frame) > MAX_MESSAGE_BYTES:
+        raise MessageError(f"A frame of {len(frame)} bytes is too large.")
+    try:
+        rows = msgpack.unpackb(frame, raw=False, strict_map_key=True)
+        return tuple(_decode_row(row) for row in rows)
+    except MessageError:
+        raise
+    except Exception as error:
+        raise MessageError(f"A frame could not be read: {error}") from error
+
+
+def decode_one(frame: bytes, cls: type[T]) -> T:
+    """Return the only message of a frame, which must be of one type.
+
+    Raise `MessageError` if there are more or it is of another type.
+    """
+    messages = decode(frame)
+    if len(messages) != 1 or not isinstance(messages[0], cls):
+        raise MessageError(f"Expected one {cls.__name__}.")
+    return messages[0]
+
+
+def _decode_row(row: Any) -> Any:
+    tag, payload = row
+    cls = _TAGS.get(tag)
+    if cls is None:
+        raise MessageError(f"No message has the tag {tag!r}.")
+    if not isinstance(payload, dict):
+        raise MessageError(f"The payload of {cls.__name__} is no map.")
+    known = {attribute.name for attribute in fields(cls)}
+    return _converter.structure(
+        {name: value for name, value in payload.items() if name in known}, cls
+    )
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/audit.py
@@ -0,0 +1,80 @@
+"""The audit trail: every change of table, membership, role, warmth and state."""
+
+from __future__ import annotations
+
+import enum
+import time
+from collections import deque
+from collections.abc import Callable
+
+from attrs import asdict, frozen
+
+TRAIL_LENGTH = 4096
+"""Records kept in memory; VMs have no disks, so the log stream is the archive."""
+
+
+class Subject(enum.StrEnum):
+    """Say what kind of thing changed."""
+
+    TABLES = "tables"
+    MEMBER = "member"
+    ROLE = "role"
+    WARMTH = "warmth"
+    DATA_CENTRE = "data_centre"
+    SERVER = "server"
+    PROCESS = "process"
+
+
+@frozen
+class AuditRecord:
+    """Say what changed, from what to what, and who or what caused it."""
+
+    sequence: int
+    at: float  # seconds since 1970
+    subject: Subject
+    name: str
+    before: str
+    after: str
+    cause: str
+    version: int = 0
+
+    def as_dict(self) -> dict[str, object]:
+        """Return the record for a log line or the admin port."""
+        return asdict(self)
+
+
+class AuditTrail:
+    """Keep the newest records and pass each one to a sink."""
+
+    def __init__(
+        self,
+        sink: Callable[[AuditRecord], None] = lambda record: None,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._sink = sink
+        self._clock = clock
+        self._records: deque[AuditRecord] = deque(maxlen=TRAIL_LENGTH)
+        self._sequence = 0
+
+    def record(
+        self,
+        subject: Subject,
+        name: str,
+        *,
+        before: str,
+        after: str,
+        cause: str,
+        version: int = 0,
+    ) -> AuditRecord:
+        """Append a record and return it."""
+        self._sequence += 1
+        row = AuditRecord(
+            self._sequence, self._clock(), subject, name, before, after, cause, version
+        )
+        self._records.append(row)
+        self._sink(row)
+        return row
+
+    def since(self, sequence: int) -> list[AuditRecord]:
+        """Return the records kept that came after a sequence number."""
+        return [row for row in self._records if row.sequence > sequence]
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -0,0 +1,96 @@
+"""Numbered log events; docs/EVENTS.md is their catalogue."""
+
+from __future__ import annotations
+
+import enum
+import logging
+from typing import Any
+
+from attrs import frozen
+
+
+@frozen
+class EventKind:
+    """Hold the number, the level and the text of an event."""
+
+    number: int
+    level: int
+    text: str
+
+
+_D, _I, _W, _E = logging.DEBUG, logging.INFO, logging.WARNING, logging.ERROR
+
+
+class Event(enum.Enum):
+    """Name every event that a process may log; a number is never used again."""
+
+    # 100: processes and tasks
+    STARTED = EventKind(100, _I, "process started")
+    READY = EventKind(101, _I, "process takes calls")
+    SHUTDOWN_BEGUN = EventKind(102, _I, "graceful shutdown begun")
+    SHUTDOWN_DONE = EventKind(103, _I, "graceful shutdown done")
+    TASK_FAILED = EventKind(110, _E, "task failed and is restarted")
+    TASK_GIVEN_UP = EventKind(111, _E, "task failed too often")
+    CLOCK_PAUSE = EventKind(112, _W, "process did not run for a while")
+
+    # 200: configuration
+    TABLES_ACCEPTED = EventKind(200, _I, "tables accepted")
+    TABLES_REJECTED = EventKind(201, _E, "tables rejected, last good ones stay")
+    TABLES_CONFLICT = EventKind(202, _E, "same version with other content refused")
+    TABLES_LOWER = EventKind(203, _W, "lower table version refused")
+    SERVICE_UNREACHABLE = EventKind(204, _W, "configuration service gave no answer")
+    SERVICE_BACK = EventKind(205, _I, "configuration service answers again")
+    TABLES_FROM_PEER = EventKind(206, _I, "tables fetched from a peer")
+    VM_LIST_CHANGED = EventKind(207, _I, "VM list changed")
+
+    # 300: membership and roles
+    MEMBER_CHANGED = EventKind(300, _I, "member changed state")
+    MEMBER_REFUTED = EventKind(301, _W, "suspicion of this VM refuted")
+    GOSSIP_REJECTED = EventKind(302, _W, "membership packet rejected")
+    ROLE_TAKEN = EventKind(310, _I, "scheduler role taken up")
+    ROLE_SETTLED = EventKind(311, _I, "scheduler settled")
+    ROLE_GIVEN_UP = EventKind(312, _I, "scheduler role given up")
+    FOLLOW_CHANGED = EventKind(313, _I, "router follows another scheduler")
+    LINK_LOST = EventKind(314, _W, "link to a peer lost")
+    PEER_REJECTED = EventKind(315, _W, "frame from a peer rejected")
+
+    # 400: backend servers and data centres
+    WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
+    LIMIT_CHANGED = EventKind(401, _D, "backend server concurrency limit changed")
+    SERVER_FAILING = EventKind(402, _W, "backend server taken out for failing")
+    CENTRE_LEFT = EventKind(410, _I, "data centre taken out of service")
+    CENTRE_RETURNED = EventKind(411, _I, "data centre back in service")
+    SHARES_TAKEN = EventKind(412, _W, "shares of lost routers taken up")
+
+    # 500: requests
+    REQUEST_DONE = EventKind(500, _I, "request done")
+    REQUEST_REFUSED = EventKind(501, _I, "request refused, not run")
+    REQUEST_UNKNOWN = EventKind(502, _W, "outcome of request unknown")
+    REQUEST_RETRIED = EventKind(503, _I, "request tried at another backend server")
+    STREAM_RESUMED = EventKind(504, _W, "broken answer resumed")
+    STREAM_BROKEN = EventKind(505, _W, "answer broken off to its caller")
+    CALLER_LEFT = EventKind(506, _I, "caller left before its answer ended")
+    GRANT_DECLINED = EventKind(507, _I, "grant declined")
+    REQUEST_FAILED = EventKind(508, _E, "request failed inside the router")
+
+    # 600: keys
+    KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
+    KEY_REPLAYED = EventKind(601, _I, "stored outcome given for a repeat")
+    KEY_REFUSED = EventKind(602, _W, "keyed call refused, not run")
+    KEYS_COPIED = EventKind(603, _I, "key records copied, router votes")
+
+    # 700: operators
+    ADMIN_REJECTED = EventKind(700, _W, "admin call rejected")
+    DRAIN_ASKED = EventKind(701, _I, "drain asked by an operator")
+
+
+def emit(logger: logging.Logger, event: Event, **fields: Any) -> None:
+    """Log an event with its number and fields."""
+    kind = event.value
+    if not logger.isEnabledFor(kind.level):
+        return
+    logger.log(
+        kind.level,
+        kind.text,
+        extra={"event": kind.number, "name_of_event": event.name.lower(), **fields},
+    )
--- /dev/null
+++ b/packages/fulmarroad/tests/test_messages.py
@@ -0,0 +1,68 @@
+"""Messages survive the codec; nothing else does."""
+
+import msgpack
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad import messages
+from fulmarroad.exceptions import MessageError
+from fulmarroad.types import Epoch, Outcome, ShardId, Unit
+
+SHARD = ShardId("drafting", "fes-1", 0)
+EPOCH = Epoch("router-a", 17, 2)
+
+
+class TestCodec:
+    @pytest.mark.parametrize(
+        "message",
+        [
+            messages.Demand(SHARD, "d1", "coop", 1.0, 100.0, 0.5, 20.0, (1, 2)),
+            messages.Hello(SHARD, "router-a", 17, "fes-1", 3.5),
+            messages.Grant(SHARD, EPOCH, "l1", "d1", Unit("s1", 3), 3.5, 1.0),
+            messages.Finished(SHARD, "l1", Outcome.COMPLETED, 12.5, 0.2, None),
+            messages.TablesGiven(3, b"manifest", {"ab": b"\x00\xff"}),
+        ],
+    )
+    def test_round_trip(self, message):
+        assert messages.decode(messages.encode(message)) == (message,)
+
+    def test_keeps_order(self):
+        sent = (messages.Started(SHARD, "l1"), messages.Progress(SHARD, "l1", 4.0))
+        assert messages.decode(messages.encode(*sent)) == sent
+
+    def test_ignores_fields_of_a_later_release(self):
+        # During a rolling replacement routers of two releases talk to each other.
+        [[tag, payload]] = msgpack.unpackb(
+            messages.encode(messages.Started(SHARD, "l1"))
+        )
+        payload["added_later"] = 1
+        frame = msgpack.packb([[tag, payload]])
+        assert messages.decode(frame) == (messages.Started(SHARD, "l1"),)
+
+    @pytest.mark.parametrize(
+        "frame",
+        [
+            b"",
+            b"\xc1",
+            msgpack.packb(7),
+            msgpack.packb([[9999, {}]]),
+            msgpack.packb([[5, {"shard": "x", "lease_id": "l"}]]),
+            msgpack.packb([[5, []]]),
+            msgpack.packb([[6, {"lease_id": "l", "service": "12"}]]),
+            b"\x00" * (messages.MAX_MESSAGE_BYTES + 1),
+        ],
+    )
+    def test_rejects_what_is_no_message(self, frame):
+        with pytest.raises(MessageError):
+            messages.decode(frame)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=200))
+    def test_never_fails_in_another_way(self, frame):
+        outcome = None
+        try:
+            outcome = messages.decode(frame)
+        except MessageError as error:
+            outcome = error.message
+        assert outcome is not None
