--- a/packages/fulmarroad/src/fulmarroad/_codec.py
+++ b/packages/fulmarroad/src/fulmarroad/_codec.py
@@ -54,7 +54,7 @@
 _converter = make_converter(forbid_extra_keys=False)
 
 
-def _check_number(value: Any, cls: type) -> Any:
+def _check_number(value: Any, cls: Any) -> Any:
     if type(value) is cls or (cls is float and type(value) is int):
         return cls(value)
     raise ValueError(f"{value!r} is no {cls.__name__}")
