--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_house.py
@@ -0,0 +1,107 @@
+"""Several stand-ins of one kind in one process, with one control port."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Protocol
+
+import anyio
+
+from fulmarroad_bench._server import (
+    App,
+    Listener,
+    Receive,
+    Scope,
+    Send,
+    respond_json,
+    run,
+    wait_for_signal,
+)
+
+LOOK_S = 0.02
+"""Seconds between looks at a port that may have come back."""
+
+
+class StandIn(Protocol):
+    """What a house needs of a stand-in."""
+
+    name: str
+    listener: Listener | None
+
+    @property
+    def app(self) -> App:
+        """Return the app of the data port."""
+
+    @property
+    def control_app(self) -> App:
+        """Return the app of the control paths."""
+
+    async def run(self) -> None:
+        """Do what the stand-in does beside answering calls."""
+
+
+class House:
+    """Serve stand-ins and their control port."""
+
+    def __init__(
+        self, standins: Sequence[StandIn], ports: Sequence[int], control_port: int = 0
+    ) -> None:
+        self._standins = {standin.name: standin for standin in standins}
+        for standin, port in zip(standins, ports, strict=True):
+            standin.listener = Listener(standin.app, port)
+            standin.listener.bind()
+        self.control = Listener(self._control_app, control_port)
+        self.control.bind()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as group:
+            for standin in self._standins.values():
+                group.start_soon(standin.run)
+                group.start_soon(self._keep_up, standin)
+            group.start_soon(self.control.serve)
+
+    def announce(self) -> None:
+        """Print where everything listens."""
+        for standin in self._standins.values():
+            if standin.listener is not None:
+                print(f"{standin.name} on {standin.listener.address}", flush=True)
+        print(f"control on {self.control.address}", flush=True)
+
+    async def _keep_up(self, standin: StandIn) -> None:
+        """Serve a stand-in's port whenever it is bound."""
+        while True:
+            if standin.listener is not None and standin.listener.bound:
+                await standin.listener.serve()
+            await anyio.sleep(LOOK_S)
+
+    async def _control_app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        name = scope["path"].strip("/").split("/")[0]
+        standin = self._standins.get(name)
+        if standin is None and len(self._standins) == 1:
+            standin = next(iter(self._standins.values()))
+        if standin is None:
+            await respond_json(send, 404, {"error": "no such stand-in"})
+            return
+        await standin.control_app(scope, receive, send)
+
+
+def as_tuple(value: object) -> tuple[object, ...]:
+    """Return what the command line gave, one value or several, as a tuple."""
+    return tuple(value) if isinstance(value, list | tuple) else (value,)
+
+
+def run_house(
+    standins: Sequence[StandIn], ports: Sequence[int], control_port: int
+) -> None:
+    """Serve stand-ins until SIGTERM or SIGINT."""
+
+    async def serve() -> None:
+        house = House(standins, ports, control_port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(house.run)
+            house.announce()
+            await wait_for_signal()
+            group.cancel_scope.cancel()
+
+    run(serve)
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
@@ -0,0 +1,491 @@
+"""Stand-in for a model engine, in the OpenAI format.
+
+Answer: token `k` of a request is `token_at(id, k)`; the id is the body's
+`metadata.id`, else the header `X-Bench-Id`, else `X-Request-Id`. A stream sends one
+`data:` event for each token; each carries `usage.completion_tokens`, the position
+after it. The last event before `data: [DONE]` has a finish reason and the whole
+usage.
+
+Resume: the same body sent again to any engine of the pool, with `X-Resume-Id` (the id
+of the broken request) and `X-Resume-From: N`, gives the answer from token `N` on, as a
+stream of its own; `usage` counts from the start of the whole answer. Nothing needs to
+be left of the first try. An `N` beyond the end is answered 400.
+
+Cancel: the caller closes the connection; the engine frees the slot at its next step
+and counts the request as cancelled.
+
+On the data port: `POST /v1/chat/completions`, `GET /load` (late),
+`GET /cache/events?after=N` (late, with gaps). On the control port, for each
+engine: `POST /NAME/control`, `GET /NAME/records`.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import fire
+from attrs import asdict, define, field, frozen
+
+from fulmarroad_bench._answers import (
+    answer_tokens,
+    block_hashes,
+    expected_answer,
+    prompt_words,
+    request_id_of,
+    token_at,
+)
+from fulmarroad_bench._engine_model import (
+    BatchModel,
+    EngineProfile,
+    EngineRefusedError,
+    Job,
+)
+from fulmarroad_bench._house import as_tuple, run_house
+from fulmarroad_bench._server import (
+    BreakOffError,
+    Call,
+    CallerLeftError,
+    Listener,
+    Receive,
+    Scope,
+    Send,
+    read_call,
+    respond,
+    respond_json,
+    start_message,
+    wait_for_leaving,
+)
+
+TICK_S = 0.01
+"""Seconds between steps of the batch: below the time between two tokens."""
+SAMPLE_S = 0.1
+"""Seconds between samples of work and slots kept for the measures."""
+LOAD_LAG_S = 0.5
+"""Seconds by which reported load and cache events lag."""
+EVENT_GAP = 7
+"""Every so many cache events one is lost."""
+
+Clock = Callable[[], float]
+
+
+@define(eq=False)
+class EngineRecord:
+    """Say what became of one request; times are monotonic seconds."""
+
+    id: str
+    workspace: str
+    start: float
+    prompt_tokens: int
+    position: int
+    tokens: int = 0
+    end: float = 0.0
+    state: str = "running"  # completed, cancelled, broken, refused
+
+
+@frozen
+class Sample:
+    """Show an engine at one moment; `work` and `capacity` only ever grow."""
+
+    at: float
+    running: int
+    slots: int  # 0 while it is down, hung or recovering
+    work: float
+    capacity: float
+
+
+@define(eq=False)
+class _Running:
+    """Hold what the handler of one request waits for."""
+
+    job: Job
+    record: EngineRecord
+    index: int
+    wake: anyio.Event = field(factory=anyio.Event)
+    broken: bool = False
+    break_at: int | None = None
+
+
+@define(eq=False)
+class Engine:
+    """Serve one engine's data and control paths."""
+
+    name: str
+    profile: EngineProfile = field(factory=EngineProfile)
+    clock: Clock = time.monotonic
+    model: BatchModel = field(init=False)
+    records: list[EngineRecord] = field(factory=list)
+    service: list[tuple[float, int, int]] = field(factory=list)  # at, record, tokens
+    samples: list[Sample] = field(factory=list)
+    refused: int = 0
+    refusing: bool = False
+    listener: Listener | None = None
+    _running: dict[int, _Running] = field(factory=dict)
+    _breaks: deque[int] = field(factory=deque)
+    _loads: deque[tuple[float, dict[str, Any]]] = field(factory=deque)
+    _event_times: list[float] = field(factory=list)
+    _sampled: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.model = BatchModel(self.profile, now=self.clock())
+
+    async def app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call on the data port."""
+        try:
+            call = await read_call(scope, receive)
+        except CallerLeftError:
+            return
+        if call.path == "/v1/chat/completions" and call.method == "POST":
+            await self._complete(call, receive, send)
+        elif call.path == "/load":
+            await respond_json(send, 200, self.load())
+        elif call.path == "/cache/events":
+            after = int(call.query.get("after", "0"))
+            await respond_json(send, 200, {"events": self.cache_events(after)})
+        else:
+            await _error(send, 404, "no such path", "invalid_request_error")
+
+    async def control_app(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one call on the control port."""
+        call = await read_call(scope, receive)
+        if call.path.endswith("/control"):
+            await self.control(call.json())
+            await respond_json(send, 200, {"ok": True})
+        elif call.path.endswith("/records"):
+            await respond_json(send, 200, self.report())
+        else:
+            await respond_json(send, 404, {"error": "no such path"})
+
+    async def control(self, order: dict[str, Any]) -> None:
+        """Obey an order of the scenario.
+
+        `slow`: factor; `die`: true or false; `cold`: true; `refuse`: true or false;
+        `hang`: true or false; `break_streams`: how many of the next answers break off
+        after `after_tokens`.
+        """
+        self.model.slow = float(order.get("slow", self.model.slow))
+        self.model.hung = bool(order.get("hang", self.model.hung))
+        self.refusing = bool(order.get("refuse", self.refusing))
+        for _ in range(int(order.get("break_streams", 0))):
+            self._breaks.append(int(order.get("after_tokens", 3)))
+        if order.get("cold"):
+            self._break_all(self.model.turn_cold())
+        if "die" in order:
+            await self._set_dead(bool(order["die"]))
+
+    def tick(self, now: float) -> None:
+        """Advance the batch to `now` and wake who got tokens."""
+        steps = self.model.advance(now)
+        for step in steps:
+            running = self._running[step.job.job_id]
+            running.record.tokens += step.tokens
+            self.service.append((now, running.index, step.tokens))
+            running.wake.set()
+        for running in list(self._running.values()):
+            if running.job.done:
+                self.model.remove(running.job)
+                running.wake.set()
+        if now - self._sampled >= SAMPLE_S:
+            self._sample(now)
+
+    async def run(self) -> None:
+        """Advance the batch for ever."""
+        while True:
+            self.tick(self.clock())
+            await anyio.sleep(TICK_S)
+
+    def load(self) -> dict[str, Any]:
+        """Return the load as it was a while ago."""
+        seen = self.clock() - LOAD_LAG_S
+        shown = {"running": 0, "recovering": False}
+        for at, load in self._loads:
+            if at > seen:
+                break
+            shown = load
+        return shown
+
+    def cache_events(self, after: int) -> list[dict[str, Any]]:
+        """Return the events past a number that are old enough, without lost ones."""
+        seen = self.clock() - LOAD_LAG_S
+        pairs = zip(self.model.cache_log, self._event_times, strict=False)
+        return [
+            asdict(event)
+            for event, at in pairs
+            if event.number > after and at <= seen and event.number % EVENT_GAP
+        ]
+
+    def report(self) -> dict[str, Any]:
+        """Return every record, the service over time and the totals."""
+        return {
+            "name": self.name,
+            "now": self.clock(),
+            "records": [asdict(record) for record in self.records],
+            "service": self.service,
+            "samples": [
+                [s.at, s.running, s.slots, s.work, s.capacity] for s in self.samples
+            ],
+            "max_running": self.model.max_running,
+            "overloads": self.model.overloads,
+            "refused": self.refused,
+            "busy_s": self.model.work,
+            "batch": self.profile.batch,
+            "tokens_per_s": self.profile.tokens_per_s,
+        }
+
+    async def _complete(self, call: Call, receive: Receive, send: Send) -> None:
+        body = call.json()
+        if not isinstance(body, dict) or not body.get("messages"):
+            await _error(send, 400, "messages are missing", "invalid_request_error")
+            return
+        request_id = request_id_of(body, call.headers)
+        tokens = answer_tokens(request_id, body)
+        start = int(call.headers.get("x-resume-from", "0"))
+        if not 0 <= start <= tokens:
+            await _error(send, 400, "resume is past the end", "invalid_request_error")
+            return
+        running = self._admit(request_id, body, call, tokens, start)
+        if running is None:
+            self.refused += 1
+            await _error(send, 503, "the engine takes nothing now", "server_error")
+            return
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._watch, running, receive, group.cancel_scope)
+                await self._answer(running, body, request_id, send)
+                group.cancel_scope.cancel()
+        except BaseExceptionGroup as errors:
+            raise errors.exceptions[0] from None
+        finally:
+            self._end(running)
+
+    def _admit(
+        self, request_id: str, body: dict[str, Any], call: Call, tokens: int, start: int
+    ) -> _Running | None:
+        workspace = (body.get("metadata") or {}).get("workspace", "")
+        workspace = workspace or call.headers.get("x-workspace", "")
+        words = prompt_words(body)
+        now = self.clock()
+        record = EngineRecord(request_id, workspace, now, len(words), start)
+        self.records.append(record)
+        try:
+            if self.refusing:
+                raise EngineRefusedError("told to refuse")
+            job = self.model.admit(tokens, len(words), block_hashes(words), start)
+        except EngineRefusedError:
+            record.state = "refused"
+            record.end = now
+            return None
+        self._note_cache_events(now)
+        running = _Running(job, record, len(self.records) - 1)
+        self._running[job.job_id] = running
+        if self._breaks:
+            running.break_at = start + self._breaks.popleft()
+        if self.model.overloaded_cold():
+            self._break_all(self.model.fall_over())
+        return running
+
+    async def _watch(
+        self, running: _Running, receive: Receive, scope: anyio.CancelScope
+    ) -> None:
+        await wait_for_leaving(receive)
+        if running.record.state == "running" and not running.broken:
+            running.record.state = "cancelled"
+        scope.cancel()
+
+    async def _answer(
+        self, running: _Running, body: dict[str, Any], request_id: str, send: Send
+    ) -> None:
+        if body.get("stream"):
+            await _Stream(running, body, request_id, send).send_all()
+        else:
+            await _send_whole(running, body, request_id, send)
+        if not running.broken:
+            running.record.state = "completed"
+
+    def _end(self, running: _Running) -> None:
+        self._running.pop(running.job.job_id, None)
+        self.model.remove(running.job)
+        running.record.end = self.clock()
+        if running.record.state == "running":
+            running.record.state = "broken" if running.broken else "cancelled"
+
+    def _break_all(self, dropped: list[Job]) -> None:
+        for job in dropped:
+            running = self._running.get(job.job_id)
+            if running is not None:
+                running.broken = True
+                running.wake.set()
+
+    async def _set_dead(self, dead: bool) -> None:
+        if dead:
+            self._break_all(self.model.turn_cold())
+        if self.listener is None:
+            return
+        if dead:
+            self.listener.drop()
+            await self.listener.wait_down()
+        elif not self.listener.up:
+            self.listener.bind()
+
+    def _note_cache_events(self, now: float) -> None:
+        missing = len(self.model.cache_log) - len(self._event_times)
+        self._event_times.extend([now] * missing)
+
+    def _sample(self, now: float) -> None:
+        self._sampled = now
+        model = self.model
+        up = self.listener is None or self.listener.up
+        works = up and not model.recovering and not model.hung and not self.refusing
+        slots = model.slots if works else 0
+        self.samples.append(
+            Sample(now, model.running, slots, model.work, model.capacity)
+        )
+        self._loads.append(
+            (now, {"running": model.running, "recovering": model.recovering})
+        )
+        while self._loads and self._loads[0][0] < now - 2 * LOAD_LAG_S:
+            self._loads.popleft()
+
+
+class _Stream:
+    """Send one answer as server-sent events."""
+
+    def __init__(
+        self, running: _Running, body: dict[str, Any], request_id: str, send: Send
+    ) -> None:
+        self._running = running
+        self._body = body
+        self._request_id = request_id
+        self._send = send
+        model = json.dumps(body.get("model", "draft"))
+        self._head = (
+            f'data: {{"id":"chatcmpl-{request_id}","object":"chat.completion.chunk",'
+            f'"created":{int(time.time())},"model":{model},"choices":['
+        )
+
+    async def send_all(self) -> None:
+        """Send every token as it comes, then the end."""
+        running = self._running
+        headers = (("content-type", "text/event-stream"), ("cache-control", "no-store"))
+        await running.wake.wait()
+        if running.broken:
+            await _error(self._send, 500, "the engine fell over", "server_error")
+            return
+        await self._send(start_message(200, headers))
+        sent = running.job.position - running.record.tokens
+        while True:
+            running.wake = anyio.Event()
+            ready = running.job.position
+            await self._send_tokens(sent, ready)
+            sent = ready
+            if running.job.done:
+                break
+            await running.wake.wait()
+            if running.broken:
+                raise BreakOffError
+        await self._send_end()
+
+    async def _send_tokens(self, sent: int, ready: int) -> None:
+        stop = self._running.break_at
+        last = ready if stop is None else min(ready, stop)
+        data = "".join(self._event(place) for place in range(sent, last))
+        if data:
+            await self._body_message(data, more=True)
+        if stop is not None and last >= stop:
+            self._running.broken = True
+            raise BreakOffError
+
+    async def _send_end(self) -> None:
+        reason = '{"index":0,"delta":{},"finish_reason":"stop"}'
+        usage = json.dumps(_usage(self._running))
+        data = f'{self._head}{reason}],"usage":{usage}}}\n\n'
+        options = self._body.get("stream_options") or {}
+        if options.get("include_usage"):
+            data += f'{self._head}],"usage":{usage}}}\n\n'
+        await self._body_message(data + "data: [DONE]\n\n", more=False)
+
+    def _event(self, place: int) -> str:
+        text = token_at(self._request_id, place)
+        prompt = self._running.record.prompt_tokens
+        return (
+            f'{self._head}{{"index":0,"delta":{{"content":"{text}"}},'
+            f'"finish_reason":null}}],"usage":{{"prompt_tokens":{prompt},'
+            f'"completion_tokens":{place + 1},"total_tokens":{prompt + place + 1}}}}}'
+            "\n\n"
+        )
+
+    async def _body_message(self, data: str, *, more: bool) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": data.encode(), "more_body": more}
+        )
+
+
+async def _send_whole(
+    running: _Running, body: dict[str, Any], request_id: str, send: Send
+) -> None:
+    while not running.job.done and not running.broken:
+        await running.wake.wait()
+        running.wake = anyio.Event()
+    if running.broken:
+        await _error(send, 500, "the engine fell over", "server_error")
+        return
+    start = running.record.position
+    message = {
+        "role": "assistant",
+        "content": expected_answer(request_id, running.job.tokens, start),
+    }
+    choice = {"index": 0, "message": message, "finish_reason": "stop"}
+    answer = {
+        "id": f"chatcmpl-{request_id}",
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": body.get("model", "draft"),
+        "choices": [choice],
+        "usage": _usage(running),
+    }
+    await respond_json(send, 200, answer)
+
+
+def _usage(running: _Running) -> dict[str, Any]:
+    prompt = running.record.prompt_tokens
+    done = running.job.position
+    return {
+        "prompt_tokens": prompt,
+        "completion_tokens": done,
+        "total_tokens": prompt + done,
+        "prompt_tokens_details": {"cached_tokens": running.job.cached_tokens},
+    }
+
+
+async def _error(send: Send, status: int, message: str, kind: str) -> None:
+    error = {"message": message, "type": kind, "param": None, "code": None}
+    headers = (("retry-after", "1"),) if status == 503 else ()
+    await respond(send, status, json.dumps({"error": error}).encode(), headers)
+
+
+def main(
+    port: int | tuple[int, ...] = 0,
+    control_port: int = 0,
+    name: str | tuple[str, ...] = "engine",
+    **profile: float,
+) -> None:
+    """Run engines on the ports given, one name for each port.
+
+    Args:
+        port: data port, or several with commas.
+        control_port: port for control and records.
+        name: name of each engine, in the order of the ports.
+        profile: any field of `EngineProfile`, for all of them.
+
+    """
+    known = EngineProfile(**profile)  # type: ignore[arg-type]
+    engines = [Engine(str(each), known) for each in as_tuple(name)]
+    run_house(engines, [int(str(each)) for each in as_tuple(port)], control_port)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
