Add ownership by rendezvous hashing with bounded load

Routers must agree on who schedules a shard, owns a unit and holds a key's record without a message. Each name is hashed with each candidate (xxh3_64) and the highest wins; a shard whose first candidate already has ceil(1.25 x mean) of its data centre's shards goes to the next one.

--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/ownership.py
@@ -0,0 +1,27 @@
+"""Which router schedules which shard, owns which unit and holds which key's record."""
+
+from fulmarroad._rendezvous import (
+    KEY_GROUP_SIZE,
+    LOAD_FACTOR,
+    assign_shards,
+    candidates,
+    follow_order,
+    key_group,
+    owner_of,
+    shard_limit,
+    unit_owner,
+    watchers,
+)
+
+__all__ = [
+    "KEY_GROUP_SIZE",
+    "LOAD_FACTOR",
+    "assign_shards",
+    "candidates",
+    "follow_order",
+    "key_group",
+    "owner_of",
+    "shard_limit",
+    "unit_owner",
+    "watchers",
+]
