Add capacity and placement: units, shares, limits, cold start, choice of unit

The scheduler needs to know which units it may grant and where a request goes. Units belong to routers by hash and are granted only while lent; units of servers that are not warm need lendings of most published VMs, since a lease outlives the lending under which it was granted. lend() and set_vms() take the time, as both start waits.

--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_slots.py
@@ -0,0 +1,326 @@
+"""Keep the book of one shard's units: which are free, taken, lent, taken up.
+
+Pattern of load: saturation. The book is asked after each event which units are free,
+so it keeps an answer for each server and works it out anew only where something
+changed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Sequence
+
+from attrs import define, field, frozen
+
+from fulmarroad._concurrency import ConcurrencyLimit
+from fulmarroad._messages import RunningLease, ServerHint, ServerStatus
+from fulmarroad._rendezvous import unit_owner
+from fulmarroad._shares import LONGEST_LEASE_S, Owner, Shares
+from fulmarroad._tables import BackendServer, Pool
+from fulmarroad._warmth import ServerHealth, WarmthChange
+from fulmarroad.exceptions import FulmarroadError
+from fulmarroad.types import Outcome, RouterName, ServerName, Unit, Warmth
+
+
+class CapacityError(FulmarroadError):
+    """Refuse to take a unit that is not free."""
+
+
+@frozen
+class FreeUnit:
+    """Offer one unit, with how its backend server stands."""
+
+    unit: Unit
+    warmth: Warmth
+    running: int
+    limit: int
+
+
+@frozen
+class _Lease:
+    unit: Unit
+    router: RouterName
+
+
+@define
+class _Server:
+    """Hold one backend server's health, leases and the answers kept for them."""
+
+    health: ServerHealth
+    takes_work: bool = False
+    held: dict[int, int] = field(factory=dict)  # leases on each unit
+    running: int = 0
+    taken_up: int = 0
+    next_take_up: float = 0.0
+    usable: list[int] = field(factory=list)
+    generation: int = -1
+    valid_until: float = 0.0
+    free: tuple[FreeUnit, ...] | None = None
+
+    def hold(self, index: int) -> None:
+        self.held[index] = self.held.get(index, 0) + 1
+        self.running += 1
+        self.free = None
+
+    def let_go(self, index: int) -> None:
+        left = self.held[index] - 1
+        if left:
+            self.held[index] = left
+        else:
+            del self.held[index]
+        self.running -= 1
+        self.free = None
+
+    def forget(self) -> None:
+        self.generation = -1
+
+
+class ServerBook:
+    """Hold the backend servers of one shard, for its scheduler.
+
+    `longest_lease_s` is the longest timeout of the routes to the pool, `handed_over`
+    says that the former scheduler gave the role up in good order.
+    """
+
+    def __init__(
+        self,
+        pool: Pool,
+        servers: Sequence[BackendServer],
+        *,
+        now: float,
+        owner: Owner = unit_owner,
+        longest_lease_s: float = LONGEST_LEASE_S,
+        handed_over: bool = False,
+    ) -> None:
+        self._pool = pool
+        self._shares = Shares(
+            owner, longest_lease_s=longest_lease_s, handed_over=handed_over
+        )
+        self._servers: dict[ServerName, _Server] = {}
+        self._leases: dict[str, _Lease] = {}
+        taking = [server.name for server in servers]
+        self.set_servers(pool, servers, taking, now)
+
+    @property
+    def shares_lost(self) -> int:
+        """Return how many units of lost routers are taken up now."""
+        return sum(server.taken_up for server in self._servers.values())
+
+    def set_servers(
+        self,
+        pool: Pool,
+        servers: Sequence[BackendServer],
+        taking: Collection[ServerName],
+        now: float,
+    ) -> tuple[WarmthChange, ...]:
+        """Take a change of table; a server not in `taking` gets no new work.
+
+        One that comes back starts cold: what it did meanwhile was not seen.
+        """
+        self._pool = pool
+        changes: list[WarmthChange] = []
+        for name in [server.name for server in servers]:
+            known = self._servers.get(name)
+            if known is None:
+                known = self._servers[name] = _Server(self._new_health(name))
+            known.health.set_pool(pool)
+            takes_work = name in taking
+            if takes_work and not known.takes_work:
+                changes += known.health.chill("taken into service")
+            known.takes_work = takes_work
+            known.forget()
+        self._drop_servers({server.name for server in servers})
+        return tuple(changes)
+
+    def set_vms(self, vms: Collection[RouterName], now: float) -> None:
+        """Take the published VMs of the data centre: the owners of units."""
+        self._shares.set_vms(vms, now)
+
+    def lend(self, router: RouterName, until: float, now: float) -> None:
+        """Let a router's units be granted until a time."""
+        self._shares.lend(router, until, now)
+
+    def recall(self, router: RouterName) -> None:
+        """End a router's lending, for it left in good order."""
+        self._shares.recall(router)
+
+    def mark_lost(self, router: RouterName, now: float) -> None:
+        """Note that a router is dead: its share is taken up slowly."""
+        self._shares.mark_lost(router, now)
+
+    def mark_seen(self, router: RouterName) -> None:
+        """Give back the share of a router that was thought lost."""
+        self._shares.mark_seen(router)
+
+    def adopt_hint(self, hint: ServerHint, now: float) -> tuple[WarmthChange, ...]:
+        """Take over what the former scheduler last said of a server."""
+        server = self._servers.get(hint.server)
+        if server is None or not server.takes_work:
+            return ()
+        server.forget()
+        return server.health.adopt(hint, now)
+
+    def adopt_lease(self, lease: RunningLease, router: RouterName, now: float) -> None:
+        """Charge a lease that runs already; one that is known changes nothing."""
+        if lease.lease_id not in self._leases:
+            self._charge(lease.lease_id, lease.unit, router)
+
+    def free(self, now: float) -> tuple[FreeUnit, ...]:
+        """Return the units that may be granted now, lowest index first."""
+        found: list[FreeUnit] = []
+        for name, server in self._servers.items():
+            if server.takes_work:
+                found += self._free_of(name, server, now)
+        return tuple(found)
+
+    def take(self, unit: Unit, lease_id: str, router: RouterName, now: float) -> None:
+        """Charge a unit to a new lease; raise `CapacityError` if it is not free."""
+        server = self._servers.get(unit.server)
+        free = self._free_of(unit.server, server, now) if server else ()
+        if lease_id in self._leases or all(offer.unit != unit for offer in free):
+            raise CapacityError(
+                f"Unit {unit.index} of {unit.server} is not free.",
+                hint="Ask the book for its free units again before granting.",
+            )
+        self._charge(lease_id, unit, router)
+
+    def release(self, lease_id: str, now: float) -> None:
+        """Free the unit of a lease that ended; an unknown lease changes nothing."""
+        self.expire(lease_id)
+
+    def expire(self, lease_id: str) -> None:
+        """Free the unit of a lease whose deadline has passed."""
+        lease = self._leases.pop(lease_id, None)
+        if lease is None:
+            return
+        server = self._servers.get(lease.unit.server)
+        if server is not None:
+            server.let_go(lease.unit.index)
+
+    def orphans(self, router: RouterName) -> tuple[str, ...]:
+        """Return the leases of a router; once it is lost they run to their deadline."""
+        return tuple(
+            lease_id
+            for lease_id, lease in self._leases.items()
+            if lease.router == router
+        )
+
+    def observe(
+        self,
+        server: ServerName,
+        outcome: Outcome,
+        first_s: float | None,
+        gap_s: float | None,
+        service: float,
+        now: float,
+    ) -> tuple[WarmthChange, ...]:
+        """Judge a server by how a request on it ended."""
+        known = self._servers.get(server)
+        if known is None:
+            return ()
+        self._refresh(server, known, now)
+        full = known.running + 1 >= len(known.usable)
+        changes = known.health.observe(
+            outcome, first_s, gap_s, known.running, full, now
+        )
+        self._adjust_taken_up(server, known, outcome, full, now)
+        known.forget()
+        return changes
+
+    def status(self, now: float) -> tuple[ServerStatus, ...]:
+        """Return how every server stands, for the heartbeat."""
+        rows = []
+        for name, server in self._servers.items():
+            usable = self._refresh(name, server, now) if server.takes_work else []
+            limit = server.health.limit(now)
+            warmth = server.health.warmth
+            rows.append(ServerStatus(name, warmth, limit, server.running, len(usable)))
+        return tuple(rows)
+
+    def capacity(self, now: float) -> int:
+        """Return how many units are usable, free or taken."""
+        return sum(
+            len(self._refresh(name, server, now))
+            for name, server in self._servers.items()
+            if server.takes_work
+        )
+
+    def _new_health(self, name: ServerName) -> ServerHealth:
+        concurrency = ConcurrencyLimit(self._pool, self._pool.max_concurrency)
+        return ServerHealth(name, self._pool, concurrency)
+
+    def _drop_servers(self, kept: Iterable[ServerName]) -> None:
+        for name in set(self._servers) - set(kept):
+            del self._servers[name]
+
+    def _charge(self, lease_id: str, unit: Unit, router: RouterName) -> None:
+        server = self._servers.get(unit.server)
+        if server is None:
+            return
+        self._leases[lease_id] = _Lease(unit, router)
+        server.hold(unit.index)
+
+    def _free_of(
+        self, name: ServerName, server: _Server, now: float
+    ) -> tuple[FreeUnit, ...]:
+        if not server.takes_work:
+            return ()
+        usable = self._refresh(name, server, now)
+        if server.free is None:
+            server.free = self._offers(name, server, usable, now)
+        return server.free
+
+    def _offers(
+        self, name: ServerName, server: _Server, usable: list[int], now: float
+    ) -> tuple[FreeUnit, ...]:
+        room = len(usable) - server.running
+        if room <= 0:
+            return ()
+        warmth = server.health.warmth
+        limit = server.health.limit(now)
+        open_units = [index for index in usable if index not in server.held]
+        return tuple(
+            FreeUnit(Unit(name, index), warmth, server.running, limit)
+            for index in open_units[:room]
+        )
+
+    def _refresh(self, name: ServerName, server: _Server, now: float) -> list[int]:
+        if server.generation == self._shares.generation and now < server.valid_until:
+            return server.usable
+        limit = server.health.limit(now)
+        server.usable = self._usable(name, server, limit, now)
+        server.generation = self._shares.generation
+        server.valid_until = min(
+            self._shares.valid_until(now), server.health.next_change(now)
+        )
+        server.free = None
+        return server.usable
+
+    def _usable(
+        self, name: ServerName, server: _Server, limit: int, now: float
+    ) -> list[int]:
+        if server.health.warmth is not Warmth.WARM:
+            server.taken_up = 0
+            return self._shares.careful(name, limit, now)
+        lost = self._shares.lost(name, limit, now)
+        server.taken_up = min(server.taken_up, len(lost))
+        lent = self._shares.lent(name, limit, now)
+        return sorted(lent + lost[: server.taken_up])
+
+    def _adjust_taken_up(
+        self,
+        name: ServerName,
+        server: _Server,
+        outcome: Outcome,
+        full: bool,
+        now: float,
+    ) -> None:
+        if server.health.warmth is not Warmth.WARM:
+            return
+        if outcome is not Outcome.COMPLETED or server.health.slow:
+            server.taken_up //= 2
+            server.next_take_up = now + self._pool.first_token_target_s
+            return
+        lost = self._shares.lost(name, server.health.limit(now), now)
+        if full and server.taken_up < len(lost) and now >= server.next_take_up:
+            server.taken_up += 1
+            server.next_take_up = now + self._pool.first_token_target_s
