Add the demo, its callers and the starter of processes

A newcomer needs one command that shows the fleet at work. The demo starts stand-ins and three routers, sends calls of four workspaces, takes a data centre out and brings it back, and holds every outcome against the backend servers' records. It needs the router daemon, which is not in this change.

--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_client.py
@@ -0,0 +1,117 @@
+"""A lean HTTP caller: one connection for each call, and every time of it noted."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterable
+
+import anyio
+import httptools
+from attrs import define, field, frozen
+
+RECEIVE_BYTES = 65536
+CONNECT_S = 2.0
+"""Seconds until a connection that isn't made counts as refused."""
+
+
+@frozen
+class Request:
+    """Hold one request as it goes over the wire."""
+
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+    def encode(self, host: str) -> bytes:
+        """Return the bytes of the request."""
+        lines = [f"{self.method} {self.path} HTTP/1.1", f"host: {host}"]
+        lines += [f"{key}: {value}" for key, value in self.headers]
+        lines += [f"content-length: {len(self.body)}", "connection: close"]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + self.body
+
+
+@define(eq=False)
+class Answer:
+    """Collect one answer; times are monotonic seconds."""
+
+    sent_at: float = 0.0
+    connected: bool = False
+    status: int = 0
+    headers: dict[str, str] = field(factory=dict)
+    body: bytearray = field(factory=bytearray)
+    first_at: float = 0.0  # first byte of the body
+    chunks: int = 0
+    end_at: float = 0.0
+    whole: bool = False
+    timed_out: bool = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keep a header."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, data: bytes) -> None:
+        """Keep a piece of the body."""
+        if not self.first_at:
+            self.first_at = time.monotonic()
+        self.chunks += 1
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Note that the answer came whole."""
+        self.whole = True
+
+
+async def call(
+    address: str,
+    request: Request,
+    *,
+    timeout_s: float = 60.0,
+    leave_after_chunks: int | None = None,
+) -> Answer:
+    """Send one request and return what came back, whole or not.
+
+    `leave_after_chunks` makes the caller close the connection after so many pieces.
+    """
+    answer = Answer(sent_at=time.monotonic())
+    with anyio.move_on_after(timeout_s) as scope:
+        try:
+            await _exchange(address, request, answer, leave_after_chunks)
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            pass
+        except httptools.HttpParserError:
+            answer.whole = False
+    answer.timed_out = scope.cancelled_caught
+    answer.end_at = time.monotonic()
+    return answer
+
+
+async def call_any(
+    addresses: Iterable[str], request: Request, **options: float | None
+) -> Answer:
+    """Send a request to the first address that takes the connection."""
+    answer = Answer(sent_at=time.monotonic(), end_at=time.monotonic())
+    sent_at = answer.sent_at
+    for address in addresses:
+        answer = await call(address, request, **options)  # type: ignore[arg-type]
+        if answer.connected:
+            break
+    answer.sent_at = sent_at
+    return answer
+
+
+async def _exchange(
+    address: str, request: Request, answer: Answer, leave_after: int | None
+) -> None:
+    host, _, port = address.rpartition(":")
+    with anyio.fail_after(CONNECT_S):
+        stream = await anyio.connect_tcp(host, int(port))
+    answer.connected = True
+    parser = httptools.HttpResponseParser(answer)
+    async with stream:
+        await stream.send(request.encode(address))
+        while not answer.whole:
+            parser.feed_data(await stream.receive(RECEIVE_BYTES))
+            answer.status = parser.get_status_code()
+            if leave_after is not None and answer.chunks >= leave_after:
+                return
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_house.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_house.py
@@ -86,9 +86,15 @@
         await standin.control_app(scope, receive, send)
 
 
-def as_tuple(value: object) -> tuple[object, ...]:
-    """Return what the command line gave, one value or several, as a tuple."""
-    return tuple(value) if isinstance(value, list | tuple) else (value,)
+def as_tuple(value: object) -> tuple[str, ...]:
+    """Return what the command line gave, one value or several with commas.
+
+    The command line's library turns some such lists into tuples and leaves others as
+    text, by the characters in them.
+    """
+    if isinstance(value, list | tuple):
+        return tuple(str(item) for item in value)
+    return tuple(str(value).split(","))
 
 
 def run_house(
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -0,0 +1,318 @@
+"""Start routers and stand-ins as processes on loopback, and end just those."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import IO, Any
+
+import anyio
+import psutil
+from anyio.abc import Process
+from attrs import define, field
+
+from fulmarroad.exceptions import FulmarroadError
+from fulmarroad_bench._client import Answer, Request, call
+from fulmarroad_bench._layout import (
+    ADMIN_TOKEN,
+    HOST,
+    Layout,
+    RouterRow,
+    ServerRow,
+    router_settings,
+)
+
+READY_S = 15.0
+"""Seconds that a process may take until it is ready."""
+POLL_S = 0.05
+STOP_S = 8.0
+"""Seconds that a process may take to end before it is killed."""
+
+
+class ProcessError(FulmarroadError):
+    """Report that a process did not come up or ended by itself."""
+
+
+@define(eq=False)
+class Child:
+    """Hold a process that was started here."""
+
+    name: str
+    process: Process
+    log: Path
+    cpu_s: float = 0.0  # as last sampled
+    memory_bytes: int = 0
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    @property
+    def ended(self) -> bool:
+        """Tell whether it has ended."""
+        return self.process.returncode is not None
+
+    def sample(self) -> None:
+        """Note the processor time and memory used so far."""
+        try:
+            seen = psutil.Process(self.pid)
+            times = seen.cpu_times()
+            self.cpu_s = times.user + times.system
+            self.memory_bytes = seen.memory_info().rss
+        except psutil.Error:
+            pass
+
+    def send(self, number: int) -> None:
+        """Send it a signal."""
+        if not self.ended:
+            os.kill(self.pid, number)
+
+    def last_lines(self, count: int = 12) -> str:
+        """Return the end of its log."""
+        lines = self.log.read_text(errors="replace").splitlines()
+        return "\n".join(lines[-count:])
+
+
+@define(eq=False)
+class Processes:
+    """Start processes whose logs lie in one directory."""
+
+    directory: Path
+    children: list[Child] = field(factory=list)
+    _files: list[IO[bytes]] = field(factory=list)
+
+    async def start(self, name: str, module: str, *arguments: str) -> Child:
+        """Start `python -m MODULE ARGUMENTS`."""
+        log = self.directory / f"{name}.log"
+        output = log.open("ab")
+        self._files.append(output)
+        process = await anyio.open_process(
+            [sys.executable, "-m", module, *arguments],
+            stdin=None,
+            stdout=output,
+            stderr=output,
+        )
+        child = Child(name, process, log)
+        self.children.append(child)
+        return child
+
+    async def stop(self, child: Child, within_s: float = STOP_S) -> int | None:
+        """End a process gracefully and return its exit code; None if it had to die."""
+        child.sample()
+        child.send(signal.SIGCONT)
+        child.send(signal.SIGTERM)
+        with anyio.move_on_after(within_s):
+            return await child.process.wait()
+        child.send(signal.SIGKILL)
+        await child.process.wait()
+        return None
+
+    async def stop_all(self) -> None:
+        """End whatever still runs, all at once."""
+        async with anyio.create_task_group() as group:
+            for child in self.children:
+                if not child.ended:
+                    group.start_soon(self.stop, child)
+        for output in self._files:
+            output.close()
+
+
+@asynccontextmanager
+async def processes(keep: Path | None = None) -> AsyncIterator[Processes]:
+    """Offer a starter whose processes end with the block."""
+    with tempfile.TemporaryDirectory(prefix="fulmarroad-") as scratch:
+        starter = Processes(keep or Path(scratch))
+        try:
+            yield starter
+        finally:
+            with anyio.CancelScope(shield=True):
+                await starter.stop_all()
+
+
+def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
+    """Return ports that are free now, all different."""
+    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+    for sock in sockets:
+        sock.bind((HOST, 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def router_rows(names: Sequence[tuple[str, str]]) -> list[RouterRow]:
+    """Give ports to routers named with their data centres."""
+    tcp = free_ports(3 * len(names))
+    udp = free_ports(len(names), socket.SOCK_DGRAM)
+    return [
+        RouterRow(name, centre, tcp[3 * n], tcp[3 * n + 1], tcp[3 * n + 2], udp[n])
+        for n, (name, centre) in enumerate(names)
+    ]
+
+
+async def wait_ready(child: Child, address: str, path: str = "/readyz") -> None:
+    """Return once a process answers 200; raise when it doesn't come up."""
+    with anyio.move_on_after(READY_S):
+        while not child.ended:
+            answer = await call(address, Request("GET", path), timeout_s=2.0)
+            if answer.status == 200:
+                return
+            await anyio.sleep(POLL_S)
+    raise ProcessError(
+        f"{child.name} did not get ready within {READY_S:.0f} s.",
+        hint=f"The end of its log:\n{child.last_lines()}",
+    )
+
+
+async def order(address: str, path: str, value: Any, method: str = "POST") -> Any:
+    """Send a stand-in an order and return its answer."""
+    body = value if isinstance(value, bytes) else json.dumps(value).encode()
+    answer = await call(address, Request(method, path, (), body), timeout_s=10.0)
+    return _json_of(answer, address, path)
+
+
+async def fetch(address: str, path: str, *, token: str = "") -> Any:
+    """Return the JSON found at a path."""
+    headers = (("authorization", f"Bearer {token}"),) if token else ()
+    answer = await call(address, Request("GET", path, headers), timeout_s=20.0)
+    return _json_of(answer, address, path)
+
+
+def _json_of(answer: Answer, address: str, path: str) -> Any:
+    if answer.status != 200 or not answer.whole:
+        raise ProcessError(f"{address}{path} answered {answer.status}.")
+    return json.loads(answer.body)
+
+
+@define(eq=False)
+class Bed:
+    """Run the stand-ins and routers of one layout."""
+
+    layout: Layout
+    starter: Processes
+    platform_address: str
+    platform_control: str
+    engines_control: str
+    plains_control: str
+    policy: str = "fleet"
+    routers: dict[str, Child] = field(factory=dict)
+    rows: dict[str, RouterRow] = field(factory=dict)
+    vm_version: int = 0
+
+    async def put_tables(
+        self, version: int, out: Sequence[str] = (), servers_out: Sequence[str] = ()
+    ) -> None:
+        """Show tables at the platform."""
+        tables = self.layout.tables(version, out, servers_out)
+        await order(self.platform_control, "/control/tables", tables, "PUT")
+
+    async def put_vms(self, leaving: Sequence[str] = ()) -> None:
+        """Show the routers that are up in the VM list."""
+        self.vm_version += 1
+        vms = self.layout.vm_list(self.vm_version, self.rows.values(), leaving)
+        await order(self.platform_control, "/control/vms", vms, "PUT")
+
+    async def start_router(self, row: RouterRow) -> Child:
+        """Start a router's process."""
+        path = self.starter.directory / f"{row.name}.toml"
+        text = router_settings(
+            row, self.platform_address, policy=self.policy, allow_cut=True
+        )
+        path.write_text(text)
+        child = await self.starter.start(
+            row.name, "fulmarroad_router", "--settings", str(path)
+        )
+        self.routers[row.name] = child
+        self.rows[row.name] = row
+        return child
+
+    async def start_routers(self) -> None:
+        """Start every router of the layout and wait until all are ready."""
+        self.rows = {row.name: row for row in self.layout.routers}
+        await self.put_vms()
+        for row in self.layout.routers:
+            await self.start_router(row)
+        for row in self.layout.routers:
+            await wait_ready(self.routers[row.name], row.admin_address)
+
+    async def status(self, name: str) -> Any:
+        """Return a router's status."""
+        return await fetch(self.rows[name].admin_address, "/status", token=ADMIN_TOKEN)
+
+    async def engine_reports(self) -> list[dict[str, Any]]:
+        """Return what every engine recorded."""
+        names = [row.name for row in self.layout.engines]
+        return [await fetch(self.engines_control, f"/{name}/records") for name in names]
+
+    async def plain_reports(self) -> list[dict[str, Any]]:
+        """Return what every plain service recorded."""
+        names = [row.name for row in self.layout.plains]
+        return [await fetch(self.plains_control, f"/{name}/records") for name in names]
+
+
+async def start_bed(
+    layout: Layout,
+    starter: Processes,
+    *,
+    policy: str = "fleet",
+    profile: dict[str, float] | None = None,
+) -> Bed:
+    """Start the stand-ins of a layout, with its tables of version 1 in view."""
+    ports = free_ports(4)
+    platform, platform_control, engines_control, plains_control = ports
+    child = await starter.start(
+        "platform",
+        "fulmarroad_bench.platform",
+        f"--port={platform}",
+        f"--control_port={platform_control}",
+    )
+    options = [f"--{key}={value}" for key, value in (profile or {}).items()]
+    engines = await _start_servers(
+        starter, "engine", layout.engines, engines_control, options
+    )
+    plains = await _start_servers(starter, "plain", layout.plains, plains_control, [])
+    await wait_ready(child, f"{HOST}:{platform}", "/vms")
+    for server, control, rows in (
+        (engines, engines_control, layout.engines),
+        (plains, plains_control, layout.plains),
+    ):
+        if server is not None:
+            await wait_ready(server, f"{HOST}:{control}", f"/{rows[0].name}/records")
+    bed = Bed(
+        layout,
+        starter,
+        f"{HOST}:{platform}",
+        f"{HOST}:{platform_control}",
+        f"{HOST}:{engines_control}",
+        f"{HOST}:{plains_control}",
+        policy,
+    )
+    await bed.put_tables(1)
+    return bed
+
+
+async def _start_servers(
+    starter: Processes,
+    kind: str,
+    rows: Sequence[ServerRow],
+    control: int,
+    options: Sequence[str],
+) -> Child | None:
+    if not rows:
+        return None
+    return await starter.start(
+        f"{kind}s",
+        f"fulmarroad_bench.{kind}",
+        f"--port={','.join(str(row.port) for row in rows)}",
+        f"--name={','.join(row.name for row in rows)}",
+        f"--control_port={control}",
+        *options,
+    )
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
@@ -0,0 +1,242 @@
+"""Show a fleet at work: three routers, four workspaces, a data centre out and back."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+from collections.abc import Sequence
+
+import anyio
+from attrs import define, field
+
+from fulmarroad.exceptions import FulmarroadError
+from fulmarroad_bench._checks import Checks, check, starts_in
+from fulmarroad_bench._layout import Layout, ServerRow, WorkspaceRow
+from fulmarroad_bench._load import Balancer, Callers, CallPlan, CallResult
+from fulmarroad_bench._processes import (
+    Bed,
+    Processes,
+    free_ports,
+    processes,
+    router_rows,
+    start_bed,
+)
+
+CENTRES = ("north", "middle", "south")
+LEAVING = "south"
+PHASE_S = 6.0
+"""Seconds of load in each of the three phases."""
+LEAVE_WITHIN_S = 3.0
+"""Seconds after which a data centre that was taken out gets no new work."""
+CALLERS = {"atlas": 6, "cedar": 2, "harbour": 2, "dune": 2}
+"""Callers of each workspace; the first one is much larger than the others."""
+POST_EVERY = 5
+"""Every so many calls a caller posts at the ledger service as well."""
+REPEAT_SHARE = 0.3
+"""Share of keyed posts that their caller sends a second time."""
+
+
+def demo_layout() -> Layout:
+    """Return three data centres with a router, an engine and a ledger each."""
+    ports = free_ports(2 * len(CENTRES))
+    engines = [
+        ServerRow(f"engine-{centre}", centre, ports[n])
+        for n, centre in enumerate(CENTRES)
+    ]
+    plains = [
+        ServerRow(f"ledger-{centre}", centre, ports[len(CENTRES) + n])
+        for n, centre in enumerate(CENTRES)
+    ]
+    return Layout(
+        CENTRES,
+        tuple(WorkspaceRow(name) for name in CALLERS),
+        tuple(router_rows([(f"router-{centre}", centre) for centre in CENTRES])),
+        tuple(engines),
+        tuple(plains),
+    )
+
+
+@define(eq=False)
+class Demo:
+    """Drive the fleet through its three phases."""
+
+    bed: Bed
+    rng: random.Random = field(factory=lambda: random.Random(1))
+    callers: Callers = field(factory=Callers)
+    left_at: float = 0.0
+    back_at: float = 0.0
+    over: bool = False
+    _count: int = 0
+
+    async def run(self) -> None:
+        """Send calls while the data centre leaves and returns."""
+        addresses = {row.name: row.address for row in self.bed.layout.routers}
+        balancer = Balancer(addresses, self.rng)
+        async with anyio.create_task_group() as group:
+            for workspace in self.bed.layout.workspaces:
+                for _ in range(CALLERS[workspace.name]):
+                    group.start_soon(self._caller, workspace, balancer)
+            await self._phases()
+            self.over = True
+            say("No new calls; waiting for the answers that still run.")
+
+    async def _phases(self) -> None:
+        say(f"Twelve callers of {len(CALLERS)} workspaces begin; engines are cold.")
+        await anyio.sleep(PHASE_S)
+        say(f"Operators take data centre {LEAVING!r} out: table version 2.")
+        self.left_at = time.monotonic()
+        await self.bed.put_tables(2, out=[LEAVING])
+        await anyio.sleep(PHASE_S)
+        say(f"They bring {LEAVING!r} back: table version 3.")
+        self.back_at = time.monotonic()
+        await self.bed.put_tables(3)
+        await anyio.sleep(PHASE_S)
+
+    async def _caller(self, workspace: WorkspaceRow, balancer: Balancer) -> None:
+        sent = self.rng.randrange(POST_EVERY)
+        while not self.over:
+            sent += 1
+            if sent % POST_EVERY:
+                await self._send(self._chat(workspace), balancer)
+            else:
+                await self._post(workspace, balancer)
+
+    async def _post(self, workspace: WorkspaceRow, balancer: Balancer) -> None:
+        call_id = self._next_id(workspace)
+        key = f"post-{call_id}" if self.rng.random() < 0.7 else ""
+        plan = CallPlan(
+            call_id, workspace.name, workspace.key, kind="ledger", idempotency_key=key
+        )
+        await self._send(plan, balancer)
+        if key and self.rng.random() < REPEAT_SHARE:
+            await self._send(plan, balancer)
+
+    async def _send(self, plan: CallPlan, balancer: Balancer) -> CallResult:
+        result = await self.callers.send(plan, balancer.order_for(plan.workspace))
+        if result.outcome not in ("completed", "left"):
+            # A caller that is turned away waits a little, as Retry-After asks.
+            await anyio.sleep(0.5)
+        return result
+
+    def _chat(self, workspace: WorkspaceRow) -> CallPlan:
+        tokens = self.rng.randint(10, 50)
+        leaves = self.rng.random() < 0.05
+        return CallPlan(
+            self._next_id(workspace),
+            workspace.name,
+            workspace.key,
+            stream=self.rng.random() < 0.8 or leaves,
+            tokens=tokens,
+            hint=tokens * 2,
+            prompt=f"Letter of {workspace.name}. " + "Please pay in time. " * 10,
+            leave_after=3 if leaves else None,
+        )
+
+    def _next_id(self, workspace: WorkspaceRow) -> str:
+        self._count += 1
+        return f"{workspace.name}-{self._count}"
+
+
+def say(text: str) -> None:
+    """Print a line with the time since the start."""
+    print(f"[{time.monotonic() - _BEGAN:5.1f} s] {text}", flush=True)
+
+
+_BEGAN = time.monotonic()
+
+
+async def main() -> int:
+    """Run the demo and return the exit code."""
+    async with processes() as starter:
+        return await _run(starter)
+
+
+async def _run(starter: Processes) -> int:
+    say("Starting stand-ins: a platform, three model engines, three ledgers.")
+    bed = await start_bed(demo_layout(), starter)
+    say("Starting three routers, one for each data centre.")
+    await bed.start_routers()
+    demo = Demo(bed)
+    await demo.run()
+    engines, plains = await bed.engine_reports(), await bed.plain_reports()
+    results = demo.callers.results
+    checks = check(results, engines, plains)
+    reports = [report for report in engines if report["name"].endswith(LEAVING)]
+    starts = starts_in(reports, demo.left_at, demo.back_at)
+    last_s = starts[-1] - demo.left_at if starts else 0.0
+    again = len(starts_in(reports, demo.back_at, time.monotonic()))
+    await starter.stop_all()
+    codes = [child.process.returncode for child in bed.routers.values()]
+    _tell(results, checks, last_s, again, codes)
+    held = checks.held and last_s <= LEAVE_WITHIN_S and again > 0
+    held = held and all(code == 0 for code in codes) and _served(results)
+    print(json.dumps(summary(results, checks)))
+    return 0 if held else 1
+
+
+def summary(results: Sequence[CallResult], checks: Checks) -> dict[str, int]:
+    """Return the last line of the demo."""
+    outcomes = [result.outcome for result in results]
+    return {
+        "completed": outcomes.count("completed"),
+        "wrong_answers": checks.wrong_answers,
+        "doubled": checks.doubled,
+        "cut_off": checks.cut_off,
+        "refused_not_run": outcomes.count("refused"),
+        "unknown": outcomes.count("unknown"),
+        "failed": outcomes.count("failed"),
+        "false_not_run": checks.false_not_run,
+    }
+
+
+def _served(results: Sequence[CallResult]) -> bool:
+    """Tell whether every workspace got answers and no call failed unexplained."""
+    served = {r.workspace for r in results if r.outcome == "completed"}
+    failed = any(r.outcome in ("failed", "unreachable") for r in results)
+    return served == set(CALLERS) and not failed
+
+
+def _tell(
+    results: Sequence[CallResult],
+    checks: Checks,
+    last_s: float,
+    again: int,
+    codes: Sequence[int | None],
+) -> None:
+    say("Every answer was held against its request, every refusal against the records.")
+    print(f"  {'workspace':<10} {'callers':>7} {'answers':>8} {'tokens':>7}")
+    for name, callers in CALLERS.items():
+        mine = [r for r in results if r.workspace == name and r.outcome == "completed"]
+        tokens = sum(r.tokens for r in mine if r.kind == "chat")
+        print(f"  {name:<10} {callers:>7} {len(mine):>8} {tokens:>7}")
+    print(
+        f"  Last new work in {LEAVING!r} after it was taken out: {last_s:.2f} s later."
+    )
+    print(f"  New work there once it was back: {again} calls.")
+    print(f"  Posts that reached a ledger twice: {checks.doubled}.")
+    print(f"  Refusals that said 'not run' and had run: {checks.false_not_run}.")
+    print(f"  Exit codes of the routers' graceful shutdown: {list(codes)}.")
+
+
+def cli() -> None:
+    """Run the demo and end with its exit code."""
+    try:
+        code = anyio.run(main, backend_options={"use_uvloop": True})
+    except* FulmarroadError as errors:
+        _show(errors)
+        code = 1
+    sys.exit(code)
+
+
+def _show(errors: BaseExceptionGroup[FulmarroadError]) -> None:
+    for error in errors.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            _show(error)
+        else:
+            print(error.show(), file=sys.stderr)
+
+
+if __name__ == "__main__":
+    cli()
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
@@ -468,7 +468,7 @@
 
 
 def main(
-    port: int | tuple[int, ...] = 0,
+    port: int | str | tuple[int, ...] = 0,
     control_port: int = 0,
     name: str | tuple[str, ...] = "engine",
     **profile: float,
@@ -483,8 +483,8 @@
 
     """
     known = EngineProfile(**profile)  # type: ignore[arg-type]
-    engines = [Engine(str(each), known) for each in as_tuple(name)]
-    run_house(engines, [int(str(each)) for each in as_tuple(port)], control_port)
+    engines = [Engine(each, known) for each in as_tuple(name)]
+    run_house(engines, [int(each) for each in as_tuple(port)], control_port)
 
 
 if __name__ == "__main__":
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
@@ -166,7 +166,7 @@
 
 
 def main(
-    port: int | tuple[int, ...] = 0,
+    port: int | str | tuple[int, ...] = 0,
     control_port: int = 0,
     name: str | tuple[str, ...] = "ledger",
     service_s: float = SERVICE_S,
@@ -180,8 +180,8 @@
         service_s: seconds that a call takes.
 
     """
-    services = [PlainService(str(each), service_s) for each in as_tuple(name)]
-    run_house(services, [int(str(each)) for each in as_tuple(port)], control_port)
+    services = [PlainService(each, service_s) for each in as_tuple(name)]
+    run_house(services, [int(each) for each in as_tuple(port)], control_port)
 
 
 if __name__ == "__main__":
