Check tables whole and accept versions that only rise

Each part's rows are checked and kept by its hash, then all rows are joined, so one error lists every problem with table, row and field. TableStore refuses a lower version, other content under the same version and bad tables, whoever offers them. RouteIndex finds the workspace of a key and the route of a call.

--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_tables_check.py
@@ -0,0 +1,189 @@
+"""Checks of both tables together: names that join, duplicates, ambiguous routes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from typing import Any
+
+from attrs import frozen
+
+from fulmarroad._manifest import Manifest, ManifestPart, TableName, check_part
+from fulmarroad._table_rows import PartRows, read_part
+from fulmarroad._tables import Pool, Route, Tables, Workspace
+from fulmarroad.exceptions import ConfigurationError
+
+_HINT = "Correct the tables and publish a higher version; the last good ones stay."
+
+
+@frozen
+class ReadPart:
+    """Hold a part of the manifest with its rows."""
+
+    part: ManifestPart
+    rows: PartRows
+
+
+def parse_tables(
+    version: int, parts: Mapping[str, bytes], manifest: Manifest
+) -> Tables:
+    """Return the tables that a manifest's parts make up; `parts` is by SHA-256.
+
+    Raise `ConfigurationError` with every problem, each naming table, row and field.
+    """
+    problems = [] if version == manifest.version else ["manifest: version: is another"]
+    read: list[ReadPart] = []
+    for part in manifest.parts:
+        content = parts.get(part.sha256)
+        fault = "is missing" if content is None else check_part(part, content)
+        if content is None or fault:
+            problems.append(f"{part.table} (part {part.name}): {fault}")
+        else:
+            read.append(ReadPart(part, read_part(part.table, content)))
+    if problems:
+        raise _error(version, problems)
+    return join_tables(version, read)
+
+
+def parse_texts(version: int, routes: bytes, pools: bytes) -> Tables:
+    """Return the tables of two whole TOML texts, for files that aren't published.
+
+    Raise `ConfigurationError` with every problem, each naming table, row and field.
+    """
+    read = [
+        ReadPart(ManifestPart(table, table.value, "", 0), read_part(table, content))
+        for table, content in ((TableName.ROUTES, routes), (TableName.POOLS, pools))
+    ]
+    return join_tables(version, read)
+
+
+def join_tables(version: int, read: Sequence[ReadPart]) -> Tables:
+    """Return the tables that rows of all parts make up.
+
+    Raise `ConfigurationError` with every problem, each naming table, row and field.
+    """
+    problems = [
+        f"{part.part.table} (part {part.part.name}): {problem}"
+        for part in read
+        for problem in part.rows.problems
+    ]
+    rows = [part.rows for part in read]
+    names = _declared(rows)
+    problems += _duplicate_names(rows)
+    routes = [route for part in rows for route in part.routes]
+    pools = [pool for part in rows for pool in part.pools]
+    workspaces = [row for part in rows for row in part.workspaces]
+    problems += _duplicate_keys(workspaces)
+    problems += _dangling_routes(routes, names)
+    problems += _ambiguous_routes(routes)
+    problems += _dangling_servers(pools, names)
+    problems += _duplicate_addresses(pools)
+    if problems:
+        raise _error(version, problems)
+    return Tables(
+        version,
+        workspaces={row.name: row for row in workspaces},
+        routes={row.name: row for row in routes},
+        pools={row.name: row for row in pools},
+        data_centres={row.name: row for part in rows for row in part.data_centres},
+    )
+
+
+def _error(version: int, problems: Iterable[str]) -> ConfigurationError:
+    return ConfigurationError(
+        f"The tables of version {version} are not valid.",
+        problems=tuple(problems),
+        hint=_HINT,
+    )
+
+
+def _declared(rows: Iterable[PartRows]) -> dict[str, set[str]]:
+    names: dict[str, set[str]] = {}
+    for part in rows:
+        for kind, name in part.declared:
+            names.setdefault(kind, set()).add(name)
+    return names
+
+
+_TABLE_OF = {"workspace": TableName.ROUTES, "route": TableName.ROUTES}
+
+
+def _duplicate_names(rows: Iterable[PartRows]) -> Iterator[str]:
+    seen: set[tuple[str, str]] = set()
+    for part in rows:
+        for kind, name in part.declared:
+            if (kind, name) in seen:
+                table = _TABLE_OF.get(kind, TableName.POOLS)
+                yield f"{table}: {kind} {name!r}: name: is used twice"
+            seen.add((kind, name))
+
+
+def _duplicate_keys(workspaces: Iterable[Workspace]) -> Iterator[str]:
+    # A key of two workspaces would charge one for what the other asked.
+    owner: dict[str, str] = {}
+    for workspace in workspaces:
+        for key in workspace.key_sha256:
+            other = owner.setdefault(key, workspace.name)
+            if other != workspace.name:
+                yield (
+                    f"routes: workspace {workspace.name!r}: key_sha256: "
+                    f"{key[:8]}… is also a key of workspace {other!r}"
+                )
+
+
+def _dangling_routes(
+    routes: Iterable[Route], names: Mapping[str, set[str]]
+) -> Iterator[str]:
+    for route in routes:
+        label = f"routes: route {route.name!r}"
+        if route.pool not in names.get("pool", ()):
+            yield f"{label}: pool: no pool is named {route.pool!r}"
+        for workspace in route.workspaces:
+            if workspace not in names.get("workspace", ()):
+                yield f"{label}: workspaces: no workspace is named {workspace!r}"
+
+
+def _ambiguous_routes(routes: Iterable[Route]) -> Iterator[str]:
+    groups: dict[tuple[Any, ...], list[Route]] = {}
+    for route in routes:
+        path = (route.path.rstrip("/") or "/") if route.path_prefix else route.path
+        rank = (bool(route.workspaces), bool(route.methods))
+        key = (path, route.path_prefix, route.model, *rank)
+        for other in groups.setdefault(key, []):
+            if _overlap(route, other):
+                yield (
+                    f"routes: route {route.name!r}: path: takes the same calls as "
+                    f"route {other.name!r}"
+                )
+                break
+        groups[key].append(route)
+
+
+def _overlap(one: Route, other: Route) -> bool:
+    workspaces = not one.workspaces or set(one.workspaces) & set(other.workspaces)
+    methods = not one.methods or set(one.methods) & set(other.methods)
+    return bool(workspaces and methods)
+
+
+def _dangling_servers(
+    pools: Iterable[Pool], names: Mapping[str, set[str]]
+) -> Iterator[str]:
+    for pool in pools:
+        for server in pool.servers:
+            if server.data_centre not in names.get("data_centre", ()):
+                yield (
+                    f"pools: pool {pool.name!r} server {server.name!r}: data_centre: "
+                    f"no data centre is named {server.data_centre!r}"
+                )
+
+
+def _duplicate_addresses(pools: Iterable[Pool]) -> Iterator[str]:
+    # Two rows of one backend server would give it twice the work that it bears.
+    owner: dict[str, str] = {}
+    for pool in pools:
+        for server in pool.servers:
+            label = f"pool {pool.name!r} server {server.name!r}"
+            other = owner.setdefault(server.address, label)
+            if other != label:
+                yield (
+                    f"pools: {label}: address: {server.address} is also that of {other}"
+                )
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/checks.py
@@ -0,0 +1,35 @@
+"""Checks of values and rows from TOML, for tables and settings."""
+
+from fulmarroad._checks import (
+    Check,
+    Report,
+    address,
+    choice,
+    flag,
+    ip,
+    list_of,
+    name,
+    number,
+    read_row,
+    sha256,
+    shown,
+    text,
+    whole,
+)
+
+__all__ = [
+    "Check",
+    "Report",
+    "address",
+    "choice",
+    "flag",
+    "ip",
+    "list_of",
+    "name",
+    "number",
+    "read_row",
+    "sha256",
+    "shown",
+    "text",
+    "whole",
+]
--- a/packages/fulmarroad/src/fulmarroad/tables.py
+++ b/packages/fulmarroad/src/fulmarroad/tables.py
@@ -1,5 +1,21 @@
-"""The tables of routes and pools."""
+"""The tables of routes and pools: their model, checks, manifest and acceptance."""
 
+from fulmarroad._acceptance import (
+    Acceptance,
+    TableStore,
+    Verdict,
+)
+from fulmarroad._manifest import (
+    MAX_PART_BYTES,
+    Manifest,
+    ManifestPart,
+    TableName,
+    build_manifest,
+    parse_manifest,
+)
+from fulmarroad._route_index import (
+    RouteIndex,
+)
 from fulmarroad._tables import (
     BackendServer,
     CostUnit,
@@ -12,16 +28,32 @@
     Workspace,
     shards_of,
 )
+from fulmarroad._tables_check import (
+    parse_tables,
+    parse_texts,
+)
 
 __all__ = [
+    "Acceptance",
     "BackendServer",
     "CostUnit",
     "DataCentre",
+    "MAX_PART_BYTES",
+    "Manifest",
+    "ManifestPart",
     "Pool",
     "PoolKind",
     "Route",
+    "RouteIndex",
     "ServiceState",
+    "TableName",
+    "TableStore",
     "Tables",
+    "Verdict",
     "Workspace",
+    "build_manifest",
+    "parse_manifest",
+    "parse_tables",
+    "parse_texts",
     "shards_of",
 ]
--- /dev/null
+++ b/packages/fulmarroad/tests/test_tables.py
@@ -0,0 +1,328 @@
+"""Tests of parsing, checks, lookups and acceptance of tables."""
+
+from __future__ import annotations
+
+import hashlib
+
+import pytest
+
+from fulmarroad.exceptions import ConfigurationError
+from fulmarroad.tables import (
+    CostUnit,
+    RouteIndex,
+    ServiceState,
+    TableName,
+    Tables,
+    TableStore,
+    Verdict,
+    build_manifest,
+    parse_manifest,
+    parse_tables,
+    parse_texts,
+)
+
+
+def sha(text: str) -> str:
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+ROUTES = f"""
+[[workspace]]
+name = "atlas"
+weight = 2
+key_sha256 = ["{sha("atlas-key")}"]
+
+[[workspace]]
+name = "rif"
+key_sha256 = ["{sha("rif-key")}"]
+
+[[route]]
+name = "chat"
+path = "/v1/chat/completions"
+pool = "drafting"
+"""
+POOLS = """
+[[data_centre]]
+name = "north"
+
+[[data_centre]]
+name = "south"
+state = "out"
+
+[[pool]]
+name = "drafting"
+
+[[pool.server]]
+name = "d1"
+address = "10.0.0.1:8000"
+data_centre = "north"
+
+[[pool.server]]
+name = "d2"
+address = "[::1]:8000"
+data_centre = "south"
+state = "out"
+"""
+
+
+def parse(routes: str = ROUTES, pools: str = POOLS) -> Tables:
+    return parse_texts(1, routes.encode(), pools.encode())
+
+
+def problems(routes: str = ROUTES, pools: str = POOLS) -> tuple[str, ...]:
+    with pytest.raises(ConfigurationError) as caught:
+        parse(routes, pools)
+    return caught.value.problems
+
+
+def publish(version: int, routes: str = ROUTES, pools: str = POOLS):
+    contents = {
+        (TableName.ROUTES, "routes-1"): routes.encode(),
+        (TableName.POOLS, "pools-1"): pools.encode(),
+    }
+    manifest = build_manifest(version, contents)
+    by_hash = {part.sha256: contents[part.table, part.name] for part in manifest.parts}
+    return manifest, by_hash
+
+
+class TestParsing:
+    def test_reads_every_row(self):
+        tables = parse()
+        assert tables.workspaces["atlas"].weight == 2.0
+        assert tables.pools["drafting"].servers[1].address == "[::1]:8000"
+        assert tables.data_centres["south"].state is ServiceState.OUT
+        assert not tables.server_takes_work(tables.pools["drafting"].servers[1])
+
+    def test_a_plain_pool_counts_calls(self):
+        tables = parse(pools=POOLS + '[[pool]]\nname = "ledger"\nkind = "plain"\n')
+        assert tables.pools["ledger"].cost is CostUnit.CALLS
+
+    @pytest.mark.parametrize(
+        ("old", "new", "expected"),
+        [
+            ("weight = 2", "weight = 0", "workspace 'atlas': weight: must be from"),
+            ("weight = 2", "weight = nan", "workspace 'atlas': weight: must be from"),
+            ("weight = 2", "weight = true", "weight: must be a number; is True"),
+            ("weight = 2", "wieght = 2", "workspace 'atlas': wieght: is no field"),
+            ('name = "rif"', 'name = "atlas"', "'atlas': name: is used twice"),
+            ('name = "rif"', 'name = "a/b"', "'a/b': name: must be 1 to 64 letters"),
+            ('name = "rif"', "", "workspace number 2: name: is missing"),
+            (sha("rif-key"), sha("atlas-key"), "'rif': key_sha256: "),
+            (sha("rif-key"), "rif-key", "'rif': key_sha256: must be a SHA-256"),
+            ('pool = "drafting"', 'pool = "x"', "route 'chat': pool: no pool is"),
+            ('path = "/v1', 'path = "v1', "route 'chat': path: must begin with"),
+            (
+                'pool = "drafting"',
+                'pool = "drafting"\nworkspaces = ["x"]',
+                "route 'chat': workspaces: no workspace is named 'x'",
+            ),
+            (
+                'pool = "drafting"',
+                'pool = "drafting"\n[[route]]\nname = "b"\npool = "drafting"\n'
+                'path = "/v1/chat/completions"',
+                "route 'b': path: takes the same calls as route 'chat'",
+            ),
+        ],
+    )
+    def test_names_table_row_and_field_of_a_wrong_route_row(self, old, new, expected):
+        found = problems(routes=ROUTES.replace(old, new))
+        assert len(found) == 1
+        assert found[0].startswith("routes")
+        assert expected in found[0]
+
+    @pytest.mark.parametrize(
+        ("old", "new", "expected"),
+        [
+            ("10.0.0.1:8000", "engine:8000", "server 'd1': address: must be an IP"),
+            ("10.0.0.1:8000", "10.0.0.1:0", "server 'd1': address: must be an IP"),
+            ("10.0.0.1:8000", "[0::1]:8000", "'d2': address: [::1]:8000 is also that"),
+            ('"d2"', '"d1"', "server 'd1': name: is used twice"),
+            (
+                'data_centre = "north"',
+                'data_centre = "x"',
+                "'d1': data_centre: no data",
+            ),
+            ('state = "out"', 'state = "off"', 'state: must be "in" or "out"'),
+            (
+                'name = "drafting"',
+                'name = "drafting"\ncold_concurrency = 40',
+                "pool 'drafting': cold_concurrency: must be at most",
+            ),
+            ("[[pool]]", "[[pol]]\n[[pool]]", "pol: is unknown here"),
+        ],
+    )
+    def test_names_table_row_and_field_of_a_wrong_pool_row(self, old, new, expected):
+        found = problems(pools=POOLS.replace(old, new))
+        assert all(problem.startswith("pools") for problem in found)
+        assert expected in found[0]
+
+    def test_gathers_the_problems_of_both_tables(self):
+        found = problems(
+            ROUTES.replace("weight = 2", "weight = -1"),
+            POOLS.replace("10.0.0.1", "engine"),
+        )
+        assert len(found) == 2
+
+    def test_a_broken_row_is_not_reported_again_where_it_is_named(self):
+        assert len(problems(pools=POOLS + "can_resume = 3\n")) == 1
+        broken = POOLS.replace('name = "drafting"', 'name = "drafting"\ncost = 3')
+        assert len(problems(pools=broken)) == 1
+
+    @pytest.mark.parametrize(
+        "text", ["a = ", "a = " + "[" * 5000, "workspace = 3", '"\x00"', "a = 1" * 2]
+    )
+    def test_a_text_that_is_no_table_is_one_problem(self, text):
+        assert len(problems(routes=text)) >= 1
+
+    @pytest.mark.parametrize(
+        ("damage", "expected"),
+        [
+            (lambda raw: raw + b" ", "has"),
+            (lambda raw: raw.replace(b"rif", b"fir"), "has another SHA-256"),
+        ],
+    )
+    def test_a_damaged_part_is_named(self, damage, expected):
+        manifest, parts = publish(1)
+        damaged = {key: damage(raw) for key, raw in parts.items()}
+        with pytest.raises(ConfigurationError) as caught:
+            parse_tables(1, damaged, manifest)
+        assert f"routes (part routes-1): {expected}" in caught.value.problems[0]
+        assert parse_tables(1, parts, manifest) == parse()
+
+
+class TestManifest:
+    def test_reads_what_it_wrote(self):
+        manifest, _ = publish(7)
+        assert parse_manifest(manifest.raw) == manifest
+
+    @pytest.mark.parametrize(
+        ("old", "new", "expected"),
+        [
+            ("version = 7", "version = 0", "version: must be from 1"),
+            ("version = 7", 'version = "7"', "version: must be a whole number"),
+            ('"routes"', '"rotues"', "'routes-1': table: must be"),
+            ("bytes = ", "bytes = 9999999", "bytes: must be from 1 to 1000000"),
+            ("pools-1", "routes-1", "'routes-1': name: is used twice"),
+            ("version = 7", "version = 7\nextra = 1", "extra: is no field"),
+        ],
+    )
+    def test_refuses_a_wrong_one(self, old, new, expected):
+        raw = publish(7)[0].raw.decode().replace(old, new)
+        with pytest.raises(ConfigurationError) as caught:
+            parse_manifest(raw.encode())
+        assert expected in caught.value.problems[0]
+
+
+class TestRouteIndex:
+    ROUTES = ROUTES + "".join(
+        f'[[route]]\nname = "{name}"\npool = "drafting"\n{rest}\n'
+        for name, rest in [
+            ("big", 'path = "/v1/chat/completions"\nmodel = "big"'),
+            ("v1", 'path = "/v1/"\npath_prefix = true'),
+            ("v1-rif", 'path = "/v1"\npath_prefix = true\nworkspaces = ["rif"]'),
+            ("all", 'path = "/"\npath_prefix = true\nmethods = ["GET"]'),
+        ]
+    )
+
+    @pytest.mark.parametrize(
+        ("call", "expected"),
+        [
+            (("POST", "/v1/chat/completions", "", "atlas"), "chat"),
+            (("POST", "/v1/chat/completions", "big", "atlas"), "big"),
+            (("POST", "/v1/chat/completions", "other", "atlas"), "chat"),
+            (("POST", "/v1/models", "", "atlas"), "v1"),
+            (("POST", "/v1", "", "rif"), "v1-rif"),
+            (("GET", "/v10", "", "atlas"), "all"),
+            (("POST", "/v10", "", "atlas"), None),
+            (("GET", "", "", "atlas"), "all"),
+        ],
+    )
+    def test_takes_the_most_specific_route(self, call, expected):
+        route = RouteIndex(parse(self.ROUTES)).route_for(*call)
+        assert (route.name if route else None) == expected
+
+    @pytest.mark.parametrize(
+        ("key", "expected"),
+        [("atlas-key", "atlas"), ("rif-key", "rif"), ("", None), ("\ud800", None)],
+    )
+    def test_finds_the_workspace_of_a_key(self, key, expected):
+        workspace = RouteIndex(parse()).workspace_for_key(key)
+        assert (workspace.name if workspace else None) == expected
+
+
+class TestTableStore:
+    def test_takes_a_higher_version_only(self):
+        """
+        A stale copy of the configuration service answers with an old version, and a
+        peer that was cut off offers another. Were either taken, a data centre that
+        operators took out would get work again.
+        """
+        store = TableStore()
+        assert store.offer(*publish(2), "service").accepted
+        lower = store.offer(*publish(1, ROUTES + "\n"), "peer b")
+        assert (lower.verdict, lower.before) == (Verdict.LOWER, 2)
+        assert store.version == 2
+        assert store.offer(*publish(3), "peer b").accepted
+
+    def test_refuses_other_content_under_the_same_version(self):
+        """
+        Operators publish version 2 twice with different content. Routers that took
+        the first would differ for ever from those that took the second, unseen.
+        """
+        store = TableStore()
+        store.offer(*publish(2), "service")
+        before = store.in_force
+        answer = store.offer(*publish(2, ROUTES + "\n"), "service")
+        assert answer.verdict is Verdict.CONFLICT
+        assert store.in_force is before
+        assert store.offer(*publish(2), "peer b").verdict is Verdict.UNCHANGED
+
+    def test_a_bad_table_leaves_the_last_good_one(self):
+        """
+        A table with a pool's name mistyped is published. Callers go on under the last
+        good version; the same bad version is judged once, not at each poll.
+        """
+        store = TableStore()
+        store.offer(*publish(2), "service")
+        bad = publish(3, ROUTES.replace('pool = "drafting"', 'pool = "x"'))
+        answer = store.offer(*bad, "service")
+        assert answer.verdict is Verdict.INVALID
+        assert "route 'chat': pool" in answer.problems[0]
+        assert store.consider(bad[0], "service").verdict is Verdict.INVALID
+        assert store.version == 2
+        assert store.offer(*publish(3), "service").accepted
+
+    def test_a_change_needs_only_the_changed_part(self):
+        store = TableStore()
+        store.offer(*publish(1), "service")
+        manifest, parts = publish(2, ROUTES + "\n")
+        asked = store.consider(manifest, "service")
+        assert asked.verdict is Verdict.INCOMPLETE
+        assert asked.missing == (hashlib.sha256((ROUTES + "\n").encode()).hexdigest(),)
+        only = {key: parts[key] for key in asked.missing}
+        assert store.offer(manifest, {}, "service").missing == asked.missing
+        assert store.offer(manifest, only, "service").accepted
+        assert set(store.known) == manifest.hashes
+
+    def test_damage_on_the_way_does_not_spoil_a_version(self):
+        """
+        A part arrives cut short from a peer. The offer isn't taken, and the same
+        version is taken when it comes whole.
+        """
+        store = TableStore()
+        manifest, parts = publish(1)
+        damaged = {key: raw[:-1] for key, raw in parts.items()}
+        answer = store.offer(manifest, damaged, "peer b")
+        assert answer.verdict is Verdict.INCOMPLETE
+        assert "part routes-1" in answer.problems[0]
+        assert store.offer(manifest, parts, "service").accepted
+
+    def test_gives_a_peer_what_it_lacks(self):
+        giver, asker = TableStore(), TableStore()
+        asker.offer(*publish(1), "service")
+        giver.offer(*publish(2, ROUTES + "\n"), "service")
+        given = giver.give(asker.wanted())
+        assert len(given.parts) == 1
+        manifest = parse_manifest(given.manifest)
+        assert asker.offer(manifest, given.parts, "peer a").accepted
+        assert giver.give(asker.wanted()).manifest == b""
