--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_fairqueue.py
@@ -0,0 +1,377 @@
+"""One fair queue for a shard: the backlogged workspace with the least service next.
+
+Load it answers: one workspace that floods, few workspaces that take most of the
+load, long requests among short ones, saturation. Without it whoever asks most is
+served most, and a small workspace waits behind a large one's whole backlog; an
+operator would notice by waits that differ between workspaces of equal weight.
+
+Each workspace has a counter of the service it received divided by its weight. The
+cost of a request is known only at its end, so a grant charges an estimate that
+reports replace. Counters are compared only between backlogged workspaces; one that
+returns from idle is lifted to the least of them, so that idle time earns no credit.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from bisect import insort
+from collections.abc import Callable, Iterable, Iterator
+from operator import attrgetter
+
+from attrs import define, field
+
+from fulmarroad._messages import Demand
+from fulmarroad.types import RouterName, WorkspaceName
+
+MEAN_STEP = 0.1
+"""Weight of the newest cost in the running mean of a workspace's costs.
+
+About the last ten requests count: fewer would let one short answer hide a flood of
+long ones, many more would remember yesterday's traffic.
+"""
+
+REPAY = 1.0
+"""Surcharge on a grant while service told late is still owed, per unit charged.
+
+At 1 a workspace keeps half of its fair share until the debt is paid. A larger
+surcharge closes the gap sooner and serves it less meanwhile.
+"""
+
+HEAP_SLACK = 64
+"""Stale heap entries kept beyond four for each backlogged workspace."""
+
+
+def sane(value: float) -> float:
+    """Return a reported amount, or 0 for one that no honest peer sends."""
+    return value if math.isfinite(value) and value > 0 else 0.0
+
+
+@define(eq=False)
+class Waiting:
+    """Hold a demand that waits; times are on the scheduler's clock."""
+
+    demand: Demand
+    router: RouterName
+    arrival: float
+    deadline: float
+
+
+Eligible = Callable[[Waiting], bool]
+
+
+def anything(waiting: Waiting) -> bool:
+    """Hold every demand eligible."""
+    return True
+
+
+@define(eq=False)
+class Charge:
+    """Hold what one lease has been charged so far, in service units."""
+
+    workspace: WorkspaceName
+    weight: float
+    era: int
+    amount: float
+    reported: float = 0.0
+
+
+@define(eq=False)
+class Account:
+    """Hold the service of one workspace and its waiting demands.
+
+    The counter is the sum of two parts: what was charged before the workspace last
+    returned from idle, lifted to `floor`, and what was charged since. They are kept
+    apart since a lease of an earlier era may be corrected later; such a correction
+    must not sink the workspace below the floor and so turn into credit.
+    """
+
+    name: WorkspaceName
+    weight: float = 1.0
+    earlier: float = 0.0
+    floor: float = 0.0
+    since: float = 0.0
+    era: int = 0
+    began: float = -math.inf
+    waiting: list[Waiting] = field(factory=list)
+    running: int = 0
+    mean: float | None = None
+    served: float = 0.0
+    owed: float = 0.0
+    active_until: float = -math.inf
+    stamp: int = 0
+
+    @property
+    def counter(self) -> float:
+        """Return the weighted service that the workspace is compared by."""
+        return max(self.earlier, self.floor) + self.since
+
+    def active(self, now: float) -> bool:
+        """Tell whether the workspace is backlogged here or elsewhere in the pool."""
+        return bool(self.waiting) or self.active_until > now
+
+    def lift(self, floor: float, now: float) -> None:
+        """Begin a new era at the floor; debts of the former one are forgiven."""
+        self.earlier = self.counter
+        self.floor = floor
+        self.since = 0.0
+        self.owed = 0.0
+        self.era += 1
+        self.began = now
+
+
+class FleetQueue:
+    """Serve backlogged workspaces by least service, wherever it was received."""
+
+    def __init__(self) -> None:
+        self._accounts: dict[WorkspaceName, Account] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._heap: list[tuple[float, int, Account]] = []
+        self._passed: dict[WorkspaceName, Waiting] = {}
+        self._stamps = itertools.count(1)
+        self._reached = 0.0
+        self._mean = 0.0
+
+    @property
+    def spreads(self) -> bool:
+        """Tell that totals and moves between shards apply to this policy."""
+        return True
+
+    @property
+    def usual_cost(self) -> float:
+        """Return the running mean of every request's cost, 0 while none is known."""
+        return self._mean
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def __contains__(self, demand_id: object) -> bool:
+        return demand_id in self._waiting
+
+    def __iter__(self) -> Iterator[Waiting]:
+        return iter(self._waiting.values())
+
+    def get(self, demand_id: str) -> Waiting | None:
+        """Return a waiting demand by its id."""
+        return self._waiting.get(demand_id)
+
+    def add(self, demand: Demand, router: RouterName, now: float) -> bool:
+        """Queue a demand by its original arrival; return false if it waits already."""
+        arrival = now - sane(demand.waited_s)
+        deadline = now + sane(demand.remaining_s)
+        return self.restore(Waiting(demand, router, arrival, deadline), now)
+
+    def restore(self, waiting: Waiting, now: float) -> bool:
+        """Queue a demand that waited before, at its old place."""
+        demand = waiting.demand
+        if demand.demand_id in self._waiting:
+            return False
+        account = self.account(demand.workspace)
+        account.weight = sane(demand.weight) or 1.0
+        if not account.active(now):
+            account.lift(self._floor(now), now)
+        insort(account.waiting, waiting, key=attrgetter("arrival"))
+        self._waiting[demand.demand_id] = waiting
+        if len(account.waiting) == 1:
+            self._push(account)
+        return True
+
+    def remove(self, demand_id: str) -> Waiting | None:
+        """Take a demand out of the queue; return none if it does not wait."""
+        waiting = self._waiting.pop(demand_id, None)
+        if waiting is None:
+            return None
+        workspace = waiting.demand.workspace
+        self._accounts[workspace].waiting.remove(waiting)
+        if self._passed.get(workspace) is waiting:
+            del self._passed[workspace]
+        return waiting
+
+    def pop(self, eligible: Eligible = anything, now: float = 0.0) -> Waiting | None:
+        """Take the next demand that is eligible, or none.
+
+        A demand whose turn came while no backend server could take it is served
+        first once one can: otherwise a demand that only one server fits would wait
+        for its turn and that server's free unit to coincide, perhaps forever.
+        """
+        found = self._pop_passed(eligible) or self._pop_least(eligible)
+        if found is None:
+            return None
+        self.remove(found.demand.demand_id)
+        self._reached = max(
+            self._reached, self._accounts[found.demand.workspace].counter
+        )
+        return found
+
+    def begin(self, waiting: Waiting) -> Charge:
+        """Charge the estimate for a demand that is granted."""
+        demand = waiting.demand
+        account = self.account(demand.workspace)
+        account.running += 1
+        charge = Charge(account.name, account.weight, account.era, 0.0)
+        self._add(charge, self._estimate(account, demand.cost_hint))
+        repaid = min(account.owed, REPAY * charge.amount / charge.weight)
+        account.owed -= repaid
+        account.since += repaid
+        return charge
+
+    def adopt(self, workspace: WorkspaceName, charged: float) -> Charge:
+        """Take over a lease that another scheduler granted, with what it used."""
+        account = self.account(workspace)
+        account.running += 1
+        charge = Charge(workspace, account.weight, account.era, 0.0)
+        self._add(charge, sane(charged))
+        charge.reported = charge.amount
+        return charge
+
+    def progress(self, charge: Charge, service: float) -> None:
+        """Note service used; what goes beyond the estimate is charged at once."""
+        charge.reported += sane(service)
+        self._add(charge, max(0.0, charge.reported - charge.amount))
+
+    def finish(self, charge: Charge, service: float, *, learn: bool = True) -> None:
+        """Replace what was charged by the whole cost of an ended lease."""
+        total = sane(service)
+        account = self.account(charge.workspace)
+        account.running = max(0, account.running - 1)
+        self._add(charge, total - charge.amount)
+        if learn and total:
+            account.mean = _mean(account.mean, total)
+            self._mean = _mean(self._mean or None, total)
+
+    def account(self, workspace: WorkspaceName) -> Account:
+        """Return the account of a workspace, new if it is not known."""
+        account = self._accounts.get(workspace)
+        if account is None:
+            account = self._accounts[workspace] = Account(workspace)
+        return account
+
+    def accounts(self) -> Iterable[Account]:
+        """Return every account."""
+        return self._accounts.values()
+
+    def backlogged(self) -> list[Account]:
+        """Return the accounts with waiting demands, the least served first."""
+        rows = [account for account in self._accounts.values() if account.waiting]
+        return sorted(rows, key=attrgetter("counter"))
+
+    def least(self) -> float | None:
+        """Return the least counter of the workspaces that wait here."""
+        account = self._top()
+        return None if account is None else account.counter
+
+    def add_remote(self, account: Account, service: float) -> None:
+        """Count weighted service that another scheduler of the pool gave."""
+        account.since += service
+        if service < 0 and account.waiting:
+            self._push(account)
+
+    def raise_to(self, account: Account, counter: float) -> None:
+        """Raise a counter to what another scheduler makes of it."""
+        account.since += max(0.0, counter - account.counter)
+
+    def reference(self, now: float) -> float:
+        """Return the counter from which lags are told and taken."""
+        return self._floor(now)
+
+    def forget_idle(self, now: float) -> None:
+        """Drop accounts that a lift would make anew; memory stays bounded.
+
+        An account above the floor stays, as dropping it would forgive service.
+        """
+        idle = [
+            name
+            for name, account in self._accounts.items()
+            if not account.active(now)
+            and not account.running
+            and account.counter <= self._reached
+        ]
+        for name in idle:
+            del self._accounts[name]
+
+    def _estimate(self, account: Account, hint: float) -> float:
+        """Return what a grant is charged: the hint, but no less than the mean.
+
+        A workspace whose hints are too low would otherwise be granted many units
+        before its first cost is known. One whose hints are too high only holds
+        itself back until the correction.
+        """
+        usual = self._mean if account.mean is None else account.mean
+        return max(sane(hint), usual)
+
+    def _add(self, charge: Charge, amount: float) -> None:
+        if not amount:
+            return
+        account = self.account(charge.workspace)
+        charge.amount += amount
+        weighted = amount / charge.weight
+        account.served += weighted
+        if charge.era == account.era:
+            account.since += weighted
+        else:
+            account.earlier += weighted
+        if amount < 0 and account.waiting:
+            self._push(account)
+
+    def _floor(self, now: float) -> float:
+        least = self.least()
+        if least is not None:
+            return least
+        rows = (row.counter for row in self._accounts.values() if row.active(now))
+        return min(rows, default=self._reached)
+
+    def _push(self, account: Account) -> None:
+        """Enter an account into the heap; the entry before it becomes stale."""
+        account.stamp = next(self._stamps)
+        if len(self._heap) > 4 * len(self._accounts) + HEAP_SLACK:
+            self._heap = [entry for entry in self._heap if _fresh(entry)]
+            heapq.heapify(self._heap)
+        heapq.heappush(self._heap, (account.counter, account.stamp, account))
+
+    def _top(self) -> Account | None:
+        """Return the backlogged account with the least counter.
+
+        Counters that rose since their entry was made are entered anew here, so
+        that a charge costs no heap operation.
+        """
+        while self._heap:
+            entry = self._heap[0]
+            account = entry[2]
+            if not _fresh(entry):
+                heapq.heappop(self._heap)
+            elif account.counter > entry[0]:
+                heapq.heapreplace(self._heap, (account.counter, account.stamp, account))
+            else:
+                return account
+        return None
+
+    def _pop_passed(self, eligible: Eligible) -> Waiting | None:
+        rows = sorted(self._passed.values(), key=attrgetter("arrival"))
+        return next((row for row in rows if eligible(row)), None)
+
+    def _pop_least(self, eligible: Eligible) -> Waiting | None:
+        aside: list[tuple[float, int, Account]] = []
+        found = None
+        while found is None and (account := self._top()) is not None:
+            found = _first(account, eligible)
+            if found is not account.waiting[0]:
+                self._passed.setdefault(account.name, account.waiting[0])
+            if found is None:
+                aside.append(heapq.heappop(self._heap))
+        for entry in aside:
+            heapq.heappush(self._heap, entry)
+        return found
+
+
+def _first(account: Account, eligible: Eligible) -> Waiting | None:
+    return next((row for row in account.waiting if eligible(row)), None)
+
+
+def _fresh(entry: tuple[float, int, Account]) -> bool:
+    account = entry[2]
+    return account.stamp == entry[1] and bool(account.waiting)
+
+
+def _mean(mean: float | None, value: float) -> float:
+    return value if mean is None else mean + MEAN_STEP * (value - mean)
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_rebalance.py
@@ -0,0 +1,183 @@
+"""Move waiting demands to shards of the pool that would serve them sooner or fairer.
+
+Load it answers: tenants spread unevenly over shards, and a shard that slows or drains.
+Without it one shard's units idle while another's queue grows, and two workspaces
+queued at different shards get very different service. Demands are withdrawn first
+and resubmitted by their router, so that none is ever granted twice.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from attrs import define, frozen
+
+from fulmarroad._fairqueue import Account, FleetQueue, Waiting
+from fulmarroad._messages import ServiceReport
+from fulmarroad._totals import MOVE_COSTS
+from fulmarroad.types import ShardId, WorkspaceName
+
+MAX_MOVES = 3
+"""Moves of one demand; a demand that was unlucky three times stays where it is."""
+
+FRESH_S = 2.5
+"""A report older than this tells nothing of free units; a little above the interval
+at which idle schedulers report."""
+
+FAIR_SHARE = 0.5
+"""Part of another shard's units that demands of lagging workspaces may be sent for
+with each report: enough to catch up, too little to swamp it if several send."""
+
+
+@frozen
+class Handover:
+    """Say which waiting demand goes to which shard."""
+
+    demand_id: str
+    target: ShardId
+
+
+@define
+class PeerShard:
+    """Hold what another shard of the pool last reported, and what it may still get."""
+
+    shard: ShardId
+    capacity: int
+    waiting: int
+    at: float
+    free_quota: int
+    fair_quota: int
+    backlogged: tuple[WorkspaceName, ...]
+
+
+class Rebalancer:
+    """Plan moves from this shard, a bounded number for each report heard."""
+
+    def __init__(self, shard: ShardId) -> None:
+        self._shard = shard
+        self._peers: dict[ShardId, PeerShard] = {}
+
+    def note(self, report: ServiceReport, now: float) -> None:
+        """Take the newest report of another shard; its quotas begin anew."""
+        if report.shard == self._shard:
+            return
+        sources = self._sources(report.shard, now)
+        self._peers[report.shard] = PeerShard(
+            report.shard,
+            report.capacity,
+            report.waiting,
+            now,
+            -(-max(0, report.free - report.waiting) // sources),
+            -(-int(report.capacity * FAIR_SHARE) // sources),
+            tuple(entry.workspace for entry in report.entries if entry.waiting),
+        )
+
+    def wanted_elsewhere(self, now: float) -> bool:
+        """Tell whether another shard has work waiting, so that free units are news."""
+        return any(peer.waiting for peer in self._fresh(now))
+
+    def plan(
+        self, queue: FleetQueue, *, free: bool, usual_cost: float, now: float
+    ) -> list[Handover]:
+        """Return the moves that are due; `free` tells that units here are unused."""
+        if free or not len(queue):
+            return []
+        moves = self._to_free_units(queue, now)
+        taken = {move.demand_id for move in moves}
+        moves += self._to_fairer_shards(queue, usual_cost, taken, now)
+        return moves
+
+    def drain(self, queue: FleetQueue, now: float) -> list[Handover]:
+        """Return moves of every waiting demand to shards with capacity, in turn."""
+        targets = [peer for peer in self._fresh(now) if peer.capacity]
+        if not targets:
+            return []
+        targets.sort(key=lambda peer: (peer.waiting / peer.capacity, peer.shard))
+        return [
+            Handover(row.demand.demand_id, targets[index % len(targets)].shard)
+            for index, row in enumerate(queue)
+        ]
+
+    def _to_free_units(self, queue: FleetQueue, now: float) -> list[Handover]:
+        """Send those next in line, so that no unit idles while work waits."""
+        peers = [peer for peer in self._fresh(now) if peer.free_quota > 0]
+        if not peers:
+            return []
+        moves = []
+        next_in_line = _by_turn(queue)
+        for peer in sorted(peers, key=_nearest(self._shard)):
+            for row in next_in_line:
+                moves.append(Handover(row.demand.demand_id, peer.shard))
+                peer.free_quota -= 1
+                if peer.free_quota <= 0:
+                    break
+        return moves
+
+    def _to_fairer_shards(
+        self, queue: FleetQueue, usual_cost: float, taken: set[str], now: float
+    ) -> list[Handover]:
+        """Send demands of lagging workspaces to where only others are served.
+
+        A shard that serves somebody whose counter is above a lagging workspace's by
+        more than the threshold would, with that workspace's demands, serve it next.
+        Half of a workspace's demands stay, so that it is not sent back and forth.
+        """
+        moves: list[Handover] = []
+        for account in queue.backlogged():
+            peer = self._fairer(queue, account, usual_cost, now)
+            if peer is None:
+                continue
+            rows = [row for row in account.waiting if _movable(row, taken)]
+            count = min(peer.fair_quota, -(-len(account.waiting) // 2))
+            for row in rows[:count]:
+                moves.append(Handover(row.demand.demand_id, peer.shard))
+                peer.fair_quota -= 1
+        return moves
+
+    def _fairer(
+        self, queue: FleetQueue, account: Account, usual_cost: float, now: float
+    ) -> PeerShard | None:
+        threshold = MOVE_COSTS * usual_cost / account.weight
+        best = None
+        best_level = account.counter + threshold
+        for peer in self._fresh(now):
+            if peer.fair_quota <= 0 or not peer.backlogged:
+                continue
+            level = min(queue.account(name).counter for name in peer.backlogged)
+            if level > best_level:
+                best, best_level = peer, level
+        return best
+
+    def _fresh(self, now: float) -> list[PeerShard]:
+        return [peer for peer in self._peers.values() if now - peer.at <= FRESH_S]
+
+    def _sources(self, target: ShardId, now: float) -> int:
+        """Return how many shards may send to a target; they share its units."""
+        rivals = [
+            peer for peer in self._fresh(now) if peer.waiting and peer.shard != target
+        ]
+        return 1 + len(rivals)
+
+
+def _movable(row: Waiting, taken: set[str]) -> bool:
+    return row.demand.moves < MAX_MOVES and row.demand.demand_id not in taken
+
+
+def _nearest(shard: ShardId):  # type: ignore[no-untyped-def]
+    return lambda peer: (peer.shard.data_centre != shard.data_centre, peer.shard)
+
+
+def _by_turn(queue: FleetQueue) -> Iterator[Waiting]:
+    """Yield movable demands, one of each workspace in turn, the least served first."""
+    lines = [
+        iter([row for row in account.waiting if _movable(row, set())])
+        for account in queue.backlogged()
+    ]
+    while lines:
+        left = []
+        for line in lines:
+            row = next(line, None)
+            if row is not None:
+                yield row
+                left.append(line)
+        lines = left
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -0,0 +1,253 @@
+"""Service totals between the schedulers of a pool.
+
+Load it answers: a workspace whose requests are queued at several shards, or at
+another shard than its rival's. Without totals every shard is fair by itself, and a
+workspace is served once per shard it reaches; an operator would see service differ
+by the number of shards. Nothing is agreed on: each scheduler tells cumulative sums
+under its own epoch, so that a report that is lost, doubled or late does no harm.
+"""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define, field
+
+from fulmarroad._fairqueue import Account, FleetQueue
+from fulmarroad._messages import ServiceEntry, ServiceReport
+from fulmarroad.types import Epoch, ShardId, WorkspaceName
+
+CONTROL_BYTES_S = 2500.0
+"""Bytes a second that one scheduler may spend on reports, of 7 KB a second in all."""
+
+REPORT_BYTES = 220
+ENTRY_BYTES = 80
+"""Sizes on the wire, measured with the codec and names of 16 letters."""
+
+MAX_ENTRIES = 64
+"""Entries in one report; what is left out is told next, the largest change first."""
+
+LEAST_INTERVAL_S = 0.1
+"""Reports are no closer than this: below it the gap is ruled by request cost."""
+
+IDLE_INTERVAL_S = 2.0
+"""A scheduler without news tells its free units this often."""
+
+ACTIVE_S = 5.0
+"""A workspace counts as backlogged elsewhere this long after it was last told.
+
+Longer than two idle intervals, so that one lost report doesn't end it.
+"""
+
+CUT_S = 5.0
+"""Silence of a scheduler after which its service counts as told late."""
+
+YOUNG_S = 2.0
+"""Time in which a workspace that is new here takes its counter from reports."""
+
+FORGET_S = 2 * 3600.0
+"""Sums of a silent scheduler are kept this long; regions are cut off for an hour."""
+
+MAX_EPOCHS = 128
+"""Schedulers remembered; a pool of today's largest size has some 20 shards."""
+
+
+@define
+class _Heard:
+    """Hold what one scheduler last told of one workspace."""
+
+    sequence: int
+    served: float
+    at: float
+    era: int
+
+
+@define
+class _Peer:
+    """Hold what was heard from one scheduler, under one epoch."""
+
+    shard: ShardId
+    at: float
+    sequence: int = -1
+    resumed: float = -math.inf
+    entries: dict[WorkspaceName, _Heard] = field(factory=dict)
+
+
+@define
+class _Told:
+    served: float
+    at: float
+
+
+def spread_interval(peers: int, entries: int) -> float:
+    """Return the seconds between reports that keep within the control budget."""
+    size = REPORT_BYTES + ENTRY_BYTES * min(entries, MAX_ENTRIES)
+    return max(LEAST_INTERVAL_S, peers * size / CONTROL_BYTES_S)
+
+
+def gap_bound(
+    *,
+    units: int,
+    shards: int,
+    rate: float,
+    interval_s: float,
+    delay_s: float,
+    largest_cost: float,
+    estimate_error: float,
+    least_weight: float = 1.0,
+) -> float:
+    """Return the largest gap in weighted service between two backlogged workspaces.
+
+    `units` and `rate` (service units a second) are the pool's, `estimate_error` is
+    the largest difference between a grant's estimate and the cost found later.
+
+    - `2 * largest_cost`: each of the two may have just been granted one request.
+    - `units * estimate_error`: leases that run at once were charged an estimate, and
+      every correction may fall on one workspace.
+    - `2 * rate * (interval_s + delay_s)`: what other schedulers gave and has not been
+      told yet, counted for both. Alone in its pool a scheduler has no such part.
+    - `MOVE_COSTS * largest_cost`: the difference below which demands stay at their
+      shard.
+    """
+    own = 2 * largest_cost + units * estimate_error
+    if shards <= 1:
+        return own / least_weight
+    untold = 2 * rate * (interval_s + delay_s)
+    return (own + untold + MOVE_COSTS * largest_cost) / least_weight
+
+
+MOVE_COSTS = 2.0
+"""Costs by which a workspace must lag before its demands move for fairness' sake.
+
+One cost of difference is normal between two grants; at two, the next grant at the
+other shard would still go to somebody served more.
+"""
+
+
+class Totals:
+    """Count service that other schedulers gave, and tell them what was given here."""
+
+    def __init__(self, shard: ShardId, epoch: Epoch, queue: FleetQueue) -> None:
+        self._shard = shard
+        self._epoch = epoch
+        self._queue = queue
+        self._peers: dict[Epoch, _Peer] = {}
+        self._told: dict[WorkspaceName, _Told] = {}
+        self._sequence = 0
+
+    def absorb(self, report: ServiceReport, now: float) -> bool:
+        """Count a report; return false for one's own, or one that is not the newest."""
+        if report.epoch == self._epoch:
+            return False
+        peer = self._peers.get(report.epoch)
+        if peer is None:
+            peer = self._peers[report.epoch] = _Peer(report.shard, now)
+            self._make_room()
+        if now - peer.at > CUT_S:
+            peer.resumed = now
+        peer.at = now
+        base = self._queue.reference(now)
+        for entry in report.entries:
+            self._count(peer, report.sequence, entry, base, now)
+        newest = report.sequence > peer.sequence
+        peer.sequence = max(peer.sequence, report.sequence)
+        return newest
+
+    def heard(self, now: float) -> int:
+        """Return how many schedulers were heard of lately."""
+        return sum(1 for peer in self._peers.values() if now - peer.at < ACTIVE_S)
+
+    def entries(self, now: float) -> tuple[ServiceEntry, ...]:
+        """Return what to tell: backlogged workspaces, the largest change first."""
+        base = self._queue.reference(now)
+        rows = [row for row in self._queue.accounts() if self._newsworthy(row, now)]
+        rows.sort(key=lambda row: self._urgency(row, now), reverse=True)
+        told = rows[:MAX_ENTRIES]
+        for account in told:
+            self._told[account.name] = _Told(account.served, now)
+        return tuple(
+            ServiceEntry(
+                account.name,
+                account.served,
+                account.counter - base,
+                len(account.waiting),
+            )
+            for account in told
+        )
+
+    def next_sequence(self) -> int:
+        """Return the number of the next report of this epoch."""
+        self._sequence += 1
+        return self._sequence
+
+    def news(self, now: float) -> int:
+        """Return how many workspaces the next report would tell of."""
+        return sum(1 for row in self._queue.accounts() if self._newsworthy(row, now))
+
+    def forget(self, now: float) -> None:
+        """Drop what was heard of schedulers that are long silent."""
+        for epoch in [e for e, p in self._peers.items() if now - p.at > FORGET_S]:
+            del self._peers[epoch]
+        gone = self._told.keys() - {row.name for row in self._queue.accounts()}
+        for name in gone:
+            del self._told[name]
+
+    def _newsworthy(self, account: Account, now: float) -> bool:
+        """Tell whether a workspace belongs into a report.
+
+        One that is backlogged only elsewhere counts as well if it was served here:
+        it would otherwise be served here on top of its share.
+        """
+        if account.waiting:
+            return True
+        told = self._told.get(account.name)
+        before = told.served if told else 0.0
+        return account.active_until > now and account.served != before
+
+    def _urgency(self, account: Account, now: float) -> float:
+        told = self._told.get(account.name)
+        if told is None or now - told.at > ACTIVE_S / 2:
+            return math.inf
+        return abs(account.served - told.served)
+
+    def _count(
+        self,
+        peer: _Peer,
+        sequence: int,
+        entry: ServiceEntry,
+        base: float,
+        now: float,
+    ) -> None:
+        if not (math.isfinite(entry.served) and math.isfinite(entry.lag)):
+            return
+        heard = peer.entries.get(entry.workspace)
+        if heard is not None and sequence <= heard.sequence:
+            return
+        account = self._queue.account(entry.workspace)
+        known = account.active(now)
+        if not known and entry.waiting:
+            account.lift(self._queue.reference(now), now)
+        if now - account.began <= YOUNG_S:
+            self._queue.raise_to(account, base + entry.lag)
+        if heard is not None and heard.era == account.era:
+            late = heard.at < peer.resumed
+            self._add(account, entry.served - heard.served, late=late)
+        if entry.waiting:
+            account.active_until = max(account.active_until, now + ACTIVE_S)
+        peer.entries[entry.workspace] = _Heard(sequence, entry.served, now, account.era)
+
+    def _add(self, account: Account, service: float, *, late: bool) -> None:
+        """Count service; what was told late is owed and paid back bit by bit.
+
+        After a long cut the sum may be worth minutes of service. Counted at once it
+        would starve the workspace here for minutes, though it did nothing wrong.
+        """
+        if late and service > 0:
+            account.owed += service
+        else:
+            self._queue.add_remote(account, service)
+
+    def _make_room(self) -> None:
+        while len(self._peers) > MAX_EPOCHS:
+            oldest = min(self._peers, key=lambda epoch: self._peers[epoch].at)
+            del self._peers[oldest]
