--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -0,0 +1,405 @@
+"""Run one call: wait for a lease, send it, stream the answer, account for it.
+
+What may be tried again is decided here. A call of which no byte was sent may always
+be tried elsewhere; one that was sent only if its route says that it may be repeated;
+one whose answer has begun only by resuming it where the engine can.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+from attrs import define
+
+from fulmarroad.coordination import (
+    Ask,
+    Coordinator,
+    Granted,
+    Lease,
+    NoteFinished,
+    NoteProgress,
+    NoteStarted,
+    Rejected,
+)
+from fulmarroad.events import Event, emit
+from fulmarroad.messages import Finished
+from fulmarroad.tables import CostUnit
+from fulmarroad.types import Outcome, RefusalReason
+from fulmarroad_router.backend import (
+    BackendClient,
+    BackendResponse,
+    Headers,
+    NotSent,
+    Sent,
+    SentTimeout,
+)
+from fulmarroad_router.calls import Call, answer_headers, prefix_of
+from fulmarroad_router.exceptions import (
+    CallError,
+    OutcomeUnknown,
+    Refused,
+    TimedOut,
+)
+from fulmarroad_router.sse import EventSplitter, EventTooLarge, StreamEvent, usage_of
+
+logger = logging.getLogger("fulmarroad.router")
+
+PROGRESS_S = 0.1
+"""Service is told to the coordinator this often, not for each token."""
+
+MAX_TRIES = 4
+"""Tries of one call at all, so that one request can't roam the whole fleet."""
+
+MAX_USAGE_BYTES = 256 * 1024
+BUSY_STATUS = {429, 503}
+"""Answers by which a backend server says that it took no work on."""
+
+
+class Responder(Protocol):
+    """Carry an answer to the caller, waiting where the caller reads slowly."""
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether the head of the answer has been sent."""
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+
+
+class AnswerBroken(CallError):
+    """Break an answer off that has begun, visibly to its caller."""
+
+    status = 502
+    code = "answer_broken"
+
+
+@define
+class _Meter:
+    """Measure one try: what it cost and how fast its answer came."""
+
+    clock: Callable[[], float]
+    sent: float = 0.0
+    first: float | None = None
+    last: float = 0.0
+    chunks: int = 0
+    tokens: int = 0
+    prompt_tokens: float = 0.0
+    cached_tokens: int = 0
+    counted: bool = False
+
+    def note_chunk(self, tokens: int) -> None:
+        """Note a part of the answer."""
+        now = self.clock()
+        if self.first is None:
+            self.first = now
+        self.last = now
+        self.chunks += 1
+        if not self.counted:
+            self.tokens += tokens
+
+    def note_usage(self, usage: dict[str, object]) -> None:
+        """Take the engine's own count over the estimate."""
+        prompt = usage.get("prompt_tokens")
+        answer = usage.get("completion_tokens")
+        if type(prompt) is int and prompt >= 0:
+            self.prompt_tokens = prompt
+        if type(answer) is int and answer >= 0:
+            self.tokens = answer
+            self.counted = True
+        details = usage.get("prompt_tokens_details")
+        if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
+            self.cached_tokens = details["cached_tokens"]
+
+    @property
+    def first_s(self) -> float | None:
+        """Return the time to the first byte of the answer's body."""
+        return None if self.first is None else self.first - self.sent
+
+    @property
+    def gap_s(self) -> float | None:
+        """Return the mean time between chunks."""
+        if self.first is None or self.chunks < 2:
+            return None
+        return (self.last - self.first) / (self.chunks - 1)
+
+
+@define
+class _Progress:
+    """Hold how far the answer has got to the caller, over all tries."""
+
+    tokens: int = 0
+    done: bool = False
+    failed: tuple[str, ...] = ()
+    tries: int = 0
+
+
+class Execution:
+    """Run calls with leases from the coordinator."""
+
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        backends: BackendClient,
+        clock: Callable[[], float],
+        may_retry: Callable[[str], bool] = lambda pool: True,
+    ) -> None:
+        self._coordinator = coordinator
+        self._backends = backends
+        self._clock = clock
+        self._may_retry = may_retry
+        self._sequence = 0
+
+    async def run(self, call: Call, responder: Responder) -> None:
+        """Carry one call to its end; raise `CallError` where there is no whole answer."""
+        progress = _Progress()
+        while not progress.done:
+            lease = await self._lease(call, progress)
+            progress.tries += 1
+            await self._try(call, lease, responder, progress)
+
+    async def _lease(self, call: Call, progress: _Progress) -> Lease:
+        answer = await self._coordinator.request(self._ask(call, progress))
+        if isinstance(answer, Granted):
+            return answer.lease
+        raise self._refusal(answer, progress)
+
+    def _ask(self, call: Call, progress: _Progress) -> Ask:
+        self._sequence += 1
+        return Ask(
+            demand_id=f"{call.request_id}#{self._sequence}",
+            pool=call.pool.name,
+            workspace=call.workspace.name,
+            weight=call.workspace.weight,
+            cost_hint=call.cost_hint,
+            arrived=call.arrived,
+            deadline=call.deadline,
+            prefix=prefix_of(call.chat.prompt),
+            repeatable=call.route.repeatable,
+            avoid=progress.failed,
+        )
+
+    def _refusal(self, answer: Rejected, progress: _Progress) -> CallError:
+        if progress.tokens:
+            return AnswerBroken("The answer broke off and could not be resumed.")
+        return Refused(answer.reason, answer.retry_after_s)
+
+    async def _try(
+        self, call: Call, lease: Lease, responder: Responder, progress: _Progress
+    ) -> None:
+        meter = _Meter(self._clock, prompt_tokens=call.prompt_tokens)
+        outcome = Outcome.CANCELLED
+        try:
+            with anyio.fail_after(max(0.0, call.deadline - self._clock())):
+                await self._send(call, lease, responder, progress, meter)
+            outcome = Outcome.COMPLETED
+        except NotSent as error:
+            outcome = Outcome.UNREACHABLE
+            self._retry_unsent(call, lease, progress, error)
+        except (SentTimeout, TimeoutError) as error:
+            outcome = Outcome.TIMED_OUT
+            self._retry_sent(call, lease, responder, progress, error)
+        except (Sent, EventTooLarge) as error:
+            outcome = Outcome.FAILED
+            self._retry_sent(call, lease, responder, progress, error)
+        finally:
+            self._report(call, lease, meter, outcome)
+
+    async def _send(
+        self,
+        call: Call,
+        lease: Lease,
+        responder: Responder,
+        progress: _Progress,
+        meter: _Meter,
+    ) -> None:
+        resume_from = progress.tokens if progress.tokens else None
+        request = call.backend_request(resume_from)
+        meter.sent = self._clock()
+        self._coordinator.tell(NoteStarted(lease.lease_id))
+        repeatable = call.route.repeatable
+        backend = self._backends.call(
+            call.pool, lease.server, request, repeatable=repeatable
+        )
+        async with backend as response:
+            self._check_answer(call, response, progress)
+            if _is_events(response):
+                await self._stream(call, lease, response, responder, progress, meter)
+            else:
+                await self._copy(call, lease, response, responder, meter)
+        progress.done = True
+
+    def _check_answer(
+        self, call: Call, response: BackendResponse, progress: _Progress
+    ) -> None:
+        """Refuse an answer that belongs to another request, or is no resumption."""
+        echoed = response.header(b"x-request-id").decode("latin-1")
+        if echoed and echoed != call.request_id:
+            raise Sent("The backend server answered another request.")
+        if response.status in BUSY_STATUS and call.route.repeatable:
+            raise Sent(f"The backend server is busy ({response.status}).")
+        if progress.tokens and not _is_events(response):
+            raise Sent("The engine did not resume the answer.")
+
+    async def _stream(
+        self,
+        call: Call,
+        lease: Lease,
+        response: BackendResponse,
+        responder: Responder,
+        progress: _Progress,
+        meter: _Meter,
+    ) -> None:
+        """Pass events on one by one; only `[DONE]` makes the answer whole."""
+        splitter = EventSplitter()
+        reported = meter.sent
+        unreported = 0
+        done = False
+        async for chunk in response.chunks():
+            for event in splitter.feed(chunk):
+                unreported += event.tokens
+                await self._pass_on(event, response, responder, progress, meter)
+                done = done or event.done
+            now = self._clock()
+            if unreported and now - reported >= PROGRESS_S:
+                self._coordinator.tell(NoteProgress(lease.lease_id, float(unreported)))
+                reported, unreported = now, 0
+        if not done:
+            raise Sent("The engine ended its answer before it was whole.")
+        await responder.finish()
+
+    async def _pass_on(
+        self,
+        event: StreamEvent,
+        response: BackendResponse,
+        responder: Responder,
+        progress: _Progress,
+        meter: _Meter,
+    ) -> None:
+        if not responder.begun:
+            await responder.begin(response.status, answer_headers(response.headers))
+        usage = usage_of(event.data)
+        if usage is not None:
+            meter.note_usage(usage)
+        meter.note_chunk(event.tokens)
+        progress.tokens += event.tokens
+        await responder.send(event.raw)
+
+    async def _copy(
+        self,
+        call: Call,
+        lease: Lease,
+        response: BackendResponse,
+        responder: Responder,
+        meter: _Meter,
+    ) -> None:
+        """Copy a body; its head waits for the first part, so a try may still fail."""
+        kept = bytearray()
+        headers = answer_headers(response.headers)
+        async for chunk in response.chunks():
+            if not responder.begun:
+                await responder.begin(response.status, headers)
+            meter.note_chunk(0)
+            if len(kept) < MAX_USAGE_BYTES:
+                kept += chunk
+            await responder.send(chunk)
+        if not responder.begun:
+            await responder.begin(response.status, headers)
+        usage = usage_of(bytes(kept)) if call.chat.model else None
+        if usage is not None:
+            meter.note_usage(usage)
+        await responder.finish()
+
+    def _retry_unsent(
+        self, call: Call, lease: Lease, progress: _Progress, error: NotSent
+    ) -> None:
+        """Let the call try elsewhere, or refuse it truthfully as not run."""
+        progress.failed = (*progress.failed, lease.server.name)
+        if progress.tokens and progress.tries < MAX_TRIES:
+            return
+        if progress.tries < MAX_TRIES and self._may_retry(call.pool.name):
+            self._note_retry(call, lease, error)
+            return
+        if progress.tokens:
+            raise AnswerBroken("The answer broke off and could not be resumed.")
+        raise Refused(RefusalReason.RETRY_BUDGET, 1.0) from error
+
+    def _retry_sent(
+        self,
+        call: Call,
+        lease: Lease,
+        responder: Responder,
+        progress: _Progress,
+        error: Exception,
+    ) -> None:
+        """Let the call be resumed or repeated where that is allowed."""
+        progress.failed = (*progress.failed, lease.server.name)
+        late = self._clock() >= call.deadline
+        spent = late or progress.tries >= MAX_TRIES
+        if responder.begun:
+            if spent or not (call.pool.can_resume and call.chat.stream):
+                raise AnswerBroken("The backend server broke its answer off.") from error
+            emit(
+                logger,
+                Event.STREAM_RESUMED,
+                request_id=call.request_id,
+                server=lease.server.name,
+                tokens=progress.tokens,
+            )
+            return
+        if call.route.repeatable and not spent and self._may_retry(call.pool.name):
+            self._note_retry(call, lease, error)
+            return
+        if late:
+            raise TimedOut("The call did not end in time; it may have run.") from error
+        raise OutcomeUnknown(
+            "The backend server failed after the call was sent; it may have run."
+        ) from error
+
+    def _note_retry(self, call: Call, lease: Lease, error: Exception) -> None:
+        emit(
+            logger,
+            Event.REQUEST_RETRIED,
+            request_id=call.request_id,
+            server=lease.server.name,
+            cause=str(error),
+        )
+
+    def _report(
+        self, call: Call, lease: Lease, meter: _Meter, outcome: Outcome
+    ) -> None:
+        report = Finished(
+            lease.shard,
+            lease.lease_id,
+            outcome,
+            self._service(call, meter, outcome),
+            meter.first_s,
+            meter.gap_s,
+            self._clock() - meter.sent,
+            meter.cached_tokens,
+        )
+        self._coordinator.tell(NoteFinished(report))
+
+    def _service(self, call: Call, meter: _Meter, outcome: Outcome) -> float:
+        """Return what the try cost, in the pool's unit."""
+        if outcome is Outcome.UNREACHABLE:
+            return 0.0
+        if call.pool.cost is CostUnit.CALLS:
+            return 1.0
+        if call.pool.cost is CostUnit.SECONDS:
+            return self._clock() - meter.sent
+        return meter.prompt_tokens * call.pool.prompt_cost + meter.tokens
+
+
+def _is_events(response: BackendResponse) -> bool:
+    kind = response.header(b"content-type")
+    return response.status == 200 and kind.startswith(b"text/event-stream")
+
--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -0,0 +1,88 @@
+"""Run an ASGI application with uvicorn inside a supervised task."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import anyio
+import uvicorn
+
+from fulmarroad.exceptions import TransportError
+
+BACKLOG = 1024
+
+
+class _Server(uvicorn.Server):
+    """Leave signals to the daemon's own supervisor."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+
+class HttpServer:
+    """Own one listening socket and serve an application on it."""
+
+    def __init__(
+        self,
+        app: Any,
+        host: str,
+        port: int,
+        *,
+        max_connections: int | None = None,
+        on_ready: Callable[[int], None] = lambda port: None,
+    ) -> None:
+        self._app = app
+        self._host = host
+        self._port = port
+        self._on_ready = on_ready
+        self._server: _Server | None = None
+        self._max_connections = max_connections
+
+    async def run(self) -> None:
+        """Serve until cancelled or stopped."""
+        config = uvicorn.Config(
+            self._app,
+            loop="none",
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            date_header=False,
+            proxy_headers=False,
+            backlog=BACKLOG,
+            limit_concurrency=self._max_connections,
+            timeout_graceful_shutdown=None,
+        )
+        listener = self._bind()
+        self._server = _Server(config)
+        self._on_ready(listener.getsockname()[1])
+        try:
+            await self._server.serve(sockets=[listener])
+        finally:
+            listener.close()
+
+    async def stop(self) -> None:
+        """Close the listener and let running requests end."""
+        if self._server is not None:
+            self._server.should_exit = True
+        await anyio.lowlevel.checkpoint()
+
+    def _bind(self) -> socket.socket:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            listener.bind((self._host, self._port))
+        except OSError as error:
+            listener.close()
+            raise TransportError(
+                f"Port {self._port} on {self._host} can't be bound.",
+                hint="Is another router running with the same settings?",
+            ) from error
+        return listener
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_coordinator.py
@@ -0,0 +1,491 @@
+"""The task that owns a router's coordination state and its streams to peers.
+
+Requests, peers, membership and configuration send it typed commands; it answers
+requests through the reply channel that their command carries.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+from attrs import define, frozen
+
+from fulmarroad import _messages as m
+from fulmarroad._follower import (
+    Ask,
+    Decision,
+    Follower,
+    Granted,
+    Rejected,
+    SendTo,
+)
+from fulmarroad._grpc import Outbox, PeerChannel, TlsFiles, TrafficCount
+from fulmarroad._roles import RoleOutput, Roles, ToFollower
+from fulmarroad._tables import Tables
+from fulmarroad.events import Event, emit
+from fulmarroad.exceptions import TransportError
+from fulmarroad.types import DataCentreName, Outcome, RouterName
+
+logger = logging.getLogger("fulmarroad.coordination")
+
+TICK_S = 0.05
+"""Progress is batched and deadlines are checked this often."""
+
+PAUSE_S = 1.0
+"""A gap between ticks above this is logged as a pause of the process."""
+
+REDIAL_S = 0.2
+
+Reply = MemoryObjectSendStream[Granted | Rejected]
+
+
+@frozen
+class PeerAddress:
+    """Hold where a peer listens."""
+
+    host: str
+    port: int
+
+
+@frozen
+class Submit:
+    """Ask for a lease; the answer comes on `reply`."""
+
+    ask: Ask
+    reply: Reply
+
+
+@frozen
+class Cancel:
+    """Withdraw a demand whose caller is no longer interested."""
+
+    demand_id: str
+
+
+@frozen
+class NoteStarted:
+    """Tell the scheduler that a lease's request has been sent."""
+
+    lease_id: str
+
+
+@frozen
+class NoteProgress:
+    """Add service used by a lease."""
+
+    lease_id: str
+    service: float
+
+
+@frozen
+class NoteFinished:
+    """Tell the scheduler that a lease ended."""
+
+    report: m.Finished
+
+
+@frozen
+class TakeTables:
+    """Put new tables in force."""
+
+    tables: Tables
+
+
+@frozen
+class TakeMembers:
+    """Take the membership's view: live routers and where peers listen."""
+
+    live: Mapping[DataCentreName, tuple[RouterName, ...]]
+    addresses: Mapping[RouterName, PeerAddress]
+
+
+@frozen
+class TakeVms:
+    """Take the published VMs of each data centre."""
+
+    vms: Mapping[DataCentreName, tuple[RouterName, ...]]
+
+
+@frozen
+class StepDownAll:
+    """Give up every scheduler's role; `done` is set once followers were told."""
+
+    done: anyio.Event
+
+
+@frozen
+class _Tick:
+    pass
+
+
+@frozen
+class _FromPeer:
+    """A message on a stream that a peer opened: it follows, or reports service."""
+
+    peer: RouterName
+    message: Any
+
+
+@frozen
+class _FromScheduler:
+    """A message on a stream that this router opened."""
+
+    peer: RouterName
+    message: Any
+
+
+@frozen
+class _LinkUp:
+    peer: RouterName
+
+
+@frozen
+class _LinkLost:
+    peer: RouterName
+
+
+@frozen
+class _Attached:
+    peer: RouterName
+    handle: int
+    send: Callable[[Any], None]
+
+
+@frozen
+class _Detached:
+    peer: RouterName
+    handle: int
+
+
+@define
+class _Link:
+    """One stream that this router keeps to a peer."""
+
+    scope: anyio.CancelScope
+    outbox: Outbox | None = None
+    channel: PeerChannel | None = None
+
+
+def _declined(granted: Granted) -> m.Finished:
+    lease = granted.lease
+    return m.Finished(lease.shard, lease.lease_id, Outcome.DECLINED, 0.0)
+
+
+class Coordinator:
+    """Own the follower, the hosted schedulers and the streams to peers."""
+
+    def __init__(
+        self,
+        router: RouterName,
+        follower: Follower,
+        roles: Roles,
+        traffic: TrafficCount,
+        *,
+        tls: TlsFiles | None = None,
+        cut: Callable[[RouterName], bool] = lambda peer: False,
+        clock: Callable[[], float],
+    ) -> None:
+        self._router = router
+        self._follower = follower
+        self._roles = roles
+        self._traffic = traffic
+        self._tls = tls
+        self._cut = cut
+        self._clock = clock
+        self._send, self._receive = anyio.create_memory_object_stream[Any](math.inf)
+        self._replies: dict[str, Reply] = {}
+        self._links: dict[RouterName, _Link] = {}
+        self._followers: dict[RouterName, tuple[int, Callable[[Any], None]]] = {}
+        self._addresses: Mapping[RouterName, PeerAddress] = {}
+        self._handles = 0
+        self._ticked = clock()
+        self._group: TaskGroup | None = None
+
+    @property
+    def follower(self) -> Follower:
+        """Return the router's side of scheduling, for reading."""
+        return self._follower
+
+    @property
+    def roles(self) -> Roles:
+        """Return the hosted schedulers, for reading."""
+        return self._roles
+
+    def tell(self, command: Any) -> None:
+        """Queue a command; it never blocks."""
+        self._send.send_nowait(command)
+
+    async def request(self, ask: Ask) -> Granted | Rejected:
+        """Return a lease or a rejection; withdraw the demand if cancelled."""
+        send, receive = anyio.create_memory_object_stream[Granted | Rejected](1)
+        self.tell(Submit(ask, send))
+        try:
+            return await receive.receive()
+        except BaseException:
+            self._abandon(ask, receive)
+            raise
+        finally:
+            receive.close()
+
+    def _abandon(
+        self, ask: Ask, receive: MemoryObjectReceiveStream[Granted | Rejected]
+    ) -> None:
+        """Withdraw a demand, or give its lease back if the grant crossed.
+
+        Without this a lease that nobody runs would hold a unit until its deadline.
+        """
+        try:
+            answer = receive.receive_nowait()
+        except anyio.WouldBlock:
+            self.tell(Cancel(ask.demand_id))
+            return
+        if isinstance(answer, Granted):
+            self.tell(NoteFinished(_declined(answer)))
+
+    def on_attached(self, peer: RouterName, send: Callable[[Any], None]) -> int:
+        """Note a peer's stream."""
+        self._handles += 1
+        self.tell(_Attached(peer, self._handles, send))
+        return self._handles
+
+    def on_message(self, peer: RouterName, message: Any) -> None:
+        """Take a message of a peer's stream."""
+        self.tell(_FromPeer(peer, message))
+
+    def on_detached(self, peer: RouterName, handle: int) -> None:
+        """Note that a peer's stream ended."""
+        self.tell(_Detached(peer, handle))
+
+    async def run(self) -> None:
+        """Handle commands until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            group.start_soon(self._run_ticks)
+            async for command in self._receive:
+                self._handle(command, self._clock())
+
+    async def _run_ticks(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self.tell(_Tick())
+
+    def _handle(self, command: Any, now: float) -> None:
+        handler = self._HANDLERS[type(command)]
+        handler(self, command, now)
+
+    def _submit(self, command: Submit, now: float) -> None:
+        self._replies[command.ask.demand_id] = command.reply
+        self._decide(self._follower.submit(command.ask, now), now)
+
+    def _cancel(self, command: Cancel, now: float) -> None:
+        """Withdraw a demand; a grant that crossed the cancel is given back."""
+        if self._replies.pop(command.demand_id, None) is not None:
+            self._decide(self._follower.withdraw(command.demand_id, now), now)
+
+    def _note_started(self, command: NoteStarted, now: float) -> None:
+        self._decide(self._follower.started(command.lease_id, now), now)
+
+    def _note_progress(self, command: NoteProgress, now: float) -> None:
+        self._follower.progress(command.lease_id, command.service)
+
+    def _note_finished(self, command: NoteFinished, now: float) -> None:
+        self._decide(self._follower.finished(command.report, now), now)
+
+    def _take_tables(self, command: TakeTables, now: float) -> None:
+        self._host(self._roles.set_tables(command.tables, now), now)
+        self._decide(self._follower.set_tables(command.tables, now), now)
+
+    def _take_members(self, command: TakeMembers, now: float) -> None:
+        self._addresses = command.addresses
+        self._host(self._roles.set_live(command.live, now), now)
+        self._decide(self._follower.set_live(command.live, now), now)
+
+    def _take_vms(self, command: TakeVms, now: float) -> None:
+        self._roles.set_vms(command.vms, now)
+
+    def _step_down(self, command: StepDownAll, now: float) -> None:
+        self._host(self._roles.step_down(now), now)
+        command.done.set()
+
+    def _tick(self, command: _Tick, now: float) -> None:
+        if now - self._ticked > PAUSE_S:
+            emit(logger, Event.CLOCK_PAUSE, seconds=round(now - self._ticked, 3))
+        self._ticked = now
+        self._decide(self._follower.tick(now), now)
+        self._host(self._roles.tick(now), now)
+        self._keep_links()
+
+    def _from_peer(self, command: _FromPeer, now: float) -> None:
+        if isinstance(command.message, m.ServiceReport):
+            self._host(self._roles.absorb(command.message, now), now)
+            return
+        self._host(self._roles.handle(command.peer, command.message, now), now)
+
+    def _from_scheduler(self, command: _FromScheduler, now: float) -> None:
+        self._decide(self._follower.handle(command.peer, command.message, now), now)
+
+    def _link_up(self, command: _LinkUp, now: float) -> None:
+        self._decide(self._follower.link_up(command.peer, now), now)
+
+    def _link_lost(self, command: _LinkLost, now: float) -> None:
+        self._decide(self._follower.link_lost(command.peer, now), now)
+
+    def _attached(self, command: _Attached, now: float) -> None:
+        self._followers[command.peer] = (command.handle, command.send)
+
+    def _detached(self, command: _Detached, now: float) -> None:
+        """Forget a follower's stream, unless it opened a newer one meanwhile."""
+        handle, _ = self._followers.get(command.peer, (0, None))
+        if handle != command.handle:
+            return
+        del self._followers[command.peer]
+        self._host(self._roles.link_lost(command.peer, now), now)
+
+    def _decide(self, decisions: list[Decision], now: float) -> None:
+        for decision in decisions:
+            if isinstance(decision, SendTo):
+                self._send_to(decision, now)
+            else:
+                self._reply(decision, now)
+        for change in self._follower.changes():
+            emit(
+                logger,
+                Event.FOLLOW_CHANGED,
+                shard=str(change.shard),
+                before=change.before,
+                after=change.after,
+            )
+
+    def _send_to(self, decision: SendTo, now: float) -> None:
+        """Send to a scheduler; without a stream, the hello at its start tells all."""
+        if decision.peer == self._router:
+            self.tell(_FromPeer(self._router, decision.message))
+            return
+        link = self._link_to(decision.peer)
+        if link is not None and link.outbox is not None:
+            link.outbox.put(decision.message)
+
+    def _reply(self, decision: Granted | Rejected, now: float) -> None:
+        reply = self._replies.pop(decision.demand_id, None)
+        if reply is not None:
+            try:
+                reply.send_nowait(decision)
+                return
+            except (anyio.BrokenResourceError, anyio.WouldBlock):
+                pass
+        if isinstance(decision, Granted):
+            self._give_back(decision, now)
+
+    def _give_back(self, granted: Granted, now: float) -> None:
+        """Return a lease whose caller left while the grant was on its way."""
+        self._decide(self._follower.finished(_declined(granted), now), now)
+
+    def _host(self, outputs: list[RoleOutput], now: float) -> None:
+        for output in outputs:
+            if isinstance(output, ToFollower):
+                self._send_follower(output)
+            else:
+                self._spread(output.report, now)
+
+    def _send_follower(self, output: ToFollower) -> None:
+        if output.router == self._router:
+            self.tell(_FromScheduler(self._router, output.message))
+            return
+        _, send = self._followers.get(output.router, (0, None))
+        if send is not None:
+            send(output.message)
+
+    def _spread(self, report: m.ServiceReport, now: float) -> None:
+        """Send a report once to each router that schedules for the pool."""
+        peers = {
+            router
+            for shard, router in self._follower.schedulers.items()
+            if shard.pool == report.shard.pool and shard != report.shard
+        }
+        for peer in sorted(peers):
+            if peer == self._router:
+                self.tell(_FromPeer(self._router, report))
+                continue
+            link = self._link_to(peer)
+            if link is not None and link.outbox is not None:
+                link.outbox.put(report)
+
+    def _link_to(self, peer: RouterName) -> _Link | None:
+        """Return the stream to a peer, opening it if there is none."""
+        link = self._links.get(peer)
+        if link is not None or self._group is None:
+            return link
+        address = self._addresses.get(peer)
+        if address is None:
+            return None
+        link = _Link(anyio.CancelScope())
+        self._links[peer] = link
+        self._group.start_soon(self._run_link, peer, address, link)
+        return link
+
+    def _keep_links(self) -> None:
+        for peer in self._follower.wanted_peers():
+            self._link_to(peer)
+
+    async def _run_link(
+        self, peer: RouterName, address: PeerAddress, link: _Link
+    ) -> None:
+        """Keep one stream until it breaks; a later message opens the next one."""
+        channel = PeerChannel(
+            self._router,
+            peer,
+            address.host,
+            address.port,
+            self._traffic,
+            tls=self._tls,
+            cut=self._cut,
+        )
+        outbox = Outbox(self._traffic)
+
+        def on_up() -> None:
+            link.outbox = outbox
+            self.tell(_LinkUp(peer))
+
+        try:
+            with link.scope:
+                await channel.attach(
+                    outbox, lambda message: self._take(peer, message), on_up
+                )
+        except TransportError as error:
+            emit(logger, Event.LINK_LOST, peer=peer, cause=str(error))
+        finally:
+            outbox.close()
+            link.outbox = None
+            self.tell(_LinkLost(peer))
+            with anyio.CancelScope(shield=True):
+                await channel.close()
+        await anyio.sleep(REDIAL_S)
+        self._links.pop(peer, None)
+
+    def _take(self, peer: RouterName, message: Any) -> None:
+        self.tell(_FromScheduler(peer, message))
+
+    _HANDLERS: Mapping[type, Callable[..., None]] = {
+        Submit: _submit,
+        Cancel: _cancel,
+        NoteStarted: _note_started,
+        NoteProgress: _note_progress,
+        NoteFinished: _note_finished,
+        TakeTables: _take_tables,
+        TakeMembers: _take_members,
+        TakeVms: _take_vms,
+        StepDownAll: _step_down,
+        _Tick: _tick,
+        _FromPeer: _from_peer,
+        _FromScheduler: _from_scheduler,
+        _LinkUp: _link_up,
+        _LinkLost: _link_lost,
+        _Attached: _attached,
+        _Detached: _detached,
+    }
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -0,0 +1,642 @@
+"""The router's side of scheduling: whom to ask, and which grants to believe.
+
+Load it answers: callers of one workspace arrive unevenly at many routers, so no
+router may choose a backend server by itself. It asks the scheduler of a shard and
+keeps every waiting demand and running lease, from which a lost scheduler is rebuilt.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from attrs import define, evolve, field, frozen
+
+from fulmarroad import _messages as m
+from fulmarroad._tables import BackendServer, Tables, shards_of
+from fulmarroad.ownership import assign_shards
+from fulmarroad.placement import ShardView, choose_shard
+from fulmarroad.scheduling import grant_valid
+from fulmarroad.types import (
+    DataCentreName,
+    Epoch,
+    Outcome,
+    PoolName,
+    RefusalReason,
+    RouterName,
+    ServerName,
+    ShardId,
+    Unit,
+    WorkspaceName,
+)
+
+SILENCE_S = 2.0
+"""A scheduler that sent no heartbeat for this long is passed over.
+
+Its heartbeats come every half second; a process that is frozen closes no stream, so
+without this its followers' callers would wait until membership notices.
+"""
+
+HELLO_TIMEOUT_S = 1.0
+UNREACHABLE_S = 3.0
+"""How long a peer whose stream broke is passed over before it is tried again.
+
+Shorter makes followers run to and fro between two schedulers while a peer starts;
+longer leaves a returned peer unused. Membership has settled within this time.
+"""
+
+FOREIGN_IDLE_S = 30.0
+"""A shard of another data centre that was not asked for this long is let go.
+
+Otherwise streams from every router to every scheduler would gather over time.
+"""
+
+RETRY_AFTER_S = 1.0
+
+
+@frozen
+class Ask:
+    """Hold what a scheduler needs to know of one caller's request.
+
+    `arrived` and `deadline` are readings of this router's clock.
+    """
+
+    demand_id: str
+    pool: PoolName
+    workspace: WorkspaceName
+    weight: float
+    cost_hint: float
+    arrived: float
+    deadline: float
+    prefix: tuple[int, ...] = ()
+    repeatable: bool = True
+    avoid: tuple[ServerName, ...] = ()
+
+
+@frozen
+class Lease:
+    """Hold a grant that this router accepted."""
+
+    lease_id: str
+    shard: ShardId
+    unit: Unit
+    server: BackendServer
+    ask: Ask
+    granted: float
+
+
+@frozen
+class SendTo:
+    """Send a message to a peer, which may be this router itself."""
+
+    peer: RouterName
+    message: m.SchedulerMessage
+
+
+@frozen
+class Granted:
+    """Tell the request that it may run."""
+
+    demand_id: str
+    lease: Lease
+
+
+@frozen
+class Rejected:
+    """Tell the request that it won't run."""
+
+    demand_id: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = SendTo | Granted | Rejected
+
+
+@define
+class _Waiting:
+    ask: Ask
+    shard: ShardId | None = None
+    moves: int = 0
+
+
+@define
+class _Running:
+    lease: Lease
+    charged: float = 0.0
+    unreported: float = 0.0
+
+
+@define
+class Follow:
+    """Hold how this router stands with the scheduler of one shard."""
+
+    shard: ShardId
+    scheduler: RouterName | None = None
+    epoch: Epoch | None = None
+    hello_at: float = 0.0
+    heard: float = 0.0
+    used: float = 0.0
+    heartbeat: m.Heartbeat | None = None
+    hints: dict[ServerName, tuple[m.ServerStatus, float]] = field(factory=dict)
+
+
+@frozen
+class FollowChange:
+    """Say that a shard's scheduler is another router now, for the log."""
+
+    shard: ShardId
+    before: RouterName | None
+    after: RouterName | None
+
+
+class Follower:
+    """Keep demands and leases, and ask the scheduler that this router follows.
+
+    Every method takes this router's clock and returns what to do; nothing here
+    touches a network.
+    """
+
+    def __init__(
+        self, router: RouterName, incarnation: int, data_centre: DataCentreName
+    ) -> None:
+        self._router = router
+        self._incarnation = incarnation
+        self._data_centre = data_centre
+        self._tables: Tables | None = None
+        self._live: dict[DataCentreName, tuple[RouterName, ...]] = {}
+        self._unreachable: dict[RouterName, float] = {}
+        self._shards: dict[PoolName, dict[ShardId, tuple[BackendServer, ...]]] = {}
+        self._servers: dict[ServerName, BackendServer] = {}
+        self._schedulers: dict[ShardId, RouterName] = {}
+        self._follows: dict[ShardId, Follow] = {}
+        self._waiting: dict[str, _Waiting] = {}
+        self._running: dict[str, _Running] = {}
+        self._changes: list[FollowChange] = []
+
+    @property
+    def schedulers(self) -> Mapping[ShardId, RouterName]:
+        """Return who schedules each shard, as this router sees it."""
+        return self._schedulers
+
+    @property
+    def follows(self) -> Mapping[ShardId, Follow]:
+        """Return the shards whose schedulers this router follows."""
+        return self._follows
+
+    @property
+    def waiting(self) -> int:
+        """Return how many demands wait."""
+        return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """Return how many leases run."""
+        return len(self._running)
+
+    @property
+    def live(self) -> Mapping[DataCentreName, tuple[RouterName, ...]]:
+        """Return the routers that membership believes live, by data centre."""
+        return self._live
+
+    def changes(self) -> list[FollowChange]:
+        """Return the changes of scheduler since last asked."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def wanted_peers(self) -> set[RouterName]:
+        """Return the peers to which a stream must be kept."""
+        peers = {follow.scheduler for follow in self._follows.values()}
+        return {peer for peer in peers if peer is not None and peer != self._router}
+
+    def estimated_wait_s(self, pool: PoolName) -> float:
+        """Return the shortest wait that a shard of the pool reports, in seconds."""
+        beats = [
+            follow.heartbeat
+            for shard, follow in self._follows.items()
+            if shard.pool == pool and follow.heartbeat is not None
+        ]
+        return min((beat.wait_s for beat in beats), default=0.0)
+
+    def set_tables(self, tables: Tables, now: float) -> list[Decision]:
+        """Take new tables; demands of shards that are gone ask elsewhere."""
+        self._tables = tables
+        self._shards = {name: shards_of(pool) for name, pool in tables.pools.items()}
+        self._servers = {
+            server.name: server
+            for pool in tables.pools.values()
+            for server in pool.servers
+        }
+        return self._reassign(now)
+
+    def set_live(
+        self, live: Mapping[DataCentreName, tuple[RouterName, ...]], now: float
+    ) -> list[Decision]:
+        """Take the membership's view of live routers."""
+        self._live = dict(live)
+        return self._reassign(now)
+
+    def submit(self, ask: Ask, now: float, moves: int = 0) -> list[Decision]:
+        """Ask for a lease; answer at once where no server could ever give one."""
+        if not self._pool_has_servers(ask.pool):
+            return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
+        waiting = _Waiting(ask, moves=moves)
+        self._waiting[ask.demand_id] = waiting
+        return self._place(waiting, now)
+
+    def withdraw(self, demand_id: str, now: float) -> list[Decision]:
+        """Take a demand back."""
+        waiting = self._waiting.pop(demand_id, None)
+        if waiting is None or waiting.shard is None:
+            return []
+        return self._tell(waiting.shard, m.Withdraw(waiting.shard, demand_id))
+
+    def started(self, lease_id: str, now: float) -> list[Decision]:
+        """Report that the request of a lease is on its way to the backend server."""
+        running = self._running.get(lease_id)
+        if running is None:
+            return []
+        shard = running.lease.shard
+        return self._tell(shard, m.Started(shard, lease_id))
+
+    def progress(self, lease_id: str, service: float) -> None:
+        """Add service that a lease used; the next tick reports it."""
+        running = self._running.get(lease_id)
+        if running is not None:
+            running.unreported += service
+
+    def finished(self, report: m.Finished, now: float) -> list[Decision]:
+        """Report the end of a lease."""
+        running = self._running.pop(report.lease_id, None)
+        if running is None:
+            return []
+        return self._tell(running.lease.shard, report)
+
+    def handle(
+        self, peer: RouterName, message: m.RouterMessage, now: float
+    ) -> list[Decision]:
+        """Take a scheduler's message; what another than the one followed says is void."""
+        follow = self._follows.get(message.shard)
+        if isinstance(message, m.Grant):
+            return self._on_grant(peer, follow, message, now)
+        if follow is None or follow.scheduler != peer:
+            return []
+        if isinstance(message, m.Welcome):
+            follow.epoch = message.epoch
+            follow.heard = now
+            return []
+        if follow.epoch != message.epoch:
+            return []
+        follow.heard = now
+        if isinstance(message, m.Heartbeat):
+            return self._on_heartbeat(follow, message, now)
+        if isinstance(message, m.Move):
+            return self._on_move(message, now)
+        if isinstance(message, m.Refuse):
+            return self._on_refuse(message)
+        return self._pass_over(peer, now)
+
+    def link_up(self, peer: RouterName, now: float) -> list[Decision]:
+        """Say hello for each shard whose scheduler this peer is."""
+        decisions: list[Decision] = []
+        for follow in self._follows.values():
+            if follow.scheduler == peer:
+                decisions += self._hello(follow, now)
+        return decisions
+
+    def link_lost(self, peer: RouterName, now: float) -> list[Decision]:
+        """Turn to the next scheduler in the order of each shard."""
+        return self._pass_over(peer, now)
+
+    def tick(self, now: float) -> list[Decision]:
+        """Report progress, drop what is overdue and look for silent schedulers."""
+        decisions = self._report_progress()
+        decisions += self._reject_overdue(now)
+        decisions += self._check_silence(now)
+        decisions += self._place_unplaced(now)
+        decisions += self._let_go_foreign(now)
+        return decisions
+
+    def views(self, pool: PoolName, now: float) -> list[ShardView]:
+        """Return what this router knows of each shard that takes work."""
+        return [
+            self._view(shard)
+            for shard, servers in self._shards.get(pool, {}).items()
+            if any(self._takes_work(server) for server in servers)
+        ]
+
+    def _view(self, shard: ShardId) -> ShardView:
+        follow = self._follows.get(shard)
+        return ShardView(
+            shard=shard,
+            heartbeat=follow.heartbeat if follow is not None else None,
+            own_centre=shard.data_centre == self._data_centre,
+            reachable=shard in self._schedulers,
+            prefix_blocks=0,
+        )
+
+    def _takes_work(self, server: BackendServer) -> bool:
+        return self._tables is not None and self._tables.server_takes_work(server)
+
+    def _pool_has_servers(self, pool: PoolName) -> bool:
+        return any(
+            self._takes_work(server)
+            for servers in self._shards.get(pool, {}).values()
+            for server in servers
+        )
+
+    def _place(self, waiting: _Waiting, now: float) -> list[Decision]:
+        ask = waiting.ask
+        waiting.shard = choose_shard(
+            self.views(ask.pool, now), avoid=(), key=ask.demand_id
+        )
+        if waiting.shard is None:
+            return []
+        return self._send_demand(waiting, now)
+
+    def _send_demand(self, waiting: _Waiting, now: float) -> list[Decision]:
+        shard = waiting.shard
+        if shard is None:
+            return []
+        decisions = self._follow(shard, now)
+        follow = self._follows[shard]
+        follow.used = now
+        if decisions:
+            return decisions  # the hello carries the demand
+        return self._tell(shard, self._demand(waiting, now))
+
+    def _demand(self, waiting: _Waiting, now: float) -> m.Demand:
+        ask = waiting.ask
+        if waiting.shard is None:
+            raise ValueError(f"demand {ask.demand_id} has no shard")
+        return m.Demand(
+            shard=waiting.shard,
+            demand_id=ask.demand_id,
+            workspace=ask.workspace,
+            weight=ask.weight,
+            cost_hint=ask.cost_hint,
+            waited_s=max(0.0, now - ask.arrived),
+            remaining_s=ask.deadline - now,
+            prefix=ask.prefix,
+            repeatable=ask.repeatable,
+            avoid=ask.avoid,
+            moves=waiting.moves,
+        )
+
+    def _follow(self, shard: ShardId, now: float) -> list[Decision]:
+        """Begin to follow a shard's scheduler unless that is done."""
+        if shard in self._follows:
+            return []
+        follow = Follow(shard, self._schedulers.get(shard), used=now)
+        self._follows[shard] = follow
+        return self._hello(follow, now)
+
+    def _hello(self, follow: Follow, now: float) -> list[Decision]:
+        if follow.scheduler is None:
+            return []
+        follow.epoch = None
+        follow.hello_at = now
+        follow.heard = now
+        shard = follow.shard
+        demands = [w for w in self._waiting.values() if w.shard == shard]
+        leases = [r for r in self._running.values() if r.lease.shard == shard]
+        hello = m.Hello(
+            shard=shard,
+            router=self._router,
+            incarnation=self._incarnation,
+            data_centre=self._data_centre,
+            clock=now,
+            demands=tuple(self._demand(waiting, now) for waiting in demands),
+            leases=tuple(self._running_lease(running, now) for running in leases),
+            hints=tuple(
+                m.ServerHint(name, status.limit, status.warmth, now - at)
+                for name, (status, at) in follow.hints.items()
+            ),
+        )
+        return [SendTo(follow.scheduler, hello)]
+
+    def _running_lease(self, running: _Running, now: float) -> m.RunningLease:
+        running.charged += running.unreported
+        running.unreported = 0.0
+        lease = running.lease
+        return m.RunningLease(
+            lease_id=lease.lease_id,
+            demand_id=lease.ask.demand_id,
+            workspace=lease.ask.workspace,
+            unit=lease.unit,
+            ran_s=now - lease.granted,
+            remaining_s=lease.ask.deadline - now,
+            charged=running.charged,
+        )
+
+    def _tell(self, shard: ShardId, message: m.SchedulerMessage) -> list[Decision]:
+        follow = self._follows.get(shard)
+        if follow is None or follow.scheduler is None:
+            return []
+        return [SendTo(follow.scheduler, message)]
+
+    def _reassign(self, now: float) -> list[Decision]:
+        """Work out every shard's scheduler anew and turn to those that changed."""
+        if self._tables is None:
+            return []
+        self._schedulers = self._assignment(now)
+        decisions: list[Decision] = []
+        for shard in list(self._follows):
+            decisions += self._refollow(shard, now)
+        for shards in self._shards.values():
+            for shard in shards:
+                if shard.data_centre == self._data_centre:
+                    decisions += self._follow(shard, now)
+        return decisions + self._place_lost(now)
+
+    def _assignment(self, now: float) -> dict[ShardId, RouterName]:
+        shards = [shard for shards in self._shards.values() for shard in shards]
+        reachable = {
+            centre: tuple(r for r in routers if not self._passed_over(r, now))
+            for centre, routers in self._live.items()
+        }
+        return assign_shards(shards, reachable)
+
+    def _passed_over(self, router: RouterName, now: float) -> bool:
+        return self._unreachable.get(router, now) > now
+
+    def _refollow(self, shard: ShardId, now: float) -> list[Decision]:
+        follow = self._follows[shard]
+        known = shard in self._shards.get(shard.pool, {})
+        scheduler = self._schedulers.get(shard) if known else None
+        if known and scheduler == follow.scheduler:
+            return []
+        decisions: list[Decision] = []
+        if follow.scheduler is not None:
+            goodbye = m.Goodbye(shard, self._router)
+            decisions.append(SendTo(follow.scheduler, goodbye))
+        self._changes.append(FollowChange(shard, follow.scheduler, scheduler))
+        if not known:
+            del self._follows[shard]
+            return decisions
+        follow.scheduler = scheduler
+        follow.epoch = None
+        follow.heartbeat = None
+        return decisions + self._hello(follow, now)
+
+    def _place_lost(self, now: float) -> list[Decision]:
+        """Ask elsewhere for demands whose shard takes no more work."""
+        open_shards = {
+            shard
+            for shards in self._shards.values()
+            for shard, servers in shards.items()
+            if any(self._takes_work(server) for server in servers)
+        }
+        decisions: list[Decision] = []
+        for waiting in list(self._waiting.values()):
+            if waiting.shard is None or waiting.shard in open_shards:
+                continue
+            shard = waiting.shard
+            gone = m.Withdraw(shard, waiting.ask.demand_id)
+            decisions += self._tell(shard, gone)
+            decisions += self._place_or_reject(waiting, now)
+        return decisions
+
+    def _place_or_reject(self, waiting: _Waiting, now: float) -> list[Decision]:
+        ask = waiting.ask
+        if not self._pool_has_servers(ask.pool):
+            del self._waiting[ask.demand_id]
+            return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
+        return self._place(waiting, now)
+
+    def _on_grant(
+        self, peer: RouterName, follow: Follow | None, grant: m.Grant, now: float
+    ) -> list[Decision]:
+        waiting = self._waiting.get(grant.demand_id)
+        following = follow.epoch if follow and follow.scheduler == peer else None
+        server = self._servers.get(grant.unit.server)
+        if (
+            waiting is None
+            or waiting.shard != grant.shard
+            or server is None
+            or not self._takes_work(server)
+            or not grant_valid(grant, following, now)
+        ):
+            return self._decline(peer, grant, waiting, following, now)
+        del self._waiting[grant.demand_id]
+        lease = Lease(
+            grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now
+        )
+        self._running[grant.lease_id] = _Running(lease)
+        return [Granted(grant.demand_id, lease)]
+
+    def _decline(
+        self,
+        peer: RouterName,
+        grant: m.Grant,
+        waiting: _Waiting | None,
+        following: Epoch | None,
+        now: float,
+    ) -> list[Decision]:
+        """Give a grant back; the scheduler forgot the demand, so ask it again."""
+        declined = m.Finished(grant.shard, grant.lease_id, Outcome.DECLINED, 0.0)
+        decisions: list[Decision] = [SendTo(peer, declined)]
+        current = following is not None and following == grant.epoch
+        if waiting is not None and waiting.shard == grant.shard and current:
+            decisions += self._place_or_reject(waiting, now)
+        return decisions
+
+    def _on_heartbeat(
+        self, follow: Follow, beat: m.Heartbeat, now: float
+    ) -> list[Decision]:
+        follow.heartbeat = beat
+        for status in beat.servers:
+            follow.hints[status.server] = (status, now)
+        lend = m.Lend(follow.shard, beat.epoch, beat.clock, now)
+        return self._tell(follow.shard, lend)
+
+    def _on_move(self, move: m.Move, now: float) -> list[Decision]:
+        waiting = self._waiting.get(move.demand_id)
+        if waiting is None or waiting.shard != move.shard:
+            return []
+        waiting.moves += 1
+        known = move.target in self._shards.get(move.target.pool, {})
+        if not known or move.target not in self._schedulers:
+            return self._send_demand(waiting, now)
+        waiting.shard = move.target
+        return self._send_demand(waiting, now)
+
+    def _on_refuse(self, refuse: m.Refuse) -> list[Decision]:
+        waiting = self._waiting.get(refuse.demand_id)
+        if waiting is None or waiting.shard != refuse.shard:
+            return []
+        del self._waiting[refuse.demand_id]
+        return [Rejected(refuse.demand_id, refuse.reason, refuse.retry_after_s)]
+
+    def _pass_over(self, peer: RouterName, now: float) -> list[Decision]:
+        if peer == self._router:
+            return []
+        self._unreachable[peer] = now + UNREACHABLE_S
+        for follow in self._follows.values():
+            if follow.scheduler == peer:
+                follow.epoch = None
+        return self._reassign(now)
+
+    def _report_progress(self) -> list[Decision]:
+        decisions: list[Decision] = []
+        for lease_id, running in self._running.items():
+            if running.unreported <= 0:
+                continue
+            shard = running.lease.shard
+            report = m.Progress(shard, lease_id, running.unreported)
+            running.charged += running.unreported
+            running.unreported = 0.0
+            decisions += self._tell(shard, report)
+        return decisions
+
+    def _reject_overdue(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        for waiting in list(self._waiting.values()):
+            ask = waiting.ask
+            if ask.deadline > now:
+                continue
+            decisions += self.withdraw(ask.demand_id, now)
+            reason = RefusalReason.DEADLINE_PASSED
+            decisions.append(Rejected(ask.demand_id, reason, RETRY_AFTER_S))
+        return decisions
+
+    def _check_silence(self, now: float) -> list[Decision]:
+        silent = set()
+        for follow in self._follows.values():
+            limit = SILENCE_S if follow.epoch is not None else HELLO_TIMEOUT_S
+            if follow.scheduler is not None and now - follow.heard > limit:
+                silent.add(follow.scheduler)
+        decisions: list[Decision] = []
+        for peer in silent - {self._router}:
+            decisions += self._pass_over(peer, now)
+        back = [r for r, until in self._unreachable.items() if until <= now]
+        for peer in back:
+            del self._unreachable[peer]
+        if back:
+            decisions += self._reassign(now)
+        return decisions
+
+    def _place_unplaced(self, now: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        for waiting in list(self._waiting.values()):
+            if waiting.shard is None or waiting.shard not in self._schedulers:
+                decisions += self._place(waiting, now)
+        return decisions
+
+    def _let_go_foreign(self, now: float) -> list[Decision]:
+        busy = {w.shard for w in self._waiting.values()}
+        busy |= {r.lease.shard for r in self._running.values()}
+        decisions: list[Decision] = []
+        for shard, follow in list(self._follows.items()):
+            if shard.data_centre == self._data_centre or shard in busy:
+                continue
+            if now - follow.used > FOREIGN_IDLE_S:
+                decisions += self._tell(shard, m.Goodbye(shard, self._router))
+                del self._follows[shard]
+        return decisions
+
+
+def retried(ask: Ask, demand_id: str, failed: ServerName) -> Ask:
+    """Return a request's next demand, which avoids the server that failed it."""
+    return evolve(ask, demand_id=demand_id, avoid=(*ask.avoid, failed))
+
+
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_grpc.py
@@ -0,0 +1,322 @@
+"""gRPC between routers: one stream per pair and direction, and single questions."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any, Protocol
+
+import anyio
+import grpc
+import grpc.aio
+from attrs import define, frozen
+
+from fulmarroad._codec import MAX_MESSAGE_BYTES, decode, decode_one, encode
+from fulmarroad.events import Event, emit
+from fulmarroad.exceptions import MessageError, TransportError
+from fulmarroad.types import RouterName
+
+logger = logging.getLogger("fulmarroad.transport")
+
+SERVICE = "fulmarroad.Peer"
+ATTACH = "Attach"
+ASK = "Ask"
+SENDER_KEY = "fulmarroad-router"
+
+CONNECT_TIMEOUT_S = 1.0
+"""Peers are a few milliseconds apart; a second without a connection is a loss."""
+
+QUEUE_FRAMES = 4096
+"""Messages held for one peer; a peer that reads nothing is dropped above this.
+
+Without a bound a frozen peer would fill this router's memory. The stream is ended
+instead, which makes the peer say hello again with its whole state.
+"""
+
+FRAME_OVERHEAD_BYTES = 5 + 9 + 40
+"""gRPC prefix, HTTP/2 frame header, IP and TCP headers: counted for each frame."""
+
+_OPTIONS = [
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.enable_retries", 0),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.so_reuseport", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+@frozen
+class TlsFiles:
+    """Hold the PEM texts for mutual TLS between routers."""
+
+    certificate: bytes
+    key: bytes
+    authority: bytes
+
+
+@define
+class TrafficCount:
+    """Count control bytes, to show what coordination costs."""
+
+    sent: int = 0
+    received: int = 0
+
+    def note_sent(self, size: int) -> None:
+        """Add a frame that was sent."""
+        self.sent += size + FRAME_OVERHEAD_BYTES
+
+    def note_received(self, size: int) -> None:
+        """Add a frame that was received."""
+        self.received += size + FRAME_OVERHEAD_BYTES
+
+
+class PeerHandler(Protocol):
+    """Take what peers send; every method returns at once."""
+
+    def on_attached(self, peer: RouterName, send: Callable[[Any], None]) -> int:
+        """Note a peer's stream; `send` answers on it. Return a handle."""
+
+    def on_message(self, peer: RouterName, message: Any) -> None:
+        """Take a message of a peer's stream."""
+
+    def on_detached(self, peer: RouterName, handle: int) -> None:
+        """Note that a peer's stream ended."""
+
+    async def on_question(self, peer: RouterName, message: Any) -> Any:
+        """Answer a single question."""
+
+
+class Outbox:
+    """Queue messages for one stream and batch what has gathered into one frame."""
+
+    def __init__(self, traffic: TrafficCount) -> None:
+        self._traffic = traffic
+        self._queue: list[Any] = []
+        self._wake = anyio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether the stream takes no more messages."""
+        return self._closed
+
+    def put(self, message: Any) -> None:
+        """Queue a message; a queue that overflows closes the stream."""
+        if self._closed:
+            return
+        self._queue.append(message)
+        if len(self._queue) > QUEUE_FRAMES:
+            self._closed = True
+            self._queue.clear()
+        self._wake.set()
+
+    def close(self) -> None:
+        """Send what is queued, then end the stream."""
+        self._closed = True
+        self._wake.set()
+
+    async def frames(self) -> AsyncIterator[bytes]:
+        """Yield frames until closed."""
+        while True:
+            while self._queue:
+                batch, self._queue = self._queue, []
+                frame = encode(*batch)
+                self._traffic.note_sent(len(frame))
+                yield frame
+            if self._closed:
+                return
+            self._wake = anyio.Event()
+            if not self._queue:
+                await self._wake.wait()
+
+
+class PeerServer:
+    """Listen for the streams and questions of other routers."""
+
+    def __init__(
+        self,
+        handler: PeerHandler,
+        traffic: TrafficCount,
+        *,
+        host: str,
+        port: int,
+        tls: TlsFiles | None = None,
+        cut: Callable[[RouterName], bool] = lambda peer: False,
+    ) -> None:
+        self._handler = handler
+        self._traffic = traffic
+        self._address = f"{host}:{port}"
+        self._tls = tls
+        self._cut = cut
+        self.port = port
+
+    async def run(self, ready: Callable[[], None] = lambda: None) -> None:
+        """Serve until cancelled."""
+        server = grpc.aio.server(options=_OPTIONS)
+        handlers = {
+            ATTACH: grpc.stream_stream_rpc_method_handler(self._attach),
+            ASK: grpc.unary_unary_rpc_method_handler(self._ask),
+        }
+        server.add_generic_rpc_handlers(
+            (grpc.method_handlers_generic_handler(SERVICE, handlers),)
+        )
+        try:
+            self.port = self._bind(server)
+        except RuntimeError as error:
+            raise TransportError(
+                f"The peer port {self._address} can't be bound.",
+                hint="Is another router running with the same settings?",
+            ) from error
+        await server.start()
+        ready()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await server.stop(grace=0.2)
+
+    def _bind(self, server: grpc.aio.Server) -> int:
+        if self._tls is None:
+            return server.add_insecure_port(self._address)
+        credentials = grpc.ssl_server_credentials(
+            [(self._tls.key, self._tls.certificate)],
+            root_certificates=self._tls.authority,
+            require_client_auth=True,
+        )
+        return server.add_secure_port(self._address, credentials)
+
+    async def _attach(
+        self, requests: AsyncIterator[bytes], context: grpc.aio.ServicerContext
+    ) -> AsyncIterator[bytes]:
+        peer = await self._checked_peer(context)
+        outbox = Outbox(self._traffic)
+        handle = self._handler.on_attached(peer, outbox.put)
+        reader = asyncio.ensure_future(self._read(peer, requests, outbox))
+        try:
+            async for frame in outbox.frames():
+                yield frame
+        finally:
+            reader.cancel()
+            self._handler.on_detached(peer, handle)
+
+    async def _read(
+        self, peer: RouterName, requests: AsyncIterator[bytes], outbox: Outbox
+    ) -> None:
+        try:
+            async for frame in requests:
+                if self._cut(peer):
+                    break
+                self._traffic.note_received(len(frame))
+                for message in decode(frame):
+                    self._handler.on_message(peer, message)
+        except MessageError as error:
+            emit(logger, Event.PEER_REJECTED, peer=peer, cause=str(error))
+        finally:
+            outbox.close()
+
+    async def _ask(self, request: bytes, context: grpc.aio.ServicerContext) -> bytes:
+        peer = await self._checked_peer(context)
+        self._traffic.note_received(len(request))
+        try:
+            (question,) = decode(request)
+        except (MessageError, ValueError) as error:
+            emit(logger, Event.PEER_REJECTED, peer=peer, cause=str(error))
+            await context.abort(grpc.StatusCode.INVALID_ARGUMENT, str(error))
+        answer = encode(await self._handler.on_question(peer, question))
+        self._traffic.note_sent(len(answer))
+        return answer
+
+    async def _checked_peer(self, context: grpc.aio.ServicerContext) -> RouterName:
+        metadata = dict(context.invocation_metadata() or ())
+        peer = str(metadata.get(SENDER_KEY, ""))
+        if not peer:
+            await context.abort(grpc.StatusCode.UNAUTHENTICATED, "no router name")
+        if self._cut(peer):
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "cut by bench settings")
+        return peer
+
+
+class PeerChannel:
+    """Own the connection to one peer."""
+
+    def __init__(
+        self,
+        me: RouterName,
+        peer: RouterName,
+        host: str,
+        port: int,
+        traffic: TrafficCount,
+        *,
+        tls: TlsFiles | None = None,
+        cut: Callable[[RouterName], bool] = lambda peer: False,
+    ) -> None:
+        self._peer = peer
+        self._traffic = traffic
+        self._cut = cut
+        self._metadata = ((SENDER_KEY, me),)
+        address = f"{host}:{port}"
+        options = [*_OPTIONS, ("grpc.initial_reconnect_backoff_ms", 200)]
+        if tls is None:
+            self._channel = grpc.aio.insecure_channel(address, options=options)
+        else:
+            credentials = grpc.ssl_channel_credentials(
+                tls.authority, tls.key, tls.certificate
+            )
+            self._channel = grpc.aio.secure_channel(address, credentials, options)
+        self._attach = self._channel.stream_stream(f"/{SERVICE}/{ATTACH}")
+        self._ask = self._channel.unary_unary(f"/{SERVICE}/{ASK}")
+
+    async def ask(self, question: Any, cls: type, timeout_s: float) -> Any:
+        """Return a peer's answer; raise `TransportError` if none comes in time."""
+        self._refuse_if_cut()
+        request = encode(question)
+        self._traffic.note_sent(len(request))
+        try:
+            answer = await self._ask(
+                request, timeout=timeout_s, metadata=self._metadata
+            )
+        except grpc.aio.AioRpcError as error:
+            raise TransportError(
+                f"Router {self._peer} gave no answer: {error.code().name}."
+            ) from error
+        self._traffic.note_received(len(answer))
+        try:
+            return decode_one(answer, cls)
+        except MessageError as error:
+            raise TransportError(f"Router {self._peer} answered nonsense.") from error
+
+    async def attach(
+        self, outbox: Outbox, on_message: Callable[[Any], None], on_up: Callable[[], None]
+    ) -> None:
+        """Exchange messages until the stream ends; raise `TransportError` then."""
+        self._refuse_if_cut()
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                await self._channel.channel_ready()
+            call = self._attach(outbox.frames(), metadata=self._metadata)
+            on_up()
+            async for frame in call:
+                self._refuse_if_cut()
+                self._traffic.note_received(len(frame))
+                for message in decode(frame):
+                    on_message(message)
+        except TimeoutError as error:
+            raise TransportError(f"Router {self._peer} can't be reached.") from error
+        except grpc.aio.AioRpcError as error:
+            raise TransportError(
+                f"The stream to {self._peer} broke: {error.code().name}."
+            ) from error
+        except MessageError as error:
+            emit(logger, Event.PEER_REJECTED, peer=self._peer, cause=str(error))
+            raise TransportError(f"Router {self._peer} sent nonsense.") from error
+        raise TransportError(f"Router {self._peer} ended the stream.")
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._channel.close()
+
+    def _refuse_if_cut(self) -> None:
+        if self._cut(self._peer):
+            raise TransportError(f"Cut from {self._peer} by bench settings.")
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_supervisor.py
@@ -0,0 +1,88 @@
+"""Restart tasks that fail, and give up loudly when restarts don't help."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Awaitable, Callable
+
+import anyio
+from attrs import define, field, frozen
+
+from fulmarroad.events import Event, emit
+from fulmarroad.exceptions import SupervisionError
+
+logger = logging.getLogger("fulmarroad.supervision")
+
+RESTART_DELAY_S = 0.05
+MAX_RESTART_DELAY_S = 2.0
+
+MAX_RESTARTS = 10
+"""Failures within `RESTART_WINDOW_S` after which the whole tree fails.
+
+A task that fails at once on every start would otherwise spin for ever while the
+process looks healthy; failing the process lets the platform replace the VM.
+"""
+RESTART_WINDOW_S = 30.0
+
+
+@frozen
+class ChildSpec:
+    """Describe one supervised task."""
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+    restart: bool = True
+
+
+@define
+class _Child:
+    spec: ChildSpec
+    failures: list[float] = field(factory=list)
+
+
+class Supervisor:
+    """Run children in one task group; restart those that fail.
+
+    A child that returns is done. Raise `SupervisionError` when a child fails more
+    than `MAX_RESTARTS` times in `RESTART_WINDOW_S`, which ends its siblings.
+    """
+
+    def __init__(self, name: str, children: list[ChildSpec], *, seed: int = 0) -> None:
+        self._name = name
+        self._children = [_Child(spec) for spec in children]
+        self._random = random.Random(seed)
+
+    async def run(self) -> None:
+        """Run until every child is done or one is given up."""
+        async with anyio.create_task_group() as group:
+            for child in self._children:
+                group.start_soon(self._run_child, child, name=child.spec.name)
+
+    async def _run_child(self, child: _Child) -> None:
+        while True:
+            try:
+                await child.spec.run()
+                return
+            except Exception as error:
+                await self._after_failure(child, error)
+
+    async def _after_failure(self, child: _Child, error: Exception) -> None:
+        now = anyio.current_time()
+        child.failures = [at for at in child.failures if now - at < RESTART_WINDOW_S]
+        child.failures.append(now)
+        count = len(child.failures)
+        fields = {"supervisor": self._name, "task": child.spec.name}
+        if not child.spec.restart or count > MAX_RESTARTS:
+            emit(logger, Event.TASK_GIVEN_UP, **fields, cause=repr(error))
+            raise SupervisionError(
+                f"Task {child.spec.name} failed {count} times.",
+                hint="The log's event 110 tells each cause.",
+            ) from error
+        logger.debug("task failure", exc_info=error)
+        emit(logger, Event.TASK_FAILED, **fields, cause=repr(error), failures=count)
+        await anyio.sleep(self._delay(count))
+
+    def _delay(self, count: int) -> float:
+        ceiling = min(MAX_RESTART_DELAY_S, RESTART_DELAY_S * 2**count)
+        return self._random.uniform(RESTART_DELAY_S, ceiling)
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/coordination.py
@@ -0,0 +1,56 @@
+"""The tasks by which a router acts together with the others."""
+
+from fulmarroad._coordinator import (
+    Cancel,
+    Coordinator,
+    NoteFinished,
+    NoteProgress,
+    NoteStarted,
+    PeerAddress,
+    StepDownAll,
+    Submit,
+    TakeMembers,
+    TakeTables,
+    TakeVms,
+)
+from fulmarroad._follower import (
+    Ask,
+    Decision,
+    Follow,
+    FollowChange,
+    Follower,
+    Granted,
+    Lease,
+    Rejected,
+    SendTo,
+    retried,
+)
+from fulmarroad._roles import RoleOutput, Roles, ToFollower, ToSchedulers
+
+__all__ = [
+    "Ask",
+    "Cancel",
+    "Coordinator",
+    "Decision",
+    "Follow",
+    "FollowChange",
+    "Follower",
+    "Granted",
+    "Lease",
+    "NoteFinished",
+    "NoteProgress",
+    "NoteStarted",
+    "PeerAddress",
+    "Rejected",
+    "RoleOutput",
+    "Roles",
+    "SendTo",
+    "StepDownAll",
+    "Submit",
+    "TakeMembers",
+    "TakeTables",
+    "TakeVms",
+    "ToFollower",
+    "ToSchedulers",
+    "retried",
+]
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/supervision.py
@@ -0,0 +1,5 @@
+"""A supervisor tree over anyio task groups."""
+
+from fulmarroad._supervisor import ChildSpec, Supervisor
+
+__all__ = ["ChildSpec", "Supervisor"]
