--- a/packages/fulmarroad-router/src/fulmarroad_router/calls.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/calls.py
@@ -134,7 +134,12 @@
 def request_id_of(headers: Headers) -> str:
     """Return the caller's request id if it is usable, else a new one."""
     given = header(headers, b"x-request-id")
-    if given and len(given) <= MAX_ID_LENGTH and given.isascii() and given.isprintable():
+    if (
+        given
+        and len(given) <= MAX_ID_LENGTH
+        and given.isascii()
+        and given.isprintable()
+    ):
         return given
     return str(uuid.uuid4())
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -159,7 +159,7 @@
         self._sequence = 0
 
     async def run(self, call: Call, responder: Responder) -> None:
-        """Carry one call to its end; raise `CallError` where there is no whole answer."""
+        """Carry one call to its end; raise `CallError` for lack of a whole answer."""
         progress = _Progress()
         while not progress.done:
             lease = await self._lease(call, progress)
@@ -346,7 +346,9 @@
         spent = late or progress.tries >= MAX_TRIES
         if responder.begun:
             if spent or not (call.pool.can_resume and call.chat.stream):
-                raise AnswerBroken("The backend server broke its answer off.") from error
+                raise AnswerBroken(
+                    "The backend server broke its answer off."
+                ) from error
             emit(
                 logger,
                 Event.STREAM_RESUMED,
@@ -402,4 +404,3 @@
 def _is_events(response: BackendResponse) -> bool:
     kind = response.header(b"content-type")
     return response.status == 200 and kind.startswith(b"text/event-stream")
-
--- /dev/null
+++ b/packages/fulmarroad-router/tests/test_calls.py
@@ -0,0 +1,130 @@
+"""Calls are read strictly and sent on without what concerns one hop."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad.tables import Pool, Route, Workspace
+from fulmarroad_router.calls import (
+    PREFIX_BLOCK_BYTES,
+    Call,
+    answer_headers,
+    bearer_of,
+    cleaned,
+    prefix_of,
+    read_chat,
+    request_id_of,
+)
+from fulmarroad_router.exceptions import BadRequest
+
+
+def make_call(headers=()):
+    return Call(
+        request_id="r1",
+        workspace=Workspace("coop"),
+        route=Route("drafts", "/v1/chat/completions", "drafting", timeout_s=10.0),
+        pool=Pool("drafting"),
+        method="POST",
+        target=b"/v1/chat/completions",
+        headers=list(headers),
+        body=b"x" * 400,
+        arrived=5.0,
+    )
+
+
+class TestHeaders:
+    def test_hop_by_hop_headers_stop_here(self):
+        sent = [
+            (b"Connection", b"close, X-Private"),
+            (b"X-Private", b"1"),
+            (b"Keep-Alive", b"5"),
+            (b"Accept", b"*/*"),
+        ]
+        assert cleaned(sent, {b"connection", b"keep-alive"}) == [(b"Accept", b"*/*")]
+
+    def test_callers_key_does_not_reach_the_backend_server(self):
+        call = make_call([(b"authorization", b"Bearer secret"), (b"accept", b"*/*")])
+        headers = call.backend_request().headers
+        assert b"secret" not in b" ".join(value for _, value in headers)
+        assert (b"accept", b"*/*") in headers
+        assert (b"x-request-id", b"r1") in headers
+
+    def test_resumption_names_the_position(self):
+        headers = dict(make_call().backend_request(resume_from=7).headers)
+        assert headers[b"x-resume-from"] == b"7"
+        assert headers[b"x-resume-id"] == b"r1"
+
+    def test_caller_cannot_ask_for_a_resumption(self):
+        call = make_call([(b"X-Resume-From", b"99")])
+        assert b"x-resume-from" not in dict(call.backend_request().headers)
+
+    def test_backend_server_cannot_say_whether_the_call_ran(self):
+        kept = answer_headers([(b"Fulmarroad-Ran", b"not_run"), (b"etag", b"1")])
+        assert kept == [(b"etag", b"1")]
+
+    @pytest.mark.parametrize(
+        ("value", "bearer"),
+        [
+            (b"Bearer abc", "abc"),
+            (b"bearer  abc ", "abc"),
+            (b"Basic abc", ""),
+            (b"", ""),
+        ],
+    )
+    def test_bearer(self, value, bearer):
+        assert bearer_of([(b"authorization", value)]) == bearer
+
+    @pytest.mark.parametrize("given", [b"", b"a\tb", b"x" * 129, "é".encode()])
+    def test_unusable_request_ids_are_replaced(self, given):
+        assert request_id_of([(b"x-request-id", given)]) != given.decode("latin-1")
+
+    def test_usable_request_id_is_kept(self):
+        assert request_id_of([(b"x-request-id", b"mine-1")]) == "mine-1"
+
+
+class TestChatBody:
+    def test_reads_what_the_router_needs(self):
+        body = {"model": "m", "messages": [{}], "stream": True, "max_tokens": 9}
+        chat = read_chat(json.dumps(body).encode())
+        assert (chat.model, chat.stream, chat.max_tokens) == ("m", True, 9)
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b"",
+            b"{",
+            b"[]",
+            b"[" * 100_000,
+            b'{"model": "m"}',
+            b'{"model": "m", "messages": []}',
+            b'{"model": 3, "messages": [{}]}',
+            b'{"model": "m", "messages": [{}], "stream": "yes"}',
+            b'{"model": "m", "messages": [{}], "max_tokens": -1}',
+            b'{"model": "m", "messages": [{}], "max_tokens": true}',
+            b"\xff\xfe",
+        ],
+    )
+    def test_refuses_what_is_none(self, body):
+        with pytest.raises(BadRequest):
+            read_chat(body)
+
+    @settings(derandomize=True, max_examples=200)
+    @given(st.binary(max_size=100))
+    def test_never_fails_in_another_way(self, body):
+        with pytest.raises(BadRequest):
+            read_chat(body)
+
+
+class TestPrefix:
+    def test_shared_start_gives_shared_hashes(self):
+        start = b"a" * PREFIX_BLOCK_BYTES * 2
+        one = prefix_of(start + b"b" * PREFIX_BLOCK_BYTES)
+        other = prefix_of(start + b"c" * PREFIX_BLOCK_BYTES)
+        assert one[:2] == other[:2]
+        assert one[2] != other[2]
+
+    def test_hint_counts_prompt_and_answer(self):
+        assert make_call().cost_hint == 400 / 4 * 0.25 + 256
+        assert make_call().deadline == 15.0
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -274,7 +274,7 @@
     def handle(
         self, peer: RouterName, message: m.RouterMessage, now: float
     ) -> list[Decision]:
-        """Take a scheduler's message; what another than the one followed says is void."""
+        """Take a message of the scheduler that is followed; ignore any other's."""
         follow = self._follows.get(message.shard)
         if isinstance(message, m.Grant):
             return self._on_grant(peer, follow, message, now)
@@ -518,9 +518,7 @@
         ):
             return self._decline(peer, grant, waiting, following, now)
         del self._waiting[grant.demand_id]
-        lease = Lease(
-            grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now
-        )
+        lease = Lease(grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now)
         self._running[grant.lease_id] = _Running(lease)
         return [Granted(grant.demand_id, lease)]
 
@@ -638,5 +636,3 @@
 def retried(ask: Ask, demand_id: str, failed: ServerName) -> Ask:
     """Return a request's next demand, which avoids the server that failed it."""
     return evolve(ask, demand_id=demand_id, avoid=(*ask.avoid, failed))
-
-
--- a/packages/fulmarroad/src/fulmarroad/_grpc.py
+++ b/packages/fulmarroad/src/fulmarroad/_grpc.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Any, Protocol
 
 import anyio
@@ -288,7 +288,10 @@
             raise TransportError(f"Router {self._peer} answered nonsense.") from error
 
     async def attach(
-        self, outbox: Outbox, on_message: Callable[[Any], None], on_up: Callable[[], None]
+        self,
+        outbox: Outbox,
+        on_message: Callable[[Any], None],
+        on_up: Callable[[], None],
     ) -> None:
         """Exchange messages until the stream ends; raise `TransportError` then."""
         self._refuse_if_cut()
--- /dev/null
+++ b/packages/fulmarroad/tests/test_supervision.py
@@ -0,0 +1,63 @@
+"""Failed tasks are restarted; tasks that keep failing end the process."""
+
+import anyio
+import pytest
+
+from fulmarroad.exceptions import SupervisionError
+from fulmarroad.supervision import ChildSpec, Supervisor
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def no_delay(monkeypatch):
+    monkeypatch.setattr(Supervisor, "_delay", lambda self, count: 0.0)
+
+
+@pytest.mark.anyio
+@pytest.mark.usefixtures("no_delay")
+class TestSupervisor:
+    async def test_restarts_a_task_that_failed(self):
+        runs = []
+
+        async def flaky():
+            runs.append(1)
+            if len(runs) < 3:
+                raise ValueError("first tries")
+
+        await Supervisor("test", [ChildSpec("flaky", flaky)]).run()
+        assert len(runs) == 3
+
+    async def test_gives_up_and_ends_the_siblings(self):
+        # A task that fails on every start would spin for ever in a process that
+        # looks healthy, while callers get nothing.
+        cancelled = []
+
+        async def broken():
+            raise ValueError("always")
+
+        async def sibling():
+            try:
+                await anyio.sleep_forever()
+            finally:
+                cancelled.append(True)
+
+        children = [ChildSpec("broken", broken), ChildSpec("sibling", sibling)]
+        with pytest.raises(ExceptionGroup) as failure:
+            await Supervisor("test", children).run()
+        assert failure.group_contains(SupervisionError)
+        assert cancelled == [True]
+
+    async def test_a_task_that_must_not_restart_fails_at_once(self):
+        runs = []
+
+        async def broken():
+            runs.append(1)
+            raise ValueError("once")
+
+        with pytest.raises(ExceptionGroup):
+            await Supervisor("test", [ChildSpec("b", broken, restart=False)]).run()
+        assert runs == [1]
