Fit the scheduler to the book of servers and host it in roles

Cause: the scheduler and the book were written apart; lend takes the time, adopted hints and table changes return changes of warmth that belong in the audit trail. Change: the scheduler passes the time on and keeps the changes; roles own the book and choose units by placement.

--- a/packages/fulmarroad-router/src/fulmarroad_router/operations.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/operations.py
@@ -176,10 +176,10 @@
                         "running": row.running,
                         "usable": row.usable,
                     }
-                    for row in scheduler.book.status(now)
+                    for row in role.book.status(now)
                 ],
             }
-            for shard, scheduler in sorted(self._coordinator.roles.held.items())
+            for shard, role in sorted(self._coordinator.roles.held.items())
         ]
 
     def _control(self) -> dict[str, Any]:
--- a/packages/fulmarroad/src/fulmarroad/_roles.py
+++ b/packages/fulmarroad/src/fulmarroad/_roles.py
@@ -8,15 +8,16 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from fulmarroad import _messages as m
 from fulmarroad._tables import BackendServer, Tables, shards_of
 from fulmarroad.audit import AuditTrail, Subject
-from fulmarroad.capacity import ServerBook, WarmthChange
+from fulmarroad.capacity import FreeUnit, ServerBook, WarmthChange
 from fulmarroad.events import Event, emit
+from fulmarroad.placement import PrefixMap, choose_unit
 from fulmarroad.scheduling import Scheduler, Send, make_queue
 from fulmarroad.types import (
     DataCentreName,
@@ -24,6 +25,7 @@
     RouterName,
     ServerName,
     ShardId,
+    Unit,
 )
 
 logger = logging.getLogger("fulmarroad.roles")
@@ -55,10 +57,12 @@
 
 
 @define
-class _Role:
+class Role:
+    """Hold a scheduler and the book of its backend servers."""
+
     scheduler: Scheduler
-    epoch: Epoch
-    followers: set[RouterName]
+    book: ServerBook
+    followers: set[RouterName] = field(factory=set)
     left_at: float | None = None
 
 
@@ -82,12 +86,12 @@
         self._tables: Tables | None = None
         self._live: Mapping[DataCentreName, tuple[RouterName, ...]] = {}
         self._vms: Mapping[DataCentreName, tuple[RouterName, ...]] = {}
-        self._roles: dict[ShardId, _Role] = {}
+        self._roles: dict[ShardId, Role] = {}
 
     @property
-    def held(self) -> Mapping[ShardId, Scheduler]:
+    def held(self) -> Mapping[ShardId, Role]:
         """Return the schedulers hosted here."""
-        return {shard: role.scheduler for shard, role in self._roles.items()}
+        return self._roles
 
     def handle(
         self, router: RouterName, message: m.SchedulerMessage, now: float
@@ -141,7 +145,7 @@
         """Take the published VMs, which decide who owns which unit."""
         self._vms = dict(vms)
         for shard, role in self._roles.items():
-            role.scheduler.book.set_vms(self._vms.get(shard.data_centre, ()))
+            role.book.set_vms(self._vms.get(shard.data_centre, ()), now)
 
     def set_tables(self, tables: Tables, now: float) -> list[RoleOutput]:
         """Take new tables; roles of shards that are gone are given up."""
@@ -189,7 +193,7 @@
     ) -> tuple[ServerName, ...]:
         return tuple(s.name for s in servers if self._takes_work(s, now))
 
-    def _take_up(self, shard: ShardId, now: float) -> _Role | None:
+    def _take_up(self, shard: ShardId, now: float) -> Role | None:
         servers = self._servers(shard)
         if not servers or self._tables is None:
             return None
@@ -197,7 +201,7 @@
         epoch = Epoch(self._router, self._incarnation, self._terms)
         pool = self._tables.pools[shard.pool]
         book = ServerBook(pool, servers, now=now)
-        book.set_vms(self._vms.get(shard.data_centre, ()))
+        book.set_vms(self._vms.get(shard.data_centre, ()), now)
         book.set_servers(pool, servers, self._taking(servers, now), now)
         scheduler = Scheduler(
             shard,
@@ -206,8 +210,9 @@
             make_queue(self._policy),
             live=self._live.get(shard.data_centre, ()),
             now=now,
+            choose=_chooser(PrefixMap()),
         )
-        role = _Role(scheduler, epoch, set())
+        role = Role(scheduler, book)
         self._roles[shard] = role
         emit(logger, Event.ROLE_TAKEN, shard=str(shard), term=epoch.term)
         self._audit.record(
@@ -223,7 +228,7 @@
         )
         return self._after(role, role.scheduler.step_down(now))
 
-    def _after(self, role: _Role, sends: list[Send]) -> list[RoleOutput]:
+    def _after(self, role: Role, sends: list[Send]) -> list[RoleOutput]:
         for change in role.scheduler.changes():
             self._note(change)
         return [ToFollower(send.router, send.message) for send in sends]
@@ -244,3 +249,17 @@
             after=change.after.value,
             cause=change.cause,
         )
+
+
+def _chooser(
+    prefixes: PrefixMap,
+) -> Callable[[m.Demand, Sequence[FreeUnit]], Unit | None]:
+    """Return the choice of a unit that remembers where prefixes were sent."""
+
+    def choose(demand: m.Demand, free: Sequence[FreeUnit]) -> Unit | None:
+        unit = choose_unit(demand, free, prefixes)
+        if unit is not None:
+            prefixes.note(unit.server, demand.prefix, 0.0)
+        return unit
+
+    return choose
--- a/packages/fulmarroad/src/fulmarroad/_scheduler.py
+++ b/packages/fulmarroad/src/fulmarroad/_scheduler.py
@@ -101,10 +101,10 @@
         servers: Sequence[BackendServer],
         taking: Collection[ServerName],
         now: float,
-    ) -> None:
+    ) -> Sequence[Any]:
         """Take a change of the tables."""
 
-    def lend(self, router: RouterName, until: float) -> None:
+    def lend(self, router: RouterName, until: float, now: float) -> None:
         """Let a router's units be granted until a time."""
 
     def recall(self, router: RouterName) -> None:
@@ -113,7 +113,7 @@
     def mark_lost(self, router: RouterName, now: float) -> None:
         """Note that a router is dead."""
 
-    def adopt_hint(self, hint: ServerHint, now: float) -> None:
+    def adopt_hint(self, hint: ServerHint, now: float) -> Sequence[Any]:
         """Take what the former scheduler last said of a backend server."""
 
     def adopt_lease(self, lease: RunningLease, router: RouterName, now: float) -> None:
@@ -268,7 +268,7 @@
         now: float,
     ) -> list[Send]:
         """Take a change of the tables; a shard that takes no work hands demands on."""
-        self._book.set_servers(pool, servers, taking, now)
+        self._changes += self._book.set_servers(pool, servers, taking, now)
         self._draining = not taking
         return self._grant(now) + self._moves(now)
 
@@ -346,7 +346,7 @@
         follower = Follower(router, hello.incarnation, hello.clock, now)
         self._followers[router] = follower
         for hint in hello.hints:
-            self._book.adopt_hint(hint, now)
+            self._changes += self._book.adopt_hint(hint, now)
         self._reconcile(router, hello.leases, now)
         out = [
             Send(router, Welcome(self._shard, self._epoch)),
@@ -411,7 +411,7 @@
         if lend.epoch != self._epoch or lend.echo > now:
             return
         follower.hear(lend.clock, lend.echo)
-        self._book.lend(follower.router, lend.echo + LEND_S)
+        self._book.lend(follower.router, lend.echo + LEND_S, now)
         self._reclaim(follower, now)
 
     def _reclaim(self, follower: Follower, now: float) -> None:
--- a/packages/fulmarroad/tests/test_scheduler.py
+++ b/packages/fulmarroad/tests/test_scheduler.py
@@ -39,8 +39,9 @@
 
     def set_servers(self, pool, servers, taking, now):
         self.taking = taking
+        return ()
 
-    def lend(self, router, until):
+    def lend(self, router, until, now):
         self.until[router] = until
 
     def recall(self, router):
@@ -50,7 +51,7 @@
         self.until.pop(router, None)
 
     def adopt_hint(self, hint, now):
-        pass
+        return ()
 
     def adopt_lease(self, lease, router, now):
         self.taken[lease.lease_id] = lease.unit
