Watch the configuration service with few readers and join through peers

Two routers of each data centre hold long polls; the others hear of a version from membership and fetch the parts they lack from a peer, or read slowly. A router that starts asks peers before it may serve, so that a stale service brings nothing back. Refused versions are logged once, changes go to the audit trail row by row, and parsing runs in a thread.

A manifest may name 64 parts now, 8 MB in all, as each change costs every router the changed part; answers to a peer hold 1 MB of parts and are asked for again.

Tests play in virtual time: service down, stale, split and rejoin, restart, same version with other content, bad table; a state machine exchanges offers in random order.

--- a/packages/fulmarroad/src/fulmarroad/_acceptance.py
+++ b/packages/fulmarroad/src/fulmarroad/_acceptance.py
@@ -21,6 +21,10 @@
 from fulmarroad._tables_check import ReadPart, join_tables
 from fulmarroad.exceptions import ConfigurationError
 
+GIVEN_BYTES = 1_000_000
+"""Bytes of parts in one answer to a peer, unless one part alone is larger; well below
+the largest message, and short enough not to hold up other messages of the link."""
+
 
 class Verdict(enum.StrEnum):
     """Say what became of an offer."""
@@ -140,17 +144,28 @@
         return TablesWanted(self.version, self.known)
 
     def give(self, wanted: TablesWanted) -> TablesGiven:
-        """Answer a peer's question with the version in force, if it is newer."""
+        """Answer a peer's question with the version in force, if it is newer.
+
+        What doesn't fit one answer is given when the peer asks again with what it got.
+        """
         held = self._held
         if held is None or held.manifest.version <= wanted.above:
             return TablesGiven(self.version)
-        lacking = held.parts.keys() - set(wanted.known)
-        parts = {sha: held.parts[sha] for sha in sorted(lacking)}
+        lacking = sorted(held.parts.keys() - set(wanted.known))
+        parts: dict[str, bytes] = {}
+        size = 0
+        for sha in lacking:
+            size += len(held.parts[sha])
+            if parts and size > GIVEN_BYTES:
+                break
+            parts[sha] = held.parts[sha]
         return TablesGiven(held.manifest.version, held.manifest.raw, parts)
 
     def _judge(self, manifest: Manifest) -> Verdict:
         if manifest.version < self.version:
             return Verdict.LOWER
+        if manifest.version == 0:
+            return Verdict.UNCHANGED
         if self._held is not None and manifest.version == self.version:
             same = manifest.fingerprint == self._held.manifest.fingerprint
             return Verdict.UNCHANGED if same else Verdict.CONFLICT
--- a/packages/fulmarroad/src/fulmarroad/_manifest.py
+++ b/packages/fulmarroad/src/fulmarroad/_manifest.py
@@ -21,9 +21,13 @@
 MAX_PART_BYTES = 1_000_000
 """The largest value that the configuration service holds."""
 
-MAX_PARTS = 32
-"""Bounds what a manifest can make a router fetch and keep: 32 parts are ten times
-what 16,000 workspaces need, and a wrong manifest can't fill a small VM."""
+MAX_PARTS = 64
+"""Parts of one version. A change costs every router one part, so many small parts are
+cheaper; above 64 the manifest itself, read with each change, begins to weigh."""
+
+MAX_TABLE_BYTES = 8_000_000
+"""Bytes of all parts: nearly four times what 16,000 workspaces need, so that a wrong
+manifest can't fill a small VM."""
 
 MAX_VERSION = 2**53
 """Versions stay exact in every JSON reader."""
@@ -72,7 +76,7 @@
     "sha256": checks.sha256,
     "bytes": checks.whole(1, MAX_PART_BYTES),
 }
-_check_version = checks.whole(1, MAX_VERSION)
+_check_version = checks.whole(0, MAX_VERSION)
 
 
 def load_toml(raw: bytes, what: str) -> dict[str, Any]:
@@ -93,7 +97,8 @@
 def parse_manifest(raw: bytes) -> Manifest:
     """Return the manifest of a TOML text.
 
-    Raise `ConfigurationError` with every problem found.
+    Raise `ConfigurationError` with every problem found. Version 0 without a part means
+    that nothing has been published.
     """
     if len(raw) > MAX_PART_BYTES:
         raise ConfigurationError(f"The manifest of {len(raw)} bytes is too large.")
@@ -101,6 +106,8 @@
     problems: list[str] = []
     version = _read_version(document, problems)
     parts = _read_parts(document.get("part", []), problems)
+    if bool(version) != bool(parts) and not problems:
+        problems.append("manifest: part: must be at least one [[part]], from version 1")
     unknown = sorted(set(document) - {"version", "part"})
     problems += [f"manifest: {key}: is no field here" for key in unknown]
     if problems:
@@ -122,8 +129,8 @@
 
 
 def _read_parts(rows: Any, problems: list[str]) -> tuple[ManifestPart, ...]:
-    if not isinstance(rows, list) or not rows:
-        problems.append("manifest: part: must be at least one [[part]]")
+    if not isinstance(rows, list):
+        problems.append("manifest: part: must be written as [[part]]")
         return ()
     if len(rows) > MAX_PARTS:
         problems.append(f"manifest: part: must be at most {MAX_PARTS}; are {len(rows)}")
@@ -134,6 +141,9 @@
         if part is not None:
             parts.append(part)
     problems += _duplicates(parts)
+    total = sum(part.bytes for part in parts)
+    if total > MAX_TABLE_BYTES:
+        problems.append(f"manifest: bytes: are {total} in all, above {MAX_TABLE_BYTES}")
     return tuple(parts)
 
 
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -42,6 +42,7 @@
     SERVICE_BACK = EventKind(205, _I, "configuration service answers again")
     TABLES_FROM_PEER = EventKind(206, _I, "tables fetched from a peer")
     VM_LIST_CHANGED = EventKind(207, _I, "VM list changed")
+    VM_LIST_REJECTED = EventKind(208, _W, "VM list rejected, last good one stays")
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
--- a/packages/fulmarroad/src/fulmarroad/tables.py
+++ b/packages/fulmarroad/src/fulmarroad/tables.py
@@ -16,6 +16,7 @@
 from fulmarroad._route_index import (
     RouteIndex,
 )
+from fulmarroad._table_diff import TableChange, diff_tables, servers_leaving
 from fulmarroad._tables import (
     BackendServer,
     CostUnit,
@@ -48,12 +49,15 @@
     "ServiceState",
     "TableName",
     "TableStore",
+    "TableChange",
     "Tables",
     "Verdict",
     "Workspace",
     "build_manifest",
+    "diff_tables",
     "parse_manifest",
     "parse_tables",
     "parse_texts",
+    "servers_leaving",
     "shards_of",
 ]
--- /dev/null
+++ b/packages/fulmarroad/tests/test_configuration.py
@@ -0,0 +1,582 @@
+"""Tests of the configuration task, in virtual time against a small fake service."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+import random
+import selectors
+from collections import Counter
+
+import anyio
+import pytest
+from attrs import define, field
+
+from fulmarroad.audit import AuditTrail, Subject
+from fulmarroad.configuration import (
+    Backoff,
+    ConfigurationWatcher,
+    SourceReply,
+    parse_vm_list,
+)
+from fulmarroad.events import Event
+from fulmarroad.exceptions import (
+    ConfigurationError,
+    ConfigurationServiceError,
+    TransportError,
+)
+from fulmarroad.tables import TableName, TableStore, build_manifest
+
+ROUTES = '[[workspace]]\nname = "atlas"\nweight = {weight}\n'
+POOLS = '[[data_centre]]\nname = "north"\nstate = "{state}"\n'
+VMS = b'version = 1\n[[vm]]\nname = "n0"\ndata_centre = "north"\nhost = "10.0.0.1"\n'
+VMS += b"peer_port = 1\ngossip_port = 2\n"
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Let the time of the next timer come at once instead of waiting for it."""
+
+    now = 0.0
+
+    def select(self, timeout=None):
+        if timeout is None:
+            raise RuntimeError("Every task waits for something that never comes.")
+        self.now += max(0.0, timeout)
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self):
+        self._virtual = VirtualSelector()
+        super().__init__(self._virtual)
+
+    def time(self):
+        return self._virtual.now
+
+
+def run_virtually(function):
+    return anyio.run(function, backend_options={"loop_factory": VirtualLoop})
+
+
+async def at_once(function, *arguments):
+    return function(*arguments)
+
+
+class FakeService:
+    """Hold manifest, parts and VM list as the configuration service does."""
+
+    def __init__(self):
+        self.down = False
+        self.ignores_wait = False
+        self.gives_etag = True
+        self.calls = Counter()
+        self.call_times = []
+        self._parts = {}
+        self._manifest = b"version = 0\n"
+        self._changed = anyio.Event()
+
+    def publish(self, version, *, weight=1, state="in"):
+        contents = {
+            (TableName.ROUTES, "routes"): ROUTES.format(weight=weight).encode(),
+            (TableName.POOLS, "pools"): POOLS.format(state=state).encode(),
+        }
+        manifest = build_manifest(version, contents)
+        for part in manifest.parts:
+            self._parts[part.sha256] = contents[part.table, part.name]
+        self._manifest = manifest.raw
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def lose_part(self):
+        self._parts.popitem()
+
+    async def manifest(self, etag, wait_s):
+        self._count("manifest")
+        if etag == self._etag() and wait_s and not self.ignores_wait:
+            with anyio.move_on_after(wait_s):
+                await self._changed.wait()
+        self._fail_if_down()
+        if not self.gives_etag:
+            return SourceReply("", self._manifest)
+        body = None if etag == self._etag() else self._manifest
+        return SourceReply(self._etag(), body)
+
+    async def part(self, sha256):
+        self._count("part")
+        self._fail_if_down()
+        if sha256 not in self._parts:
+            raise ConfigurationServiceError("404")
+        return self._parts[sha256]
+
+    async def vm_list(self, etag, wait_s):
+        self._count("vm_list")
+        if etag and wait_s:
+            await anyio.sleep(wait_s)
+        self._fail_if_down()
+        return SourceReply("v1", None if etag == "v1" else VMS)
+
+    def _etag(self):
+        return hashlib.sha256(self._manifest).hexdigest()
+
+    def _count(self, kind):
+        self.calls[kind] += 1
+        self.call_times.append(anyio.current_time())
+
+    def _fail_if_down(self):
+        if self.down:
+            raise ConfigurationServiceError("down")
+
+
+@define(eq=False)
+class Node:
+    name: str
+    centre: str
+    store: TableStore
+    watcher: ConfigurationWatcher
+    scope: anyio.CancelScope = field(factory=anyio.CancelScope)
+    taken: list = field(factory=list)
+    audit: AuditTrail = field(factory=AuditTrail)
+
+
+class Fleet:
+    """Run watchers that hear of each other's versions as membership tells them."""
+
+    GOSSIP_S = 0.5
+
+    def __init__(self, group, service, *, centres=3, size=3, seed=1):
+        self.group = group
+        self.service = service
+        self.nodes = {}
+        self.cut = set()  # data centres cut off from the others
+        self.cut_from_service = set()
+        self._rng = random.Random(seed)
+        for number in range(centres * size):
+            self.start(f"n{number}", f"dc{number % centres}")
+
+    def start(self, name, centre):
+        """Start a router that knows nothing, also in place of one that ran."""
+        taken, audit, store = [], AuditTrail(clock=anyio.current_time), TableStore()
+        watcher = ConfigurationWatcher(
+            store,
+            _Reach(self, name),
+            me=name,
+            live=lambda: [n.name for n in self.nodes.values() if n.centre == centre],
+            peers=lambda: [peer for peer in self.nodes if peer != name],
+            fetch_from_peer=lambda peer, wanted: self.fetch(name, peer, wanted),
+            on_tables=taken.append,
+            on_vm_list=lambda listing: None,
+            audit=audit,
+            seed=self._rng.getrandbits(32),
+            offload=at_once,
+        )
+        node = Node(name, centre, store, watcher, taken=taken, audit=audit)
+        self.nodes[name] = node
+        self.group.start_soon(self._run, node)
+        return node
+
+    def stop(self, name):
+        self.nodes.pop(name).scope.cancel()
+
+    async def _run(self, node):
+        with node.scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(node.watcher.run)
+                group.start_soon(self._gossip, node)
+
+    async def _gossip(self, node):
+        while True:
+            await anyio.sleep(self._rng.uniform(0.5, 1.5) * self.GOSSIP_S)
+            other = self._rng.choice(list(self.nodes.values()))
+            if other is not node and self.reaches(node.name, other.name):
+                other.watcher.heard(node.name, node.store.version)
+                node.watcher.heard(other.name, other.store.version)
+
+    def reaches(self, one, other):
+        if one not in self.nodes or other not in self.nodes:
+            return False
+        centres = {self.nodes[one].centre, self.nodes[other].centre}
+        return len(centres) == 1 or not centres & self.cut
+
+    async def fetch(self, asker, peer, wanted):
+        await anyio.sleep(0.003)
+        if not self.reaches(asker, peer):
+            raise TransportError("cut off")
+        return self.nodes[peer].watcher.give(wanted)
+
+    def versions(self):
+        return {node.store.version for node in self.nodes.values()}
+
+    async def until(self, version, *, within):
+        """Wait until every router has a version; return the seconds that it took."""
+        began = anyio.current_time()
+        while self.versions() != {version}:
+            assert anyio.current_time() < began + within, self.versions()
+            await anyio.sleep(0.05)
+        return anyio.current_time() - began
+
+
+class _Reach:
+    """Give one router the service, unless it is cut off from it."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    def __getattr__(self, method):
+        async def call(*arguments):
+            self._check()
+            reply = await getattr(self._fleet.service, method)(*arguments)
+            self._check()
+            return reply
+
+        return call
+
+    def _check(self):
+        node = self._fleet.nodes.get(self._name)
+        if node and node.centre in self._fleet.cut_from_service:
+            raise ConfigurationServiceError("cut off")
+
+
+def play(scene, **options):
+    """Run a scene with a fleet that has version 1 everywhere."""
+
+    async def main():
+        service = FakeService()
+        service.publish(1)
+        async with anyio.create_task_group() as group:
+            fleet = Fleet(group, service, **options)
+            await fleet.until(1, within=5)
+            await scene(fleet, service)
+            group.cancel_scope.cancel()
+
+    run_virtually(main)
+
+
+def events(caplog, event):
+    return [row for row in caplog.records if row.event == event.value.number]
+
+
+class TestSpread:
+    def test_a_change_is_in_force_everywhere_within_seconds_for_few_reads(self):
+        """
+        Operators publish a change. Of 36 routers 6 watch; were it 36, the service would
+        count six times as many calls and the fleet would outgrow it.
+        """
+
+        async def scene(fleet, service):
+            await anyio.sleep(90)
+            service.calls.clear()
+            service.publish(2, weight=5)
+            assert await fleet.until(2, within=5) < 5
+            assert service.calls["part"] == 6
+            assert service.calls["manifest"] <= 6 + 6 + 3
+
+        play(scene, size=12)
+
+    def test_a_quiet_fleet_makes_few_calls(self):
+        async def scene(fleet, service):
+            await anyio.sleep(60)
+            service.calls.clear()
+            await anyio.sleep(600)
+            watching, slow = 6, 30
+            assert service.calls["manifest"] <= 1.2 * (watching * 20 + slow * 10)
+            assert service.calls["vm_list"] <= 1.2 * (watching * 20 + slow * 40)
+
+        play(scene, size=12)
+
+    @pytest.mark.parametrize("fault", ["ignores_wait", "gives_etag"])
+    def test_a_service_that_does_not_let_wait_is_not_flooded(self, fault):
+        """
+        A proxy before the service drops `Prefer: wait` or the entity tag, so that each
+        watch returns at once. Without a pause every watcher would ask at full speed.
+        """
+
+        async def scene(fleet, service):
+            setattr(service, fault, not getattr(service, fault))
+            await anyio.sleep(40)
+            service.calls.clear()
+            await anyio.sleep(60)
+            assert service.calls["manifest"] <= 6 * 60 + 9
+
+        play(scene)
+
+    def test_another_router_watches_when_a_watcher_is_lost(self):
+        """
+        Both watchers of each data centre die. Until others take their place a change
+        would wait for a slow poll, a minute or more.
+        """
+
+        async def scene(fleet, service):
+            watching = [n.name for n in fleet.nodes.values() if n.watcher.is_watcher]
+            assert len(watching) == 6
+            for name in watching:
+                fleet.stop(name)
+            await anyio.sleep(6)
+            service.publish(2)
+            await fleet.until(2, within=1)
+
+        play(scene, size=4)
+
+
+class TestServiceDown:
+    def test_tables_stay_in_force_and_calls_stay_few(self, caplog):
+        """
+        The configuration service is down for ten minutes. Callers notice nothing; when
+        it is back it isn't met by every router in the same second.
+        """
+
+        async def scene(fleet, service):
+            service.down = True
+            await anyio.sleep(60)
+            service.call_times.clear()
+            await anyio.sleep(540)
+            seconds = Counter(int(at) for at in service.call_times)
+            assert len(service.call_times) / 540 < 2 * 36 / 15 * 1.2
+            assert max(seconds.values()) <= 36
+            assert fleet.versions() == {1}
+            service.down = False
+            service.publish(2)
+            assert await fleet.until(2, within=35) < 35
+
+        with caplog.at_level(logging.INFO):
+            play(scene, size=12)
+        down = events(caplog, Event.SERVICE_UNREACHABLE)
+        assert 0 < len(down) <= 72
+
+    def test_a_part_that_cannot_be_read_is_asked_for_again(self):
+        """
+        The manifest is published a moment before its part. The version is taken when
+        the part is there, though the manifest never changes again.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, weight=7)
+            service.lose_part()
+            service.lose_part()
+            await anyio.sleep(3)
+            assert fleet.versions() == {1}
+            service.publish(2, weight=7)
+            await fleet.until(2, within=35)
+
+        play(scene)
+
+
+class TestStaleService:
+    def test_a_lower_version_is_refused_and_reported_once(self, caplog):
+        """
+        The service is restored from an old copy. Were its version taken, a data centre
+        that is out would get work again; the log says that the service is behind.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, state="out")
+            await fleet.until(2, within=5)
+            service.publish(1)
+            await anyio.sleep(300)
+            assert fleet.versions() == {2}
+
+        with caplog.at_level(logging.INFO):
+            play(scene)
+        # The three that don't watch had the version from peers and never read it.
+        assert len(events(caplog, Event.TABLES_LOWER)) == 6
+
+    def test_a_restarted_router_takes_the_version_of_its_peers(self):
+        """
+        While the service is stale a router restarts with no memory. It doesn't serve
+        under the stale version: it asks its peers first.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, state="out")
+            await fleet.until(2, within=5)
+            service.publish(1)
+            fleet.stop("n4")
+            node = fleet.start("n4", "dc1")
+            await node.watcher.settled.wait()
+            assert node.store.version == 2
+
+        play(scene)
+
+    def test_a_restarted_router_waits_until_it_knows_its_peers(self):
+        """
+        A router restarts and reads the stale service before membership has found
+        anybody. Did it serve at once, it would bring the old table back for a second.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, state="out")
+            await fleet.until(2, within=5)
+            service.publish(1)
+            fleet.stop("n4")
+            fleet.cut.add("dc1")
+            node = fleet.start("n4", "dc1")
+            others = {name for name, n in fleet.nodes.items() if n.centre == "dc1"}
+            hidden = {name: fleet.nodes.pop(name) for name in others - {"n4"}}
+            await anyio.sleep(1)
+            assert node.store.version == 1
+            assert not node.watcher.settled.is_set()
+            fleet.nodes.update(hidden)
+            await node.watcher.settled.wait()
+            assert node.store.version == 2
+
+        play(scene)
+
+    def test_a_router_restarts_while_the_service_is_down(self):
+        async def scene(fleet, service):
+            service.down = True
+            fleet.stop("n4")
+            node = fleet.start("n4", "dc1")
+            with anyio.fail_after(2):
+                await node.watcher.settled.wait()
+            assert node.store.version == 1
+
+        play(scene)
+
+
+class TestSplit:
+    def test_a_data_centre_that_was_cut_off_catches_up(self):
+        """
+        A data centre loses the others and the platform while two versions are
+        published. It goes on under the last one, never an older one, and has the newest
+        within seconds of rejoining, the service still down.
+        """
+
+        async def scene(fleet, service):
+            fleet.cut.add("dc2")
+            fleet.cut_from_service.add("dc2")
+            service.publish(2)
+            await anyio.sleep(5)
+            service.publish(3, weight=3)
+            await anyio.sleep(120)
+            inside = [n for n in fleet.nodes.values() if n.centre == "dc2"]
+            assert {node.store.version for node in inside} == {1}
+            service.down = True
+            fleet.cut.clear()
+            assert await fleet.until(3, within=5) < 5
+
+        play(scene)
+
+    def test_a_router_that_starts_inside_a_split_serves_with_its_own_side(self):
+        """
+        A router restarts in a data centre that is cut off from all else. It serves
+        under what its neighbours have; waiting for the rest would cost callers there.
+        """
+
+        async def scene(fleet, service):
+            fleet.cut.add("dc2")
+            fleet.cut_from_service.add("dc2")
+            fleet.stop("n2")
+            node = fleet.start("n2", "dc2")
+            with anyio.fail_after(10):
+                await node.watcher.settled.wait()
+            assert node.store.version == 1
+
+        play(scene)
+
+
+class TestStart:
+    def test_a_wholly_new_fleet_settles(self):
+        """
+        Every router starts at once with no memory. Each waits for peers that know
+        nothing either; were that wait without end, nobody would ever serve.
+        """
+
+        async def scene(fleet, service):
+            with anyio.fail_after(4):
+                for node in fleet.nodes.values():
+                    await node.watcher.settled.wait()
+
+        play(scene)
+
+    def test_a_router_without_tables_does_not_settle(self):
+        async def main():
+            async with anyio.create_task_group() as group:
+                fleet = Fleet(group, FakeService(), centres=1, size=1)
+                await anyio.sleep(30)
+                assert not fleet.nodes["n0"].watcher.settled.is_set()
+                group.cancel_scope.cancel()
+
+        run_virtually(main)
+
+
+class TestWrongTables:
+    def test_a_bad_table_leaves_the_last_good_one(self, caplog):
+        """
+        Operators publish a data centre's state with a typing error. Nothing changes for
+        callers, each router logs the row and field, and the corrected table is taken.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, state="off")
+            await anyio.sleep(30)
+            assert fleet.versions() == {1}
+            service.publish(3, state="out")
+            await fleet.until(3, within=5)
+
+        with caplog.at_level(logging.INFO):
+            play(scene)
+        rejected = events(caplog, Event.TABLES_REJECTED)
+        assert 6 <= len(rejected) <= 9
+        assert "data_centre 'north': state: must be" in rejected[0].problems[0]
+
+    def test_other_content_under_the_same_version_is_reported(self, caplog):
+        """
+        Operators publish version 2 twice. Routers keep the first and say so in an
+        error; were it silent, routers that restart later would differ from the rest.
+        """
+
+        async def scene(fleet, service):
+            service.publish(2, weight=2)
+            await fleet.until(2, within=5)
+            service.publish(2, weight=9)
+            await anyio.sleep(100)
+            for node in fleet.nodes.values():
+                assert node.store.in_force.workspaces["atlas"].weight == 2
+
+        with caplog.at_level(logging.INFO):
+            play(scene)
+        assert len(events(caplog, Event.TABLES_CONFLICT)) == 9
+
+    def test_a_change_is_in_the_audit_trail(self):
+        async def scene(fleet, service):
+            service.publish(2, state="out")
+            await fleet.until(2, within=5)
+            rows = fleet.nodes["n0"].audit.since(0)
+            row = next(row for row in rows if row.subject is Subject.DATA_CENTRE)
+            assert (row.before, row.after, row.version) == ("in", "out", 2)
+            assert fleet.nodes["n0"].taken[-1].version == 2
+
+        play(scene)
+
+
+class TestBackoff:
+    def test_grows_to_its_cap_and_begins_anew(self):
+        backoff = Backoff(random.Random(1), 0.5, 4.0)
+        ceilings = [0.5, 1.0, 2.0, 4.0, 4.0]
+        assert all(0 <= backoff.next() <= ceiling for ceiling in ceilings)
+        assert max(backoff.next() for _ in range(50)) > 2.0
+        backoff.reset()
+        assert backoff.next() <= 0.5
+
+
+class TestVmList:
+    def test_reads_a_list(self):
+        listing = parse_vm_list(VMS + b'state = "leaving"\n')
+        assert listing.entries[0].leaving
+        assert listing.entries[0].router == "n0"
+
+    @pytest.mark.parametrize(
+        ("old", "new", "expected"),
+        [
+            (b"10.0.0.1", b"vm-7", "vm 'n0': host: must be an IP number"),
+            (b"gossip_port = 2", b"gossip_port = 0", "gossip_port: must be from 1"),
+            (b"version = 1", b"version = -1", "vms: version: must be from 0"),
+            (b"[[vm]]", b"[[vms]]", "vms: vms: is no field here"),
+            (b"gossip_port = 2", b"gossip = 2", "vm 'n0': gossip: is no field"),
+        ],
+    )
+    def test_names_row_and_field_of_a_fault(self, old, new, expected):
+        with pytest.raises(ConfigurationError) as caught:
+            parse_vm_list(VMS.replace(old, new))
+        assert any(expected in problem for problem in caught.value.problems)
