Add the experiments' runner, measures and scenarios

The promises need figures taken from outside. A scenario names a fleet, callers and faults; the runner starts the processes, sends the calls, and computes every measure from the callers' results and the backend servers' records. The fairness gap is computed exactly and held against a brute-force search.

--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_faults.py
@@ -0,0 +1,163 @@
+"""Bring a scenario's faults about, in stand-ins and by signals to own children."""
+
+from __future__ import annotations
+
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from fulmarroad_bench._layout import ADMIN_TOKEN, RouterRow
+from fulmarroad_bench._load import Balancer
+from fulmarroad_bench._processes import (
+    Bed,
+    ProcessError,
+    order,
+    order_router,
+    router_rows,
+    wait_ready,
+)
+from fulmarroad_bench._scenario import Fault
+
+SPREAD_POLL_S = 0.05
+SPREAD_LIMIT_S = 15.0
+"""Seconds after which a version that isn't in force everywhere counts as this long."""
+DRAIN_S = 12.0
+"""Seconds that a replaced router may take to finish what it has accepted."""
+
+
+@define(eq=False)
+class FaultMaker:
+    """Do what the faults of a scenario say, and keep when."""
+
+    bed: Bed
+    balancer: Balancer
+    group: TaskGroup
+    version: int = 1
+    out: set[str] = field(factory=set)
+    left_centre: str = ""
+    left_at: float = 0.0
+    back_at: float = 0.0
+    spreads: list[float] = field(factory=list)
+    exit_codes: list[int | None] = field(factory=list)
+    marks: list[tuple[float, str]] = field(factory=list)
+    paused: set[str] = field(factory=set)
+
+    async def run(self, faults: tuple[Fault, ...], began: float) -> None:
+        """Bring each fault about at its time."""
+        for fault in faults:
+            await anyio.sleep(max(0.0, began + fault.at_s - time.monotonic()))
+            self.marks.append((time.monotonic(), fault.kind))
+            await self._makers()[fault.kind](fault)
+
+    def _makers(self) -> dict[str, Callable[[Fault], Awaitable[None]]]:
+        return {
+            "engine": self._engine,
+            "plain": self._plain,
+            "platform": self._platform,
+            "leave": self._leave,
+            "return": self._return,
+            "table": self._table,
+            "cut": self._cut,
+            "heal": self._heal,
+            "pause": self._pause,
+            "resume": self._resume,
+            "replace": self._replace,
+        }
+
+    async def _engine(self, fault: Fault) -> None:
+        rows = self.bed.layout.engines
+        name = rows[fault.target % len(rows)].name
+        await order(self.bed.engines_control, f"/{name}/control", fault.order)
+
+    async def _plain(self, fault: Fault) -> None:
+        rows = self.bed.layout.plains
+        name = rows[fault.target % len(rows)].name
+        await order(self.bed.plains_control, f"/{name}/control", fault.order)
+
+    async def _platform(self, fault: Fault) -> None:
+        await order(self.bed.platform_control, "/control", fault.order)
+
+    async def _leave(self, fault: Fault) -> None:
+        self.left_centre = self.bed.layout.data_centres[fault.target]
+        self.out.add(self.left_centre)
+        self.left_at = time.monotonic()
+        await self._table(fault)
+
+    async def _return(self, fault: Fault) -> None:
+        self.out.discard(self.bed.layout.data_centres[fault.target])
+        self.back_at = time.monotonic()
+        await self._table(fault)
+
+    async def _table(self, fault: Fault) -> None:
+        self.version += 1
+        await self.bed.put_tables(self.version, sorted(self.out))
+        self.group.start_soon(self._watch_spread, self.version, time.monotonic())
+
+    async def _watch_spread(self, version: int, since: float) -> None:
+        """Note how long a version takes until it is in force on every router."""
+        missing = set(self.bed.rows) - self.paused
+        while missing and time.monotonic() - since < SPREAD_LIMIT_S:
+            for name in sorted(missing):
+                if await self._has_version(name, version):
+                    missing.discard(name)
+            await anyio.sleep(SPREAD_POLL_S)
+        self.spreads.append(time.monotonic() - since)
+
+    async def _has_version(self, name: str, version: int) -> bool:
+        if name not in self.bed.rows or name in self.paused:
+            return True
+        try:
+            status = await self.bed.status(name)
+        except ProcessError:
+            return False
+        return int(status["table_version"]) >= version
+
+    async def _cut(self, fault: Fault) -> None:
+        rows = sorted(self.bed.rows.values(), key=lambda row: row.name)
+        if fault.sides == "halves":
+            one = {row.name for row in rows[::2]}
+        else:
+            centre = self.bed.layout.data_centres[fault.target]
+            one = {row.name for row in rows if row.data_centre == centre}
+        other = {row.name for row in rows} - one
+        for row in rows:
+            await self._cut_one(row, other if row.name in one else one)
+
+    async def _heal(self, fault: Fault) -> None:
+        for row in list(self.bed.rows.values()):
+            await self._cut_one(row, set())
+
+    async def _cut_one(self, row: RouterRow, peers: set[str]) -> None:
+        await order_router(
+            row.admin_address, "/bench/cut", {"peers": sorted(peers)}, ADMIN_TOKEN
+        )
+
+    async def _pause(self, fault: Fault) -> None:
+        row = self.bed.layout.routers[fault.target]
+        self.paused.add(row.name)
+        self.bed.routers[row.name].send(signal.SIGSTOP)
+
+    async def _resume(self, fault: Fault) -> None:
+        row = self.bed.layout.routers[fault.target]
+        self.bed.routers[row.name].send(signal.SIGCONT)
+        self.paused.discard(row.name)
+
+    async def _replace(self, fault: Fault) -> None:
+        self.group.start_soon(self._replace_one, self.bed.layout.routers[fault.target])
+
+    async def _replace_one(self, old: RouterRow) -> None:
+        """Start a router with no memory, then end the old one gracefully."""
+        fresh = router_rows([(f"{old.name}-new", old.data_centre)])[0]
+        child = await self.bed.start_router(fresh)
+        await self.bed.put_vms(leaving=[old.name])
+        await wait_ready(child, fresh.admin_address)
+        self.balancer.addresses[fresh.name] = fresh.address
+        code = await self.bed.starter.stop(self.bed.routers[old.name], DRAIN_S)
+        self.exit_codes.append(code)
+        self.balancer.addresses.pop(old.name, None)
+        del self.bed.rows[old.name]
+        await self.bed.put_vms()
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
@@ -0,0 +1,162 @@
+"""Turn a scenario's groups of workspaces into calls, the same for the same seed."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+from attrs import define, field
+
+from fulmarroad_bench._layout import WorkspaceRow
+from fulmarroad_bench._load import Balancer, Callers, CallPlan, CallResult
+from fulmarroad_bench._scenario import Group, Scenario
+
+PAUSE_AFTER_REFUSAL_S = 0.25
+"""Seconds that a caller waits after anything but an answer."""
+KEYED_SHARE = 0.7
+"""Share of ledger calls with an idempotency key."""
+REPEAT_SHARE = 0.2
+"""Share of keyed ledger calls that are sent again, as after a lost answer."""
+
+
+def workspace_names(group: Group) -> list[str]:
+    """Return the names of a group's workspaces."""
+    if group.count == 1:
+        return [group.name]
+    return [f"{group.name}-{number}" for number in range(1, group.count + 1)]
+
+
+def workspace_rows(scenario: Scenario) -> tuple[WorkspaceRow, ...]:
+    """Return every workspace of a scenario."""
+    return tuple(
+        WorkspaceRow(name, group.weight)
+        for group in scenario.groups
+        for name in workspace_names(group)
+    )
+
+
+class CallMaker:
+    """Make the calls of one workspace from a seed."""
+
+    def __init__(self, group: Group, workspace: WorkspaceRow, seed: int) -> None:
+        self._group = group
+        self._workspace = workspace
+        self._rng = random.Random(f"{seed}/{workspace.name}")
+        self._numbers = itertools.count(1)
+
+    def chat(self) -> CallPlan:
+        """Return a call to the model."""
+        group, rng = self._group, self._rng
+        tokens = rng.randint(group.tokens_low, group.tokens_high)
+        if rng.random() < group.long_share:
+            tokens = group.long_tokens
+        words = rng.randint(group.prompt_low, group.prompt_high)
+        return CallPlan(
+            self._id("c"),
+            self._workspace.name,
+            self._workspace.key,
+            stream=rng.random() < group.stream_share,
+            tokens=tokens,
+            hint=max(1, int(tokens * rng.uniform(group.hint_low, group.hint_high))),
+            prompt=self._prompt(words),
+        )
+
+    def post(self) -> CallPlan:
+        """Return a call to the ledger service that may not be repeated."""
+        call_id = self._id("p")
+        key = f"key-{call_id}" if self._rng.random() < KEYED_SHARE else ""
+        return CallPlan(
+            call_id,
+            self._workspace.name,
+            self._workspace.key,
+            kind="ledger",
+            idempotency_key=key,
+            timeout_s=30.0,
+        )
+
+    def gap_s(self, rate: float) -> float:
+        """Return the seconds to the next call of an open stream of calls."""
+        return self._rng.expovariate(rate)
+
+    def repeats(self) -> bool:
+        """Tell whether a keyed call is sent again."""
+        return self._rng.random() < REPEAT_SHARE
+
+    def _id(self, kind: str) -> str:
+        return f"{self._workspace.name}-{kind}{next(self._numbers)}"
+
+    def _prompt(self, words: int) -> str:
+        """Return a prompt that begins as all of the workspace's do."""
+        start = f"{self._workspace.name} letter "
+        common = start * min(words // 4, 24)
+        return common + " ".join(f"w{self._rng.randrange(999)}" for _ in range(words))
+
+
+@define(eq=False)
+class Traffic:
+    """Keep the calls of every workspace coming until told to stop."""
+
+    scenario: Scenario
+    balancer: Balancer
+    callers: Callers
+    seed: int
+    began: float = 0.0
+    stopped: bool = False
+    _clock: Callable[[], float] = field(default=time.monotonic)
+
+    async def run(self) -> None:
+        """Send calls; return once every one has ended after `stopped` is set."""
+        self.began = self._clock()
+        async with anyio.create_task_group() as group:
+            for row in self.scenario.groups:
+                for name in workspace_names(row):
+                    workspace = WorkspaceRow(name, row.weight)
+                    maker = CallMaker(row, workspace, self.seed)
+                    self._start(group, row, maker)
+
+    def _start(self, group: TaskGroup, row: Group, maker: CallMaker) -> None:
+        for _ in range(row.callers):
+            group.start_soon(self._closed_loop, row, maker)
+        if row.rate:
+            group.start_soon(self._open_loop, row, row.rate, maker.chat, maker)
+        if row.ledger_rate:
+            group.start_soon(self._open_loop, row, row.ledger_rate, maker.post, maker)
+
+    async def _closed_loop(self, row: Group, maker: CallMaker) -> None:
+        await anyio.sleep(row.start_s)
+        while self._going(row):
+            result = await self._send(maker.chat())
+            if result.outcome != "completed":
+                await anyio.sleep(PAUSE_AFTER_REFUSAL_S)
+            elif row.think_s:
+                await anyio.sleep(maker.gap_s(1.0 / row.think_s))
+
+    async def _open_loop(
+        self,
+        row: Group,
+        rate: float,
+        make: Callable[[], CallPlan],
+        maker: CallMaker,
+    ) -> None:
+        await anyio.sleep(row.start_s)
+        async with anyio.create_task_group() as group:
+            while self._going(row):
+                await anyio.sleep(maker.gap_s(rate))
+                group.start_soon(self._send_once, make(), maker)
+
+    async def _send_once(self, plan: CallPlan, maker: CallMaker) -> None:
+        result = await self._send(plan)
+        if plan.idempotency_key and maker.repeats():
+            if result.outcome != "completed":
+                await anyio.sleep(PAUSE_AFTER_REFUSAL_S)
+            await self._send(plan)
+
+    async def _send(self, plan: CallPlan) -> CallResult:
+        return await self.callers.send(plan, self.balancer.order_for(plan.workspace))
+
+    def _going(self, row: Group) -> bool:
+        return not self.stopped and self._clock() - self.began < row.stop_s
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -0,0 +1,321 @@
+"""Run one scenario on real processes and measure it from outside."""
+
+from __future__ import annotations
+
+import json
+import random
+import sys
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import anyio
+import attrs
+import fire
+from attrs import define, field
+
+from fulmarroad.exceptions import FulmarroadError
+from fulmarroad_bench._client import Request, call
+from fulmarroad_bench._faults import FaultMaker
+from fulmarroad_bench._gap import gap_bound
+from fulmarroad_bench._layout import Layout, ServerRow
+from fulmarroad_bench._load import Balancer, Callers
+from fulmarroad_bench._measures import PROMPT_COST, Run, measures
+from fulmarroad_bench._plots import draw
+from fulmarroad_bench._processes import (
+    Bed,
+    Child,
+    ProcessError,
+    free_ports,
+    processes,
+    router_rows,
+    start_bed,
+)
+from fulmarroad_bench._scenario import Scenario, load_scenario
+from fulmarroad_bench._traffic import Traffic, workspace_names, workspace_rows
+
+RESULTS = Path("bench/results")
+POLICIES = ("fleet", "local", "fifo")
+FIRST_TOKEN_TARGET_S = 0.5
+"""Seconds to the first token: what a cold stand-in engine needs without a queue."""
+GAP_ALLOWANCE = 1.24
+"""Times the gap between tokens of an uncrowded engine (62 ms where it takes 50)."""
+READY_POLL_S = 0.5
+"""Seconds between the balancer's looks at each router's readiness."""
+DRAIN_S = 14.0
+"""Seconds that answers may take to end once no new calls are sent."""
+SPREAD_S = 0.5
+"""Seconds between reports of service totals, as the bound counts them."""
+
+
+def layout_of(scenario: Scenario, routers: int) -> Layout:
+    """Return the fleet of a scenario, spread evenly over the data centres."""
+    fleet = scenario.fleet
+    centres = tuple(f"centre-{n + 1}" for n in range(fleet.data_centres))
+    ports = free_ports(fleet.engines + fleet.plains)
+    engines = [
+        ServerRow(f"engine-{n + 1}", centres[n % len(centres)], ports[n])
+        for n in range(fleet.engines)
+    ]
+    plains = [
+        ServerRow(f"ledger-{n + 1}", centres[n % len(centres)], port)
+        for n, port in enumerate(ports[fleet.engines :])
+    ]
+    names = [
+        (f"router-{n + 1:02}", centres[n % len(centres)])
+        for n in range(routers or fleet.routers)
+    ]
+    pool = {
+        "cold_concurrency": scenario.engine.cold_capacity,
+        "first_token_target_s": FIRST_TOKEN_TARGET_S,
+        "gap_target_s": round(GAP_ALLOWANCE / scenario.engine.tokens_per_s, 4),
+        **scenario.pool,
+    }
+    return Layout(
+        centres,
+        workspace_rows(scenario),
+        tuple(router_rows(names)),
+        tuple(engines),
+        tuple(plains),
+        dict(pool),
+        dict(scenario.route),
+    )
+
+
+@define(eq=False)
+class Experiment:
+    """Run a scenario on a fleet that is up."""
+
+    scenario: Scenario
+    bed: Bed
+    seed: int
+    callers: Callers = field(factory=Callers)
+    before: dict[str, Mapping[str, Any]] = field(factory=dict)
+    after: dict[str, Mapping[str, Any]] = field(factory=dict)
+    cpu_before: dict[str, float] = field(factory=dict)
+    start: float = 0.0
+    end: float = 0.0
+    faults: FaultMaker = field(init=False)
+    balancer: Balancer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        spread = {
+            name: group.spread
+            for group in self.scenario.groups
+            for name in workspace_names(group)
+        }
+        addresses = {row.name: row.address for row in self.bed.layout.routers}
+        self.balancer = Balancer(addresses, random.Random(self.seed), spread)
+
+    async def run(self) -> None:
+        """Warm up, measure, and let everything end."""
+        traffic = Traffic(self.scenario, self.balancer, self.callers, self.seed)
+        async with anyio.create_task_group() as group:
+            self.faults = FaultMaker(self.bed, self.balancer, group)
+            group.start_soon(self._watch_readiness)
+            group.start_soon(traffic.run)
+            await anyio.sleep(self.scenario.warm_s)
+            await self._measured(group)
+            traffic.stopped = True
+            with anyio.move_on_after(DRAIN_S):
+                while self.callers.running:
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+
+    async def _measured(self, group: Any) -> None:
+        self.before = await self._control()
+        self.cpu_before = self._cpu()
+        self.start = time.monotonic()
+        group.start_soon(self.faults.run, self.scenario.faults, self.start)
+        await anyio.sleep(self.scenario.seconds)
+        self.end = time.monotonic()
+        self.after = await self._control()
+
+    async def _control(self) -> dict[str, Mapping[str, Any]]:
+        """Return each router's own account of its control traffic."""
+        found = {}
+        for name in list(self.bed.rows):
+            try:
+                found[name] = (await self.bed.status(name)).get("control", {})
+            except ProcessError:
+                continue
+        return found
+
+    def _cpu(self) -> dict[str, float]:
+        for child in self.bed.routers.values():
+            child.sample()
+        return {name: child.cpu_s for name, child in self.bed.routers.items()}
+
+    async def _watch_readiness(self) -> None:
+        """Pass over routers that aren't ready, as the platform's balancer does."""
+        while True:
+            async with anyio.create_task_group() as group:
+                for name, row in list(self.bed.rows.items()):
+                    group.start_soon(self._look, name, row.admin_address)
+            await anyio.sleep(READY_POLL_S)
+
+    async def _look(self, name: str, address: str) -> None:
+        answer = await call(address, Request("GET", "/readyz"), timeout_s=1.0)
+        if answer.status == 200:
+            self.balancer.unready.discard(name)
+        else:
+            self.balancer.unready.add(name)
+
+
+def control_measures(experiment: Experiment) -> dict[str, float | None]:
+    """Return control traffic, processor share and memory of a router, as means."""
+    seconds = experiment.end - experiment.start
+    pairs = [
+        (experiment.before[name], experiment.after[name])
+        for name in experiment.after
+        if name in experiment.before and experiment.after[name]
+    ]
+    if not pairs:
+        return dict.fromkeys(
+            ("control_bytes_per_node_s", "control_cpu_share", "control_memory_mb")
+        )
+
+    def grown(key: str) -> float:
+        return sum(after[key] - before[key] for before, after in pairs)
+
+    sent = grown("bytes_sent") + grown("bytes_received")
+    memory = sum(after["memory_bytes"] for _, after in pairs)
+    return {
+        "control_bytes_per_node_s": round(sent / seconds / len(pairs), 1),
+        "control_cpu_share": round(grown("cpu_s") / seconds / len(pairs), 5),
+        "control_memory_mb": round(memory / len(pairs) / 1e6, 2),
+    }
+
+
+def router_shares(experiment: Experiment) -> float:
+    """Return the mean share of a core that a router's whole process used."""
+    seconds = experiment.end - experiment.start
+    shares = [
+        (child.cpu_s - experiment.cpu_before[name]) / seconds
+        for name, child in experiment.bed.routers.items()
+        if name in experiment.cpu_before
+    ]
+    return round(sum(shares) / len(shares), 4) if shares else 0.0
+
+
+def bound_of(scenario: Scenario) -> float:
+    """Return the bound of the fairness gap in a scenario, in weighted service."""
+    profile, fleet = scenario.engine, scenario.fleet
+    largest = max(
+        max(group.tokens_high, group.long_tokens if group.long_share else 0)
+        + PROMPT_COST * (2 * group.prompt_high + 75)
+        for group in scenario.groups
+    )
+    units = fleet.engines * profile.batch
+    return gap_bound(
+        units=units,
+        largest=largest,
+        rate=units * profile.tokens_per_s,
+        spread_s=SPREAD_S,
+        shards=min(fleet.data_centres, fleet.engines),
+        least_weight=min(group.weight for group in scenario.groups),
+    )
+
+
+async def run_scenario(
+    scenario: Scenario, seed: int, policy: str, routers: int, directory: Path
+) -> dict[str, Any]:
+    """Run a scenario once and return its line."""
+    layout = layout_of(scenario, routers)
+    profile = attrs.asdict(scenario.engine)
+    async with processes(directory) as starter:
+        bed = await start_bed(layout, starter, policy=policy, profile=profile)
+        await bed.start_routers()
+        experiment = Experiment(scenario, bed, seed)
+        await experiment.run()
+        engines, plains = await bed.engine_reports(), await bed.plain_reports()
+        experiment._cpu()
+        await starter.stop_all()
+    run = run_of(experiment, engines, plains)
+    draw(run, experiment.faults.marks, directory)
+    return line_of(experiment, run, policy)
+
+
+def run_of(experiment: Experiment, engines: Any, plains: Any) -> Run:
+    """Return what was seen, for the measures."""
+    layout, faults = experiment.bed.layout, experiment.faults
+    return Run(
+        experiment.start,
+        experiment.end,
+        experiment.callers.results,
+        engines,
+        plains,
+        {row.name: row.weight for row in layout.workspaces},
+        {row.name: row.data_centre for row in (*layout.engines, *layout.plains)},
+        faults.left_centre,
+        faults.left_at,
+        faults.back_at,
+    )
+
+
+def line_of(experiment: Experiment, run: Run, policy: str) -> dict[str, Any]:
+    """Return the run's line of measures."""
+    scenario, faults = experiment.scenario, experiment.faults
+    codes = [exit_code(child) for child in experiment.bed.routers.values()]
+    return {
+        "scenario": scenario.name,
+        "seed": experiment.seed,
+        "policy": policy,
+        "routers": len(experiment.bed.layout.routers),
+        "servers": scenario.fleet.engines + scenario.fleet.plains,
+        "seconds": round(run.end - run.start, 2),
+        **measures(run),
+        "fairness_gap_bound": round(bound_of(scenario), 1),
+        **control_measures(experiment),
+        "router_cpu_share": router_shares(experiment),
+        "config_spread_s": round(max(faults.spreads), 3) if faults.spreads else None,
+        "bad_exits": sum(code != 0 for code in codes),
+        "unfinished": experiment.callers.running,
+    }
+
+
+def exit_code(child: Child) -> int | None:
+    """Return a process's exit code."""
+    return child.process.returncode
+
+
+def table_of(line: Mapping[str, Any]) -> str:
+    """Return a line of measures as a table."""
+    return "\n".join(f"{key:<28} {value}" for key, value in line.items()) + "\n"
+
+
+def main(scenario: str, seed: int = 1, policy: str = "fleet", routers: int = 0) -> None:
+    """Run a scenario; the last line printed is its measures as JSON.
+
+    Args:
+        scenario: path of the scenario's TOML file.
+        seed: seed of the calls.
+        policy: fleet, local or fifo.
+        routers: how many routers, 0 for the scenario's own number.
+
+    """
+    if policy not in POLICIES:
+        sys.exit(f"policy is one of {', '.join(POLICIES)}")
+    try:
+        known = load_scenario(Path(scenario))
+        count = routers or known.fleet.routers
+        directory = RESULTS / f"{known.name}-{policy}-{count}-{seed}"
+        directory.mkdir(parents=True, exist_ok=True)
+        for old in directory.iterdir():
+            old.unlink()
+
+        async def run() -> dict[str, Any]:
+            return await run_scenario(known, seed, policy, count, directory)
+
+        line = anyio.run(run, backend_options={"use_uvloop": True})
+    except FulmarroadError as error:
+        sys.exit(error.show())
+    (directory / "measures.txt").write_text(table_of(line))
+    (directory / "line.json").write_text(json.dumps(line) + "\n")
+    print(table_of(line))
+    print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/packages/fulmarroad-bench/tests/test_measures.py
@@ -0,0 +1,195 @@
+"""The measures, on small runs that can be worked out by hand."""
+
+from __future__ import annotations
+
+import itertools
+
+import pytest
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad_bench._checks import check, doubled
+from fulmarroad_bench._gap import Served, fairness_gap, gap_bound
+from fulmarroad_bench._intervals import begun_later, intersected, merged, total
+from fulmarroad_bench._load import CallResult
+from fulmarroad_bench._measures import (
+    HAND_OVER_S,
+    Run,
+    backlogged,
+    gap_of,
+    idle_while_waiting,
+    measures,
+    utilisation,
+)
+
+TIMES = st.integers(0, 20).map(float)
+SPANS = st.lists(st.tuples(TIMES, TIMES), max_size=4).map(merged)
+SERVED = st.lists(
+    st.builds(Served, TIMES, st.sampled_from("abc"), st.sampled_from([1.0, 2.0, 7.0])),
+    max_size=12,
+)
+
+
+def brute_force_gap(served, backlog):
+    """Try every pair and every interval that begins and ends at some known time."""
+    times = sorted(
+        {event.at for event in served}
+        | {at for spans in backlog.values() for span in spans for at in span}
+    )
+    worst = 0.0
+    for one, other in itertools.combinations(sorted(backlog), 2):
+        for start, end in itertools.combinations(times, 2):
+            inside = all(
+                any(low <= start and end <= high for low, high in backlog[name])
+                for name in (one, other)
+            )
+            if inside:
+                got = [_between(served, name, start, end) for name in (one, other)]
+                worst = max(worst, abs(got[0] - got[1]))
+    return worst
+
+
+def _between(served, name, start, end):
+    return sum(s.service for s in served if s.workspace == name and start < s.at <= end)
+
+
+class TestFairnessGap:
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(SERVED, st.fixed_dictionaries(dict.fromkeys("abc", SPANS)))
+    def test_it_is_what_trying_every_interval_finds(self, served, backlog):
+        found = fairness_gap(served, backlog)
+        assert found.value == pytest.approx(brute_force_gap(served, backlog))
+
+    def test_service_outside_a_common_backlog_does_not_count(self):
+        served = [Served(1.0, "a", 5.0), Served(3.0, "a", 2.0)]
+        backlog = {"a": [(0.0, 10.0)], "b": [(2.0, 10.0)]}
+        gap = fairness_gap(served, backlog)
+        assert (gap.value, gap.more, gap.less) == (2.0, "a", "b")
+
+    def test_catching_up_counts_as_much_as_falling_behind(self):
+        # A workspace that fell behind is given everything once its router hears of it;
+        # seen from that moment the other one is crowded out.
+        served = [Served(1.0, "a", 3.0), Served(2.0, "b", 9.0)]
+        backlog = {"a": [(0.0, 5.0)], "b": [(0.0, 5.0)]}
+        gap = fairness_gap(served, backlog)
+        assert (gap.value, gap.more) == (9.0, "b")
+
+    def test_the_bound_grows_with_what_is_not_yet_known(self):
+        known = {"units": 8, "largest": 10.0, "rate": 100.0, "least_weight": 1.0}
+        alone = gap_bound(**known, spread_s=1.0, shards=1)
+        assert alone == 160.0
+        assert gap_bound(**known, spread_s=1.0, shards=2) == 260.0
+
+
+class TestIntervals:
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(SPANS, SPANS)
+    def test_common_time_is_in_both(self, left, right):
+        both = intersected(left, right)
+        for at in (n + 0.5 for n in range(20)):
+            inside = [any(a < at < b for a, b in spans) for spans in (left, right)]
+            assert any(a < at < b for a, b in both) == all(inside)
+
+    def test_a_late_beginning_drops_short_ones(self):
+        assert begun_later([(0.0, 1.0), (2.0, 5.0)], 2.0) == [(4.0, 5.0)]
+        assert total([(0.0, 1.0), (2.0, 5.0)]) == 4.0
+
+
+def result(call_id, workspace="a", outcome="completed", sent=0.0, end=5.0, **changes):
+    made = CallResult(call_id, workspace, "chat", outcome, sent, sent + 1, end)
+    return evolve(made, **changes)
+
+
+def record(call_id, workspace="a", start=1.0, end=5.0, **changes):
+    row = {"id": call_id, "workspace": workspace, "start": start, "end": end}
+    return {**row, "state": "completed", "prompt_tokens": 8, **changes}
+
+
+def engine(records=(), service=(), samples=None, name="e1"):
+    samples = samples or [[0.0, 0, 2, 0.0, 0.0], [10.0, 0, 2, 4.0, 10.0]]
+    return {
+        "name": name,
+        "records": list(records),
+        "service": list(service),
+        "samples": samples,
+        "overloads": 0,
+    }
+
+
+def run_of(results, engines, plains=(), **changes):
+    weights = {"a": 1.0, "b": 2.0}
+    centres = {"e1": "c1", "e2": "c2"}
+    return Run(0.0, 10.0, results, engines, plains, weights, centres, **changes)
+
+
+class TestRun:
+    def test_waiting_ends_where_an_engine_starts_or_the_caller_stops(self):
+        results = [result("1", end=9.0), result("2", "b", "refused", sent=2.0, end=4.0)]
+        run = run_of(results, [engine([record("1", start=3.0)])])
+        assert backlogged(run) == {"a": [(0.0, 3.0)], "b": [(2.0, 4.0)]}
+
+    def test_the_gap_counts_prompts_and_weights(self):
+        results = [result("1"), result("2", "b"), result("3"), result("4", "b")]
+        records = [record("1", start=0.1), record("2", "b", start=0.1)]
+        service = [(1.0, 0, 10), (2.0, 1, 10)]
+        run = run_of(results, [engine(records, service)])
+        # Workspace a: 10 tokens and 8 of a prompt; b the same at twice the weight.
+        assert gap_of(run).value == 12.0
+
+    def test_utilisation_is_work_over_capacity(self):
+        assert utilisation(run_of([], [engine()])) == pytest.approx(0.4)
+
+    def test_a_free_slot_beside_a_waiting_call_is_idle(self):
+        results = [result("1", end=9.0), result("2", sent=2.0, end=9.0)]
+        records = [record("1", start=0.0, end=8.0), record("2", start=6.0, end=8.0)]
+        run = run_of(results, [engine(records)])
+        assert total(idle_while_waiting(run)) == pytest.approx(4.0 - HAND_OVER_S)
+
+    def test_a_server_taken_out_is_not_idle(self):
+        results = [result("2", sent=2.0, end=9.0)]
+        run = run_of(
+            results,
+            [engine([record("2", start=6.0)])],
+            left_centre="c1",
+            left_at=0.0,
+            back_at=10.0,
+        )
+        assert idle_while_waiting(run) == []
+
+    def test_the_last_start_after_leaving_is_found(self):
+        results = [result("1", sent=5.0), result("2", sent=5.0, outcome="refused")]
+        records = [record("1", start=6.5)]
+        run = run_of(results, [engine(records)], left_centre="c1", left_at=4.0)
+        line = measures(run)
+        assert line["last_work_after_leave_s"] == 2.5
+        assert line["served_while_leaving_share"] == 0.5
+
+
+class TestChecks:
+    def test_a_refusal_whose_call_ran_is_false(self):
+        # A router says that a call did not run, the caller sends it again, and a
+        # family gets two letters.
+        refused = [result("1", outcome="refused"), result("2", outcome="refused")]
+        found = check(refused, [engine([record("1")])], [])
+        assert found.false_not_run == 1
+        assert not found.held
+
+    def test_an_answer_that_nothing_gave_is_noticed(self):
+        assert check([result("1")], [engine()], []).unheard == 1
+
+    @pytest.mark.parametrize(
+        ("pairs", "count"),
+        [
+            ([("1", ""), ("2", "")], 0),
+            ([("1", ""), ("1", "")], 1),
+            ([("1", "k"), ("2", "k")], 1),
+            ([("1", "k"), ("1", "k"), ("1", "k")], 2),
+        ],
+    )
+    def test_a_second_post_of_an_id_or_key_counts(self, pairs, count):
+        records = [{"id": i, "key": k, "workspace": "a"} for i, k in pairs]
+        assert doubled([{"records": records}]) == count
+
+    def test_everything_in_order_holds(self):
+        assert check([result("1")], [engine([record("1")])], []).held
