--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_client.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_client.py
@@ -68,12 +68,15 @@
     *,
     timeout_s: float = 60.0,
     leave_after_chunks: int | None = None,
+    answer: Answer | None = None,
 ) -> Answer:
     """Send one request and return what came back, whole or not.
 
-    `leave_after_chunks` makes the caller close the connection after so many pieces.
+    `leave_after_chunks` makes the caller close the connection after so many pieces;
+    `answer` is filled where it is given.
     """
-    answer = Answer(sent_at=time.monotonic())
+    answer = Answer() if answer is None else answer
+    answer.sent_at = time.monotonic()
     with anyio.move_on_after(timeout_s) as scope:
         try:
             await _exchange(address, request, answer, leave_after_chunks)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -28,6 +28,7 @@
     ServerRow,
     router_settings,
 )
+from fulmarroad_bench.plain import SERVICE_S
 
 JSON = "application/json"
 READY_S = 15.0
@@ -272,6 +273,7 @@
     *,
     policy: str = "fleet",
     profile: dict[str, float] | None = None,
+    plain_service_s: float = SERVICE_S,
 ) -> Bed:
     """Start the stand-ins of a layout, with its tables of version 1 in view."""
     ports = free_ports(4)
@@ -286,7 +288,13 @@
     engines = await _start_servers(
         starter, "engine", layout.engines, engines_control, options
     )
-    plains = await _start_servers(starter, "plain", layout.plains, plains_control, [])
+    plains = await _start_servers(
+        starter,
+        "plain",
+        layout.plains,
+        plains_control,
+        [f"--service_s={plain_service_s}"],
+    )
     await wait_ready(child, f"{HOST}:{platform}", "/vms")
     for server, control, rows in (
         (engines, engines_control, layout.engines),
