--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_answers.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_answers.py
@@ -11,6 +11,7 @@
 DEFAULT_TOKENS_LEAST = 16
 DEFAULT_TOKENS_SPREAD = 48
 BENCH_ID_HEADER = "x-bench-id"
+WORKSPACE_HEADER = "fulmarroad-workspace"
 BLOCK_WORDS = 16
 """Words of a prompt in one block of the prefix cache, as in common engines."""
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_load.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_load.py
@@ -29,6 +29,7 @@
     hint: int = 64
     prompt: str = "Write a short reminder."
     idempotency_key: str = ""
+    first_attempt: bool = False
     leave_after: int | None = None
     timeout_s: float = 60.0
 
@@ -42,6 +43,8 @@
         ]
         if self.idempotency_key:
             headers.append(("idempotency-key", f'"{self.idempotency_key}"'))
+        if self.first_attempt:
+            headers.append(("fulmarroad-first-attempt", "?1"))
         path = CHAT_PATH if self.kind == "chat" else "/ledger/reminders"
         return Request("POST", path, tuple(headers), self.body())
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -49,6 +50,7 @@
     name: str
     process: Process
     log: Path
+    started: float  # monotonic seconds
     cpu_s: float = 0.0  # as last sampled
     memory_bytes: int = 0
 
@@ -102,7 +104,7 @@
             stdout=output,
             stderr=output,
         )
-        child = Child(name, process, log)
+        child = Child(name, process, log, time.monotonic())
         self.children.append(child)
         return child
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
@@ -9,7 +9,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad_bench._layout import WorkspaceRow
 from fulmarroad_bench._load import Balancer, Callers, CallPlan, CallResult
@@ -75,6 +75,7 @@
             self._workspace.key,
             kind="ledger",
             idempotency_key=key,
+            first_attempt=bool(key),
             timeout_s=30.0,
         )
 
@@ -153,7 +154,7 @@
         if plan.idempotency_key and maker.repeats():
             if result.outcome != "completed":
                 await anyio.sleep(PAUSE_AFTER_REFUSAL_S)
-            await self._send(plan)
+            await self._send(evolve(plan, first_attempt=False))
 
     async def _send(self, plan: CallPlan) -> CallResult:
         return await self.callers.send(plan, self.balancer.order_for(plan.workspace))
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 import anyio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad.exceptions import FulmarroadError
 from fulmarroad_bench._checks import Checks, check, starts_in
@@ -107,11 +107,16 @@
         call_id = self._next_id(workspace)
         key = f"post-{call_id}" if self.rng.random() < 0.7 else ""
         plan = CallPlan(
-            call_id, workspace.name, workspace.key, kind="ledger", idempotency_key=key
+            call_id,
+            workspace.name,
+            workspace.key,
+            kind="ledger",
+            idempotency_key=key,
+            first_attempt=bool(key),
         )
         await self._send(plan, balancer)
         if key and self.rng.random() < REPEAT_SHARE:
-            await self._send(plan, balancer)
+            await self._send(evolve(plan, first_attempt=False), balancer)
 
     async def _send(self, plan: CallPlan, balancer: Balancer) -> CallResult:
         result = await self.callers.send(plan, balancer.order_for(plan.workspace))
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
@@ -19,7 +19,11 @@
 import fire
 from attrs import asdict, define, field
 
-from fulmarroad_bench._answers import BENCH_ID_HEADER, plain_answer
+from fulmarroad_bench._answers import (
+    BENCH_ID_HEADER,
+    WORKSPACE_HEADER,
+    plain_answer,
+)
 from fulmarroad_bench._house import as_tuple, run_house
 from fulmarroad_bench._server import (
     BreakOffError,
@@ -131,7 +135,7 @@
         headers = call.headers
         record = PlainRecord(
             headers.get(BENCH_ID_HEADER) or headers.get("x-request-id", "none"),
-            headers.get("x-workspace", ""),
+            headers.get(WORKSPACE_HEADER, ""),
             headers.get("idempotency-key", ""),
             call.method,
             call.path,
