--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/admitting.py
@@ -0,0 +1,101 @@
+"""Let calls in at one router, and give up at once those that can't be met."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+
+import anyio
+
+from fulmarroad.admission import Admission, LoadView, RetryBudget
+from fulmarroad.coordination import Coordinator, GiveUp, Rejected
+from fulmarroad.tables import Tables
+from fulmarroad.types import RefusalReason
+from fulmarroad_router.calls import Call
+from fulmarroad_router.exceptions import Refused
+
+SHED_S = 0.1
+"""Waiting calls are looked over this often; a caller waits no longer for a refusal."""
+
+RUNNING_RETRY_S = 1.0
+
+
+class Admitter:
+    """Own what waits and runs at this router, by workspace."""
+
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        tables: Callable[[], Tables | None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._coordinator = coordinator
+        self._tables = tables
+        self._clock = clock
+        self._admission = Admission()
+        self._budget = RetryBudget()
+        self._running: Counter[str] = Counter()
+
+    @property
+    def waiting(self) -> int:
+        """Return how many calls wait."""
+        return self._admission.waiting
+
+    def admit(self, call: Call, demand_id: str) -> None:
+        """Let a call wait for a lease; raise `Refused` where that is hopeless."""
+        now = self._clock()
+        workspace = call.workspace
+        if self._running[workspace.name] >= workspace.max_running:
+            raise Refused(RefusalReason.WORKSPACE_QUEUE_FULL, RUNNING_RETRY_S)
+        self._budget.note_request(call.pool.name, now)
+        view = LoadView(
+            pool=call.pool.name,
+            wait_s=self._coordinator.follower.estimated_wait_s(call.pool.name),
+            servers=self._servers(call),
+            remaining_s=call.deadline - now,
+        )
+        refusal = self._admission.admit(demand_id, workspace, call.route, view, now)
+        self._answer_shed(now)
+        if refusal is not None:
+            raise Refused(refusal.reason, refusal.retry_after_s)
+
+    def leave(self, demand_id: str) -> None:
+        """Note that a call waits no more."""
+        self._admission.leave(demand_id)
+
+    def begin(self, call: Call) -> None:
+        """Count a call as running."""
+        self._running[call.workspace.name] += 1
+
+    def end(self, call: Call) -> None:
+        """Count a call as ended."""
+        self._running[call.workspace.name] -= 1
+        if not self._running[call.workspace.name]:
+            del self._running[call.workspace.name]
+
+    def may_retry(self, pool: str) -> bool:
+        """Take one retry from a pool's budget; tell whether there was one."""
+        return self._budget.may_retry(pool, self._clock())
+
+    async def run(self) -> None:
+        """Give up waiting calls that turn hopeless, until cancelled."""
+        while True:
+            await anyio.sleep(SHED_S)
+            tables = self._tables()
+            for pool in tables.pools if tables else ():
+                wait_s = self._coordinator.follower.estimated_wait_s(pool)
+                self._admission.note_wait(pool, wait_s)
+            self._answer_shed(self._clock())
+
+    def _answer_shed(self, now: float) -> None:
+        for demand_id, refusal in self._admission.shed(now):
+            rejection = Rejected(demand_id, refusal.reason, refusal.retry_after_s)
+            self._coordinator.tell(GiveUp(rejection))
+
+    def _servers(self, call: Call) -> int:
+        tables = self._tables()
+        if tables is None:
+            return 0
+        return sum(tables.server_takes_work(row) for row in call.pool.servers)
+
+
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -28,6 +28,7 @@
 from fulmarroad.messages import Finished
 from fulmarroad.tables import CostUnit
 from fulmarroad.types import Outcome, RefusalReason
+from fulmarroad_router.admitting import Admitter
 from fulmarroad_router.backend import (
     BackendClient,
     BackendResponse,
@@ -149,13 +150,13 @@
         self,
         coordinator: Coordinator,
         backends: BackendClient,
+        admitter: Admitter,
         clock: Callable[[], float],
-        may_retry: Callable[[str], bool] = lambda pool: True,
     ) -> None:
         self._coordinator = coordinator
         self._backends = backends
+        self._admitter = admitter
         self._clock = clock
-        self._may_retry = may_retry
         self._sequence = 0
 
     async def run(self, call: Call, responder: Responder) -> None:
@@ -164,10 +165,20 @@
         while not progress.done:
             lease = await self._lease(call, progress)
             progress.tries += 1
-            await self._try(call, lease, responder, progress)
+            self._admitter.begin(call)
+            try:
+                await self._try(call, lease, responder, progress)
+            finally:
+                self._admitter.end(call)
 
     async def _lease(self, call: Call, progress: _Progress) -> Lease:
-        answer = await self._coordinator.request(self._ask(call, progress))
+        ask = self._ask(call, progress)
+        if not progress.tries:
+            self._admitter.admit(call, ask.demand_id)
+        try:
+            answer = await self._coordinator.request(ask)
+        finally:
+            self._admitter.leave(ask.demand_id)
         if isinstance(answer, Granted):
             return answer.lease
         raise self._refusal(answer, progress)
@@ -325,7 +336,7 @@
         progress.failed = (*progress.failed, lease.server.name)
         if progress.tokens and progress.tries < MAX_TRIES:
             return
-        if progress.tries < MAX_TRIES and self._may_retry(call.pool.name):
+        if progress.tries < MAX_TRIES and self._admitter.may_retry(call.pool.name):
             self._note_retry(call, lease, error)
             return
         if progress.tokens:
@@ -357,7 +368,7 @@
                 tokens=progress.tokens,
             )
             return
-        if call.route.repeatable and not spent and self._may_retry(call.pool.name):
+        if call.route.repeatable and not spent and self._admitter.may_retry(call.pool.name):
             self._note_retry(call, lease, error)
             return
         if late:
--- a/packages/fulmarroad/src/fulmarroad/_coordinator.py
+++ b/packages/fulmarroad/src/fulmarroad/_coordinator.py
@@ -25,11 +25,14 @@
     Rejected,
     SendTo,
 )
-from fulmarroad._grpc import Outbox, PeerChannel, TlsFiles, TrafficCount
+from fulmarroad._grpc import Outbox, PeerStream, TrafficCount
+from fulmarroad._questions import PeerAddress
 from fulmarroad._roles import RoleOutput, Roles, ToFollower
 from fulmarroad._tables import Tables
+from fulmarroad.audit import AuditTrail, Subject
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import TransportError
+from fulmarroad.shifting import CentreChange, CentreState
 from fulmarroad.types import DataCentreName, Outcome, RouterName
 
 logger = logging.getLogger("fulmarroad.coordination")
@@ -43,14 +46,7 @@
 REDIAL_S = 0.2
 
 Reply = MemoryObjectSendStream[Granted | Rejected]
-
-
-@frozen
-class PeerAddress:
-    """Hold where a peer listens."""
-
-    host: str
-    port: int
+Dial = Callable[[RouterName, PeerAddress], PeerStream]
 
 
 @frozen
@@ -68,6 +64,13 @@
     demand_id: str
 
 
+@frozen
+class GiveUp:
+    """Refuse a waiting demand at once; its request gets the rejection."""
+
+    rejection: Rejected
+
+
 @frozen
 class NoteStarted:
     """Tell the scheduler that a lease's request has been sent."""
@@ -169,7 +172,6 @@
 
     scope: anyio.CancelScope
     outbox: Outbox | None = None
-    channel: PeerChannel | None = None
 
 
 def _declined(granted: Granted) -> m.Finished:
@@ -186,17 +188,17 @@
         follower: Follower,
         roles: Roles,
         traffic: TrafficCount,
+        audit: AuditTrail,
         *,
-        tls: TlsFiles | None = None,
-        cut: Callable[[RouterName], bool] = lambda peer: False,
+        dial: Dial,
         clock: Callable[[], float],
     ) -> None:
         self._router = router
         self._follower = follower
         self._roles = roles
         self._traffic = traffic
-        self._tls = tls
-        self._cut = cut
+        self._audit = audit
+        self._dial = dial
         self._clock = clock
         self._send, self._receive = anyio.create_memory_object_stream[Any](math.inf)
         self._replies: dict[str, Reply] = {}
@@ -288,6 +290,12 @@
         if self._replies.pop(command.demand_id, None) is not None:
             self._decide(self._follower.withdraw(command.demand_id, now), now)
 
+    def _give_up(self, command: GiveUp, now: float) -> None:
+        demand_id = command.rejection.demand_id
+        if demand_id in self._replies:
+            self._decide(self._follower.withdraw(demand_id, now), now)
+            self._reply(command.rejection, now)
+
     def _note_started(self, command: NoteStarted, now: float) -> None:
         self._decide(self._follower.started(command.lease_id, now), now)
 
@@ -361,6 +369,25 @@
                 before=change.before,
                 after=change.after,
             )
+        for centre in self._follower.centre_changes():
+            self._note_centre(centre)
+
+    def _note_centre(self, change: CentreChange) -> None:
+        left = change.after is CentreState.OUT
+        emit(
+            logger,
+            Event.CENTRE_LEFT if left else Event.CENTRE_RETURNED,
+            data_centre=change.data_centre,
+            before=change.before.value,
+            after=change.after.value,
+        )
+        self._audit.record(
+            Subject.DATA_CENTRE,
+            change.data_centre,
+            before=change.before.value,
+            after=change.after.value,
+            cause=change.cause,
+        )
 
     def _send_to(self, decision: SendTo, now: float) -> None:
         """Send to a scheduler; without a stream, the hello at its start tells all."""
@@ -437,15 +464,7 @@
         self, peer: RouterName, address: PeerAddress, link: _Link
     ) -> None:
         """Keep one stream until it breaks; a later message opens the next one."""
-        channel = PeerChannel(
-            self._router,
-            peer,
-            address.host,
-            address.port,
-            self._traffic,
-            tls=self._tls,
-            cut=self._cut,
-        )
+        stream = self._dial(peer, address)
         outbox = Outbox(self._traffic)
 
         def on_up() -> None:
@@ -454,7 +473,7 @@
 
         try:
             with link.scope:
-                await channel.attach(
+                await stream.attach(
                     outbox, lambda message: self._take(peer, message), on_up
                 )
         except TransportError as error:
@@ -464,7 +483,7 @@
             link.outbox = None
             self.tell(_LinkLost(peer))
             with anyio.CancelScope(shield=True):
-                await channel.close()
+                await stream.close()
         await anyio.sleep(REDIAL_S)
         self._links.pop(peer, None)
 
@@ -474,6 +493,7 @@
     _HANDLERS: Mapping[type, Callable[..., None]] = {
         Submit: _submit,
         Cancel: _cancel,
+        GiveUp: _give_up,
         NoteStarted: _note_started,
         NoteProgress: _note_progress,
         NoteFinished: _note_finished,
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -16,6 +16,7 @@
 from fulmarroad.ownership import assign_shards
 from fulmarroad.placement import ShardView, choose_shard
 from fulmarroad.scheduling import grant_valid
+from fulmarroad.shifting import CentreChange, CentreShift, CentreState
 from fulmarroad.types import (
     DataCentreName,
     Epoch,
@@ -171,7 +172,9 @@
         self._follows: dict[ShardId, Follow] = {}
         self._waiting: dict[str, _Waiting] = {}
         self._running: dict[str, _Running] = {}
+        self._shift = CentreShift()
         self._changes: list[FollowChange] = []
+        self._centre_changes: list[CentreChange] = []
 
     @property
     def schedulers(self) -> Mapping[ShardId, RouterName]:
@@ -203,6 +206,15 @@
         changes, self._changes = self._changes, []
         return changes
 
+    def centre_changes(self) -> list[CentreChange]:
+        """Return the changes of data centres since last asked."""
+        changes, self._centre_changes = self._centre_changes, []
+        return changes
+
+    def centre_state(self, data_centre: DataCentreName) -> CentreState:
+        """Return how far a data centre is in service."""
+        return self._shift.state(data_centre)
+
     def wanted_peers(self) -> set[RouterName]:
         """Return the peers to which a stream must be kept."""
         peers = {follow.scheduler for follow in self._follows.values()}
@@ -220,6 +232,7 @@
     def set_tables(self, tables: Tables, now: float) -> list[Decision]:
         """Take new tables; demands of shards that are gone ask elsewhere."""
         self._tables = tables
+        self._centre_changes += self._shift.update(tables, now)
         self._shards = {name: shards_of(pool) for name, pool in tables.pools.items()}
         self._servers = {
             server.name: server
@@ -309,6 +322,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Report progress, drop what is overdue and look for silent schedulers."""
+        self._centre_changes += self._shift.tick(now)
         decisions = self._report_progress()
         decisions += self._reject_overdue(now)
         decisions += self._check_silence(now)
@@ -324,6 +338,10 @@
             if any(self._takes_work(server) for server in servers)
         ]
 
+    def _may_go(self, view: ShardView, ask: Ask, now: float) -> bool:
+        """Tell whether a returning data centre takes this request already."""
+        return self._shift.takes(view.shard.data_centre, ask.demand_id, now)
+
     def _view(self, shard: ShardId) -> ShardView:
         follow = self._follows.get(shard)
         return ShardView(
@@ -346,9 +364,9 @@
 
     def _place(self, waiting: _Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
-        waiting.shard = choose_shard(
-            self.views(ask.pool, now), avoid=(), key=ask.demand_id
-        )
+        views = self.views(ask.pool, now)
+        shifted = [view for view in views if self._may_go(view, ask, now)]
+        waiting.shard = choose_shard(shifted or views, avoid=(), key=ask.demand_id)
         if waiting.shard is None:
             return []
         return self._send_demand(waiting, now)
--- a/packages/fulmarroad/src/fulmarroad/_grpc.py
+++ b/packages/fulmarroad/src/fulmarroad/_grpc.py
@@ -88,6 +88,21 @@
         """Answer a single question."""
 
 
+class PeerStream(Protocol):
+    """Exchange messages with one peer; `PeerChannel` does it over gRPC."""
+
+    async def attach(
+        self,
+        outbox: Outbox,
+        on_message: Callable[[Any], None],
+        on_up: Callable[[], None],
+    ) -> None:
+        """Exchange messages until the stream ends; raise `TransportError` then."""
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+
 class Outbox:
     """Queue messages for one stream and batch what has gathered into one frame."""
 
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_memory_network.py
@@ -0,0 +1,147 @@
+"""Streams between routers in memory, which can be delayed, held and cut."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from attrs import define, field
+
+from fulmarroad._codec import decode
+from fulmarroad._grpc import CONNECT_TIMEOUT_S, Outbox, PeerHandler, TrafficCount
+from fulmarroad._questions import PeerAddress
+from fulmarroad.exceptions import TransportError
+from fulmarroad.types import RouterName
+
+DELAY_S = 0.001
+
+
+@define(eq=False)
+class _Wire:
+    """Hold one open stream."""
+
+    ends: frozenset[RouterName]
+    scope: anyio.CancelScope
+
+
+@define(eq=False)
+class MemoryNetwork:
+    """Join routers of one process by streams that carry encoded frames.
+
+    `cut` breaks the streams between two sides and lets none be opened; `hold` keeps
+    a router's frames both ways until `release`, as when its process is frozen; `drop`
+    takes a router off the network as when its VM dies.
+    """
+
+    delay_s: float = DELAY_S
+    _handlers: dict[RouterName, PeerHandler] = field(factory=dict)
+    _cuts: set[frozenset[RouterName]] = field(factory=set)
+    _held: dict[RouterName, anyio.Event] = field(factory=dict)
+    _wires: dict[int, _Wire] = field(factory=dict)
+    _ids: itertools.count[int] = field(factory=itertools.count)
+
+    def join(self, router: RouterName, handler: PeerHandler) -> None:
+        """Let a router be reached."""
+        self._handlers[router] = handler
+
+    def drop(self, router: RouterName) -> None:
+        """Take a router off and break its streams."""
+        self._handlers.pop(router, None)
+        self._break(lambda ends: router in ends)
+
+    def cut(self, one: RouterName, other: RouterName) -> None:
+        """Keep two routers apart."""
+        pair = frozenset((one, other))
+        self._cuts.add(pair)
+        self._break(lambda ends: ends == pair)
+
+    def heal(self) -> None:
+        """Remove every cut."""
+        self._cuts.clear()
+
+    def hold(self, router: RouterName) -> None:
+        """Keep a router's frames until `release`."""
+        self._held.setdefault(router, anyio.Event())
+
+    def release(self, router: RouterName) -> None:
+        """Let a router's frames go on, in their order."""
+        self._held.pop(router).set()
+
+    def dial(self, me: RouterName) -> Callable[[RouterName, PeerAddress], MemoryStream]:
+        """Return how a router opens streams."""
+        return lambda peer, address: MemoryStream(self, me, peer)
+
+    def _break(self, affected: Callable[[frozenset[RouterName]], bool]) -> None:
+        for wire in list(self._wires.values()):
+            if affected(wire.ends):
+                wire.scope.cancel()
+
+    async def _connect(self, me: RouterName, peer: RouterName) -> PeerHandler:
+        await anyio.sleep(self.delay_s)
+        if frozenset((me, peer)) in self._cuts:
+            await anyio.sleep(CONNECT_TIMEOUT_S)
+            raise TransportError(f"Router {peer} can't be reached.")
+        handler = self._handlers.get(peer)
+        if handler is None or me not in self._handlers:
+            raise TransportError(f"Router {peer} refused the connection.")
+        return handler
+
+    async def _pass(self, me: RouterName, peer: RouterName) -> None:
+        await anyio.sleep(self.delay_s)
+        for router in (me, peer):
+            while router in self._held:
+                await self._held[router].wait()
+
+
+class MemoryStream:
+    """Be one router's stream to a peer."""
+
+    def __init__(self, network: MemoryNetwork, me: RouterName, peer: RouterName):
+        self._network = network
+        self._me = me
+        self._peer = peer
+
+    async def attach(
+        self,
+        outbox: Outbox,
+        on_message: Callable[[Any], None],
+        on_up: Callable[[], None],
+    ) -> None:
+        """Exchange messages until the stream ends; raise `TransportError` then."""
+        network = self._network
+        handler = await network._connect(self._me, self._peer)
+        answers = Outbox(TrafficCount())
+        handle = handler.on_attached(self._me, answers.put)
+        on_up()
+        number = next(network._ids)
+        try:
+            async with anyio.create_task_group() as group:
+                ends = frozenset((self._me, self._peer))
+                network._wires[number] = _Wire(ends, group.cancel_scope)
+
+                def take(message: Any) -> None:
+                    handler.on_message(self._me, message)
+
+                group.start_soon(self._pump, outbox, take, group.cancel_scope)
+                group.start_soon(self._pump, answers, on_message, group.cancel_scope)
+        finally:
+            del network._wires[number]
+            handler.on_detached(self._me, handle)
+        raise TransportError(f"The stream to {self._peer} ended.")
+
+    async def close(self) -> None:
+        """Do nothing; a stream in memory holds no connection."""
+
+    async def _pump(
+        self,
+        outbox: Outbox,
+        deliver: Callable[[Any], None],
+        scope: anyio.CancelScope,
+    ) -> None:
+        async for frame in outbox.frames():
+            await self._network._pass(self._me, self._peer)
+            for message in decode(frame):
+                deliver(message)
+        scope.cancel()
--- a/packages/fulmarroad/src/fulmarroad/coordination.py
+++ b/packages/fulmarroad/src/fulmarroad/coordination.py
@@ -3,10 +3,10 @@
 from fulmarroad._coordinator import (
     Cancel,
     Coordinator,
+    GiveUp,
     NoteFinished,
     NoteProgress,
     NoteStarted,
-    PeerAddress,
     StepDownAll,
     Submit,
     TakeMembers,
@@ -25,6 +25,7 @@
     SendTo,
     retried,
 )
+from fulmarroad._questions import PeerAddress, PeerQuestions
 from fulmarroad._roles import RoleOutput, Roles, ToFollower, ToSchedulers
 
 __all__ = [
@@ -35,12 +36,14 @@
     "Follow",
     "FollowChange",
     "Follower",
+    "GiveUp",
     "Granted",
     "Lease",
     "NoteFinished",
     "NoteProgress",
     "NoteStarted",
     "PeerAddress",
+    "PeerQuestions",
     "Rejected",
     "RoleOutput",
     "Roles",
--- a/packages/fulmarroad/src/fulmarroad/transport.py
+++ b/packages/fulmarroad/src/fulmarroad/transport.py
@@ -5,6 +5,7 @@
     PeerChannel,
     PeerHandler,
     PeerServer,
+    PeerStream,
     TlsFiles,
     TrafficCount,
 )
@@ -14,6 +15,7 @@
     "PeerChannel",
     "PeerHandler",
     "PeerServer",
+    "PeerStream",
     "TlsFiles",
     "TrafficCount",
 ]
