--- a/packages/fulmarroad/src/fulmarroad/_fairqueue.py
+++ b/packages/fulmarroad/src/fulmarroad/_fairqueue.py
@@ -17,7 +17,7 @@
 import itertools
 import math
 from bisect import insort
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 from operator import attrgetter
 
 from attrs import define, field
@@ -128,6 +128,8 @@
         self._accounts: dict[WorkspaceName, Account] = {}
         self._waiting: dict[str, Waiting] = {}
         self._heap: list[tuple[float, int, Account]] = []
+        self._backlogged: dict[WorkspaceName, Account] = {}
+        self._remote: dict[WorkspaceName, Account] = {}
         self._passed: dict[WorkspaceName, Waiting] = {}
         self._stamps = itertools.count(1)
         self._reached = 0.0
@@ -174,6 +176,7 @@
         insort(account.waiting, waiting, key=attrgetter("arrival"))
         self._waiting[demand.demand_id] = waiting
         if len(account.waiting) == 1:
+            self._backlogged[account.name] = account
             self._push(account)
         return True
 
@@ -182,10 +185,12 @@
         waiting = self._waiting.pop(demand_id, None)
         if waiting is None:
             return None
-        workspace = waiting.demand.workspace
-        self._accounts[workspace].waiting.remove(waiting)
-        if self._passed.get(workspace) is waiting:
-            del self._passed[workspace]
+        account = self._accounts[waiting.demand.workspace]
+        account.waiting.remove(waiting)
+        if not account.waiting:
+            del self._backlogged[account.name]
+        if self._passed.get(account.name) is waiting:
+            del self._passed[account.name]
         return waiting
 
     def pop(self, eligible: Eligible = anything, now: float = 0.0) -> Waiting | None:
@@ -217,13 +222,15 @@
         return charge
 
     def adopt(self, workspace: WorkspaceName, charged: float) -> Charge:
-        """Take over a lease that another scheduler granted, with what it used."""
+        """Take over a lease that another scheduler granted, with what it used.
+
+        What it used is not told as served here: the former epoch told it already.
+        """
         account = self.account(workspace)
         account.running += 1
-        charge = Charge(workspace, account.weight, account.era, 0.0)
-        self._add(charge, sane(charged))
-        charge.reported = charge.amount
-        return charge
+        amount = sane(charged)
+        account.since += amount / account.weight
+        return Charge(workspace, account.weight, account.era, amount, amount)
 
     def progress(self, charge: Charge, service: float) -> None:
         """Note service used; what goes beyond the estimate is charged at once."""
@@ -247,14 +254,27 @@
             account = self._accounts[workspace] = Account(workspace)
         return account
 
-    def accounts(self) -> Iterable[Account]:
-        """Return every account."""
-        return self._accounts.values()
-
     def backlogged(self) -> list[Account]:
         """Return the accounts with waiting demands, the least served first."""
-        rows = [account for account in self._accounts.values() if account.waiting]
-        return sorted(rows, key=attrgetter("counter"))
+        return sorted(self._backlogged.values(), key=attrgetter("counter"))
+
+    def elsewhere(self, now: float) -> list[Account]:
+        """Return the accounts that wait at other shards only."""
+        rows = self._remote.values()
+        return [row for row in rows if row.active_until > now and not row.waiting]
+
+    def ahead(self) -> int:
+        """Return how many demands are served before that of a new workspace.
+
+        It is lifted to the least counter, so each backlogged workspace goes first
+        about once, however long its own line is.
+        """
+        return len(self._backlogged)
+
+    def mark_active(self, account: Account, until: float) -> None:
+        """Note that a workspace is backlogged at another scheduler until a time."""
+        account.active_until = max(account.active_until, until)
+        self._remote[account.name] = account
 
     def least(self) -> float | None:
         """Return the least counter of the workspaces that wait here."""
@@ -289,6 +309,8 @@
         ]
         for name in idle:
             del self._accounts[name]
+        rows = self._remote.items()
+        self._remote = {name: row for name, row in rows if row.active_until > now}
 
     def _estimate(self, account: Account, hint: float) -> float:
         """Return what a grant is charged: the hint, but no less than the mean.
@@ -318,13 +340,13 @@
         least = self.least()
         if least is not None:
             return least
-        rows = (row.counter for row in self._accounts.values() if row.active(now))
-        return min(rows, default=self._reached)
+        elsewhere = (row.counter for row in self.elsewhere(now))
+        return min(elsewhere, default=self._reached)
 
     def _push(self, account: Account) -> None:
         """Enter an account into the heap; the entry before it becomes stale."""
         account.stamp = next(self._stamps)
-        if len(self._heap) > 4 * len(self._accounts) + HEAP_SLACK:
+        if len(self._heap) > 4 * len(self._backlogged) + HEAP_SLACK:
             self._heap = [entry for entry in self._heap if _fresh(entry)]
             heapq.heapify(self._heap)
         heapq.heappush(self._heap, (account.counter, account.stamp, account))
--- a/packages/fulmarroad/src/fulmarroad/_leases.py
+++ b/packages/fulmarroad/src/fulmarroad/_leases.py
@@ -3,35 +3,21 @@
 from __future__ import annotations
 
 import itertools
-from collections import deque
 from collections.abc import Iterator
 
 from attrs import define
 
 from fulmarroad._fairqueue import Charge, Waiting
 from fulmarroad._messages import Grant
-from fulmarroad.types import Epoch, RouterName, ServerName, Unit, WorkspaceName
+from fulmarroad._shares import START_WINDOW_S
+from fulmarroad.types import Epoch, RouterName, Unit
 
-START_WITHIN_S = 1.0
-"""A router starts a grant only this long after the clock reading that it carries.
-
-Two heartbeat intervals, so that one lost answer to a heartbeat stops no grant; a
-scheduler that slept longer wakes with grants that nobody starts.
-"""
-
-FRESH_S = 0.8
+FRESH_S = 0.8 * START_WINDOW_S
 """A router not heard from for this long gets no grant: it might no longer start it."""
 
-LEND_S = 2.0
-"""A router's units are lent this long after the scheduler's clock that it echoed."""
-
 ORPHAN_GRACE_S = 1.0
 """An orphaned lease is held this long beyond its deadline, for clocks that drift."""
 
-RATE_STEP = 0.2
-SAMPLES = 64
-"""Answers remembered for the least plausible time that a request takes."""
-
 
 def grant_valid(grant: Grant, following: Epoch | None, clock: float) -> bool:
     """Tell whether a router may start a grant, by its own clock.
@@ -49,14 +35,14 @@
 
     router: RouterName
     incarnation: int
-    clock: float
-    heard_at: float
+    clock: float  # the router's own, as last heard
+    heard_at: float  # when it read so, or earlier, on the scheduler's clock
 
-    def hear(self, clock: float, now: float) -> None:
+    def hear(self, clock: float, at: float) -> None:
         """Note a reading of the router's own clock; it never goes back."""
         if clock >= self.clock:
             self.clock = clock
-            self.heard_at = now
+            self.heard_at = at
 
     def fresh(self, now: float) -> bool:
         """Tell whether a grant sent now could still be started in time."""
@@ -65,24 +51,22 @@
 
 @define(eq=False)
 class Lease:
-    """Hold one granted unit until its request ends."""
+    """Hold one granted unit until its request ends.
+
+    `waiting` is none for a lease that another scheduler granted; `start_by` is on
+    the clock of the router.
+    """
 
     lease_id: str
     demand_id: str
     router: RouterName
-    workspace: WorkspaceName
     unit: Unit
     charge: Charge
     deadline: float
-    start_by: float
-    waiting: Waiting | None
-    orphan: bool = False
+    waiting: Waiting | None = None
+    start_by: float = 0.0
     started: bool = False
-
-    @property
-    def server(self) -> ServerName:
-        """Return the backend server that the lease is for."""
-        return self.unit.server
+    orphan: bool = False
 
     def expired(self, now: float) -> bool:
         """Tell whether an orphaned request must have ended by its deadline."""
@@ -98,12 +82,13 @@
         self._leases: dict[str, Lease] = {}
         self._by_demand: dict[str, Lease] = {}
         self._unstarted: dict[str, Lease] = {}
+        self._orphans: dict[str, Lease] = {}
 
     def __len__(self) -> int:
         return len(self._leases)
 
     def __iter__(self) -> Iterator[Lease]:
-        return iter(tuple(self._leases.values()))
+        return iter(self._leases.values())
 
     def new_id(self) -> str:
         """Return an id that no other scheduler and no other epoch ever gives."""
@@ -121,9 +106,9 @@
         lease = self._leases.get(lease_id)
         return lease if lease is not None and lease.router == router else None
 
-    def of_demand(self, demand_id: str) -> Lease | None:
-        """Return the lease under which a demand runs."""
-        return self._by_demand.get(demand_id)
+    def runs(self, demand_id: str) -> bool:
+        """Tell whether a demand holds a lease."""
+        return demand_id in self._by_demand
 
     def of_router(self, router: RouterName) -> list[Lease]:
         """Return the leases that a router holds."""
@@ -134,13 +119,28 @@
         lease.started = True
         self._unstarted.pop(lease.lease_id, None)
 
+    def orphan(self, lease: Lease) -> None:
+        """Note that the router of a lease is out of reach."""
+        lease.orphan = True
+        self._orphans[lease.lease_id] = lease
+
+    def claim(self, lease: Lease) -> None:
+        """Note that the router of a lease told of it again."""
+        lease.orphan = False
+        self._orphans.pop(lease.lease_id, None)
+        self.start(lease)
+
     def remove(self, lease: Lease) -> None:
         """Forget a lease that ended."""
-        self._leases.pop(lease.lease_id, None)
-        self._unstarted.pop(lease.lease_id, None)
+        for table in (self._leases, self._unstarted, self._orphans):
+            table.pop(lease.lease_id, None)
         if self._by_demand.get(lease.demand_id) is lease:
             del self._by_demand[lease.demand_id]
 
+    def expired(self, now: float) -> list[Lease]:
+        """Return the orphaned leases whose requests must have ended."""
+        return [lease for lease in self._orphans.values() if lease.expired(now)]
+
     def unstartable(self, follower: Follower) -> list[Lease]:
         """Return unstarted leases that a router can no longer start.
 
@@ -153,46 +153,3 @@
             for lease in self._unstarted.values()
             if lease.router == follower.router and follower.clock >= lease.start_by
         ]
-
-
-class Pace:
-    """Estimate how soon a new demand is served, from what was seen lately."""
-
-    def __init__(self, now: float) -> None:
-        self._since = now
-        self._grants = 0
-        self._rate = 0.0
-        self._totals: deque[float] = deque(maxlen=SAMPLES)
-        self._least = 0.0
-
-    @property
-    def least_service_s(self) -> float:
-        """Return half the shortest time seen of late; 0 until enough is known."""
-        return self._least
-
-    def note_grant(self) -> None:
-        """Count a grant."""
-        self._grants += 1
-
-    def note_answer(self, total_s: float) -> None:
-        """Note how long a completed request took."""
-        if total_s <= 0:
-            return
-        self._totals.append(total_s)
-        if len(self._totals) >= SAMPLES // 4:
-            self._least = min(self._totals) / 2
-
-    def roll(self, now: float) -> None:
-        """Begin a new second of counting once one is over."""
-        elapsed = now - self._since
-        if elapsed < 1.0:
-            return
-        self._rate += RATE_STEP * (self._grants / elapsed - self._rate)
-        self._since = now
-        self._grants = 0
-
-    def wait_s(self, waiting: int) -> float:
-        """Return the estimated wait of a demand behind so many others."""
-        if not waiting:
-            return 0.0
-        return waiting / max(self._rate, 0.1)
--- a/packages/fulmarroad/src/fulmarroad/_policies.py
+++ b/packages/fulmarroad/src/fulmarroad/_policies.py
@@ -21,6 +21,10 @@
     def spreads(self) -> bool:
         """Tell whether totals and moves between shards apply to this policy."""
 
+    @property
+    def usual_cost(self) -> float:
+        """Return the mean cost of a request, 0 while it is not known."""
+
     def __len__(self) -> int: ...
 
     def __contains__(self, demand_id: object) -> bool: ...
@@ -54,6 +58,9 @@
     def finish(self, charge: Charge, service: float, *, learn: bool = True) -> None:
         """Replace what was charged by the whole cost of an ended lease."""
 
+    def ahead(self) -> int:
+        """Return how many demands are served before that of a new workspace."""
+
     def forget_idle(self, now: float) -> None:
         """Drop what is no longer needed of idle workspaces."""
 
@@ -66,6 +73,11 @@
         """Tell that totals and moves between shards don't apply to a baseline."""
         return False
 
+    @property
+    def usual_cost(self) -> float:
+        """Return 0, for costs are not looked at."""
+        return 0.0
+
     def begin(self, waiting: Waiting) -> Charge:
         """Return a charge that is compared with nothing."""
         return Charge(waiting.demand.workspace, 1.0, 0, 0.0)
@@ -113,6 +125,10 @@
         deadline = now + sane(demand.remaining_s)
         return self.restore(Waiting(demand, router, arrival, deadline), now)
 
+    def ahead(self) -> int:
+        """Return the length of the line."""
+        return len(self._line)
+
     def restore(self, waiting: Waiting, now: float) -> bool:
         """Queue a demand that waited before, at its old place."""
         demand_id = waiting.demand.demand_id
@@ -155,6 +171,12 @@
         """Tell that totals and moves between shards don't apply to a baseline."""
         return False
 
+    @property
+    def usual_cost(self) -> float:
+        """Return the mean cost of a request at any router."""
+        known = [q.usual_cost for q in self._queues.values() if q.usual_cost]
+        return sum(known) / len(known) if known else 0.0
+
     def __len__(self) -> int:
         return len(self._owner)
 
@@ -176,6 +198,10 @@
         self._owner[demand.demand_id] = router
         return self._queues.setdefault(router, FleetQueue()).add(demand, router, now)
 
+    def ahead(self) -> int:
+        """Return how many workspaces wait, counted at each router."""
+        return sum(queue.ahead() for queue in self._queues.values())
+
     def restore(self, waiting: Waiting, now: float) -> bool:
         """Queue a demand that waited before, at its old place."""
         demand_id = waiting.demand.demand_id
--- a/packages/fulmarroad/src/fulmarroad/_rebalance.py
+++ b/packages/fulmarroad/src/fulmarroad/_rebalance.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 
 from attrs import define, frozen
@@ -24,6 +25,10 @@
 """A report older than this tells nothing of free units; a little above the interval
 at which idle schedulers report."""
 
+AHEAD_S = 0.3
+"""Work sent ahead of the units that will be free: three of the shortest intervals
+between reports, as a unit that frees between two of them idles until the next."""
+
 FAIR_SHARE = 0.5
 """Part of another shard's units that demands of lagging workspaces may be sent for
 with each report: enough to catch up, too little to swamp it if several send."""
@@ -46,6 +51,7 @@
     waiting: int
     at: float
     free_quota: int
+    ahead_quota: int
     fair_quota: int
     backlogged: tuple[WorkspaceName, ...]
 
@@ -57,18 +63,22 @@
         self._shard = shard
         self._peers: dict[ShardId, PeerShard] = {}
 
-    def note(self, report: ServiceReport, now: float) -> None:
+    def note(self, report: ServiceReport, mean_s: float, now: float) -> None:
         """Take the newest report of another shard; its quotas begin anew."""
         if report.shard == self._shard:
             return
         sources = self._sources(report.shard, now)
+        unused = max(0, report.free - report.waiting)
+        ahead = lookahead(report.capacity, mean_s)
+        room = max(0, report.free + ahead - report.waiting)
         self._peers[report.shard] = PeerShard(
             report.shard,
             report.capacity,
             report.waiting,
             now,
-            -(-max(0, report.free - report.waiting) // sources),
-            -(-int(report.capacity * FAIR_SHARE) // sources),
+            _shared(unused, sources),
+            _shared(room, sources) - _shared(unused, sources),
+            _shared(int(report.capacity * FAIR_SHARE), sources),
             tuple(entry.workspace for entry in report.entries if entry.waiting),
         )
 
@@ -77,15 +87,14 @@
         return any(peer.waiting for peer in self._fresh(now))
 
     def plan(
-        self, queue: FleetQueue, *, free: bool, usual_cost: float, now: float
+        self, queue: FleetQueue, *, units: int, mean_s: float, now: float
     ) -> list[Handover]:
-        """Return the moves that are due; `free` tells that units here are unused."""
-        if free or not len(queue):
+        """Return the moves that are due from a shard whose units are all in use."""
+        if not len(queue):
             return []
-        moves = self._to_free_units(queue, now)
+        moves = self._to_free_units(queue, lookahead(units, mean_s), now)
         taken = {move.demand_id for move in moves}
-        moves += self._to_fairer_shards(queue, usual_cost, taken, now)
-        return moves
+        return moves + self._to_fairer_shards(queue, taken, now)
 
     def drain(self, queue: FleetQueue, now: float) -> list[Handover]:
         """Return moves of every waiting demand to shards with capacity, in turn."""
@@ -98,23 +107,32 @@
             for index, row in enumerate(queue)
         ]
 
-    def _to_free_units(self, queue: FleetQueue, now: float) -> list[Handover]:
-        """Send those next in line, so that no unit idles while work waits."""
-        peers = [peer for peer in self._fresh(now) if peer.free_quota > 0]
-        if not peers:
+    def _to_free_units(
+        self, queue: FleetQueue, own_ahead: int, now: float
+    ) -> list[Handover]:
+        """Send those next in line, so that no unit idles while work waits.
+
+        A shard gets what its free units can take, and as many more as it ends before
+        it is heard again; for those, as many as this shard itself ends stay here.
+        """
+        peers = sorted(self._fresh(now), key=self._distance)
+        targets = [peer for peer in peers for _ in range(peer.free_quota)]
+        spare = max(0, len(queue) - len(targets) - own_ahead)
+        ahead = [peer for peer in peers for _ in range(peer.ahead_quota)]
+        targets += ahead[:spare]
+        if not targets:
             return []
         moves = []
-        next_in_line = _by_turn(queue)
-        for peer in sorted(peers, key=_nearest(self._shard)):
-            for row in next_in_line:
-                moves.append(Handover(row.demand.demand_id, peer.shard))
+        for peer, row in zip(targets, _by_turn(queue), strict=False):
+            moves.append(Handover(row.demand.demand_id, peer.shard))
+            if peer.free_quota:
                 peer.free_quota -= 1
-                if peer.free_quota <= 0:
-                    break
+            else:
+                peer.ahead_quota -= 1
         return moves
 
     def _to_fairer_shards(
-        self, queue: FleetQueue, usual_cost: float, taken: set[str], now: float
+        self, queue: FleetQueue, taken: set[str], now: float
     ) -> list[Handover]:
         """Send demands of lagging workspaces to where only others are served.
 
@@ -124,7 +142,7 @@
         """
         moves: list[Handover] = []
         for account in queue.backlogged():
-            peer = self._fairer(queue, account, usual_cost, now)
+            peer = self._fairer(queue, account, now)
             if peer is None:
                 continue
             rows = [row for row in account.waiting if _movable(row, taken)]
@@ -135,9 +153,9 @@
         return moves
 
     def _fairer(
-        self, queue: FleetQueue, account: Account, usual_cost: float, now: float
+        self, queue: FleetQueue, account: Account, now: float
     ) -> PeerShard | None:
-        threshold = MOVE_COSTS * usual_cost / account.weight
+        threshold = MOVE_COSTS * queue.usual_cost / account.weight
         best = None
         best_level = account.counter + threshold
         for peer in self._fresh(now):
@@ -148,6 +166,9 @@
                 best, best_level = peer, level
         return best
 
+    def _distance(self, peer: PeerShard) -> tuple[bool, ShardId]:
+        return peer.shard.data_centre != self._shard.data_centre, peer.shard
+
     def _fresh(self, now: float) -> list[PeerShard]:
         return [peer for peer in self._peers.values() if now - peer.at <= FRESH_S]
 
@@ -163,8 +184,13 @@
     return row.demand.moves < MAX_MOVES and row.demand.demand_id not in taken
 
 
-def _nearest(shard: ShardId):  # type: ignore[no-untyped-def]
-    return lambda peer: (peer.shard.data_centre != shard.data_centre, peer.shard)
+def lookahead(units: int, mean_s: float) -> int:
+    """Return how many requests so many units end before the next report is heard."""
+    return math.ceil(units * AHEAD_S / mean_s) if mean_s > 0 else 0
+
+
+def _shared(count: int, sources: int) -> int:
+    return -(-count // sources)
 
 
 def _by_turn(queue: FleetQueue) -> Iterator[Waiting]:
--- a/packages/fulmarroad/src/fulmarroad/_scheduler.py
+++ b/packages/fulmarroad/src/fulmarroad/_scheduler.py
@@ -9,37 +9,22 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Collection, Sequence
-from typing import Any, Protocol
-
-from attrs import frozen
-
-from fulmarroad._fairqueue import FleetQueue, Waiting, sane
-from fulmarroad._leases import (
-    LEND_S,
-    START_WITHIN_S,
-    Follower,
-    Lease,
-    LeaseTable,
-    Pace,
-    grant_valid,
-)
+from collections.abc import Collection, Sequence
+
+from fulmarroad._fairqueue import FleetQueue, sane
+from fulmarroad._granting import Granting, Send
+from fulmarroad._leases import Follower, grant_valid
 from fulmarroad._messages import (
     Demand,
     Finished,
     Goodbye,
-    Grant,
     Heartbeat,
     Hello,
     Lend,
     Move,
     Progress,
     Refuse,
-    RouterMessage,
-    RunningLease,
     SchedulerMessage,
-    ServerHint,
-    ServerStatus,
     ServiceReport,
     Started,
     StepDown,
@@ -47,18 +32,12 @@
     Withdraw,
 )
 from fulmarroad._policies import SchedulingPolicy
-from fulmarroad._rebalance import Handover, Rebalancer
+from fulmarroad._shares import LENDING_TERM_S
+from fulmarroad._slots import ServerBook
+from fulmarroad._spreading import Spreading
 from fulmarroad._tables import BackendServer, Pool
-from fulmarroad._totals import IDLE_INTERVAL_S, Totals, spread_interval
-from fulmarroad.types import (
-    Epoch,
-    Outcome,
-    RefusalReason,
-    RouterName,
-    ServerName,
-    ShardId,
-    Unit,
-)
+from fulmarroad._warmth import WarmthChange
+from fulmarroad.types import Epoch, RefusalReason, RouterName, ServerName, ShardId
 
 __all__ = ["Scheduler", "Send", "grant_valid"]
 
@@ -76,125 +55,40 @@
 """Idle accounts and silent schedulers are looked for this often."""
 
 
-@frozen
-class Send:
-    """Carry a message to a router that follows the scheduler."""
-
-    router: RouterName
-    message: RouterMessage
-
-
-class FreeUnitLike(Protocol):
-    """Describe a unit that may be granted now."""
-
-    @property
-    def unit(self) -> Unit:
-        """Return the unit's name."""
-
-
-class Book(Protocol):
-    """Know the units of a shard's backend servers; `ServerBook` is one."""
-
-    def set_servers(
-        self,
-        pool: Pool,
-        servers: Sequence[BackendServer],
-        taking: Collection[ServerName],
-        now: float,
-    ) -> None:
-        """Take a change of the tables."""
-
-    def lend(self, router: RouterName, until: float) -> None:
-        """Let a router's units be granted until a time."""
-
-    def recall(self, router: RouterName) -> None:
-        """End a router's lending."""
-
-    def mark_lost(self, router: RouterName, now: float) -> None:
-        """Note that a router is dead."""
-
-    def adopt_hint(self, hint: ServerHint, now: float) -> None:
-        """Take what the former scheduler last said of a backend server."""
-
-    def adopt_lease(self, lease: RunningLease, router: RouterName, now: float) -> None:
-        """Count a request that runs already."""
-
-    def free(self, now: float) -> Sequence[Any]:
-        """Return the units that may be granted."""
-
-    def take(self, unit: Unit, lease_id: str, router: RouterName, now: float) -> None:
-        """Use a unit for a lease."""
-
-    def release(self, lease_id: str, now: float) -> None:
-        """Give a lease's unit back."""
-
-    def observe(
-        self,
-        server: ServerName,
-        outcome: Outcome,
-        first_s: float | None,
-        gap_s: float | None,
-        service: float,
-        now: float,
-    ) -> Sequence[Any]:
-        """Note how a request ended; return changes of warmth."""
-
-    def status(self, now: float) -> tuple[ServerStatus, ...]:
-        """Return how each backend server stands."""
-
-    def capacity(self, now: float) -> int:
-        """Return the units usable, free or taken."""
-
-
-Choose = Callable[[Demand, Sequence[Any]], Unit | None]
-
-
-def first_fit(demand: Demand, free: Sequence[Any]) -> Unit | None:
-    """Return the first free unit that the demand doesn't avoid."""
-    for row in free:
-        if row.unit.server not in demand.avoid:
-            return row.unit
-    return None
-
-
 class Scheduler:
-    """Grant the units of one shard to waiting demands, the least served first."""
+    """Grant the units of one shard to waiting demands.
+
+    The queue decides who is next, the book which units may be granted; this class
+    keeps both true to what routers say, and tells them.
+    """
 
     def __init__(
         self,
         shard: ShardId,
         epoch: Epoch,
-        book: Book,
+        book: ServerBook,
         queue: SchedulingPolicy,
         *,
         live: Collection[RouterName],
         now: float,
-        choose: Choose = first_fit,
-        peers: int = 0,
     ) -> None:
         self._shard = shard
         self._epoch = epoch
         self._book = book
         self._queue = queue
-        self._live = set(live)
-        self._choose = choose
-        self._peers = peers
+        self._live = frozenset(live)
         self._began = now
         self._settled = False
-        self._draining = False
         self._stepped_down = False
         self._followers: dict[RouterName, Follower] = {}
-        self._leases = LeaseTable(epoch)
-        self._pace = Pace(now)
+        self._granting = Granting(shard, epoch, book, queue)
         self._deadlines: list[tuple[float, str]] = []
         self._beat_at = now
-        self._told_at = now - IDLE_INTERVAL_S
-        self._told_free = 0
         self._forget_at = now + FORGET_INTERVAL_S
-        self._changes: list[Any] = []
-        self._fair = queue if isinstance(queue, FleetQueue) else None
-        self._totals = Totals(shard, epoch, self._fair) if self._fair else None
-        self._rebalancer = Rebalancer(shard) if self._fair else None
+        self._spreading: Spreading | None = None
+        if isinstance(queue, FleetQueue):
+            pace = self._granting.pace
+            self._spreading = Spreading(shard, epoch, book, queue, pace, now)
 
     @property
     def shard(self) -> ShardId:
@@ -219,7 +113,7 @@
     @property
     def running(self) -> int:
         """Return how many leases are held."""
-        return len(self._leases)
+        return len(self._granting.leases)
 
     def handle(
         self, router: RouterName, message: SchedulerMessage, now: float
@@ -227,15 +121,20 @@
         """Take a follower's message; return what to send."""
         if self._stepped_down:
             return []
+        if isinstance(message, Started):
+            self._started(router, message)
+            return []
+        if isinstance(message, Progress):
+            self._progress(router, message)
+            return []
         out = self._take(router, message, now)
         return out + self._grant(now)
 
     def absorb(self, report: ServiceReport, now: float) -> list[Send]:
         """Count what another scheduler of the pool served; move demands if due."""
-        if self._stepped_down or self._totals is None or self._rebalancer is None:
+        if self._stepped_down or self._spreading is None:
             return []
-        if self._totals.absorb(report, now):
-            self._rebalancer.note(report, now)
+        self._spreading.absorb(report, now)
         return self._grant(now) + self._moves(now)
 
     def link_lost(self, router: RouterName, now: float) -> list[Send]:
@@ -245,20 +144,26 @@
         requests go on without us, so their units stay taken until their deadline.
         """
         self._drop(router)
-        for lease in self._leases.of_router(router):
-            lease.orphan = True
+        for lease in self._granting.leases.of_router(router):
+            self._granting.leases.orphan(lease)
         return self._grant(now)
 
     def set_live(self, live: Collection[RouterName], now: float) -> list[Send]:
         """Take the live routers of the data centre."""
-        for router in self._live - set(live):
+        for router in self._live.difference(live):
             self._book.mark_lost(router, now)
-        self._live = set(live)
+        self._live = frozenset(live)
+        return self._grant(now)
+
+    def set_vms(self, vms: Collection[RouterName], now: float) -> list[Send]:
+        """Take the published VMs of the data centre: the owners of units."""
+        self._book.set_vms(vms, now)
         return self._grant(now)
 
     def set_peers(self, peers: int) -> None:
-        """Take how many other schedulers each report goes to."""
-        self._peers = peers
+        """Take how many other schedulers of the pool each report goes to."""
+        if self._spreading is not None:
+            self._spreading.set_peers(peers)
 
     def set_tables(
         self,
@@ -268,16 +173,16 @@
         now: float,
     ) -> list[Send]:
         """Take a change of the tables; a shard that takes no work hands demands on."""
-        self._book.set_servers(pool, servers, taking, now)
-        self._draining = not taking
+        self._granting.note_changes(self._book.set_servers(pool, servers, taking, now))
+        if self._spreading is not None:
+            self._spreading.set_draining(not taking)
         return self._grant(now) + self._moves(now)
 
     def tick(self, now: float) -> list[Send]:
         """Do what time brings: refusals, expiry, moves and heartbeats."""
         if self._stepped_down:
             return []
-        self._pace.roll(now)
-        self._expire(now)
+        self._granting.expire(now)
         out = self._refuse_hopeless(now)
         out += self._grant(now)
         out += self._moves(now)
@@ -285,25 +190,16 @@
             self._beat_at = now + HEARTBEAT_S
             beat = self._heartbeat(now)
             out += [Send(router, beat) for router in self._followers]
-        self._forget(now)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_INTERVAL_S
+            self._forget(now)
         return out
 
     def report(self, now: float) -> ServiceReport | None:
         """Return the totals to spread now, or none while nothing is due."""
-        if self._totals is None or self._stepped_down or not self._report_due(now):
+        if self._stepped_down or self._spreading is None:
             return None
-        free = len(self._book.free(now))
-        self._told_at = now
-        self._told_free = free
-        return ServiceReport(
-            self._shard,
-            self._epoch,
-            self._totals.next_sequence(),
-            free,
-            self._book.capacity(now),
-            len(self._queue),
-            self._totals.entries(now),
-        )
+        return self._spreading.report(now)
 
     def step_down(self, now: float) -> list[Send]:
         """Give the role up; nothing is granted from here on."""
@@ -311,27 +207,25 @@
         notice = StepDown(self._shard, self._epoch)
         return [Send(router, notice) for router in self._followers]
 
-    def changes(self) -> list[Any]:
+    def changes(self) -> list[WarmthChange]:
         """Return the changes of warmth since the last call."""
-        changes, self._changes = self._changes, []
-        return changes
+        return self._granting.take_changes()
 
     def _take(
         self, router: RouterName, message: SchedulerMessage, now: float
     ) -> list[Send]:
+        if isinstance(message, Finished):
+            self._granting.finish(router, message, now)
+            return []
         if isinstance(message, Hello):
             return self._hello(router, message, now)
         follower = self._followers.get(router)
-        if follower is not None and isinstance(message, Demand):
+        if follower is None:
+            return []  # its hello will tell all of it
+        if isinstance(message, Demand):
             return self._demand(router, message, now)
-        if follower is not None and isinstance(message, Lend):
+        if isinstance(message, Lend):
             self._lend(follower, message, now)
-        elif isinstance(message, Finished):
-            self._finished(router, message, now)
-        elif isinstance(message, Started):
-            self._started(router, message)
-        elif isinstance(message, Progress):
-            self._progress(router, message)
         elif isinstance(message, Withdraw):
             self._withdraw(router, message)
         elif isinstance(message, Goodbye):
@@ -339,15 +233,13 @@
         return []
 
     def _hello(self, router: RouterName, hello: Hello, now: float) -> list[Send]:
-        known = self._followers.get(router)
-        if known is not None and hello.incarnation < known.incarnation:
+        if self._is_late(router, hello):
             return []
         self._drop(router)
-        follower = Follower(router, hello.incarnation, hello.clock, now)
-        self._followers[router] = follower
+        self._followers[router] = Follower(router, hello.incarnation, hello.clock, now)
         for hint in hello.hints:
-            self._book.adopt_hint(hint, now)
-        self._reconcile(router, hello.leases, now)
+            self._granting.note_changes(self._book.adopt_hint(hint, now))
+        self._granting.reconcile(router, hello.leases, now)
         out = [
             Send(router, Welcome(self._shard, self._epoch)),
             Send(router, self._heartbeat(now)),
@@ -356,49 +248,25 @@
             out += self._demand(router, demand, now)
         return out
 
-    def _reconcile(
-        self, router: RouterName, leases: Sequence[RunningLease], now: float
-    ) -> None:
-        """Hold exactly the leases that the router says it holds."""
-        told = {lease.lease_id for lease in leases}
-        for lease in self._leases.of_router(router):
-            if lease.lease_id not in told:
-                self._end(lease, 0.0, now, learn=False)
-        for row in leases:
-            lease_known = self._leases.held(row.lease_id, router)
-            if lease_known is None:
-                self._adopt(router, row, now)
-            else:
-                lease_known.orphan = False
-                self._leases.start(lease_known)
-
-    def _adopt(self, router: RouterName, row: RunningLease, now: float) -> None:
-        self._book.adopt_lease(row, router, now)
-        charge = self._queue.adopt(row.workspace, row.charged)
-        deadline = now + sane(row.remaining_s)
-        self._leases.add(
-            Lease(
-                row.lease_id,
-                row.demand_id,
-                router,
-                row.workspace,
-                row.unit,
-                charge,
-                deadline,
-                now,
-                None,
-                started=True,
-            )
-        )
+    def _is_late(self, router: RouterName, hello: Hello) -> bool:
+        """Tell whether a hello is older than what the router said since.
+
+        It would end leases that were granted after it was sent.
+        """
+        known = self._followers.get(router)
+        if known is None:
+            return False
+        if hello.incarnation != known.incarnation:
+            return hello.incarnation < known.incarnation
+        return hello.clock <= known.clock
 
     def _demand(self, router: RouterName, demand: Demand, now: float) -> list[Send]:
-        if self._leases.of_demand(demand.demand_id) is not None:
+        if self._granting.leases.runs(demand.demand_id):
             return []
-        if demand.remaining_s <= self._pace.least_service_s:
-            return [self._refusal(router, demand.demand_id)]
+        if sane(demand.remaining_s) <= self._granting.pace.least_s:
+            return [self._refusal(router, demand.demand_id, now)]
         if self._queue.add(demand, router, now):
-            due = now + sane(demand.remaining_s) - self._pace.least_service_s
-            heapq.heappush(self._deadlines, (due, demand.demand_id))
+            self._watch(now + sane(demand.remaining_s), demand.demand_id)
         return []
 
     def _lend(self, follower: Follower, lend: Lend, now: float) -> None:
@@ -408,53 +276,22 @@
         answer was read: a scheduler that wakes from a pause must not take an answer
         that lay in its buffer for a fresh one.
         """
-        if lend.epoch != self._epoch or lend.echo > now:
+        if lend.epoch != self._epoch or not lend.echo <= now:
             return
         follower.hear(lend.clock, lend.echo)
-        self._book.lend(follower.router, lend.echo + LEND_S)
-        self._reclaim(follower, now)
-
-    def _reclaim(self, follower: Follower, now: float) -> None:
-        for lease in self._leases.unstartable(follower):
-            self._end(lease, 0.0, now, learn=False)
-            if lease.waiting is not None:
-                left = lease.waiting.deadline - now
-                if left > self._pace.least_service_s:
-                    self._requeue(lease.waiting, now)
-
-    def _requeue(self, waiting: Waiting, now: float) -> None:
-        """Queue a demand again whose grant its router never answered."""
-        self._queue.restore(waiting, now)
-        due = waiting.deadline - self._pace.least_service_s
-        heapq.heappush(self._deadlines, (due, waiting.demand.demand_id))
-
-    def _finished(self, router: RouterName, message: Finished, now: float) -> None:
-        lease = self._leases.held(message.lease_id, router)
-        if lease is None:
-            return
-        declined = message.outcome is Outcome.DECLINED
-        completed = message.outcome is Outcome.COMPLETED
-        if completed:
-            self._pace.note_answer(message.total_s)
-        service = 0.0 if declined else sane(message.service)
-        self._end(lease, service, now, learn=completed)
-        if not declined:
-            self._changes += self._book.observe(
-                lease.server,
-                message.outcome,
-                message.first_s,
-                message.gap_s,
-                service,
-                now,
-            )
+        if lend.echo + LENDING_TERM_S > now:
+            self._book.lend(follower.router, lend.echo + LENDING_TERM_S, now)
+        for waiting in self._granting.reclaim(follower, now):
+            self._queue.restore(waiting, now)
+            self._watch(waiting.deadline, waiting.demand.demand_id)
 
     def _started(self, router: RouterName, message: Started) -> None:
-        lease = self._leases.held(message.lease_id, router)
+        lease = self._granting.leases.held(message.lease_id, router)
         if lease is not None:
-            self._leases.start(lease)
+            self._granting.leases.start(lease)
 
     def _progress(self, router: RouterName, message: Progress) -> None:
-        lease = self._leases.held(message.lease_id, router)
+        lease = self._granting.leases.held(message.lease_id, router)
         if lease is not None:
             self._queue.progress(lease.charge, message.service)
 
@@ -463,13 +300,6 @@
         if waiting is not None and waiting.router == router:
             self._queue.remove(message.demand_id)
 
-    def _end(
-        self, lease: Lease, service: float, now: float, *, learn: bool = True
-    ) -> None:
-        self._leases.remove(lease)
-        self._queue.finish(lease.charge, service, learn=learn)
-        self._book.release(lease.lease_id, now)
-
     def _drop(self, router: RouterName) -> None:
         if self._followers.pop(router, None) is None:
             return
@@ -482,89 +312,43 @@
         """Grant free units until none is left or nobody who waits can use one."""
         self._settle(now)
         out: list[Send] = []
-        while len(self._queue) and not self._stepped_down and self._may_grant(now):
-            free = self._book.free(now)
-            if not free:
-                break
-            waiting = self._queue.pop(self._eligible(free, now), now)
-            if waiting is None:
+        while self._may_grant(now):
+            send = self._granting.next_grant(self._followers, now)
+            if send is None:
                 break
-            out.append(self._lease(waiting, free, now))
+            out.append(send)
         return out
 
     def _may_grant(self, now: float) -> bool:
         """Hold back what routers that were not heard yet may be using.
 
         A new scheduler doesn't know their running requests. It counts them as using
-        their even share until it has settled; otherwise every takeover would put
-        requests onto units that are in use.
+        their even share of the units that are lent, until it has settled; otherwise
+        every takeover would put requests onto units that are in use.
         """
         if self._settled or not self._live:
-            return True
+            return not self._stepped_down
         seen = len(self._live & self._followers.keys()) / len(self._live)
-        return len(self._leases) < self._book.capacity(now) * seen
-
-    def _eligible(self, free: Sequence[Any], now: float) -> Callable[[Waiting], bool]:
-        servers = {row.unit.server for row in free}
-
-        def eligible(row: Waiting) -> bool:
-            if not self._followers[row.router].fresh(now):
-                return False
-            return not row.demand.avoid or not servers <= set(row.demand.avoid)
-
-        return eligible
-
-    def _lease(self, waiting: Waiting, free: Sequence[Any], now: float) -> Send:
-        demand = waiting.demand
-        unit = self._choose(demand, free) or first_fit(demand, free)
-        assert unit is not None, "an eligible demand fits a free unit"
-        follower = self._followers[waiting.router]
-        lease = Lease(
-            self._leases.new_id(),
-            demand.demand_id,
-            waiting.router,
-            demand.workspace,
-            unit,
-            self._queue.begin(waiting),
-            waiting.deadline,
-            follower.clock + START_WITHIN_S,
-            waiting,
-        )
-        self._leases.add(lease)
-        self._book.take(unit, lease.lease_id, waiting.router, now)
-        self._pace.note_grant()
-        return Send(
-            waiting.router,
-            Grant(
-                self._shard,
-                self._epoch,
-                lease.lease_id,
-                demand.demand_id,
-                unit,
-                follower.clock,
-                START_WITHIN_S,
-            ),
-        )
+        return self.running < self._book.capacity(now) * seen
+
+    def _settle(self, now: float) -> None:
+        if not self._settled:
+            all_heard = bool(self._live) and self._live <= self._followers.keys()
+            self._settled = all_heard or now - self._began >= SETTLE_S
 
     def _moves(self, now: float) -> list[Send]:
-        if self._fair is None or self._rebalancer is None or not len(self._queue):
+        if self._spreading is None or not self._settled:
             return []
-        if self._draining:
-            moves = self._rebalancer.drain(self._fair, now)
-        else:
-            moves = self._rebalancer.plan(
-                self._fair,
-                free=bool(self._book.free(now)),
-                usual_cost=self._fair.usual_cost,
-                now=now,
-            )
-        return [self._move(move) for move in moves]
-
-    def _move(self, move: Handover) -> Send:
-        waiting = self._queue.remove(move.demand_id)
-        assert waiting is not None, "only waiting demands are moved"
-        message = Move(self._shard, self._epoch, move.demand_id, move.target)
-        return Send(waiting.router, message)
+        out = []
+        for move in self._spreading.moves(now):
+            waiting = self._queue.remove(move.demand_id)
+            if waiting is not None:
+                message = Move(self._shard, self._epoch, move.demand_id, move.target)
+                out.append(Send(waiting.router, message))
+        return out
+
+    def _watch(self, deadline: float, demand_id: str) -> None:
+        heapq.heappush(self._deadlines, (deadline, demand_id))
 
     def _refuse_hopeless(self, now: float) -> list[Send]:
         """Turn demands away as soon as their deadline can't be met any more.
@@ -573,73 +357,41 @@
         waits for, or cost their caller the time to ask elsewhere.
         """
         out = []
-        while self._deadlines and self._deadlines[0][0] <= now:
+        horizon = now + self._granting.pace.least_s
+        while self._deadlines and self._deadlines[0][0] <= horizon:
             _, demand_id = heapq.heappop(self._deadlines)
             waiting = self._queue.get(demand_id)
-            if waiting is None:
-                continue
-            due = waiting.deadline - self._pace.least_service_s
-            if due > now:
-                heapq.heappush(self._deadlines, (due, demand_id))
-                continue
-            self._queue.remove(demand_id)
-            out.append(self._refusal(waiting.router, demand_id))
+            if waiting is not None and waiting.deadline <= horizon:
+                self._queue.remove(demand_id)
+                out.append(self._refusal(waiting.router, demand_id, now))
         return out
 
-    def _refusal(self, router: RouterName, demand_id: str) -> Send:
-        retry_after = self._pace.wait_s(len(self._queue))
-        return Send(
-            router,
-            Refuse(
-                self._shard,
-                self._epoch,
-                demand_id,
-                RefusalReason.DEADLINE_PASSED,
-                retry_after,
-            ),
+    def _refusal(self, router: RouterName, demand_id: str, now: float) -> Send:
+        message = Refuse(
+            self._shard,
+            self._epoch,
+            demand_id,
+            RefusalReason.DEADLINE_PASSED,
+            self._wait_s(now),
         )
-
-    def _expire(self, now: float) -> None:
-        for lease in self._leases:
-            if lease.expired(now):
-                self._end(lease, lease.charge.amount, now, learn=False)
+        return Send(router, message)
 
     def _heartbeat(self, now: float) -> Heartbeat:
-        waiting = len(self._queue)
         return Heartbeat(
             self._shard,
             self._epoch,
             now,
             self._book.status(now),
-            waiting,
-            self._pace.wait_s(waiting),
+            len(self._queue),
+            self._wait_s(now),
             self._settled,
         )
 
-    def _settle(self, now: float) -> None:
-        if not self._settled:
-            all_heard = bool(self._live) and self._live <= self._followers.keys()
-            self._settled = all_heard or now - self._began >= SETTLE_S
-
-    def _report_due(self, now: float) -> bool:
-        assert self._totals is not None
-        assert self._rebalancer is not None
-        elapsed = now - self._told_at
-        if elapsed >= IDLE_INTERVAL_S:
-            return True
-        news = self._totals.news(now)
-        peers = self._peers or self._totals.heard(now)
-        if elapsed < spread_interval(max(1, peers), news):
-            return False
-        if news:
-            return True
-        free = len(self._book.free(now))
-        return free > self._told_free and self._rebalancer.wanted_elsewhere(now)
+    def _wait_s(self, now: float) -> float:
+        units = self._book.capacity(now)
+        return self._granting.pace.wait_s(self._queue.ahead(), units)
 
     def _forget(self, now: float) -> None:
-        if now < self._forget_at:
-            return
-        self._forget_at = now + FORGET_INTERVAL_S
         self._queue.forget_idle(now)
-        if self._totals is not None:
-            self._totals.forget(now)
+        if self._spreading is not None:
+            self._spreading.forget(now)
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_spreading.py
@@ -0,0 +1,94 @@
+"""One scheduler's part among the schedulers of its pool: reports and moves."""
+
+from __future__ import annotations
+
+from fulmarroad._fairqueue import FleetQueue
+from fulmarroad._messages import ServiceReport
+from fulmarroad._pace import Pace
+from fulmarroad._rebalance import Handover, Rebalancer
+from fulmarroad._slots import ServerBook
+from fulmarroad._totals import IDLE_INTERVAL_S, Totals, spread_interval
+from fulmarroad.types import Epoch, ShardId
+
+
+class Spreading:
+    """Tell the pool's other schedulers how this shard stands, and act on theirs."""
+
+    def __init__(
+        self,
+        shard: ShardId,
+        epoch: Epoch,
+        book: ServerBook,
+        queue: FleetQueue,
+        pace: Pace,
+        now: float,
+    ) -> None:
+        self._shard = shard
+        self._epoch = epoch
+        self._book = book
+        self._queue = queue
+        self._pace = pace
+        self._totals = Totals(shard, epoch, queue)
+        self._rebalancer = Rebalancer(shard)
+        self._peers: int | None = None
+        self._draining = False
+        self._told_at = now - IDLE_INTERVAL_S
+        self._sequence = 0
+
+    def set_peers(self, peers: int) -> None:
+        """Take how many other schedulers each report goes to."""
+        self._peers = peers
+
+    def set_draining(self, draining: bool) -> None:
+        """Take whether the shard has no backend server that takes work."""
+        self._draining = draining
+
+    def absorb(self, report: ServiceReport, now: float) -> None:
+        """Count a report; only the newest of an epoch tells how its shard stands."""
+        if self._totals.absorb(report, now):
+            self._rebalancer.note(report, self._pace.mean_s, now)
+
+    def moves(self, now: float) -> list[Handover]:
+        """Return the waiting demands that other shards are to have."""
+        if not len(self._queue):
+            return []
+        if self._draining:
+            return self._rebalancer.drain(self._queue, now)
+        return self._rebalancer.plan(
+            self._queue,
+            units=self._book.capacity(now),
+            mean_s=self._pace.mean_s,
+            now=now,
+        )
+
+    def report(self, now: float) -> ServiceReport | None:
+        """Return the report to spread now, or none while none is due."""
+        if not self._due(now):
+            return None
+        self._told_at = now
+        self._sequence += 1
+        return ServiceReport(
+            self._shard,
+            self._epoch,
+            self._sequence,
+            len(self._book.free(now)),
+            self._book.capacity(now),
+            len(self._queue),
+            self._totals.entries(now),
+        )
+
+    def forget(self, now: float) -> None:
+        """Drop what was heard of schedulers that are long silent."""
+        self._totals.forget(now)
+
+    def _due(self, now: float) -> bool:
+        elapsed = now - self._told_at
+        if elapsed >= IDLE_INTERVAL_S:
+            return True
+        news = self._totals.news(now)
+        peers = self._totals.heard(now) if self._peers is None else self._peers
+        if not peers or elapsed < spread_interval(peers, news):
+            return False
+        if news:
+            return True
+        return self._rebalancer.wanted_elsewhere(now) and bool(self._book.free(now))
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -27,6 +27,17 @@
 MAX_ENTRIES = 64
 """Entries in one report; what is left out is told next, the largest change first."""
 
+MOVE_COSTS = 2.0
+"""Costs by which a workspace must lag before its demands move for fairness' sake.
+
+One cost of difference is normal between two grants; at two, the next grant at the
+other shard would still go to somebody served more.
+"""
+
+LEAST_FIRST = 8
+"""The least served are always told of: whom a shard serves next decides what others
+send to it."""
+
 LEAST_INTERVAL_S = 0.1
 """Reports are no closer than this: below it the gap is ruled by request cost."""
 
@@ -116,14 +127,6 @@
     return (own + untold + MOVE_COSTS * largest_cost) / least_weight
 
 
-MOVE_COSTS = 2.0
-"""Costs by which a workspace must lag before its demands move for fairness' sake.
-
-One cost of difference is normal between two grants; at two, the next grant at the
-other shard would still go to somebody served more.
-"""
-
-
 class Totals:
     """Count service that other schedulers gave, and tell them what was given here."""
 
@@ -133,7 +136,6 @@
         self._queue = queue
         self._peers: dict[Epoch, _Peer] = {}
         self._told: dict[WorkspaceName, _Told] = {}
-        self._sequence = 0
 
     def absorb(self, report: ServiceReport, now: float) -> bool:
         """Count a report; return false for one's own, or one that is not the newest."""
@@ -160,8 +162,12 @@
     def entries(self, now: float) -> tuple[ServiceEntry, ...]:
         """Return what to tell: backlogged workspaces, the largest change first."""
         base = self._queue.reference(now)
-        rows = [row for row in self._queue.accounts() if self._newsworthy(row, now)]
-        rows.sort(key=lambda row: self._urgency(row, now), reverse=True)
+        rows = self._newsworthy(now)
+        rows[LEAST_FIRST:] = sorted(
+            rows[LEAST_FIRST:],
+            key=lambda row: self._urgency(row, now),
+            reverse=True,
+        )
         told = rows[:MAX_ENTRIES]
         for account in told:
             self._told[account.name] = _Told(account.served, now)
@@ -175,34 +181,30 @@
             for account in told
         )
 
-    def next_sequence(self) -> int:
-        """Return the number of the next report of this epoch."""
-        self._sequence += 1
-        return self._sequence
-
     def news(self, now: float) -> int:
         """Return how many workspaces the next report would tell of."""
-        return sum(1 for row in self._queue.accounts() if self._newsworthy(row, now))
+        return len(self._newsworthy(now))
 
     def forget(self, now: float) -> None:
         """Drop what was heard of schedulers that are long silent."""
         for epoch in [e for e, p in self._peers.items() if now - p.at > FORGET_S]:
             del self._peers[epoch]
-        gone = self._told.keys() - {row.name for row in self._queue.accounts()}
-        for name in gone:
+        old = [n for n, told in self._told.items() if now - told.at > FORGET_S]
+        for name in old:
             del self._told[name]
 
-    def _newsworthy(self, account: Account, now: float) -> bool:
-        """Tell whether a workspace belongs into a report.
+    def _newsworthy(self, now: float) -> list[Account]:
+        """Return the workspaces that belong into a report, the least served first.
 
         One that is backlogged only elsewhere counts as well if it was served here:
         it would otherwise be served here on top of its share.
         """
-        if account.waiting:
-            return True
-        told = self._told.get(account.name)
-        before = told.served if told else 0.0
-        return account.active_until > now and account.served != before
+        rows = self._queue.backlogged()
+        for account in self._queue.elsewhere(now):
+            told = self._told.get(account.name)
+            if account.served != (told.served if told else 0.0):
+                rows.append(account)
+        return rows
 
     def _urgency(self, account: Account, now: float) -> float:
         told = self._told.get(account.name)
@@ -233,7 +235,7 @@
             late = heard.at < peer.resumed
             self._add(account, entry.served - heard.served, late=late)
         if entry.waiting:
-            account.active_until = max(account.active_until, now + ACTIVE_S)
+            self._queue.mark_active(account, now + ACTIVE_S)
         peer.entries[entry.workspace] = _Heard(sequence, entry.served, now, account.era)
 
     def _add(self, account: Account, service: float, *, late: bool) -> None:
