--- a/packages/fulmarroad/src/fulmarroad/_fairqueue.py
+++ b/packages/fulmarroad/src/fulmarroad/_fairqueue.py
@@ -39,6 +39,10 @@
 surcharge closes the gap sooner and serves it less meanwhile.
 """
 
+IDLE_S = 60.0
+"""Service of a workspace that asked for nothing this long is no longer held against
+it: longer than nearly every request, so that it can't be gained by."""
+
 HEAP_SLACK = 64
 """Stale heap entries kept beyond four for each backlogged workspace."""
 
@@ -94,6 +98,8 @@
     since: float = 0.0
     era: int = 0
     began: float = -math.inf
+    asked: float = -math.inf
+    seeded: bool = False
     waiting: list[Waiting] = field(factory=list)
     running: int = 0
     mean: float | None = None
@@ -117,6 +123,7 @@
         self.floor = floor
         self.since = 0.0
         self.owed = 0.0
+        self.seeded = False
         self.era += 1
         self.began = now
 
@@ -173,6 +180,7 @@
         account.weight = sane(demand.weight) or 1.0
         if not account.active(now):
             account.lift(self._floor(now), now)
+        account.asked = now
         insort(account.waiting, waiting, key=attrgetter("arrival"))
         self._waiting[demand.demand_id] = waiting
         if len(account.waiting) == 1:
@@ -287,25 +295,27 @@
         if service < 0 and account.waiting:
             self._push(account)
 
-    def raise_to(self, account: Account, counter: float) -> None:
-        """Raise a counter to what another scheduler makes of it."""
-        account.since += max(0.0, counter - account.counter)
+    def seed(self, account: Account, counter: float) -> None:
+        """Take a counter from what another scheduler makes of it, once in an era."""
+        account.seeded = True
+        self.add_remote(account, counter - account.counter)
 
     def reference(self, now: float) -> float:
         """Return the counter from which lags are told and taken."""
         return self._floor(now)
 
     def forget_idle(self, now: float) -> None:
-        """Drop accounts that a lift would make anew; memory stays bounded.
+        """Drop accounts of idle workspaces; memory stays bounded.
 
-        An account above the floor stays, as dropping it would forgive service.
+        What a lift would make anew goes at once. An account above the floor is held
+        against its workspace for a while, as dropping it forgives that service.
         """
         idle = [
             name
             for name, account in self._accounts.items()
             if not account.active(now)
             and not account.running
-            and account.counter <= self._reached
+            and (account.counter <= self._reached or now - account.asked > IDLE_S)
         ]
         for name in idle:
             del self._accounts[name]
--- a/packages/fulmarroad/src/fulmarroad/_scheduler.py
+++ b/packages/fulmarroad/src/fulmarroad/_scheduler.py
@@ -329,7 +329,7 @@
         if self._settled or not self._live:
             return not self._stepped_down
         seen = len(self._live & self._followers.keys()) / len(self._live)
-        return self.running < self._book.capacity(now) * seen
+        return self.running + 1 <= self._book.capacity(now) * seen
 
     def _settle(self, now: float) -> None:
         if not self._settled:
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -109,22 +109,39 @@
 ) -> float:
     """Return the largest gap in weighted service between two backlogged workspaces.
 
-    `units` and `rate` (service units a second) are the pool's, `estimate_error` is
-    the largest difference between a grant's estimate and the cost found later.
-
-    - `2 * largest_cost`: each of the two may have just been granted one request.
-    - `units * estimate_error`: leases that run at once were charged an estimate, and
-      every correction may fall on one workspace.
-    - `2 * rate * (interval_s + delay_s)`: what other schedulers gave and has not been
-      told yet, counted for both. Alone in its pool a scheduler has no such part.
-    - `MOVE_COSTS * largest_cost`: the difference below which demands stay at their
-      shard.
+    The gap is what the one was served more than the other over any interval in which
+    both were backlogged throughout. `units` and `rate` (service units a second) are
+    the pool's, `estimate_error` the largest difference between a grant's estimate and
+    the cost found later. The parts, each a worst case:
+
+    - `2 * largest_cost`: each of the two may be one grant ahead of the other.
+    - `2 * units * (largest_cost + estimate_error)`: a grant is charged before it is
+      rendered and corrected after it; all units may hold leases of the one workspace
+      at the interval's beginning and of the other at its end.
+    - `4 * rate * (interval_s + delay_s)`: what other schedulers gave and has not been
+      told yet, for both; once more for counters seeded at different times, and once
+      more until demands have moved.
+    - `(units + MOVE_COSTS) * largest_cost`: leases granted at once before a workspace
+      was first told of, and the difference below which demands stay at their shard.
+      The last two are missing where the pool has one shard.
+
+    It holds while reports arrive and demands may move. During a cut it holds on each
+    side; afterwards the gap closes at the rate that `REPAY` gives.
     """
-    own = 2 * largest_cost + units * estimate_error
+    grants = 2 * largest_cost + 2 * units * (largest_cost + estimate_error)
     if shards <= 1:
-        return own / least_weight
-    untold = 2 * rate * (interval_s + delay_s)
-    return (own + untold + MOVE_COSTS * largest_cost) / least_weight
+        return grants / least_weight
+    untold = 4 * rate * (interval_s + delay_s)
+    moves = (units + MOVE_COSTS) * largest_cost
+    return (grants + untold + moves) / least_weight
+
+
+def _is_sane(entry: ServiceEntry) -> bool:
+    return math.isfinite(entry.served) and math.isfinite(entry.lag)
+
+
+def _is_young(account: Account, now: float) -> bool:
+    return now - account.began <= YOUNG_S
 
 
 class Totals:
@@ -148,8 +165,9 @@
         if now - peer.at > CUT_S:
             peer.resumed = now
         peer.at = now
-        base = self._queue.reference(now)
-        for entry in report.entries:
+        rows = [row for row in report.entries if _is_sane(row)]
+        base = self._anchor(rows, now)
+        for entry in rows:
             self._count(peer, report.sequence, entry, base, now)
         newest = report.sequence > peer.sequence
         peer.sequence = max(peer.sequence, report.sequence)
@@ -212,6 +230,21 @@
             return math.inf
         return abs(account.served - told.served)
 
+    def _anchor(self, entries: list[ServiceEntry], now: float) -> float:
+        """Return the counter here that a lag of 0 there corresponds to.
+
+        It is found from workspaces that both know well; without any, the least
+        served of both count as equal.
+        """
+        offsets = []
+        for entry in entries:
+            account = self._queue.account(entry.workspace)
+            if account.active(now) and (account.seeded or not _is_young(account, now)):
+                offsets.append(account.counter - entry.lag)
+        if offsets:
+            return sum(offsets) / len(offsets)
+        return self._queue.reference(now)
+
     def _count(
         self,
         peer: _Peer,
@@ -220,18 +253,15 @@
         base: float,
         now: float,
     ) -> None:
-        if not (math.isfinite(entry.served) and math.isfinite(entry.lag)):
-            return
         heard = peer.entries.get(entry.workspace)
         if heard is not None and sequence <= heard.sequence:
             return
         account = self._queue.account(entry.workspace)
-        known = account.active(now)
-        if not known and entry.waiting:
+        if entry.waiting and not account.active(now):
             account.lift(self._queue.reference(now), now)
-        if now - account.began <= YOUNG_S:
-            self._queue.raise_to(account, base + entry.lag)
-        if heard is not None and heard.era == account.era:
+        if entry.waiting and not account.seeded and _is_young(account, now):
+            self._queue.seed(account, base + entry.lag)
+        elif heard is not None and heard.era == account.era:
             late = heard.at < peer.resumed
             self._add(account, entry.served - heard.served, late=late)
         if entry.waiting:
