Let the scheduler choose units itself and greet new schedulers

Cause: roles passed a chooser that never learned from answers, so a cached prefix that an engine had dropped went on drawing requests. A scheduler heard for the first time is sent a report within the least interval, from which it takes its counters.

--- a/packages/fulmarroad/src/fulmarroad/_roles.py
+++ b/packages/fulmarroad/src/fulmarroad/_roles.py
@@ -8,16 +8,15 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping
 
 from attrs import define, field, frozen
 
 from fulmarroad import _messages as m
 from fulmarroad._tables import BackendServer, Tables, shards_of
 from fulmarroad.audit import AuditTrail, Subject
-from fulmarroad.capacity import FreeUnit, ServerBook, WarmthChange
+from fulmarroad.capacity import ServerBook, WarmthChange
 from fulmarroad.events import Event, emit
-from fulmarroad.placement import PrefixMap, choose_unit
 from fulmarroad.scheduling import Scheduler, Send, make_queue
 from fulmarroad.types import (
     DataCentreName,
@@ -25,7 +24,6 @@
     RouterName,
     ServerName,
     ShardId,
-    Unit,
 )
 
 logger = logging.getLogger("fulmarroad.roles")
@@ -210,7 +208,6 @@
             make_queue(self._policy),
             live=self._live.get(shard.data_centre, ()),
             now=now,
-            choose=_chooser(PrefixMap()),
         )
         role = Role(scheduler, book)
         self._roles[shard] = role
@@ -249,17 +246,3 @@
             after=change.after.value,
             cause=change.cause,
         )
-
-
-def _chooser(
-    prefixes: PrefixMap,
-) -> Callable[[m.Demand, Sequence[FreeUnit]], Unit | None]:
-    """Return the choice of a unit that remembers where prefixes were sent."""
-
-    def choose(demand: m.Demand, free: Sequence[FreeUnit]) -> Unit | None:
-        unit = choose_unit(demand, free, prefixes)
-        if unit is not None:
-            prefixes.note(unit.server, demand.prefix, 0.0)
-        return unit
-
-    return choose
--- a/packages/fulmarroad/src/fulmarroad/_spreading.py
+++ b/packages/fulmarroad/src/fulmarroad/_spreading.py
@@ -32,6 +32,7 @@
         self._rebalancer = Rebalancer(shard)
         self._peers: int | None = None
         self._draining = False
+        self._greets = False
         self._told_at = now - IDLE_INTERVAL_S
         self._sequence = 0
 
@@ -44,7 +45,11 @@
         self._draining = draining
 
     def absorb(self, report: ServiceReport, now: float) -> None:
-        """Count a report; only the newest of an epoch tells how its shard stands."""
+        """Count a report; only the newest of an epoch tells how its shard stands.
+
+        A scheduler that is heard for the first time has no memory: it is told soon.
+        """
+        self._greets = self._greets or not self._totals.knows(report.epoch)
         if self._totals.absorb(report, now):
             self._rebalancer.note(report, self._pace.mean_s, now)
 
@@ -66,6 +71,7 @@
         if not self._due(now):
             return None
         self._told_at = now
+        self._greets = False
         self._sequence += 1
         return ServiceReport(
             self._shard,
@@ -89,6 +95,6 @@
         peers = self._totals.heard(now) if self._peers is None else self._peers
         if not peers or elapsed < spread_interval(peers, news):
             return False
-        if news:
+        if news or self._greets:
             return True
         return self._rebalancer.wanted_elsewhere(now) and bool(self._book.free(now))
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -154,6 +154,10 @@
         self._peers: dict[Epoch, _Peer] = {}
         self._told: dict[WorkspaceName, _Told] = {}
 
+    def knows(self, epoch: Epoch) -> bool:
+        """Tell whether a scheduler was heard before, or is this one."""
+        return epoch in self._peers or epoch == self._epoch
+
     def absorb(self, report: ServiceReport, now: float) -> bool:
         """Count a report; return false for one's own, or one that is not the newest."""
         if report.epoch == self._epoch:
