--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -27,6 +27,17 @@
 MAX_ENTRIES = 64
 """Entries in one report; what is left out is told next, the largest change first."""
 
+MOVE_COSTS = 2.0
+"""Costs by which a workspace must lag before its demands move for fairness' sake.
+
+One cost of difference is normal between two grants; at two, the next grant at the
+other shard would still go to somebody served more.
+"""
+
+LEAST_FIRST = 8
+"""The least served are always told of: whom a shard serves next decides what others
+send to it."""
+
 LEAST_INTERVAL_S = 0.1
 """Reports are no closer than this: below it the gap is ruled by request cost."""
 
@@ -98,30 +109,39 @@
 ) -> float:
     """Return the largest gap in weighted service between two backlogged workspaces.
 
-    `units` and `rate` (service units a second) are the pool's, `estimate_error` is
-    the largest difference between a grant's estimate and the cost found later.
-
-    - `2 * largest_cost`: each of the two may have just been granted one request.
-    - `units * estimate_error`: leases that run at once were charged an estimate, and
-      every correction may fall on one workspace.
-    - `2 * rate * (interval_s + delay_s)`: what other schedulers gave and has not been
-      told yet, counted for both. Alone in its pool a scheduler has no such part.
-    - `MOVE_COSTS * largest_cost`: the difference below which demands stay at their
-      shard.
+    The gap is what the one was served more than the other over any interval in which
+    both were backlogged throughout. `units` and `rate` (service units a second) are
+    the pool's, `estimate_error` the largest difference between a grant's estimate and
+    the cost found later. The parts, each a worst case:
+
+    - `2 * largest_cost`: each of the two may be one grant ahead of the other.
+    - `2 * units * (largest_cost + estimate_error)`: a grant is charged before it is
+      rendered and corrected after it; all units may hold leases of the one workspace
+      at the interval's beginning and of the other at its end.
+    - `4 * rate * (interval_s + delay_s)`: what other schedulers gave and has not been
+      told yet, for both; once more for counters seeded at different times, and once
+      more until demands have moved.
+    - `(units + MOVE_COSTS) * largest_cost`: leases granted at once before a workspace
+      was first told of, and the difference below which demands stay at their shard.
+      The last two are missing where the pool has one shard.
+
+    It holds while reports arrive and demands may move. During a cut it holds on each
+    side; afterwards the gap closes at the rate that `REPAY` gives.
     """
-    own = 2 * largest_cost + units * estimate_error
+    grants = 2 * largest_cost + 2 * units * (largest_cost + estimate_error)
     if shards <= 1:
-        return own / least_weight
-    untold = 2 * rate * (interval_s + delay_s)
-    return (own + untold + MOVE_COSTS * largest_cost) / least_weight
+        return grants / least_weight
+    untold = 4 * rate * (interval_s + delay_s)
+    moves = (units + MOVE_COSTS) * largest_cost
+    return (grants + untold + moves) / least_weight
 
 
-MOVE_COSTS = 2.0
-"""Costs by which a workspace must lag before its demands move for fairness' sake.
+def _is_sane(entry: ServiceEntry) -> bool:
+    return math.isfinite(entry.served) and math.isfinite(entry.lag)
 
-One cost of difference is normal between two grants; at two, the next grant at the
-other shard would still go to somebody served more.
-"""
+
+def _is_young(account: Account, now: float) -> bool:
+    return now - account.began <= YOUNG_S
 
 
 class Totals:
@@ -133,7 +153,10 @@
         self._queue = queue
         self._peers: dict[Epoch, _Peer] = {}
         self._told: dict[WorkspaceName, _Told] = {}
-        self._sequence = 0
+
+    def knows(self, epoch: Epoch) -> bool:
+        """Tell whether a scheduler was heard before, or is this one."""
+        return epoch in self._peers or epoch == self._epoch
 
     def absorb(self, report: ServiceReport, now: float) -> bool:
         """Count a report; return false for one's own, or one that is not the newest."""
@@ -146,8 +169,9 @@
         if now - peer.at > CUT_S:
             peer.resumed = now
         peer.at = now
-        base = self._queue.reference(now)
-        for entry in report.entries:
+        rows = [row for row in report.entries if _is_sane(row)]
+        base = self._anchor(rows, now)
+        for entry in rows:
             self._count(peer, report.sequence, entry, base, now)
         newest = report.sequence > peer.sequence
         peer.sequence = max(peer.sequence, report.sequence)
@@ -160,8 +184,12 @@
     def entries(self, now: float) -> tuple[ServiceEntry, ...]:
         """Return what to tell: backlogged workspaces, the largest change first."""
         base = self._queue.reference(now)
-        rows = [row for row in self._queue.accounts() if self._newsworthy(row, now)]
-        rows.sort(key=lambda row: self._urgency(row, now), reverse=True)
+        rows = self._newsworthy(now)
+        rows[LEAST_FIRST:] = sorted(
+            rows[LEAST_FIRST:],
+            key=lambda row: self._urgency(row, now),
+            reverse=True,
+        )
         told = rows[:MAX_ENTRIES]
         for account in told:
             self._told[account.name] = _Told(account.served, now)
@@ -175,34 +203,30 @@
             for account in told
         )
 
-    def next_sequence(self) -> int:
-        """Return the number of the next report of this epoch."""
-        self._sequence += 1
-        return self._sequence
-
     def news(self, now: float) -> int:
         """Return how many workspaces the next report would tell of."""
-        return sum(1 for row in self._queue.accounts() if self._newsworthy(row, now))
+        return len(self._newsworthy(now))
 
     def forget(self, now: float) -> None:
         """Drop what was heard of schedulers that are long silent."""
         for epoch in [e for e, p in self._peers.items() if now - p.at > FORGET_S]:
             del self._peers[epoch]
-        gone = self._told.keys() - {row.name for row in self._queue.accounts()}
-        for name in gone:
+        old = [n for n, told in self._told.items() if now - told.at > FORGET_S]
+        for name in old:
             del self._told[name]
 
-    def _newsworthy(self, account: Account, now: float) -> bool:
-        """Tell whether a workspace belongs into a report.
+    def _newsworthy(self, now: float) -> list[Account]:
+        """Return the workspaces that belong into a report, the least served first.
 
         One that is backlogged only elsewhere counts as well if it was served here:
         it would otherwise be served here on top of its share.
         """
-        if account.waiting:
-            return True
-        told = self._told.get(account.name)
-        before = told.served if told else 0.0
-        return account.active_until > now and account.served != before
+        rows = self._queue.backlogged()
+        for account in self._queue.elsewhere(now):
+            told = self._told.get(account.name)
+            if account.served != (told.served if told else 0.0):
+                rows.append(account)
+        return rows
 
     def _urgency(self, account: Account, now: float) -> float:
         told = self._told.get(account.name)
@@ -210,6 +234,21 @@
             return math.inf
         return abs(account.served - told.served)
 
+    def _anchor(self, entries: list[ServiceEntry], now: float) -> float:
+        """Return the counter here that a lag of 0 there corresponds to.
+
+        It is found from workspaces that both know well; without any, the least
+        served of both count as equal.
+        """
+        offsets = []
+        for entry in entries:
+            account = self._queue.account(entry.workspace)
+            if account.active(now) and (account.seeded or not _is_young(account, now)):
+                offsets.append(account.counter - entry.lag)
+        if offsets:
+            return sum(offsets) / len(offsets)
+        return self._queue.reference(now)
+
     def _count(
         self,
         peer: _Peer,
@@ -218,22 +257,19 @@
         base: float,
         now: float,
     ) -> None:
-        if not (math.isfinite(entry.served) and math.isfinite(entry.lag)):
-            return
         heard = peer.entries.get(entry.workspace)
         if heard is not None and sequence <= heard.sequence:
             return
         account = self._queue.account(entry.workspace)
-        known = account.active(now)
-        if not known and entry.waiting:
+        if entry.waiting and not account.active(now):
             account.lift(self._queue.reference(now), now)
-        if now - account.began <= YOUNG_S:
-            self._queue.raise_to(account, base + entry.lag)
-        if heard is not None and heard.era == account.era:
+        if entry.waiting and not account.seeded and _is_young(account, now):
+            self._queue.seed(account, base + entry.lag)
+        elif heard is not None and heard.era == account.era:
             late = heard.at < peer.resumed
             self._add(account, entry.served - heard.served, late=late)
         if entry.waiting:
-            account.active_until = max(account.active_until, now + ACTIVE_S)
+            self._queue.mark_active(account, now + ACTIVE_S)
         peer.entries[entry.workspace] = _Heard(sequence, entry.served, now, account.era)
 
     def _add(self, account: Account, service: float, *, late: bool) -> None:
