Find a server's limit by trials of its own throughput

A limit that follows targets alone stops where answers are just slow enough: with a batch of 8 and a gap target of eight times the usual gap that is far past the knee, and a server that is slow by itself is taken down to one request. Trials compare what the server gave at two limits and keep the higher one only where throughput rose. Budgets now grow by half a step instead of doubling.

--- a/packages/fulmarroad/src/fulmarroad/_slots.py
+++ b/packages/fulmarroad/src/fulmarroad/_slots.py
@@ -11,7 +11,7 @@
 
 from attrs import define, field, frozen
 
-from fulmarroad._concurrency import ConcurrencyLimit
+from fulmarroad._concurrency import ConcurrencyLimit, in_full_use
 from fulmarroad._messages import RunningLease, ServerHint, ServerStatus
 from fulmarroad._rendezvous import unit_owner
 from fulmarroad._shares import LONGEST_LEASE_S, Owner, Shares
@@ -213,14 +213,14 @@
         service: float,
         now: float,
     ) -> tuple[WarmthChange, ...]:
-        """Judge a server by how a request on it ended."""
+        """Judge a server by how a request on it ended, before its lease is released."""
         known = self._servers.get(server)
         if known is None:
             return ()
         self._refresh(server, known, now)
-        full = known.running + 1 >= len(known.usable)
+        full = in_full_use(known.running, len(known.usable))
         changes = known.health.observe(
-            outcome, first_s, gap_s, known.running, full, now
+            outcome, first_s, gap_s, service, known.running, full, now
         )
         self._adjust_taken_up(server, known, outcome, full, now)
         known.forget()
--- a/packages/fulmarroad/src/fulmarroad/_warmth.py
+++ b/packages/fulmarroad/src/fulmarroad/_warmth.py
@@ -15,14 +15,25 @@
 
 from attrs import define, field, frozen
 
-from fulmarroad._concurrency import ConcurrencyLimit, strain
+from fulmarroad._concurrency import (
+    MIN_GAIN,
+    AnswerTimes,
+    ConcurrencyLimit,
+    Round,
+    followed,
+    strain,
+)
 from fulmarroad._messages import ServerHint
 from fulmarroad._tables import Pool
 from fulmarroad.types import Outcome, ServerName, Warmth
 
 SMALL_BUDGET = 4
-"""Below this a budget grows by one, from here on it doubles: a doubled load is the most
-that one round of good answers vouches for, and on few units even that is coarse."""
+"""Below this a budget grows by one, and no knee is looked for: throughput of one to
+three requests says little."""
+
+GROWTH = 1.5
+"""Factor of a budget's step. What a round of good answers vouches for is the load that
+it ran at; doubling felled a model server that had answered well at half the load."""
 
 MIN_GOOD = 2
 """Good answers that the smallest budget needs: one may be a cached or empty answer."""
@@ -88,7 +99,7 @@
 
 def next_budget(budget: int) -> int:
     """Return the budget after a round of good answers."""
-    return budget + 1 if budget < SMALL_BUDGET else budget * 2
+    return budget + 1 if budget < SMALL_BUDGET else int(budget * GROWTH)
 
 
 def good_answers_needed(budget: int) -> int:
@@ -129,12 +140,14 @@
     warmth: Warmth = Warmth.COLD
     _budget: int = field(default=1, init=False)
     _former: int = field(default=1, init=False)  # the budget proven last
+    _times: AnswerTimes = field(init=False)
+    _round: Round = field(factory=Round, init=False)
+    _former_throughput: float | None = field(default=None, init=False)
     _good: float = field(default=0.0, init=False)
-    _uncounted: int = field(default=0, init=False)  # ran before the budget rose
     _slow: bool = field(default=False, init=False)
     _slow_run: int = field(default=0, init=False)
     _failure_run: int = field(default=0, init=False)
-    _best: float = field(default=math.inf, init=False)  # least strain seen
+    _best: float = field(default=math.inf, init=False)  # least strain seen lately
     _norm: float | None = field(default=None, init=False)
     _flaps: float = field(default=0.0, init=False)
     _flapped_at: float = field(default=0.0, init=False)
@@ -143,6 +156,7 @@
     _hinted_at: float = field(default=-math.inf, init=False)
 
     def __attrs_post_init__(self) -> None:
+        self._times = AnswerTimes(self.pool)
         self._budget = self.pool.cold_concurrency
         self._former = self._budget
 
@@ -155,6 +169,7 @@
         """Take the pool's row of a new table."""
         self.pool = pool
         self.concurrency.pool = pool
+        self._times.pool = pool
 
     def limit(self, now: float) -> int:
         """Return the units that the server may be given now."""
@@ -197,31 +212,35 @@
         outcome: Outcome,
         first_s: float | None,
         gap_s: float | None,
+        service: float,
         running: int,
         full: bool,
         now: float,
     ) -> tuple[WarmthChange, ...]:
-        """Judge the server by one answer; `running` is what ran beside it."""
+        """Judge the server by one answer; `running` counts what ran, with it."""
         if outcome in (Outcome.FAILED, Outcome.TIMED_OUT, Outcome.UNREACHABLE):
-            return self._on_failure(outcome, now)
+            return self._on_failure(outcome, running, now)
         load = strain(self.pool, first_s, gap_s)
         if outcome is Outcome.DECLINED or load is None:
             return self._on_unmeasured(outcome, now)
         self._seen = True
         self._failure_run = 0
         self._slow = load > 1.0
+        seconds = self._times.seconds(first_s, gap_s, service)
         if self.warmth is Warmth.FAILING:
             return self._on_probe_answer(now)
         if self.warmth is Warmth.WARM:
-            return self._on_warm_answer(first_s, gap_s, load, full, now)
-        return self._on_ramp_answer(load, running)
+            return self._on_warm_answer(load, seconds, running, full, now)
+        return self._on_ramp_answer(load, seconds, running)
 
     def _on_unmeasured(self, outcome: Outcome, now: float) -> tuple[WarmthChange, ...]:
         if outcome is Outcome.COMPLETED and self.warmth is Warmth.FAILING:
             return self._on_probe_answer(now)
         return ()
 
-    def _on_failure(self, outcome: Outcome, now: float) -> tuple[WarmthChange, ...]:
+    def _on_failure(
+        self, outcome: Outcome, running: int, now: float
+    ) -> tuple[WarmthChange, ...]:
         self._seen = True
         if self.warmth is Warmth.FAILING:
             if now >= self._probe_at:
@@ -229,7 +248,7 @@
             return ()
         self._failure_run += 1
         if self.warmth is Warmth.WARM:
-            self.concurrency.note_failure()
+            self.concurrency.note_failure(running)
             allowed = FAILURE_RUN
         else:
             allowed = COLD_FAILURE_RUN
@@ -246,15 +265,17 @@
             return ()  # a request from before the server was taken out
         return self._turn(Warmth.COLD, "probe answered")
 
-    def _on_ramp_answer(self, load: float, running: int) -> tuple[WarmthChange, ...]:
+    def _on_ramp_answer(
+        self, load: float, seconds: float | None, running: int
+    ) -> tuple[WarmthChange, ...]:
         best = self._best
-        self._best = min(best, load)
+        self._note_best(load)
         if load <= 1.0:
             self._slow_run = 0
-            return self._count(1.0, running)
+            return self._count(1.0, seconds, running)
         if load <= OWN_BEST_FACTOR * best and best < math.inf:
             self._slow_run = 0
-            return self._count(SLOW_WORTH, running)
+            return self._count(SLOW_WORTH, seconds, running)
         self._good = 0.0
         self._slow_run += 1
         if self.warmth is Warmth.COLD:
@@ -262,37 +283,52 @@
         if load > VERY_SLOW * max(1.0, best):
             return self._turn(Warmth.COLD, "very slow answer while warming")
         if self._slow_run >= SLOW_RUN:
-            return self._settle("slow answers: limit found", self._former)
+            return self._settle("slow answers: limit found", self._former, running)
         return ()
 
-    def _count(self, worth: float, running: int) -> tuple[WarmthChange, ...]:
-        if self._uncounted > 0:
-            self._uncounted -= 1
-            return ()
-        if 2 * running < self._budget - 1:
+    def _note_best(self, load: float) -> None:
+        # The best fades, as the first answers may come from before a turn to cold.
+        if load <= self._best:
+            self._best = load
+        else:
+            self._best += NORM_GAIN * (load - self._best)
+
+    def _count(
+        self, worth: float, seconds: float | None, running: int
+    ) -> tuple[WarmthChange, ...]:
+        if 2 * running < self._budget:
             return ()  # says nothing of the budget, for less than half of it was used
-        self._good += worth
+        counted = self._round.answers
+        self._round.note(running, seconds, slow=worth < 1.0, full=True)
+        if self._round.answers > counted:
+            self._good += worth
         if self._good < good_answers_needed(self._budget):
             return ()
+        return self._end_budget(running)
+
+    def _end_budget(self, running: int) -> tuple[WarmthChange, ...]:
+        done = self._round.throughput
+        gain = followed(self._former, self._former_throughput, self._budget, done)
+        if self._budget > SMALL_BUDGET and gain < MIN_GAIN:
+            return self._settle("no gain: limit found", self._former, running)
         self._former = self._budget
+        self._former_throughput = done
         self._budget = next_budget(self._budget)
         self._good = 0.0
-        self._uncounted = running
+        self._round = Round(running)
         if self._budget >= self.concurrency.limit:
-            return self._settle("ramp done", self.concurrency.limit)
-        if self.warmth is Warmth.COLD:
-            change = WarmthChange(
-                self.server, Warmth.COLD, Warmth.WARMING, "good answers while cold"
-            )
-            self.warmth = Warmth.WARMING
-            return (change,)
-        return ()
+            return self._settle("ramp done", self.concurrency.limit, running)
+        if self.warmth is Warmth.WARMING:
+            return ()
+        self.warmth = Warmth.WARMING
+        cause = "good answers while cold"
+        return (WarmthChange(self.server, Warmth.COLD, Warmth.WARMING, cause),)
 
     def _on_warm_answer(
         self,
-        first_s: float | None,
-        gap_s: float | None,
         load: float,
+        seconds: float | None,
+        running: int,
         full: bool,
         now: float,
     ) -> tuple[WarmthChange, ...]:
@@ -305,14 +341,14 @@
             return ()
         self._slow_run = 0
         self._norm = load if norm is None else norm + NORM_GAIN * (load - norm)
-        self.concurrency.note_answer(first_s, gap_s, full)
+        self.concurrency.note_answer(running, seconds, load > 1.0, full)
         return ()
 
     def _adopt(self, hint: ServerHint, now: float) -> tuple[WarmthChange, ...]:
         cause = "hint of the former scheduler"
         limit = max(1, min(hint.limit, self.pool.max_concurrency))
         if hint.warmth is Warmth.WARM:
-            return self._settle(cause, limit)
+            return self._settle(cause, limit, 0)
         if hint.warmth is Warmth.FAILING:
             self._probe_at = now + BACKOFF_BASE_S
             return self._turn(Warmth.FAILING, cause)
@@ -321,8 +357,8 @@
         self._former = min(limit, self.pool.cold_concurrency)
         return change
 
-    def _settle(self, cause: str, limit: int) -> tuple[WarmthChange, ...]:
-        self.concurrency.restart(limit)
+    def _settle(self, cause: str, limit: int, running: int) -> tuple[WarmthChange, ...]:
+        self.concurrency.restart(limit, running)
         return self._turn(Warmth.WARM, cause)
 
     def _turn(self, after: Warmth, cause: str) -> tuple[WarmthChange, ...]:
@@ -331,7 +367,8 @@
         self._budget = self.pool.cold_concurrency
         self._former = self._budget
         self._good = 0.0
-        self._uncounted = 0
+        self._round = Round()
+        self._former_throughput = None
         self._slow_run = 0
         self._failure_run = 0
         self._norm = None
