--- /dev/null
+++ b/packages/fulmarroad/tests/conftest.py
@@ -0,0 +1,242 @@
+"""A small fleet in virtual time: real coordinators, messages and decisions.
+
+Only the edges are fakes: streams in memory, a membership that the test sets, backend
+servers that take their time and record what ran.
+"""
+
+import itertools
+
+import anyio
+import pytest
+from attrs import define, evolve, field
+
+from fulmarroad import messages as m
+from fulmarroad.audit import AuditTrail
+from fulmarroad.coordination import (
+    Ask,
+    Coordinator,
+    Follower,
+    Granted,
+    NoteFinished,
+    NoteProgress,
+    NoteStarted,
+    PeerAddress,
+    Roles,
+    TakeMembers,
+    TakeTables,
+    TakeVms,
+)
+from fulmarroad.tables import BackendServer, DataCentre, Pool, ServiceState, Tables
+from fulmarroad.testing import MemoryNetwork, run_virtual
+from fulmarroad.transport import TrafficCount
+from fulmarroad.types import Outcome
+
+CHUNK_S = 0.1
+RATE = 100.0  # tokens a second of one running request
+
+
+@define(eq=False)
+class FakeServer:
+    """Take CHUNK_S for each chunk of tokens, and record what ran."""
+
+    name: str
+    speed: float = 1.0
+    running: int = 0
+    most_running: int = 0
+    starts: list = field(factory=list)
+    service: dict = field(factory=dict)
+
+
+@define(eq=False)
+class Router:
+    name: str
+    data_centre: str
+    coordinator: Coordinator
+    scope: anyio.CancelScope
+
+
+class Fleet:
+    """Run routers against fake servers until the test function returns."""
+
+    def __init__(self, centres, servers, *, policy="fleet", pool=None):
+        self.network = MemoryNetwork()
+        self.centres = centres
+        self.policy = policy
+        self.pool = pool or Pool("drafting", max_concurrency=4, cold_concurrency=4)
+        self.rows = [
+            BackendServer(name, f"127.0.0.1:{9000 + index}", centre)
+            for index, (name, centre) in enumerate(servers)
+        ]
+        self.servers = {name: FakeServer(name) for name, _ in servers}
+        self.routers = {}
+        self.outcomes = {}
+        self.version = 0
+        self.out = set()
+        self._ids = itertools.count()
+        self._incarnations = itertools.count(1)
+        self.group = None
+
+    @property
+    def now(self):
+        return anyio.current_time()
+
+    def tables(self):
+        pool = evolve(self.pool, servers=tuple(self.rows))
+        centres = {
+            name: DataCentre(
+                name, ServiceState.OUT if name in self.out else ServiceState.IN
+            )
+            for name in self.centres
+        }
+        return Tables(self.version, {}, {}, {pool.name: pool}, centres)
+
+    def start(self, name, centre):
+        follower = Follower(name, next(self._incarnations), centre)
+        audit = AuditTrail()
+        roles = Roles(
+            name,
+            follower._incarnation,
+            self.policy,
+            audit,
+            lambda server, now: self.tables().server_takes_work(server),
+        )
+        coordinator = Coordinator(
+            name,
+            follower,
+            roles,
+            TrafficCount(),
+            audit,
+            dial=self.network.dial(name),
+            clock=anyio.current_time,
+        )
+        router = Router(name, centre, coordinator, anyio.CancelScope())
+        self.routers[name] = router
+        self.network.join(name, coordinator)
+        self.group.start_soon(self._run_router, router)
+        return router
+
+    async def _run_router(self, router):
+        with router.scope:
+            await router.coordinator.run()
+
+    def kill(self, name):
+        """End a router at once, as when its VM dies."""
+        router = self.routers.pop(name)
+        router.scope.cancel()
+        self.network.drop(name)
+
+    def publish(self, out=()):
+        """Put a new version of the tables in force everywhere."""
+        self.version += 1
+        self.out = set(out)
+        for router in self.routers.values():
+            router.coordinator.tell(TakeTables(self.tables()))
+
+    def tell_members(self, seen=None):
+        """Let routers believe that these live; `seen` maps a router to its view."""
+        for router in self.routers.values():
+            names = (seen or {}).get(router.name, self.routers)
+            live = {
+                centre: tuple(
+                    sorted(n for n in names if self.routers[n].data_centre == centre)
+                )
+                for centre in self.centres
+            }
+            addresses = {n: PeerAddress("127.0.0.1", 1) for n in names}
+            router.coordinator.tell(TakeMembers(live, addresses))
+
+    def tell_vms(self):
+        vms = {
+            centre: tuple(
+                sorted(r.name for r in self.routers.values() if r.data_centre == centre)
+            )
+            for centre in self.centres
+        }
+        for router in self.routers.values():
+            router.coordinator.tell(TakeVms(vms))
+
+    async def call(self, router, workspace, tokens=20, *, deadline_s=60.0, weight=1.0):
+        """Send one request as a router's execution does; return its outcome."""
+        name = f"{workspace}-{next(self._ids)}"
+        self.outcomes[name] = "lost"
+        ask = Ask(
+            name,
+            self.pool.name,
+            workspace,
+            weight,
+            float(tokens),
+            self.now,
+            self.now + deadline_s,
+        )
+        coordinator = self.routers[router].coordinator
+        answer = await coordinator.request(ask)
+        if not isinstance(answer, Granted):
+            self.outcomes[name] = f"refused {answer.reason.value}"
+            return self.outcomes[name]
+        await self._run(coordinator, answer.lease, workspace, tokens)
+        self.outcomes[name] = "completed"
+        return "completed"
+
+    async def _run(self, coordinator, lease, workspace, tokens):
+        server = self.servers[lease.server.name]
+        coordinator.tell(NoteStarted(lease.lease_id))
+        server.starts.append((self.now, workspace))
+        server.running += 1
+        server.most_running = max(server.most_running, server.running)
+        began, done = self.now, 0.0
+        try:
+            while done < tokens:
+                await anyio.sleep(CHUNK_S / server.speed)
+                step = min(RATE * CHUNK_S, tokens - done)
+                done += step
+                coordinator.tell(NoteProgress(lease.lease_id, step))
+                total = server.service.get(workspace, 0.0) + step
+                server.service[workspace] = total
+        finally:
+            server.running -= 1
+        report = m.Finished(
+            lease.shard,
+            lease.lease_id,
+            Outcome.COMPLETED,
+            float(tokens),
+            CHUNK_S / server.speed,
+            CHUNK_S / server.speed,
+            self.now - began,
+        )
+        coordinator.tell(NoteFinished(report))
+
+    async def keep_calling(self, router, workspace, tokens=20, **options):
+        """Send one request after another until cancelled."""
+        while True:
+            await self.call(router, workspace, tokens, **options)
+
+    def service(self, workspace):
+        return sum(s.service.get(workspace, 0.0) for s in self.servers.values())
+
+    def begin(self):
+        for centre, names in self.centres.items():
+            for name in names:
+                self.start(name, centre)
+        self.tell_vms()
+        self.tell_members()
+        self.publish()
+
+
+@pytest.fixture
+def run_fleet():
+    """Return a function that plays a scenario on a fleet in virtual time."""
+
+    def play(scenario, centres, servers, **options):
+        fleet = Fleet(centres, servers, **options)
+
+        async def main():
+            async with anyio.create_task_group() as group:
+                fleet.group = group
+                fleet.begin()
+                await scenario(fleet)
+                group.cancel_scope.cancel()
+
+        run_virtual(main)
+        return fleet
+
+    return play
