--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -6,7 +6,7 @@
 import random
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -46,6 +46,7 @@
     "control_cpu_share",
     "control_memory_mb",
 )
+CALLERS = "callers"
 NOTHING_YET = {"bytes_sent": 0, "bytes_received": 0, "cpu_s": 0.0}
 READY_POLL_S = 0.5
 """Seconds between the balancer's looks at each router's readiness."""
@@ -100,6 +101,7 @@
     before: dict[str, Mapping[str, Any]] = field(factory=dict)
     after: dict[str, Mapping[str, Any]] = field(factory=dict)
     cpu_before: dict[str, float] = field(factory=dict)
+    cpu_after: dict[str, float] = field(factory=dict)
     start: float = 0.0
     end: float = 0.0
     faults: FaultMaker = field(init=False)
@@ -137,6 +139,7 @@
         await anyio.sleep(self.scenario.seconds)
         self.end = time.monotonic()
         self.after = await self._control()
+        self.cpu_after = self._cpu()
 
     async def _control(self) -> dict[str, Mapping[str, Any]]:
         """Return each router's own account of its control traffic."""
@@ -151,9 +154,10 @@
         return found
 
     def _cpu(self) -> dict[str, float]:
-        for child in self.bed.routers.values():
+        for child in self.bed.starter.children:
             child.sample()
-        return {name: child.cpu_s for name, child in self.bed.routers.items()}
+        used = {child.name: child.cpu_s for child in self.bed.starter.children}
+        return {**used, CALLERS: time.process_time()}
 
     async def _watch_readiness(self) -> None:
         """Pass over routers that aren't ready, as the platform's balancer does."""
@@ -195,13 +199,14 @@
     return dict(zip(CONTROL_FIELDS, values, strict=True))
 
 
-def router_shares(experiment: Experiment) -> float:
-    """Return the mean share of a core that a router's whole process used."""
+def cpu_share(experiment: Experiment, names: Sequence[str]) -> float:
+    """Return the mean share of a core that whole processes used."""
     seconds = experiment.end - experiment.start
+    before, after = experiment.cpu_before, experiment.cpu_after
     shares = [
-        (child.cpu_s - experiment.cpu_before[name]) / seconds
-        for name, child in experiment.bed.routers.items()
-        if name in experiment.cpu_before
+        (after[name] - before.get(name, 0.0)) / seconds
+        for name in names
+        if name in after
     ]
     return round(sum(shares) / len(shares), 4) if shares else 0.0
 
@@ -237,7 +242,6 @@
         experiment = Experiment(scenario, bed, seed)
         await experiment.run()
         engines, plains = await bed.engine_reports(), await bed.plain_reports()
-        experiment._cpu()
         await starter.stop_all()
     run = run_of(experiment, engines, plains)
     draw(run, experiment.faults.marks, directory)
@@ -275,7 +279,9 @@
         **measures(run),
         "fairness_gap_bound": round(bound_of(scenario), 1),
         **control_measures(experiment),
-        "router_cpu_share": router_shares(experiment),
+        "router_cpu_share": cpu_share(experiment, list(experiment.bed.routers)),
+        "engines_cpu_share": cpu_share(experiment, ["engines"]),
+        "callers_cpu_share": cpu_share(experiment, [CALLERS]),
         "config_spread_s": round(max(faults.spreads), 3) if faults.spreads else None,
         "bad_exits": sum(code != 0 for code in codes),
         "unfinished": experiment.callers.running,
