--- a/packages/fulmarroad-bench/tests/test_measures.py
+++ b/packages/fulmarroad-bench/tests/test_measures.py
@@ -170,7 +170,7 @@
     def test_a_refusal_whose_call_ran_is_false(self):
         # A router says that a call did not run, the caller sends it again, and a
         # family gets two letters.
-        refused = [result("1", outcome="refused"), result("2", outcome="refused")]
+        refused = [result(name, outcome="refused") for name in "123"]
         found = check(refused, [engine([record("1")])], [])
         assert found.false_not_run == 1
         assert not found.held
