Keep whole sessions as golden files; never call a sent request not run

Cause: the golden files showed two faults. A call that was sent, broke off and found no server for its repetition was refused as not run. A call whose only server could not be reached waited for its deadline, since the server stayed on its list to avoid. Change: a refusal after a sent try is an unknown outcome; a list to avoid that covers the pool is dropped; further tries pass admission, so that their wait is bounded.

--- a/packages/fulmarroad-router/src/fulmarroad_router/admitting.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/admitting.py
@@ -41,13 +41,17 @@
         """Return how many calls wait."""
         return self._admission.waiting
 
-    def admit(self, call: Call, demand_id: str) -> None:
-        """Let a call wait for a lease; raise `Refused` where that is hopeless."""
+    def admit(self, call: Call, demand_id: str, *, first: bool) -> None:
+        """Let a call wait for a lease; raise `Refused` where that is hopeless.
+
+        `first` is false for a further try, which earns nothing for the retry budget.
+        """
         now = self._clock()
         workspace = call.workspace
         if self._running[workspace.name] >= workspace.max_running:
             raise Refused(RefusalReason.WORKSPACE_QUEUE_FULL, RUNNING_RETRY_S)
-        self._budget.note_request(call.pool.name, now)
+        if first:
+            self._budget.note_request(call.pool.name, now)
         view = LoadView(
             pool=call.pool.name,
             wait_s=self._coordinator.follower.estimated_wait_s(call.pool.name),
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -22,7 +22,6 @@
     NoteFinished,
     NoteProgress,
     NoteStarted,
-    Rejected,
 )
 from fulmarroad.events import Event, emit
 from fulmarroad.messages import Finished
@@ -139,6 +138,7 @@
 
     tokens: int = 0
     done: bool = False
+    sent: bool = False
     failed: tuple[str, ...] = ()
     tries: int = 0
 
@@ -173,15 +173,16 @@
 
     async def _lease(self, call: Call, progress: _Progress) -> Lease:
         ask = self._ask(call, progress)
-        if not progress.tries:
-            self._admitter.admit(call, ask.demand_id)
         try:
+            self._admitter.admit(call, ask.demand_id, first=not progress.tries)
             answer = await self._coordinator.request(ask)
+        except Refused as refused:
+            raise self._refusal(refused, progress) from refused
         finally:
             self._admitter.leave(ask.demand_id)
         if isinstance(answer, Granted):
             return answer.lease
-        raise self._refusal(answer, progress)
+        raise self._refusal(Refused(answer.reason, answer.retry_after_s), progress)
 
     def _ask(self, call: Call, progress: _Progress) -> Ask:
         self._sequence += 1
@@ -195,13 +196,24 @@
             deadline=call.deadline,
             prefix=prefix_of(call.chat.prompt),
             repeatable=call.route.repeatable,
-            avoid=progress.failed,
+            avoid=self._avoided(call, progress),
         )
 
-    def _refusal(self, answer: Rejected, progress: _Progress) -> CallError:
+    def _refusal(self, refused: Refused, progress: _Progress) -> CallError:
+        """Return a refusal, which is "not run" only if no try was ever sent."""
         if progress.tokens:
             return AnswerBroken("The answer broke off and could not be resumed.")
-        return Refused(answer.reason, answer.retry_after_s)
+        if progress.sent:
+            return OutcomeUnknown(
+                "The call was sent and broke off, and no backend server was free "
+                "to repeat it; it may have run."
+            )
+        return refused
+
+    def _avoided(self, call: Call, progress: _Progress) -> tuple[str, ...]:
+        """Return the servers that failed this call, unless all of the pool did."""
+        others = {server.name for server in call.pool.servers} - set(progress.failed)
+        return progress.failed if others else ()
 
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
@@ -339,9 +351,8 @@
         if progress.tries < MAX_TRIES and self._admitter.may_retry(call.pool.name):
             self._note_retry(call, lease, error)
             return
-        if progress.tokens:
-            raise AnswerBroken("The answer broke off and could not be resumed.")
-        raise Refused(RefusalReason.RETRY_BUDGET, 1.0) from error
+        refused = Refused(RefusalReason.RETRY_BUDGET, 1.0)
+        raise self._refusal(refused, progress) from error
 
     def _retry_sent(
         self,
@@ -353,6 +364,7 @@
     ) -> None:
         """Let the call be resumed or repeated where that is allowed."""
         progress.failed = (*progress.failed, lease.server.name)
+        progress.sent = True
         late = self._clock() >= call.deadline
         spent = late or progress.tries >= MAX_TRIES
         if responder.begun:
--- /dev/null
+++ b/packages/fulmarroad-router/tests/test_sessions.py
@@ -0,0 +1,191 @@
+"""Whole sessions of one caller, compared with golden files."""
+
+import anyio
+import pytest
+from attrs import evolve
+from router_bed import Script, make_tables
+
+from fulmarroad.tables import DataCentre, ServiceState
+
+
+def one_call(**options):
+    async def scenario(router):
+        return await router.call(**options)
+
+    return scenario
+
+
+POST = {"path": "/reminders", "body": b'{"letter": 7}'}
+
+
+class TestAnswers:
+    def test_stream(self, session, snapshot):
+        assert session(one_call()) == snapshot
+
+    def test_plain_call(self, session, snapshot):
+        assert session(one_call(**POST), [Script("plain")]) == snapshot
+
+    def test_failed_answer_of_the_server_is_passed_on(self, session, snapshot):
+        assert session(one_call(**POST), [Script("plain", status=500)]) == snapshot
+
+
+class TestRefusals:
+    @pytest.mark.parametrize(
+        "options",
+        [
+            {"key": "wrong"},
+            {"path": "/nowhere"},
+            {"body": b"x" * 2000},
+            {"body": b"{"},
+            {"body": {"model": "m", "messages": []}},
+            {**POST, "headers": {"idempotency-key": "k" * 256}},
+        ],
+        ids=["key", "route", "too-large", "no-json", "no-messages", "long-key"],
+    )
+    def test_refusal_says_not_run(self, session, snapshot, options):
+        assert session(one_call(**options)) == snapshot
+
+    def test_no_tables_yet(self, session, snapshot):
+        async def scenario(router):
+            router.put(None)
+            return await router.call()
+
+        assert session(scenario) == snapshot
+
+    def test_no_server_in_service(self, session, snapshot):
+        tables = make_tables()
+        out = {"fes-1": DataCentre("fes-1", ServiceState.OUT)}
+        tables = evolve(tables, data_centres=out)
+        assert session(one_call(), tables=tables) == snapshot
+
+    def test_workspace_over_its_limit(self, session, snapshot):
+        tables = make_tables()
+        coop = evolve(tables.workspaces["coop"], max_running=0)
+        tables = evolve(tables, workspaces={"coop": coop})
+        assert session(one_call(), tables=tables) == snapshot
+
+    def test_after_shutdown(self, session, snapshot):
+        async def scenario(router):
+            router.gate.close()
+            return await router.call()
+
+        assert session(scenario) == snapshot
+
+
+class TestBrokenEngines:
+    def test_unreachable_server_is_passed_over(self, session, snapshot):
+        # A server died since the last request. No byte was sent, so that the call
+        # goes to another server and its caller notices nothing.
+        assert session(one_call(), [Script("refuse"), Script()]) == snapshot
+
+    def test_unreachable_everywhere_is_not_run(self, session, snapshot):
+        # The only ledger server is gone. The refusal may say "not run", for no byte
+        # of the call was sent to any server.
+        scripts = [Script("refuse")] * 4
+        assert session(one_call(**POST), scripts) == snapshot
+
+    def test_stream_that_breaks_off_is_resumed(self, session, snapshot):
+        # The engine's VM dies in the middle of an answer. Another engine goes on at
+        # the next token; the caller sees one whole answer without a gap or repeat.
+        scripts = [Script(break_after=2), Script()]
+        assert session(one_call(), scripts) == snapshot
+
+    def test_stream_that_cannot_be_resumed_is_broken_off(self, session, snapshot):
+        # The engines of this pool can't resume. The connection closes without the
+        # end of the answer, so that no caller takes half a letter for a whole one.
+        tables = make_tables(can_resume=False)
+        scripts = [Script(break_after=2)]
+        assert session(one_call(), scripts, tables) == snapshot
+
+    def test_call_that_may_not_be_repeated_is_unknown(self, session, snapshot):
+        # The ledger server breaks off after the call was sent. It may have posted
+        # the reminder; sending it again could send a family two letters.
+        assert session(one_call(**POST), [Script("break_before")]) == snapshot
+
+    def test_repeatable_call_is_tried_again(self, session, snapshot):
+        scripts = [Script("break_before"), Script()]
+        assert session(one_call(), scripts) == snapshot
+
+    def test_broken_call_without_a_free_server_is_not_called_not_run(
+        self, session, snapshot
+    ):
+        # The call was sent, the server broke off, and then no server was left to
+        # repeat it. "Not run" would be a lie, though the second try was never sent.
+        async def scenario(router):
+            lines = []
+
+            async def caller():
+                lines.extend(await router.call())
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(caller)
+                while not router.backends.seen:
+                    await anyio.sleep(0.01)
+                out = {"fes-1": DataCentre("fes-1", ServiceState.OUT)}
+                router.put(evolve(router.tables, version=2, data_centres=out))
+            return lines
+
+        assert session(scenario, [Script("break_before")]) == snapshot
+
+    def test_answer_to_another_request_is_not_passed_on(self, session, snapshot):
+        # A server mixes up two answers. Each caller must get its own or none.
+        scripts = [Script("plain", echo_id="request-2")]
+        assert session(one_call(**POST), scripts) == snapshot
+
+
+class TestCallers:
+    def test_caller_that_leaves_stops_the_work(self, session, snapshot):
+        # The caller closes its connection in the middle of an answer. The unit that
+        # it held must come free at once, not when the engine would have ended.
+        scripts = [Script(tokens=100)]
+        assert session(one_call(leaves_after_s=0.55), scripts) == snapshot
+
+    def test_caller_that_leaves_while_it_waits(self, session, snapshot):
+        tables = make_tables(cold_concurrency=1)
+
+        async def scenario(router):
+            lines = []
+
+            async def one(**options):
+                lines.extend(await router.call(**options))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(2):
+                    group.start_soon(lambda: one(body=None))
+                await anyio.sleep(0.05)
+                group.start_soon(lambda: one(leaves_after_s=0.1))
+            return lines
+
+        assert session(scenario, tables=tables) == snapshot
+
+
+class TestChanges:
+    def test_shutdown_while_an_answer_streams(self, session, snapshot):
+        # A router is replaced while an answer streams. The answer ends whole, and
+        # only then the router is idle.
+        async def scenario(router):
+            lines = []
+
+            async def caller():
+                lines.extend(await router.call())
+                lines.append(f"-- gate {router.gate.state.value}")
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(caller)
+                await anyio.sleep(0.25)
+                router.gate.drain()
+                router.gate.close()
+                await router.gate.wait_idle()
+                lines.append("-- idle")
+            return lines
+
+        assert session(scenario) == snapshot
+
+    def test_table_change_takes_a_route_away(self, session, snapshot):
+        async def scenario(router):
+            lines = await router.call(**POST)
+            tables = evolve(router.tables, version=2, routes={})
+            router.put(tables)
+            return lines + await router.call(**POST)
+
+        assert session(scenario, [Script("plain")]) == snapshot
