--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import tempfile
+import time
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -28,6 +29,7 @@
     ServerRow,
     router_settings,
 )
+from fulmarroad_bench.plain import SERVICE_S
 
 JSON = "application/json"
 READY_S = 15.0
@@ -48,6 +50,7 @@
     name: str
     process: Process
     log: Path
+    started: float  # monotonic seconds
     cpu_s: float = 0.0  # as last sampled
     memory_bytes: int = 0
 
@@ -101,7 +104,7 @@
             stdout=output,
             stderr=output,
         )
-        child = Child(name, process, log)
+        child = Child(name, process, log, time.monotonic())
         self.children.append(child)
         return child
 
@@ -272,6 +275,7 @@
     *,
     policy: str = "fleet",
     profile: dict[str, float] | None = None,
+    plain_service_s: float = SERVICE_S,
 ) -> Bed:
     """Start the stand-ins of a layout, with its tables of version 1 in view."""
     ports = free_ports(4)
@@ -286,7 +290,13 @@
     engines = await _start_servers(
         starter, "engine", layout.engines, engines_control, options
     )
-    plains = await _start_servers(starter, "plain", layout.plains, plains_control, [])
+    plains = await _start_servers(
+        starter,
+        "plain",
+        layout.plains,
+        plains_control,
+        [f"--service_s={plain_service_s}"],
+    )
     await wait_ready(child, f"{HOST}:{platform}", "/vms")
     for server, control, rows in (
         (engines, engines_control, layout.engines),
