Take the gap's bound from the library and split the engine's answers off

The scheduling module states the bound that its queue promises; a second formula in the bench would be compared with the wrong promise.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_gap.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_gap.py
@@ -100,23 +100,3 @@
         curves.time_at(interval, start),
         curves.time_at(interval, end),
     )
-
-
-def gap_bound(
-    *,
-    units: int,
-    largest: float,
-    rate: float,
-    spread_s: float,
-    shards: int,
-    least_weight: float,
-) -> float:
-    """Return the bound that a fleet-wide order keeps, in weighted service.
-
-    `units` requests run at once and cost at most `largest` each: so much can be
-    running for one workspace when another one's backlog begins, and again be owed at
-    the end. `rate` is the service a second of all shards; what the other shards served
-    within `spread_s` isn't known yet.
-    """
-    unseen = rate * spread_s * (shards - 1) / max(1, shards)
-    return (2 * units * largest + 2 * unseen) / least_weight
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
@@ -19,6 +19,8 @@
 """Seconds that a caller waits after anything but an answer."""
 KEYED_SHARE = 0.7
 """Share of ledger calls with an idempotency key."""
+MOST_COMMON_WORDS = 48
+"""Words at most by which all prompts of a workspace begin, cached as a prefix."""
 REPEAT_SHARE = 0.2
 """Share of keyed ledger calls that are sent again, as after a lost answer."""
 
@@ -93,7 +95,7 @@
     def _prompt(self, words: int) -> str:
         """Return a prompt that begins as all of the workspace's do."""
         start = f"{self._workspace.name} letter "
-        common = start * min(words // 4, 24)
+        common = start * min(words // 4, MOST_COMMON_WORDS // 2)
         return common + " ".join(f"w{self._rng.randrange(999)}" for _ in range(words))
 
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
@@ -20,7 +20,6 @@
 
 from __future__ import annotations
 
-import json
 import time
 from collections import deque
 from collections.abc import Callable
@@ -34,10 +33,15 @@
     WORKSPACE_HEADER,
     answer_tokens,
     block_hashes,
-    expected_answer,
     prompt_words,
     request_id_of,
-    token_at,
+)
+from fulmarroad_bench._engine_answer import (
+    EngineRecord,
+    Running,
+    StreamWriter,
+    send_error,
+    send_whole,
 )
 from fulmarroad_bench._engine_model import (
     BatchModel,
@@ -47,7 +51,6 @@
 )
 from fulmarroad_bench._house import as_tuple, run_house
 from fulmarroad_bench._server import (
-    BreakOffError,
     Call,
     CallerLeftError,
     Listener,
@@ -55,9 +58,7 @@
     Scope,
     Send,
     read_call,
-    respond,
     respond_json,
-    start_message,
     wait_for_leaving,
 )
 
@@ -73,20 +74,6 @@
 Clock = Callable[[], float]
 
 
-@define(eq=False)
-class EngineRecord:
-    """Say what became of one request; times are monotonic seconds."""
-
-    id: str
-    workspace: str
-    start: float
-    prompt_tokens: int
-    position: int
-    tokens: int = 0
-    end: float = 0.0
-    state: str = "running"  # completed, cancelled, broken, refused
-
-
 @frozen
 class Sample:
     """Show an engine at one moment; `work` and `capacity` only ever grow."""
@@ -98,18 +85,6 @@
     capacity: float
 
 
-@define(eq=False)
-class _Running:
-    """Hold what the handler of one request waits for."""
-
-    job: Job
-    record: EngineRecord
-    index: int
-    wake: anyio.Event = field(factory=anyio.Event)
-    broken: bool = False
-    break_at: int | None = None
-
-
 @define(eq=False)
 class Engine:
     """Serve one engine's data and control paths."""
@@ -124,7 +99,7 @@
     refused: int = 0
     refusing: bool = False
     listener: Listener | None = None
-    _running: dict[int, _Running] = field(factory=dict)
+    _running: dict[int, Running] = field(factory=dict)
     _breaks: deque[int] = field(factory=deque)
     _loads: deque[tuple[float, dict[str, Any]]] = field(factory=deque)
     _event_times: list[float] = field(factory=list)
@@ -147,7 +122,7 @@
             after = int(call.query.get("after", "0"))
             await respond_json(send, 200, {"events": self.cache_events(after)})
         else:
-            await _error(send, 404, "no such path", "invalid_request_error")
+            await send_error(send, 404, "no such path", "invalid_request_error")
 
     async def control_app(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call on the control port."""
@@ -239,18 +214,20 @@
     async def _complete(self, call: Call, receive: Receive, send: Send) -> None:
         body = call.json()
         if not isinstance(body, dict) or not body.get("messages"):
-            await _error(send, 400, "messages are missing", "invalid_request_error")
+            await send_error(send, 400, "messages are missing", "invalid_request_error")
             return
         request_id = request_id_of(body, call.headers)
         tokens = answer_tokens(request_id, body)
         start = int(call.headers.get("x-resume-from", "0"))
         if not 0 <= start <= tokens:
-            await _error(send, 400, "resume is past the end", "invalid_request_error")
+            await send_error(
+                send, 400, "resume is past the end", "invalid_request_error"
+            )
             return
         running = self._admit(request_id, body, call, tokens, start)
         if running is None:
             self.refused += 1
-            await _error(send, 503, "the engine takes nothing now", "server_error")
+            await send_error(send, 503, "the engine takes nothing now", "server_error")
             return
         try:
             async with anyio.create_task_group() as group:
@@ -264,7 +241,7 @@
 
     def _admit(
         self, request_id: str, body: dict[str, Any], call: Call, tokens: int, start: int
-    ) -> _Running | None:
+    ) -> Running | None:
         workspace = (body.get("metadata") or {}).get("workspace", "")
         workspace = workspace or call.headers.get(WORKSPACE_HEADER, "")
         words = prompt_words(body)
@@ -280,7 +257,7 @@
             record.end = now
             return None
         self._note_cache_events(now)
-        running = _Running(job, record, len(self.records) - 1)
+        running = Running(job, record, len(self.records) - 1)
         self._running[job.job_id] = running
         if self._breaks:
             running.break_at = start + self._breaks.popleft()
@@ -289,7 +266,7 @@
         return running
 
     async def _watch(
-        self, running: _Running, receive: Receive, scope: anyio.CancelScope
+        self, running: Running, receive: Receive, scope: anyio.CancelScope
     ) -> None:
         await wait_for_leaving(receive)
         if running.record.state == "running" and not running.broken:
@@ -297,16 +274,16 @@
         scope.cancel()
 
     async def _answer(
-        self, running: _Running, body: dict[str, Any], request_id: str, send: Send
+        self, running: Running, body: dict[str, Any], request_id: str, send: Send
     ) -> None:
         if body.get("stream"):
-            await _Stream(running, body, request_id, send).send_all()
+            await StreamWriter(running, body, request_id, send).send_all()
         else:
-            await _send_whole(running, body, request_id, send)
+            await send_whole(running, body, request_id, send)
         if not running.broken:
             running.record.state = "completed"
 
-    def _end(self, running: _Running) -> None:
+    def _end(self, running: Running) -> None:
         self._running.pop(running.job.job_id, None)
         self.model.remove(running.job)
         running.record.end = self.clock()
@@ -351,119 +328,6 @@
             self._loads.popleft()
 
 
-class _Stream:
-    """Send one answer as server-sent events."""
-
-    def __init__(
-        self, running: _Running, body: dict[str, Any], request_id: str, send: Send
-    ) -> None:
-        self._running = running
-        self._body = body
-        self._request_id = request_id
-        self._send = send
-        model = json.dumps(body.get("model", "draft"))
-        self._head = (
-            f'data: {{"id":"chatcmpl-{request_id}","object":"chat.completion.chunk",'
-            f'"created":{int(time.time())},"model":{model},"choices":['
-        )
-
-    async def send_all(self) -> None:
-        """Send every token as it comes, then the end."""
-        running = self._running
-        headers = (("content-type", "text/event-stream"), ("cache-control", "no-store"))
-        await running.wake.wait()
-        if running.broken:
-            await _error(self._send, 500, "the engine fell over", "server_error")
-            return
-        await self._send(start_message(200, headers))
-        sent = running.job.position - running.record.tokens
-        while True:
-            running.wake = anyio.Event()
-            ready = running.job.position
-            await self._send_tokens(sent, ready)
-            sent = ready
-            if running.job.done:
-                break
-            await running.wake.wait()
-            if running.broken:
-                raise BreakOffError
-        await self._send_end()
-
-    async def _send_tokens(self, sent: int, ready: int) -> None:
-        stop = self._running.break_at
-        last = ready if stop is None else min(ready, stop)
-        data = "".join(self._event(place) for place in range(sent, last))
-        if data:
-            await self._body_message(data, more=True)
-        if stop is not None and last >= stop:
-            self._running.broken = True
-            raise BreakOffError
-
-    async def _send_end(self) -> None:
-        reason = '{"index":0,"delta":{},"finish_reason":"stop"}'
-        usage = json.dumps(_usage(self._running))
-        data = f'{self._head}{reason}],"usage":{usage}}}\n\n'
-        options = self._body.get("stream_options") or {}
-        if options.get("include_usage"):
-            data += f'{self._head}],"usage":{usage}}}\n\n'
-        await self._body_message(data + "data: [DONE]\n\n", more=False)
-
-    def _event(self, place: int) -> str:
-        text = token_at(self._request_id, place)
-        return (
-            f'{self._head}{{"index":0,"delta":{{"content":"{text}"}},'
-            '"finish_reason":null}]}\n\n'
-        )
-
-    async def _body_message(self, data: str, *, more: bool) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": data.encode(), "more_body": more}
-        )
-
-
-async def _send_whole(
-    running: _Running, body: dict[str, Any], request_id: str, send: Send
-) -> None:
-    while not running.job.done and not running.broken:
-        await running.wake.wait()
-        running.wake = anyio.Event()
-    if running.broken:
-        await _error(send, 500, "the engine fell over", "server_error")
-        return
-    start = running.record.position
-    message = {
-        "role": "assistant",
-        "content": expected_answer(request_id, running.job.tokens, start),
-    }
-    choice = {"index": 0, "message": message, "finish_reason": "stop"}
-    answer = {
-        "id": f"chatcmpl-{request_id}",
-        "object": "chat.completion",
-        "created": int(time.time()),
-        "model": body.get("model", "draft"),
-        "choices": [choice],
-        "usage": _usage(running),
-    }
-    await respond_json(send, 200, answer)
-
-
-def _usage(running: _Running) -> dict[str, Any]:
-    prompt = running.record.prompt_tokens
-    done = running.job.position
-    return {
-        "prompt_tokens": prompt,
-        "completion_tokens": done,
-        "total_tokens": prompt + done,
-        "prompt_tokens_details": {"cached_tokens": running.job.cached_tokens},
-    }
-
-
-async def _error(send: Send, status: int, message: str, kind: str) -> None:
-    error = {"message": message, "type": kind, "param": None, "code": None}
-    headers = (("retry-after", "1"),) if status == 503 else ()
-    await respond(send, status, json.dumps({"error": error}).encode(), headers)
-
-
 def main(
     port: int | str | tuple[int, ...] = 0,
     control_port: int = 0,
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -16,9 +16,9 @@
 from attrs import define, field
 
 from fulmarroad.exceptions import FulmarroadError
+from fulmarroad.scheduling import gap_bound, spread_interval
 from fulmarroad_bench._client import Request, call
 from fulmarroad_bench._faults import FaultMaker
-from fulmarroad_bench._gap import gap_bound
 from fulmarroad_bench._layout import Layout, ServerRow
 from fulmarroad_bench._load import Balancer, Callers
 from fulmarroad_bench._measures import PROMPT_COST, Run, measures
@@ -33,7 +33,12 @@
     start_bed,
 )
 from fulmarroad_bench._scenario import Scenario, load_scenario
-from fulmarroad_bench._traffic import Traffic, workspace_names, workspace_rows
+from fulmarroad_bench._traffic import (
+    MOST_COMMON_WORDS,
+    Traffic,
+    workspace_names,
+    workspace_rows,
+)
 
 RESULTS = Path("bench/results")
 POLICIES = ("fleet", "local", "fifo")
@@ -52,8 +57,8 @@
 """Seconds between the balancer's looks at each router's readiness."""
 DRAIN_S = 14.0
 """Seconds that answers may take to end once no new calls are sent."""
-SPREAD_S = 0.5
-"""Seconds between reports of service totals, as the bound counts them."""
+TELL_DELAY_S = 0.05
+"""Seconds on the way of a report between two routers on one machine, under load."""
 
 
 def layout_of(scenario: Scenario, routers: int) -> Layout:
@@ -211,22 +216,23 @@
     return round(sum(shares) / len(shares), 4) if shares else 0.0
 
 
-def bound_of(scenario: Scenario) -> float:
-    """Return the bound of the fairness gap in a scenario, in weighted service."""
-    profile, fleet = scenario.engine, scenario.fleet
+def bound_of(scenario: Scenario, layout: Layout, engines: Sequence[Any]) -> float:
+    """Return the bound of the fairness gap that the fleet's queue promises."""
     largest = max(
         max(group.tokens_high, group.long_tokens if group.long_share else 0)
-        + PROMPT_COST * (2 * group.prompt_high + 75)
+        + PROMPT_COST * (group.prompt_high + MOST_COMMON_WORDS)
         for group in scenario.groups
     )
-    units = fleet.engines * profile.batch
+    shards = len({row.data_centre for row in layout.engines})
     return gap_bound(
-        units=units,
-        largest=largest,
-        rate=units * profile.tokens_per_s,
-        spread_s=SPREAD_S,
-        shards=min(fleet.data_centres, fleet.engines),
-        least_weight=min(group.weight for group in scenario.groups),
+        units=sum(report["max_running"] for report in engines),
+        shards=shards,
+        rate=len(engines) * scenario.engine.batch * scenario.engine.tokens_per_s,
+        interval_s=spread_interval(shards - 1, len(layout.workspaces)),
+        delay_s=TELL_DELAY_S,
+        largest_cost=largest,
+        estimate_error=largest,
+        least_weight=min(row.weight for row in layout.workspaces),
     )
 
 
@@ -277,7 +283,9 @@
         "servers": scenario.fleet.engines + scenario.fleet.plains,
         "seconds": round(run.end - run.start, 2),
         **measures(run),
-        "fairness_gap_bound": round(bound_of(scenario), 1),
+        "fairness_gap_bound": round(
+            bound_of(scenario, experiment.bed.layout, run.engines), 1
+        ),
         **control_measures(experiment),
         "router_cpu_share": cpu_share(experiment, list(experiment.bed.routers)),
         "engines_cpu_share": cpu_share(experiment, ["engines"]),
--- a/packages/fulmarroad-bench/tests/test_measures.py
+++ b/packages/fulmarroad-bench/tests/test_measures.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from fulmarroad_bench._checks import check, doubled
-from fulmarroad_bench._gap import Served, fairness_gap, gap_bound
+from fulmarroad_bench._gap import Served, fairness_gap
 from fulmarroad_bench._intervals import begun_later, intersected, merged, total
 from fulmarroad_bench._load import CallResult
 from fulmarroad_bench._measures import (
@@ -75,12 +75,6 @@
         gap = fairness_gap(served, backlog)
         assert (gap.value, gap.more) == (9.0, "b")
 
-    def test_the_bound_grows_with_what_is_not_yet_known(self):
-        known = {"units": 8, "largest": 10.0, "rate": 100.0, "least_weight": 1.0}
-        alone = gap_bound(**known, spread_s=1.0, shards=1)
-        assert alone == 160.0
-        assert gap_bound(**known, spread_s=1.0, shards=2) == 260.0
-
 
 class TestIntervals:
     @settings(derandomize=True, deadline=None, max_examples=100)
