--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_engine_model.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_engine_model.py
@@ -124,6 +124,7 @@
     served: float = 0.0  # tokens since the engine was last cold
     slow: float = 1.0  # times as slow as the profile says
     hung: bool = False
+    down: bool = False  # the process is gone
     recovering_until: float = 0.0
     overloads: int = 0  # times that it fell over cold
     max_running: int = 0
@@ -214,7 +215,7 @@
         """Run the batch up to `now` and return the tokens given."""
         seconds = max(0.0, now - self.now)
         self.now = max(now, self.now)
-        if self.recovering:
+        if self.recovering or self.down:
             return []
         self.capacity += seconds * self.slots / self.profile.batch
         if self.hung:
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -9,10 +9,10 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, TypeVar
 
 import anyio
 import psutil
@@ -31,6 +31,8 @@
 )
 from fulmarroad_bench.plain import SERVICE_S
 
+Result = TypeVar("Result")
+
 JSON = "application/json"
 READY_S = 15.0
 """Seconds that a process may take until it is ready."""
@@ -141,6 +143,26 @@
                 await starter.stop_all()
 
 
+def run_main(main: Callable[[], Awaitable[Result]]) -> Result:
+    """Run a main task on uvloop; raise the first of several errors alone.
+
+    A task group wraps errors, which would hide one's own message from the user.
+    """
+    try:
+        return anyio.run(main, backend_options={"use_uvloop": True})
+    except BaseExceptionGroup as errors:
+        raise _first_error(errors) from errors
+
+
+def _first_error(errors: BaseExceptionGroup) -> BaseException:
+    """Return the first error of a group, an own one if there is one."""
+    own, _ = errors.split(FulmarroadError)
+    found: BaseException = own or errors
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    return found
+
+
 def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
     """Return ports that are free now, all different."""
     sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
@@ -21,6 +21,7 @@
     free_ports,
     processes,
     router_rows,
+    run_main,
     start_bed,
 )
 
@@ -228,20 +229,12 @@
 def cli() -> None:
     """Run the demo and end with its exit code."""
     try:
-        code = anyio.run(main, backend_options={"use_uvloop": True})
-    except* FulmarroadError as errors:
-        _show(errors)
-        code = 1
+        code = run_main(main)
+    except FulmarroadError as error:
+        print(error.show(), file=sys.stderr)
+        code = error.exit_code
     sys.exit(code)
 
 
-def _show(errors: BaseExceptionGroup[FulmarroadError]) -> None:
-    for error in errors.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            _show(error)
-        else:
-            print(error.show(), file=sys.stderr)
-
-
 if __name__ == "__main__":
     cli()
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/engine.py
@@ -298,6 +298,7 @@
                 running.wake.set()
 
     async def _set_dead(self, dead: bool) -> None:
+        self.model.down = dead
         if dead:
             self._break_all(self.model.turn_cold())
         if self.listener is None:
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/overhead.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/overhead.py
@@ -28,6 +28,7 @@
     free_ports,
     processes,
     router_rows,
+    run_main,
     start_bed,
 )
 
@@ -216,21 +217,14 @@
 def main() -> None:
     """Measure one router beside calling the stand-ins directly."""
     try:
-        line = anyio.run(run, backend_options={"use_uvloop": True})
-    except* FulmarroadError as errors:
-        sys.exit("\n".join(_shown(errors)))
+        line = run_main(run)
+    except FulmarroadError as error:
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
     for key, value in line.items():
         print(f"{key:<24} {value}")
     print(json.dumps(line))
 
 
-def _shown(errors: BaseExceptionGroup[FulmarroadError]) -> list[str]:
-    lines: list[str] = []
-    for error in errors.exceptions:
-        nested = isinstance(error, BaseExceptionGroup)
-        lines += _shown(error) if nested else [error.show()]  # type: ignore[union-attr,arg-type]
-    return lines
-
-
 if __name__ == "__main__":
     fire.Fire(main)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -15,7 +15,7 @@
 import fire
 from attrs import define, field
 
-from fulmarroad.exceptions import FulmarroadError
+from fulmarroad.exceptions import ConfigurationError, FulmarroadError
 from fulmarroad.scheduling import gap_bound, spread_interval
 from fulmarroad_bench._client import Request, call
 from fulmarroad_bench._faults import FaultMaker
@@ -30,6 +30,7 @@
     free_ports,
     processes,
     router_rows,
+    run_main,
     start_bed,
 )
 from fulmarroad_bench._scenario import Scenario, load_scenario
@@ -306,6 +307,31 @@
     return "\n".join(f"{key:<28} {value}" for key, value in line.items()) + "\n"
 
 
+def run_file(path: Path, seed: int, policy: str, routers: int) -> dict[str, Any]:
+    """Run a scenario's file once, keep the results and return the line."""
+    if policy not in POLICIES:
+        raise ConfigurationError(f"The policy is one of {', '.join(POLICIES)}.")
+    scenario = load_scenario(path)
+    count = routers or scenario.fleet.routers
+    directory = _empty_directory(f"{scenario.name}-{policy}-{count}-{seed}")
+
+    async def run() -> dict[str, Any]:
+        return await run_scenario(scenario, seed, policy, count, directory)
+
+    line = run_main(run)
+    (directory / "measures.txt").write_text(table_of(line))
+    (directory / "line.json").write_text(json.dumps(line) + "\n")
+    return line
+
+
+def _empty_directory(name: str) -> Path:
+    directory = RESULTS / name
+    directory.mkdir(parents=True, exist_ok=True)
+    for old in directory.iterdir():
+        old.unlink()
+    return directory
+
+
 def main(scenario: str, seed: int = 1, policy: str = "fleet", routers: int = 0) -> None:
     """Run a scenario; the last line printed is its measures as JSON.
 
@@ -316,24 +342,11 @@
         routers: how many routers, 0 for the scenario's own number.
 
     """
-    if policy not in POLICIES:
-        sys.exit(f"policy is one of {', '.join(POLICIES)}")
     try:
-        known = load_scenario(Path(scenario))
-        count = routers or known.fleet.routers
-        directory = RESULTS / f"{known.name}-{policy}-{count}-{seed}"
-        directory.mkdir(parents=True, exist_ok=True)
-        for old in directory.iterdir():
-            old.unlink()
-
-        async def run() -> dict[str, Any]:
-            return await run_scenario(known, seed, policy, count, directory)
-
-        line = anyio.run(run, backend_options={"use_uvloop": True})
+        line = run_file(Path(scenario), seed, policy, routers)
     except FulmarroadError as error:
-        sys.exit(error.show())
-    (directory / "measures.txt").write_text(table_of(line))
-    (directory / "line.json").write_text(json.dumps(line) + "\n")
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
     print(table_of(line))
     print(json.dumps(line))
 
--- a/packages/fulmarroad-bench/tests/test_engine_model.py
+++ b/packages/fulmarroad-bench/tests/test_engine_model.py
@@ -102,6 +102,12 @@
         assert run(model, 1.0) == 0
         assert model.running == 1
 
+    def test_an_engine_that_is_down_counts_as_no_capacity(self):
+        model = warm_model()
+        model.down = True
+        run(model, 1.0)
+        assert model.capacity == 0.0
+
     def test_a_slow_one_gives_its_share(self):
         model = warm_model()
         model.admit(10_000, 0, ())
