Add the membership as a state machine with virtual time

Routers must know who lives at a cost that doesn't grow with the fleet. `Swim` probes one member a second, suspects before it buries, lets suspects refute with a higher incarnation, and doubts itself after an own pause. The VM list is a hint whom to probe. The table version in force rides on each packet and a new one is pushed at once.

Member updates are packed as rows instead of maps, as field names took half of a packet. New routers walk through pages of members instead of waiting for news of each.

--- a/packages/fulmarroad/src/fulmarroad/_codec.py
+++ b/packages/fulmarroad/src/fulmarroad/_codec.py
@@ -5,11 +5,12 @@
 from typing import Any, TypeVar
 
 import msgpack
-from attrs import fields
+from attrs import astuple, fields
 from cattrs.preconf.msgpack import make_converter
 
 from fulmarroad import _messages as m
 from fulmarroad.exceptions import MessageError
+from fulmarroad.types import MemberState
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 """A frame above this is refused before it is read.
@@ -48,6 +49,8 @@
     80: m.Ping,
     81: m.PingRequest,
     82: m.Ack,
+    83: m.MembersWanted,
+    84: m.MembersGiven,
 }
 _TAG_OF = {cls: tag for tag, cls in _TAGS.items()}
 
@@ -72,6 +75,37 @@
 _converter.register_structure_hook(bool, _check_number)
 _converter.register_structure_hook(str, _check_text)
 
+MAX_INCARNATION = 2**53
+"""Incarnations are milliseconds since 1970 and some refutations: far below this.
+
+A broken peer that claimed 2**64 for a VM would leave that VM no higher one to
+refute it with.
+"""
+
+
+def _pack_member(update: m.MemberUpdate) -> list[Any]:
+    # As a map the names of the fields would take half of each membership packet.
+    return list(astuple(update))
+
+
+def _unpack_member(row: Any, _: type) -> m.MemberUpdate:
+    router, incarnation, state, centre, host, peer_port, gossip_port = row[:7]
+    if not 0 <= _check_number(incarnation, int) < MAX_INCARNATION:
+        raise ValueError(f"{incarnation!r} is no incarnation")
+    return m.MemberUpdate(
+        _check_text(router, str),
+        incarnation,
+        MemberState(state),
+        _check_text(centre, str),
+        _check_text(host, str),
+        _check_number(peer_port, int),
+        _check_number(gossip_port, int),
+    )
+
+
+_converter.register_unstructure_hook(m.MemberUpdate, _pack_member)
+_converter.register_structure_hook(m.MemberUpdate, _unpack_member)
+
 
 def encode(*messages: Any) -> bytes:
     """Return one frame that holds the messages in order."""
--- a/packages/fulmarroad/src/fulmarroad/_messages.py
+++ b/packages/fulmarroad/src/fulmarroad/_messages.py
@@ -394,7 +394,31 @@
     updates: tuple[MemberUpdate, ...] = ()
 
 
+@frozen
+class MembersWanted:
+    """Ask a member for a page of what it believes, by name after `after`."""
+
+    sequence: int
+    sender: RouterName
+    table_version: int
+    after: RouterName = ""
+    updates: tuple[MemberUpdate, ...] = ()
+
+
+@frozen
+class MembersGiven:
+    """Give a page of members that are not dead; `last` is where the next one starts."""
+
+    sequence: int
+    sender: RouterName
+    table_version: int
+    updates: tuple[MemberUpdate, ...] = ()
+    last: RouterName = ""
+    more: bool = False
+
+
 SchedulerMessage = (
     Hello | Demand | Withdraw | Lend | Started | Progress | Finished | Goodbye
 )
 RouterMessage = Welcome | Grant | Move | Refuse | Heartbeat | StepDown
+MembershipMessage = Ping | PingRequest | Ack | MembersWanted | MembersGiven
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/membership.py
@@ -0,0 +1,18 @@
+"""Who is in the fleet: probes, gossip, and the VM list as a hint."""
+
+from fulmarroad._members import Member, MemberChange
+from fulmarroad._packets import Outgoing
+from fulmarroad._piggyback import PACKET_BYTES
+from fulmarroad._swim import TICK_S, Swim
+from fulmarroad._vmlist import VmEntry, VmList
+
+__all__ = [
+    "PACKET_BYTES",
+    "TICK_S",
+    "Member",
+    "MemberChange",
+    "Outgoing",
+    "Swim",
+    "VmEntry",
+    "VmList",
+]
--- /dev/null
+++ b/packages/fulmarroad/tests/test_membership.py
@@ -0,0 +1,344 @@
+"""The membership finds out who lives, and takes nobody who lives for dead."""
+
+import heapq
+import random
+
+import pytest
+
+from fulmarroad import messages
+from fulmarroad.membership import PACKET_BYTES, TICK_S, Swim, VmEntry
+from fulmarroad.types import MemberState
+
+ALIVE, SUSPECT = MemberState.ALIVE, MemberState.SUSPECT
+LEAVING, DEAD = MemberState.LEAVING, MemberState.DEAD
+
+
+def update(name, incarnation=1, state=ALIVE):
+    host = f"10.0.0.{name}"
+    return messages.MemberUpdate(name, incarnation, state, "fes-1", host, 7000, 7001)
+
+
+def entry(name, leaving=False):
+    return VmEntry(name, "fes-1", f"10.0.0.{name}", 7000, 7001, leaving)
+
+
+def page(*updates):
+    return messages.MembersGiven(0, "giver", 0, updates)
+
+
+class Fleet:
+    """Pass messages between state machines in virtual time."""
+
+    def __init__(self, count, seed=1, loss=0.0, acquainted=True):
+        self.now = 0.0
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.queue = []
+        self.order = 0
+        self.stopped = set()
+        self.cut = lambda one, other: False
+        self.on_change = lambda name: None
+        self.sent = []
+        self.changes = []
+        self.swims = {}
+        self.names = [f"r{index}" for index in range(count)]
+        self.entries = [entry(name) for name in self.names]
+        for name in self.names:
+            self.start(name)
+        if acquainted:
+            everyone = page(*(update(name) for name in self.names))
+            for swim in self.swims.values():
+                swim.handle(everyone, self.now)
+                swim.changes()
+
+    def start(self, name, incarnation=1):
+        swim = Swim(update(name, incarnation), seed=self.rng.random(), now=self.now)
+        self.swims[name] = swim
+        self.post(name, swim.hint(self.entries, self.now))
+        self.at(self.now + self.rng.random() * TICK_S, self.tick, swim)
+
+    def at(self, when, call, *args):
+        self.order += 1
+        heapq.heappush(self.queue, (when, self.order, call, args))
+
+    def tick(self, swim):
+        name = swim.me.router
+        if self.swims[name] is not swim:
+            return
+        if name not in self.stopped:
+            self.post(name, swim.tick(self.now))
+        self.at(self.now + TICK_S, self.tick, swim)
+
+    def post(self, name, out):
+        self.changes += [(name, change) for change in self.swims[name].changes()]
+        self.sent += out
+        for row in out:
+            if self.rng.random() >= self.loss and not self.cut(name, row.router):
+                delay = 0.001 * (1 + self.rng.random())
+                self.at(self.now + delay, self.deliver, row)
+
+    def deliver(self, row):
+        if row.router not in self.stopped:
+            out = self.swims[row.router].handle(row.message, self.now)
+            self.post(row.router, out)
+            self.on_change(row.router)
+
+    def run(self, seconds=60.0, until=lambda: False):
+        """Run until a condition holds or the time is over; return the seconds run."""
+        begin, look = self.now, self.now
+        while self.queue[0][0] <= begin + seconds:
+            if self.now >= look:
+                look = self.now + TICK_S
+                if until():
+                    break
+            self.now, _, call, args = heapq.heappop(self.queue)
+            call(*args)
+        return self.now - begin
+
+    def all_see(self, subject, state):
+        watching = set(self.names) - {subject} - self.stopped
+        rows = [self.swims[name].members().get(subject) for name in watching]
+        return all(row is not None and row.state is state for row in rows)
+
+    def all_live(self):
+        running = tuple(sorted(set(self.names) - self.stopped))
+        return all(self.swims[name].live() == running for name in running)
+
+    def deaths(self):
+        return [(by, row.router) for by, row in self.changes if row.after is DEAD]
+
+
+class TestFailure:
+    @pytest.mark.parametrize("count", [2, 3, 5, 9])
+    @pytest.mark.parametrize("seed", range(5))
+    def test_a_lost_vm_is_dead_to_all_within_seconds(self, count, seed):
+        # A VM loses its power. Until the others notice, callers wait for schedulers
+        # that it held.
+        fleet = Fleet(count, seed)
+        fleet.run(5 + seed / 5)
+        fleet.stopped.add("r1")
+        assert fleet.run(until=lambda: fleet.all_see("r1", DEAD)) < 6
+
+    def test_a_broken_link_is_found_in_under_two_seconds(self):
+        # A scheduler's VM dies and its followers see their streams break at once.
+        fleet = Fleet(9)
+        fleet.run(5)
+        fleet.stopped.add("r1")
+        fleet.post("r2", fleet.swims["r2"].probe_now("r1", fleet.now))
+        seen = lambda: fleet.swims["r2"].members()["r1"].state is DEAD  # noqa: E731
+        assert fleet.run(until=seen) < 2.1
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_lost_packets_kill_nobody(self, seed):
+        # A tenth of all packets is lost for two minutes. A VM that counts as dead loses
+        # its schedulers, which rebuild elsewhere while callers wait.
+        fleet = Fleet(9, seed, loss=0.1)
+        fleet.run(120)
+        assert fleet.deaths() == []
+        assert fleet.all_live() or fleet.run(5, fleet.all_live) < 5
+
+    def test_one_broken_path_accuses_nobody(self):
+        # Two VMs cannot reach each other while all others reach both.
+        fleet = Fleet(5)
+        fleet.cut = lambda one, other: {one, other} == {"r1", "r2"}
+        fleet.run(60)
+        assert fleet.changes == []
+
+    def test_a_leaving_vm_gets_no_roles_and_never_returns_to_alive(self):
+        # A VM is drained, refuses to die at once, and then is gone.
+        fleet = Fleet(9)
+        fleet.run(5)
+        fleet.post("r1", fleet.swims["r1"].leave(fleet.now))
+        assert "r1" not in fleet.swims["r1"].live()
+        assert fleet.run(until=lambda: fleet.all_see("r1", LEAVING)) < 3
+        fleet.run(30)
+        assert fleet.all_see("r1", LEAVING)
+        fleet.stopped.add("r1")
+        fleet.run(until=lambda: fleet.all_see("r1", DEAD))
+        states = {row.after for _, row in fleet.changes if row.router == "r1"}
+        assert states == {LEAVING, DEAD}
+
+
+class TestReturn:
+    def test_a_paused_process_accuses_nobody_when_it_wakes(self):
+        # A VM is frozen for ten seconds in the middle of a probe. It wakes with every
+        # timer run out, and must not take the whole fleet's roles away.
+        fleet = Fleet(9)
+        fleet.run(5.3)
+        fleet.stopped.add("r1")
+        fleet.run(10)
+        assert fleet.all_see("r1", DEAD)
+        fleet.stopped.clear()
+        woke = len(fleet.changes)
+        assert fleet.run(until=fleet.all_live) < 5
+        fleet.run(10)
+        accused = {row.router for _, row in fleet.changes[woke:]}
+        assert accused == {"r1"}
+        assert fleet.swims["r1"].me.incarnation == 2
+
+    def test_a_restarted_vm_knows_all_within_seconds(self):
+        # A VM is replaced under the same name and remembers nothing.
+        fleet = Fleet(24)
+        fleet.run(5)
+        fleet.start("r1", incarnation=2)
+        assert fleet.run(until=fleet.all_live) < 2
+        assert fleet.swims["r1"].joined(fleet.now)
+        assert fleet.run(until=lambda: fleet.all_see("r1", ALIVE)) < 2
+
+    def test_a_whole_fleet_that_starts_at_once_finds_itself(self):
+        fleet = Fleet(40, acquainted=False)
+        assert fleet.run(until=fleet.all_live) < 5
+
+    def test_a_router_alone_does_not_wait_for_ever(self):
+        fleet = Fleet(3, acquainted=False)
+        fleet.stopped = {"r1", "r2"}
+        fleet.run(2)
+        assert not fleet.swims["r0"].joined(fleet.now)
+        fleet.run(2)
+        assert fleet.swims["r0"].joined(fleet.now)
+        assert fleet.swims["r0"].live() == ("r0",)
+
+    @pytest.mark.parametrize(("count", "length"), [(2, 20), (9, 60), (9, 600)])
+    def test_halves_find_each_other_after_a_partition(self, count, length):
+        # Two halves cannot reach each other for some time, count each other dead, and
+        # the network comes back while the VM list stays silent.
+        fleet = Fleet(count)
+        half = set(fleet.names[: count // 2])
+        fleet.cut = lambda one, other: (one in half) != (other in half)
+        fleet.run(length)
+        assert fleet.swims["r0"].live() == tuple(sorted(half))
+        fleet.cut = lambda one, other: False
+        assert fleet.run(until=fleet.all_live) < 15
+
+    def test_old_gossip_raises_no_dead(self):
+        # A process wakes after hours and still spreads that a replaced VM lives.
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        swim.handle(page(update("r1", 5)), 0.0)
+        swim.handle(page(update("r1", 5, DEAD)), 1.0)
+        for now in (2.0, 8000.0):
+            swim.tick(now)
+            swim.handle(page(update("r1", 5), update("r1", 4)), now)
+            assert swim.live() == ("r0",)
+        assert "r1" not in swim.members()
+        swim.handle(page(update("r1", 6)), 8001.0)
+        assert swim.live() == ("r0", "r1")
+
+    def test_a_life_before_with_a_later_clock_is_refuted(self):
+        # A VM restarts with its clock set back, and the fleet remembers it as newer.
+        swim = Swim(update("r0", 10), seed=1, now=0.0)
+        swim.handle(page(update("r0", 99)), 0.0)
+        assert swim.me.incarnation == 100
+        assert [row.cause for row in swim.changes()] == ["refuted"]
+
+
+class TestVmList:
+    def test_a_vm_missing_from_the_list_is_not_dead(self):
+        # The list lags, or a fault at the platform drops half of it.
+        fleet = Fleet(3)
+        for swim in fleet.swims.values():
+            swim.hint(fleet.entries[:1], fleet.now)
+        fleet.run(20)
+        assert fleet.all_live()
+        assert fleet.swims["r0"].vm_list.published("fes-1") == ("r0",)
+
+    def test_a_listed_vm_that_never_answers_is_not_live(self):
+        fleet = Fleet(3)
+        fleet.swims["r0"].hint([*fleet.entries, entry("gone")], fleet.now)
+        fleet.deliver = lambda row, deliver=fleet.deliver: (
+            deliver(row) if row.router != "gone" else None
+        )
+        fleet.run(20)
+        assert any(row.router == "gone" for row in fleet.sent)
+        assert "gone" not in fleet.swims["r0"].members()
+
+    def test_a_vm_listed_as_leaving_gets_no_roles(self):
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        swim.handle(page(update("r1"), update("r2")), 0.0)
+        swim.hint([entry("r0"), entry("r1", leaving=True)], 0.0)
+        assert swim.live("fes-1") == ("r0", "r2")
+        assert swim.vm_list.published() == ("r0", "r1")
+
+    def test_an_empty_list_is_not_believed(self):
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        swim.hint([entry("r0"), entry("r1")], 0.0)
+        swim.hint([], 1.0)
+        assert swim.vm_list.published() == ("r0", "r1")
+
+    def test_an_address_given_to_another_vm_does_not_answer_for_it(self):
+        # A VM is gone and a new one has its address. An answer would keep the dead
+        # one alive for as long as the new one runs.
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        ping = messages.Ping(1, "r1", 1, 0, (update("r1"),), "former")
+        assert swim.handle(ping, 0.0) == []
+
+
+class TestPackets:
+    def test_the_fullest_packet_fits(self):
+        swim = Swim(update("r" * 64), seed=1, now=0.0)
+        names = [f"{index:064}" for index in range(60)]
+        for name in names:
+            row = messages.MemberUpdate(name, 2**50, SUSPECT, "c" * 64, "h" * 64, 1, 1)
+            ping = messages.Ping(1, name, 2**50, 2**40, (row,), "r" * 64)
+            swim.handle(ping, 0.0)
+        wanted = messages.MembersWanted(1, names[0], 0)
+        out = swim.handle(wanted, 0.0) + swim.probe_now(names[1], 0.0)
+        sizes = [len(messages.encode(row.message)) for row in out]
+        assert len(sizes) == 2
+        assert 900 < max(sizes) <= PACKET_BYTES - 16
+
+    def test_names_too_long_are_left_out(self):
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        swim.handle(page(update("n" * 65)), 0.0)
+        assert swim.live() == ("r0",)
+
+    def test_a_node_sends_the_same_in_a_larger_fleet(self):
+        rates = []
+        for count in (3, 60):
+            fleet = Fleet(count)
+            fleet.run(40)
+            fleet.sent.clear()
+            fleet.run(10)
+            size = sum(len(messages.encode(row.message)) for row in fleet.sent)
+            rates.append(size / count / 10)
+        assert rates[1] < 1.2 * rates[0] < 400
+
+
+class TestVersions:
+    def test_a_new_version_reaches_370_routers_within_5_s(self):
+        # An operator publishes a change and one router reads it. Each other one
+        # needs 0.1 s to fetch it from the router that it heard of it.
+        fleet = Fleet(370)
+        fetched = {"r0": 0}
+
+        def announce(name, hops):
+            fetched[name] = hops
+            fleet.post(name, fleet.swims[name].announce_version(7, fleet.now))
+
+        def fetch(name):
+            version, source = fleet.swims[name].highest_version_heard()
+            if version == 7 and name not in fetched:
+                fetched[name] = -1
+                fleet.at(fleet.now + 0.1, announce, name, fetched[source] + 1)
+
+        fleet.on_change = fetch
+        announce("r0", 0)
+        assert fleet.run(until=lambda: len(fetched) == 370) < 3
+        fleet.run(0.2)
+        assert max(fetched.values()) < 12
+
+    def test_the_source_of_a_version_is_a_router_that_is_reachable(self):
+        # The only router that had a version dies before anybody fetched it.
+        swim = Swim(update("r0"), seed=1, now=0.0)
+        assert swim.highest_version_heard() == (0, "")
+        for name, version in (("r1", 7), ("r2", 6)):
+            ping = messages.Ping(1, name, 1, version, (update(name),), "r0")
+            swim.handle(ping, 0.0)
+        assert swim.highest_version_heard() == (7, "r1")
+        swim.handle(page(update("r1", 1, DEAD)), 0.0)
+        assert swim.highest_version_heard() == (6, "r2")
+
+    def test_a_lower_version_is_not_announced(self):
+        fleet = Fleet(3)
+        assert len(fleet.swims["r0"].announce_version(7, 0.0)) == 2
+        assert fleet.swims["r0"].announce_version(6, 0.0) == []
+        assert fleet.swims["r0"].table_version == 7
