Ramp by two good answers a unit, and judge slowness by clean rounds

A trial that began on the round in which a server slowed compared with a mixed figure and was judged futile; two slow rounds in a row are asked for now.

--- a/packages/fulmarroad/src/fulmarroad/_concurrency.py
+++ b/packages/fulmarroad/src/fulmarroad/_concurrency.py
@@ -183,6 +183,7 @@
     _hold: int = field(default=0, init=False)
     _next_hold: int = field(default=HOLD_ROUNDS, init=False)
     _down_next: bool = field(default=False, init=False)
+    _slow_rounds: int = field(default=0, init=False)
     _slow_by_itself: bool = field(default=False, init=False)
     _usual: float | None = field(default=None, init=False)  # throughput on hold
 
@@ -214,7 +215,7 @@
     def _end_round(self, running: int) -> None:
         done = self._round
         trial, self._trial = self._trial, None
-        self._slow_by_itself = self._slow_by_itself and done.was_slow
+        self._slow_rounds = self._slow_rounds + 1 if done.was_slow else 0
         if trial is not None:
             self._judge(trial, done, running)
         elif not done.was_full:
@@ -226,12 +227,13 @@
             self._try(done, running)
 
     def _must_wait(self, done: Round) -> bool:
-        if self._hold == 0 or self._too_slow(done):
+        if self._hold == 0 or self._too_slow():
             return False
         return not self._has_changed(done)
 
-    def _too_slow(self, done: Round) -> bool:
-        return done.was_slow and not self._slow_by_itself
+    def _too_slow(self) -> bool:
+        # The first slow round may have begun fast: nothing can be compared with it.
+        return self._slow_rounds >= 2 and not self._slow_by_itself
 
     def _has_changed(self, done: Round) -> bool:
         usual, seen = self._usual, done.throughput
@@ -246,7 +248,9 @@
         return True
 
     def _try(self, done: Round, running: int, part: int = PROBE_PART) -> None:
-        too_slow = self._too_slow(done)
+        if self._down_next:
+            self._slow_by_itself = False  # see again whether a lower limit helps
+        too_slow = self._too_slow()
         if too_slow:
             part = CLIMB_PART
         self._trial = _Trial(self.limit, done.throughput, part, too_slow)
@@ -254,6 +258,7 @@
         down = too_slow or self._down_next
         self._set(self.limit - step if down else self.limit + step, running)
         if self.limit == self._trial.limit:
+            self._down_next = not down
             self._go_back(self._trial.limit, running)
 
     def _judge(self, trial: _Trial, done: Round, running: int) -> None:
@@ -266,6 +271,7 @@
 
     def _fail(self, trial: _Trial, running: int) -> None:
         self._slow_by_itself = self._slow_by_itself or trial.for_slowness
+        self._down_next = self.limit > trial.limit
         climbed = trial.part == CLIMB_PART and not trial.for_slowness
         if climbed and trial.limit > CLIMB_PART:
             self._set(trial.limit, running)  # a smaller step may still pay off
@@ -276,7 +282,7 @@
         before, after = trial.throughput, done.throughput
         if self.limit > trial.limit:
             gain = followed(trial.limit, before, self.limit, after)
-            return gain >= MIN_GAIN and not self._too_slow(done)
+            return gain >= MIN_GAIN and not self._too_slow()
         loss = followed(self.limit, after, trial.limit, before)
         return loss < (FUTILE if trial.for_slowness else MAX_LOSS)
 
@@ -284,7 +290,6 @@
         self._trial = None
         self._hold = self._next_hold
         self._next_hold = min(2 * self._next_hold, MOST_HOLD_ROUNDS)
-        self._down_next = not self._down_next
         self._usual = None
         self._set(limit, running)
 
--- a/packages/fulmarroad/src/fulmarroad/_warmth.py
+++ b/packages/fulmarroad/src/fulmarroad/_warmth.py
@@ -33,10 +33,16 @@
 
 GROWTH = 1.5
 """Factor of a budget's step. What a round of good answers vouches for is the load that
-it ran at; doubling felled a model server that had answered well at half the load."""
+it ran at; the less is added at once, the sooner slowness is seen before a fall."""
 
-MIN_GOOD = 2
-"""Good answers that the smallest budget needs: one may be a cached or empty answer."""
+GOOD_PER_UNIT = 2
+"""Good answers for each unit that a step adds. A server that bears one request more
+for every two answers is never overloaded; three would be safer and a third slower,
+and one answer may be a cached or empty one."""
+
+MOST_CARE = 3
+"""Doublings of the good answers needed, one for each ramp that failed: a server that
+warms up slowly isn't felled at the same budget again and again."""
 
 SLOW_WORTH = 0.25
 """What a slow answer counts while it is no worse than the server's own best. A target
@@ -102,9 +108,10 @@
     return budget + 1 if budget < SMALL_BUDGET else int(budget * GROWTH)
 
 
-def good_answers_needed(budget: int) -> int:
+def good_answers_needed(budget: int, failed_ramps: int = 0) -> int:
     """Return how many good answers a budget needs before it rises."""
-    return max(MIN_GOOD, budget)
+    added = next_budget(budget) - budget
+    return GOOD_PER_UNIT * added * 2 ** min(failed_ramps, MOST_CARE)
 
 
 def ramp_budgets(cold: int, goal: int) -> Iterator[int]:
@@ -115,7 +122,7 @@
         budget = next_budget(budget)
 
 
-def ramp_time(cold: int, goal: int, answer_s: float) -> float:
+def ramp_time(cold: int, goal: int, answer_s: float, failed_ramps: int = 0) -> float:
     """Return the seconds from cold to warm, given enough work and good answers.
 
     At budget b the requests that already ran when it rose (the former budget) end
@@ -125,7 +132,8 @@
     rounds = 0
     former = 0
     for budget in ramp_budgets(cold, goal):
-        rounds += math.ceil((former + good_answers_needed(budget)) / budget)
+        needed = good_answers_needed(budget, failed_ramps)
+        rounds += math.ceil((former + needed) / budget)
         former = budget
     return rounds * answer_s
 
@@ -149,6 +157,7 @@
     _failure_run: int = field(default=0, init=False)
     _best: float = field(default=math.inf, init=False)  # least strain seen lately
     _norm: float | None = field(default=None, init=False)
+    _failed_ramps: int = field(default=0, init=False)
     _flaps: float = field(default=0.0, init=False)
     _flapped_at: float = field(default=0.0, init=False)
     _probe_at: float = field(default=0.0, init=False)
@@ -302,7 +311,7 @@
         self._round.note(running, seconds, slow=worth < 1.0, full=True)
         if self._round.answers > counted:
             self._good += worth
-        if self._good < good_answers_needed(self._budget):
+        if self._good < good_answers_needed(self._budget, self._failed_ramps):
             return ()
         return self._end_budget(running)
 
@@ -364,6 +373,10 @@
     def _turn(self, after: Warmth, cause: str) -> tuple[WarmthChange, ...]:
         before = self.warmth
         self.warmth = after
+        if after is Warmth.WARM:
+            self._failed_ramps = 0
+        elif before is Warmth.WARMING:
+            self._failed_ramps += 1
         self._budget = self.pool.cold_concurrency
         self._former = self._budget
         self._good = 0.0
