--- a/packages/fulmarroad/src/fulmarroad/_concurrency.py
+++ b/packages/fulmarroad/src/fulmarroad/_concurrency.py
@@ -146,7 +146,7 @@
         self.answers += 1
         self.slow += slow
         self.full += full
-        if seconds is not None:
+        if seconds is not None and full:  # else `running` says little of its life
             self._running += max(1, running)
             self._seconds += seconds
 
