--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/transport.py
@@ -0,0 +1,21 @@
+"""The transport between routers."""
+
+from fulmarroad._grpc import (
+    Outbox,
+    PeerChannel,
+    PeerHandler,
+    PeerServer,
+    PeerStream,
+    TlsFiles,
+    TrafficCount,
+)
+
+__all__ = [
+    "Outbox",
+    "PeerChannel",
+    "PeerHandler",
+    "PeerServer",
+    "PeerStream",
+    "TlsFiles",
+    "TrafficCount",
+]
