Let the platform lag behind itself, and find routers whose tables went back

The promise that a version never reverts needs a service that shows an old version while the fleet has a newer one, and a look at what each router then has in force. Down and stale now hold for configuration and VM list apart.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/platform.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/platform.py
@@ -6,7 +6,7 @@
 
 On the control port: `PUT /control/tables` takes JSON `{"version", "routes": [TOML, …],
 "pools": [TOML, …]}`, one text for each part; `PUT /control/vms` takes the list as
-TOML; `POST /control` takes `{"down", "stale", "slow_s"}`; `GET /records` counts calls.
+TOML; `POST /control` takes orders (`Platform.control`); `GET /records` counts calls.
 """
 
 from __future__ import annotations
@@ -40,20 +40,43 @@
 
 
 @define(eq=False)
-class _Value:
-    """Hold a value that can be watched."""
+class Value:
+    """Hold a value that can be read and watched, and be out of order."""
 
-    raw: bytes = b"version = 0\n"
+    newest: bytes = b"version = 0\n"
+    shown: bytes = b"version = 0\n"
+    before: bytes = b"version = 0\n"
+    down: bool = False
+    stale: bool = False
     changed: anyio.Event = field(factory=anyio.Event)
 
     @property
     def etag(self) -> str:
-        """Return the entity tag of what is held now."""
-        return f'"{hashlib.sha256(self.raw).hexdigest()[:16]}"'
+        """Return the entity tag of what is shown now."""
+        return f'"{hashlib.sha256(self.shown).hexdigest()[:16]}"'
 
-    def replace(self, raw: bytes) -> None:
-        """Hold another value and wake its watchers."""
-        self.raw = raw
+    def put(self, raw: bytes) -> None:
+        """Take a newer value; it is shown unless the service is stale."""
+        self.before, self.newest = self.newest, raw
+        if not self.stale:
+            self._show(raw)
+
+    def control(self, order: dict[str, Any], prefix: str = "") -> None:
+        """Obey an order of the scenario."""
+        self.down = bool(order.get(f"{prefix}down", self.down))
+        self.stale = bool(order.get(f"{prefix}stale", self.stale))
+        if order.get(f"{prefix}old"):
+            self.stale = True
+            self._show(self.before)
+        elif not self.stale:
+            self._show(self.newest)
+        self._wake()
+
+    def _show(self, raw: bytes) -> None:
+        self.shown = raw
+        self._wake()
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = anyio.Event()
 
@@ -66,13 +89,10 @@
     listener: Listener | None = None
     calls: Counter[str] = field(factory=Counter)
     call_times: list[float] = field(factory=list)
-    down: bool = False
-    stale: bool = False
     slow_s: float = 0.0
     _parts: dict[str, bytes] = field(factory=dict)
-    _manifest: _Value = field(factory=_Value)
-    _vms: _Value = field(factory=_Value)
-    _held_back: list[tuple[_Value, bytes]] = field(factory=list)
+    _manifest: Value = field(factory=Value)
+    _vms: Value = field(factory=Value)
 
     async def run(self) -> None:
         """Do nothing: the platform has no work beside its calls."""
@@ -86,9 +106,7 @@
         self.calls[call.path.split("/")[1]] += 1
         self.call_times.append(time.monotonic())
         await anyio.sleep(self.slow_s)
-        if self.down:
-            await respond_json(send, 503, {"error": "the service is down"})
-        elif call.method != "GET":
+        if call.method != "GET":
             await respond_json(send, 405, {"error": "read only"})
         elif call.path == "/manifest":
             await self._watch(self._manifest, call, send)
@@ -103,7 +121,7 @@
         if call.path.endswith("/control/tables"):
             self.put_tables(call.json())
         elif call.path.endswith("/control/vms"):
-            self._show(self._vms, call.body)
+            self._vms.put(call.body)
         elif call.path.endswith("/control"):
             self.control(call.json())
         await respond_json(send, 200, self.report())
@@ -120,52 +138,43 @@
                 row = {"table": table, "name": f"{table}-{len(rows)}"}
                 rows.append({**row, "sha256": digest, "bytes": len(raw)})
         manifest = {"version": int(order["version"]), "part": rows}
-        self._show(self._manifest, tomli_w.dumps(manifest).encode())
+        self._manifest.put(tomli_w.dumps(manifest).encode())
 
     def control(self, order: dict[str, Any]) -> None:
-        """Obey an order: `down`, `stale` (true or false), `slow_s`.
+        """Obey an order of the scenario.
 
-        While stale, what is shown stays as it is; it catches up afterwards.
+        `down`: configuration can't be read; `stale`: what is shown stays as it is
+        until `stale` is false; `old`: the version before the newest is shown, and
+        stays, as by a replica that lags. The same with `vms_` for the VM list. `slow_s`
+        delays every answer.
         """
         self.slow_s = float(order.get("slow_s", self.slow_s))
-        self.down = bool(order.get("down", self.down))
-        self.stale = bool(order.get("stale", self.stale))
-        if self.down:
-            self._manifest.changed.set()
-            self._vms.changed.set()
-            self._manifest.changed = anyio.Event()
-            self._vms.changed = anyio.Event()
-        if not self.stale:
-            held, self._held_back = self._held_back, []
-            for value, raw in held:
-                value.replace(raw)
+        self._manifest.control(order)
+        self._vms.control(order, "vms_")
 
     def report(self) -> dict[str, Any]:
         """Return the calls counted by path, and when they came."""
         return {"calls": dict(self.calls), "call_times": self.call_times}
 
-    def _show(self, value: _Value, raw: bytes) -> None:
-        if self.stale:
-            self._held_back.append((value, raw))
-        else:
-            value.replace(raw)
-
-    async def _watch(self, value: _Value, call: Call, send: Send) -> None:
+    async def _watch(self, value: Value, call: Call, send: Send) -> None:
         known = call.headers.get("if-none-match", "")
         wait_s = _preferred_wait(call.headers.get("prefer", ""))
-        if known == value.etag and wait_s:
+        if known == value.etag and wait_s and not value.down:
             with anyio.move_on_after(min(wait_s, LONGEST_WAIT_S)):
                 await value.changed.wait()
         headers = (("etag", value.etag),)
-        if self.down:
+        if value.down:
             await respond_json(send, 503, {"error": "the service is down"})
         elif known == value.etag:
             await respond(send, 304, b"", headers)
         else:
-            await respond(send, 200, value.raw, headers, TOML)
+            await respond(send, 200, value.shown, headers, TOML)
 
     async def _part(self, digest: str, send: Send) -> None:
         raw = self._parts.get(digest)
+        if self._manifest.down:
+            await respond_json(send, 503, {"error": "the service is down"})
+            return
         if raw is None:
             await respond_json(send, 404, {"error": "no such part"})
             return
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/rounds.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/rounds.py
@@ -41,6 +41,7 @@
     "cut_off",
     "false_not_run",
     "unheard",
+    "config_reverts",
     "unfinished",
     "bad_exits",
 )
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import random
 import sys
@@ -40,6 +41,7 @@
     workspace_names,
     workspace_rows,
 )
+from fulmarroad_bench._versions import VersionSeen, reverts
 
 RESULTS = Path("bench/results")
 POLICIES = ("fleet", "local", "fifo")
@@ -110,6 +112,7 @@
     cpu_after: dict[str, float] = field(factory=dict)
     start: float = 0.0
     end: float = 0.0
+    versions: list[VersionSeen] = field(factory=list)
     faults: FaultMaker = field(init=False)
     balancer: Balancer = field(init=False)
 
@@ -175,10 +178,13 @@
 
     async def _look(self, name: str, address: str) -> None:
         answer = await call(address, Request("GET", "/readyz"), timeout_s=1.0)
-        if answer.status == 200:
-            self.balancer.unready.discard(name)
-        else:
+        if answer.status != 200:
             self.balancer.unready.add(name)
+            return
+        self.balancer.unready.discard(name)
+        with contextlib.suppress(ProcessError):
+            version = int((await self.bed.status(name))["table_version"])
+            self.versions.append(VersionSeen(time.monotonic(), name, version))
 
 
 def control_measures(experiment: Experiment) -> dict[str, float | None]:
@@ -292,6 +298,7 @@
         "engines_cpu_share": cpu_share(experiment, ["engines"]),
         "callers_cpu_share": cpu_share(experiment, [CALLERS]),
         "config_spread_s": round(max(faults.spreads), 3) if faults.spreads else None,
+        "config_reverts": len(reverts(experiment.versions)),
         "bad_exits": sum(code != 0 for code in codes),
         "unfinished": experiment.callers.running,
     }
--- a/packages/fulmarroad-bench/tests/test_measures.py
+++ b/packages/fulmarroad-bench/tests/test_measures.py
@@ -22,6 +22,7 @@
     measures,
     utilisation,
 )
+from fulmarroad_bench._versions import VersionSeen, reverts
 
 TIMES = st.integers(0, 20).map(float)
 SPANS = st.lists(st.tuples(TIMES, TIMES), max_size=4).map(merged)
@@ -160,6 +161,20 @@
         assert line["served_while_leaving_share"] == 0.5
 
 
+class TestReverts:
+    @pytest.mark.parametrize(
+        ("sights", "count"),
+        [
+            ([("r1", 0, 1), ("r1", 1, 2), ("r2", 2, 1), ("r2", 5, 2)], 0),
+            ([("r1", 0, 2), ("r1", 1, 1)], 1),
+            ([("r1", 0, 2), ("r2", 4, 1), ("r2", 6, 1)], 1),
+        ],
+    )
+    def test_a_router_behind_itself_or_long_behind_others_counts(self, sights, count):
+        seen = [VersionSeen(at, router, version) for router, at, version in sights]
+        assert len(reverts(seen)) == count
+
+
 class TestChecks:
     def test_a_refusal_whose_call_ran_is_false(self):
         # A router says that a call did not run, the caller sends it again, and a
--- a/packages/fulmarroad-bench/tests/test_standins.py
+++ b/packages/fulmarroad-bench/tests/test_standins.py
@@ -320,5 +320,22 @@
 
     async def test_while_down_it_answers_nothing_useful(self, platform):
         platform.control({"down": True})
+        answers = [
+            (await Caller(platform.app, path=path).call()).status
+            for path in ("/manifest", "/vms")
+        ]
+        assert answers == [503, 200]
+        platform.control({"vms_down": True, "down": False})
         seen = await Caller(platform.app, path="/vms").call()
         assert seen.status == 503
+
+    async def test_an_old_version_can_come_back_into_view(self, platform):
+        # A replica of the service that lags answers; a router that trusts it would
+        # put an older table in force again.
+        platform.put_tables({"version": 4, "routes": "a = 1", "pools": "b = 3"})
+        platform.control({"old": True})
+        seen = await Caller(platform.app, path="/manifest").call()
+        assert b"version = 3" in seen.body
+        platform.control({"stale": False})
+        seen = await Caller(platform.app, path="/manifest").call()
+        assert b"version = 4" in seen.body
