--- a/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 
 import anyio
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad.exceptions import FulmarroadError
 from fulmarroad_bench._checks import Checks, check, starts_in
@@ -21,6 +21,7 @@
     free_ports,
     processes,
     router_rows,
+    run_main,
     start_bed,
 )
 
@@ -107,11 +108,16 @@
         call_id = self._next_id(workspace)
         key = f"post-{call_id}" if self.rng.random() < 0.7 else ""
         plan = CallPlan(
-            call_id, workspace.name, workspace.key, kind="ledger", idempotency_key=key
+            call_id,
+            workspace.name,
+            workspace.key,
+            kind="ledger",
+            idempotency_key=key,
+            first_attempt=bool(key),
         )
         await self._send(plan, balancer)
         if key and self.rng.random() < REPEAT_SHARE:
-            await self._send(plan, balancer)
+            await self._send(evolve(plan, first_attempt=False), balancer)
 
     async def _send(self, plan: CallPlan, balancer: Balancer) -> CallResult:
         result = await self.callers.send(plan, balancer.order_for(plan.workspace))
@@ -223,20 +229,12 @@
 def cli() -> None:
     """Run the demo and end with its exit code."""
     try:
-        code = anyio.run(main, backend_options={"use_uvloop": True})
-    except* FulmarroadError as errors:
-        _show(errors)
-        code = 1
+        code = run_main(main)
+    except FulmarroadError as error:
+        print(error.show(), file=sys.stderr)
+        code = error.exit_code
     sys.exit(code)
 
 
-def _show(errors: BaseExceptionGroup[FulmarroadError]) -> None:
-    for error in errors.exceptions:
-        if isinstance(error, BaseExceptionGroup):
-            _show(error)
-        else:
-            print(error.show(), file=sys.stderr)
-
-
 if __name__ == "__main__":
     cli()
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -0,0 +1,362 @@
+"""Run one scenario on real processes and measure it from outside."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import anyio
+import attrs
+import fire
+from attrs import define, field
+
+from fulmarroad.exceptions import ConfigurationError, FulmarroadError
+from fulmarroad.scheduling import gap_bound, spread_interval
+from fulmarroad_bench._client import Request, call
+from fulmarroad_bench._faults import FaultMaker
+from fulmarroad_bench._layout import Layout, ServerRow
+from fulmarroad_bench._load import Balancer, Callers
+from fulmarroad_bench._measures import PROMPT_COST, Run, measures
+from fulmarroad_bench._plots import draw
+from fulmarroad_bench._processes import (
+    Bed,
+    Child,
+    ProcessError,
+    free_ports,
+    processes,
+    router_rows,
+    run_main,
+    start_bed,
+)
+from fulmarroad_bench._scenario import Scenario, load_scenario
+from fulmarroad_bench._traffic import (
+    MOST_COMMON_WORDS,
+    Traffic,
+    workspace_names,
+    workspace_rows,
+)
+from fulmarroad_bench._versions import VersionSeen, reverts
+
+RESULTS = Path("bench/results")
+POLICIES = ("fleet", "local", "fifo")
+FIRST_TOKEN_TARGET_S = 0.5
+"""Seconds to the first token: what a cold stand-in engine needs without a queue."""
+GAP_ALLOWANCE = 1.24
+"""Times the gap between tokens of an uncrowded engine (62 ms where it takes 50)."""
+CONTROL_FIELDS = (
+    "control_bytes_per_node_s",
+    "control_cpu_share",
+    "control_memory_mb",
+)
+CALLERS = "callers"
+NOTHING_YET = {"bytes_sent": 0, "bytes_received": 0, "cpu_s": 0.0}
+READY_POLL_S = 0.5
+"""Seconds between the balancer's looks at each router's readiness."""
+DRAIN_S = 14.0
+"""Seconds that answers may take to end once no new calls are sent."""
+TELL_DELAY_S = 0.05
+"""Seconds on the way of a report between two routers on one machine, under load."""
+
+
+def layout_of(scenario: Scenario, routers: int) -> Layout:
+    """Return the fleet of a scenario, spread evenly over the data centres."""
+    fleet = scenario.fleet
+    centres = tuple(f"centre-{n + 1}" for n in range(fleet.data_centres))
+    ports = free_ports(fleet.engines + fleet.plains)
+    engines = [
+        ServerRow(f"engine-{n + 1}", centres[n % len(centres)], ports[n])
+        for n in range(fleet.engines)
+    ]
+    plains = [
+        ServerRow(f"ledger-{n + 1}", centres[n % len(centres)], port)
+        for n, port in enumerate(ports[fleet.engines :])
+    ]
+    names = [
+        (f"router-{n + 1:02}", centres[n % len(centres)])
+        for n in range(routers or fleet.routers)
+    ]
+    pool = {
+        "cold_concurrency": scenario.engine.cold_capacity,
+        "first_token_target_s": FIRST_TOKEN_TARGET_S,
+        "gap_target_s": round(GAP_ALLOWANCE / scenario.engine.tokens_per_s, 4),
+        **scenario.pool,
+    }
+    return Layout(
+        centres,
+        workspace_rows(scenario),
+        tuple(router_rows(names)),
+        tuple(engines),
+        tuple(plains),
+        dict(pool),
+        dict(scenario.route),
+    )
+
+
+@define(eq=False)
+class Experiment:
+    """Run a scenario on a fleet that is up."""
+
+    scenario: Scenario
+    bed: Bed
+    seed: int
+    callers: Callers = field(factory=Callers)
+    before: dict[str, Mapping[str, Any]] = field(factory=dict)
+    after: dict[str, Mapping[str, Any]] = field(factory=dict)
+    cpu_before: dict[str, float] = field(factory=dict)
+    cpu_after: dict[str, float] = field(factory=dict)
+    start: float = 0.0
+    end: float = 0.0
+    versions: list[VersionSeen] = field(factory=list)
+    faults: FaultMaker = field(init=False)
+    balancer: Balancer = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        spread = {
+            name: group.spread
+            for group in self.scenario.groups
+            for name in workspace_names(group)
+        }
+        addresses = {row.name: row.address for row in self.bed.layout.routers}
+        self.balancer = Balancer(addresses, random.Random(self.seed), spread)
+
+    async def run(self) -> None:
+        """Warm up, measure, and let everything end."""
+        traffic = Traffic(self.scenario, self.balancer, self.callers, self.seed)
+        async with anyio.create_task_group() as group:
+            self.faults = FaultMaker(self.bed, self.balancer, group)
+            group.start_soon(self._watch_readiness)
+            group.start_soon(traffic.run)
+            await anyio.sleep(self.scenario.warm_s)
+            await self._measured(group)
+            traffic.stopped = True
+            with anyio.move_on_after(DRAIN_S):
+                while self.callers.running:
+                    await anyio.sleep(0.05)
+            group.cancel_scope.cancel()
+
+    async def _measured(self, group: Any) -> None:
+        self.before = await self._control()
+        self.cpu_before = self._cpu()
+        self.start = time.monotonic()
+        group.start_soon(self.faults.run, self.scenario.faults, self.start)
+        await anyio.sleep(self.scenario.seconds)
+        self.end = time.monotonic()
+        self.after = await self._control()
+        self.cpu_after = self._cpu()
+
+    async def _control(self) -> dict[str, Mapping[str, Any]]:
+        """Return each router's own account of its control traffic."""
+        found = {}
+        for name in list(self.bed.rows):
+            try:
+                control = (await self.bed.status(name)).get("control")
+            except ProcessError:
+                continue
+            if control:
+                found[name] = control
+        return found
+
+    def _cpu(self) -> dict[str, float]:
+        for child in self.bed.starter.children:
+            child.sample()
+        used = {child.name: child.cpu_s for child in self.bed.starter.children}
+        return {**used, CALLERS: time.process_time()}
+
+    async def _watch_readiness(self) -> None:
+        """Pass over routers that aren't ready, as the platform's balancer does."""
+        while True:
+            async with anyio.create_task_group() as group:
+                for name, row in list(self.bed.rows.items()):
+                    group.start_soon(self._look, name, row.admin_address)
+            await anyio.sleep(READY_POLL_S)
+
+    async def _look(self, name: str, address: str) -> None:
+        answer = await call(address, Request("GET", "/readyz"), timeout_s=1.0)
+        if answer.status != 200:
+            self.balancer.unready.add(name)
+            return
+        self.balancer.unready.discard(name)
+        with contextlib.suppress(ProcessError):
+            version = int((await self.bed.status(name))["table_version"])
+            self.versions.append(VersionSeen(time.monotonic(), name, version))
+
+
+def control_measures(experiment: Experiment) -> dict[str, float | None]:
+    """Return control traffic, processor share and memory of a router, as means.
+
+    A router that started within the measured time counts from its start.
+    """
+    spans, totals = 0.0, {"bytes": 0.0, "cpu_s": 0.0, "memory_bytes": 0.0}
+    for name, after in experiment.after.items():
+        before = experiment.before.get(name, NOTHING_YET)
+        began = max(experiment.start, experiment.bed.routers[name].started)
+        spans += experiment.end - began
+        for key in ("bytes_sent", "bytes_received"):
+            totals["bytes"] += after[key] - before[key]
+        totals["cpu_s"] += after["cpu_s"] - before["cpu_s"]
+        totals["memory_bytes"] += after["memory_bytes"]
+    if not spans:
+        return dict.fromkeys(CONTROL_FIELDS)
+    values = (
+        round(totals["bytes"] / spans, 1),
+        round(totals["cpu_s"] / spans, 5),
+        round(totals["memory_bytes"] / len(experiment.after) / 1e6, 2),
+    )
+    return dict(zip(CONTROL_FIELDS, values, strict=True))
+
+
+def cpu_share(experiment: Experiment, names: Sequence[str]) -> float:
+    """Return the mean share of a core that whole processes used."""
+    seconds = experiment.end - experiment.start
+    before, after = experiment.cpu_before, experiment.cpu_after
+    shares = [
+        (after[name] - before.get(name, 0.0)) / seconds
+        for name in names
+        if name in after
+    ]
+    return round(sum(shares) / len(shares), 4) if shares else 0.0
+
+
+def bound_of(scenario: Scenario, layout: Layout, engines: Sequence[Any]) -> float:
+    """Return the bound of the fairness gap that the fleet's queue promises."""
+    largest = max(
+        max(group.tokens_high, group.long_tokens if group.long_share else 0)
+        + PROMPT_COST * (group.prompt_high + MOST_COMMON_WORDS)
+        for group in scenario.groups
+    )
+    shards = len({row.data_centre for row in layout.engines})
+    return gap_bound(
+        units=sum(report["max_running"] for report in engines),
+        shards=shards,
+        rate=len(engines) * scenario.engine.batch * scenario.engine.tokens_per_s,
+        interval_s=spread_interval(shards - 1, len(layout.workspaces)),
+        delay_s=TELL_DELAY_S,
+        largest_cost=largest,
+        estimate_error=largest,
+        least_weight=min(row.weight for row in layout.workspaces),
+    )
+
+
+async def run_scenario(
+    scenario: Scenario, seed: int, policy: str, routers: int, directory: Path
+) -> dict[str, Any]:
+    """Run a scenario once and return its line."""
+    layout = layout_of(scenario, routers)
+    profile = attrs.asdict(scenario.engine)
+    async with processes(directory) as starter:
+        bed = await start_bed(layout, starter, policy=policy, profile=profile)
+        await bed.start_routers()
+        experiment = Experiment(scenario, bed, seed)
+        await experiment.run()
+        engines, plains = await bed.engine_reports(), await bed.plain_reports()
+        await starter.stop_all()
+    run = run_of(experiment, engines, plains)
+    draw(run, experiment.faults.marks, directory)
+    return line_of(experiment, run, policy)
+
+
+def run_of(experiment: Experiment, engines: Any, plains: Any) -> Run:
+    """Return what was seen, for the measures."""
+    layout, faults = experiment.bed.layout, experiment.faults
+    return Run(
+        experiment.start,
+        experiment.end,
+        experiment.callers.results,
+        engines,
+        plains,
+        {row.name: row.weight for row in layout.workspaces},
+        {row.name: row.data_centre for row in (*layout.engines, *layout.plains)},
+        faults.left_centre,
+        faults.left_at,
+        faults.back_at,
+    )
+
+
+def line_of(experiment: Experiment, run: Run, policy: str) -> dict[str, Any]:
+    """Return the run's line of measures."""
+    scenario, faults = experiment.scenario, experiment.faults
+    codes = [exit_code(child) for child in experiment.bed.routers.values()]
+    return {
+        "scenario": scenario.name,
+        "seed": experiment.seed,
+        "policy": policy,
+        "routers": len(experiment.bed.layout.routers),
+        "servers": scenario.fleet.engines + scenario.fleet.plains,
+        "seconds": round(run.end - run.start, 2),
+        **measures(run),
+        "fairness_gap_bound": round(
+            bound_of(scenario, experiment.bed.layout, run.engines), 1
+        ),
+        **control_measures(experiment),
+        "router_cpu_share": cpu_share(experiment, list(experiment.bed.routers)),
+        "engines_cpu_share": cpu_share(experiment, ["engines"]),
+        "callers_cpu_share": cpu_share(experiment, [CALLERS]),
+        "config_spread_s": round(max(faults.spreads), 3) if faults.spreads else None,
+        "config_reverts": len(reverts(experiment.versions)),
+        "bad_exits": sum(code != 0 for code in codes),
+        "unfinished": experiment.callers.running,
+    }
+
+
+def exit_code(child: Child) -> int | None:
+    """Return a process's exit code."""
+    return child.process.returncode
+
+
+def table_of(line: Mapping[str, Any]) -> str:
+    """Return a line of measures as a table."""
+    return "\n".join(f"{key:<28} {value}" for key, value in line.items()) + "\n"
+
+
+def run_file(path: Path, seed: int, policy: str, routers: int) -> dict[str, Any]:
+    """Run a scenario's file once, keep the results and return the line."""
+    if policy not in POLICIES:
+        raise ConfigurationError(f"The policy is one of {', '.join(POLICIES)}.")
+    scenario = load_scenario(path)
+    count = routers or scenario.fleet.routers
+    directory = _empty_directory(f"{scenario.name}-{policy}-{count}-{seed}")
+
+    async def run() -> dict[str, Any]:
+        return await run_scenario(scenario, seed, policy, count, directory)
+
+    line = run_main(run)
+    (directory / "measures.txt").write_text(table_of(line))
+    (directory / "line.json").write_text(json.dumps(line) + "\n")
+    return line
+
+
+def _empty_directory(name: str) -> Path:
+    directory = RESULTS / name
+    directory.mkdir(parents=True, exist_ok=True)
+    for old in directory.iterdir():
+        old.unlink()
+    return directory
+
+
+def main(scenario: str, seed: int = 1, policy: str = "fleet", routers: int = 0) -> None:
+    """Run a scenario; the last line printed is its measures as JSON.
+
+    Args:
+        scenario: path of the scenario's TOML file.
+        seed: seed of the calls.
+        policy: fleet, local or fifo.
+        routers: how many routers, 0 for the scenario's own number.
+
+    """
+    try:
+        line = run_file(Path(scenario), seed, policy, routers)
+    except FulmarroadError as error:
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
+    print(table_of(line))
+    print(json.dumps(line))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
