--- a/packages/fulmarroad/src/fulmarroad/membership.py
+++ b/packages/fulmarroad/src/fulmarroad/membership.py
@@ -1,5 +1,6 @@
 """Who is in the fleet: probes, gossip, and the VM list as a hint."""
 
+from fulmarroad._gossip import Gossip, PacketSeal, VersionHeard
 from fulmarroad._members import Member, MemberChange
 from fulmarroad._packets import Outgoing
 from fulmarroad._piggyback import PACKET_BYTES
@@ -9,10 +10,13 @@
 __all__ = [
     "PACKET_BYTES",
     "TICK_S",
+    "Gossip",
     "Member",
     "MemberChange",
     "Outgoing",
+    "PacketSeal",
     "Swim",
+    "VersionHeard",
     "VmEntry",
     "VmList",
 ]
--- /dev/null
+++ b/packages/fulmarroad/tests/test_gossip.py
@@ -0,0 +1,168 @@
+"""The membership's task on loopback: real sockets, waits on events only."""
+
+import logging
+import time
+
+import anyio
+import pytest
+
+from fulmarroad import messages
+from fulmarroad.audit import AuditTrail, Subject
+from fulmarroad.events import Event
+from fulmarroad.exceptions import MessageError
+from fulmarroad.membership import Gossip, PacketSeal, Swim, VmEntry
+from fulmarroad.types import MemberState
+
+SECRET = b"a secret of the cluster"
+PATIENCE_S = 20.0
+HOST = "127.0.0.1"
+
+
+class Node:
+    """Run one task with a state machine that knows its port."""
+
+    def __init__(self, name, port, secret=SECRET, cut=lambda router: False):
+        self.name = name
+        self.port = port
+        self.trail = AuditTrail()
+        me = messages.MemberUpdate(name, 1, MemberState.ALIVE, "fes-1", HOST, 1, port)
+        swim = Swim(me, seed=1, now=time.monotonic())
+        self.gossip = Gossip(swim, secret, trail=self.trail, cut=cut)
+
+    async def wait_for(self, router, state):
+        async for change in self.gossip.changes:
+            if (change.router, change.after) == (router, state):
+                return
+        pytest.fail("the stream of changes ended")
+
+
+async def free_ports(count):
+    sockets = [await anyio.create_udp_socket(local_host=HOST) for _ in range(count)]
+    ports = [s.extra(anyio.abc.SocketAttribute.local_port) for s in sockets]
+    for socket in sockets:
+        await socket.aclose()
+    return ports
+
+
+async def start(group, *nodes):
+    """Start all; return the scope in which the last one runs."""
+    entries = [VmEntry(node.name, "fes-1", HOST, 1, node.port) for node in nodes]
+    scopes = [anyio.CancelScope() for _ in nodes]
+
+    async def run_in(node, scope, *, task_status):
+        with scope:
+            await node.gossip.run(HOST, node.port, task_status=task_status)
+
+    for node, scope in zip(nodes, scopes, strict=True):
+        await group.start(run_in, node, scope)
+        await node.gossip.hint(entries)
+    return scopes[-1]
+
+
+def run(test):
+    async def bounded():
+        with anyio.fail_after(PATIENCE_S):
+            await test()
+
+    anyio.run(bounded)
+
+
+class TestGossip:
+    def test_routers_meet_leave_and_die(self):
+        # Three routers start; one is drained, one is lost with no word.
+        async def test():
+            ports = await free_ports(3)
+            nodes = [Node(f"r{i}", port) for i, port in enumerate(ports)]
+            async with anyio.create_task_group() as group:
+                lost = await start(group, *nodes)
+                for node in nodes[:2]:
+                    await node.wait_for("r2", MemberState.ALIVE)
+                await nodes[1].gossip.leave()
+                await nodes[0].wait_for("r1", MemberState.LEAVING)
+                lost.cancel()
+                await nodes[0].wait_for("r2", MemberState.DEAD)
+                group.cancel_scope.cancel()
+            rows = [row for row in nodes[0].trail.since(0) if row.name == "r2"]
+            assert [row.after for row in rows][-2:] == ["suspect", "dead"]
+            assert {row.subject for row in rows} == {Subject.MEMBER}
+
+        run(test)
+
+    def test_a_table_version_is_told_at_once(self):
+        async def test():
+            nodes = [Node(f"r{i}", p) for i, p in enumerate(await free_ports(2))]
+            async with anyio.create_task_group() as group:
+                await start(group, *nodes)
+                await nodes[0].wait_for("r1", MemberState.ALIVE)
+                await nodes[0].gossip.announce_version(7)
+                heard = await nodes[1].gossip.versions.receive()
+                assert (heard.version, heard.router) == (7, "r0")
+                group.cancel_scope.cancel()
+
+        run(test)
+
+    def test_a_cut_router_is_lost_on_both_sides(self):
+        # An experiment splits the fleet. What would go on over UDP would spoil it.
+        async def test():
+            cut = set()
+            nodes = [
+                Node(f"r{i}", port, cut=cut.__contains__)
+                for i, port in enumerate(await free_ports(2))
+            ]
+            async with anyio.create_task_group() as group:
+                await start(group, *nodes)
+                await nodes[0].wait_for("r1", MemberState.ALIVE)
+                await nodes[1].wait_for("r0", MemberState.ALIVE)
+                cut |= {"r0", "r1"}
+                await nodes[0].wait_for("r1", MemberState.DEAD)
+                await nodes[1].wait_for("r0", MemberState.DEAD)
+                cut.clear()
+                await nodes[0].wait_for("r1", MemberState.ALIVE)
+                group.cancel_scope.cancel()
+
+        run(test)
+
+    def test_strange_packets_change_nothing_and_are_logged_once(self, caplog):
+        # Anyone who reaches the port can send packets, at any rate, with any sender.
+        async def test():
+            [port] = await free_ports(1)
+            node = Node("r0", port)
+            stranger = messages.MemberUpdate(
+                "r9", 1, MemberState.ALIVE, "fes-1", HOST, 1, port
+            )
+            ping = messages.Ping(1, "r9", 1, 0, (stranger,), "r0")
+            forged = PacketSeal(b"another secret").seal(ping)
+            async with anyio.create_task_group() as group:
+                await start(group, node)
+                socket = await anyio.create_udp_socket(local_host=HOST)
+                for packet in [b"", b"x", forged, forged, forged]:
+                    await socket.sendto(packet, HOST, port)
+                await socket.sendto(PacketSeal(SECRET).seal(ping), HOST, port)
+                await node.wait_for("r9", MemberState.ALIVE)
+                await socket.aclose()
+                group.cancel_scope.cancel()
+
+        with caplog.at_level(logging.WARNING, "fulmarroad.membership"):
+            run(test)
+        numbers = [record.event for record in caplog.records]
+        assert numbers.count(Event.GOSSIP_REJECTED.value.number) == 1
+
+
+class TestPacketSeal:
+    PING = messages.Ping(1, "r9", 1, 0, (), "r0")
+
+    def test_round_trip(self):
+        seal = PacketSeal(SECRET)
+        assert seal.open(seal.seal(self.PING)) == self.PING
+
+    @pytest.mark.parametrize("place", [0, 15, 16, 40])
+    def test_rejects_a_changed_byte(self, place):
+        packet = bytearray(PacketSeal(SECRET).seal(self.PING))
+        packet[place] ^= 1
+        with pytest.raises(MessageError, match="tag"):
+            PacketSeal(SECRET).open(bytes(packet))
+
+    def test_rejects_other_messages(self):
+        seal = PacketSeal(SECRET)
+        with pytest.raises(MessageError, match="no membership"):
+            seal.open(seal.seal(messages.TablesWanted(1)))
