Run a router as a process: node, signals, settings, admin port

Cause: the decisions and tasks stood apart; callers need a daemon. Change: one supervisor tree with peers, membership, configuration, admission, callers' and operators' HTTP; SIGTERM drains: unready, roles handed over, calls finished.

--- a/packages/fulmarroad-router/src/fulmarroad_router/cli.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/cli.py
@@ -2,7 +2,51 @@
 
 from __future__ import annotations
 
+import sys
+
+import anyio
+import fire
+
+from fulmarroad.exceptions import FulmarroadError
+from fulmarroad_router.logs import configure_logs
+from fulmarroad_router.node import Node
+from fulmarroad_router.settings import load_settings
+
+
+def serve(settings: str) -> None:
+    """Run a router until it is told to shut down.
+
+    Args:
+        settings: path of the TOML file with the router's settings.
+    """
+    try:
+        loaded = load_settings(settings)
+        configure_logs(loaded.log.level.value, loaded.router.name)
+        anyio.run(_run, loaded, backend_options={"use_uvloop": True})
+    except FulmarroadError as error:
+        print(error.show(), file=sys.stderr)
+        raise SystemExit(error.exit_code) from error
+    except ExceptionGroup as group:
+        _exit(group)
+
+
+async def _run(settings: object) -> None:
+    await Node(settings).run()  # type: ignore[arg-type]
+
+
+def _exit(group: ExceptionGroup) -> None:
+    """End with the first failure that knows its exit code."""
+    matched, rest = group.split(FulmarroadError)
+    if matched is None:
+        raise group
+    error: BaseException = matched
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    assert isinstance(error, FulmarroadError)
+    print(error.show(), file=sys.stderr)
+    raise SystemExit(error.exit_code) from error
+
 
 def main() -> None:
-    """Run a router until it is told to shut down."""
-    raise SystemExit("fulmarroad-router does not serve yet.")
+    """Read the arguments and serve."""
+    fire.Fire(serve, name="fulmarroad-router")
--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -0,0 +1,450 @@
+"""Put a router's tasks together under one supervisor tree."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup, TaskStatus
+from attrs import frozen
+
+from fulmarroad.audit import AuditRecord, AuditTrail, Subject
+from fulmarroad.configuration import (
+    ConfigurationWatcher,
+    HttpConfigurationSource,
+    VmListing,
+)
+from fulmarroad.coordination import (
+    Coordinator,
+    Follower,
+    PeerAddress,
+    PeerQuestions,
+    Roles,
+    StepDownAll,
+    TakeMembers,
+    TakeTables,
+    TakeVms,
+)
+from fulmarroad.events import Event, emit
+from fulmarroad.exceptions import ConfigurationError, MessageError
+from fulmarroad.membership import Gossip, Swim
+from fulmarroad.messages import MemberUpdate, TablesGiven, TablesWanted
+from fulmarroad.metrics import Metrics, NoMetrics, StatsdMetrics
+from fulmarroad.supervision import ChildSpec, Supervisor
+from fulmarroad.tables import (
+    BackendServer,
+    Route,
+    RouteIndex,
+    Tables,
+    TableStore,
+    Workspace,
+)
+from fulmarroad.transport import (
+    PeerChannel,
+    PeerServer,
+    PeerStream,
+    TlsFiles,
+    TrafficCount,
+)
+from fulmarroad.types import MemberState
+from fulmarroad_router.admin import AdminApp
+from fulmarroad_router.admitting import Admitter
+from fulmarroad_router.app import CallersApp
+from fulmarroad_router.backend import BackendClient
+from fulmarroad_router.execution import Execution
+from fulmarroad_router.gate import CallGate
+from fulmarroad_router.http_server import HttpServer
+from fulmarroad_router.operations import RouterOperations
+from fulmarroad_router.settings import Settings
+
+logger = logging.getLogger("fulmarroad.router")
+
+NOTICE_S = 1.0
+"""How long a draining router goes on taking calls.
+
+The platform's balancer looks at /readyz about once a second; calls that it sends in
+that time are served, so that a shutdown turns nobody away.
+"""
+
+METRICS_S = 1.0
+ASK_TIMEOUT_S = 2.0
+UDP_OVERHEAD_BYTES = 28
+
+
+class CountedMetrics:
+    """Pass metrics on and add the membership's bytes to the control traffic."""
+
+    def __init__(self, metrics: Metrics, traffic: TrafficCount) -> None:
+        self._metrics = metrics
+        self._traffic = traffic
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        if name == "membership.sent_bytes":
+            self._traffic.sent += count + UDP_OVERHEAD_BYTES
+        elif name == "membership.received_bytes":
+            self._traffic.received += count + UDP_OVERHEAD_BYTES
+        self._metrics.incr(name, count)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a reading."""
+        self._metrics.gauge(name, value)
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Add one duration."""
+        self._metrics.timing(name, seconds)
+
+
+@frozen
+class Lookup:
+    """Hold the tables in force with the index over them."""
+
+    tables: Tables
+    index: RouteIndex
+
+    def workspace_for_key(self, bearer: str) -> Workspace | None:
+        """Return the workspace that a key belongs to."""
+        return self.index.workspace_for_key(bearer)
+
+    def route_for(
+        self, method: str, path: str, model: str, workspace: str
+    ) -> Route | None:
+        """Return the route of a call."""
+        return self.index.route_for(method, path, model, workspace)
+
+
+class Node:
+    """Own the life of one router process: start, serve, drain, end."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._clock = time.monotonic
+        self._incarnation = time.time_ns() // 1_000_000
+        self._traffic = TrafficCount()
+        self._audit = AuditTrail(self._log_audit)
+        self._metrics = _metrics(settings)
+        self._tls = _tls(settings)
+        self._gate = CallGate()
+        self._cut: set[str] = set()
+        self._drain_asked = anyio.Event()
+        self._drain_cause = ""
+        self._lookup: Lookup | None = None
+        self._group: TaskGroup | None = None
+        self._backends = BackendClient()
+        name, centre = settings.router.name, settings.router.data_centre
+        self._coordinator = Coordinator(
+            name,
+            Follower(name, self._incarnation, centre),
+            Roles(
+                name,
+                self._incarnation,
+                settings.bench.policy.value,
+                self._audit,
+                self._takes_work,
+            ),
+            self._traffic,
+            self._audit,
+            dial=self._dial,
+            clock=self._clock,
+        )
+        self._admitter = Admitter(self._coordinator, self._tables, self._clock)
+        self._swim = Swim(self._me(), seed=self._incarnation, now=self._clock())
+        self._gossip = Gossip(
+            self._swim,
+            settings.cluster.secret.encode(),
+            trail=self._audit,
+            metrics=CountedMetrics(self._metrics, self._traffic),
+            clock=self._clock,
+            cut=self._is_cut,
+        )
+        self._questions = PeerQuestions(
+            name,
+            self._addresses,
+            self._traffic,
+            tls=self._tls,
+            cut=self._is_cut,
+        )
+        self._store = TableStore()
+        platform = settings.platform
+        self._source = HttpConfigurationSource(platform.configuration, platform.vm_list)
+        self._watcher = ConfigurationWatcher(
+            self._store,
+            self._source,
+            me=name,
+            live=lambda: self._swim.live(centre),
+            peers=self._swim.live,
+            fetch_from_peer=self._fetch_tables,
+            on_tables=self._take_tables,
+            on_vm_list=self._take_vm_list,
+            audit=self._audit,
+            seed=self._incarnation,
+        )
+
+    async def run(self) -> None:
+        """Run until the graceful shutdown is done."""
+        emit(logger, Event.STARTED, incarnation=self._incarnation)
+        async with anyio.create_task_group() as group:
+            self._group = group
+            await group.start(self._watch_signals)
+            group.start_soon(self._open_gate)
+            group.start_soon(self._run_tree)
+            await self._drain_asked.wait()
+            await self._shut_down()
+            group.cancel_scope.cancel()
+        await self._backends.close()
+        emit(logger, Event.SHUTDOWN_DONE)
+
+    async def _open_gate(self) -> None:
+        await self._watcher.settled.wait()
+        self._gate.open()
+        emit(logger, Event.READY)
+
+    def ask_drain(self, cause: str) -> None:
+        """Begin the graceful shutdown."""
+        if not self._drain_asked.is_set():
+            self._drain_cause = cause
+            emit(logger, Event.DRAIN_ASKED, cause=cause)
+            self._drain_asked.set()
+
+    async def _run_tree(self) -> None:
+        await Supervisor(
+            "router",
+            [
+                ChildSpec("coordinator", self._coordinator.run, restart=False),
+                ChildSpec("peers", self._peer_server().run),
+                ChildSpec("gossip", self._run_gossip),
+                ChildSpec("members", self._read_changes),
+                ChildSpec("versions", self._read_versions),
+                ChildSpec("configuration", self._watcher.run),
+                ChildSpec("admission", self._admitter.run),
+                ChildSpec("callers", self._callers().run),
+                ChildSpec("admin", self._admin().run),
+                ChildSpec("metrics", self._run_metrics),
+            ],
+            seed=self._incarnation,
+        ).run()
+
+    def on_attached(self, peer: str, send: Callable[[Any], None]) -> int:
+        """Note a peer's stream."""
+        return self._coordinator.on_attached(peer, send)
+
+    def on_message(self, peer: str, message: Any) -> None:
+        """Take a message of a peer's stream."""
+        self._coordinator.on_message(peer, message)
+
+    def on_detached(self, peer: str, handle: int) -> None:
+        """Note that a peer's stream ended."""
+        self._coordinator.on_detached(peer, handle)
+
+    async def on_question(self, peer: str, message: Any) -> Any:
+        """Answer a single question."""
+        if isinstance(message, TablesWanted):
+            return self._watcher.give(message)
+        raise MessageError(f"{type(message).__name__} is no question.")
+
+    async def _watch_signals(self, *, task_status: TaskStatus[None]) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            task_status.started()
+            async for number in signals:
+                self.ask_drain(number.name)
+
+    async def _shut_down(self) -> None:
+        """Become unready, hand roles over, finish what was accepted, leave."""
+        emit(
+            logger,
+            Event.SHUTDOWN_BEGUN,
+            cause=self._drain_cause,
+            in_flight=self._gate.in_flight,
+        )
+        self._audit.record(
+            Subject.PROCESS,
+            self._settings.router.name,
+            before=self._gate.state.value,
+            after="draining",
+            cause=self._drain_cause,
+        )
+        self._gate.drain()
+        await self._gossip.leave()
+        done = anyio.Event()
+        self._coordinator.tell(StepDownAll(done))
+        await done.wait()
+        with anyio.move_on_after(self._settings.limits.drain_timeout_s):
+            await anyio.sleep(NOTICE_S)
+            self._gate.close()
+            await self._gate.wait_idle()
+
+    def _callers(self) -> HttpServer:
+        execution = Execution(
+            self._coordinator, self._backends, self._admitter, self._clock
+        )
+        app = CallersApp(
+            lambda: self._lookup,
+            execution,
+            self._gate,
+            self._metrics,
+            self._clock,
+            self._settings.limits.max_body_bytes,
+        )
+        listen = self._settings.listen
+        return HttpServer(app, listen.host, listen.port)
+
+    def _admin(self) -> HttpServer:
+        operations = RouterOperations(
+            self._settings,
+            self._coordinator,
+            self._gate,
+            self._audit,
+            self._traffic,
+            self._tables,
+            self._swim.members,
+            self._clock,
+            self.ask_drain,
+            self._cut,
+        )
+        listen = self._settings.listen
+        app = AdminApp(operations, self._settings.admin.token)
+        return HttpServer(app, listen.admin_host, listen.admin_port)
+
+    def _peer_server(self) -> PeerServer:
+        listen = self._settings.listen
+        return PeerServer(
+            self,
+            self._traffic,
+            host=listen.peer_host,
+            port=listen.peer_port,
+            tls=self._tls,
+            cut=self._is_cut,
+        )
+
+    async def _run_metrics(self) -> None:
+        while True:
+            await anyio.sleep(METRICS_S)
+            self._metrics.gauge("in_flight", self._gate.in_flight)
+            self._metrics.gauge("waiting", self._coordinator.follower.waiting)
+            self._metrics.gauge("running", self._coordinator.follower.running)
+            self._metrics.gauge("control.bytes_sent", self._traffic.sent)
+            self._metrics.gauge("control.bytes_received", self._traffic.received)
+
+    def _me(self) -> MemberUpdate:
+        listen, router = self._settings.listen, self._settings.router
+        return MemberUpdate(
+            router.name,
+            self._incarnation,
+            MemberState.ALIVE,
+            router.data_centre,
+            listen.peer_host,
+            listen.peer_port,
+            listen.gossip_port,
+        )
+
+    def _addresses(self) -> dict[str, PeerAddress]:
+        return {
+            name: PeerAddress(member.host, member.peer_port)
+            for name, member in self._swim.members().items()
+        }
+
+    async def _run_gossip(self) -> None:
+        listen = self._settings.listen
+        await self._gossip.run(listen.peer_host, listen.gossip_port)
+
+    async def _read_changes(self) -> None:
+        async for _ in self._gossip.changes:
+            self._tell_members()
+
+    async def _read_versions(self) -> None:
+        async for heard in self._gossip.versions:
+            self._watcher.heard(heard.router, heard.version)
+
+    def _tell_members(self) -> None:
+        live: dict[str, list[str]] = {}
+        members = self._swim.members()
+        for name in self._swim.live():
+            centre = (
+                members[name].data_centre
+                if name in members
+                else self._settings.router.data_centre
+            )
+            live.setdefault(centre, []).append(name)
+        self._coordinator.tell(
+            TakeMembers(
+                {centre: tuple(names) for centre, names in live.items()},
+                self._addresses(),
+            )
+        )
+
+    def _take_tables(self, tables: Tables) -> None:
+        self._lookup = Lookup(tables, RouteIndex(tables))
+        self._coordinator.tell(TakeTables(tables))
+        self._soon(self._gossip.announce_version, tables.version)
+
+    def _take_vm_list(self, listing: VmListing) -> None:
+        self._soon(self._gossip.hint, listing.entries)
+        vms: dict[str, list[str]] = {}
+        for entry in listing.entries:
+            vms.setdefault(entry.data_centre, []).append(entry.router)
+        self._coordinator.tell(
+            TakeVms({centre: tuple(sorted(names)) for centre, names in vms.items()})
+        )
+        self._tell_members()
+
+    async def _fetch_tables(self, peer: str, wanted: TablesWanted) -> TablesGiven:
+        return await self._questions.ask(peer, wanted, TablesGiven, ASK_TIMEOUT_S)
+
+    def _soon(self, function: Callable[[Any], Awaitable[None]], value: Any) -> None:
+        if self._group is not None:
+            self._group.start_soon(function, value)
+
+    def _dial(self, peer: str, address: PeerAddress) -> PeerStream:
+        return PeerChannel(
+            self._settings.router.name,
+            peer,
+            address.host,
+            address.port,
+            self._traffic,
+            tls=self._tls,
+            cut=self._is_cut,
+        )
+
+    def _tables(self) -> Tables | None:
+        return self._lookup.tables if self._lookup else None
+
+    def _takes_work(self, server: BackendServer, now: float) -> bool:
+        tables = self._tables()
+        return tables is not None and tables.server_takes_work(server)
+
+    def _is_cut(self, peer: str) -> bool:
+        return peer in self._cut
+
+    def _log_audit(self, record: AuditRecord) -> None:
+        logging.getLogger("fulmarroad.audit").info(
+            "audit", extra={"audit": record.as_dict()}
+        )
+
+
+def _metrics(settings: Settings) -> Metrics:
+    row = settings.metrics
+    if not row.host:
+        return NoMetrics()
+    return StatsdMetrics(row.host, row.port, row.prefix)
+
+
+def _tls(settings: Settings) -> TlsFiles | None:
+    row = settings.tls
+    if not row.enabled:
+        return None
+    try:
+        return TlsFiles(
+            Path(row.certificate).read_bytes(),
+            Path(row.key).read_bytes(),
+            Path(row.authority).read_bytes(),
+        )
+    except OSError as error:
+        raise ConfigurationError(
+            f"A TLS file can't be read: {error}.",
+            hint="Check [tls] in the settings.",
+        ) from error
