--- a/packages/fulmarroad-router/src/fulmarroad_router/app.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/app.py
@@ -46,7 +46,9 @@
 class RouteLookup(Protocol):
     """Find workspaces and routes in the tables in force."""
 
-    tables: Tables
+    @property
+    def tables(self) -> Tables:
+        """Return the tables that the lookup is over."""
 
     def workspace_for_key(self, bearer: str) -> Workspace | None:
         """Return the workspace that a key belongs to."""
--- a/packages/fulmarroad-router/src/fulmarroad_router/node.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -395,7 +395,9 @@
     async def _fetch_tables(self, peer: str, wanted: TablesWanted) -> TablesGiven:
         return await self._questions.ask(peer, wanted, TablesGiven, ASK_TIMEOUT_S)
 
-    def _soon(self, function: Callable[[Any], Awaitable[None]], value: Any) -> None:
+    def _soon(
+        self, function: Callable[[Any], Coroutine[Any, Any, None]], value: Any
+    ) -> None:
         if self._group is not None:
             self._group.start_soon(function, value)
 
