Give operators fulmarroadctl: check, diff, status, explain, audit, drain

Files are read as parts, so that a fault is told as a router would tell it. Arguments reach the commands as typed: fire alone reads a route named 1e3 as a number.

--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/cli.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/cli.py
@@ -2,7 +2,86 @@
 
 from __future__ import annotations
 
+import json
+import sys
+from collections.abc import Sequence
 
-def main() -> None:
-    """Run one operator command."""
-    raise SystemExit("fulmarroadctl has no commands yet.")
+import fire
+import fire.parser
+
+from fulmarroad.exceptions import ConfigurationError, FulmarroadError
+from fulmarroad_ctl.commands import Commands
+from fulmarroad_ctl.exceptions import EXIT_DONE, EXIT_INVALID
+
+OVERVIEW = """\
+fulmarroadctl: look after a fleet of fulmarroad routers.
+
+Commands:
+  check    check settings and tables in files, without a router
+  diff     show what new tables would change
+  status   show a router's state: members, schedulers, servers and their warmth
+  explain  show where a call of a route would go now, and why
+  audit    follow the changes that a router sees
+  drain    begin a router's graceful shutdown
+
+Which router:
+  --settings FILE                     the router's own settings, or
+  --admin URL --token_file FILE       its admin port and the file with its token, or
+  FULMARROAD_ADMIN, FULMARROAD_ADMIN_TOKEN in the environment
+
+Every command takes --json. `fulmarroadctl COMMAND --help` lists its arguments.
+
+Examples:
+  fulmarroadctl check --settings router.toml --routes routes.toml --pools pools.toml
+  fulmarroadctl diff --settings router.toml --routes routes.toml --pools pools.toml
+  fulmarroadctl explain chat --workspace atlas --settings router.toml
+  fulmarroadctl audit --settings router.toml --json
+
+Exit codes: 0 done, 1 a difference or a refused call, 2 wrong files or arguments,
+3 the router gave no answer or refused.
+"""
+
+_HELP = ("--help", "-h", "help")
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run one operator command and exit with its code."""
+    command = list(sys.argv[1:] if arguments is None else arguments)
+    if not command or command[0] in _HELP:
+        print(OVERVIEW, end="")
+        raise SystemExit(EXIT_DONE if command else EXIT_INVALID)
+    try:
+        typed = [_as_typed(argument) for argument in command]
+        fire.Fire(Commands(), command=typed, name="fulmarroadctl")
+    except KeyboardInterrupt:
+        raise SystemExit(EXIT_DONE) from None
+    except FulmarroadError as error:
+        _report(error, as_json="--json" in command)
+        raise SystemExit(error.exit_code) from None
+
+
+def _as_typed(argument: str) -> str:
+    """Return an argument that fire hands on as it was typed.
+
+    By itself fire reads a route named 1e3 as a number and `a,b` as a tuple.
+    """
+    flag, equals, value = argument.partition("=")
+    if argument.startswith("-") and not equals:
+        return argument
+    if argument.startswith("-"):
+        return f"{flag}={_quoted(value)}"
+    return _quoted(argument)
+
+
+def _quoted(value: str) -> str:
+    parsed = fire.parser.DefaultParseValue(value)
+    return value if isinstance(parsed, (str, bool)) else repr(value)
+
+
+def _report(error: FulmarroadError, *, as_json: bool) -> None:
+    if not as_json:
+        print(f"error: {error.show()}", file=sys.stderr)
+        return
+    problems = error.problems if isinstance(error, ConfigurationError) else ()
+    document = {"error": error.message, "hint": error.hint, "problems": list(problems)}
+    print(json.dumps(document))
--- /dev/null
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
@@ -0,0 +1,334 @@
+"""The commands of `fulmarroadctl`; each prints plain text, or JSON with `--json`."""
+
+from __future__ import annotations
+
+import json as json_module
+import os
+import sys
+from collections.abc import Iterable, Mapping
+from typing import Any, TextIO
+
+from attrs import asdict
+from result import Err, Result
+
+from fulmarroad.tables import TableChange, Tables, diff_tables, servers_leaving
+from fulmarroad_ctl._client import AdminClient
+from fulmarroad_ctl._files import read_tables
+from fulmarroad_ctl._render import audit_line, explain_lines, status_lines
+from fulmarroad_ctl._router_tables import tables_of, with_counted_keys
+from fulmarroad_ctl.exceptions import EXIT_DIFFERS, RouterError, UsageError
+from fulmarroad_router.settings import Settings, load_settings
+
+ADMIN_VARIABLE = "FULMARROAD_ADMIN"
+TOKEN_VARIABLE = "FULMARROAD_ADMIN_TOKEN"
+
+FOLLOW_WAIT_S = 20
+"""Seconds that one question for audit records waits, below the router's own limit."""
+
+
+def _truth(value: bool | str) -> bool:
+    return str(value).lower() not in ("false", "no", "0")
+
+
+def _number(value: int | str) -> int:
+    text = str(value)
+    if text.isascii() and text.isdigit():
+        return int(text)
+    raise UsageError(f"--after must be a whole number; is {text}.")
+
+
+class Commands:
+    """Look after a fleet of fulmarroad routers.
+
+    Commands that ask a router take --settings FILE (the router's own settings), or
+    --admin URL with --token_file FILE, or the environment variables FULMARROAD_ADMIN
+    and FULMARROAD_ADMIN_TOKEN. Every command takes --json.
+    """
+
+    def __init__(
+        self, out: TextIO | None = None, environment: Mapping[str, str] = os.environ
+    ) -> None:
+        self._out = out or sys.stdout
+        self._environment = environment
+
+    def check(
+        self, settings: str = "", routes: str = "", pools: str = "", json: bool = False
+    ) -> None:
+        """Check settings and tables in files, without a router.
+
+        Exit code 0: all good. 2: a fault; every fault is listed.
+
+        Args:
+            settings: settings of a router, TOML.
+            routes: files of the routes table, parted by commas; needs --pools.
+            pools: files of the pools table, parted by commas; needs --routes.
+            json: print JSON.
+
+        """
+        if not (settings or routes or pools):
+            raise UsageError(
+                "Nothing to check is named.",
+                hint="Name --settings FILE, or --routes FILES and --pools FILES.",
+            )
+        loaded = load_settings(settings) if settings else None
+        tables = read_tables(routes, pools) if routes or pools else None
+        warnings = _joint_warnings(loaded, tables)
+        counts = _counts(tables) if tables else {}
+        if json:
+            self._print_json({"valid": True, "counts": counts, "warnings": warnings})
+            return
+        self._print(f"warning: {warning}" for warning in warnings)
+        self._print(["settings are valid"] if loaded else [])
+        parts = ", ".join(f"{count} {kind}" for kind, count in counts.items())
+        self._print([f"tables are valid: {parts}"] if tables else [])
+
+    def status(
+        self,
+        admin: str = "",
+        token_file: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show a router's state: members, schedulers, servers and their warmth.
+
+        Exit code 0: answered. 3: no answer, or refused.
+
+        Args:
+            admin: URL of the router's admin port.
+            token_file: file with the admin token.
+            settings: the router's settings, in place of the two.
+            json: print JSON.
+
+        """
+        client = self._client(admin, token_file, settings)
+        document = _answer(client.get("/status"))
+        self._show(document, status_lines(document), json)
+
+    def explain(
+        self,
+        route: str,
+        workspace: str = "",
+        admin: str = "",
+        token_file: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show where a call of a route would go now, and why.
+
+        Exit code 0: it would go somewhere. 1: it would be refused. 3: no answer, or
+        refused, as for a route that the tables lack.
+
+        Args:
+            route: name of the route.
+            workspace: name of the workspace that calls.
+            admin: URL of the router's admin port.
+            token_file: file with the admin token.
+            settings: the router's settings, in place of the two.
+            json: print JSON.
+
+        """
+        client = self._client(admin, token_file, settings)
+        query = {"route": route, "workspace": workspace}
+        document = _answer(client.get("/explain", query))
+        goes = document.get("chosen_shard") and document.get("allowed", True)
+        self._show(document, explain_lines(document), json)
+        if not goes:
+            raise SystemExit(EXIT_DIFFERS)
+
+    def audit(
+        self,
+        after: int | str = 0,
+        follow: bool | str = True,
+        admin: str = "",
+        token_file: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show changes of tables, members, roles, warmth and states as they come.
+
+        Exit code 0: ended by Ctrl-C or --follow=false. 3: no answer, or refused. With
+        --json each record is one line.
+
+        Args:
+            after: sequence number after which records are shown.
+            follow: go on with new records; --follow=false ends after those kept.
+            admin: URL of the router's admin port.
+            token_file: file with the admin token.
+            settings: the router's settings, in place of the two.
+            json: print JSON.
+
+        """
+        last, goes_on = _number(after), _truth(follow)
+        client = self._client(admin, token_file, settings)
+        wait_s = 0
+        while True:
+            query = {"after": str(last), "wait_s": str(wait_s)}
+            answer = _answer(client.get("/audit", query, wait_s))
+            for record in answer.get("records", []):
+                last = max(last, int(record.get("sequence", 0)))
+                if json:
+                    self._print_json(record)
+                else:
+                    self._print([audit_line(record)])
+            if not goes_on:
+                return
+            wait_s = FOLLOW_WAIT_S
+
+    def diff(
+        self,
+        routes: str,
+        pools: str,
+        against_routes: str = "",
+        against_pools: str = "",
+        admin: str = "",
+        token_file: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        """Show what new tables in files would change, against a router or other files.
+
+        Exit code 0: nothing would change. 1: something would. 2: a fault in the files.
+        3: no answer, or refused. A router gives the number of keys, not the keys.
+
+        Args:
+            routes: files of the new routes table, parted by commas.
+            pools: files of the new pools table, parted by commas.
+            against_routes: files of the routes table to compare with.
+            against_pools: files of the pools table to compare with.
+            admin: URL of the admin port of a router to compare with.
+            token_file: file with the admin token.
+            settings: the router's settings, in place of the two.
+            json: print JSON.
+
+        """
+        new = read_tables(routes, pools)
+        if against_routes or against_pools:
+            old = read_tables(against_routes, against_pools)
+        else:
+            client = self._client(admin, token_file, settings)
+            old = tables_of(_answer(client.get("/tables")))
+            new = with_counted_keys(new)
+        changes = diff_tables(old, new)
+        leaving = servers_leaving(old, new)
+        document = {
+            "changes": [asdict(change) for change in changes],
+            "servers_leaving": leaving,
+        }
+        self._show(document, _diff_lines(changes, leaving), json)
+        if changes:
+            raise SystemExit(EXIT_DIFFERS)
+
+    def drain(
+        self,
+        admin: str = "",
+        token_file: str = "",
+        settings: str = "",
+        json: bool = False,
+    ) -> None:
+        """Begin a router's graceful shutdown: no new calls, running ones finish.
+
+        Exit code 0: begun. 3: no answer, or refused.
+
+        Args:
+            admin: URL of the router's admin port.
+            token_file: file with the admin token.
+            settings: the router's settings, in place of the two.
+            json: print JSON.
+
+        """
+        client = self._client(admin, token_file, settings)
+        document = _answer(client.post("/drain"))
+        text = "graceful shutdown begun; the process ends when its last call has ended"
+        self._show(document, [text], json)
+
+    def _client(self, admin: str, token_file: str, settings: str) -> AdminClient:
+        loaded = load_settings(settings) if settings else None
+        url = admin or self._environment.get(ADMIN_VARIABLE, "")
+        if not url and loaded is not None:
+            url = _admin_url(loaded)
+        token = self._environment.get(TOKEN_VARIABLE, "")
+        if token_file:
+            token = _read_token(token_file)
+        elif loaded is not None:
+            token = loaded.admin.token
+        if not url or not token:
+            raise UsageError(
+                "No router is named." if not url else "No admin token is named.",
+                hint="Give --settings FILE, or --admin http://127.0.0.1:PORT and "
+                f"--token_file FILE, or set {ADMIN_VARIABLE} and {TOKEN_VARIABLE}.",
+            )
+        return AdminClient(url, token, loaded.tls.authority if loaded else "")
+
+    def _show(self, document: Any, lines: Iterable[str], json: bool) -> None:
+        if json:
+            self._print_json(document)
+        else:
+            self._print(lines)
+
+    def _print(self, lines: Iterable[str]) -> None:
+        for line in lines:
+            print(line, file=self._out, flush=True)
+
+    def _print_json(self, document: Any) -> None:
+        self._print([json_module.dumps(document)])
+
+
+def _answer(result: Result[Any, RouterError]) -> Any:
+    if isinstance(result, Err):
+        raise result.err_value
+    return result.ok_value
+
+
+def _admin_url(settings: Settings) -> str:
+    listen = settings.listen
+    if not listen.admin_port:
+        raise UsageError(
+            "The settings leave the admin port to chance.",
+            hint="Give --admin http://HOST:PORT; the router logs its port.",
+        )
+    host = f"[{listen.admin_host}]" if ":" in listen.admin_host else listen.admin_host
+    return f"http://{host}:{listen.admin_port}"
+
+
+def _read_token(path: str) -> str:
+    try:
+        with open(path) as file:
+            return file.read().strip()
+    except (OSError, UnicodeDecodeError) as error:
+        raise UsageError(f"The token file {path} can't be read: {error}.") from error
+
+
+def _counts(tables: Tables) -> dict[str, int]:
+    return {
+        "workspaces": len(tables.workspaces),
+        "routes": len(tables.routes),
+        "data centres": len(tables.data_centres),
+        "pools": len(tables.pools),
+        "backend servers": sum(len(pool.servers) for pool in tables.pools.values()),
+    }
+
+
+def _joint_warnings(settings: Settings | None, tables: Tables | None) -> list[str]:
+    """Return what is sound in each file but doesn't fit together."""
+    if settings is None or tables is None:
+        return []
+    warnings = []
+    centre = settings.router.data_centre
+    if centre not in tables.data_centres:
+        warnings.append(f"router.data_centre: the pools table has no {centre!r}")
+    longest = max((route.timeout_s for route in tables.routes.values()), default=0.0)
+    if settings.limits.drain_timeout_s < longest:
+        warnings.append(
+            f"limits.drain_timeout_s: a route may take {longest:g} s, so that a "
+            "graceful shutdown could cut it off"
+        )
+    return warnings
+
+
+def _diff_lines(
+    changes: Iterable[TableChange], leaving: Mapping[str, int]
+) -> Iterable[str]:
+    lines = [str(change) for change in changes]
+    for centre, count in sorted(leaving.items()):
+        lines.append(f"{count} backend servers in {centre} would take no more work")
+    return lines or ["nothing would change"]
