Change the last byte of a packet, not the fortieth, in the seal's test

Cause: a ping with short field names has fewer than forty bytes, so that the test failed to find its byte. The last byte is as strict for any length.

--- a/packages/fulmarroad/tests/test_gossip.py
+++ b/packages/fulmarroad/tests/test_gossip.py
@@ -155,7 +155,7 @@
         seal = PacketSeal(SECRET)
         assert seal.open(seal.seal(self.PING)) == self.PING
 
-    @pytest.mark.parametrize("place", [0, 15, 16, 40])
+    @pytest.mark.parametrize("place", [0, 15, 16, -1])
     def test_rejects_a_changed_byte(self, place):
         packet = bytearray(PacketSeal(SECRET).seal(self.PING))
         packet[place] ^= 1
