Serve the admin port over TLS off loopback, show each router's table version

Settings promised TLS for an admin port off loopback, but the port spoke plain HTTP, so the token would have crossed the network in the clear. It uses the files of [tls] now, and fulmarroadctl asks by HTTPS there. Status shows the version that each member says is in force. Changed rows are audited as the table's, as the data centre's own record follows from them and stood there twice.

--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
@@ -287,7 +287,8 @@
             hint="Give --admin http://HOST:PORT; the router logs its port.",
         )
     host = f"[{listen.admin_host}]" if ":" in listen.admin_host else listen.admin_host
-    return f"http://{host}:{listen.admin_port}"
+    scheme = "https" if settings.admin_uses_tls else "http"
+    return f"{scheme}://{host}:{listen.admin_port}"
 
 
 def _read_token(path: str) -> str:
--- a/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -11,6 +11,7 @@
 import uvicorn
 
 from fulmarroad.exceptions import TransportError
+from fulmarroad_router.settings import TlsSettings
 
 BACKLOG = 1024
 
@@ -34,6 +35,7 @@
         port: int,
         *,
         max_connections: int | None = None,
+        tls: TlsSettings | None = None,
         on_ready: Callable[[int], None] = lambda port: None,
     ) -> None:
         self._app = app
@@ -42,6 +44,7 @@
         self._on_ready = on_ready
         self._server: _Server | None = None
         self._max_connections = max_connections
+        self._tls = tls
 
     async def run(self) -> None:
         """Serve until cancelled or stopped."""
@@ -59,6 +62,8 @@
             backlog=BACKLOG,
             limit_concurrency=self._max_connections,
             timeout_graceful_shutdown=None,
+            ssl_certfile=self._tls.certificate if self._tls else None,
+            ssl_keyfile=self._tls.key if self._tls else None,
         )
         listener = self._bind()
         self._server = _Server(config)
@@ -75,7 +80,8 @@
         await anyio.lowlevel.checkpoint()
 
     def _bind(self) -> socket.socket:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             listener.bind((self._host, self._port))
--- a/packages/fulmarroad-router/src/fulmarroad_router/node.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -302,13 +302,15 @@
             self._traffic,
             self._tables,
             self._swim.members,
+            self._swim.versions,
             self._clock,
             self.ask_drain,
             self._cut,
         )
         listen = self._settings.listen
         app = AdminApp(operations, self._settings.admin.token)
-        return HttpServer(app, listen.admin_host, listen.admin_port)
+        tls = self._settings.tls if self._settings.admin_uses_tls else None
+        return HttpServer(app, listen.admin_host, listen.admin_port, tls=tls)
 
     def _peer_server(self) -> PeerServer:
         listen = self._settings.listen
--- a/packages/fulmarroad-router/src/fulmarroad_router/operations.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/operations.py
@@ -35,6 +35,7 @@
         traffic: TrafficCount,
         tables: Callable[[], Tables | None],
         members: Callable[[], Mapping[str, Member]],
+        versions: Callable[[], Mapping[str, int]],
         clock: Callable[[], float],
         drain: Callable[[str], None],
         cut: set[str],
@@ -46,6 +47,7 @@
         self._traffic = traffic
         self._tables = tables
         self._members = members
+        self._versions = versions
         self._clock = clock
         self._drain = drain
         self._cut = cut
@@ -144,6 +146,7 @@
             "state": member.state.value,
             "data_centre": member.data_centre,
             "incarnation": member.incarnation,
+            "table_version": self._versions().get(name),
         }
 
     def _centres(self, tables: Tables | None) -> dict[str, str]:
--- a/packages/fulmarroad-router/src/fulmarroad_router/settings.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/settings.py
@@ -166,6 +166,11 @@
     keys: KeysSettings = KeysSettings()
     bench: BenchSettings = BenchSettings()
 
+    @property
+    def admin_uses_tls(self) -> bool:
+        """Tell whether the admin port speaks HTTPS, as it does off loopback."""
+        return self.tls.enabled and not _is_loopback(self.listen.admin_host)
+
 
 def _url(value: Any) -> str:
     fault = f"must be as http://10.0.0.2:9000, with a port; is {checks.shown(value)}"
--- a/packages/fulmarroad-router/tests/test_settings.py
+++ b/packages/fulmarroad-router/tests/test_settings.py
@@ -105,7 +105,8 @@
     def test_admin_needs_tls(self):
         outside = TEXT.replace("[platform]", 'admin_host = "10.0.0.5"\n[platform]')
         assert "admin token would cross" in problems(outside)[0]
-        assert parse_settings(outside + TLS).tls.enabled
+        assert parse_settings(outside + TLS).admin_uses_tls
+        assert not parse_settings(TEXT + TLS).admin_uses_tls
 
 
 class TestFiles:
--- a/packages/fulmarroad/src/fulmarroad/_config_task.py
+++ b/packages/fulmarroad/src/fulmarroad/_config_task.py
@@ -70,8 +70,6 @@
 AUDITED_CHANGES = 200
 """Rows of a change in the audit trail; it holds 4096 records in all."""
 
-_AUDIT_SUBJECTS = {"data_centre": Subject.DATA_CENTRE, "server": Subject.SERVER}
-
 Offload = Callable[..., Awaitable[Any]]
 
 
@@ -300,7 +298,7 @@
     def _audit_change(self, change: TableChange, version: int) -> None:
         label = f"{change.kind} {change.name} {change.field}".strip()
         self._audit.record(
-            _AUDIT_SUBJECTS.get(change.kind, Subject.TABLES),
+            Subject.TABLES,
             label,
             before=change.before,
             after=change.after,
--- a/packages/fulmarroad/tests/test_configuration.py
+++ b/packages/fulmarroad/tests/test_configuration.py
@@ -546,7 +546,8 @@
             service.publish(2, state="out")
             await fleet.until(2, within=5)
             rows = fleet.nodes["n0"].audit.since(0)
-            row = next(row for row in rows if row.subject is Subject.DATA_CENTRE)
+            row = next(row for row in rows if row.name == "data_centre north state")
+            assert row.subject is Subject.TABLES
             assert (row.before, row.after, row.version) == ("in", "out", 2)
             assert fleet.nodes["n0"].taken[-1].version == 2
 
