Don't take a whole answer's time for its first token

Servers that warmed up were set back to cold nineteen times in 25 s as very slow: a fifth of the answers came in one piece, whose first byte is also their last. Change: an answer in one piece reports its time per token and no first token.

--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -95,6 +95,7 @@
     prompt_tokens: float = 0.0
     cached_tokens: int = 0
     counted: bool = False
+    in_one_piece: bool = False
 
     def note_chunk(self, tokens: int) -> None:
         """Note a part of the answer."""
@@ -121,13 +122,24 @@
 
     @property
     def first_s(self) -> float | None:
-        """Return the time to the first byte of the answer's body."""
-        return None if self.first is None else self.first - self.sent
+        """Return the time to the first byte of the answer's body.
+
+        An answer of a model that comes in one piece has none: its first byte is
+        also its last, and would make every server look slow that writes long
+        answers.
+        """
+        if self.first is None or self.in_one_piece:
+            return None
+        return self.first - self.sent
 
     @property
     def gap_s(self) -> float | None:
-        """Return the mean time between chunks."""
-        if self.first is None or self.chunks < 2:
+        """Return the mean time between chunks, or for a token of a whole answer."""
+        if self.first is None:
+            return None
+        if self.in_one_piece:
+            return (self.last - self.sent) / self.tokens if self.tokens else None
+        if self.chunks < 2:
             return None
         return (self.last - self.first) / (self.chunks - 1)
 
@@ -326,6 +338,7 @@
     ) -> None:
         """Copy a body; its head waits for the first part, so a try may still fail."""
         kept = bytearray()
+        meter.in_one_piece = bool(call.chat.model)
         headers = answer_headers(response.headers)
         async for chunk in response.chunks():
             if not responder.begun:
