--- a/packages/fulmarroad/src/fulmarroad/_route_index.py
+++ b/packages/fulmarroad/src/fulmarroad/_route_index.py
@@ -12,13 +12,18 @@
 """Bytes of a key's hash that pick a bucket; 16,000 keys make a clash unlikely."""
 
 
+_PathRoutes = dict[tuple[str, str], list[Route]]
+"""Routes of one path by model and workspace, so that a path which many workspaces share
+by routes of their own costs each call no more than one that has a single route."""
+
+
 class RouteIndex:
     """Answer the lookups of one version of the tables."""
 
     def __init__(self, tables: Tables) -> None:
         self._keys = _index_keys(tables.workspaces.values())
-        self._exact: dict[str, tuple[Route, ...]] = {}
-        self._prefixes: dict[str, tuple[Route, ...]] = {}
+        self._exact: dict[str, _PathRoutes] = {}
+        self._prefixes: dict[str, _PathRoutes] = {}
         for route in sorted(tables.routes.values(), key=_rank):
             self._add(route)
         # Only lengths in use are tried, so a path of many slashes costs no more.
@@ -49,27 +54,28 @@
         model goes before a general one, then one for named workspaces, then one for
         named methods.
         """
-        for route in self._exact.get(path, ()):
-            if _takes(route, method, model, workspace):
-                return route
+        found = _pick(self._exact.get(path), method, model, workspace)
+        if found is not None:
+            return found
         for length in self._lengths:
-            for route in self._prefixed(path, length):
-                if _takes(route, method, model, workspace):
-                    return route
+            found = _pick(self._prefixed(path, length), method, model, workspace)
+            if found is not None:
+                return found
         return None
 
-    def _prefixed(self, path: str, length: int) -> tuple[Route, ...]:
+    def _prefixed(self, path: str, length: int) -> _PathRoutes | None:
         whole_segment = len(path) == length or path[length : length + 1] == "/"
         if len(path) < length or not whole_segment:
-            return ()
-        return self._prefixes.get(path[:length], ())
+            return None
+        return self._prefixes.get(path[:length])
 
     def _add(self, route: Route) -> None:
         if route.path_prefix:
-            path = route.path.rstrip("/")
-            self._prefixes[path] = (*self._prefixes.get(path, ()), route)
+            routes = self._prefixes.setdefault(route.path.rstrip("/"), {})
         else:
-            self._exact[route.path] = (*self._exact.get(route.path, ()), route)
+            routes = self._exact.setdefault(route.path, {})
+        for workspace in route.workspaces or ("",):
+            routes.setdefault((route.model, workspace), []).append(route)
 
 
 def _index_keys(
@@ -83,13 +89,17 @@
     return keys
 
 
-def _rank(route: Route) -> tuple[bool, bool, bool, str]:
-    return (not route.model, not route.workspaces, not route.methods, route.name)
+def _rank(route: Route) -> tuple[bool, str]:
+    return (not route.methods, route.name)
 
 
-def _takes(route: Route, method: str, model: str, workspace: str) -> bool:
-    if route.methods and method not in route.methods:
-        return False
-    if route.model and route.model != model:
-        return False
-    return not route.workspaces or workspace in route.workspaces
+def _pick(
+    routes: _PathRoutes | None, method: str, model: str, workspace: str
+) -> Route | None:
+    if routes is None:
+        return None
+    for key in ((model, workspace), (model, ""), ("", workspace), ("", "")):
+        for route in routes.get(key, ()):
+            if not route.methods or method in route.methods:
+                return route
+    return None
--- a/packages/fulmarroad/src/fulmarroad/_tables_check.py
+++ b/packages/fulmarroad/src/fulmarroad/_tables_check.py
@@ -143,25 +143,24 @@
 
 
 def _ambiguous_routes(routes: Iterable[Route]) -> Iterator[str]:
-    groups: dict[tuple[Any, ...], list[Route]] = {}
+    # Each call that a route names is looked up, not each other route: with thousands
+    # of routes on one path the comparison of pairs would hold every router up.
+    owner: dict[tuple[Any, ...], str] = {}
     for route in routes:
-        path = (route.path.rstrip("/") or "/") if route.path_prefix else route.path
-        rank = (bool(route.workspaces), bool(route.methods))
-        key = (path, route.path_prefix, route.model, *rank)
-        for other in groups.setdefault(key, []):
-            if _overlap(route, other):
-                yield (
-                    f"routes: route {route.name!r}: path: takes the same calls as "
-                    f"route {other.name!r}"
-                )
-                break
-        groups[key].append(route)
-
-
-def _overlap(one: Route, other: Route) -> bool:
-    workspaces = not one.workspaces or set(one.workspaces) & set(other.workspaces)
-    methods = not one.methods or set(one.methods) & set(other.methods)
-    return bool(workspaces and methods)
+        rivals = {owner.setdefault(call, route.name) for call in _calls_of(route)}
+        rivals.discard(route.name)
+        if rivals:
+            yield (
+                f"routes: route {route.name!r}: path: takes the same calls as "
+                f"route {min(rivals)!r}"
+            )
+
+
+def _calls_of(route: Route) -> Iterator[tuple[Any, ...]]:
+    path = (route.path.rstrip("/") or "/") if route.path_prefix else route.path
+    for workspace in route.workspaces or ("",):
+        for method in route.methods or ("",):
+            yield path, route.path_prefix, route.model, workspace, method
 
 
 def _dangling_servers(
