Take no first-token time from answers in one piece; charge a resumed answer once

Now it reports none. A resumed answer's usage counts from its beginning, so both tries were charged for the first tokens; the second now pays only for its own.

--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -87,6 +87,7 @@
     """Measure one try: what it cost and how fast its answer came."""
 
     clock: Callable[[], float]
+    resumed_from: int = 0
     sent: float = 0.0
     first: float | None = None
     last: float = 0.0
@@ -113,7 +114,9 @@
         if type(prompt) is int and prompt >= 0:
             self.prompt_tokens = prompt
         if type(answer) is int and answer >= 0:
-            self.tokens = answer
+            # A resumed answer's usage counts from its beginning; the tokens before
+            # are another try's, and charging them twice would be unfair.
+            self.tokens = max(0, answer - self.resumed_from)
             self.counted = True
         details = usage.get("prompt_tokens_details")
         if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
@@ -218,7 +221,7 @@
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
     ) -> None:
-        meter = _Meter(self._clock, prompt_tokens=call.prompt_tokens)
+        meter = _Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
@@ -410,7 +413,7 @@
             lease.lease_id,
             outcome,
             self._service(call, meter, outcome),
-            meter.first_s,
+            _first_token_s(call, meter),
             meter.gap_s,
             self._clock() - meter.sent,
             meter.cached_tokens,
@@ -428,6 +431,17 @@
         return meter.prompt_tokens * call.pool.prompt_cost + meter.tokens
 
 
+def _first_token_s(call: Call, meter: _Meter) -> float | None:
+    """Return the time to the first token, None where an answer doesn't show it.
+
+    A model's answer that isn't streamed comes at its end. Taken for the first token,
+    its time would make each such answer look very slow, and a warm server cold.
+    """
+    if call.chat.model and not call.chat.stream:
+        return None
+    return meter.first_s
+
+
 def _is_events(response: BackendResponse) -> bool:
     kind = response.header(b"content-type")
     return response.status == 200 and kind.startswith(b"text/event-stream")
