--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_scenario.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_scenario.py
@@ -131,7 +131,7 @@
         ("seconds", "warm_s", "fleet", "engine", "group", "fault", "pool", "route"),
     )
     seconds = checker.number("seconds", raw.get("seconds", 25.0), 1, LONGEST_S)
-    warm_s = checker.number("warm_s", raw.get("warm_s", 5.0), 0, 15)
+    warm_s = checker.number("warm_s", raw.get("warm_s", 12.0), 0, 15)
     fleet = checker.build(Fleet, "fleet", raw.get("fleet", {}))
     engine = checker.build(EngineProfile, "engine", raw.get("engine", {}))
     groups = checker.build_all(Group, "group", raw.get("group", []))
