--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -96,6 +96,7 @@
     prompt_tokens: float = 0.0
     cached_tokens: int = 0
     counted: bool = False
+    in_one_piece: bool = False
 
     def note_chunk(self, tokens: int) -> None:
         """Note a part of the answer."""
@@ -124,13 +125,24 @@
 
     @property
     def first_s(self) -> float | None:
-        """Return the time to the first byte of the answer's body."""
-        return None if self.first is None else self.first - self.sent
+        """Return the time to the first byte of the answer's body.
+
+        An answer of a model that comes in one piece has none: its first byte is
+        also its last, and would make every server look slow that writes long
+        answers.
+        """
+        if self.first is None or self.in_one_piece:
+            return None
+        return self.first - self.sent
 
     @property
     def gap_s(self) -> float | None:
-        """Return the mean time between chunks."""
-        if self.first is None or self.chunks < 2:
+        """Return the mean time between chunks, or for a token of a whole answer."""
+        if self.first is None:
+            return None
+        if self.in_one_piece:
+            return (self.last - self.sent) / self.tokens if self.tokens else None
+        if self.chunks < 2:
             return None
         return (self.last - self.first) / (self.chunks - 1)
 
@@ -329,6 +341,7 @@
     ) -> None:
         """Copy a body; its head waits for the first part, so a try may still fail."""
         kept = bytearray()
+        meter.in_one_piece = bool(call.chat.model)
         headers = answer_headers(response.headers)
         async for chunk in response.chunks():
             if not responder.begun:
@@ -413,7 +426,7 @@
             lease.lease_id,
             outcome,
             self._service(call, meter, outcome),
-            _first_token_s(call, meter),
+            meter.first_s,
             meter.gap_s,
             self._clock() - meter.sent,
             meter.cached_tokens,
@@ -431,17 +444,6 @@
         return meter.prompt_tokens * call.pool.prompt_cost + meter.tokens
 
 
-def _first_token_s(call: Call, meter: _Meter) -> float | None:
-    """Return the time to the first token, None where an answer doesn't show it.
-
-    A model's answer that isn't streamed comes at its end. Taken for the first token,
-    its time would make each such answer look very slow, and a warm server cold.
-    """
-    if call.chat.model and not call.chat.stream:
-        return None
-    return meter.first_s
-
-
 def _is_events(response: BackendResponse) -> bool:
     kind = response.header(b"content-type")
     return response.status == 200 and kind.startswith(b"text/event-stream")
