--- a/packages/fulmarroad/src/fulmarroad/_rebalance.py
+++ b/packages/fulmarroad/src/fulmarroad/_rebalance.py
@@ -25,9 +25,15 @@
 """A report older than this tells nothing of free units; a little above the interval
 at which idle schedulers report."""
 
-AHEAD_S = 0.3
-"""Work sent ahead of the units that will be free: three of the shortest intervals
-between reports, as a unit that frees between two of them idles until the next."""
+AHEAD_INTERVALS = 2.0
+LEAST_AHEAD_S = 0.3
+"""Work is sent ahead of the units that will be free until the next report, as a unit
+that frees in between would idle until then; twice the interval, for reports that come
+late. The least is three of the shortest intervals."""
+
+LEAST_AHEAD_SHARE = 0.25
+"""Long requests end rarely but often together, as they were granted together; then a
+quarter of the units has work at hand."""
 
 FAIR_SHARE = 0.5
 """Part of another shard's units that demands of lagging workspaces may be sent for
@@ -69,7 +75,9 @@
             return
         sources = self._sources(report.shard, now)
         unused = max(0, report.free - report.waiting)
-        ahead = lookahead(report.capacity, mean_s)
+        known = self._peers.get(report.shard)
+        interval = min(FRESH_S, now - known.at) if known else 0.0
+        ahead = lookahead(report.capacity, mean_s, interval)
         room = max(0, report.free + ahead - report.waiting)
         self._peers[report.shard] = PeerShard(
             report.shard,
@@ -92,7 +100,7 @@
         """Return the moves that are due from a shard whose units are all in use."""
         if not len(queue):
             return []
-        moves = self._to_free_units(queue, lookahead(units, mean_s), now)
+        moves = self._to_free_units(queue, lookahead(units, mean_s, 0.0), now)
         taken = {move.demand_id for move in moves}
         return moves + self._to_fairer_shards(queue, taken, now)
 
@@ -184,9 +192,12 @@
     return row.demand.moves < MAX_MOVES and row.demand.demand_id not in taken
 
 
-def lookahead(units: int, mean_s: float) -> int:
+def lookahead(units: int, mean_s: float, interval_s: float) -> int:
     """Return how many requests so many units end before the next report is heard."""
-    return math.ceil(units * AHEAD_S / mean_s) if mean_s > 0 else 0
+    if mean_s <= 0:
+        return 0
+    seconds = max(LEAST_AHEAD_S, AHEAD_INTERVALS * interval_s)
+    return math.ceil(units * max(LEAST_AHEAD_SHARE, seconds / mean_s))
 
 
 def _shared(count: int, sources: int) -> int:
--- a/packages/fulmarroad/src/fulmarroad/_spreading.py
+++ b/packages/fulmarroad/src/fulmarroad/_spreading.py
@@ -7,7 +7,14 @@
 from fulmarroad._pace import Pace
 from fulmarroad._rebalance import Handover, Rebalancer
 from fulmarroad._slots import ServerBook
-from fulmarroad._totals import IDLE_INTERVAL_S, Totals, spread_interval
+from fulmarroad._totals import (
+    BURST_BYTES,
+    CONTROL_BYTES_S,
+    IDLE_INTERVAL_S,
+    LEAST_INTERVAL_S,
+    Totals,
+    report_size,
+)
 from fulmarroad.types import Epoch, ShardId
 
 
@@ -34,6 +41,8 @@
         self._draining = False
         self._greets = False
         self._told_at = now - IDLE_INTERVAL_S
+        self._credit = BURST_BYTES
+        self._credited_at = now
         self._sequence = 0
 
     def set_peers(self, peers: int) -> None:
@@ -68,10 +77,13 @@
 
     def report(self, now: float) -> ServiceReport | None:
         """Return the report to spread now, or none while none is due."""
+        self._earn(now)
         if not self._due(now):
             return None
         self._told_at = now
         self._greets = False
+        entries = self._totals.entries(now)
+        self._credit -= self._reached(now) * report_size(len(entries))
         self._sequence += 1
         return ServiceReport(
             self._shard,
@@ -80,20 +92,30 @@
             len(self._book.free(now)),
             self._book.capacity(now),
             len(self._queue),
-            self._totals.entries(now),
+            entries,
         )
 
     def forget(self, now: float) -> None:
         """Drop what was heard of schedulers that are long silent."""
         self._totals.forget(now)
 
+    def _earn(self, now: float) -> None:
+        earned = (now - self._credited_at) * CONTROL_BYTES_S
+        self._credit = min(BURST_BYTES, self._credit + earned)
+        self._credited_at = now
+
+    def _reached(self, now: float) -> int:
+        """Return how many schedulers a report goes to."""
+        return self._totals.heard(now) if self._peers is None else self._peers
+
     def _due(self, now: float) -> bool:
         elapsed = now - self._told_at
         if elapsed >= IDLE_INTERVAL_S:
             return True
+        if elapsed < LEAST_INTERVAL_S or not self._reached(now):
+            return False
         news = self._totals.news(now)
-        peers = self._totals.heard(now) if self._peers is None else self._peers
-        if not peers or elapsed < spread_interval(peers, news):
+        if self._credit < min(BURST_BYTES, self._reached(now) * report_size(news)):
             return False
         if news or self._greets:
             return True
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -20,10 +20,13 @@
 CONTROL_BYTES_S = 2500.0
 """Bytes a second that one scheduler may spend on reports, of 7 KB a second in all."""
 
-REPORT_BYTES = 220
-ENTRY_BYTES = 80
+REPORT_BYTES = 150
+ENTRY_BYTES = 70
 """Sizes on the wire, measured with the codec and names of 16 letters."""
 
+BURST_BYTES = 2 * CONTROL_BYTES_S
+"""Unspent budget that is kept: news after a quiet time goes out at once."""
+
 MAX_ENTRIES = 64
 """Entries in one report; what is left out is told next, the largest change first."""
 
@@ -90,10 +93,14 @@
     at: float
 
 
+def report_size(entries: int) -> int:
+    """Return the bytes of a report to one peer."""
+    return REPORT_BYTES + ENTRY_BYTES * min(entries, MAX_ENTRIES)
+
+
 def spread_interval(peers: int, entries: int) -> float:
-    """Return the seconds between reports that keep within the control budget."""
-    size = REPORT_BYTES + ENTRY_BYTES * min(entries, MAX_ENTRIES)
-    return max(LEAST_INTERVAL_S, peers * size / CONTROL_BYTES_S)
+    """Return the mean seconds between reports that the control budget allows."""
+    return max(LEAST_INTERVAL_S, peers * report_size(entries) / CONTROL_BYTES_S)
 
 
 def gap_bound(
--- a/packages/fulmarroad/tests/conftest.py
+++ b/packages/fulmarroad/tests/conftest.py
@@ -164,10 +164,24 @@
 
     def pause(self, shard, seconds):
         """Stop a scheduler; it wakes later and believes what it believed."""
-        self.paused[self.schedulers[shard].epoch] = self.now + seconds
+        epoch = self.schedulers[shard].epoch
+        wakes = self.now + seconds
+        self.paused[epoch] = max(wakes, self.paused.get(epoch, 0.0))
+
+    def take_out(self, shard):
+        """Take every backend server of a shard out of service."""
+        scheduler = self.schedulers[shard]
+        pool = Pool("chat", max_concurrency=self.units, cold_concurrency=self.units)
+        servers = self.shards[shard]
+        self._send(scheduler, scheduler.set_tables(pool, servers, (), self.now))
+
+    def running_at(self, shard):
+        """Return how many requests run at a shard's backend servers."""
+        return sum(len(self.busy[server.name]) for server in self.shards[shard])
 
     def finish(self, until):
         """Run until every request is done or refused."""
+        self.run(self.now + 1.0)
         while self.now < until and self.open:
             self.run(self.now + 1.0)
 
