--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -8,10 +8,11 @@
 import socket
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Sequence
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import IO, Any
+from typing import IO, Any, TypeVar
 
 import anyio
 import psutil
@@ -28,6 +29,9 @@
     ServerRow,
     router_settings,
 )
+from fulmarroad_bench.plain import SERVICE_S
+
+Result = TypeVar("Result")
 
 JSON = "application/json"
 READY_S = 15.0
@@ -48,6 +52,7 @@
     name: str
     process: Process
     log: Path
+    started: float  # monotonic seconds
     cpu_s: float = 0.0  # as last sampled
     memory_bytes: int = 0
 
@@ -101,7 +106,7 @@
             stdout=output,
             stderr=output,
         )
-        child = Child(name, process, log)
+        child = Child(name, process, log, time.monotonic())
         self.children.append(child)
         return child
 
@@ -138,6 +143,26 @@
                 await starter.stop_all()
 
 
+def run_main(main: Callable[[], Awaitable[Result]]) -> Result:
+    """Run a main task on uvloop; raise the first of several errors alone.
+
+    A task group wraps errors, which would hide one's own message from the user.
+    """
+    try:
+        return anyio.run(main, backend_options={"use_uvloop": True})
+    except BaseExceptionGroup as errors:
+        raise _first_error(errors) from errors
+
+
+def _first_error(errors: BaseExceptionGroup) -> BaseException:
+    """Return the first error of a group, an own one if there is one."""
+    own, _ = errors.split(FulmarroadError)
+    found: BaseException = own or errors
+    while isinstance(found, BaseExceptionGroup):
+        found = found.exceptions[0]
+    return found
+
+
 def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
     """Return ports that are free now, all different."""
     sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
@@ -272,6 +297,7 @@
     *,
     policy: str = "fleet",
     profile: dict[str, float] | None = None,
+    plain_service_s: float = SERVICE_S,
 ) -> Bed:
     """Start the stand-ins of a layout, with its tables of version 1 in view."""
     ports = free_ports(4)
@@ -286,7 +312,13 @@
     engines = await _start_servers(
         starter, "engine", layout.engines, engines_control, options
     )
-    plains = await _start_servers(starter, "plain", layout.plains, plains_control, [])
+    plains = await _start_servers(
+        starter,
+        "plain",
+        layout.plains,
+        plains_control,
+        [f"--service_s={plain_service_s}"],
+    )
     await wait_ready(child, f"{HOST}:{platform}", "/vms")
     for server, control, rows in (
         (engines, engines_control, layout.engines),
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_traffic.py
@@ -9,7 +9,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad_bench._layout import WorkspaceRow
 from fulmarroad_bench._load import Balancer, Callers, CallPlan, CallResult
@@ -19,6 +19,8 @@
 """Seconds that a caller waits after anything but an answer."""
 KEYED_SHARE = 0.7
 """Share of ledger calls with an idempotency key."""
+MOST_COMMON_WORDS = 48
+"""Words at most by which all prompts of a workspace begin, cached as a prefix."""
 REPEAT_SHARE = 0.2
 """Share of keyed ledger calls that are sent again, as after a lost answer."""
 
@@ -75,6 +77,7 @@
             self._workspace.key,
             kind="ledger",
             idempotency_key=key,
+            first_attempt=bool(key),
             timeout_s=30.0,
         )
 
@@ -92,7 +95,7 @@
     def _prompt(self, words: int) -> str:
         """Return a prompt that begins as all of the workspace's do."""
         start = f"{self._workspace.name} letter "
-        common = start * min(words // 4, 24)
+        common = start * min(words // 4, MOST_COMMON_WORDS // 2)
         return common + " ".join(f"w{self._rng.randrange(999)}" for _ in range(words))
 
 
@@ -153,7 +156,7 @@
         if plan.idempotency_key and maker.repeats():
             if result.outcome != "completed":
                 await anyio.sleep(PAUSE_AFTER_REFUSAL_S)
-            await self._send(plan)
+            await self._send(evolve(plan, first_attempt=False))
 
     async def _send(self, plan: CallPlan) -> CallResult:
         return await self.callers.send(plan, self.balancer.order_for(plan.workspace))
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import random
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -15,10 +16,10 @@
 import fire
 from attrs import define, field
 
-from fulmarroad.exceptions import FulmarroadError
+from fulmarroad.exceptions import ConfigurationError, FulmarroadError
+from fulmarroad.scheduling import gap_bound, spread_interval
 from fulmarroad_bench._client import Request, call
 from fulmarroad_bench._faults import FaultMaker
-from fulmarroad_bench._gap import gap_bound
 from fulmarroad_bench._layout import Layout, ServerRow
 from fulmarroad_bench._load import Balancer, Callers
 from fulmarroad_bench._measures import PROMPT_COST, Run, measures
@@ -30,10 +31,17 @@
     free_ports,
     processes,
     router_rows,
+    run_main,
     start_bed,
 )
 from fulmarroad_bench._scenario import Scenario, load_scenario
-from fulmarroad_bench._traffic import Traffic, workspace_names, workspace_rows
+from fulmarroad_bench._traffic import (
+    MOST_COMMON_WORDS,
+    Traffic,
+    workspace_names,
+    workspace_rows,
+)
+from fulmarroad_bench._versions import VersionSeen, reverts
 
 RESULTS = Path("bench/results")
 POLICIES = ("fleet", "local", "fifo")
@@ -41,12 +49,19 @@
 """Seconds to the first token: what a cold stand-in engine needs without a queue."""
 GAP_ALLOWANCE = 1.24
 """Times the gap between tokens of an uncrowded engine (62 ms where it takes 50)."""
+CONTROL_FIELDS = (
+    "control_bytes_per_node_s",
+    "control_cpu_share",
+    "control_memory_mb",
+)
+CALLERS = "callers"
+NOTHING_YET = {"bytes_sent": 0, "bytes_received": 0, "cpu_s": 0.0}
 READY_POLL_S = 0.5
 """Seconds between the balancer's looks at each router's readiness."""
 DRAIN_S = 14.0
 """Seconds that answers may take to end once no new calls are sent."""
-SPREAD_S = 0.5
-"""Seconds between reports of service totals, as the bound counts them."""
+TELL_DELAY_S = 0.05
+"""Seconds on the way of a report between two routers on one machine, under load."""
 
 
 def layout_of(scenario: Scenario, routers: int) -> Layout:
@@ -94,8 +109,10 @@
     before: dict[str, Mapping[str, Any]] = field(factory=dict)
     after: dict[str, Mapping[str, Any]] = field(factory=dict)
     cpu_before: dict[str, float] = field(factory=dict)
+    cpu_after: dict[str, float] = field(factory=dict)
     start: float = 0.0
     end: float = 0.0
+    versions: list[VersionSeen] = field(factory=list)
     faults: FaultMaker = field(init=False)
     balancer: Balancer = field(init=False)
 
@@ -131,21 +148,25 @@
         await anyio.sleep(self.scenario.seconds)
         self.end = time.monotonic()
         self.after = await self._control()
+        self.cpu_after = self._cpu()
 
     async def _control(self) -> dict[str, Mapping[str, Any]]:
         """Return each router's own account of its control traffic."""
         found = {}
         for name in list(self.bed.rows):
             try:
-                found[name] = (await self.bed.status(name)).get("control", {})
+                control = (await self.bed.status(name)).get("control")
             except ProcessError:
                 continue
+            if control:
+                found[name] = control
         return found
 
     def _cpu(self) -> dict[str, float]:
-        for child in self.bed.routers.values():
+        for child in self.bed.starter.children:
             child.sample()
-        return {name: child.cpu_s for name, child in self.bed.routers.items()}
+        used = {child.name: child.cpu_s for child in self.bed.starter.children}
+        return {**used, CALLERS: time.process_time()}
 
     async def _watch_readiness(self) -> None:
         """Pass over routers that aren't ready, as the platform's balancer does."""
@@ -157,64 +178,68 @@
 
     async def _look(self, name: str, address: str) -> None:
         answer = await call(address, Request("GET", "/readyz"), timeout_s=1.0)
-        if answer.status == 200:
-            self.balancer.unready.discard(name)
-        else:
+        if answer.status != 200:
             self.balancer.unready.add(name)
+            return
+        self.balancer.unready.discard(name)
+        with contextlib.suppress(ProcessError):
+            version = int((await self.bed.status(name))["table_version"])
+            self.versions.append(VersionSeen(time.monotonic(), name, version))
 
 
 def control_measures(experiment: Experiment) -> dict[str, float | None]:
-    """Return control traffic, processor share and memory of a router, as means."""
-    seconds = experiment.end - experiment.start
-    pairs = [
-        (experiment.before[name], experiment.after[name])
-        for name in experiment.after
-        if name in experiment.before and experiment.after[name]
-    ]
-    if not pairs:
-        return dict.fromkeys(
-            ("control_bytes_per_node_s", "control_cpu_share", "control_memory_mb")
-        )
-
-    def grown(key: str) -> float:
-        return sum(after[key] - before[key] for before, after in pairs)
+    """Return control traffic, processor share and memory of a router, as means.
 
-    sent = grown("bytes_sent") + grown("bytes_received")
-    memory = sum(after["memory_bytes"] for _, after in pairs)
-    return {
-        "control_bytes_per_node_s": round(sent / seconds / len(pairs), 1),
-        "control_cpu_share": round(grown("cpu_s") / seconds / len(pairs), 5),
-        "control_memory_mb": round(memory / len(pairs) / 1e6, 2),
-    }
+    A router that started within the measured time counts from its start.
+    """
+    spans, totals = 0.0, {"bytes": 0.0, "cpu_s": 0.0, "memory_bytes": 0.0}
+    for name, after in experiment.after.items():
+        before = experiment.before.get(name, NOTHING_YET)
+        began = max(experiment.start, experiment.bed.routers[name].started)
+        spans += experiment.end - began
+        for key in ("bytes_sent", "bytes_received"):
+            totals["bytes"] += after[key] - before[key]
+        totals["cpu_s"] += after["cpu_s"] - before["cpu_s"]
+        totals["memory_bytes"] += after["memory_bytes"]
+    if not spans:
+        return dict.fromkeys(CONTROL_FIELDS)
+    values = (
+        round(totals["bytes"] / spans, 1),
+        round(totals["cpu_s"] / spans, 5),
+        round(totals["memory_bytes"] / len(experiment.after) / 1e6, 2),
+    )
+    return dict(zip(CONTROL_FIELDS, values, strict=True))
 
 
-def router_shares(experiment: Experiment) -> float:
-    """Return the mean share of a core that a router's whole process used."""
+def cpu_share(experiment: Experiment, names: Sequence[str]) -> float:
+    """Return the mean share of a core that whole processes used."""
     seconds = experiment.end - experiment.start
+    before, after = experiment.cpu_before, experiment.cpu_after
     shares = [
-        (child.cpu_s - experiment.cpu_before[name]) / seconds
-        for name, child in experiment.bed.routers.items()
-        if name in experiment.cpu_before
+        (after[name] - before.get(name, 0.0)) / seconds
+        for name in names
+        if name in after
     ]
     return round(sum(shares) / len(shares), 4) if shares else 0.0
 
 
-def bound_of(scenario: Scenario) -> float:
-    """Return the bound of the fairness gap in a scenario, in weighted service."""
-    profile, fleet = scenario.engine, scenario.fleet
+def bound_of(scenario: Scenario, layout: Layout, engines: Sequence[Any]) -> float:
+    """Return the bound of the fairness gap that the fleet's queue promises."""
     largest = max(
         max(group.tokens_high, group.long_tokens if group.long_share else 0)
-        + PROMPT_COST * (2 * group.prompt_high + 75)
+        + PROMPT_COST * (group.prompt_high + MOST_COMMON_WORDS)
         for group in scenario.groups
     )
-    units = fleet.engines * profile.batch
+    shards = len({row.data_centre for row in layout.engines})
     return gap_bound(
-        units=units,
-        largest=largest,
-        rate=units * profile.tokens_per_s,
-        spread_s=SPREAD_S,
-        shards=min(fleet.data_centres, fleet.engines),
-        least_weight=min(group.weight for group in scenario.groups),
+        units=sum(report["max_running"] for report in engines),
+        shards=shards,
+        rate=len(engines) * scenario.engine.batch * scenario.engine.tokens_per_s,
+        interval_s=spread_interval(shards - 1, len(layout.workspaces)),
+        delay_s=TELL_DELAY_S,
+        largest_cost=largest,
+        estimate_error=largest,
+        least_weight=min(row.weight for row in layout.workspaces),
     )
 
 
@@ -230,7 +255,6 @@
         experiment = Experiment(scenario, bed, seed)
         await experiment.run()
         engines, plains = await bed.engine_reports(), await bed.plain_reports()
-        experiment._cpu()
         await starter.stop_all()
     run = run_of(experiment, engines, plains)
     draw(run, experiment.faults.marks, directory)
@@ -266,10 +290,15 @@
         "servers": scenario.fleet.engines + scenario.fleet.plains,
         "seconds": round(run.end - run.start, 2),
         **measures(run),
-        "fairness_gap_bound": round(bound_of(scenario), 1),
+        "fairness_gap_bound": round(
+            bound_of(scenario, experiment.bed.layout, run.engines), 1
+        ),
         **control_measures(experiment),
-        "router_cpu_share": router_shares(experiment),
+        "router_cpu_share": cpu_share(experiment, list(experiment.bed.routers)),
+        "engines_cpu_share": cpu_share(experiment, ["engines"]),
+        "callers_cpu_share": cpu_share(experiment, [CALLERS]),
         "config_spread_s": round(max(faults.spreads), 3) if faults.spreads else None,
+        "config_reverts": len(reverts(experiment.versions)),
         "bad_exits": sum(code != 0 for code in codes),
         "unfinished": experiment.callers.running,
     }
@@ -285,6 +314,31 @@
     return "\n".join(f"{key:<28} {value}" for key, value in line.items()) + "\n"
 
 
+def run_file(path: Path, seed: int, policy: str, routers: int) -> dict[str, Any]:
+    """Run a scenario's file once, keep the results and return the line."""
+    if policy not in POLICIES:
+        raise ConfigurationError(f"The policy is one of {', '.join(POLICIES)}.")
+    scenario = load_scenario(path)
+    count = routers or scenario.fleet.routers
+    directory = _empty_directory(f"{scenario.name}-{policy}-{count}-{seed}")
+
+    async def run() -> dict[str, Any]:
+        return await run_scenario(scenario, seed, policy, count, directory)
+
+    line = run_main(run)
+    (directory / "measures.txt").write_text(table_of(line))
+    (directory / "line.json").write_text(json.dumps(line) + "\n")
+    return line
+
+
+def _empty_directory(name: str) -> Path:
+    directory = RESULTS / name
+    directory.mkdir(parents=True, exist_ok=True)
+    for old in directory.iterdir():
+        old.unlink()
+    return directory
+
+
 def main(scenario: str, seed: int = 1, policy: str = "fleet", routers: int = 0) -> None:
     """Run a scenario; the last line printed is its measures as JSON.
 
@@ -295,24 +349,11 @@
         routers: how many routers, 0 for the scenario's own number.
 
     """
-    if policy not in POLICIES:
-        sys.exit(f"policy is one of {', '.join(POLICIES)}")
     try:
-        known = load_scenario(Path(scenario))
-        count = routers or known.fleet.routers
-        directory = RESULTS / f"{known.name}-{policy}-{count}-{seed}"
-        directory.mkdir(parents=True, exist_ok=True)
-        for old in directory.iterdir():
-            old.unlink()
-
-        async def run() -> dict[str, Any]:
-            return await run_scenario(known, seed, policy, count, directory)
-
-        line = anyio.run(run, backend_options={"use_uvloop": True})
+        line = run_file(Path(scenario), seed, policy, routers)
     except FulmarroadError as error:
-        sys.exit(error.show())
-    (directory / "measures.txt").write_text(table_of(line))
-    (directory / "line.json").write_text(json.dumps(line) + "\n")
+        print(error.show(), file=sys.stderr)
+        sys.exit(error.exit_code)
     print(table_of(line))
     print(json.dumps(line))
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -22,12 +22,12 @@
     NoteFinished,
     NoteProgress,
     NoteStarted,
-    Rejected,
 )
 from fulmarroad.events import Event, emit
 from fulmarroad.messages import Finished
 from fulmarroad.tables import CostUnit
 from fulmarroad.types import Outcome, RefusalReason
+from fulmarroad_router.admitting import Admitter
 from fulmarroad_router.backend import (
     BackendClient,
     BackendResponse,
@@ -138,6 +138,7 @@
 
     tokens: int = 0
     done: bool = False
+    sent: bool = False
     failed: tuple[str, ...] = ()
     tries: int = 0
 
@@ -149,13 +150,13 @@
         self,
         coordinator: Coordinator,
         backends: BackendClient,
+        admitter: Admitter,
         clock: Callable[[], float],
-        may_retry: Callable[[str], bool] = lambda pool: True,
     ) -> None:
         self._coordinator = coordinator
         self._backends = backends
+        self._admitter = admitter
         self._clock = clock
-        self._may_retry = may_retry
         self._sequence = 0
 
     async def run(self, call: Call, responder: Responder) -> None:
@@ -164,13 +165,24 @@
         while not progress.done:
             lease = await self._lease(call, progress)
             progress.tries += 1
-            await self._try(call, lease, responder, progress)
+            self._admitter.begin(call)
+            try:
+                await self._try(call, lease, responder, progress)
+            finally:
+                self._admitter.end(call)
 
     async def _lease(self, call: Call, progress: _Progress) -> Lease:
-        answer = await self._coordinator.request(self._ask(call, progress))
+        ask = self._ask(call, progress)
+        try:
+            self._admitter.admit(call, ask.demand_id, first=not progress.tries)
+            answer = await self._coordinator.request(ask)
+        except Refused as refused:
+            raise self._refusal(refused, progress) from refused
+        finally:
+            self._admitter.leave(ask.demand_id)
         if isinstance(answer, Granted):
             return answer.lease
-        raise self._refusal(answer, progress)
+        raise self._refusal(Refused(answer.reason, answer.retry_after_s), progress)
 
     def _ask(self, call: Call, progress: _Progress) -> Ask:
         self._sequence += 1
@@ -184,13 +196,24 @@
             deadline=call.deadline,
             prefix=prefix_of(call.chat.prompt),
             repeatable=call.route.repeatable,
-            avoid=progress.failed,
+            avoid=self._avoided(call, progress),
         )
 
-    def _refusal(self, answer: Rejected, progress: _Progress) -> CallError:
+    def _refusal(self, refused: Refused, progress: _Progress) -> CallError:
+        """Return a refusal, which is "not run" only if no try was ever sent."""
         if progress.tokens:
             return AnswerBroken("The answer broke off and could not be resumed.")
-        return Refused(answer.reason, answer.retry_after_s)
+        if progress.sent:
+            return OutcomeUnknown(
+                "The call was sent and broke off, and no backend server was free "
+                "to repeat it; it may have run."
+            )
+        return refused
+
+    def _avoided(self, call: Call, progress: _Progress) -> tuple[str, ...]:
+        """Return the servers that failed this call, unless all of the pool did."""
+        others = {server.name for server in call.pool.servers} - set(progress.failed)
+        return progress.failed if others else ()
 
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
@@ -325,12 +348,11 @@
         progress.failed = (*progress.failed, lease.server.name)
         if progress.tokens and progress.tries < MAX_TRIES:
             return
-        if progress.tries < MAX_TRIES and self._may_retry(call.pool.name):
+        if progress.tries < MAX_TRIES and self._admitter.may_retry(call.pool.name):
             self._note_retry(call, lease, error)
             return
-        if progress.tokens:
-            raise AnswerBroken("The answer broke off and could not be resumed.")
-        raise Refused(RefusalReason.RETRY_BUDGET, 1.0) from error
+        refused = Refused(RefusalReason.RETRY_BUDGET, 1.0)
+        raise self._refusal(refused, progress) from error
 
     def _retry_sent(
         self,
@@ -342,6 +364,7 @@
     ) -> None:
         """Let the call be resumed or repeated where that is allowed."""
         progress.failed = (*progress.failed, lease.server.name)
+        progress.sent = True
         late = self._clock() >= call.deadline
         spent = late or progress.tries >= MAX_TRIES
         if responder.begun:
@@ -357,7 +380,11 @@
                 tokens=progress.tokens,
             )
             return
-        if call.route.repeatable and not spent and self._may_retry(call.pool.name):
+        if (
+            call.route.repeatable
+            and not spent
+            and self._admitter.may_retry(call.pool.name)
+        ):
             self._note_retry(call, lease, error)
             return
         if late:
--- a/packages/fulmarroad/src/fulmarroad/_leases.py
+++ b/packages/fulmarroad/src/fulmarroad/_leases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from collections.abc import Iterator
 
 from attrs import define
@@ -19,14 +20,22 @@
 """An orphaned lease is held this long beyond its deadline, for clocks that drift."""
 
 
-def grant_valid(grant: Grant, following: Epoch | None, clock: float) -> bool:
+def grant_valid(
+    grant: Grant, following: Epoch | None, clock: float, greeted: float = -math.inf
+) -> bool:
     """Tell whether a router may start a grant, by its own clock.
 
     A scheduler that paused wakes late and still believes in its role. Its grants
     would put requests onto units that its successor granted to others; they carry
     a former epoch, or a clock reading from before the pause, and are refused.
+
+    `greeted` is the clock in the hello that the router last sent. A grant from before
+    it reached the scheduler carries an older reading: the hello, which could not
+    mention it, has ended its lease there.
     """
-    return grant.epoch == following and clock < grant.echo + grant.start_within_s
+    if grant.epoch != following or grant.echo < greeted:
+        return False
+    return clock < grant.echo + grant.start_within_s
 
 
 @define(eq=False)
--- a/packages/fulmarroad/tests/test_scheduler.py
+++ b/packages/fulmarroad/tests/test_scheduler.py
@@ -382,6 +382,12 @@
 class TestGrantValid:
     GRANT = Grant(SHARD, EPOCH, "l", "d", Unit("s1", 0), 5.0, 1.0)
 
+    def test_from_before_the_last_hello_it_is_refused(self):
+        """A stream breaks and comes back. The hello doesn't mention a grant that is
+        still under way, so the scheduler gives its unit to somebody else."""
+        assert grant_valid(self.GRANT, EPOCH, 5.5, 5.0)
+        assert not grant_valid(self.GRANT, EPOCH, 5.5, 5.4)
+
     def test_in_time_and_from_the_scheduler_followed(self):
         assert grant_valid(self.GRANT, EPOCH, 5.9)
 
