--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -20,8 +20,8 @@
 CONTROL_BYTES_S = 2500.0
 """Bytes a second that one scheduler may spend on reports, of 7 KB a second in all."""
 
-REPORT_BYTES = 150
-ENTRY_BYTES = 70
+REPORT_BYTES = 100
+ENTRY_BYTES = 48
 """Sizes on the wire, measured with the codec and names of 16 letters."""
 
 BURST_BYTES = 2 * CONTROL_BYTES_S
--- a/packages/fulmarroad/tests/scheduling/conftest.py
+++ b/packages/fulmarroad/tests/scheduling/conftest.py
@@ -28,6 +28,7 @@
     Refuse,
     RunningLease,
     ServerHint,
+    ServiceUsed,
     Started,
     StepDown,
     Welcome,
@@ -361,7 +362,8 @@
         if request.state != "running":
             return
         used = (self.now - request.began) * self.speed[request.lease.unit.server]
-        message = Progress(request.shard, request.lease.lease_id, used - request.told)
+        row = ServiceUsed(request.lease.lease_id, used - request.told)
+        message = Progress(request.shard, (row,))
         request.told = used
         self._to_scheduler(router, request.shard, message)
         self.at(self.now + PROGRESS_S, lambda: self._progress(router, request))
