Prefer the own data centre and spread by room among shards

Shards whose waits were alike were chosen by hash alone, so that an idle fleet sent two requests in three to another data centre. Room, the own data centre and cached prefixes now go before the hash, which spreads in proportion to room.

--- a/packages/fulmarroad/src/fulmarroad/_placement.py
+++ b/packages/fulmarroad/src/fulmarroad/_placement.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Sequence
 
@@ -40,8 +41,19 @@
 DISTANCE_S = 0.002
 """A request's way to another data centre and back."""
 
-ROOM_SLACK_S = 0.05
-"""Waits closer than this are alike: heartbeats are half a second old on average."""
+WAIT_STEP_S = 0.05
+"""Waits within one step are alike: heartbeats are a quarter of a second old on average
+and a caller doesn't notice the rest."""
+
+UNKNOWN_ROOM = 8.0
+"""Room taken for granted in a shard that was not heard of: about one server's, so that
+it is asked now and then and its heartbeats tell the truth."""
+
+LOAD_BOUND_OF_SHARD = 0.9
+"""Load up to which a shard gets requests for its cached prefixes: fuller ones would
+make them wait while others have room."""
+
+HASH_RANGE = 2**64 + 1
 
 
 class PrefixMap:
@@ -134,7 +146,11 @@
 ) -> ShardId | None:
     """Return the shard to ask, or None where there is none.
 
-    `key` spreads requests over equal shards; `avoid` holds those asked before.
+    Unreachable ones come last, then those in `avoid`, which were asked before. The
+    shorter expected wait goes first, room before none, the own data centre before
+    others, a cached prefix before none. What is still equal is spread by the hash of
+    `key`, in proportion to room: routers that all took the emptiest shard of the same
+    heartbeats would fill it together.
     """
     ranked = sorted(views, key=lambda view: _shard_order(view, avoid, key))
     return ranked[0].shard if ranked else None
@@ -169,20 +185,39 @@
 
 def _shard_order(
     view: ShardView, avoid: Collection[ShardId], key: str
-) -> tuple[bool, bool, int, int, int]:
-    spread = xxhash.xxh3_64_intdigest(f"{key}\0{view.shard}".encode())
-    wait = int(_expected_wait(view) / ROOM_SLACK_S)
+) -> tuple[bool, bool, int, bool, bool, int, float]:
+    standing = _standing(view)
     return (
         not view.reachable,
         view.shard in avoid,
-        wait,
-        -view.prefix_blocks,
-        spread,
+        int(standing.wait_s / WAIT_STEP_S),
+        standing.room <= 0,
+        not view.own_centre,
+        -view.prefix_blocks if standing.load <= LOAD_BOUND_OF_SHARD else 0,
+        _spread(key, view.shard, standing.room),
     )
 
 
-def _expected_wait(view: ShardView) -> float:
+@frozen
+class _Standing:
+    wait_s: float
+    room: float
+    load: float
+
+
+def _standing(view: ShardView) -> _Standing:
     distance = 0.0 if view.own_centre else DISTANCE_S
-    if view.heartbeat is None:
-        return distance
-    return view.heartbeat.wait_s + distance
+    beat = view.heartbeat
+    if beat is None:
+        return _Standing(distance, UNKNOWN_ROOM, 0.0)
+    usable = sum(row.usable for row in beat.servers)
+    running = sum(row.running for row in beat.servers)
+    room = usable - running - beat.waiting
+    load = running / usable if usable else 1.0
+    return _Standing(beat.wait_s + distance, room, load)
+
+
+def _spread(key: str, shard: ShardId, room: float) -> float:
+    """Return a point by which requests spread over shards in proportion to room."""
+    point = xxhash.xxh3_64_intdigest(f"{key}\0{shard}".encode()) + 1
+    return -math.log(point / HASH_RANGE) / max(1.0, room)
