--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -541,13 +541,14 @@
     ) -> list[Decision]:
         waiting = self._waiting.get(grant.demand_id)
         following = follow.epoch if follow and follow.scheduler == peer else None
+        greeted = follow.hello_at if follow else now
         server = self._servers.get(grant.unit.server)
         if (
             waiting is None
             or waiting.shard != grant.shard
             or server is None
             or not self._takes_work(server)
-            or not grant_valid(grant, following, now)
+            or not grant_valid(grant, following, now, greeted)
         ):
             return self._decline(peer, grant, waiting, following, now)
         del self._waiting[grant.demand_id]
