--- a/packages/fulmarroad-ctl/tests/test_ctl.py
+++ b/packages/fulmarroad-ctl/tests/test_ctl.py
@@ -121,7 +121,7 @@
             return self.answer(401, {"error": "Show the admin token."})
         url = urlsplit(self.path)
         query = {key: values[-1] for key, values in parse_qs(url.query).items()}
-        if url.path == "/explain" and query["route"] != "1e3":
+        if url.path == "/explain" and query["route"] not in ("1e3", "chat"):
             return self.answer(404, {"error": "The tables have no such route."})
         if url.path == "/audit":
             after = int(query["after"])
@@ -268,7 +268,7 @@
         assert "would be refused, not run" in out
 
     def test_an_unknown_route_is_exit_code_3(self, run):
-        code, _, err = run("explain", "chat", *ROUTER)
+        code, _, err = run("explain", "none", *ROUTER)
         assert code == 3
         assert "404: The tables have no such route" in err
 
@@ -379,6 +379,29 @@
         assert "No router is named" in err
 
 
+class TestPages:
+    def commands(self):
+        """Return the commands in the blocks of the operators' pages."""
+        docs = Path(__file__).parents[3] / "docs"
+        for name in ("CTL.md", "OPERATING.md"):
+            page = (docs / name).read_text().replace("\\\n", " ")
+            for block in re.findall(r"```\n(.*?)```", page, re.DOTALL):
+                yield from block.split("\n")
+
+    def test_every_command_runs_as_written(self, run, files):
+        (files / "routes.toml").write_text(ROUTES.replace("1e3", "chat"))
+        for name, text in (("new", ROUTES), ("old", ROUTES), ("a", ROUTES)):
+            (files / f"{name}.toml").write_text(text)
+        (files / "b.toml").write_text('[[workspace]]\nname = "rif"\n')
+        lines = [line.split() for line in self.commands() if line.strip()]
+        assert len(lines) >= 12
+        for line in lines:
+            arguments = [*line[1:], *(["--follow=false"] if "audit" in line else [])]
+            code, _, err = run(*arguments)
+            assert line[0] == "fulmarroadctl"
+            assert code in (0, 1), (line, err)
+
+
 class TestHelp:
     def test_overview_names_every_command(self, run):
         code, out, _ = run("--help")
