Judge servers that warm up by answers that still run

Cause: a ramp counted whole answers only. Change: after sixteen chunks a router reports the first-token time and the gaps of a running answer, once. A server that is not warm is judged by it; its end is not counted again, a failure is. Warm servers are judged by whole answers as before.

--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -50,6 +50,10 @@
 PROGRESS_S = 0.1
 """Service is told to the coordinator this often, not for each token."""
 
+EARLY_CHUNKS = 16
+"""Chunks after which a running answer says how its server does: enough for a mean of
+their gaps, and about a second of an answer that takes ten."""
+
 MAX_TRIES = 4
 """Tries of one call at all, so that one request can't roam the whole fleet."""
 
@@ -297,20 +301,33 @@
         splitter = EventSplitter()
         reported = meter.sent
         unreported = 0
-        done = False
+        done = judged = False
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
                 unreported += event.tokens
                 await self._pass_on(event, response, responder, progress, meter)
                 done = done or event.done
             now = self._clock()
-            if unreported and now - reported >= PROGRESS_S:
-                self._coordinator.tell(NoteProgress(lease.lease_id, float(unreported)))
+            if not judged and meter.chunks >= EARLY_CHUNKS:
+                judged = True
+                self._note_progress(lease, unreported, meter)
+                reported, unreported = now, 0
+            elif unreported and now - reported >= PROGRESS_S:
+                self._note_progress(lease, unreported)
                 reported, unreported = now, 0
         if not done:
             raise Sent("The engine ended its answer before it was whole.")
         await responder.finish()
 
+    def _note_progress(
+        self, lease: Lease, tokens: int, meter: _Meter | None = None
+    ) -> None:
+        first_s = meter.first_s if meter is not None else None
+        gap_s = meter.gap_s if meter is not None else None
+        self._coordinator.tell(
+            NoteProgress(lease.lease_id, float(tokens), first_s, gap_s)
+        )
+
     async def _pass_on(
         self,
         event: StreamEvent,
--- a/packages/fulmarroad/src/fulmarroad/_coordinator.py
+++ b/packages/fulmarroad/src/fulmarroad/_coordinator.py
@@ -80,10 +80,12 @@
 
 @frozen
 class NoteProgress:
-    """Add service used by a lease."""
+    """Add service used by a lease, once with how fast its answer comes."""
 
     lease_id: str
     service: float
+    first_s: float | None = None
+    gap_s: float | None = None
 
 
 @frozen
@@ -300,7 +302,9 @@
         self._decide(self._follower.started(command.lease_id, now), now)
 
     def _note_progress(self, command: NoteProgress, now: float) -> None:
-        self._follower.progress(command.lease_id, command.service)
+        self._follower.progress(
+            command.lease_id, command.service, command.first_s, command.gap_s
+        )
 
     def _note_finished(self, command: NoteFinished, now: float) -> None:
         self._decide(self._follower.finished(command.report, now), now)
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -134,6 +134,8 @@
     lease: Lease
     charged: float = 0.0
     unreported: float = 0.0
+    first_s: float | None = None
+    gap_s: float | None = None
 
 
 @define
@@ -286,11 +288,20 @@
         shard = running.lease.shard
         return self._tell(shard, m.Started(shard, lease_id))
 
-    def progress(self, lease_id: str, service: float) -> None:
-        """Add service that a lease used; the next tick reports it."""
+    def progress(
+        self,
+        lease_id: str,
+        service: float,
+        first_s: float | None = None,
+        gap_s: float | None = None,
+    ) -> None:
+        """Add service that a lease used; the next report tells it."""
         running = self._running.get(lease_id)
-        if running is not None:
-            running.unreported += service
+        if running is None:
+            return
+        running.unreported += service
+        if first_s is not None:
+            running.first_s, running.gap_s = first_s, gap_s
 
     def finished(self, report: m.Finished, now: float) -> list[Decision]:
         """Report the end of a lease."""
@@ -615,7 +626,10 @@
         for lease_id, running in self._running.items():
             if running.unreported <= 0:
                 continue
-            row = m.ServiceUsed(lease_id, running.unreported)
+            row = m.ServiceUsed(
+                lease_id, running.unreported, running.first_s, running.gap_s
+            )
+            running.first_s = running.gap_s = None
             used.setdefault(running.lease.shard, []).append(row)
             running.charged += running.unreported
             running.unreported = 0.0
--- a/packages/fulmarroad/src/fulmarroad/_granting.py
+++ b/packages/fulmarroad/src/fulmarroad/_granting.py
@@ -8,7 +8,13 @@
 
 from fulmarroad._fairqueue import Eligible, Waiting, sane
 from fulmarroad._leases import Follower, Lease, LeaseTable
-from fulmarroad._messages import Finished, Grant, RouterMessage, RunningLease
+from fulmarroad._messages import (
+    Finished,
+    Grant,
+    RouterMessage,
+    RunningLease,
+    ServiceUsed,
+)
 from fulmarroad._pace import Pace
 from fulmarroad._placement import PrefixMap, choose_unit
 from fulmarroad._policies import SchedulingPolicy
@@ -109,10 +115,18 @@
             message.gap_s,
             service,
             now,
+            lease_id=lease.lease_id,
         )
         self._end(lease, service, now, learn=completed)
         self.note_changes(changes)
 
+    def judge(self, lease: Lease, used: ServiceUsed, now: float) -> None:
+        """Judge a server by an answer that still runs."""
+        changes = self._book.observe_early(
+            lease.lease_id, used.first_s, used.gap_s, lease.charge.reported, now
+        )
+        self.note_changes(changes)
+
     def forget(self, lease: Lease, now: float) -> None:
         """End a lease of which nothing more will be heard; what it used stays."""
         self._end(lease, lease.charge.reported, now, learn=False)
--- a/packages/fulmarroad/src/fulmarroad/_messages.py
+++ b/packages/fulmarroad/src/fulmarroad/_messages.py
@@ -113,10 +113,16 @@
 
 @frozen
 class ServiceUsed:
-    """Give the service that one running lease used since the last report."""
+    """Give the service that one running lease used since the last report.
+
+    Once, when an answer has got far enough to judge its server by, the time to its
+    first byte and the mean time between chunks come along, in seconds.
+    """
 
     lease_id: str
     service: float
+    first_s: float | None = None
+    gap_s: float | None = None
 
 
 @frozen
--- a/packages/fulmarroad/src/fulmarroad/_scheduler.py
+++ b/packages/fulmarroad/src/fulmarroad/_scheduler.py
@@ -125,8 +125,8 @@
             self._started(router, message)
             return []
         if isinstance(message, Progress):
-            self._progress(router, message)
-            return []
+            judged = self._progress(router, message, now)
+            return self._grant(now) if judged else []
         out = self._take(router, message, now)
         return out + self._grant(now)
 
@@ -290,11 +290,18 @@
         if lease is not None:
             self._granting.leases.start(lease)
 
-    def _progress(self, router: RouterName, message: Progress) -> None:
+    def _progress(self, router: RouterName, message: Progress, now: float) -> bool:
+        """Charge what leases used; tell whether a server was judged by it."""
+        judged = False
         for used in message.leases:
             lease = self._granting.leases.held(used.lease_id, router)
-            if lease is not None:
-                self._queue.progress(lease.charge, used.service)
+            if lease is None:
+                continue
+            self._queue.progress(lease.charge, used.service)
+            if used.first_s is not None:
+                self._granting.judge(lease, used, now)
+                judged = True
+        return judged
 
     def _withdraw(self, router: RouterName, message: Withdraw) -> None:
         waiting = self._queue.get(message.demand_id)
--- a/packages/fulmarroad/src/fulmarroad/_slots.py
+++ b/packages/fulmarroad/src/fulmarroad/_slots.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Collection, Iterable, Sequence
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fulmarroad._concurrency import ConcurrencyLimit, in_full_use
 from fulmarroad._messages import RunningLease, ServerHint, ServerStatus
@@ -39,6 +39,7 @@
 class _Lease:
     unit: Unit
     router: RouterName
+    proven: bool = False  # its answer has been judged while it runs
 
 
 @define
@@ -49,6 +50,7 @@
     takes_work: bool = False
     held: dict[int, int] = field(factory=dict)  # leases on each unit
     running: int = 0
+    proven: int = 0
     taken_up: int = 0
     next_take_up: float = 0.0
     usable: list[int] = field(factory=list)
@@ -195,6 +197,7 @@
         server = self._servers.get(lease.unit.server)
         if server is not None:
             server.let_go(lease.unit.index)
+            server.proven -= lease.proven
 
     def orphans(self, router: RouterName) -> tuple[str, ...]:
         """Return the leases of a router; once it is lost they run to their deadline."""
@@ -212,6 +215,7 @@
         gap_s: float | None,
         service: float,
         now: float,
+        lease_id: str = "",
     ) -> tuple[WarmthChange, ...]:
         """Judge a server by how a request on it ended, before its lease is released."""
         known = self._servers.get(server)
@@ -219,13 +223,59 @@
             return ()
         self._refresh(server, known, now)
         full = in_full_use(known.running, len(known.usable))
+        lease = self._leases.get(lease_id)
+        proven = lease is not None and lease.proven
+        if proven and outcome is Outcome.COMPLETED and not known.health.is_warm:
+            return ()  # it was counted when it had got far enough
         changes = known.health.observe(
-            outcome, first_s, gap_s, service, known.running, full, now
+            outcome,
+            first_s,
+            gap_s,
+            service,
+            known.running,
+            full,
+            now,
+            unproven=known.running - known.proven,
         )
         self._adjust_taken_up(server, known, outcome, full, now)
         known.forget()
         return changes
 
+    def observe_early(
+        self,
+        lease_id: str,
+        first_s: float | None,
+        gap_s: float | None,
+        service: float,
+        now: float,
+    ) -> tuple[WarmthChange, ...]:
+        """Judge a server that is not warm by an answer that still runs.
+
+        An answer of a long letter takes ten seconds and more, a ramp ten rounds of
+        them; its first sixteen tokens say the same of the server after one second. A
+        warm server's limit is found from whole answers, whose times are steadier.
+        """
+        lease = self._leases.get(lease_id)
+        if lease is None or lease.proven:
+            return ()
+        known = self._servers.get(lease.unit.server)
+        if known is None or known.health.is_warm:
+            return ()
+        self._leases[lease_id] = evolve(lease, proven=True)
+        known.proven += 1
+        changes = known.health.observe(
+            Outcome.COMPLETED,
+            first_s,
+            gap_s,
+            service,
+            known.running,
+            full=True,
+            now=now,
+            unproven=known.running - known.proven,
+        )
+        known.forget()
+        return changes
+
     def status(self, now: float) -> tuple[ServerStatus, ...]:
         """Return how every server stands, for the heartbeat."""
         rows = []
--- a/packages/fulmarroad/src/fulmarroad/_warmth.py
+++ b/packages/fulmarroad/src/fulmarroad/_warmth.py
@@ -169,6 +169,11 @@
         self._budget = self.pool.cold_concurrency
         self._former = self._budget
 
+    @property
+    def is_warm(self) -> bool:
+        """Tell whether the cold start is over."""
+        return self.warmth is Warmth.WARM
+
     @property
     def slow(self) -> bool:
         """Tell whether the last measured answer was slower than the pool's targets."""
@@ -225,8 +230,12 @@
         running: int,
         full: bool,
         now: float,
+        unproven: int | None = None,
     ) -> tuple[WarmthChange, ...]:
-        """Judge the server by one answer; `running` counts what ran, with it."""
+        """Judge the server by one answer; `running` counts what ran, with it.
+
+        `unproven` counts those among them that were not judged yet, all by default.
+        """
         if outcome in (Outcome.FAILED, Outcome.TIMED_OUT, Outcome.UNREACHABLE):
             return self._on_failure(outcome, running, now)
         load = strain(self.pool, first_s, gap_s)
@@ -240,7 +249,8 @@
             return self._on_probe_answer(now)
         if self.warmth is Warmth.WARM:
             return self._on_warm_answer(load, seconds, running, full, now)
-        return self._on_ramp_answer(load, seconds, running)
+        began_before = running if unproven is None else unproven
+        return self._on_ramp_answer(load, seconds, running, began_before)
 
     def _on_unmeasured(self, outcome: Outcome, now: float) -> tuple[WarmthChange, ...]:
         if outcome is Outcome.COMPLETED and self.warmth is Warmth.FAILING:
@@ -275,16 +285,16 @@
         return self._turn(Warmth.COLD, "probe answered")
 
     def _on_ramp_answer(
-        self, load: float, seconds: float | None, running: int
+        self, load: float, seconds: float | None, running: int, began_before: int
     ) -> tuple[WarmthChange, ...]:
         best = self._best
         self._note_best(load)
         if load <= 1.0:
             self._slow_run = 0
-            return self._count(1.0, seconds, running)
+            return self._count(1.0, seconds, running, began_before)
         if load <= OWN_BEST_FACTOR * best and best < math.inf:
             self._slow_run = 0
-            return self._count(SLOW_WORTH, seconds, running)
+            return self._count(SLOW_WORTH, seconds, running, began_before)
         self._good = 0.0
         self._slow_run += 1
         if self.warmth is Warmth.COLD:
@@ -303,7 +313,7 @@
             self._best += NORM_GAIN * (load - self._best)
 
     def _count(
-        self, worth: float, seconds: float | None, running: int
+        self, worth: float, seconds: float | None, running: int, began_before: int
     ) -> tuple[WarmthChange, ...]:
         if 2 * running < self._budget:
             return ()  # says nothing of the budget, for less than half of it was used
@@ -313,9 +323,9 @@
             self._good += worth
         if self._good < good_answers_needed(self._budget, self._failed_ramps):
             return ()
-        return self._end_budget(running)
+        return self._end_budget(running, began_before)
 
-    def _end_budget(self, running: int) -> tuple[WarmthChange, ...]:
+    def _end_budget(self, running: int, began_before: int) -> tuple[WarmthChange, ...]:
         done = self._round.throughput
         gain = followed(self._former, self._former_throughput, self._budget, done)
         if self._budget > SMALL_BUDGET and gain < MIN_GAIN:
@@ -324,7 +334,7 @@
         self._former_throughput = done
         self._budget = next_budget(self._budget)
         self._good = 0.0
-        self._round = Round(running)
+        self._round = Round(began_before)
         if self._budget >= self.concurrency.limit:
             return self._settle("ramp done", self.concurrency.limit, running)
         if self.warmth is Warmth.WARMING:
