--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -91,6 +91,7 @@
     """Measure one try: what it cost and how fast its answer came."""
 
     clock: Callable[[], float]
+    resumed_from: int = 0
     sent: float = 0.0
     first: float | None = None
     last: float = 0.0
@@ -118,7 +119,9 @@
         if type(prompt) is int and prompt >= 0:
             self.prompt_tokens = prompt
         if type(answer) is int and answer >= 0:
-            self.tokens = answer
+            # A resumed answer's usage counts from its beginning; the tokens before
+            # are another try's, and charging them twice would be unfair.
+            self.tokens = max(0, answer - self.resumed_from)
             self.counted = True
         details = usage.get("prompt_tokens_details")
         if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
@@ -234,7 +237,7 @@
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
     ) -> None:
-        meter = _Meter(self._clock, prompt_tokens=call.prompt_tokens)
+        meter = _Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
