Look at each other shard once in a plan of moves

Cause: the plan compared every backlogged workspace with every entry of every other shard on each tick, and counting news sorted them all. Change: one level for each shard, news are counted.

--- a/packages/fulmarroad/src/fulmarroad/_rebalance.py
+++ b/packages/fulmarroad/src/fulmarroad/_rebalance.py
@@ -149,8 +149,9 @@
         Half of a workspace's demands stay, so that it is not sent back and forth.
         """
         moves: list[Handover] = []
+        levels = self._levels(queue, now)
         for account in queue.backlogged():
-            peer = self._fairer(queue, account, now)
+            peer = self._fairer(queue, account, levels)
             if peer is None:
                 continue
             rows = [row for row in account.waiting if _movable(row, taken)]
@@ -160,19 +161,30 @@
                 peer.fair_quota -= 1
         return moves
 
+    def _levels(
+        self, queue: FleetQueue, now: float
+    ) -> list[tuple[float, ShardId, PeerShard]]:
+        """Return the least counter that each other shard serves, highest first."""
+        rows = [
+            (min(queue.account(name).counter for name in peer.backlogged), peer)
+            for peer in self._fresh(now)
+            if peer.backlogged
+        ]
+        return sorted(((level, peer.shard, peer) for level, peer in rows), reverse=True)
+
     def _fairer(
-        self, queue: FleetQueue, account: Account, now: float
+        self,
+        queue: FleetQueue,
+        account: Account,
+        levels: list[tuple[float, ShardId, PeerShard]],
     ) -> PeerShard | None:
         threshold = MOVE_COSTS * queue.usual_cost / account.weight
-        best = None
-        best_level = account.counter + threshold
-        for peer in self._fresh(now):
-            if peer.fair_quota <= 0 or not peer.backlogged:
-                continue
-            level = min(queue.account(name).counter for name in peer.backlogged)
-            if level > best_level:
-                best, best_level = peer, level
-        return best
+        for level, _, peer in levels:
+            if level <= account.counter + threshold:
+                return None
+            if peer.fair_quota > 0:
+                return peer
+        return None
 
     def _distance(self, peer: PeerShard) -> tuple[bool, ShardId]:
         return peer.shard.data_centre != self._shard.data_centre, peer.shard
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -212,7 +212,7 @@
 
     def news(self, now: float) -> int:
         """Return how many workspaces the next report would tell of."""
-        return len(self._newsworthy(now))
+        return self._queue.ahead() + len(self._served_for_others(now))
 
     def forget(self, now: float) -> None:
         """Drop what was heard of schedulers that are long silent."""
@@ -228,7 +228,10 @@
         One that is backlogged only elsewhere counts as well if it was served here:
         it would otherwise be served here on top of its share.
         """
-        rows = self._queue.backlogged()
+        return self._queue.backlogged() + self._served_for_others(now)
+
+    def _served_for_others(self, now: float) -> list[Account]:
+        rows = []
         for account in self._queue.elsewhere(now):
             told = self._told.get(account.name)
             if account.served != (told.served if told else 0.0):
--- a/packages/fulmarroad/tests/test_scheduler.py
+++ b/packages/fulmarroad/tests/test_scheduler.py
@@ -153,6 +153,19 @@
         lend(scheduler, "r2", 0.5, now=10.5)
         assert ask(scheduler, "d1", now=10.5) == []
 
+    def test_an_answer_read_late_lends_none_of_its_units(self):
+        """After the pause one router answers anew, the other one's old answer is
+        still in the buffer: only the units of the first may be granted."""
+        granted = []
+        for late in (0.5, 10.5):
+            scheduler = ready(units=8)
+            scheduler.handle("r2", hello("r2", 10.4, units=8), 10.4)
+            lend(scheduler, "r1", late, now=10.5)
+            lend(scheduler, "r2", 10.5)
+            asked = [ask(scheduler, f"d{n}", router="r2", now=10.5) for n in range(9)]
+            granted.append(sum(len(row) for row in asked))
+        assert 0 < granted[0] < granted[1] == 8
+
     def test_an_answer_to_a_former_epoch_lends_nothing(self):
         scheduler = new_scheduler()
         scheduler.handle("r1", hello("r1"), 0.0)
@@ -221,7 +234,9 @@
         (two,) = ask(scheduler, "d2")
         scheduler.link_lost("r1", 0.2)
         row = RunningLease(one.lease_id, "d1", "a", one.unit, 0.1, 60.0, 3.0)
+        assert scheduler.running == 2
         scheduler.handle("r1", hello("r1", 0.3, leases=(row,)), 0.3)
+        assert scheduler.running == 1
         scheduler.handle("r1", done(two.lease_id), 0.4)
         assert scheduler.running == 1
         scheduler.handle("r1", done(one.lease_id), 0.4)
