--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -50,6 +50,10 @@
 PROGRESS_S = 0.1
 """Service is told to the coordinator this often, not for each token."""
 
+EARLY_CHUNKS = 16
+"""Chunks after which a running answer says how its server does: enough for a mean of
+their gaps, and about a second of an answer that takes ten."""
+
 MAX_TRIES = 4
 """Tries of one call at all, so that one request can't roam the whole fleet."""
 
@@ -87,6 +91,7 @@
     """Measure one try: what it cost and how fast its answer came."""
 
     clock: Callable[[], float]
+    resumed_from: int = 0
     sent: float = 0.0
     first: float | None = None
     last: float = 0.0
@@ -114,7 +119,9 @@
         if type(prompt) is int and prompt >= 0:
             self.prompt_tokens = prompt
         if type(answer) is int and answer >= 0:
-            self.tokens = answer
+            # A resumed answer's usage counts from its beginning; the tokens before
+            # are another try's, and charging them twice would be unfair.
+            self.tokens = max(0, answer - self.resumed_from)
             self.counted = True
         details = usage.get("prompt_tokens_details")
         if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
@@ -230,7 +237,7 @@
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
     ) -> None:
-        meter = _Meter(self._clock, prompt_tokens=call.prompt_tokens)
+        meter = _Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
@@ -297,20 +304,33 @@
         splitter = EventSplitter()
         reported = meter.sent
         unreported = 0
-        done = False
+        done = judged = False
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
                 unreported += event.tokens
                 await self._pass_on(event, response, responder, progress, meter)
                 done = done or event.done
             now = self._clock()
-            if unreported and now - reported >= PROGRESS_S:
-                self._coordinator.tell(NoteProgress(lease.lease_id, float(unreported)))
+            if not judged and meter.chunks >= EARLY_CHUNKS:
+                judged = True
+                self._note_progress(lease, unreported, meter)
+                reported, unreported = now, 0
+            elif unreported and now - reported >= PROGRESS_S:
+                self._note_progress(lease, unreported)
                 reported, unreported = now, 0
         if not done:
             raise Sent("The engine ended its answer before it was whole.")
         await responder.finish()
 
+    def _note_progress(
+        self, lease: Lease, tokens: int, meter: _Meter | None = None
+    ) -> None:
+        first_s = meter.first_s if meter is not None else None
+        gap_s = meter.gap_s if meter is not None else None
+        self._coordinator.tell(
+            NoteProgress(lease.lease_id, float(tokens), first_s, gap_s)
+        )
+
     async def _pass_on(
         self,
         event: StreamEvent,
