Keep ports reserved until the children bind them, and keep failed calls

Ports now stay bound, never listening, until the runner ends. Calls that did not complete are written out with their times.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -163,9 +163,29 @@
     return found
 
 
-def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_STREAM) -> list[int]:
-    """Return ports that are free now, all different."""
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
+_reserved: list[socket.socket] = []
+"""Sockets that keep ports from being given to others until this process ends."""
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that are free now and stay so for this process's children.
+
+    A port that is merely looked up can be given to an outgoing connection before the
+    child binds it, and the child then fails. These stay bound but never listen, which
+    lets a child with the same options bind and listen beside them.
+    """
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(count)]
+    for sock in sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind((HOST, 0))
+    _reserved.extend(sockets)
+    return [sock.getsockname()[1] for sock in sockets]
+
+
+def free_udp_ports(count: int) -> list[int]:
+    """Return UDP ports that are free now; a second socket would take packets away."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
     for sock in sockets:
         sock.bind((HOST, 0))
     ports = [sock.getsockname()[1] for sock in sockets]
@@ -177,7 +197,7 @@
 def router_rows(names: Sequence[tuple[str, str]]) -> list[RouterRow]:
     """Give ports to routers named with their data centres."""
     tcp = free_ports(3 * len(names))
-    udp = free_ports(len(names), socket.SOCK_DGRAM)
+    udp = free_udp_ports(len(names))
     return [
         RouterRow(name, centre, tcp[3 * n], tcp[3 * n + 1], tcp[3 * n + 2], udp[n])
         for n, (name, centre) in enumerate(names)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/runner.py
@@ -14,7 +14,7 @@
 import anyio
 import attrs
 import fire
-from attrs import define, field
+from attrs import asdict, define, field
 
 from fulmarroad.exceptions import ConfigurationError, FulmarroadError
 from fulmarroad.scheduling import gap_bound, spread_interval
@@ -258,9 +258,20 @@
         await starter.stop_all()
     run = run_of(experiment, engines, plains)
     draw(run, experiment.faults.marks, directory)
+    _keep_failures(run, directory)
     return line_of(experiment, run, policy)
 
 
+def _keep_failures(run: Run, directory: Path) -> None:
+    """Write every call that did not complete, for whoever looks for the cause."""
+    lines = [
+        json.dumps({"after_s": round(result.sent_at - run.start, 3), **asdict(result)})
+        for result in run.results
+        if result.outcome != "completed"
+    ]
+    (directory / "not_completed.jsonl").write_text("".join(f"{x}\n" for x in lines))
+
+
 def run_of(experiment: Experiment, engines: Any, plains: Any) -> Run:
     """Return what was seen, for the measures."""
     layout, faults = experiment.bed.layout, experiment.faults
