Run keyed calls at most once across the fleet

Cause: the demo posted six to ten reminders twice in 20 s, as a repeat of a call with an Idempotency-Key ran again. Change: a runner in front of the execution asks the key's group before a call is sent and stores its outcome; repeats get the stored answer. A keyed call that is sent runs on when its caller leaves, so that its outcome can be told. keys.first_fleet lets the very first routers vote. Sessions begin after the first quarantine of cold servers: before, the session of a leaving caller ended while it waited and never broke a stream off.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_layout.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_layout.py
@@ -158,7 +158,12 @@
 
 
 def router_settings(
-    row: RouterRow, platform: str, *, policy: str = "fleet", allow_cut: bool = False
+    row: RouterRow,
+    platform: str,
+    *,
+    policy: str = "fleet",
+    allow_cut: bool = False,
+    first_fleet: bool = False,
 ) -> str:
     """Return a router's settings as TOML."""
     address = f"http://{platform}"
@@ -176,6 +181,7 @@
         "platform": {"configuration": address, "vm_list": address},
         "admin": {"token": ADMIN_TOKEN},
         "cluster": {"secret": CLUSTER_SECRET},
+        "keys": {"first_fleet": first_fleet},
         "bench": {"policy": policy, "allow_cut": allow_cut},
     }
     return tomli_w.dumps(settings)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -253,11 +253,15 @@
         vms = self.layout.vm_list(self.vm_version, self.rows.values(), leaving)
         await order(self.platform_control, "/control/vms", vms, "PUT")
 
-    async def start_router(self, row: RouterRow) -> Child:
-        """Start a router's process."""
+    async def start_router(self, row: RouterRow, *, first: bool = False) -> Child:
+        """Start a router's process; `first` if no router ever served before."""
         path = self.starter.directory / f"{row.name}.toml"
         text = router_settings(
-            row, self.platform_address, policy=self.policy, allow_cut=True
+            row,
+            self.platform_address,
+            policy=self.policy,
+            allow_cut=True,
+            first_fleet=first,
         )
         path.write_text(text)
         child = await self.starter.start(
@@ -272,7 +276,7 @@
         self.rows = {row.name: row for row in self.layout.routers}
         await self.put_vms()
         for row in self.layout.routers:
-            await self.start_router(row)
+            await self.start_router(row, first=True)
         for row in self.layout.routers:
             await wait_ready(self.routers[row.name], row.admin_address)
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/calls.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/calls.py
@@ -4,6 +4,7 @@
 
 import json
 import uuid
+from collections.abc import Callable
 from typing import Any
 
 import xxhash
@@ -72,12 +73,23 @@
     chat: ChatBody = field(factory=ChatBody)
     idempotency_key: str = ""
     first_attempt: bool = False
+    may_send: Callable[[float], bool] | None = None
+    sent: bool = False
 
     @property
     def deadline(self) -> float:
         """Return the time on this router's clock by which the call must end."""
         return self.arrived + self.route.timeout_s
 
+    @property
+    def runs_on(self) -> bool:
+        """Tell whether the call goes on once it is sent though its caller left.
+
+        A call that may not be repeated is better ended than cut off: its outcome can
+        then be told to the caller's next attempt.
+        """
+        return bool(self.idempotency_key) and not self.route.repeatable
+
     @property
     def prompt_tokens(self) -> float:
         """Return a rough count of the prompt's tokens."""
@@ -90,10 +102,12 @@
             return 1.0
         return self.prompt_tokens * self.pool.prompt_cost + self.chat.max_tokens
 
-    def backend_request(self, resume_from: int | None = None) -> BackendRequest:
+    def backend_request(
+        self, address: str, resume_from: int | None = None
+    ) -> BackendRequest:
         """Return what is sent to the backend server."""
         headers = cleaned(self.headers, _NOT_SENT_ON)
-        headers.append((b"host", self.pool.name.encode()))
+        headers.append((b"host", address.encode()))
         headers.append((b"x-request-id", self.request_id.encode()))
         headers.append((b"fulmarroad-workspace", self.workspace.name.encode()))
         headers.append((b"content-length", str(len(self.body)).encode()))
--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -76,6 +76,15 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerNotKept(CallError):
+    """Tell a repeat that its call ran and that its answer is gone."""
+
+    status = 409
+    code = "answer_not_kept"
+    kind = "conflict_error"
+    ran = Ran.RAN
+
+
 class Refused(CallError):
     """Turn a request away without having run it."""
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -186,7 +186,8 @@
             progress.tries += 1
             self._admitter.begin(call)
             try:
-                await self._try(call, lease, responder, progress)
+                with anyio.CancelScope(shield=call.runs_on):
+                    await self._try(call, lease, responder, progress)
             finally:
                 self._admitter.end(call)
 
@@ -264,13 +265,16 @@
         meter: _Meter,
     ) -> None:
         resume_from = progress.tokens if progress.tokens else None
-        request = call.backend_request(resume_from)
+        request = call.backend_request(lease.server.address, resume_from)
         meter.sent = self._clock()
+        if call.may_send is not None and not call.may_send(meter.sent):
+            raise NotSent("The permission to send this key's call has run out.")
         self._coordinator.tell(NoteStarted(lease.lease_id))
         repeatable = call.route.repeatable
         backend = self._backends.call(
             call.pool, lease.server, request, repeatable=repeatable
         )
+        call.sent = True  # taken back where no byte left
         async with backend as response:
             self._check_answer(call, response, progress)
             if _is_events(response):
@@ -378,6 +382,7 @@
         self, call: Call, lease: Lease, progress: _Progress, error: NotSent
     ) -> None:
         """Let the call try elsewhere, or refuse it truthfully as not run."""
+        call.sent = progress.sent
         progress.failed = (*progress.failed, lease.server.name)
         if progress.tokens and progress.tries < MAX_TRIES:
             return
--- /dev/null
+++ b/packages/fulmarroad-router/src/fulmarroad_router/keyed.py
@@ -0,0 +1,190 @@
+"""Run calls that may not be repeated at most once for each idempotency key.
+
+A caller whose connection broke sends its call again and may reach another router,
+another data centre, or the same router after a restart. Without this module each of
+them would run it; a family would get two letters, a show would be charged twice.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+
+from fulmarroad.events import Event, emit
+from fulmarroad.keys import (
+    MAX_BODY_BYTES,
+    KeyAttempt,
+    KeyDecision,
+    KeyGroups,
+    KeyMismatch,
+    KeyOutcomeUnknown,
+    KeyRefusal,
+    Replay,
+    SendOnce,
+)
+from fulmarroad.keys import KeyInProgress as StillRunning
+from fulmarroad.types import Ran
+from fulmarroad_router.app import CallRunner
+from fulmarroad_router.backend import Headers
+from fulmarroad_router.calls import Call
+from fulmarroad_router.exceptions import (
+    AnswerNotKept,
+    CallError,
+    KeyInProgress,
+    KeyMisused,
+    OutcomeUnknown,
+    Refused,
+)
+from fulmarroad_router.execution import Responder
+
+logger = logging.getLogger("fulmarroad.router")
+
+REPLAYED = (b"idempotent-replayed", b"true")
+IN_PROGRESS_RETRY_S = 1.0
+
+
+class KeptAnswer:
+    """Pass an answer on and keep a copy for repeats, as far as it is short enough."""
+
+    def __init__(self, responder: Responder) -> None:
+        self._responder = responder
+        self.status = 0
+        self.headers: Headers = []
+        self.body = bytearray()
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether the head of the answer has been sent."""
+        return self._responder.begun
+
+    async def begin(self, status: int, headers: Headers) -> None:
+        """Send the head."""
+        self.status = status
+        self.headers = headers
+        await self._responder.begin(status, headers)
+
+    async def send(self, chunk: bytes) -> None:
+        """Send a part of the body."""
+        if len(self.body) <= MAX_BODY_BYTES:
+            self.body += chunk
+        await self._responder.send(chunk)
+
+    async def finish(self) -> None:
+        """End the answer as whole."""
+        await self._responder.finish()
+
+
+class KeyedRunner:
+    """Guard a runner by the groups of routers that keep keys."""
+
+    def __init__(self, runner: CallRunner, keys: KeyGroups) -> None:
+        self._runner = runner
+        self._keys = keys
+
+    async def run(self, call: Call, responder: Responder) -> None:
+        """Run a call; one with a key at most once, and replay its outcome after."""
+        if not call.idempotency_key or call.route.repeatable:
+            await self._runner.run(call, responder)
+            return
+        decision = await self._keys.begin(
+            call.workspace.name,
+            call.idempotency_key,
+            fingerprint_of(call),
+            call.first_attempt,
+        )
+        if isinstance(decision, SendOnce):
+            await self._send(call, responder, decision.attempt)
+        elif isinstance(decision, Replay):
+            await self._replay(call, responder, decision)
+        else:
+            emit(
+                logger,
+                Event.KEY_REFUSED,
+                request_id=call.request_id,
+                workspace=call.workspace.name,
+                cause=type(decision).__name__,
+            )
+            raise _error(decision)
+
+    async def _send(
+        self, call: Call, responder: Responder, attempt: KeyAttempt
+    ) -> None:
+        call.may_send = attempt.may_send
+        kept = KeptAnswer(responder)
+        try:
+            await self._runner.run(call, kept)
+        except CallError as error:
+            await self._note_failure(call, attempt, error)
+            raise
+        except BaseException:
+            # The caller left or the router fails; what was sent may have run.
+            await self._note_end(call, attempt)
+            raise
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in kept.headers
+        )
+        await self._keys.finish(attempt, kept.status, headers, bytes(kept.body))
+
+    async def _note_failure(
+        self, call: Call, attempt: KeyAttempt, error: CallError
+    ) -> None:
+        if error.ran is Ran.NOT_RUN:
+            await self._keys.give_up(attempt)
+        else:
+            await self._note_end(call, attempt)
+
+    async def _note_end(self, call: Call, attempt: KeyAttempt) -> None:
+        if call.sent:
+            await self._keys.lose(attempt)
+        else:
+            await self._keys.give_up(attempt)
+
+    async def _replay(self, call: Call, responder: Responder, answer: Replay) -> None:
+        emit(
+            logger,
+            Event.KEY_REPLAYED,
+            request_id=call.request_id,
+            workspace=call.workspace.name,
+            status=answer.status,
+        )
+        if not answer.whole:
+            raise AnswerNotKept(
+                f"This key's call ended with status {answer.status}; "
+                "its answer was too long to be kept."
+            )
+        headers = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in answer.headers
+        ]
+        await responder.begin(answer.status, [*headers, REPLAYED])
+        await responder.send(answer.body)
+        await responder.finish()
+
+
+def fingerprint_of(call: Call) -> str:
+    """Return what tells one request of a key from another one."""
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.target, call.body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _error(decision: KeyDecision) -> CallError:
+    match decision:
+        case KeyMismatch():
+            return KeyMisused("This `Idempotency-Key` came with another request.")
+        case KeyOutcomeUnknown():
+            return OutcomeUnknown(
+                "This key's call was sent before and its outcome is not known."
+            )
+        case KeyRefusal(reason, retry_after_s):
+            return Refused(reason, retry_after_s)
+        case StillRunning():
+            return KeyInProgress(
+                "Another attempt with this key may be running.",
+                retry_after_s=IN_PROGRESS_RETRY_S,
+            )
+        case _:
+            raise TypeError(f"{decision!r} is no refusal")
--- a/packages/fulmarroad-router/src/fulmarroad_router/node.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -32,8 +32,19 @@
 )
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import ConfigurationError, MessageError
+from fulmarroad.keys import KeyClocks, KeyGroups, KeyIdentity, KeyLimits, KeyStore
 from fulmarroad.membership import Gossip, Swim
-from fulmarroad.messages import MemberUpdate, TablesGiven, TablesWanted
+from fulmarroad.messages import (
+    KeyCopyGiven,
+    KeyCopyWanted,
+    KeyFence,
+    KeyFinish,
+    KeyRecorded,
+    KeyStart,
+    MemberUpdate,
+    TablesGiven,
+    TablesWanted,
+)
 from fulmarroad.metrics import Metrics, NoMetrics, StatsdMetrics
 from fulmarroad.supervision import ChildSpec, Supervisor
 from fulmarroad.tables import (
@@ -59,6 +70,7 @@
 from fulmarroad_router.execution import Execution
 from fulmarroad_router.gate import CallGate
 from fulmarroad_router.http_server import HttpServer
+from fulmarroad_router.keyed import KeyedRunner
 from fulmarroad_router.operations import RouterOperations
 from fulmarroad_router.settings import Settings
 
@@ -169,6 +181,8 @@
             tls=self._tls,
             cut=self._is_cut,
         )
+        self._vms: dict[str, tuple[str, ...]] = {}
+        self._keys = self._key_groups()
         self._store = TableStore()
         platform = settings.platform
         self._source = HttpConfigurationSource(platform.configuration, platform.vm_list)
@@ -221,6 +235,7 @@
                 ChildSpec("members", self._read_changes),
                 ChildSpec("versions", self._read_versions),
                 ChildSpec("configuration", self._watcher.run),
+                ChildSpec("keys", self._keys.copy_for_ever),
                 ChildSpec("admission", self._admitter.run),
                 ChildSpec("callers", self._callers().run),
                 ChildSpec("admin", self._admin().run),
@@ -245,6 +260,8 @@
         """Answer a single question."""
         if isinstance(message, TablesWanted):
             return self._watcher.give(message)
+        if isinstance(message, KeyStart | KeyFence | KeyFinish | KeyCopyWanted):
+            return self._keys.handle(message)
         raise MessageError(f"{type(message).__name__} is no question.")
 
     async def _watch_signals(self, *, task_status: TaskStatus[None]) -> None:
@@ -282,9 +299,10 @@
         execution = Execution(
             self._coordinator, self._backends, self._admitter, self._clock
         )
+        runner = KeyedRunner(execution, self._keys)
         app = CallersApp(
             lambda: self._lookup,
-            execution,
+            runner,
             self._gate,
             self._metrics,
             self._clock,
@@ -389,11 +407,33 @@
         vms: dict[str, list[str]] = {}
         for entry in listing.entries:
             vms.setdefault(entry.data_centre, []).append(entry.router)
-        self._coordinator.tell(
-            TakeVms({centre: tuple(sorted(names)) for centre, names in vms.items()})
-        )
+        self._vms = {centre: tuple(sorted(names)) for centre, names in vms.items()}
+        self._coordinator.tell(TakeVms(self._vms))
         self._tell_members()
 
+    def _key_groups(self) -> KeyGroups:
+        router, keys = self._settings.router, self._settings.keys
+        limits = KeyLimits(keys.retention_s, keys.max_per_workspace, keys.max_total)
+        store = KeyStore(
+            router.name,
+            router.data_centre,
+            limits,
+            now=self._clock(),
+            first_fleet=keys.first_fleet,
+        )
+        return KeyGroups(
+            KeyIdentity(router.name, self._incarnation, router.data_centre),
+            store,
+            self._ask_member,
+            lambda: self._vms,
+            KeyClocks(self._clock, lambda: time.time_ns() // 1_000_000),
+        )
+
+    async def _ask_member(self, peer: str, message: Any) -> Any:
+        wanted = isinstance(message, KeyCopyWanted)
+        cls = KeyCopyGiven if wanted else KeyRecorded
+        return await self._questions.ask(peer, message, cls, ASK_TIMEOUT_S)
+
     async def _fetch_tables(self, peer: str, wanted: TablesWanted) -> TablesGiven:
         return await self._questions.ask(peer, wanted, TablesGiven, ASK_TIMEOUT_S)
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/settings.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/settings.py
@@ -135,11 +135,16 @@
 
 @frozen
 class KeysSettings:
-    """Bound the records of calls that may not be repeated."""
+    """Bound the records of calls that may not be repeated.
+
+    `first_fleet` says that no router of the fleet ever served before, so that this one
+    votes on keys without having copied any records.
+    """
 
     retention_s: float = 3600.0
     max_per_workspace: int = 2048
     max_total: int = 16384
+    first_fleet: bool = False
 
 
 @frozen
@@ -238,7 +243,12 @@
     "log": (LogSettings, {"level": checks.choice(LogLevel)}),
     "keys": (
         KeysSettings,
-        {"retention_s": _seconds, "max_per_workspace": _count, "max_total": _count},
+        {
+            "retention_s": _seconds,
+            "max_per_workspace": _count,
+            "max_total": _count,
+            "first_fleet": checks.flag,
+        },
     ),
     "bench": (
         BenchSettings,
--- a/packages/fulmarroad-router/tests/router_bed.py
+++ b/packages/fulmarroad-router/tests/router_bed.py
@@ -8,6 +8,7 @@
 from attrs import define, evolve, field
 
 from fulmarroad.audit import AuditTrail
+from fulmarroad.capacity import LEND_QUARANTINE_S
 from fulmarroad.coordination import (
     Coordinator,
     Follower,
@@ -16,6 +17,8 @@
     TakeTables,
     TakeVms,
 )
+from fulmarroad.exceptions import TransportError
+from fulmarroad.keys import KeyClocks, KeyGroups, KeyIdentity, KeyLimits, KeyStore
 from fulmarroad.metrics import NoMetrics
 from fulmarroad.tables import (
     BackendServer,
@@ -35,6 +38,7 @@
 from fulmarroad_router.backend import NotSent, Sent
 from fulmarroad_router.execution import Execution
 from fulmarroad_router.gate import CallGate
+from fulmarroad_router.keyed import KeyedRunner
 
 KEY = "key-of-coop"
 CENTRE = "fes-1"
@@ -176,6 +180,7 @@
         self.tables = tables
         self.backends = ScriptedBackends(list(scripts))
         self.gate = CallGate()
+        self.key_vms = {CENTRE: ("router-a",)}
         follower = Follower("router-a", 1, CENTRE)
         self.coordinator = Coordinator(
             "router-a",
@@ -189,9 +194,10 @@
         self.admitter = Admitter(
             self.coordinator, lambda: self.tables, anyio.current_time
         )
-        self.runner = Execution(
+        execution = Execution(
             self.coordinator, self.backends, self.admitter, anyio.current_time
         )
+        self.runner = KeyedRunner(execution, self._keys())
         self.app = CallersApp(
             lambda: _Lookup(self.tables) if self.tables else None,
             self.runner,
@@ -201,6 +207,19 @@
             1024,
         )
 
+    def _keys(self):
+        """Return key groups of this router alone, and of one far away if it is cut."""
+        return KeyGroups(
+            KeyIdentity("router-a", 1, CENTRE),
+            KeyStore("router-a", CENTRE, KeyLimits(), now=0.0, first_fleet=True),
+            self._ask,
+            lambda: self.key_vms,
+            KeyClocks(anyio.current_time, lambda: int(anyio.current_time() * 1000)),
+        )
+
+    async def _ask(self, router, message):
+        raise TransportError(f"Router {router} can't be reached.")
+
     def _takes_work(self, server, now):
         return self.tables.server_takes_work(server)
 
@@ -292,7 +311,8 @@
         router = Router(scripts, tables or make_tables())
         async with anyio.create_task_group() as group:
             group.start_soon(router.run)
-            await anyio.sleep(0.1)
+            # A new scheduler grants no unit of a cold server before this.
+            await anyio.sleep(LEND_QUARANTINE_S + 0.5)
             lines = await scenario(router)
             await anyio.sleep(0.1)
             waiting = router.coordinator.follower.waiting
--- a/packages/fulmarroad-router/tests/test_calls.py
+++ b/packages/fulmarroad-router/tests/test_calls.py
@@ -46,19 +46,23 @@
 
     def test_callers_key_does_not_reach_the_backend_server(self):
         call = make_call([(b"authorization", b"Bearer secret"), (b"accept", b"*/*")])
-        headers = call.backend_request().headers
+        headers = call.backend_request("127.0.0.1:9001").headers
         assert b"secret" not in b" ".join(value for _, value in headers)
         assert (b"accept", b"*/*") in headers
         assert (b"x-request-id", b"r1") in headers
 
     def test_resumption_names_the_position(self):
-        headers = dict(make_call().backend_request(resume_from=7).headers)
+        headers = dict(
+            make_call().backend_request("127.0.0.1:9001", resume_from=7).headers
+        )
         assert headers[b"x-resume-from"] == b"7"
         assert headers[b"x-resume-id"] == b"r1"
 
     def test_caller_cannot_ask_for_a_resumption(self):
         call = make_call([(b"X-Resume-From", b"99")])
-        assert b"x-resume-from" not in dict(call.backend_request().headers)
+        assert b"x-resume-from" not in dict(
+            call.backend_request("127.0.0.1:9001").headers
+        )
 
     def test_backend_server_cannot_say_whether_the_call_ran(self):
         kept = answer_headers([(b"Fulmarroad-Ran", b"not_run"), (b"etag", b"1")])
--- a/packages/fulmarroad-router/tests/test_sessions.py
+++ b/packages/fulmarroad-router/tests/test_sessions.py
@@ -189,3 +189,66 @@
             return lines + await router.call(**POST)
 
         assert session(scenario, [Script("plain")]) == snapshot
+
+
+KEYED = {**POST, "headers": {"idempotency-key": "posting-7"}}
+
+
+def calls(*several):
+    async def scenario(router):
+        lines = []
+        for options in several:
+            lines += await router.call(**options)
+            lines.append("--")
+        return lines
+
+    return scenario
+
+
+class TestKeys:
+    def test_repeat_gets_the_stored_answer(self, session, snapshot):
+        # The caller's connection broke after the ledger had posted the reminder, so
+        # that it sends the call again. The family must get one letter.
+        assert session(calls(KEYED, KEYED), [Script("plain")]) == snapshot
+
+    def test_key_with_another_body_is_refused(self, session, snapshot):
+        other = {**KEYED, "body": b'{"letter": 8}'}
+        assert session(calls(KEYED, other), [Script("plain")]) == snapshot
+
+    def test_repeat_of_a_lost_call_is_told_so(self, session, snapshot):
+        # The ledger server broke off after the first attempt was sent. Nobody knows
+        # whether it posted; the repeat must not post again to find out.
+        scripts = [Script("break_before"), Script("plain")]
+        assert session(calls(KEYED, KEYED), scripts) == snapshot
+
+    def test_call_that_was_not_sent_frees_its_key(self, session, snapshot):
+        scripts = [Script("refuse")] * 4 + [Script("plain")]
+        assert session(calls(KEYED, KEYED), scripts) == snapshot
+
+    def test_caller_that_leaves_finds_the_outcome_later(self, session, snapshot):
+        # The caller gives up while the ledger works. The call runs on, since cutting
+        # it off could leave it half done, and the next attempt gets its answer.
+        async def scenario(router):
+            lines = await router.call(**KEYED, leaves_after_s=0.15)
+            await anyio.sleep(1.0)
+            return [*lines, "--", *await router.call(**KEYED)]
+
+        assert session(scenario, [Script("plain")]) == snapshot
+
+    def test_repeat_while_a_data_centre_is_cut_off(self, session, snapshot):
+        # The first attempt may have come in at the other data centre, which can't be
+        # asked now. "Not run, try later" is the only true answer to a repeat.
+        async def scenario(router):
+            router.key_vms = {**router.key_vms, "far": ("router-z",)}
+            return await router.call(**KEYED)
+
+        assert session(scenario, [Script("plain")]) == snapshot
+
+    def test_first_attempt_while_a_data_centre_is_cut_off(self, session, snapshot):
+        # A caller that says it never sent this key before is served all the same.
+        async def scenario(router):
+            router.key_vms = {**router.key_vms, "far": ("router-z",)}
+            headers = {**KEYED["headers"], "fulmarroad-first-attempt": "?1"}
+            return await router.call(**{**KEYED, "headers": headers})
+
+        assert session(scenario, [Script("plain")]) == snapshot
