Measure slopes of the real modules and work a large fleet out from them

Nothing told what a node of a large fleet would need. make capacity measures state, time and bytes of tables, members, scheduling, keys, audit and admission at three sizes each, lays lines through them and does the arithmetic for 370 nodes, line by line, against the limits of 7 KB/s, 4.3% of a core and 32 MB.

--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_control.py
@@ -0,0 +1,387 @@
+"""Measure what scheduling costs: state, processor time and bytes between routers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from attrs import evolve
+
+from fulmarroad.capacity import ServerBook
+from fulmarroad.messages import (
+    Demand,
+    Finished,
+    Grant,
+    Heartbeat,
+    Hello,
+    Lend,
+    Progress,
+    ServiceEntry,
+    ServiceReport,
+    ServiceUsed,
+    Started,
+    decode,
+    encode,
+)
+from fulmarroad.placement import PrefixMap
+from fulmarroad.scheduling import FleetQueue, Scheduler, Totals
+from fulmarroad.tables import BackendServer, Pool
+from fulmarroad.types import Epoch, Outcome, ShardId, Unit
+from fulmarroad_bench._capacity_state import workspace_name
+from fulmarroad_bench._slopes import Slope, best_us, held_bytes, measure
+
+CENTRE = "region-1-dc-01"
+SHARD = ShardId("model-01", CENTRE, 0)
+EPOCH = Epoch("entry-vm-000001", 1_800_000_000_000, 17)
+ROUTERS = tuple(f"entry-vm-{n:06d}" for n in range(31))
+"""370 nodes over 12 data centres are 31 in each."""
+
+BACKLOG_SIZES = (100, 400, 1600)
+LEASE_SIZES = (64, 128, 256)
+SERVER_SIZES = (8, 16, 32)
+PREFIX_SIZES = (1024, 2048, 4096)
+ENTRY_SIZES = (4, 16, 64)
+CYCLES = 200
+MESSAGES = 500
+SERVERS = 8
+UNITS = 4
+FAR_S = 1e5
+BACKLOGGED = 115
+"""Workspaces that wait at one pool: a tenth of 16,000 over 14 pools."""
+
+REPORT_S = 30.0
+TICK_S = 0.05
+
+BLOCK_SIZES = (0, 4, 16)
+"""Hashes of prompt blocks in a demand; the router sends 16 at most."""
+
+
+def slopes() -> list[Slope]:
+    """Return every slope of this module."""
+    return [
+        *request_slopes(),
+        *scheduler_slopes(),
+        *beat_slopes(),
+        *report_slopes(),
+    ]
+
+
+def _servers(count: int) -> tuple[BackendServer, ...]:
+    return tuple(
+        BackendServer(f"model-01-server-{n:04d}", f"10.0.0.{n}:8000", CENTRE)
+        for n in range(count)
+    )
+
+
+def build_book(servers: int, units: int) -> ServerBook:
+    """Return a book whose units are all lent."""
+    pool = Pool("model-01", max_concurrency=units, cold_concurrency=units)
+    book = ServerBook(pool, _servers(servers), now=0.0, handed_over=True)
+    book.set_vms(ROUTERS, 0.0)
+    for router in ROUTERS:
+        book.lend(router, FAR_S, 0.0)
+    book.free(1.0)
+    return book
+
+
+def build_scheduler(servers: int, units: int) -> Scheduler:
+    """Return a settled scheduler that every router follows, with nothing to do."""
+    book = build_book(servers, units)
+    scheduler = Scheduler(SHARD, EPOCH, book, FleetQueue(), live=ROUTERS, now=0.0)
+    for router in ROUTERS:
+        hello = Hello(SHARD, router, 1, CENTRE, 0.0)
+        scheduler.handle(router, hello, 0.0)
+    _lend(scheduler)
+    return scheduler
+
+
+def _lend(scheduler: Scheduler) -> None:
+    for router in ROUTERS:
+        scheduler.handle(router, Lend(SHARD, EPOCH, 0.9, 0.9), 1.0)
+
+
+def _demand(index: int, workspace: int, blocks: int = 0) -> Demand:
+    return Demand(
+        SHARD,
+        f"01234567-89ab-cdef-0123-{index:012d}#1",
+        workspace_name(workspace),
+        1.0,
+        256.5,
+        0.00123,
+        59.98765,
+        tuple(2**63 + n for n in range(blocks)),
+    )
+
+
+def fill(scheduler: Scheduler, workspaces: int, depth: int = 1) -> list[Grant]:
+    """Queue demands of many workspaces; return the grants made on the way."""
+    grants = []
+    for index in range(workspaces * depth):
+        demand = _demand(index, index % workspaces)
+        router = ROUTERS[index % len(ROUTERS)]
+        for send in scheduler.handle(router, demand, 1.0):
+            if isinstance(send.message, Grant):
+                grants.append(send.message)
+    return grants
+
+
+def request_messages(blocks: int = 0) -> tuple[Any, ...]:
+    """Return the messages of one request, in the order in which they are sent."""
+    lease = "entry-vm-000001-18fae27693b400-17.123456"
+    demand = _demand(1, 1, blocks)
+    unit = Unit("model-01-server-0001", 3)
+    return (
+        demand,
+        Grant(SHARD, EPOCH, lease, demand.demand_id, unit, 12345.6789, 1.0),
+        Started(SHARD, lease),
+        Finished(SHARD, lease, Outcome.COMPLETED, 206.25, 0.2345, 0.0456, 9.8765, 2),
+    )
+
+
+def request_slopes() -> list[Slope]:
+    """Return bytes and codec time of a request's four messages, by prompt blocks."""
+
+    def asked(blocks: int) -> float:
+        demand, _, started, finished = request_messages(blocks)
+        return sum(len(encode(message)) for message in (demand, started, finished))
+
+    def grants(count: int) -> float:
+        return len(encode(*[request_messages()[1]] * count))
+
+    def codec_us(blocks: int) -> float:
+        messages = request_messages(blocks)
+
+        def run() -> None:
+            for _ in range(MESSAGES):
+                for message in messages:
+                    decode(encode(message))
+
+        return best_us(run, MESSAGES)
+
+    return [
+        measure("asked_bytes", "prompt block", "B", BLOCK_SIZES, asked),
+        measure("grant_bytes", "grant", "B", (1, 2, 4), grants),
+        measure("request_codec_us", "prompt block", "us", BLOCK_SIZES, codec_us),
+    ]
+
+
+def _cycle_us(workspaces: int) -> float:
+    """Return the time of demand, start, end and grant under a backlog."""
+    scheduler = build_scheduler(SERVERS, UNITS)
+    running = fill(scheduler, workspaces, depth=2)
+    router_of = {
+        _demand(n, 0).demand_id: ROUTERS[n % len(ROUTERS)]
+        for n in range(2 * workspaces + (CYCLES + 1) * 3)
+    }
+    numbers = iter(range(2 * workspaces, 2 * workspaces + CYCLES * 4))
+
+    def run() -> None:
+        for _ in range(CYCLES):
+            grant = running.pop(0)
+            router = router_of[grant.demand_id]
+            scheduler.handle(router, Started(SHARD, grant.lease_id), 1.0)
+            number = next(numbers)
+            name = ROUTERS[number % len(ROUTERS)]
+            scheduler.handle(name, _demand(number, number % workspaces), 1.0)
+            end = Finished(
+                SHARD, grant.lease_id, Outcome.COMPLETED, 200.0, 0.1, 0.01, 5
+            )
+            sends = scheduler.handle(router, end, 1.0)
+            running.extend(s.message for s in sends if isinstance(s.message, Grant))
+
+    return best_us(run, CYCLES)
+
+
+def _running_bytes(leases: int) -> float:
+    def build() -> Scheduler:
+        scheduler = build_scheduler(SERVERS, max(LEASE_SIZES) // SERVERS)
+        if len(fill(scheduler, leases)) != leases:
+            raise ValueError("not every demand was granted")
+        return scheduler
+
+    return held_bytes(build)
+
+
+def _progress_us(leases: int) -> float:
+    scheduler = build_scheduler(SERVERS, max(LEASE_SIZES) // SERVERS)
+    grants = fill(scheduler, leases)
+    reports = [
+        (ROUTERS[n % len(ROUTERS)], Progress(SHARD, (ServiceUsed(g.lease_id, 12.5),)))
+        for n, g in enumerate(grants)
+    ]
+
+    def run() -> None:
+        for router, report in reports:
+            scheduler.handle(router, report, 1.0)
+
+    return best_us(run)
+
+
+def _prefix_bytes(blocks: int) -> float:
+    def build() -> PrefixMap:
+        prefixes = PrefixMap()
+        for first in range(0, blocks, 16):
+            prefixes.note("server", range(2**63 + first, 2**63 + first + 16), 1.0)
+        return prefixes
+
+    return held_bytes(build)
+
+
+def scheduler_slopes() -> list[Slope]:
+    """Return a scheduler's memory and time per backlog, lease and server."""
+
+    def backlog(workspaces: int, depth: int = 1) -> float:
+        def build() -> Scheduler:
+            scheduler = build_scheduler(1, 1)
+            fill(scheduler, workspaces, depth)
+            return scheduler
+
+        return held_bytes(build)
+
+    return [
+        measure("cycle_us", "backlogged workspace", "us", BACKLOG_SIZES, _cycle_us),
+        measure("backlog_bytes", "backlogged workspace", "B", BACKLOG_SIZES, backlog),
+        measure(
+            "waiting_bytes",
+            "further waiting demand",
+            "B",
+            (100, 400, 1600),
+            lambda size: backlog(10, size // 10),
+        ),
+        measure("lease_bytes", "running lease", "B", LEASE_SIZES, _running_bytes),
+        measure("prefix_bytes", "prompt block", "B", PREFIX_SIZES, _prefix_bytes),
+        measure("progress_us", "running lease", "us", LEASE_SIZES, _progress_us),
+        measure(
+            "server_bytes",
+            "server",
+            "B",
+            SERVER_SIZES,
+            lambda size: held_bytes(lambda: build_book(size, UNITS)),
+        ),
+    ]
+
+
+def _beat(servers: int) -> Heartbeat:
+    book = build_book(servers, UNITS)
+    return Heartbeat(SHARD, EPOCH, 12345.6789, book.status(1.0), 100, 1.2345, True)
+
+
+def beat_slopes() -> list[Slope]:
+    """Return bytes and time of heartbeats by servers, of answers and of progress."""
+    lend = Lend(SHARD, EPOCH, 12345.6789, 23456.789)
+
+    def both_us(servers: int) -> float:
+        beat = _beat(servers)
+
+        def run() -> None:
+            for _ in range(MESSAGES):
+                decode(encode(beat))
+                decode(encode(lend))
+
+        return best_us(run, MESSAGES)
+
+    def tick_us(servers: int) -> float:
+        scheduler = build_scheduler(servers, UNITS)
+        times = iter(range(10**6))
+
+        def run() -> None:
+            for _ in range(50):
+                scheduler.tick(1.0 + next(times) * 0.5)
+
+        return best_us(run, 50)
+
+    def lend_us(servers: int) -> float:
+        scheduler = build_scheduler(servers, UNITS)
+        return best_us(lambda: _lend(scheduler), len(ROUTERS))
+
+    def progress(leases: int) -> Progress:
+        used = [ServiceUsed(f"entry-vm-000001-{n:024d}", 12.5) for n in range(leases)]
+        return Progress(SHARD, tuple(used))
+
+    def progress_codec_us(leases: int) -> float:
+        message = progress(leases)
+        return best_us(lambda: [decode(encode(message)) for _ in range(50)], 50)
+
+    return [
+        measure(
+            "heartbeat_bytes",
+            "server",
+            "B",
+            SERVER_SIZES,
+            lambda n: len(encode(_beat(n))),
+        ),
+        measure(
+            "lend_bytes", "lend", "B", (1, 2, 4), lambda n: len(encode(*[lend] * n))
+        ),
+        measure("beat_codec_us", "server", "us", SERVER_SIZES, both_us),
+        measure("beat_tick_us", "server", "us", SERVER_SIZES, tick_us),
+        measure("lend_us", "server", "us", SERVER_SIZES, lend_us),
+        measure(
+            "progress_bytes",
+            "running lease",
+            "B",
+            ENTRY_SIZES,
+            lambda n: len(encode(progress(n))),
+        ),
+        measure(
+            "progress_codec_us", "running lease", "us", ENTRY_SIZES, progress_codec_us
+        ),
+    ]
+
+
+def report(entries: int, sequence: int = 1, router: str = "entry-vm-000002") -> Any:
+    rows = tuple(
+        ServiceEntry(workspace_name(n), 12345.25 + sequence, 123.75, 12)
+        for n in range(entries)
+    )
+    epoch = evolve(EPOCH, router=router)
+    shard = evolve(SHARD, index=1)
+    return ServiceReport(shard, epoch, sequence, 0, 256, 1000, rows)
+
+
+def _reports_sent(peers: int) -> float:
+    """Return the reports that a scheduler makes in a minute, by peers to tell."""
+    scheduler = build_scheduler(SERVERS, UNITS)
+    fill(scheduler, BACKLOGGED)
+    scheduler.set_peers(peers)
+    count = 0
+    for tick in range(round(REPORT_S / TICK_S)):
+        count += scheduler.report(1.0 + tick * TICK_S) is not None
+    return count * 60 / REPORT_S
+
+
+def report_slopes() -> list[Slope]:
+    """Return bytes of a report, and what absorbing it costs, by its entries."""
+
+    def absorb_us(entries: int) -> float:
+        totals = Totals(SHARD, EPOCH, FleetQueue())
+        reports = [report(entries, n) for n in range(60)]
+        remaining = iter(reports)
+
+        def run() -> None:
+            for _ in range(20):
+                totals.absorb(next(remaining), 1.0)
+
+        return best_us(run, 20)
+
+    def codec_us(entries: int) -> float:
+        told = report(entries)
+        return best_us(lambda: [decode(encode(told)) for _ in range(20)], 20)
+
+    def held(entries: int) -> float:
+        def build() -> Totals:
+            totals = Totals(SHARD, EPOCH, FleetQueue())
+            for peer in range(10):
+                totals.absorb(report(entries, 1, f"entry-vm-{peer:06d}"), 1.0)
+            return totals
+
+        return held_bytes(build) / 10
+
+    return [
+        measure(
+            "report_bytes", "entry", "B", ENTRY_SIZES, lambda n: len(encode(report(n)))
+        ),
+        measure("report_codec_us", "entry", "us", ENTRY_SIZES, codec_us),
+        measure("report_absorb_us", "entry", "us", ENTRY_SIZES, absorb_us),
+        measure("reports_minute", "peer", "reports", (2, 8, 23), _reports_sent),
+        measure("peer_entry_bytes", "entry and peer", "B", ENTRY_SIZES, held),
+    ]
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_size.py
@@ -0,0 +1,98 @@
+"""The fleet that the capacity page is worked out for."""
+
+from __future__ import annotations
+
+import math
+
+from attrs import frozen
+
+
+@frozen
+class FleetSize:
+    """Hold a fleet's size; what follows from it is worked out here.
+
+    Pools, data centres and routers are taken as equal. `request_s` is the time of one
+    request: tokens of an answer times 62 ms between tokens, and the first token.
+    """
+
+    nodes: int = 370
+    servers: int = 1800
+    requests_s: float = 3100.0
+    tokens_s: float = 640_000.0
+    workspaces: int = 16_000
+    backlogged_part: float = 0.1
+    models: int = 14
+    centres: int = 12
+    shard_servers: int = 8
+    first_token_s: float = 0.35
+    token_s: float = 0.062
+    changes_day: float = 1100.0
+    replaced_day: float = 800.0
+    delay_s: float = 0.1
+    largest_cost: float = 4096.0
+    estimate_error: float = 4096.0
+
+    @property
+    def tokens_of_request(self) -> float:
+        """Return the tokens of a mean answer."""
+        return self.tokens_s / self.requests_s
+
+    @property
+    def request_s(self) -> float:
+        """Return how long a mean request runs, in seconds."""
+        return self.first_token_s + self.tokens_of_request * self.token_s
+
+    @property
+    def running(self) -> float:
+        """Return how many requests run at once in the fleet."""
+        return self.requests_s * self.request_s
+
+    @property
+    def shards_of_pool(self) -> int:
+        """Return the shards of one pool, spread evenly over the data centres."""
+        servers = self.servers / self.models / self.centres
+        return self.centres * math.ceil(servers / self.shard_servers)
+
+    @property
+    def shards_of_centre(self) -> int:
+        """Return the shards of one data centre, of all pools together."""
+        return self.models * self.shards_of_pool // self.centres
+
+    @property
+    def servers_of_shard(self) -> float:
+        """Return the mean number of backend servers in a shard."""
+        return self.servers / (self.models * self.shards_of_pool)
+
+    @property
+    def nodes_of_centre(self) -> float:
+        """Return the routers of one data centre, each of which follows its shards."""
+        return self.nodes / self.centres
+
+    @property
+    def roles_of_node(self) -> float:
+        """Return the mean number of schedulers that a router holds."""
+        return self.models * self.shards_of_pool / self.nodes
+
+    @property
+    def schedulers_of_pool(self) -> int:
+        """Return the schedulers of one pool: one for each shard."""
+        return self.shards_of_pool
+
+    @property
+    def backlogged_of_pool(self) -> int:
+        """Return the workspaces backlogged at one pool, if each uses one pool."""
+        return math.ceil(self.workspaces * self.backlogged_part / self.models)
+
+    @property
+    def units_of_pool(self) -> int:
+        """Return the requests that run at once in one pool."""
+        return math.ceil(self.running / self.models)
+
+    @property
+    def rate_of_pool(self) -> float:
+        """Return the tokens a second of one pool."""
+        return self.tokens_s / self.models
+
+
+LATER = FleetSize()
+"""The size that the fleet is built towards."""
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_sums.py
@@ -0,0 +1,219 @@
+"""Work out from slopes what a node of a large fleet needs, each step in sight."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+
+from attrs import frozen
+
+from fulmarroad_bench._capacity_size import FleetSize
+from fulmarroad_bench._slopes import Slope
+
+FRAME_BYTES = 54
+"""gRPC prefix, HTTP/2, TCP and IP headers of a frame, as the routers count them."""
+
+BEATS_S = 2.0
+"""Heartbeats a second of each scheduler to each of its followers."""
+
+TICKS_S = 20.0
+"""Ticks a second of each scheduler."""
+
+PROGRESS_SHARE_BYTES = 40
+PROGRESS_BUDGET_S = 1500.0
+REPORT_ENTRIES = 64
+REPORT_EVERY_S = 2.0
+"""A scheduler reports at least this often, whatever its budget says."""
+
+DAY_S = 86_400.0
+TABLE_PARTS = 64
+REPEATS_OF_NEWS = 18
+"""Times that each member repeats an update among 370: twice log2, rounded up."""
+
+DEAD_KEPT = 67
+"""Replaced VMs remembered for two hours: 800 / 12."""
+
+PROMPT_BLOCKS = 16
+"""The most a demand carries; the letter gives no length of prompts."""
+
+AUDIT_RECORDS = 4096
+KEYS_KEPT = 16_384
+KEY_ANSWERS_BYTES = 4 * 1024 * 1024
+MOST_WAITING = 1024
+PREFIX_BLOCKS = 4096
+
+LIMITS = {"sent": 7000.0, "received": 7000.0, "us": 43_000.0, "bytes": 32e6}
+"""7 KB/s, 4.3% of a core in microseconds a second, 32 MB."""
+
+
+@frozen
+class Sum:
+    """Hold one line of arithmetic: a role's need of one kind, for a mean node."""
+
+    role: str
+    kind: str  # sent or received (bytes a second), us (a second) or bytes (held)
+    what: str
+    text: str
+    value: float
+
+
+class _Sheet:
+    def __init__(self, slopes: Sequence[Slope]) -> None:
+        self._slopes = {slope.name: slope for slope in slopes}
+        self.rows: list[Sum] = []
+
+    def each(self, name: str) -> float:
+        return self._slopes[name].each
+
+    def at(self, name: str, size: float) -> float:
+        slope = self._slopes[name]
+        return slope.fixed + slope.each * size
+
+    def add(self, role: str, kind: str, what: str, *factors: float) -> float:
+        """Add a product to the sheet and return it."""
+        text = " x ".join(f"{factor:,.6g}" for factor in factors)
+        value = math.prod(factors)
+        self.rows.append(Sum(role, kind, what, text, value))
+        return value
+
+
+def sums(slopes: Sequence[Slope], size: FleetSize) -> list[Sum]:
+    """Return every line, for a node that holds the mean number of schedulers."""
+    sheet = _Sheet(slopes)
+    _accepting(sheet, size)
+    _scheduling(sheet, size)
+    _membership(sheet, size)
+    _configuration(sheet, size)
+    _keys(sheet)
+    _records(sheet)
+    return sheet.rows
+
+
+def _accepting(sheet: _Sheet, size: FleetSize) -> None:
+    role, rate = "accepting", size.requests_s / size.nodes
+    asked = sheet.at("asked_bytes", PROMPT_BLOCKS) + 3 * FRAME_BYTES
+    grant = sheet.at("grant_bytes", 1) + FRAME_BYTES
+    beat = sheet.at("heartbeat_bytes", size.servers_of_shard) + FRAME_BYTES
+    lend = sheet.at("lend_bytes", 1) + FRAME_BYTES
+    beats = size.shards_of_centre * BEATS_S
+    sheet.add(role, "sent", "demand, started, finished", rate, asked)
+    sheet.add(role, "received", "grants", rate, grant)
+    sheet.add(role, "sent", "lends, one a beat", beats, lend)
+    sheet.add(role, "received", "heartbeats of the shards followed", beats, beat)
+    sheet.add(role, "sent", "progress reports", *_progress(sheet, size))
+    sheet.add(role, "us", "lookups", rate, sheet.at("lookup_us_workspace", 0))
+    sheet.add(role, "us", "admission", rate, sheet.each("admission_us"))
+    sheet.add(role, "us", "follower", rate, sheet.each("follower_us"))
+    codec = sheet.at("request_codec_us", PROMPT_BLOCKS)
+    sheet.add(role, "us", "request codec, both ends", rate, codec)
+    codec = sheet.at("beat_codec_us", size.servers_of_shard)
+    sheet.add(role, "us", "beat and lend codec, both ends", beats, codec)
+    leases = size.running / size.nodes
+    sheet.add(role, "bytes", "leases", leases, sheet.each("follower_lease_bytes"))
+    shards = size.models * size.shards_of_pool
+    sheet.add(role, "bytes", "shards", 1, sheet.at("follower_bytes", shards))
+    sheet.add(role, "bytes", "waiting", MOST_WAITING, sheet.each("admission_bytes"))
+
+
+def _progress(sheet: _Sheet, size: FleetSize) -> tuple[float, float]:
+    """Return the reports a second and the bytes of all shards' in one round."""
+    leases = size.running / size.nodes
+    interval = leases * PROGRESS_SHARE_BYTES / PROGRESS_BUDGET_S
+    shards = size.shards_of_centre
+    fixed = sheet.at("progress_bytes", 0) + FRAME_BYTES
+    return 1 / interval, leases * sheet.each("progress_bytes") + shards * fixed
+
+
+def _scheduling(sheet: _Sheet, size: FleetSize) -> None:
+    role, roles = "scheduler", size.roles_of_node
+    rate = size.requests_s / size.nodes
+    beats = roles * size.nodes_of_centre * BEATS_S
+    beat = sheet.at("heartbeat_bytes", size.servers_of_shard) + FRAME_BYTES
+    lend = sheet.at("lend_bytes", 1) + FRAME_BYTES
+    asked = sheet.at("asked_bytes", PROMPT_BLOCKS) + 3 * FRAME_BYTES
+    grant = sheet.at("grant_bytes", 1) + FRAME_BYTES
+    sheet.add(role, "sent", "grants", rate, grant)
+    sheet.add(role, "received", "demand, started, finished", rate, asked)
+    sheet.add(role, "sent", "heartbeats to followers", beats, beat)
+    sheet.add(role, "received", "lends", beats, lend)
+    sheet.add(role, "received", "progress reports", *_progress(sheet, size))
+    told = min(REPORT_ENTRIES, size.backlogged_of_pool)
+    report = sheet.at("report_bytes", told) + FRAME_BYTES
+    reports = roles * (size.schedulers_of_pool - 1) / REPORT_EVERY_S
+    sheet.add(role, "sent", "service reports", reports, report)
+    sheet.add(role, "received", "service reports", reports, report)
+    cycle = sheet.at("cycle_us", size.backlogged_of_pool)
+    sheet.add(role, "us", "cycles of a request", rate, cycle)
+    tick = sheet.at("beat_tick_us", size.servers_of_shard)
+    sheet.add(role, "us", "ticks", roles * TICKS_S, tick)
+    sheet.add(role, "us", "lends", beats, sheet.at("lend_us", size.servers_of_shard))
+    rounds, _ = _progress(sheet, size)
+    leases = size.running / size.nodes
+    one = sheet.each("progress_us") + sheet.each("progress_codec_us")
+    sheet.add(role, "us", "progress, codec too", rounds, leases, one)
+    one = sheet.at("report_codec_us", told) + sheet.at("report_absorb_us", told)
+    sheet.add(role, "us", "service reports", reports, one)
+    _scheduler_memory(sheet, size)
+
+
+def _scheduler_memory(sheet: _Sheet, size: FleetSize) -> None:
+    role, roles = "scheduler", size.roles_of_node
+    servers = size.servers_of_shard
+    sheet.add(role, "bytes", "servers", roles, servers, sheet.each("server_bytes"))
+    backlogged = size.backlogged_of_pool
+    one = sheet.each("backlog_bytes")
+    sheet.add(role, "bytes", "backlogged workspaces", roles, backlogged, one)
+    leases = size.running / size.nodes
+    sheet.add(role, "bytes", "running leases", leases, sheet.each("lease_bytes"))
+    peers = size.schedulers_of_pool - 1
+    known = size.workspaces / size.models
+    one = sheet.each("peer_entry_bytes")
+    sheet.add(role, "bytes", "what others told", roles, peers, known, one)
+    prefixes = sheet.at("prefix_bytes", PREFIX_BLOCKS)
+    sheet.add(role, "bytes", "prefix map, full", roles, servers, prefixes)
+
+
+def _membership(sheet: _Sheet, size: FleetSize) -> None:
+    role = "membership"
+    probes = sheet.at("probe_bytes_period", size.nodes)
+    news = 2 * size.replaced_day / DAY_S * REPEATS_OF_NEWS
+    for kind in ("sent", "received"):
+        sheet.add(role, kind, "probes and answers", 1, probes)
+        sheet.add(role, kind, "news of replaced VMs", news, sheet.each("update_bytes"))
+    spent = sheet.at("probe_us_period", size.nodes)
+    sheet.add(role, "us", "probes and answers", 1, spent)
+    shards = size.models * size.shards_of_pool
+    changes = 2 * size.replaced_day / DAY_S
+    assigned = sheet.at("assignment_us", shards)
+    sheet.add(role, "us", "owners worked out anew", changes, assigned)
+    known = size.nodes + DEAD_KEPT
+    sheet.add(role, "bytes", "members", known, sheet.each("member_bytes"))
+
+
+def _configuration(sheet: _Sheet, size: FleetSize) -> None:
+    role, changes = "configuration", size.changes_day / DAY_S
+    text = sheet.each("table_text_bytes") * size.workspaces / TABLE_PARTS
+    manifest = sheet.at("manifest_bytes", TABLE_PARTS)
+    for kind in ("sent", "received"):
+        sheet.add(role, kind, "one part a change", changes, text)
+        sheet.add(role, kind, "manifest a change", changes, manifest)
+    spent = sheet.at("tables_change_us", size.workspaces)
+    sheet.add(role, "us", "a change taken in", changes, spent)
+    for per, count in (("workspace", size.workspaces), ("server", size.servers)):
+        one = sheet.each(f"tables_bytes_{per}")
+        sheet.add(role, "bytes", f"tables, {per}s", count, one)
+
+
+def _keys(sheet: _Sheet) -> None:
+    sheet.add("keys", "bytes", "records, full", KEYS_KEPT, sheet.each("key_bytes"))
+    sheet.add("keys", "bytes", "kept answers, full", 1, KEY_ANSWERS_BYTES)
+
+
+def _records(sheet: _Sheet) -> None:
+    one = sheet.each("audit_bytes")
+    sheet.add("audit", "bytes", "trail, full", AUDIT_RECORDS, one)
+
+
+def totals(rows: Sequence[Sum]) -> Mapping[str, float]:
+    """Return the sum of each kind."""
+    return {kind: sum(row.value for row in rows if row.kind == kind) for kind in LIMITS}
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/capacity.py
@@ -0,0 +1,116 @@
+"""Measure what one more of each thing costs a router, on the real modules.
+
+One process, no network. Each cost is measured at three sizes or more and a line is laid
+through them; docs/CAPACITY.md works out from the slopes what a large fleet needs. The
+last line printed is JSON.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import fire
+from attrs import asdict
+
+from fulmarroad.scheduling import gap_bound, spread_interval
+from fulmarroad_bench import _capacity_control, _capacity_follower, _capacity_state
+from fulmarroad_bench._capacity_size import LATER, FleetSize
+from fulmarroad_bench._capacity_sums import (
+    LIMITS,
+    REPORT_ENTRIES,
+    REPORT_EVERY_S,
+    Sum,
+    sums,
+    totals,
+)
+from fulmarroad_bench._slopes import Slope
+
+
+def all_slopes() -> list[Slope]:
+    """Return every slope, measured now."""
+    parts = (_capacity_state, _capacity_control, _capacity_follower)
+    return [slope for part in parts for slope in part.slopes()]
+
+
+def bounds(size: FleetSize) -> dict[str, float]:
+    """Return the interval of reports and the gap bound of a fleet, by the library."""
+    peers = size.schedulers_of_pool - 1
+    interval = spread_interval(peers, size.backlogged_of_pool)
+    told_s = REPORT_EVERY_S * math.ceil(size.backlogged_of_pool / REPORT_ENTRIES)
+    return {
+        "spread_peers": peers,
+        "spread_entries": size.backlogged_of_pool,
+        "spread_interval_s": interval,
+        "told_interval_s": told_s,
+        "gap_bound_tokens": _gap_bound(size, interval),
+        "gap_bound_told_tokens": _gap_bound(size, told_s),
+    }
+
+
+def _gap_bound(size: FleetSize, interval_s: float) -> float:
+    return gap_bound(
+        units=size.units_of_pool,
+        shards=size.shards_of_pool,
+        rate=size.rate_of_pool,
+        interval_s=interval_s,
+        delay_s=size.delay_s,
+        largest_cost=size.largest_cost,
+        estimate_error=size.estimate_error,
+    )
+
+
+def _row(slope: Slope) -> str:
+    sizes = "/".join(map(str, slope.sizes))
+    return (
+        f"{slope.name:24}{slope.unit:>8}{slope.each:14.3f}{slope.fixed:14.1f}"
+        f"{slope.misfit:8.3f}  per {slope.per} at {sizes}"
+    )
+
+
+def table(slopes: list[Slope], limits: dict[str, float]) -> str:
+    """Return the slopes for reading."""
+    head = f"{'slope':24}{'unit':>8}{'each':>14}{'fixed':>14}{'misfit':>8}"
+    rows = [head, *map(_row, slopes)]
+    rows += [f"{name:24}{value:22.3f}" for name, value in limits.items()]
+    return "\n".join(rows)
+
+
+def arithmetic(rows: list[Sum]) -> str:
+    """Return the sums line by line, and each kind's total against its limit."""
+    shown = [
+        f"{row.role:14}{row.kind:10}{row.what:36}{row.text} = {row.value:,.1f}"
+        for row in sorted(rows, key=lambda row: list(LIMITS).index(row.kind))
+    ]
+    for kind, value in totals(rows).items():
+        limit = LIMITS[kind]
+        verdict = "within" if value <= limit else "PASSED"
+        shown.append(f"total {kind:18}{value:16,.0f} of {limit:,.0f}: {verdict}")
+    return "\n".join(shown)
+
+
+def line(
+    slopes: list[Slope], limits: dict[str, float], rows: list[Sum]
+) -> dict[str, Any]:
+    """Return what the last line holds."""
+    return {
+        "slopes": {slope.name: asdict(slope) for slope in slopes},
+        "size": asdict(LATER),
+        "bounds": limits,
+        "totals": totals(rows),
+        "limits": LIMITS,
+    }
+
+
+def main() -> None:
+    """Measure, then print slopes, sums and one JSON line."""
+    slopes, limits = all_slopes(), bounds(LATER)
+    rows = sums(slopes, LATER)
+    print(table(slopes, limits))
+    print(arithmetic(rows))
+    print(json.dumps(line(slopes, limits, rows)))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/packages/fulmarroad-bench/tests/test_capacity.py
@@ -0,0 +1,113 @@
+"""Slopes are those of the lines they were laid through, and the line holds them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from attrs import evolve
+
+from fulmarroad.messages import decode, encode
+from fulmarroad.scheduling import gap_bound, spread_interval
+from fulmarroad_bench import _capacity_control as control
+from fulmarroad_bench import capacity
+from fulmarroad_bench._capacity_size import LATER
+from fulmarroad_bench._capacity_state import build_keys, build_store, run_probes
+from fulmarroad_bench._capacity_sums import Sum
+from fulmarroad_bench._slopes import fit, held_bytes
+
+
+class TestFit:
+    def test_finds_the_line(self):
+        slope = fit("x", "thing", "B", (1, 2, 4), (13.0, 16.0, 22.0))
+        assert (slope.each, slope.fixed) == (pytest.approx(3), pytest.approx(10))
+        assert slope.misfit == pytest.approx(0, abs=1e-9)
+
+    def test_tells_how_far_values_lie_from_it(self):
+        slope = fit("x", "thing", "B", (0, 1, 2), (0.0, 9.0, 0.0))
+        assert slope.misfit == pytest.approx(6 / 9)
+
+    @pytest.mark.parametrize("sizes", [(1, 2), (1, 2, 2), (1, 2, 3, 4)])
+    def test_refuses_fewer_than_three_sizes(self, sizes):
+        with pytest.raises(ValueError, match="three sizes"):
+            fit("x", "thing", "B", sizes, (1.0, 2.0, 3.0))
+
+
+class TestHeldBytes:
+    def test_counts_what_stays_and_not_what_was_passing(self):
+        def build():
+            bytearray(500_000)
+            return bytearray(100_000)
+
+        assert 100_000 <= held_bytes(build) < 101_000
+
+
+class TestSubjects:
+    def test_sizes_on_the_wire_are_those_of_the_codec(self):
+        slopes = {slope.name: slope for slope in control.report_slopes()}
+        slope = slopes["report_bytes"]
+        sizes = [len(encode(control.report(n))) for n in slope.sizes]
+        assert list(slope.values) == sizes
+        assert slope.misfit < 0.01
+
+    def test_a_request_is_four_messages_that_decode(self):
+        for message in control.request_messages(blocks=16):
+            assert decode(encode(message)) == (message,)
+
+    def test_more_of_a_thing_takes_more_memory(self):
+        few, many = (held_bytes(lambda n=n: build_store(n)) for n in (50, 150))
+        assert many > few + 100 * 100
+
+    def test_keys_are_recorded(self):
+        assert len(build_keys(20)) == 20
+
+    def test_a_quiet_fleet_sends_a_ping_and_an_answer_each_period(self):
+        packets, size, _ = run_probes(12)
+        assert 12 * 3 * 1.8 <= packets <= 12 * 3 * 2.3
+        assert 100 < size / packets < 1200
+
+
+class TestSize:
+    def test_arithmetic_of_the_later_fleet(self):
+        assert LATER.tokens_of_request == pytest.approx(206.45, abs=0.01)
+        assert LATER.running == pytest.approx(40_765, abs=1)
+        assert LATER.shards_of_pool == 24
+        assert LATER.backlogged_of_pool == 115
+
+
+class TestLine:
+    def test_bounds_are_the_librarys(self):
+        limits = capacity.bounds(evolve(LATER, models=1, centres=1, servers=8))
+        interval = spread_interval(0, 1600)
+        assert limits["spread_interval_s"] == interval
+        assert limits["gap_bound_tokens"] == gap_bound(
+            units=40_765,
+            shards=1,
+            rate=640_000.0,
+            interval_s=interval,
+            delay_s=LATER.delay_s,
+            largest_cost=LATER.largest_cost,
+            estimate_error=LATER.estimate_error,
+        )
+
+    def test_names_every_slope(self):
+        slopes = [fit("x", "thing", "B", (1, 2, 4), (13.0, 16.0, 22.0))]
+        limits = capacity.bounds(LATER)
+        line = json.loads(json.dumps(capacity.line(slopes, limits, [])))
+        assert set(line) == {"slopes", "size", "bounds", "totals", "limits"}
+        assert line["slopes"]["x"]["each"] == pytest.approx(3)
+        assert "x" in capacity.table(slopes, limits)
+
+
+class TestSums:
+    def test_a_total_beyond_its_limit_is_said_to_be_passed(self):
+        rows = [
+            Sum("a", "sent", "x", "7,000 x 1", 7000.0),
+            Sum("a", "bytes", "y", "32e6 x 1", 32e6),
+            Sum("b", "bytes", "z", "1 x 1", 1.0),
+        ]
+        *_, sent, received, spent, held = capacity.arithmetic(rows).splitlines()
+        assert sent.endswith("within")
+        assert received.endswith("within")
+        assert spent.endswith("within")
+        assert held.endswith("PASSED")
