--- a/packages/fulmarroad/tests/test_keys.py
+++ b/packages/fulmarroad/tests/test_keys.py
@@ -256,6 +256,7 @@
         self.cut = set()
         self.calls = Counter()
         self.lives = Counter()
+        self.views = {}
         self.routers = {}
         self.group = None
         for name in self.centre_of:
@@ -273,10 +274,24 @@
         async def ask(peer, message):
             return await self.ask(name, peer, message)
 
+        self.views[name] = {c: list(names) for c, names in self.centres.items()}
         self.routers[name] = keys.KeyGroups(
-            identity, member, ask, lambda: self.centres, clocks
+            identity, member, ask, lambda: self.views[name], clocks
         )
 
+    def replace(self, name, new):
+        """Publish a new VM in the place of another, which goes on with its old list."""
+        centre = self.centre_of[name]
+        if name not in self.centres[centre]:
+            return
+        self.centres[centre].remove(name)
+        self.centres[centre].append(new)
+        self.centre_of[new] = centre
+        self.boot(new)
+
+    def read_list(self, name):
+        self.views[name] = {c: list(names) for c, names in self.centres.items()}
+
     async def ask(self, sender, peer, message):
         await self.travel(sender, peer)
         answer = self.routers[peer].handle(message)
@@ -480,3 +495,48 @@
             assert fleet.calls["k"] <= 1
 
         in_fleet(test, seed)
+
+    @settings(derandomize=True, deadline=None, max_examples=400)
+    @given(
+        st.lists(
+            st.one_of(
+                st.tuples(st.just("call"), st.integers(0, 9), ENDS),
+                st.tuples(st.just("restart"), st.integers(0, 9)),
+                st.tuples(st.just("copy"), st.integers(0, 9)),
+                st.tuples(st.just("replace"), st.integers(0, 9)),
+                st.tuples(st.just("read"), st.integers(0, 9)),
+                st.tuples(st.just("cut"), st.integers(0, 9)),
+                st.just(("heal",)),
+            ),
+            min_size=6,
+            max_size=30,
+        ),
+        st.integers(0, 1000),
+    )
+    def test_no_key_runs_twice_while_vms_are_replaced(self, steps, seed):
+        # VMs of one data centre lose their memory or are replaced, and each router
+        # reads the VM list in its own time.
+        async def test(fleet):
+            first = True
+            for index, step in enumerate(steps):
+                names = list(fleet.routers)
+                name = names[step[1] % len(names)] if len(step) > 1 else ""
+                match step[0]:
+                    case "call":
+                        await fleet.call(name, "k", first, end=step[2])
+                        first = False
+                    case "restart":
+                        fleet.boot(name)
+                    case "copy":
+                        await fleet.routers[name].copy_once()
+                    case "replace":
+                        fleet.replace(name, f"n{index}")
+                    case "read":
+                        fleet.read_list(name)
+                    case "cut":
+                        fleet.cut = {name}
+                    case "heal":
+                        fleet.cut = set()
+                assert fleet.calls["k"] <= 1
+
+        in_fleet(test, seed, centres=1, vms=4)
