--- a/packages/fulmarroad/src/fulmarroad/_slots.py
+++ b/packages/fulmarroad/src/fulmarroad/_slots.py
@@ -174,9 +174,7 @@
 
     def take(self, unit: Unit, lease_id: str, router: RouterName, now: float) -> None:
         """Charge a unit to a new lease; raise `CapacityError` if it is not free."""
-        server = self._servers.get(unit.server)
-        free = self._free_of(unit.server, server, now) if server else ()
-        if lease_id in self._leases or all(offer.unit != unit for offer in free):
+        if lease_id in self._leases or not self._is_free(unit, now):
             raise CapacityError(
                 f"Unit {unit.index} of {unit.server} is not free.",
                 hint="Ask the book for its free units again before granting.",
@@ -217,13 +215,16 @@
         known = self._servers.get(server)
         if known is None:
             return ()
-        self._refresh(server, known, now)
-        full = in_full_use(known.running, len(known.usable))
+        usable = len(self._refresh(server, known, now))
+        before = (known.health.warmth, known.health.limit(now), known.taken_up)
+        full = in_full_use(known.running, usable)
         changes = known.health.observe(
             outcome, first_s, gap_s, service, known.running, full, now
         )
         self._adjust_taken_up(server, known, outcome, full, now)
-        known.forget()
+        after = (known.health.warmth, known.health.limit(now), known.taken_up)
+        if before != after:
+            known.forget()
         return changes
 
     def status(self, now: float) -> tuple[ServerStatus, ...]:
@@ -259,6 +260,13 @@
         self._leases[lease_id] = _Lease(unit, router)
         server.hold(unit.index)
 
+    def _is_free(self, unit: Unit, now: float) -> bool:
+        server = self._servers.get(unit.server)
+        if server is None or not server.takes_work or unit.index in server.held:
+            return False
+        usable = self._refresh(unit.server, server, now)
+        return unit.index in usable and server.running < len(usable)
+
     def _free_of(
         self, name: ServerName, server: _Server, now: float
     ) -> tuple[FreeUnit, ...]:
--- a/packages/fulmarroad/tests/test_slots.py
+++ b/packages/fulmarroad/tests/test_slots.py
@@ -1,55 +1,161 @@
-"""The book of units grants what is lent, and no more than the limit."""
+"""The book of units grants what is lent, and no more than a server bears."""
 
 import pytest
+from attrs import evolve
 
-from fulmarroad.capacity import CapacityError, ServerBook
+from fulmarroad.capacity import LEND_QUARANTINE_S, CapacityError, ServerBook
+from fulmarroad.messages import RunningLease, ServerHint
 from fulmarroad.tables import BackendServer, Pool
-from fulmarroad.types import Outcome, Warmth
+from fulmarroad.types import Outcome, Unit, Warmth
 
 VMS = ("a", "b", "c")
 SERVERS = tuple(BackendServer(f"s{n}", f"127.0.0.1:{n}", "fes-1") for n in (1, 2))
+NAMES = [server.name for server in SERVERS]
 POOL = Pool("drafting", max_concurrency=8, cold_concurrency=1, servers=SERVERS)
+START = LEND_QUARANTINE_S
 
 
-def new_book(**kwargs):
-    book = ServerBook(POOL, SERVERS, now=0.0, **kwargs)
-    book.set_vms(VMS, 0.0)
+def new_book(now=0.0, **kwargs):
+    book = ServerBook(POOL, SERVERS, now=now, **kwargs)
+    book.set_vms(VMS, now)
     for vm in VMS:
-        book.lend(vm, 1000.0, 0.0)
+        book.lend(vm, now + 10_000.0, now)
     return book
 
 
-def serve(book, now, *, first_s=0.1, gap_s=0.02, outcome=Outcome.COMPLETED):
+def serve(book, now, *, first_s=0.1, outcome=Outcome.COMPLETED, only=None):
     """Run one round: every free unit takes a request, then all of them end."""
     taken = []
     for offer in book.free(now):
-        lease = f"{offer.unit}@{now}"
-        book.take(offer.unit, lease, "a", now)
-        taken.append((lease, offer.unit.server))
+        if only in (None, offer.unit.server):
+            lease = f"{offer.unit}@{now}"
+            book.take(offer.unit, lease, "a", now)
+            taken.append((lease, offer.unit.server))
+    changes = []
     for lease, server in taken:
-        book.observe(server, outcome, first_s, gap_s, 10.0, now)
+        changes += book.observe(server, outcome, first_s, 0.02, 10.0, now)
         book.release(lease, now)
-    return len(taken)
+    return changes
 
 
-class TestServerBook:
+def warm_up(book, now=START, rounds=60):
+    for step in range(rounds):
+        serve(book, now + step / 10)
+    return now + rounds / 10
+
+
+def warmths(book, now):
+    return {row.server: row.warmth for row in book.status(now)}
+
+
+def free_of(book, server, now):
+    return [offer.unit for offer in book.free(now) if offer.unit.server == server]
+
+
+class TestUnits:
     def test_cold_servers_offer_their_cold_budget(self):
         book = new_book()
-        assert len(book.free(3.0)) == len(SERVERS) * POOL.cold_concurrency
+        assert len(book.free(START)) == len(SERVERS) * POOL.cold_concurrency
 
     def test_a_taken_unit_is_not_free(self):
         book = new_book()
-        unit = book.free(3.0)[0].unit
-        book.take(unit, "l1", "a", 3.0)
-        assert unit not in [offer.unit for offer in book.free(3.0)]
+        unit = book.free(START)[0].unit
+        book.take(unit, "l1", "a", START)
+        assert unit not in [offer.unit for offer in book.free(START)]
         with pytest.raises(CapacityError):
-            book.take(unit, "l2", "a", 3.0)
-        book.release("l1", 3.0)
-        assert unit in [offer.unit for offer in book.free(3.0)]
+            book.take(unit, "l2", "a", START)
+        book.release("l1", START)
+        assert unit in [offer.unit for offer in book.free(START)]
+
+    def test_a_lease_that_is_not_known_changes_nothing(self):
+        book = new_book()
+        before = book.free(START)
+        book.release("never", START)
+        assert book.free(START) == before
 
     def test_good_answers_warm_a_server_to_its_full_limit(self):
         book = new_book()
-        for step in range(40):
-            serve(book, 3.0 + step)
-        assert {row.warmth for row in book.status(50.0)} == {Warmth.WARM}
-        assert book.capacity(50.0) == len(SERVERS) * POOL.max_concurrency
+        now = warm_up(book)
+        assert set(warmths(book, now).values()) == {Warmth.WARM}
+        assert book.capacity(now) == len(SERVERS) * POOL.max_concurrency
+        row = book.status(now)[0]
+        assert (row.limit, row.running, row.usable) == (8, 0, 8)
+
+    def test_one_server_that_fails_leaves_the_other_alone(self):
+        # One of two servers dies under load. Its requests fail, the other goes on.
+        book = new_book()
+        now = warm_up(book)
+        changes = serve(book, now, only="s1", outcome=Outcome.FAILED)
+        assert [(one.server, one.after) for one in changes] == [("s1", Warmth.FAILING)]
+        assert free_of(book, "s1", now) == []
+        assert len(free_of(book, "s2", now)) == 8
+        assert len(free_of(book, "s1", now + 1.0)) == 1
+
+
+class TestTables:
+    def test_a_server_taken_out_gets_no_new_work_at_once(self):
+        # Operators take a server out while it runs requests: those end, no other
+        # begins, and its book goes on.
+        book = new_book()
+        now = warm_up(book)
+        book.take(Unit("s1", 0), "l1", "a", now)
+        book.set_servers(POOL, SERVERS, ["s2"], now)
+        assert free_of(book, "s1", now) == []
+        assert book.status(now)[0].running == 1
+        with pytest.raises(CapacityError):
+            book.take(Unit("s1", 1), "l2", "a", now)
+        book.release("l1", now)
+        assert book.status(now)[0].running == 0
+
+    def test_a_server_that_returns_is_cold(self):
+        # A data centre returns after a power cut. Its servers were warm when it left.
+        book = new_book()
+        now = warm_up(book)
+        book.set_servers(POOL, SERVERS, [], now)
+        changes = book.set_servers(POOL, SERVERS, NAMES, now + 60)
+        assert [change.after for change in changes] == [Warmth.COLD] * 2
+        assert len(book.free(now + 60)) == len(SERVERS) * POOL.cold_concurrency
+
+    def test_a_change_of_another_row_cools_nothing(self):
+        book = new_book()
+        now = warm_up(book)
+        pool = evolve(POOL, max_concurrency=4)
+        assert book.set_servers(pool, SERVERS, NAMES, now) == ()
+        assert len(book.free(now)) == 2 * 4
+
+    def test_a_server_gone_from_the_table_is_forgotten(self):
+        book = new_book()
+        now = warm_up(book)
+        book.take(Unit("s1", 0), "l1", "a", now)
+        book.set_servers(POOL, SERVERS[1:], ["s2"], now)
+        book.release("l1", now)
+        assert [row.server for row in book.status(now)] == ["s2"]
+        assert book.observe("s1", Outcome.COMPLETED, 0.1, 0.1, 1.0, now) == ()
+
+
+class TestRestartDuringRamp:
+    def test_a_new_scheduler_continues_the_ramp_and_counts_what_runs(self):
+        # The scheduler's VM is replaced while a server warms up. Its successor hears
+        # of the budget and of the running requests from the routers; starting from
+        # the full limit, or from an empty book, would overload the server.
+        former = new_book()
+        now = START
+        while warmths(former, now)["s1"] is not Warmth.WARMING:
+            serve(former, now)
+            now += 0.1
+        [row, _] = former.status(now)
+        leases = [
+            RunningLease(f"l{unit.index}", "d", "w", unit, 1.0, 50.0, 5.0)
+            for unit in free_of(former, "s1", now)
+        ]
+        successor = new_book(now, longest_lease_s=60.0)
+        hint = ServerHint("s1", row.limit, row.warmth, 0.5)
+        successor.adopt_hint(hint, now)
+        for lease in leases:
+            successor.adopt_lease(lease, "a", now)
+        later = now + LEND_QUARANTINE_S
+        assert len(leases) == row.limit
+        assert free_of(successor, "s1", later) == []
+        successor.release("l0", later)
+        assert len(free_of(successor, "s1", later)) == 1
+        assert len(free_of(successor, "s2", later)) == POOL.cold_concurrency
