--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -50,6 +50,10 @@
 PROGRESS_S = 0.1
 """Service is told to the coordinator this often, not for each token."""
 
+EARLY_CHUNKS = 16
+"""Chunks after which a running answer says how its server does: enough for a mean of
+their gaps, and about a second of an answer that takes ten."""
+
 MAX_TRIES = 4
 """Tries of one call at all, so that one request can't roam the whole fleet."""
 
@@ -87,6 +91,7 @@
     """Measure one try: what it cost and how fast its answer came."""
 
     clock: Callable[[], float]
+    resumed_from: int = 0
     sent: float = 0.0
     first: float | None = None
     last: float = 0.0
@@ -114,7 +119,9 @@
         if type(prompt) is int and prompt >= 0:
             self.prompt_tokens = prompt
         if type(answer) is int and answer >= 0:
-            self.tokens = answer
+            # A resumed answer's usage counts from its beginning; the tokens before
+            # are another try's, and charging them twice would be unfair.
+            self.tokens = max(0, answer - self.resumed_from)
             self.counted = True
         details = usage.get("prompt_tokens_details")
         if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
@@ -179,7 +186,8 @@
             progress.tries += 1
             self._admitter.begin(call)
             try:
-                await self._try(call, lease, responder, progress)
+                with anyio.CancelScope(shield=call.runs_on):
+                    await self._try(call, lease, responder, progress)
             finally:
                 self._admitter.end(call)
 
@@ -230,7 +238,7 @@
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
     ) -> None:
-        meter = _Meter(self._clock, prompt_tokens=call.prompt_tokens)
+        meter = _Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
@@ -257,13 +265,16 @@
         meter: _Meter,
     ) -> None:
         resume_from = progress.tokens if progress.tokens else None
-        request = call.backend_request(resume_from)
+        request = call.backend_request(lease.server.address, resume_from)
         meter.sent = self._clock()
+        if call.may_send is not None and not call.may_send(meter.sent):
+            raise NotSent("The permission to send this key's call has run out.")
         self._coordinator.tell(NoteStarted(lease.lease_id))
         repeatable = call.route.repeatable
         backend = self._backends.call(
             call.pool, lease.server, request, repeatable=repeatable
         )
+        call.sent = True  # taken back where no byte left
         async with backend as response:
             self._check_answer(call, response, progress)
             if _is_events(response):
@@ -297,20 +308,33 @@
         splitter = EventSplitter()
         reported = meter.sent
         unreported = 0
-        done = False
+        done = judged = False
         async for chunk in response.chunks():
             for event in splitter.feed(chunk):
                 unreported += event.tokens
                 await self._pass_on(event, response, responder, progress, meter)
                 done = done or event.done
             now = self._clock()
-            if unreported and now - reported >= PROGRESS_S:
-                self._coordinator.tell(NoteProgress(lease.lease_id, float(unreported)))
+            if not judged and meter.chunks >= EARLY_CHUNKS:
+                judged = True
+                self._note_progress(lease, unreported, meter)
+                reported, unreported = now, 0
+            elif unreported and now - reported >= PROGRESS_S:
+                self._note_progress(lease, unreported)
                 reported, unreported = now, 0
         if not done:
             raise Sent("The engine ended its answer before it was whole.")
         await responder.finish()
 
+    def _note_progress(
+        self, lease: Lease, tokens: int, meter: _Meter | None = None
+    ) -> None:
+        first_s = meter.first_s if meter is not None else None
+        gap_s = meter.gap_s if meter is not None else None
+        self._coordinator.tell(
+            NoteProgress(lease.lease_id, float(tokens), first_s, gap_s)
+        )
+
     async def _pass_on(
         self,
         event: StreamEvent,
@@ -358,6 +382,7 @@
         self, call: Call, lease: Lease, progress: _Progress, error: NotSent
     ) -> None:
         """Let the call try elsewhere, or refuse it truthfully as not run."""
+        call.sent = progress.sent
         progress.failed = (*progress.failed, lease.server.name)
         if progress.tokens and progress.tries < MAX_TRIES:
             return
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -20,10 +20,13 @@
 CONTROL_BYTES_S = 2500.0
 """Bytes a second that one scheduler may spend on reports, of 7 KB a second in all."""
 
-REPORT_BYTES = 220
-ENTRY_BYTES = 80
+REPORT_BYTES = 100
+ENTRY_BYTES = 48
 """Sizes on the wire, measured with the codec and names of 16 letters."""
 
+BURST_BYTES = 2 * CONTROL_BYTES_S
+"""Unspent budget that is kept: news after a quiet time goes out at once."""
+
 MAX_ENTRIES = 64
 """Entries in one report; what is left out is told next, the largest change first."""
 
@@ -90,10 +93,14 @@
     at: float
 
 
+def report_size(entries: int) -> int:
+    """Return the bytes of a report to one peer."""
+    return REPORT_BYTES + ENTRY_BYTES * min(entries, MAX_ENTRIES)
+
+
 def spread_interval(peers: int, entries: int) -> float:
-    """Return the seconds between reports that keep within the control budget."""
-    size = REPORT_BYTES + ENTRY_BYTES * min(entries, MAX_ENTRIES)
-    return max(LEAST_INTERVAL_S, peers * size / CONTROL_BYTES_S)
+    """Return the mean seconds between reports that the control budget allows."""
+    return max(LEAST_INTERVAL_S, peers * report_size(entries) / CONTROL_BYTES_S)
 
 
 def gap_bound(
@@ -205,7 +212,7 @@
 
     def news(self, now: float) -> int:
         """Return how many workspaces the next report would tell of."""
-        return len(self._newsworthy(now))
+        return self._queue.ahead() + len(self._served_for_others(now))
 
     def forget(self, now: float) -> None:
         """Drop what was heard of schedulers that are long silent."""
@@ -221,7 +228,10 @@
         One that is backlogged only elsewhere counts as well if it was served here:
         it would otherwise be served here on top of its share.
         """
-        rows = self._queue.backlogged()
+        return self._queue.backlogged() + self._served_for_others(now)
+
+    def _served_for_others(self, now: float) -> list[Account]:
+        rows = []
         for account in self._queue.elsewhere(now):
             told = self._told.get(account.name)
             if account.served != (told.served if told else 0.0):
