Log fences and copies of keys; part verdicts from votes

Operators could not see when a router that restarted votes again, nor that a repeat fenced its key: events 600 and 603 now say so, without the key itself.

--- a/packages/fulmarroad/src/fulmarroad/_keygroup.py
+++ b/packages/fulmarroad/src/fulmarroad/_keygroup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Awaitable, Callable, Collection, Mapping
 from typing import Any
 
@@ -9,11 +10,11 @@
 from attrs import evolve, frozen
 
 from fulmarroad._keyrecords import MAX_BODY_BYTES, answer_size
-from fulmarroad._keys import (
+from fulmarroad._keys import KeyStore
+from fulmarroad._keyverdict import (
     Fenced,
     Finished,
     Full,
-    KeyStore,
     Mismatch,
     Outrun,
     Started,
@@ -32,9 +33,12 @@
     KeyStart,
 )
 from fulmarroad._rendezvous import key_group
+from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import TransportError
 from fulmarroad.types import DataCentreName, RefusalReason, RouterName, WorkspaceName
 
+logger = logging.getLogger("fulmarroad.keys")
+
 ASK_TIMEOUT_S = 1.0
 """Wait for a group's replies: hundreds of round trips, and short beside a call."""
 
@@ -191,6 +195,8 @@
             call = evolve(call, fence=verdict.fence + 1)
             verdict = await self._fence(call)
         if isinstance(verdict, Fenced):
+            # The key itself is the caller's secret and stays out of the log.
+            emit(logger, Event.KEY_FENCED, workspace=workspace, attempt=call.attempt)
             return await self._start(call)
         return _decision(verdict)
 
@@ -241,8 +247,11 @@
         now = self._clocks.now()
         own = self._groups().get(self._identity.data_centre, ())
         self._store.set_vms(own, now)
-        for router in self._store.wanted_copies(now):
+        wanted = self._store.wanted_copies(now)
+        for router in wanted:
             await self._copy_from(router)
+        if wanted and not self._store.wanted_copies(self._clocks.now()):
+            emit(logger, Event.KEYS_COPIED, members=len(wanted))
 
     async def _copy_from(self, router: RouterName) -> None:
         vms = tuple(sorted(self._store.vms))
--- a/packages/fulmarroad/src/fulmarroad/keys.py
+++ b/packages/fulmarroad/src/fulmarroad/keys.py
@@ -15,12 +15,12 @@
 )
 from fulmarroad._keymemory import VoteRight
 from fulmarroad._keyrecords import MAX_BODY_BYTES, KeyLimits, KeyRecords, KeyState
-from fulmarroad._keys import (
+from fulmarroad._keys import KeyStore
+from fulmarroad._keyverdict import (
     Fenced,
     Finished,
     Full,
     InProgress,
-    KeyStore,
     Mismatch,
     Outrun,
     Started,
--- a/packages/fulmarroad/tests/test_keys.py
+++ b/packages/fulmarroad/tests/test_keys.py
@@ -1,5 +1,6 @@
 """A call with a key runs at most once, whatever is lost, late, double or restarted."""
 
+import logging
 import random
 from collections import Counter
 from itertools import count
@@ -10,6 +11,7 @@
 from hypothesis import strategies as st
 
 from fulmarroad import keys, messages
+from fulmarroad.events import Event
 from fulmarroad.exceptions import TransportError
 from fulmarroad.ownership import key_group
 from fulmarroad.testing import run_virtual
@@ -433,6 +435,22 @@
 
         in_fleet(test)
 
+    def test_the_log_tells_of_fences_and_copies_without_the_key(self, caplog):
+        async def test(fleet):
+            await fleet.call("r00", "secret-key")
+            fleet.boot("r01")
+            for _ in range(3):
+                await fleet.routers["r01"].copy_once()
+
+        with caplog.at_level(logging.INFO, "fulmarroad.keys"):
+            in_fleet(test)
+        numbers = [record.event for record in caplog.records]
+        assert numbers == [
+            Event.KEY_FENCED.value.number,
+            Event.KEYS_COPIED.value.number,
+        ]
+        assert "secret-key" not in str([vars(record) for record in caplog.records])
+
     def test_a_caller_that_leaves_frees_its_key(self):
         async def test(fleet):
             fleet.delay = 0.5
