--- a/packages/fulmarroad/tests/test_slots.py
+++ b/packages/fulmarroad/tests/test_slots.py
@@ -143,6 +143,7 @@
         while warmths(former, now)["s1"] is not Warmth.WARMING:
             serve(former, now)
             now += 0.1
+            assert now < START + 60, "never began to warm up"
         [row, _] = former.status(now)
         leases = [
             RunningLease(f"l{unit.index}", "d", "w", unit, 1.0, 50.0, 5.0)
