--- a/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/demo.py
@@ -28,7 +28,9 @@
 CENTRES = ("north", "middle", "south")
 LEAVING = "south"
 PHASE_S = 6.0
-"""Seconds of load in each of the three phases."""
+"""Seconds of load before a data centre leaves, and while it is out."""
+RETURN_S = 12.0
+"""Seconds of load after its return, which is slowed down on purpose and begins cold."""
 LEAVE_WITHIN_S = 3.0
 """Seconds after which a data centre that was taken out gets no new work."""
 CALLERS = {"atlas": 6, "cedar": 2, "harbour": 2, "dune": 2}
@@ -93,7 +95,7 @@
         say(f"They bring {LEAVING!r} back: table version 3.")
         self.back_at = time.monotonic()
         await self.bed.put_tables(3)
-        await anyio.sleep(PHASE_S)
+        await anyio.sleep(RETURN_S)
 
     async def _caller(self, workspace: WorkspaceRow, balancer: Balancer) -> None:
         sent = self.rng.randrange(POST_EVERY)
