Keep reports within their budget in pools of many schedulers

Cause: every two seconds a report went out whole, whatever it cost; with 15 peers and 64 entries that is 24 KB/s where 2.5 KB/s are allowed. Change: a report carries as many entries as can be paid for, half of them the least served, the rest in turn.

--- a/packages/fulmarroad/src/fulmarroad/_spreading.py
+++ b/packages/fulmarroad/src/fulmarroad/_spreading.py
@@ -10,8 +10,11 @@
 from fulmarroad._totals import (
     BURST_BYTES,
     CONTROL_BYTES_S,
+    ENTRY_BYTES,
     IDLE_INTERVAL_S,
     LEAST_INTERVAL_S,
+    MAX_ENTRIES,
+    REPORT_BYTES,
     Totals,
     report_size,
 )
@@ -82,7 +85,7 @@
             return None
         self._told_at = now
         self._greets = False
-        entries = self._totals.entries(now)
+        entries = self._totals.entries(now, self._affordable(now))
         self._credit -= self._reached(now) * report_size(len(entries))
         self._sequence += 1
         return ServiceReport(
@@ -104,6 +107,15 @@
         self._credit = min(BURST_BYTES, self._credit + earned)
         self._credited_at = now
 
+    def _affordable(self, now: float) -> int:
+        """Return how many entries the budget allows; a report without any is always.
+
+        With many schedulers in a pool a whole report costs more than is saved up, and
+        workspaces are told of in turn.
+        """
+        bytes_each = self._credit / max(1, self._reached(now)) - REPORT_BYTES
+        return max(0, min(MAX_ENTRIES, int(bytes_each / ENTRY_BYTES)))
+
     def _reached(self, now: float) -> int:
         """Return how many schedulers a report goes to."""
         return self._totals.heard(now) if self._peers is None else self._peers
--- a/packages/fulmarroad/src/fulmarroad/_totals.py
+++ b/packages/fulmarroad/src/fulmarroad/_totals.py
@@ -188,16 +188,15 @@
         """Return how many schedulers were heard of lately."""
         return sum(1 for peer in self._peers.values() if now - peer.at < ACTIVE_S)
 
-    def entries(self, now: float) -> tuple[ServiceEntry, ...]:
-        """Return what to tell: backlogged workspaces, the largest change first."""
+    def entries(self, now: float, limit: int = MAX_ENTRIES) -> tuple[ServiceEntry, ...]:
+        """Return what to tell: the least served, then the largest change first."""
         base = self._queue.reference(now)
         rows = self._newsworthy(now)
-        rows[LEAST_FIRST:] = sorted(
-            rows[LEAST_FIRST:],
-            key=lambda row: self._urgency(row, now),
-            reverse=True,
+        first = min(LEAST_FIRST, -(-limit // 2))
+        rows[first:] = sorted(
+            rows[first:], key=lambda row: self._urgency(row, now), reverse=True
         )
-        told = rows[:MAX_ENTRIES]
+        told = rows[:limit]
         for account in told:
             self._told[account.name] = _Told(account.served, now)
         return tuple(
@@ -238,11 +237,14 @@
                 rows.append(account)
         return rows
 
-    def _urgency(self, account: Account, now: float) -> float:
+    def _urgency(self, account: Account, now: float) -> tuple[float, float]:
+        """Return the age of what was told once that is stale, then the change."""
         told = self._told.get(account.name)
-        if told is None or now - told.at > ACTIVE_S / 2:
-            return math.inf
-        return abs(account.served - told.served)
+        if told is None:
+            return math.inf, 0.0
+        age = now - told.at
+        stale = age if age > ACTIVE_S / 2 else 0.0
+        return stale, abs(account.served - told.served)
 
     def _anchor(self, entries: list[ServiceEntry], now: float) -> float:
         """Return the counter here that a lag of 0 there corresponds to.
