Work out a large fleet's needs; list every event and metric

Events 401 and 507 were logged nowhere and are gone. 311, 402 and 412 were not logged either, though operators are told what 402 and 412 ask for; they are now. The catalogues of events and metrics are held complete by a test.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_control.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_control.py
@@ -27,7 +27,7 @@
 from fulmarroad.tables import BackendServer, Pool
 from fulmarroad.types import Epoch, Outcome, ShardId, Unit
 from fulmarroad_bench._capacity_state import workspace_name
-from fulmarroad_bench._slopes import Slope, best_us, held_bytes, measure
+from fulmarroad_bench._slopes import Slope, best_us, fit, held_bytes, measure
 
 CENTRE = "region-1-dc-01"
 SHARD = ShardId("model-01", CENTRE, 0)
@@ -48,7 +48,8 @@
 BACKLOGGED = 115
 """Workspaces that wait at one pool: a tenth of 16,000 over 14 pools."""
 
-REPORT_S = 30.0
+PEER_SIZES = (2, 8, 23)
+LONGEST_ROUND_S = 600.0
 TICK_S = 0.05
 
 BLOCK_SIZES = (0, 4, 16)
@@ -62,6 +63,7 @@
         *scheduler_slopes(),
         *beat_slopes(),
         *report_slopes(),
+        *round_slopes(),
     ]
 
 
@@ -338,15 +340,36 @@
     return ServiceReport(shard, epoch, sequence, 0, 256, 1000, rows)
 
 
-def _reports_sent(peers: int) -> float:
-    """Return the reports that a scheduler makes in a minute, by peers to tell."""
+def run_reports(peers: int) -> tuple[float, float, float]:
+    """Return reports a minute, mean entries in one, and seconds until all were told.
+
+    A scheduler with `BACKLOGGED` workspaces and a number of peers to tell.
+    """
     scheduler = build_scheduler(SERVERS, UNITS)
-    fill(scheduler, BACKLOGGED)
+    fill(scheduler, BACKLOGGED, depth=2)
     scheduler.set_peers(peers)
-    count = 0
-    for tick in range(round(REPORT_S / TICK_S)):
-        count += scheduler.report(1.0 + tick * TICK_S) is not None
-    return count * 60 / REPORT_S
+    untold = {workspace_name(n) for n in range(BACKLOGGED)}
+    reports = entries = 0
+    for tick in range(round(LONGEST_ROUND_S / TICK_S)):
+        seconds = (tick + 1) * TICK_S
+        told = scheduler.report(seconds)
+        if told is None:
+            continue
+        reports, entries = reports + 1, entries + len(told.entries)
+        untold -= {entry.workspace for entry in told.entries}
+        if not untold and reports > 1:
+            return 60 * reports / seconds, entries / reports, seconds
+    raise ValueError(f"{len(untold)} workspaces were never told of.")
+
+
+def round_slopes() -> list[Slope]:
+    """Return how often reports go out, what they hold and how long a round takes."""
+    found = zip(*map(run_reports, PEER_SIZES), strict=True)
+    names = (("reports_minute", "reports"), ("report_entries", "entries"))
+    return [
+        fit(name, "peer", unit, PEER_SIZES, values)
+        for (name, unit), values in zip((*names, ("round_s", "s")), found, strict=True)
+    ]
 
 
 def report_slopes() -> list[Slope]:
@@ -382,6 +405,5 @@
         ),
         measure("report_codec_us", "entry", "us", ENTRY_SIZES, codec_us),
         measure("report_absorb_us", "entry", "us", ENTRY_SIZES, absorb_us),
-        measure("reports_minute", "peer", "reports", (2, 8, 23), _reports_sent),
         measure("peer_entry_bytes", "entry and peer", "B", ENTRY_SIZES, held),
     ]
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_sums.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_sums.py
@@ -21,10 +21,6 @@
 
 PROGRESS_SHARE_BYTES = 40
 PROGRESS_BUDGET_S = 1500.0
-REPORT_ENTRIES = 64
-REPORT_EVERY_S = 2.0
-"""A scheduler reports at least this often, whatever its budget says."""
-
 DAY_S = 86_400.0
 TABLE_PARTS = 64
 REPEATS_OF_NEWS = 18
@@ -69,6 +65,11 @@
         slope = self._slopes[name]
         return slope.fixed + slope.each * size
 
+    def measured(self, name: str, size: int) -> float:
+        """Return the value measured at a size, where no line goes through them."""
+        slope = self._slopes[name]
+        return slope.values[slope.sizes.index(size)]
+
     def add(self, role: str, kind: str, what: str, *factors: float) -> float:
         """Add a product to the sheet and return it."""
         text = " x ".join(f"{factor:,.6g}" for factor in factors)
@@ -137,9 +138,10 @@
     sheet.add(role, "sent", "heartbeats to followers", beats, beat)
     sheet.add(role, "received", "lends", beats, lend)
     sheet.add(role, "received", "progress reports", *_progress(sheet, size))
-    told = min(REPORT_ENTRIES, size.backlogged_of_pool)
+    peers = size.schedulers_of_pool - 1
+    told = sheet.measured("report_entries", peers)
     report = sheet.at("report_bytes", told) + FRAME_BYTES
-    reports = roles * (size.schedulers_of_pool - 1) / REPORT_EVERY_S
+    reports = roles * peers * sheet.measured("reports_minute", peers) / 60
     sheet.add(role, "sent", "service reports", reports, report)
     sheet.add(role, "received", "service reports", reports, report)
     cycle = sheet.at("cycle_us", size.backlogged_of_pool)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/capacity.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/capacity.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import Any
 
 import fire
@@ -19,8 +18,6 @@
 from fulmarroad_bench._capacity_size import LATER, FleetSize
 from fulmarroad_bench._capacity_sums import (
     LIMITS,
-    REPORT_ENTRIES,
-    REPORT_EVERY_S,
     Sum,
     sums,
     totals,
@@ -38,14 +35,11 @@
     """Return the interval of reports and the gap bound of a fleet, by the library."""
     peers = size.schedulers_of_pool - 1
     interval = spread_interval(peers, size.backlogged_of_pool)
-    told_s = REPORT_EVERY_S * math.ceil(size.backlogged_of_pool / REPORT_ENTRIES)
     return {
         "spread_peers": peers,
         "spread_entries": size.backlogged_of_pool,
         "spread_interval_s": interval,
-        "told_interval_s": told_s,
         "gap_bound_tokens": _gap_bound(size, interval),
-        "gap_bound_told_tokens": _gap_bound(size, told_s),
     }
 
 
@@ -106,6 +100,8 @@
 def main() -> None:
     """Measure, then print slopes, sums and one JSON line."""
     slopes, limits = all_slopes(), bounds(LATER)
+    rounds = next(slope for slope in slopes if slope.name == "round_s").values[-1]
+    limits["gap_bound_round_tokens"] = _gap_bound(LATER, rounds)
     rows = sums(slopes, LATER)
     print(table(slopes, limits))
     print(arithmetic(rows))
--- a/packages/fulmarroad/src/fulmarroad/_roles.py
+++ b/packages/fulmarroad/src/fulmarroad/_roles.py
@@ -24,6 +24,7 @@
     RouterName,
     ServerName,
     ShardId,
+    Warmth,
 )
 
 logger = logging.getLogger("fulmarroad.roles")
@@ -62,6 +63,8 @@
     book: ServerBook
     followers: set[RouterName] = field(factory=set)
     left_at: float | None = None
+    settled: bool = False
+    shares_lost: int = 0
 
 
 class Roles:
@@ -168,6 +171,7 @@
             report = role.scheduler.report(now)
             if report is not None:
                 outputs.append(ToSchedulers(report))
+            self._note_standing(role)
             if role.followers:
                 continue
             role.left_at = role.left_at if role.left_at is not None else now
@@ -230,7 +234,25 @@
             self._note(change)
         return [ToFollower(send.router, send.message) for send in sends]
 
+    def _note_standing(self, role: Role) -> None:
+        """Log that a scheduler settled, and that it uses units of lost routers."""
+        shard = str(role.scheduler.shard)
+        if role.scheduler.settled and not role.settled:
+            role.settled = True
+            emit(logger, Event.ROLE_SETTLED, shard=shard)
+        lost, before = role.book.shares_lost, role.shares_lost
+        role.shares_lost = lost
+        if lost > 0 and before == 0:
+            emit(logger, Event.SHARES_TAKEN, shard=shard, units=lost)
+
     def _note(self, change: WarmthChange) -> None:
+        if change.after is Warmth.FAILING:
+            emit(
+                logger,
+                Event.SERVER_FAILING,
+                server=change.server,
+                cause=change.cause,
+            )
         emit(
             logger,
             Event.WARMTH_CHANGED,
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -18,7 +18,7 @@
     text: str
 
 
-_D, _I, _W, _E = logging.DEBUG, logging.INFO, logging.WARNING, logging.ERROR
+_I, _W, _E = logging.INFO, logging.WARNING, logging.ERROR
 
 
 class Event(enum.Enum):
@@ -57,7 +57,6 @@
 
     # 400: backend servers and data centres
     WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
-    LIMIT_CHANGED = EventKind(401, _D, "backend server concurrency limit changed")
     SERVER_FAILING = EventKind(402, _W, "backend server taken out for failing")
     CENTRE_LEFT = EventKind(410, _I, "data centre taken out of service")
     CENTRE_RETURNED = EventKind(411, _I, "data centre back in service")
@@ -71,7 +70,6 @@
     STREAM_RESUMED = EventKind(504, _W, "broken answer resumed")
     STREAM_BROKEN = EventKind(505, _W, "answer broken off to its caller")
     CALLER_LEFT = EventKind(506, _I, "caller left before its answer ended")
-    GRANT_DECLINED = EventKind(507, _I, "grant declined")
     REQUEST_FAILED = EventKind(508, _E, "request failed inside the router")
 
     # 600: keys
--- /dev/null
+++ b/packages/fulmarroad/tests/test_events.py
@@ -0,0 +1,87 @@
+"""Each event and metric is in its catalogue, and each event is logged somewhere."""
+
+from __future__ import annotations
+
+import logging
+import re
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from fulmarroad.audit import AuditTrail
+from fulmarroad.coordination import Roles
+from fulmarroad.events import Event
+from fulmarroad.messages import Hello
+from fulmarroad.tables import BackendServer, DataCentre, Pool, Tables
+from fulmarroad.types import ShardId
+
+ROOT = Path(__file__).parents[3]
+SOURCES = [
+    path.read_text()
+    for path in sorted(ROOT.glob("packages/*/src/**/*.py"))
+    if path.name != "events.py"
+]
+METRIC = r"\.(incr|gauge|timing)\(\s*(f?)\"([^\"]+)\""
+KINDS = {"incr": "counter", "gauge": "gauge", "timing": "timing"}
+
+
+def rows(page, columns):
+    """Return the rows of a page's table, without its head."""
+    lines = (ROOT / "docs" / page).read_text().splitlines()
+    cells = [line.strip("| ").split(" | ") for line in lines if line.startswith("| ")]
+    assert all(len(row) == columns for row in cells)
+    return [tuple(row) for row in cells[1:]]
+
+
+class TestEventsPage:
+    def test_lists_every_event_in_order_and_no_other(self):
+        expected = []
+        for event in Event:
+            kind = event.value
+            level = logging.getLevelName(kind.level).lower()
+            expected.append((str(kind.number), event.name, level, kind.text))
+        assert [row[:4] for row in rows("EVENTS.md", 5)] == expected
+        assert all(row[4] for row in rows("EVENTS.md", 5))
+
+    def test_a_number_is_used_once(self):
+        numbers = [event.value.number for event in Event]
+        assert numbers == sorted(set(numbers))
+        assert not {401, 507} & set(numbers)
+
+    @pytest.mark.parametrize("event", list(Event), ids=lambda event: event.name)
+    def test_each_is_logged_somewhere(self, event):
+        assert any(re.search(rf"\bEvent\.{event.name}\b", text) for text in SOURCES)
+
+
+class TestMetricsPage:
+    def test_lists_every_metric_and_no_other(self):
+        used = {
+            (re.sub(r"\{[^}]*\}", "*", name) if is_format else name, KINDS[verb])
+            for text in SOURCES
+            for verb, is_format, name in re.findall(METRIC, text)
+        }
+        listed = [(row[0].strip("`"), row[1]) for row in rows("METRICS.md", 4)]
+        assert sorted(listed) == sorted(used)
+
+
+class TestRoleEvents:
+    def test_settling_and_shares_of_lost_routers_are_logged_once(self, caplog):
+        """Routers of a data centre are lost. Their units are unused at first and taken
+        up one by one later; operators should see that once and not for each."""
+        caplog.set_level(logging.INFO)
+        servers = (BackendServer("s1", "127.0.0.1:1", "dc"),)
+        pool = Pool("chat", max_concurrency=8, cold_concurrency=8, servers=servers)
+        shard = ShardId("chat", "dc", 0)
+        roles = Roles("a", 1, "fleet", AuditTrail(), lambda server, now: True)
+        roles.set_tables(Tables(1, {}, {}, {"chat": pool}, {"dc": DataCentre("dc")}), 0)
+        roles.set_vms({"dc": ("a", "b", "c")}, 0.0)
+        roles.set_live({"dc": ("a", "b", "c")}, 0.0)
+        roles.handle("a", Hello(shard, "a", 1, "dc", 0.0), 0.0)
+        roles.tick(1.0)
+        book = roles.held[shard].book = SimpleNamespace(shares_lost=0)
+        for lost in (0, 1, 2):
+            book.shares_lost = lost
+            roles.tick(2.0 + lost)
+        events = [record.event for record in caplog.records if record.event != 400]
+        assert events == [310, 311, 412]
