Let the ramp's test fail when idle answers count

With the rule broken the server became warm at once and its limit then fell to what ran, which the test took for a ramp that never rose. It asks now that the server is not warm.

--- a/packages/fulmarroad/tests/test_warmth.py
+++ b/packages/fulmarroad/tests/test_warmth.py
@@ -120,6 +120,7 @@
         health = new_health()
         for _ in range(200):
             answer(health, 0.0, running=1)
+            assert health.warmth is not Warmth.WARM
         assert health.limit(0.0) <= 3
 
     def test_a_failure_while_warming_drops_back_to_cold(self):
