Hand shards over without chilling their servers; unverifiable repeats are unknown

The log showed servers turn from warm to cold by a hint at each change of scheduler: a scheduler that has just begun told its followers that all is cold, and they passed that on. Cold servers then waited for the longest lease. Callers waited longer than the drain. Ruled out: lost streams, the drain's order. Change: only a settled scheduler's word becomes a hint; a hello tells of a role handed over, which ends the wait for former grants; the longest lease comes from the routes; the start window is 1.6 s and a lending 2 s. A repeat whose key can't be verified is refused as unknown, and as not run only for a declared first attempt.

--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -76,6 +76,14 @@
     ran = Ran.UNKNOWN
 
 
+class KeyUnverifiable(CallError):
+    """Refuse a repeat of which nobody can say now whether an earlier attempt ran."""
+
+    status = 503
+    kind = "overloaded_error"
+    ran = Ran.UNKNOWN
+
+
 class AnswerNotKept(CallError):
     """Tell a repeat that its call ran and that its answer is gone."""
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/keyed.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/keyed.py
@@ -32,6 +32,7 @@
     CallError,
     KeyInProgress,
     KeyMisused,
+    KeyUnverifiable,
     OutcomeUnknown,
     Refused,
 )
@@ -104,7 +105,7 @@
                 workspace=call.workspace.name,
                 cause=type(decision).__name__,
             )
-            raise _error(decision)
+            raise _error(call, decision)
 
     async def _send(
         self, call: Call, responder: Responder, attempt: KeyAttempt
@@ -171,7 +172,7 @@
     return digest.hexdigest()
 
 
-def _error(decision: KeyDecision) -> CallError:
+def _error(call: Call, decision: KeyDecision) -> CallError:
     match decision:
         case KeyMismatch():
             return KeyMisused("This `Idempotency-Key` came with another request.")
@@ -180,7 +181,15 @@
                 "This key's call was sent before and its outcome is not known."
             )
         case KeyRefusal(reason, retry_after_s):
-            return Refused(reason, retry_after_s)
+            if call.first_attempt:
+                return Refused(reason, retry_after_s)
+            # This attempt was not sent, but "not run" would be taken for the call.
+            return KeyUnverifiable(
+                "This attempt was not sent; whether an earlier one with this key ran "
+                "can't be told now. Try again with the same key.",
+                code=reason.value,
+                retry_after_s=retry_after_s,
+            )
         case StillRunning():
             return KeyInProgress(
                 "Another attempt with this key may be running.",
--- a/packages/fulmarroad-router/tests/test_sessions.py
+++ b/packages/fulmarroad-router/tests/test_sessions.py
@@ -237,7 +237,8 @@
 
     def test_repeat_while_a_data_centre_is_cut_off(self, session, snapshot):
         # The first attempt may have come in at the other data centre, which can't be
-        # asked now. "Not run, try later" is the only true answer to a repeat.
+        # asked now. This attempt isn't sent, and "not run" would be a lie about the
+        # call: its caller would book again elsewhere.
         async def scenario(router):
             router.key_vms = {**router.key_vms, "far": ("router-z",)}
             return await router.call(**KEYED)
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -149,6 +149,7 @@
     heard: float = 0.0
     used: float = 0.0
     heartbeat: m.Heartbeat | None = None
+    handed_over: bool = False
     hints: dict[ServerName, tuple[m.ServerStatus, float]] = field(factory=dict)
 
 
@@ -332,6 +333,7 @@
             return self._on_move(message, now)
         if isinstance(message, m.Refuse):
             return self._on_refuse(message)
+        follow.handed_over = True
         return self._pass_over(peer, now)
 
     def link_up(self, peer: RouterName, now: float) -> list[Decision]:
@@ -455,6 +457,7 @@
                 m.ServerHint(name, status.limit, status.warmth, now - at)
                 for name, (status, at) in follow.hints.items()
             ),
+            handed_over=follow.handed_over,
         )
         return [SendTo(follow.scheduler, hello)]
 
@@ -587,8 +590,12 @@
         self, follow: Follow, beat: m.Heartbeat, now: float
     ) -> list[Decision]:
         follow.heartbeat = beat
-        for status in beat.servers:
-            follow.hints[status.server] = (status, now)
+        follow.handed_over = False
+        if beat.settled:
+            # A scheduler that has just begun calls every server cold until it heard
+            # from its followers; passed on as a hint that would chill warm servers.
+            for status in beat.servers:
+                follow.hints[status.server] = (status, now)
         lend = m.Lend(follow.shard, beat.epoch, beat.clock, now)
         return self._tell(follow.shard, lend)
 
--- a/packages/fulmarroad/src/fulmarroad/_messages.py
+++ b/packages/fulmarroad/src/fulmarroad/_messages.py
@@ -83,6 +83,7 @@
     demands: tuple[Demand, ...] = ()
     leases: tuple[RunningLease, ...] = ()
     hints: tuple[ServerHint, ...] = ()
+    handed_over: bool = False  # the former scheduler stepped down in good order
 
 
 @frozen
--- a/packages/fulmarroad/src/fulmarroad/_roles.py
+++ b/packages/fulmarroad/src/fulmarroad/_roles.py
@@ -13,6 +13,7 @@
 from attrs import define, field, frozen
 
 from fulmarroad import _messages as m
+from fulmarroad._shares import LONGEST_LEASE_S
 from fulmarroad._tables import BackendServer, Tables, shards_of
 from fulmarroad.audit import AuditTrail, Subject
 from fulmarroad.capacity import ServerBook, WarmthChange
@@ -101,7 +102,7 @@
         shard = message.shard
         role = self._roles.get(shard)
         if isinstance(message, m.Hello):
-            role = role or self._take_up(shard, now)
+            role = role or self._take_up(shard, now, message.handed_over)
         if role is None:
             return []
         if isinstance(message, m.Hello):
@@ -195,14 +196,25 @@
     ) -> tuple[ServerName, ...]:
         return tuple(s.name for s in servers if self._takes_work(s, now))
 
-    def _take_up(self, shard: ShardId, now: float) -> Role | None:
+    def _longest_lease_s(self, shard: ShardId) -> float:
+        routes = self._tables.routes.values() if self._tables else ()
+        times = [route.timeout_s for route in routes if route.pool == shard.pool]
+        return max(times, default=LONGEST_LEASE_S)
+
+    def _take_up(self, shard: ShardId, now: float, handed_over: bool) -> Role | None:
         servers = self._servers(shard)
         if not servers or self._tables is None:
             return None
         self._terms += 1
         epoch = Epoch(self._router, self._incarnation, self._terms)
         pool = self._tables.pools[shard.pool]
-        book = ServerBook(pool, servers, now=now)
+        book = ServerBook(
+            pool,
+            servers,
+            now=now,
+            longest_lease_s=self._longest_lease_s(shard),
+            handed_over=handed_over,
+        )
         book.set_vms(self._vms.get(shard.data_centre, ()), now)
         book.set_servers(pool, servers, self._taking(servers, now), now)
         scheduler = Scheduler(
--- a/packages/fulmarroad/src/fulmarroad/_shares.py
+++ b/packages/fulmarroad/src/fulmarroad/_shares.py
@@ -21,10 +21,10 @@
 
 from fulmarroad.types import RouterName, ServerName, Unit
 
-LENDING_TERM_S = 3.0
-"""How long one lending lasts: three heartbeats, so that a lost frame costs nothing."""
+LENDING_TERM_S = 2.0
+"""How long one lending lasts: two heartbeats, so that a late answer costs nothing."""
 
-START_WINDOW_S = 2.0
+START_WINDOW_S = 1.6
 """How long after its grant a lease may start, by its own router's clock."""
 
 LEND_QUARANTINE_S = LENDING_TERM_S + START_WINDOW_S
--- a/packages/fulmarroad/tests/test_follower.py
+++ b/packages/fulmarroad/tests/test_follower.py
@@ -13,7 +13,14 @@
     SendTo,
 )
 from fulmarroad.tables import BackendServer, DataCentre, Pool, ServiceState, Tables
-from fulmarroad.types import Epoch, Outcome, RefusalReason, ShardId, Unit
+from fulmarroad.types import (
+    Epoch,
+    Outcome,
+    RefusalReason,
+    ShardId,
+    Unit,
+    Warmth,
+)
 
 FES, MARRAKECH = "fes-1", "marrakech-1"
 LIVE = {FES: ("a", "b", "c"), MARRAKECH: ("x", "y")}
@@ -219,6 +226,31 @@
         assert bench.scheduler == "a"
 
 
+class TestHints:
+    def beat(self, bench, epoch, warmth, *, settled):
+        row = m.ServerStatus("s1", warmth, 8, 0, 8)
+        beat = m.Heartbeat(bench.shard, epoch, 0.0, (row,), settled=settled)
+        bench.take(bench.follower.handle(bench.scheduler, beat, 0.1))
+
+    def test_scheduler_that_has_just_begun_leaves_no_hints(self, bench):
+        # Routers are replaced one after the other, and roles move with each. A new
+        # scheduler calls every server cold before it has heard from its followers;
+        # as a hint to the next one that made warm servers cold and idle.
+        epoch = bench.welcome()
+        self.beat(bench, epoch, Warmth.WARM, settled=True)
+        self.beat(bench, epoch, Warmth.COLD, settled=False)
+        bench.take(bench.follower.link_lost(bench.scheduler, 0.2))
+        [hint] = bench.last(m.Hello).message.hints
+        assert hint.warmth is Warmth.WARM
+
+    def test_next_scheduler_hears_that_the_role_was_handed_over(self, bench):
+        epoch = bench.welcome()
+        assert not bench.last(m.Hello).message.handed_over
+        step = m.StepDown(bench.shard, epoch)
+        bench.take(bench.follower.handle(bench.scheduler, step, 0.2))
+        assert bench.last(m.Hello).message.handed_over
+
+
 class TestMoves:
     def test_demand_moves_to_the_named_shard(self, bench):
         epoch = bench.welcome()
