Split the follower, the coordinator and the execution by job; ready once bound

A router whose callers' port was taken reported itself ready before it gave up, so that callers were sent elsewhere's port. Change: commands, followed state, the meter, the lookup and the traffic count have modules of their own; /readyz waits until the callers' port is bound.

--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
@@ -284,7 +284,7 @@
     if not listen.admin_port:
         raise UsageError(
             "The settings leave the admin port to chance.",
-            hint="Give --admin http://HOST:PORT; the router logs its port.",
+            hint="Give --admin http://127.0.0.1:PORT; the router logs its port.",
         )
     host = f"[{listen.admin_host}]" if ":" in listen.admin_host else listen.admin_host
     scheme = "https" if settings.admin_uses_tls else "http"
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -49,6 +49,7 @@
     Refused,
     TimedOut,
 )
+from fulmarroad_router.metering import Meter
 from fulmarroad_router.sse import EventSplitter, EventTooLarge, StreamEvent, usage_of
 
 logger = logging.getLogger("fulmarroad.router")
@@ -92,71 +93,6 @@
     code = "answer_broken"
 
 
-@define
-class _Meter:
-    """Measure one try: what it cost and how fast its answer came."""
-
-    clock: Callable[[], float]
-    resumed_from: int = 0
-    sent: float = 0.0
-    first: float | None = None
-    last: float = 0.0
-    chunks: int = 0
-    tokens: int = 0
-    prompt_tokens: float = 0.0
-    cached_tokens: int = 0
-    counted: bool = False
-    in_one_piece: bool = False
-
-    def note_chunk(self, tokens: int) -> None:
-        """Note a part of the answer."""
-        now = self.clock()
-        if self.first is None:
-            self.first = now
-        self.last = now
-        self.chunks += 1
-        if not self.counted:
-            self.tokens += tokens
-
-    def note_usage(self, usage: dict[str, object]) -> None:
-        """Take the engine's own count over the estimate."""
-        prompt = usage.get("prompt_tokens")
-        answer = usage.get("completion_tokens")
-        if type(prompt) is int and prompt >= 0:
-            self.prompt_tokens = prompt
-        if type(answer) is int and answer >= 0:
-            # A resumed answer's usage counts from its beginning; the tokens before
-            # are another try's, and charging them twice would be unfair.
-            self.tokens = max(0, answer - self.resumed_from)
-            self.counted = True
-        details = usage.get("prompt_tokens_details")
-        if isinstance(details, dict) and type(details.get("cached_tokens")) is int:
-            self.cached_tokens = details["cached_tokens"]
-
-    @property
-    def first_s(self) -> float | None:
-        """Return the time to the first byte of the answer's body.
-
-        An answer of a model that comes in one piece has none: its first byte is
-        also its last, and would make every server look slow that writes long
-        answers.
-        """
-        if self.first is None or self.in_one_piece:
-            return None
-        return self.first - self.sent
-
-    @property
-    def gap_s(self) -> float | None:
-        """Return the mean time between chunks, or for a token of a whole answer."""
-        if self.first is None:
-            return None
-        if self.in_one_piece:
-            return (self.last - self.sent) / self.tokens if self.tokens else None
-        if self.chunks < 2:
-            return None
-        return (self.last - self.first) / (self.chunks - 1)
-
-
 @define
 class _Progress:
     """Hold how far the answer has got to the caller, over all tries."""
@@ -247,7 +183,7 @@
     async def _try(
         self, call: Call, lease: Lease, responder: Responder, progress: _Progress
     ) -> None:
-        meter = _Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
+        meter = Meter(self._clock, progress.tokens, prompt_tokens=call.prompt_tokens)
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
@@ -271,7 +207,7 @@
         lease: Lease,
         responder: Responder,
         progress: _Progress,
-        meter: _Meter,
+        meter: Meter,
     ) -> None:
         resume_from = progress.tokens if progress.tokens else None
         request = call.backend_request(lease.server.address, resume_from)
@@ -311,7 +247,7 @@
         response: BackendResponse,
         responder: Responder,
         progress: _Progress,
-        meter: _Meter,
+        meter: Meter,
     ) -> None:
         """Pass events on one by one; only `[DONE]` makes the answer whole."""
         splitter = EventSplitter()
@@ -336,7 +272,7 @@
         await responder.finish()
 
     def _note_progress(
-        self, lease: Lease, tokens: int, meter: _Meter | None = None
+        self, lease: Lease, tokens: int, meter: Meter | None = None
     ) -> None:
         first_s = meter.first_s if meter is not None else None
         gap_s = meter.gap_s if meter is not None else None
@@ -350,7 +286,7 @@
         response: BackendResponse,
         responder: Responder,
         progress: _Progress,
-        meter: _Meter,
+        meter: Meter,
     ) -> None:
         if not responder.begun:
             await responder.begin(response.status, answer_headers(response.headers))
@@ -367,7 +303,7 @@
         lease: Lease,
         response: BackendResponse,
         responder: Responder,
-        meter: _Meter,
+        meter: Meter,
     ) -> None:
         """Copy a body; its head waits for the first part, so a try may still fail."""
         kept = bytearray()
@@ -449,9 +385,7 @@
             cause=str(error),
         )
 
-    def _report(
-        self, call: Call, lease: Lease, meter: _Meter, outcome: Outcome
-    ) -> None:
+    def _report(self, call: Call, lease: Lease, meter: Meter, outcome: Outcome) -> None:
         report = Finished(
             lease.shard,
             lease.lease_id,
@@ -464,7 +398,7 @@
         )
         self._coordinator.tell(NoteFinished(report))
 
-    def _service(self, call: Call, meter: _Meter, outcome: Outcome) -> float:
+    def _service(self, call: Call, meter: Meter, outcome: Outcome) -> float:
         """Return what the try cost, in the pool's unit."""
         if outcome is Outcome.UNREACHABLE:
             return 0.0
--- a/packages/fulmarroad-router/src/fulmarroad_router/node.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -11,7 +11,6 @@
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
-from attrs import frozen
 
 from fulmarroad.audit import AuditRecord, AuditTrail, Subject
 from fulmarroad.configuration import (
@@ -49,11 +48,8 @@
 from fulmarroad.supervision import ChildSpec, Supervisor
 from fulmarroad.tables import (
     BackendServer,
-    Route,
-    RouteIndex,
     Tables,
     TableStore,
-    Workspace,
 )
 from fulmarroad.transport import (
     PeerChannel,
@@ -71,8 +67,10 @@
 from fulmarroad_router.gate import CallGate
 from fulmarroad_router.http_server import HttpServer
 from fulmarroad_router.keyed import KeyedRunner
+from fulmarroad_router.lookup import Lookup
 from fulmarroad_router.operations import RouterOperations
 from fulmarroad_router.settings import Settings
+from fulmarroad_router.traffic import CountedMetrics
 
 logger = logging.getLogger("fulmarroad.router")
 
@@ -85,49 +83,6 @@
 
 METRICS_S = 1.0
 ASK_TIMEOUT_S = 2.0
-UDP_OVERHEAD_BYTES = 28
-
-
-class CountedMetrics:
-    """Pass metrics on and add the membership's bytes to the control traffic."""
-
-    def __init__(self, metrics: Metrics, traffic: TrafficCount) -> None:
-        self._metrics = metrics
-        self._traffic = traffic
-
-    def incr(self, name: str, count: int = 1) -> None:
-        """Add to a counter."""
-        if name == "membership.sent_bytes":
-            self._traffic.sent += count + UDP_OVERHEAD_BYTES
-        elif name == "membership.received_bytes":
-            self._traffic.received += count + UDP_OVERHEAD_BYTES
-        self._metrics.incr(name, count)
-
-    def gauge(self, name: str, value: float) -> None:
-        """Set a reading."""
-        self._metrics.gauge(name, value)
-
-    def timing(self, name: str, seconds: float) -> None:
-        """Add one duration."""
-        self._metrics.timing(name, seconds)
-
-
-@frozen
-class Lookup:
-    """Hold the tables in force with the index over them."""
-
-    tables: Tables
-    index: RouteIndex
-
-    def workspace_for_key(self, bearer: str) -> Workspace | None:
-        """Return the workspace that a key belongs to."""
-        return self.index.workspace_for_key(bearer)
-
-    def route_for(
-        self, method: str, path: str, model: str, workspace: str
-    ) -> Route | None:
-        """Return the route of a call."""
-        return self.index.route_for(method, path, model, workspace)
 
 
 class Node:
@@ -144,6 +99,7 @@
         self._gate = CallGate()
         self._cut: set[str] = set()
         self._drain_asked = anyio.Event()
+        self._bound = anyio.Event()
         self._drain_cause = ""
         self._lookup: Lookup | None = None
         self._group: TaskGroup | None = None
@@ -215,6 +171,7 @@
 
     async def _open_gate(self) -> None:
         await self._watcher.settled.wait()
+        await self._bound.wait()
         self._gate.open()
         emit(logger, Event.READY)
 
@@ -313,7 +270,11 @@
             self._settings.limits.max_body_bytes,
         )
         listen = self._settings.listen
-        return HttpServer(app, listen.host, listen.port)
+        # Without waiting for the port, a router whose port is taken would be ready,
+        # and the balancer would send callers to whoever holds the port.
+        return HttpServer(
+            app, listen.host, listen.port, on_ready=lambda port: self._bound.set()
+        )
 
     def _admin(self) -> HttpServer:
         operations = RouterOperations(
--- a/packages/fulmarroad-router/tests/test_execution.py
+++ b/packages/fulmarroad-router/tests/test_metering.py
@@ -1,8 +1,8 @@
-"""Execution measures answers so that they tell how a server does."""
+"""Answers are measured so that they tell how a server does."""
 
 import pytest
 
-from fulmarroad_router.execution import _Meter
+from fulmarroad_router.metering import Meter
 
 
 class Clock:
@@ -19,7 +19,7 @@
 
 class TestMeter:
     def test_stream(self, clock):
-        meter = _Meter(clock)
+        meter = Meter(clock)
         for clock.now in (0.4, 0.5, 0.6):
             meter.note_chunk(1)
         assert meter.first_s == pytest.approx(0.4)
@@ -30,7 +30,7 @@
         # A caller asks for an answer that isn't streamed. Its first byte comes after
         # the last token; taken for a first token it looked so slow that a server
         # which warmed up was set back to cold by each such answer.
-        meter = _Meter(clock, in_one_piece=True)
+        meter = Meter(clock, in_one_piece=True)
         clock.now = 5.0
         meter.note_chunk(0)
         meter.note_usage({"prompt_tokens": 10, "completion_tokens": 100})
@@ -38,7 +38,7 @@
         assert meter.gap_s == pytest.approx(0.05)
 
     def test_engines_count_replaces_the_estimate(self, clock):
-        meter = _Meter(clock)
+        meter = Meter(clock)
         meter.note_chunk(1)
         meter.note_usage({"prompt_tokens": 7, "completion_tokens": 3})
         meter.note_chunk(1)
@@ -49,6 +49,6 @@
         [{"prompt_tokens": -1}, {"completion_tokens": "9"}, {"prompt_tokens": True}],
     )
     def test_nonsense_of_an_engine_is_ignored(self, clock, usage):
-        meter = _Meter(clock, prompt_tokens=5.0)
+        meter = Meter(clock, prompt_tokens=5.0)
         meter.note_usage(usage)
         assert (meter.prompt_tokens, meter.tokens) == (5.0, 0)
--- a/packages/fulmarroad-router/tests/test_settings.py
+++ b/packages/fulmarroad-router/tests/test_settings.py
@@ -62,7 +62,7 @@
             ("port = 8080", "port = 80800", "listen.port: must be from 0 to 65535"),
             ("port = 8080", "port = 8081", "listen.admin_port: 8081 is also"),
             ('"0.0.0.0"', '"localhost"', "listen.host: must be an IP number"),
-            ('"http://127', '"ftp://127', "platform.configuration: must be as http"),
+            ('"http:', '"ftp:', "platform.configuration: must be as http"),
             (":9000/", ":x/", "platform.configuration: must be as http"),
             ("[admin]", "[admin]\ntoken_file = 'a'", "admin: must have either token"),
             ('"0123456789abcdef"', '"short"', "admin.token: must be text of at least"),
--- a/packages/fulmarroad/src/fulmarroad/_coordinator.py
+++ b/packages/fulmarroad/src/fulmarroad/_coordinator.py
@@ -13,30 +13,45 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
-from attrs import define, frozen
+from anyio.streams.memory import MemoryObjectReceiveStream
+from attrs import define
 
 from fulmarroad import _messages as m
-from fulmarroad._follower import (
-    Ask,
-    Decision,
-    Follower,
-    Granted,
-    Rejected,
-    SendTo,
+from fulmarroad._commands import (
+    Attached,
+    Cancel,
+    Detached,
+    FromPeer,
+    FromScheduler,
+    GiveUp,
+    LinkLost,
+    LinkUp,
+    NoteFinished,
+    NoteProgress,
+    NoteStarted,
+    Reply,
+    StepDownAll,
+    Submit,
+    TakeMembers,
+    TakeTables,
+    TakeVms,
+    Tick,
 )
+from fulmarroad._follower import Follower
+from fulmarroad._following import Ask, Decision, Granted, Rejected, SendTo
 from fulmarroad._grpc import Outbox, PeerStream, TrafficCount
 from fulmarroad._questions import PeerAddress
 from fulmarroad._roles import RoleOutput, Roles, ToFollower
-from fulmarroad._tables import Tables
 from fulmarroad.audit import AuditTrail, Subject
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import TransportError
 from fulmarroad.shifting import CentreChange, CentreState
-from fulmarroad.types import DataCentreName, Outcome, RouterName
+from fulmarroad.types import Outcome, RouterName
 
 logger = logging.getLogger("fulmarroad.coordination")
 
+Dial = Callable[[RouterName, PeerAddress], PeerStream]
+
 TICK_S = 0.05
 """Progress is batched and deadlines are checked this often."""
 
@@ -45,128 +60,6 @@
 
 REDIAL_S = 0.2
 
-Reply = MemoryObjectSendStream[Granted | Rejected]
-Dial = Callable[[RouterName, PeerAddress], PeerStream]
-
-
-@frozen
-class Submit:
-    """Ask for a lease; the answer comes on `reply`."""
-
-    ask: Ask
-    reply: Reply
-
-
-@frozen
-class Cancel:
-    """Withdraw a demand whose caller is no longer interested."""
-
-    demand_id: str
-
-
-@frozen
-class GiveUp:
-    """Refuse a waiting demand at once; its request gets the rejection."""
-
-    rejection: Rejected
-
-
-@frozen
-class NoteStarted:
-    """Tell the scheduler that a lease's request has been sent."""
-
-    lease_id: str
-
-
-@frozen
-class NoteProgress:
-    """Add service used by a lease, once with how fast its answer comes."""
-
-    lease_id: str
-    service: float
-    first_s: float | None = None
-    gap_s: float | None = None
-
-
-@frozen
-class NoteFinished:
-    """Tell the scheduler that a lease ended."""
-
-    report: m.Finished
-
-
-@frozen
-class TakeTables:
-    """Put new tables in force."""
-
-    tables: Tables
-
-
-@frozen
-class TakeMembers:
-    """Take the membership's view: live routers and where peers listen."""
-
-    live: Mapping[DataCentreName, tuple[RouterName, ...]]
-    addresses: Mapping[RouterName, PeerAddress]
-
-
-@frozen
-class TakeVms:
-    """Take the published VMs of each data centre."""
-
-    vms: Mapping[DataCentreName, tuple[RouterName, ...]]
-
-
-@frozen
-class StepDownAll:
-    """Give up every scheduler's role; `done` is set once followers were told."""
-
-    done: anyio.Event
-
-
-@frozen
-class _Tick:
-    pass
-
-
-@frozen
-class _FromPeer:
-    """A message on a stream that a peer opened: it follows, or reports service."""
-
-    peer: RouterName
-    message: Any
-
-
-@frozen
-class _FromScheduler:
-    """A message on a stream that this router opened."""
-
-    peer: RouterName
-    message: Any
-
-
-@frozen
-class _LinkUp:
-    peer: RouterName
-
-
-@frozen
-class _LinkLost:
-    peer: RouterName
-
-
-@frozen
-class _Attached:
-    peer: RouterName
-    handle: int
-    send: Callable[[Any], None]
-
-
-@frozen
-class _Detached:
-    peer: RouterName
-    handle: int
-
 
 @define
 class _Link:
@@ -255,16 +148,16 @@
     def on_attached(self, peer: RouterName, send: Callable[[Any], None]) -> int:
         """Note a peer's stream."""
         self._handles += 1
-        self.tell(_Attached(peer, self._handles, send))
+        self.tell(Attached(peer, self._handles, send))
         return self._handles
 
     def on_message(self, peer: RouterName, message: Any) -> None:
         """Take a message of a peer's stream."""
-        self.tell(_FromPeer(peer, message))
+        self.tell(FromPeer(peer, message))
 
     def on_detached(self, peer: RouterName, handle: int) -> None:
         """Note that a peer's stream ended."""
-        self.tell(_Detached(peer, handle))
+        self.tell(Detached(peer, handle))
 
     async def run(self) -> None:
         """Handle commands until cancelled."""
@@ -277,7 +170,7 @@
     async def _run_ticks(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
-            self.tell(_Tick())
+            self.tell(Tick())
 
     def _handle(self, command: Any, now: float) -> None:
         handler = self._HANDLERS[type(command)]
@@ -325,7 +218,7 @@
         self._host(self._roles.step_down(now), now)
         command.done.set()
 
-    def _tick(self, command: _Tick, now: float) -> None:
+    def _tick(self, command: Tick, now: float) -> None:
         if now - self._ticked > PAUSE_S:
             emit(logger, Event.CLOCK_PAUSE, seconds=round(now - self._ticked, 3))
         self._ticked = now
@@ -333,25 +226,25 @@
         self._host(self._roles.tick(now), now)
         self._keep_links()
 
-    def _from_peer(self, command: _FromPeer, now: float) -> None:
+    def _from_peer(self, command: FromPeer, now: float) -> None:
         if isinstance(command.message, m.ServiceReport):
             self._host(self._roles.absorb(command.message, now), now)
             return
         self._host(self._roles.handle(command.peer, command.message, now), now)
 
-    def _from_scheduler(self, command: _FromScheduler, now: float) -> None:
+    def _from_scheduler(self, command: FromScheduler, now: float) -> None:
         self._decide(self._follower.handle(command.peer, command.message, now), now)
 
-    def _link_up(self, command: _LinkUp, now: float) -> None:
+    def _link_up(self, command: LinkUp, now: float) -> None:
         self._decide(self._follower.link_up(command.peer, now), now)
 
-    def _link_lost(self, command: _LinkLost, now: float) -> None:
+    def _link_lost(self, command: LinkLost, now: float) -> None:
         self._decide(self._follower.link_lost(command.peer, now), now)
 
-    def _attached(self, command: _Attached, now: float) -> None:
+    def _attached(self, command: Attached, now: float) -> None:
         self._followers[command.peer] = (command.handle, command.send)
 
-    def _detached(self, command: _Detached, now: float) -> None:
+    def _detached(self, command: Detached, now: float) -> None:
         """Forget a follower's stream, unless it opened a newer one meanwhile."""
         handle, _ = self._followers.get(command.peer, (0, None))
         if handle != command.handle:
@@ -396,7 +289,7 @@
     def _send_to(self, decision: SendTo, now: float) -> None:
         """Send to a scheduler; without a stream, the hello at its start tells all."""
         if decision.peer == self._router:
-            self.tell(_FromPeer(self._router, decision.message))
+            self.tell(FromPeer(self._router, decision.message))
             return
         link = self._link_to(decision.peer)
         if link is not None and link.outbox is not None:
@@ -426,7 +319,7 @@
 
     def _send_follower(self, output: ToFollower) -> None:
         if output.router == self._router:
-            self.tell(_FromScheduler(self._router, output.message))
+            self.tell(FromScheduler(self._router, output.message))
             return
         _, send = self._followers.get(output.router, (0, None))
         if send is not None:
@@ -441,7 +334,7 @@
         }
         for peer in sorted(peers):
             if peer == self._router:
-                self.tell(_FromPeer(self._router, report))
+                self.tell(FromPeer(self._router, report))
                 continue
             link = self._link_to(peer)
             if link is not None and link.outbox is not None:
@@ -473,7 +366,7 @@
 
         def on_up() -> None:
             link.outbox = outbox
-            self.tell(_LinkUp(peer))
+            self.tell(LinkUp(peer))
 
         try:
             with link.scope:
@@ -485,14 +378,14 @@
         finally:
             outbox.close()
             link.outbox = None
-            self.tell(_LinkLost(peer))
+            self.tell(LinkLost(peer))
             with anyio.CancelScope(shield=True):
                 await stream.close()
         await anyio.sleep(REDIAL_S)
         self._links.pop(peer, None)
 
     def _take(self, peer: RouterName, message: Any) -> None:
-        self.tell(_FromScheduler(peer, message))
+        self.tell(FromScheduler(peer, message))
 
     _HANDLERS: Mapping[type, Callable[..., None]] = {
         Submit: _submit,
@@ -505,11 +398,11 @@
         TakeMembers: _take_members,
         TakeVms: _take_vms,
         StepDownAll: _step_down,
-        _Tick: _tick,
-        _FromPeer: _from_peer,
-        _FromScheduler: _from_scheduler,
-        _LinkUp: _link_up,
-        _LinkLost: _link_lost,
-        _Attached: _attached,
-        _Detached: _detached,
+        Tick: _tick,
+        FromPeer: _from_peer,
+        FromScheduler: _from_scheduler,
+        LinkUp: _link_up,
+        LinkLost: _link_lost,
+        Attached: _attached,
+        Detached: _detached,
     }
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -9,9 +9,20 @@
 
 from collections.abc import Mapping
 
-from attrs import define, evolve, field, frozen
-
 from fulmarroad import _messages as m
+from fulmarroad._following import (
+    Ask,
+    Decision,
+    Follow,
+    FollowChange,
+    Granted,
+    Lease,
+    Rejected,
+    Running,
+    SendTo,
+    Waiting,
+    progress_interval,
+)
 from fulmarroad._tables import BackendServer, Tables, shards_of
 from fulmarroad.ownership import assign_shards
 from fulmarroad.placement import ShardView, choose_shard
@@ -26,8 +37,6 @@
     RouterName,
     ServerName,
     ShardId,
-    Unit,
-    WorkspaceName,
 )
 
 SILENCE_S = 3.0
@@ -53,119 +62,6 @@
 
 RETRY_AFTER_S = 1.0
 
-PROGRESS_S = 0.5
-"""Shortest time between reports of progress; in it a request uses some twenty tokens,
-far less than the cost of one request, by which the gap is bounded anyway."""
-
-PROGRESS_BYTES = 40
-PROGRESS_BYTES_PER_S = 1500.0
-"""Budget of progress reports. A router with 108 running requests, as expected in two
-years, reports every 2.9 s; without a budget it alone would pass the control limit."""
-
-
-@frozen
-class Ask:
-    """Hold what a scheduler needs to know of one caller's request.
-
-    `arrived` and `deadline` are readings of this router's clock.
-    """
-
-    demand_id: str
-    pool: PoolName
-    workspace: WorkspaceName
-    weight: float
-    cost_hint: float
-    arrived: float
-    deadline: float
-    prefix: tuple[int, ...] = ()
-    repeatable: bool = True
-    avoid: tuple[ServerName, ...] = ()
-
-
-@frozen
-class Lease:
-    """Hold a grant that this router accepted."""
-
-    lease_id: str
-    shard: ShardId
-    unit: Unit
-    server: BackendServer
-    ask: Ask
-    granted: float
-
-
-@frozen
-class SendTo:
-    """Send a message to a peer, which may be this router itself."""
-
-    peer: RouterName
-    message: m.SchedulerMessage
-
-
-@frozen
-class Granted:
-    """Tell the request that it may run."""
-
-    demand_id: str
-    lease: Lease
-
-
-@frozen
-class Rejected:
-    """Tell the request that it won't run."""
-
-    demand_id: str
-    reason: RefusalReason
-    retry_after_s: float
-
-
-Decision = SendTo | Granted | Rejected
-
-
-@define
-class _Waiting:
-    ask: Ask
-    shard: ShardId | None = None
-    moves: int = 0
-
-
-@define
-class _Running:
-    lease: Lease
-    charged: float = 0.0
-    unreported: float = 0.0
-    first_s: float | None = None
-    gap_s: float | None = None
-
-
-@define
-class Follow:
-    """Hold how this router stands with the scheduler of one shard."""
-
-    shard: ShardId
-    scheduler: RouterName | None = None
-    epoch: Epoch | None = None
-    hello_at: float = 0.0
-    heard: float = 0.0
-    used: float = 0.0
-    heartbeat: m.Heartbeat | None = None
-    handed_over: bool = False
-    hints: dict[ServerName, tuple[m.ServerStatus, float]] = field(factory=dict)
-
-
-@frozen
-class FollowChange:
-    """Say that a shard's scheduler is another router now, for the log."""
-
-    shard: ShardId
-    before: RouterName | None
-    after: RouterName | None
-
-
-def progress_interval(running: int) -> float:
-    """Return the seconds between progress reports of a router's running leases."""
-    return max(PROGRESS_S, running * PROGRESS_BYTES / PROGRESS_BYTES_PER_S)
-
 
 class Follower:
     """Keep demands and leases, and ask the scheduler that this router follows.
@@ -187,8 +83,8 @@
         self._servers: dict[ServerName, BackendServer] = {}
         self._schedulers: dict[ShardId, RouterName] = {}
         self._follows: dict[ShardId, Follow] = {}
-        self._waiting: dict[str, _Waiting] = {}
-        self._running: dict[str, _Running] = {}
+        self._waiting: dict[str, Waiting] = {}
+        self._running: dict[str, Running] = {}
         self._progress_at = 0.0
         self._shift = CentreShift()
         self._changes: list[FollowChange] = []
@@ -270,7 +166,7 @@
         """Ask for a lease; answer at once where no server could ever give one."""
         if not self._pool_has_servers(ask.pool):
             return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
-        waiting = _Waiting(ask, moves=moves)
+        waiting = Waiting(ask, moves=moves)
         self._waiting[ask.demand_id] = waiting
         return self._place(waiting, now)
 
@@ -390,7 +286,7 @@
             for server in servers
         )
 
-    def _place(self, waiting: _Waiting, now: float) -> list[Decision]:
+    def _place(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
         views = self.views(ask.pool, now)
         shifted = [view for view in views if self._may_go(view, ask, now)]
@@ -399,7 +295,7 @@
             return []
         return self._send_demand(waiting, now)
 
-    def _send_demand(self, waiting: _Waiting, now: float) -> list[Decision]:
+    def _send_demand(self, waiting: Waiting, now: float) -> list[Decision]:
         shard = waiting.shard
         if shard is None:
             return []
@@ -410,7 +306,7 @@
             return decisions  # the hello carries the demand
         return self._tell(shard, self._demand(waiting, now))
 
-    def _demand(self, waiting: _Waiting, now: float) -> m.Demand:
+    def _demand(self, waiting: Waiting, now: float) -> m.Demand:
         ask = waiting.ask
         if waiting.shard is None:
             raise ValueError(f"demand {ask.demand_id} has no shard")
@@ -461,7 +357,7 @@
         )
         return [SendTo(follow.scheduler, hello)]
 
-    def _running_lease(self, running: _Running, now: float) -> m.RunningLease:
+    def _running_lease(self, running: Running, now: float) -> m.RunningLease:
         running.charged += running.unreported
         running.unreported = 0.0
         lease = running.lease
@@ -543,7 +439,7 @@
             decisions += self._place_or_reject(waiting, now)
         return decisions
 
-    def _place_or_reject(self, waiting: _Waiting, now: float) -> list[Decision]:
+    def _place_or_reject(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
         if not self._pool_has_servers(ask.pool):
             del self._waiting[ask.demand_id]
@@ -567,14 +463,14 @@
             return self._decline(peer, grant, waiting, following, now)
         del self._waiting[grant.demand_id]
         lease = Lease(grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now)
-        self._running[grant.lease_id] = _Running(lease)
+        self._running[grant.lease_id] = Running(lease)
         return [Granted(grant.demand_id, lease)]
 
     def _decline(
         self,
         peer: RouterName,
         grant: m.Grant,
-        waiting: _Waiting | None,
+        waiting: Waiting | None,
         following: Epoch | None,
         now: float,
     ) -> list[Decision]:
@@ -691,8 +587,3 @@
                 decisions += self._tell(shard, m.Goodbye(shard, self._router))
                 del self._follows[shard]
         return decisions
-
-
-def retried(ask: Ask, demand_id: str, failed: ServerName) -> Ask:
-    """Return a request's next demand, which avoids the server that failed it."""
-    return evolve(ask, demand_id=demand_id, avoid=(*ask.avoid, failed))
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/_following.py
@@ -0,0 +1,135 @@
+"""What a router keeps of its demands, its leases and the schedulers it follows."""
+
+from __future__ import annotations
+
+from attrs import define, field, frozen
+
+from fulmarroad import _messages as m
+from fulmarroad._tables import BackendServer
+from fulmarroad.types import (
+    Epoch,
+    PoolName,
+    RefusalReason,
+    RouterName,
+    ServerName,
+    ShardId,
+    Unit,
+    WorkspaceName,
+)
+
+PROGRESS_S = 0.5
+"""Shortest time between reports of progress; in it a request uses some twenty tokens,
+far less than the cost of one request, by which the gap is bounded anyway."""
+
+PROGRESS_BYTES = 40
+PROGRESS_BYTES_PER_S = 1500.0
+"""Budget of progress reports. A router with 108 running requests, as expected in two
+years, reports every 2.9 s; without a budget it alone would pass the control limit."""
+
+
+@frozen
+class Ask:
+    """Hold what a scheduler needs to know of one caller's request.
+
+    `arrived` and `deadline` are readings of this router's clock.
+    """
+
+    demand_id: str
+    pool: PoolName
+    workspace: WorkspaceName
+    weight: float
+    cost_hint: float
+    arrived: float
+    deadline: float
+    prefix: tuple[int, ...] = ()
+    repeatable: bool = True
+    avoid: tuple[ServerName, ...] = ()
+
+
+@frozen
+class Lease:
+    """Hold a grant that this router accepted."""
+
+    lease_id: str
+    shard: ShardId
+    unit: Unit
+    server: BackendServer
+    ask: Ask
+    granted: float
+
+
+@frozen
+class SendTo:
+    """Send a message to a peer, which may be this router itself."""
+
+    peer: RouterName
+    message: m.SchedulerMessage
+
+
+@frozen
+class Granted:
+    """Tell the request that it may run."""
+
+    demand_id: str
+    lease: Lease
+
+
+@frozen
+class Rejected:
+    """Tell the request that it won't run."""
+
+    demand_id: str
+    reason: RefusalReason
+    retry_after_s: float
+
+
+Decision = SendTo | Granted | Rejected
+
+
+@define
+class Waiting:
+    """Hold a demand that waits, and the shard that was asked."""
+
+    ask: Ask
+    shard: ShardId | None = None
+    moves: int = 0
+
+
+@define
+class Running:
+    """Hold a lease that runs, and what of its service was reported."""
+
+    lease: Lease
+    charged: float = 0.0
+    unreported: float = 0.0
+    first_s: float | None = None
+    gap_s: float | None = None
+
+
+@define
+class Follow:
+    """Hold how this router stands with the scheduler of one shard."""
+
+    shard: ShardId
+    scheduler: RouterName | None = None
+    epoch: Epoch | None = None
+    hello_at: float = 0.0
+    heard: float = 0.0
+    used: float = 0.0
+    heartbeat: m.Heartbeat | None = None
+    handed_over: bool = False
+    hints: dict[ServerName, tuple[m.ServerStatus, float]] = field(factory=dict)
+
+
+@frozen
+class FollowChange:
+    """Say that a shard's scheduler is another router now, for the log."""
+
+    shard: ShardId
+    before: RouterName | None
+    after: RouterName | None
+
+
+def progress_interval(running: int) -> float:
+    """Return the seconds between progress reports of a router's running leases."""
+    return max(PROGRESS_S, running * PROGRESS_BYTES / PROGRESS_BYTES_PER_S)
--- a/packages/fulmarroad/src/fulmarroad/coordination.py
+++ b/packages/fulmarroad/src/fulmarroad/coordination.py
@@ -1,8 +1,7 @@
 """The tasks by which a router acts together with the others."""
 
-from fulmarroad._coordinator import (
+from fulmarroad._commands import (
     Cancel,
-    Coordinator,
     GiveUp,
     NoteFinished,
     NoteProgress,
@@ -13,17 +12,17 @@
     TakeTables,
     TakeVms,
 )
-from fulmarroad._follower import (
+from fulmarroad._coordinator import Coordinator
+from fulmarroad._follower import Follower
+from fulmarroad._following import (
     Ask,
     Decision,
     Follow,
     FollowChange,
-    Follower,
     Granted,
     Lease,
     Rejected,
     SendTo,
-    retried,
 )
 from fulmarroad._questions import PeerAddress, PeerQuestions
 from fulmarroad._roles import RoleOutput, Roles, ToFollower, ToSchedulers
@@ -55,5 +54,4 @@
     "TakeVms",
     "ToFollower",
     "ToSchedulers",
-    "retried",
 ]
