Give shards, waiting demands and a router's parts modules of their own

Cause: the follower held the tables' shards, the assignment and the messages beside its own job; the node built what follows from settings alone. Change: ShardMap, Waiting.demand, Running.told and parts.py. No behaviour changes.

--- a/packages/fulmarroad-router/src/fulmarroad_router/node.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/node.py
@@ -6,7 +6,6 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine
-from pathlib import Path
 from typing import Any
 
 import anyio
@@ -30,8 +29,7 @@
     TakeVms,
 )
 from fulmarroad.events import Event, emit
-from fulmarroad.exceptions import ConfigurationError, MessageError
-from fulmarroad.keys import KeyClocks, KeyGroups, KeyIdentity, KeyLimits, KeyStore
+from fulmarroad.exceptions import MessageError
 from fulmarroad.membership import Gossip, Swim
 from fulmarroad.messages import (
     KeyCopyGiven,
@@ -44,7 +42,6 @@
     TablesGiven,
     TablesWanted,
 )
-from fulmarroad.metrics import Metrics, NoMetrics, StatsdMetrics
 from fulmarroad.supervision import ChildSpec, Supervisor
 from fulmarroad.tables import (
     BackendServer,
@@ -55,7 +52,6 @@
     PeerChannel,
     PeerServer,
     PeerStream,
-    TlsFiles,
     TrafficCount,
 )
 from fulmarroad.types import MemberState
@@ -69,6 +65,7 @@
 from fulmarroad_router.keyed import KeyedRunner
 from fulmarroad_router.lookup import Lookup
 from fulmarroad_router.operations import RouterOperations
+from fulmarroad_router.parts import key_groups, metrics_of, tls_of
 from fulmarroad_router.settings import Settings
 from fulmarroad_router.traffic import CountedMetrics
 
@@ -94,8 +91,8 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._traffic = TrafficCount()
         self._audit = AuditTrail(self._log_audit)
-        self._metrics = _metrics(settings)
-        self._tls = _tls(settings)
+        self._metrics = metrics_of(settings)
+        self._tls = tls_of(settings)
         self._gate = CallGate()
         self._cut: set[str] = set()
         self._drain_asked = anyio.Event()
@@ -138,7 +135,13 @@
             cut=self._is_cut,
         )
         self._vms: dict[str, tuple[str, ...]] = {}
-        self._keys = self._key_groups()
+        self._keys = key_groups(
+            settings,
+            self._incarnation,
+            self._ask_member,
+            lambda: self._vms,
+            self._clock,
+        )
         self._store = TableStore()
         platform = settings.platform
         self._source = HttpConfigurationSource(platform.configuration, platform.vm_list)
@@ -378,24 +381,6 @@
         self._coordinator.tell(TakeVms(self._vms))
         self._tell_members()
 
-    def _key_groups(self) -> KeyGroups:
-        router, keys = self._settings.router, self._settings.keys
-        limits = KeyLimits(keys.retention_s, keys.max_per_workspace, keys.max_total)
-        store = KeyStore(
-            router.name,
-            router.data_centre,
-            limits,
-            now=self._clock(),
-            first_fleet=keys.first_fleet,
-        )
-        return KeyGroups(
-            KeyIdentity(router.name, self._incarnation, router.data_centre),
-            store,
-            self._ask_member,
-            lambda: self._vms,
-            KeyClocks(self._clock, lambda: time.time_ns() // 1_000_000),
-        )
-
     async def _ask_member(self, peer: str, message: Any) -> Any:
         wanted = isinstance(message, KeyCopyWanted)
         cls = KeyCopyGiven if wanted else KeyRecorded
@@ -435,27 +420,3 @@
         logging.getLogger("fulmarroad.audit").info(
             "audit", extra={"audit": record.as_dict()}
         )
-
-
-def _metrics(settings: Settings) -> Metrics:
-    row = settings.metrics
-    if not row.host:
-        return NoMetrics()
-    return StatsdMetrics(row.host, row.port, row.prefix)
-
-
-def _tls(settings: Settings) -> TlsFiles | None:
-    row = settings.tls
-    if not row.enabled:
-        return None
-    try:
-        return TlsFiles(
-            Path(row.certificate).read_bytes(),
-            Path(row.key).read_bytes(),
-            Path(row.authority).read_bytes(),
-        )
-    except OSError as error:
-        raise ConfigurationError(
-            f"A TLS file can't be read: {error}.",
-            hint="Check [tls] in the settings.",
-        ) from error
--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -23,11 +23,11 @@
     Waiting,
     progress_interval,
 )
-from fulmarroad._tables import BackendServer, Tables, shards_of
-from fulmarroad.ownership import assign_shards
+from fulmarroad._shardmap import ShardMap
+from fulmarroad._tables import Tables
 from fulmarroad.placement import ShardView, choose_shard
 from fulmarroad.scheduling import grant_valid
-from fulmarroad.shifting import CentreChange, CentreShift, CentreState
+from fulmarroad.shifting import CentreChange, CentreState
 from fulmarroad.types import (
     DataCentreName,
     Epoch,
@@ -35,7 +35,6 @@
     PoolName,
     RefusalReason,
     RouterName,
-    ServerName,
     ShardId,
 )
 
@@ -76,24 +75,18 @@
         self._router = router
         self._incarnation = incarnation
         self._data_centre = data_centre
-        self._tables: Tables | None = None
-        self._live: dict[DataCentreName, tuple[RouterName, ...]] = {}
+        self._map = ShardMap()
         self._unreachable: dict[RouterName, float] = {}
-        self._shards: dict[PoolName, dict[ShardId, tuple[BackendServer, ...]]] = {}
-        self._servers: dict[ServerName, BackendServer] = {}
-        self._schedulers: dict[ShardId, RouterName] = {}
         self._follows: dict[ShardId, Follow] = {}
         self._waiting: dict[str, Waiting] = {}
         self._running: dict[str, Running] = {}
         self._progress_at = 0.0
-        self._shift = CentreShift()
         self._changes: list[FollowChange] = []
-        self._centre_changes: list[CentreChange] = []
 
     @property
     def schedulers(self) -> Mapping[ShardId, RouterName]:
         """Return who schedules each shard, as this router sees it."""
-        return self._schedulers
+        return self._map.schedulers
 
     @property
     def follows(self) -> Mapping[ShardId, Follow]:
@@ -113,7 +106,7 @@
     @property
     def live(self) -> Mapping[DataCentreName, tuple[RouterName, ...]]:
         """Return the routers that membership believes live, by data centre."""
-        return self._live
+        return self._map.live
 
     def changes(self) -> list[FollowChange]:
         """Return the changes of scheduler since last asked."""
@@ -122,12 +115,11 @@
 
     def centre_changes(self) -> list[CentreChange]:
         """Return the changes of data centres since last asked."""
-        changes, self._centre_changes = self._centre_changes, []
-        return changes
+        return self._map.changes()
 
     def centre_state(self, data_centre: DataCentreName) -> CentreState:
         """Return how far a data centre is in service."""
-        return self._shift.state(data_centre)
+        return self._map.centre_state(data_centre)
 
     def wanted_peers(self) -> set[RouterName]:
         """Return the peers to which a stream must be kept."""
@@ -145,26 +137,19 @@
 
     def set_tables(self, tables: Tables, now: float) -> list[Decision]:
         """Take new tables; demands of shards that are gone ask elsewhere."""
-        self._tables = tables
-        self._centre_changes += self._shift.update(tables, now)
-        self._shards = {name: shards_of(pool) for name, pool in tables.pools.items()}
-        self._servers = {
-            server.name: server
-            for pool in tables.pools.values()
-            for server in pool.servers
-        }
+        self._map.set_tables(tables, now)
         return self._reassign(now)
 
     def set_live(
         self, live: Mapping[DataCentreName, tuple[RouterName, ...]], now: float
     ) -> list[Decision]:
         """Take the membership's view of live routers."""
-        self._live = dict(live)
+        self._map.set_live(live)
         return self._reassign(now)
 
     def submit(self, ask: Ask, now: float, moves: int = 0) -> list[Decision]:
         """Ask for a lease; answer at once where no server could ever give one."""
-        if not self._pool_has_servers(ask.pool):
+        if not self._map.open_shards(ask.pool):
             return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
         waiting = Waiting(ask, moves=moves)
         self._waiting[ask.demand_id] = waiting
@@ -246,7 +231,7 @@
 
     def tick(self, now: float) -> list[Decision]:
         """Report progress, drop what is overdue and look for silent schedulers."""
-        self._centre_changes += self._shift.tick(now)
+        self._map.tick(now)
         decisions = self._report_progress(now)
         decisions += self._reject_overdue(now)
         decisions += self._check_silence(now)
@@ -256,15 +241,7 @@
 
     def views(self, pool: PoolName, now: float) -> list[ShardView]:
         """Return what this router knows of each shard that takes work."""
-        return [
-            self._view(shard)
-            for shard, servers in self._shards.get(pool, {}).items()
-            if any(self._takes_work(server) for server in servers)
-        ]
-
-    def _may_go(self, view: ShardView, ask: Ask, now: float) -> bool:
-        """Tell whether a returning data centre takes this request already."""
-        return self._shift.takes(view.shard.data_centre, ask.demand_id, now)
+        return [self._view(shard) for shard in self._map.open_shards(pool)]
 
     def _view(self, shard: ShardId) -> ShardView:
         follow = self._follows.get(shard)
@@ -272,24 +249,16 @@
             shard=shard,
             heartbeat=follow.heartbeat if follow is not None else None,
             own_centre=shard.data_centre == self._data_centre,
-            reachable=shard in self._schedulers,
+            reachable=shard in self.schedulers,
             prefix_blocks=0,
         )
 
-    def _takes_work(self, server: BackendServer) -> bool:
-        return self._tables is not None and self._tables.server_takes_work(server)
-
-    def _pool_has_servers(self, pool: PoolName) -> bool:
-        return any(
-            self._takes_work(server)
-            for servers in self._shards.get(pool, {}).values()
-            for server in servers
-        )
-
     def _place(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
         views = self.views(ask.pool, now)
-        shifted = [view for view in views if self._may_go(view, ask, now)]
+        shifted = [
+            view for view in views if self._map.may_go(view.shard, ask.demand_id, now)
+        ]
         waiting.shard = choose_shard(shifted or views, avoid=(), key=ask.demand_id)
         if waiting.shard is None:
             return []
@@ -304,31 +273,13 @@
         follow.used = now
         if decisions:
             return decisions  # the hello carries the demand
-        return self._tell(shard, self._demand(waiting, now))
-
-    def _demand(self, waiting: Waiting, now: float) -> m.Demand:
-        ask = waiting.ask
-        if waiting.shard is None:
-            raise ValueError(f"demand {ask.demand_id} has no shard")
-        return m.Demand(
-            shard=waiting.shard,
-            demand_id=ask.demand_id,
-            workspace=ask.workspace,
-            weight=ask.weight,
-            cost_hint=ask.cost_hint,
-            waited_s=max(0.0, now - ask.arrived),
-            remaining_s=ask.deadline - now,
-            prefix=ask.prefix,
-            repeatable=ask.repeatable,
-            avoid=ask.avoid,
-            moves=waiting.moves,
-        )
+        return self._tell(shard, waiting.demand(now))
 
     def _follow(self, shard: ShardId, now: float) -> list[Decision]:
         """Begin to follow a shard's scheduler unless that is done."""
         if shard in self._follows:
             return []
-        follow = Follow(shard, self._schedulers.get(shard), used=now)
+        follow = Follow(shard, self.schedulers.get(shard), used=now)
         self._follows[shard] = follow
         return self._hello(follow, now)
 
@@ -347,8 +298,8 @@
             incarnation=self._incarnation,
             data_centre=self._data_centre,
             clock=now,
-            demands=tuple(self._demand(waiting, now) for waiting in demands),
-            leases=tuple(self._running_lease(running, now) for running in leases),
+            demands=tuple(waiting.demand(now) for waiting in demands),
+            leases=tuple(running.told(now) for running in leases),
             hints=tuple(
                 m.ServerHint(name, status.limit, status.warmth, now - at)
                 for name, (status, at) in follow.hints.items()
@@ -357,20 +308,6 @@
         )
         return [SendTo(follow.scheduler, hello)]
 
-    def _running_lease(self, running: Running, now: float) -> m.RunningLease:
-        running.charged += running.unreported
-        running.unreported = 0.0
-        lease = running.lease
-        return m.RunningLease(
-            lease_id=lease.lease_id,
-            demand_id=lease.ask.demand_id,
-            workspace=lease.ask.workspace,
-            unit=lease.unit,
-            ran_s=now - lease.granted,
-            remaining_s=lease.ask.deadline - now,
-            charged=running.charged,
-        )
-
     def _tell(self, shard: ShardId, message: m.SchedulerMessage) -> list[Decision]:
         follow = self._follows.get(shard)
         if follow is None or follow.scheduler is None:
@@ -379,33 +316,22 @@
 
     def _reassign(self, now: float) -> list[Decision]:
         """Work out every shard's scheduler anew and turn to those that changed."""
-        if self._tables is None:
-            return []
-        self._schedulers = self._assignment(now)
+        self._map.assign(lambda router: self._passed_over(router, now))
         decisions: list[Decision] = []
         for shard in list(self._follows):
             decisions += self._refollow(shard, now)
-        for shards in self._shards.values():
-            for shard in shards:
-                if shard.data_centre == self._data_centre:
-                    decisions += self._follow(shard, now)
+        for shard in self._map:
+            if shard.data_centre == self._data_centre:
+                decisions += self._follow(shard, now)
         return decisions + self._place_lost(now)
 
-    def _assignment(self, now: float) -> dict[ShardId, RouterName]:
-        shards = [shard for shards in self._shards.values() for shard in shards]
-        reachable = {
-            centre: tuple(r for r in routers if not self._passed_over(r, now))
-            for centre, routers in self._live.items()
-        }
-        return assign_shards(shards, reachable)
-
     def _passed_over(self, router: RouterName, now: float) -> bool:
         return self._unreachable.get(router, now) > now
 
     def _refollow(self, shard: ShardId, now: float) -> list[Decision]:
         follow = self._follows[shard]
-        known = shard in self._shards.get(shard.pool, {})
-        scheduler = self._schedulers.get(shard) if known else None
+        known = shard in self._map
+        scheduler = self.schedulers.get(shard) if known else None
         if known and scheduler == follow.scheduler:
             return []
         decisions: list[Decision] = []
@@ -423,17 +349,11 @@
 
     def _place_lost(self, now: float) -> list[Decision]:
         """Ask elsewhere for demands whose shard takes no more work."""
-        open_shards = {
-            shard
-            for shards in self._shards.values()
-            for shard, servers in shards.items()
-            if any(self._takes_work(server) for server in servers)
-        }
         decisions: list[Decision] = []
         for waiting in list(self._waiting.values()):
-            if waiting.shard is None or waiting.shard in open_shards:
-                continue
             shard = waiting.shard
+            if shard is None or shard in self._map.open_shards(shard.pool):
+                continue
             gone = m.Withdraw(shard, waiting.ask.demand_id)
             decisions += self._tell(shard, gone)
             decisions += self._place_or_reject(waiting, now)
@@ -441,7 +361,7 @@
 
     def _place_or_reject(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
-        if not self._pool_has_servers(ask.pool):
+        if not self._map.open_shards(ask.pool):
             del self._waiting[ask.demand_id]
             return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
         return self._place(waiting, now)
@@ -452,12 +372,11 @@
         waiting = self._waiting.get(grant.demand_id)
         following = follow.epoch if follow and follow.scheduler == peer else None
         greeted = follow.hello_at if follow else now
-        server = self._servers.get(grant.unit.server)
+        server = self._map.server(grant.unit.server)
         if (
             waiting is None
             or waiting.shard != grant.shard
             or server is None
-            or not self._takes_work(server)
             or not grant_valid(grant, following, now, greeted)
         ):
             return self._decline(peer, grant, waiting, following, now)
@@ -500,8 +419,7 @@
         if waiting is None or waiting.shard != move.shard:
             return []
         waiting.moves += 1
-        known = move.target in self._shards.get(move.target.pool, {})
-        if not known or move.target not in self._schedulers:
+        if move.target not in self._map or move.target not in self.schedulers:
             return self._send_demand(waiting, now)
         waiting.shard = move.target
         return self._send_demand(waiting, now)
@@ -572,7 +490,7 @@
     def _place_unplaced(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         for waiting in list(self._waiting.values()):
-            if waiting.shard is None or waiting.shard not in self._schedulers:
+            if waiting.shard is None or waiting.shard not in self.schedulers:
                 decisions += self._place(waiting, now)
         return decisions
 
--- a/packages/fulmarroad/src/fulmarroad/_following.py
+++ b/packages/fulmarroad/src/fulmarroad/_following.py
@@ -94,6 +94,25 @@
     shard: ShardId | None = None
     moves: int = 0
 
+    def demand(self, now: float) -> m.Demand:
+        """Return the demand as its scheduler gets it now."""
+        ask = self.ask
+        if self.shard is None:
+            raise ValueError(f"demand {ask.demand_id} has no shard")
+        return m.Demand(
+            shard=self.shard,
+            demand_id=ask.demand_id,
+            workspace=ask.workspace,
+            weight=ask.weight,
+            cost_hint=ask.cost_hint,
+            waited_s=max(0.0, now - ask.arrived),
+            remaining_s=ask.deadline - now,
+            prefix=ask.prefix,
+            repeatable=ask.repeatable,
+            avoid=ask.avoid,
+            moves=self.moves,
+        )
+
 
 @define
 class Running:
@@ -105,6 +124,21 @@
     first_s: float | None = None
     gap_s: float | None = None
 
+    def told(self, now: float) -> m.RunningLease:
+        """Return the lease as a new scheduler gets it, with all service so far."""
+        self.charged += self.unreported
+        self.unreported = 0.0
+        lease = self.lease
+        return m.RunningLease(
+            lease_id=lease.lease_id,
+            demand_id=lease.ask.demand_id,
+            workspace=lease.ask.workspace,
+            unit=lease.unit,
+            ran_s=now - lease.granted,
+            remaining_s=lease.ask.deadline - now,
+            charged=self.charged,
+        )
+
 
 @define
 class Follow:
--- a/packages/fulmarroad/src/fulmarroad/keys.py
+++ b/packages/fulmarroad/src/fulmarroad/keys.py
@@ -1,6 +1,7 @@
 """Calls that may not be repeated: at most once for each key across the fleet."""
 
 from fulmarroad._keygroup import (
+    AskMember,
     KeyAttempt,
     KeyClocks,
     KeyDecision,
@@ -32,6 +33,7 @@
 
 __all__ = [
     "MAX_BODY_BYTES",
+    "AskMember",
     "Fenced",
     "Finished",
     "Full",
