Repeat calls that an engine fails; an engine that fails is not a fast one

Change: 500, 502 and 504 are tried elsewhere like 429 and 503 while tries are left, then passed on. An engine's 5xx counts as a failure; a plain service's 500 does not, as it may be due to one caller's data.

--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -26,7 +26,7 @@
 from fulmarroad.events import Event, emit
 from fulmarroad.messages import Finished
 from fulmarroad.ownership import short_name
-from fulmarroad.tables import CostUnit
+from fulmarroad.tables import CostUnit, Pool, PoolKind
 from fulmarroad.types import Outcome, RefusalReason
 from fulmarroad_router.admitting import Admitter
 from fulmarroad_router.backend import (
@@ -65,9 +65,12 @@
 """Tries of one call at all, so that one request can't roam the whole fleet."""
 
 MAX_USAGE_BYTES = 256 * 1024
-BUSY_STATUS = {429, 503}
+REFUSED_STATUS = {429, 503}
 """Answers by which a backend server says that it took no work on."""
 
+FAILED_STATUS = {500, 502, 504}
+"""Answers by which a backend server says that it failed."""
+
 
 class Responder(Protocol):
     """Carry an answer to the caller, waiting where the caller reads slowly."""
@@ -187,8 +190,8 @@
         outcome = Outcome.CANCELLED
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
-                await self._send(call, lease, responder, progress, meter)
-            outcome = Outcome.COMPLETED
+                status = await self._send(call, lease, responder, progress, meter)
+            outcome = _outcome_of(call.pool, status)
         except NotSent as error:
             outcome = Outcome.UNREACHABLE
             self._retry_unsent(call, lease, progress, error)
@@ -208,7 +211,7 @@
         responder: Responder,
         progress: _Progress,
         meter: Meter,
-    ) -> None:
+    ) -> int:
         resume_from = progress.tokens if progress.tokens else None
         request = call.backend_request(lease.server.address, resume_from)
         meter.sent = self._clock()
@@ -227,6 +230,7 @@
             else:
                 await self._copy(call, lease, response, responder, meter)
         progress.done = True
+        return response.status
 
     def _check_answer(
         self, call: Call, response: BackendResponse, progress: _Progress
@@ -235,8 +239,9 @@
         echoed = response.header(b"x-request-id").decode("latin-1")
         if echoed and echoed != call.request_id:
             raise Sent("The backend server answered another request.")
-        if response.status in BUSY_STATUS and call.route.repeatable:
-            raise Sent(f"The backend server is busy ({response.status}).")
+        failed = response.status in REFUSED_STATUS | FAILED_STATUS
+        if failed and call.route.repeatable and progress.tries < MAX_TRIES:
+            raise Sent(f"The backend server answered {response.status}.")
         if progress.tokens and not _is_events(response):
             raise Sent("The engine did not resume the answer.")
 
@@ -409,6 +414,18 @@
         return meter.prompt_tokens * call.pool.prompt_cost + meter.tokens
 
 
+def _outcome_of(pool: Pool, status: int) -> Outcome:
+    """Return what an answer says of its server.
+
+    An engine that fails answers at once, and would pass for the fastest of all. A
+    plain service may fail for one caller's data, which says nothing of the others.
+    """
+    failed = status in REFUSED_STATUS or status in FAILED_STATUS - {500}
+    if failed or (pool.kind is PoolKind.MODEL and status in FAILED_STATUS):
+        return Outcome.FAILED
+    return Outcome.COMPLETED
+
+
 def _is_events(response: BackendResponse) -> bool:
     kind = response.header(b"content-type")
     return response.status == 200 and kind.startswith(b"text/event-stream")
--- a/packages/fulmarroad-router/tests/test_metering.py
+++ b/packages/fulmarroad-router/tests/test_metering.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from fulmarroad.tables import Pool, PoolKind
+from fulmarroad.types import Outcome
+from fulmarroad_router.execution import _outcome_of
 from fulmarroad_router.metering import Meter
 
 
@@ -52,3 +55,19 @@
         meter = Meter(clock, prompt_tokens=5.0)
         meter.note_usage(usage)
         assert (meter.prompt_tokens, meter.tokens) == (5.0, 0)
+
+
+class TestOutcome:
+    @pytest.mark.parametrize(
+        ("kind", "status", "outcome"),
+        [
+            (PoolKind.MODEL, 200, Outcome.COMPLETED),
+            (PoolKind.MODEL, 400, Outcome.COMPLETED),
+            (PoolKind.MODEL, 500, Outcome.FAILED),
+            (PoolKind.PLAIN, 500, Outcome.COMPLETED),
+            (PoolKind.PLAIN, 503, Outcome.FAILED),
+            (PoolKind.PLAIN, 504, Outcome.FAILED),
+        ],
+    )
+    def test_failing_engine_does_not_pass_for_a_fast_one(self, kind, status, outcome):
+        assert _outcome_of(Pool("p", kind=kind), status) is outcome
--- a/packages/fulmarroad-router/tests/test_sessions.py
+++ b/packages/fulmarroad-router/tests/test_sessions.py
@@ -127,6 +127,16 @@
 
         assert session(scenario, [Script("break_before")]) == snapshot
 
+    def test_engine_that_fails_is_passed_over(self, session, snapshot):
+        # An engine that has just restarted answers 500 at once. The call may be
+        # repeated, so another engine gets it; nobody sees the failure.
+        scripts = [Script("plain", status=500), Script()]
+        assert session(one_call(), scripts) == snapshot
+
+    def test_failure_everywhere_is_passed_on(self, session, snapshot):
+        scripts = [Script("plain", status=500)] * 4
+        assert session(one_call(), scripts) == snapshot
+
     def test_answer_to_another_request_is_not_passed_on(self, session, snapshot):
         # A server mixes up two answers. Each caller must get its own or none.
         scripts = [Script("plain", echo_id="request-2")]
