Play splits, a departure during a split and a frozen scheduler on the whole fleet

Cause: the promises under splits were proved on books and schedulers, not on routers acting together. Change: three scenarios in virtual time. Servers of the test fleet are slower past their batch, as engines are, and note when more ran.

--- a/packages/fulmarroad/tests/conftest.py
+++ b/packages/fulmarroad/tests/conftest.py
@@ -37,15 +37,20 @@
 
 @define(eq=False)
 class FakeServer:
-    """Take CHUNK_S for each chunk of tokens, and record what ran."""
+    """Take CHUNK_S for each chunk of tokens, longer past its batch; record what ran."""
 
     name: str
-    speed: float = 1.0
+    batch: int = 4
     running: int = 0
     most_running: int = 0
+    over: list = field(factory=list)
     starts: list = field(factory=list)
     service: dict = field(factory=dict)
 
+    @property
+    def chunk_s(self):
+        return CHUNK_S * max(1.0, self.running / self.batch)
+
 
 @define(eq=False)
 class Router:
@@ -53,6 +58,7 @@
     data_centre: str
     coordinator: Coordinator
     scope: anyio.CancelScope
+    tables: Tables | None = None
 
 
 class Fleet:
@@ -98,7 +104,7 @@
             follower._incarnation,
             self.policy,
             audit,
-            lambda server, now: self.tables().server_takes_work(server),
+            lambda server, now: self._tables_of(name).server_takes_work(server),
         )
         coordinator = Coordinator(
             name,
@@ -115,6 +121,10 @@
         self.group.start_soon(self._run_router, router)
         return router
 
+    def _tables_of(self, name):
+        router = self.routers.get(name)
+        return router.tables if router and router.tables else self.tables()
+
     async def _run_router(self, router):
         with router.scope:
             await router.coordinator.run()
@@ -125,12 +135,13 @@
         router.scope.cancel()
         self.network.drop(name)
 
-    def publish(self, out=()):
-        """Put a new version of the tables in force everywhere."""
+    def publish(self, out=(), to=None):
+        """Put a new version of the tables in force, at some routers or everywhere."""
         self.version += 1
         self.out = set(out)
-        for router in self.routers.values():
-            router.coordinator.tell(TakeTables(self.tables()))
+        for name in to or self.routers:
+            self.routers[name].tables = self.tables()
+            self.routers[name].coordinator.tell(TakeTables(self.tables()))
 
     def tell_members(self, seen=None):
         """Let routers believe that these live; `seen` maps a router to its view."""
@@ -183,10 +194,12 @@
         server.starts.append((self.now, workspace))
         server.running += 1
         server.most_running = max(server.most_running, server.running)
+        if server.running > server.batch:
+            server.over.append((self.now, server.running))
         began, done = self.now, 0.0
         try:
             while done < tokens:
-                await anyio.sleep(CHUNK_S / server.speed)
+                await anyio.sleep(server.chunk_s)
                 step = min(RATE * CHUNK_S, tokens - done)
                 done += step
                 coordinator.tell(NoteProgress(lease.lease_id, step))
@@ -199,8 +212,8 @@
             lease.lease_id,
             Outcome.COMPLETED,
             float(tokens),
-            CHUNK_S / server.speed,
-            CHUNK_S / server.speed,
+            (self.now - began) * step / tokens,
+            (self.now - began) * step / tokens,
             self.now - began,
         )
         coordinator.tell(NoteFinished(report))
--- a/packages/fulmarroad/tests/test_fleet.py
+++ b/packages/fulmarroad/tests/test_fleet.py
@@ -102,3 +102,109 @@
         assert [at for at in starts if at > fleet.back]
         bad = {o for o in fleet.outcomes.values() if o not in ("completed", "lost")}
         assert bad == set()
+
+
+def split(fleet, sides):
+    """Cut every stream between two sides, and let each believe that it is alone."""
+    first, second = sides
+    for one in first:
+        for other in second:
+            fleet.network.cut(one, other)
+    seen = {name: side for side in sides for name in side}
+    fleet.tell_members(seen)
+
+
+class TestSplit:
+    def test_two_sides_of_a_data_centre_never_overload_a_server(self, run_fleet):
+        # A switch fails inside a data centre. Each side has callers and reaches the
+        # same servers, and each gets a scheduler of its own. Without shares of units
+        # both would fill the servers, and callers would see answers twice as slow.
+        async def scenario(fleet):
+            async with anyio.create_task_group() as group:
+                for router in list(fleet.routers) * 6:
+                    group.start_soon(fleet.keep_calling, router, "coop")
+                await anyio.sleep(8.0)
+                north = CENTRES["north"]
+                far = CENTRES["south"]
+                split(fleet, (north[:1], (*north[1:], *far)))
+                fleet.cut_at = fleet.now
+                await anyio.sleep(20.0)
+                fleet.starts = {
+                    name: len([at for at, _ in s.starts if at > fleet.cut_at + 10])
+                    for name, s in fleet.servers.items()
+                }
+                fleet.network.heal()
+                fleet.tell_members()
+                fleet.healed_at = fleet.now
+                await anyio.sleep(10.0)
+                group.cancel_scope.cancel()
+
+        fleet = run_fleet(scenario, CENTRES, SERVERS)
+        # At the cut a side may grant units on which the other's requests still run: a
+        # warm server is over its batch until these end, a cold one never (the books'
+        # state machine holds that). Afterwards both sides together stay within it.
+        late = [
+            at
+            for server in fleet.servers.values()
+            for at, _ in server.over
+            if not 0 <= at - fleet.cut_at < 1 and not 0 <= at - fleet.healed_at < 1
+        ]
+        assert late == []
+        assert all(fleet.starts.values())
+        refused = {o for o in fleet.outcomes.values() if o.startswith("refused")}
+        assert refused == set()
+
+    def test_split_while_a_data_centre_is_taken_out(self, run_fleet):
+        # Operators take a data centre out while it is cut off from the others. The
+        # other side stops sending at once; the cut-off side serves its own callers
+        # until it hears of the table, and stops then.
+        async def scenario(fleet):
+            async with anyio.create_task_group() as group:
+                for router in list(fleet.routers) * 2:
+                    group.start_soon(fleet.keep_calling, router, "coop")
+                await anyio.sleep(8.0)
+                split(fleet, (CENTRES["north"], CENTRES["south"]))
+                fleet.publish(out=["south"], to=CENTRES["north"])
+                await anyio.sleep(5.0)
+                fleet.network.heal()
+                fleet.tell_members()
+                fleet.publish(out=["south"])
+                fleet.heard = fleet.now
+                await anyio.sleep(10.0)
+                group.cancel_scope.cancel()
+
+        fleet = run_fleet(scenario, CENTRES, SERVERS)
+        starts = [at for at, _ in fleet.servers["south-a"].starts]
+        assert [at for at in starts if fleet.heard - 4.0 < at < fleet.heard]
+        assert not [at for at in starts if at > fleet.heard + 0.1]
+        bad = {o for o in fleet.outcomes.values() if o not in ("completed", "lost")}
+        assert bad == set()
+
+
+class TestFrozenScheduler:
+    def test_its_followers_go_on_and_it_wakes_to_nothing(self, run_fleet):
+        # The VM of a scheduler is frozen for some seconds, with its streams open. The
+        # others must not wait for it; on waking its grants must start nothing beside
+        # those of its successor.
+        async def scenario(fleet):
+            async with anyio.create_task_group() as group:
+                await anyio.sleep(0.5)
+                schedulers = fleet.routers["n1"].coordinator.follower.schedulers
+                frozen = next(r for s, r in schedulers.items() if "north" in str(s))
+                others = [name for name in fleet.routers if name != frozen]
+                for router in others * 4:
+                    group.start_soon(fleet.keep_calling, router, "coop")
+                await anyio.sleep(8.0)
+                fleet.network.hold(frozen)
+                fleet.frozen_at = fleet.now
+                await anyio.sleep(8.0)
+                fleet.network.release(frozen)
+                await anyio.sleep(8.0)
+                group.cancel_scope.cancel()
+
+        fleet = run_fleet(scenario, CENTRES, SERVERS)
+        starts = [at for at, _ in fleet.servers["north-a"].starts]
+        assert [at for at in starts if fleet.frozen_at + 4 < at < fleet.frozen_at + 8]
+        assert all(s.most_running <= 4 for s in fleet.servers.values())
+        bad = {o for o in fleet.outcomes.values() if o not in ("completed", "lost")}
+        assert bad == set()
