--- a/packages/fulmarroad-router/tests/router_bed.py
+++ b/packages/fulmarroad-router/tests/router_bed.py
@@ -101,6 +101,7 @@
     headers: list
     parts: list
     broken: bool
+    read: list
 
     def header(self, name):
         return dict(self.headers).get(name, b"")
@@ -108,6 +109,7 @@
     async def chunks(self):
         for part in self.parts:
             await anyio.sleep(0.1)
+            self.read.append(part)
             yield part
         if self.broken:
             raise Sent("The backend server broke its answer off.")
@@ -117,6 +119,7 @@
 class ScriptedCall:
     script: Script
     request: object
+    read: list
 
     async def __aenter__(self):
         if self.script.kind == "refuse":
@@ -131,7 +134,7 @@
         if self.script.kind == "plain":
             headers.append((b"content-type", b"application/json"))
             parts = [b'{"posted":', b"true}"]
-            return ScriptedResponse(self.script.status, headers, parts, False)
+            return self.respond(headers, parts)
         headers.append((b"content-type", b"text/event-stream"))
         start = int(sent.get(b"x-resume-from", b"0"))
         stop = self.script.tokens
@@ -141,7 +144,10 @@
         parts = [event(f"token-{index} ") for index in range(start, stop)]
         if not broken:
             parts.append(b"data: [DONE]\n\n")
-        return ScriptedResponse(self.script.status, headers, parts, broken)
+        return self.respond(headers, parts, broken)
+
+    def respond(self, headers, parts, broken=False):
+        return ScriptedResponse(self.script.status, headers, parts, broken, self.read)
 
     async def __aexit__(self, *exception):
         return None
@@ -153,11 +159,12 @@
 
     scripts: list = field(factory=list)
     seen: list = field(factory=list)
+    read: list = field(factory=list)
 
     def call(self, table, server, request, *, repeatable):
         script = self.scripts.pop(0) if self.scripts else Script()
         self.seen.append((server.name, request))
-        return ScriptedCall(script, request)
+        return ScriptedCall(script, request, self.read)
 
 
 class EventLog(logging.Handler):
@@ -271,6 +278,7 @@
             **options.pop("headers", {}),
         }
         self.leaves_after_s = options.pop("leaves_after_s", None)
+        self.reads_each_s = options.pop("reads_each_s", 0.0)
         assert not options
         self.scope = {
             "type": "http",
@@ -292,6 +300,7 @@
         return {"type": "http.disconnect"}
 
     async def send(self, message):
+        await anyio.sleep(self.reads_each_s)
         if message["type"] == "http.response.start":
             self.lines.append(f"<- {message['status']}")
             for name, value in sorted(message["headers"]):
--- a/packages/fulmarroad-router/tests/test_sessions.py
+++ b/packages/fulmarroad-router/tests/test_sessions.py
@@ -169,6 +169,25 @@
         assert session(scenario, tables=tables) == snapshot
 
 
+class TestSlowCaller:
+    def test_engine_is_read_no_faster_than_the_caller_reads(self, session):
+        # A caller on a bad line reads one part each two seconds. Read on ahead, a long
+        # answer of each such caller would fill the memory of a small VM.
+        ahead = []
+
+        async def scenario(router):
+            async with anyio.create_task_group() as group:
+                group.start_soon(lambda: router.call(reads_each_s=2.0))
+                for seconds in (5.0, 10.0, 15.0):
+                    await anyio.sleep(5.0)
+                    ahead.append((seconds, len(router.backends.read)))
+                group.cancel_scope.cancel()
+            return []
+
+        session(scenario, [Script(tokens=100)])
+        assert all(0 < parts <= seconds / 2 for seconds, parts in ahead)
+
+
 class TestChanges:
     def test_shutdown_while_an_answer_streams(self, session, snapshot):
         # A router is replaced while an answer streams. The answer ends whole, and
