Pass on as hints only what a scheduler knows of a server

The log showed engine-3 chilled by a hint: while two routers held a role, the second settled by time alone, had heard nothing of the server and called it cold. Change: a status says whether its scheduler saw an answer or adopted a hint; followers keep only such statuses as hints.

--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -406,10 +406,10 @@
     ) -> list[Decision]:
         follow.heartbeat = beat
         follow.handed_over = False
-        if beat.settled:
-            # A scheduler that has just begun calls every server cold until it heard
-            # from its followers; passed on as a hint that would chill warm servers.
-            for status in beat.servers:
+        for status in beat.servers:
+            # A scheduler that knows nothing of a server calls it cold; passed on as a
+            # hint that would chill a warm server at the next change of hands.
+            if beat.settled and status.informed:
                 follow.hints[status.server] = (status, now)
         lend = m.Lend(follow.shard, beat.epoch, beat.clock, now)
         return self._tell(follow.shard, lend)
--- a/packages/fulmarroad/src/fulmarroad/_messages.py
+++ b/packages/fulmarroad/src/fulmarroad/_messages.py
@@ -208,13 +208,18 @@
 
 @frozen
 class ServerStatus:
-    """Describe a backend server as its scheduler sees it now."""
+    """Describe a backend server as its scheduler sees it now.
+
+    `informed` is false while the scheduler has neither seen an answer of the server nor
+    heard from its predecessor, so that its word is no hint for a successor.
+    """
 
     server: ServerName
     warmth: Warmth
     limit: int
     running: int
     usable: int
+    informed: bool = True
 
 
 @frozen
--- a/packages/fulmarroad/src/fulmarroad/_slots.py
+++ b/packages/fulmarroad/src/fulmarroad/_slots.py
@@ -284,7 +284,16 @@
             usable = self._refresh(name, server, now) if server.takes_work else []
             limit = server.health.limit(now)
             warmth = server.health.warmth
-            rows.append(ServerStatus(name, warmth, limit, server.running, len(usable)))
+            rows.append(
+                ServerStatus(
+                    name,
+                    warmth,
+                    limit,
+                    server.running,
+                    len(usable),
+                    server.health.informed,
+                )
+            )
         return tuple(rows)
 
     def capacity(self, now: float) -> int:
--- a/packages/fulmarroad/src/fulmarroad/_warmth.py
+++ b/packages/fulmarroad/src/fulmarroad/_warmth.py
@@ -174,6 +174,11 @@
         """Tell whether the cold start is over."""
         return self.warmth is Warmth.WARM
 
+    @property
+    def informed(self) -> bool:
+        """Tell whether an answer was seen or a hint adopted since the last chill."""
+        return self._seen or self._hinted_at > -math.inf
+
     @property
     def slow(self) -> bool:
         """Tell whether the last measured answer was slower than the pool's targets."""
--- a/packages/fulmarroad/tests/test_follower.py
+++ b/packages/fulmarroad/tests/test_follower.py
@@ -228,8 +228,8 @@
 
 
 class TestHints:
-    def beat(self, bench, epoch, warmth, *, settled):
-        row = m.ServerStatus("s1", warmth, 8, 0, 8)
+    def beat(self, bench, epoch, warmth, *, settled, informed=True):
+        row = m.ServerStatus("s1", warmth, 8, 0, 8, informed)
         beat = m.Heartbeat(bench.shard, epoch, 0.0, (row,), settled=settled)
         bench.take(bench.follower.handle(bench.scheduler, beat, 0.1))
 
@@ -244,6 +244,16 @@
         [hint] = bench.last(m.Hello).message.hints
         assert hint.warmth is Warmth.WARM
 
+    def test_scheduler_that_knows_nothing_of_a_server_leaves_no_hint(self, bench):
+        # For a moment two routers hold the role, and few follow the second one. It
+        # settles by time alone without having heard of any server.
+        epoch = bench.welcome()
+        self.beat(bench, epoch, Warmth.WARM, settled=True)
+        self.beat(bench, epoch, Warmth.COLD, settled=True, informed=False)
+        bench.take(bench.follower.link_lost(bench.scheduler, 0.2))
+        [hint] = bench.last(m.Hello).message.hints
+        assert hint.warmth is Warmth.WARM
+
     def test_next_scheduler_hears_that_the_role_was_handed_over(self, bench):
         epoch = bench.welcome()
         assert not bench.last(m.Hello).message.handed_over
--- a/packages/fulmarroad/tests/test_slots.py
+++ b/packages/fulmarroad/tests/test_slots.py
@@ -162,6 +162,15 @@
         assert len(free_of(successor, "s2", later)) == POOL.cold_concurrency
 
 
+class TestInformed:
+    def test_a_book_knows_servers_by_answers_or_hints(self):
+        book = new_book()
+        book.observe("s1", Outcome.COMPLETED, 0.1, 0.02, 10.0, START)
+        assert [row.informed for row in book.status(START)] == [True, False]
+        book.adopt_hint(ServerHint("s2", 4, Warmth.WARM, 0.5), START)
+        assert [row.informed for row in book.status(START)] == [True, True]
+
+
 class TestEarlyJudgement:
     """A ramp goes on answers that still run, each counted once."""
 
