--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_sums.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_capacity_sums.py
@@ -31,7 +31,7 @@
 """Replaced VMs remembered for two hours: 800 / 12."""
 
 PROMPT_BLOCKS = 8
-"""The most a demand carries; the letter gives no length of prompts."""
+"""The most a demand carries; how long prompts will be is not known."""
 
 AUDIT_RECORDS = 4096
 KEYS_KEPT = 16_384
