--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV ?= $(CURDIR)/.venv
 PY := $(VENV)/bin/python
 SRC := packages/fulmarroad/src packages/fulmarroad-router/src \
-	packages/fulmarroad-ctl/src packages/fulmarroad-bench/src
+	packages/fulmarroad-ctl/src packages/fulmarroad-bench/src \
+	packages/fulmarroad-serving/src platform/src
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
 export PYTHONPATH := $(subst $(SPACE),:,$(addprefix $(CURDIR)/,$(SRC)))
@@ -12,10 +13,10 @@
 
 setup: $(VENV)/.ready
 
-$(VENV)/.ready: constraints.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	test -x $(PY) || python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet -c constraints.txt -r requirements-dev.txt \
-		$(addprefix -e ,$(wildcard packages/*))
+		$(addprefix -e ,$(wildcard packages/*) platform)
 	touch $@
 
 check: setup
--- a/packages/fulmarroad-router/src/fulmarroad_router/app.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/app.py
@@ -2,19 +2,26 @@
 
 from __future__ import annotations
 
-import json
 import logging
-from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from collections.abc import Callable
+from typing import Protocol
 
-import anyio
 from attrs import define
 
 from fulmarroad.events import Event, emit
 from fulmarroad.metrics import Metrics
 from fulmarroad.tables import Route, Tables, Workspace
 from fulmarroad.types import Ran, RefusalReason
-from fulmarroad_router.backend import Headers
+from fulmarroad_router.asgi import (
+    AsgiResponder,
+    CallerLeft,
+    Headers,
+    Receive,
+    Scope,
+    SendEvent,
+    read_body,
+    run_watched,
+)
 from fulmarroad_router.calls import (
     Call,
     ChatBody,
@@ -24,6 +31,7 @@
     request_id_of,
 )
 from fulmarroad_router.exceptions import (
+    AnswerBroken,
     BadRequest,
     BodyTooLarge,
     CallError,
@@ -31,14 +39,10 @@
     RouteNotFound,
     Unauthorized,
 )
-from fulmarroad_router.execution import AnswerBroken, Responder
+from fulmarroad_router.execution import Responder
 
 logger = logging.getLogger("fulmarroad.router")
 
-Scope = dict[str, Any]
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
-
 CHAT_PATH = "/v1/chat/completions"
 MAX_KEY_LENGTH = 255
 
@@ -79,68 +83,6 @@
         """Count a call out."""
 
 
-class CallerLeft(Exception):
-    """End the work on a call whose caller is gone."""
-
-
-class AsgiResponder:
-    """Send an answer through ASGI; awaiting `send` waits for a slow caller."""
-
-    def __init__(self, send: SendEvent, request_id: str) -> None:
-        self._send = send
-        self._request_id = request_id
-        self._begun = False
-        self.status = 0
-        self.finished = False
-
-    @property
-    def begun(self) -> bool:
-        """Tell whether the head of the answer has been sent."""
-        return self._begun
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the head of a backend server's answer."""
-        own = [
-            (b"x-request-id", self._request_id.encode()),
-            (b"fulmarroad-ran", Ran.RAN.value.encode()),
-        ]
-        await self._start(status, [*headers, *own])
-
-    async def send(self, chunk: bytes) -> None:
-        """Send a part of the body."""
-        body = {"type": "http.response.body", "body": chunk, "more_body": True}
-        await self._send(body)
-
-    async def finish(self) -> None:
-        """End the answer as whole."""
-        self.finished = True
-        await self._send({"type": "http.response.body", "body": b""})
-
-    async def error(self, error: CallError) -> None:
-        """Send an error in the one JSON format."""
-        body = json.dumps({"error": error_document(error, self._request_id)}).encode()
-        headers = [
-            (b"content-type", b"application/json"),
-            (b"content-length", str(len(body)).encode()),
-            (b"x-request-id", self._request_id.encode()),
-            (b"fulmarroad-ran", error.ran.value.encode()),
-        ]
-        if error.retry_after_s is not None:
-            seconds = max(1, round(error.retry_after_s))
-            headers.append((b"retry-after", str(seconds).encode()))
-        if isinstance(error, Unauthorized):
-            headers.append((b"www-authenticate", b"Bearer"))
-        await self._start(error.status, headers)
-        await self._send({"type": "http.response.body", "body": body})
-        self.finished = True
-
-    async def _start(self, status: int, headers: Headers) -> None:
-        self._begun = True
-        self.status = status
-        start = {"type": "http.response.start", "status": status, "headers": headers}
-        await self._send(start)
-
-
 @define
 class _Stages:
     """Hold what is known of a request while it is read, for its log line."""
@@ -175,7 +117,7 @@
             return
         arrived = self._clock()
         stages = _Stages(request_id_of(scope["headers"]))
-        responder = AsgiResponder(send, stages.request_id)
+        responder = _responder(send, stages.request_id)
         self._gate.enter()
         try:
             await self._serve(scope, receive, responder, stages, arrived)
@@ -211,9 +153,9 @@
             raise Refused(reason or RefusalReason.NOT_READY, 1.0)
         workspace = self._authenticate(scope["headers"], lookup)
         stages.workspace = workspace.name
-        body = await self._read_body(scope["headers"], receive)
+        body = await read_body(scope["headers"], receive, self._max_body_bytes)
         call = self._call(scope, lookup, workspace, body, stages, arrived)
-        await self._run_watched(call, receive, responder)
+        await run_watched(lambda: self._runner.run(call, responder), receive, responder)
 
     def _authenticate(self, headers: Headers, lookup: RouteLookup) -> Workspace:
         bearer = bearer_of(headers)
@@ -222,21 +164,6 @@
             raise Unauthorized("Send a known key as `Authorization: Bearer KEY`.")
         return workspace
 
-    async def _read_body(self, headers: Headers, receive: Receive) -> bytes:
-        length = header(headers, b"content-length")
-        if length and (not length.isdigit() or int(length) > self._max_body_bytes):
-            raise BodyTooLarge(f"A body may have {self._max_body_bytes} bytes.")
-        parts = bytearray()
-        while True:
-            event = await receive()
-            if event["type"] == "http.disconnect":
-                raise CallerLeft
-            parts += event.get("body", b"")
-            if len(parts) > self._max_body_bytes:
-                raise BodyTooLarge(f"A body may have {self._max_body_bytes} bytes.")
-            if not event.get("more_body", False):
-                return bytes(parts)
-
     def _call(
         self,
         scope: Scope,
@@ -276,33 +203,6 @@
             first_attempt=header(headers, b"fulmarroad-first-attempt") == "?1",
         )
 
-    async def _run_watched(
-        self, call: Call, receive: Receive, responder: AsgiResponder
-    ) -> None:
-        """Run a call, and stop it when its caller leaves."""
-        left = False
-
-        async def watch() -> None:
-            nonlocal left
-            while (await receive())["type"] != "http.disconnect":
-                pass
-            if not responder.finished:
-                left = True
-                group.cancel_scope.cancel()
-
-        failure: CallError | None = None
-        async with anyio.create_task_group() as group:
-            group.start_soon(watch)
-            try:
-                await self._runner.run(call, responder)
-            except CallError as error:
-                failure = error
-            group.cancel_scope.cancel()
-        if failure is not None:
-            raise failure
-        if left:
-            raise CallerLeft
-
     async def _fail(
         self, error: CallError, responder: AsgiResponder, stages: _Stages
     ) -> None:
@@ -320,7 +220,7 @@
             emit(logger, Event.REQUEST_UNKNOWN, **fields)
             self._metrics.incr("unknown")
         if not responder.begun:
-            await responder.error(error)
+            await responder.error(error, _error_marks(error, stages.request_id))
             return
         emit(logger, Event.STREAM_BROKEN, **fields)
         # The server closes the connection without its last chunk on an exception,
@@ -355,13 +255,22 @@
         )
 
 
-def error_document(error: CallError, request_id: str) -> dict[str, Any]:
-    """Return the error as callers get it in JSON."""
-    return {
-        "message": error.message,
-        "type": error.kind,
-        "code": error.code,
-        "ran": error.ran.value,
-        "request_id": request_id,
-        "retry_after_s": error.retry_after_s,
-    }
+def _responder(send: SendEvent, request_id: str) -> AsgiResponder:
+    marks = [_name_mark(request_id), _ran_mark(Ran.RAN)]
+    return AsgiResponder(send, request_id, answer_marks=marks)
+
+
+def _error_marks(error: CallError, request_id: str) -> Headers:
+    marks = [_name_mark(request_id), _ran_mark(error.ran)]
+    if error.retry_after_s is not None:
+        seconds = max(1, round(error.retry_after_s))
+        marks.append((b"retry-after", str(seconds).encode()))
+    return marks
+
+
+def _name_mark(request_id: str) -> tuple[bytes, bytes]:
+    return (b"x-request-id", request_id.encode())
+
+
+def _ran_mark(ran: Ran) -> tuple[bytes, bytes]:
+    return (b"fulmarroad-ran", ran.value.encode())
--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -127,6 +127,13 @@
     ran = Ran.UNKNOWN
 
 
+class AnswerBroken(CallError):
+    """Break an answer off that has begun, visibly to its caller."""
+
+    status = 502
+    code = "answer_broken"
+
+
 _REFUSALS = {
     RefusalReason.QUEUE_FULL: "The fleet's queue is full. Try again later.",
     RefusalReason.WORKSPACE_QUEUE_FULL: (
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -44,6 +44,7 @@
     prefix_of,
 )
 from fulmarroad_router.exceptions import (
+    AnswerBroken,
     CallError,
     OutcomeUnknown,
     Refused,
@@ -89,13 +90,6 @@
         """End the answer as whole."""
 
 
-class AnswerBroken(CallError):
-    """Break an answer off that has begun, visibly to its caller."""
-
-    status = 502
-    code = "answer_broken"
-
-
 @define
 class _Progress:
     """Hold how far the answer has got to the caller, over all tries."""
--- a/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 import socket
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -15,6 +16,9 @@
 
 BACKLOG = 1024
 
+IDLE_TIMEOUT_S = 5.0
+"""Time after which an idle connection of a caller is closed."""
+
 
 class _Server(uvicorn.Server):
     """Leave signals to the daemon's own supervisor."""
@@ -36,6 +40,7 @@
         *,
         max_connections: int | None = None,
         tls: TlsSettings | None = None,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
         on_ready: Callable[[int], None] = lambda port: None,
     ) -> None:
         self._app = app
@@ -45,6 +50,7 @@
         self._server: _Server | None = None
         self._max_connections = max_connections
         self._tls = tls
+        self._idle_timeout_s = idle_timeout_s
 
     async def run(self) -> None:
         """Serve until cancelled or stopped."""
@@ -62,6 +68,7 @@
             backlog=BACKLOG,
             limit_concurrency=self._max_connections,
             timeout_graceful_shutdown=None,
+            timeout_keep_alive=math.ceil(self._idle_timeout_s),
             ssl_certfile=self._tls.certificate if self._tls else None,
             ssl_keyfile=self._tls.key if self._tls else None,
         )
@@ -79,6 +86,12 @@
             self._server.should_exit = True
         await anyio.lowlevel.checkpoint()
 
+    def set_idle_timeout(self, seconds: float) -> None:
+        """Close new connections after another idle time."""
+        self._idle_timeout_s = seconds
+        if self._server is not None:
+            self._server.config.timeout_keep_alive = math.ceil(seconds)
+
     def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
         listener = socket.socket(family, socket.SOCK_STREAM)
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/__init__.py
@@ -0,0 +1,26 @@
+"""Serve callers from backend servers that register themselves, as one of a fleet.
+
+The decisions are pure and can be embedded; `contracts` says what an adapter gives.
+"""
+
+from fulmarroad_serving._attempts import CallProgress as CallProgress
+from fulmarroad_serving._attempts import SendOutcome as SendOutcome
+from fulmarroad_serving._catalog import CallerLimits as CallerLimits
+from fulmarroad_serving._catalog import CallKind as CallKind
+from fulmarroad_serving._catalog import Catalog as Catalog
+from fulmarroad_serving._catalog import CatalogIndex as CatalogIndex
+from fulmarroad_serving._catalog import EngineProfile as EngineProfile
+from fulmarroad_serving._catalog import KeyHolder as KeyHolder
+from fulmarroad_serving._catalog import ServedRoute as ServedRoute
+from fulmarroad_serving._catalog import Service as Service
+from fulmarroad_serving._catalog import Target as Target
+from fulmarroad_serving._catalog import digest_key as digest_key
+from fulmarroad_serving._dispatch import Demand as Demand
+from fulmarroad_serving._dispatch import Dispatcher as Dispatcher
+from fulmarroad_serving._dispatch import FleetBounds as FleetBounds
+from fulmarroad_serving._dispatch import Placement as Placement
+from fulmarroad_serving._dispatch import Refusal as Refusal
+from fulmarroad_serving._registry import Instance as Instance
+from fulmarroad_serving._registry import Registry as Registry
+from fulmarroad_serving._replica import ReplicaItem as ReplicaItem
+from fulmarroad_serving._replica import StateReplica as StateReplica
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
@@ -0,0 +1,183 @@
+"""What a router believes of configuration and servers, kept up to date from the store.
+
+Facts come from the store or from a peer's copy of it, in any order and more than once;
+each change is logged with the revision that brought it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+from fulmarroad.audit import AuditTrail, Subject
+from fulmarroad.events import Event, emit
+from fulmarroad_serving._catalog import Catalog, CatalogIndex
+from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem, StateReplica
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    CentreFact,
+    Fact,
+    InstanceFact,
+    InstanceGoneFact,
+    StateStore,
+    UnusableFact,
+)
+
+logger = logging.getLogger("fulmarroad.serving")
+
+
+class Beliefs:
+    """Turn items of the store into what the dispatcher goes by."""
+
+    def __init__(
+        self,
+        store: StateStore,
+        dispatcher: Dispatcher,
+        pool: ConnectionPool,
+        audit: AuditTrail,
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._dispatcher = dispatcher
+        self._pool = pool
+        self._audit = audit
+        self._clock = clock
+        self.replica = StateReplica()
+        self.index: CatalogIndex | None = None
+        self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
+        self.on_news: Callable[[], None] = lambda: None
+
+    @property
+    def catalog(self) -> Catalog:
+        """Return the configuration in force; version 0 while none is known."""
+        return self.index.catalog if self.index is not None else Catalog(0)
+
+    def take_listing(
+        self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
+    ) -> None:
+        """Take a whole listing of the store."""
+        self._apply(self.replica.replace(items, at), calm_s, source)
+
+    def take_changes(
+        self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
+    ) -> None:
+        """Take changes of the store."""
+        self._apply(self.replica.merge(items, at), calm_s, source)
+
+    def take_delta(self, delta: ReplicaDelta, calm_s: float, source: str) -> None:
+        """Take what a peer gave."""
+        self._apply(self.replica.take_delta(delta), calm_s, source)
+
+    def expire(self) -> None:
+        """Drop servers whose entries have not come back."""
+        for server in self._dispatcher.expire(self._clock()):
+            self._note_gone(server, "lapsed", 0)
+
+    def _apply(
+        self, items: tuple[ReplicaItem, ...], calm_s: float, source: str
+    ) -> None:
+        for item in items:
+            fact = self._store.decode(item)
+            if fact is not None:
+                self._take(fact, item.revision, calm_s, source)
+        if items:
+            self.on_news()
+
+    def _take(self, fact: Fact, revision: int, calm_s: float, source: str) -> None:
+        if isinstance(fact, CatalogFact):
+            self._take_catalog(fact.catalog, revision, source)
+        elif isinstance(fact, InstanceFact):
+            self._take_instance(fact.instance, revision, source)
+        elif isinstance(fact, InstanceGoneFact):
+            self._take_gone(fact, revision, calm_s)
+        elif isinstance(fact, CentreFact):
+            self._take_centre(fact, revision, source)
+        elif isinstance(fact, UnusableFact):
+            if fact.server:
+                self._take_gone(InstanceGoneFact(fact.server), revision, calm_s)
+            emit(
+                logger,
+                Event.STORE_ITEM_UNUSABLE,
+                key=fact.key,
+                cause=fact.cause,
+                revision=revision,
+                source=source,
+            )
+
+    def _take_catalog(self, catalog: Catalog, revision: int, source: str) -> None:
+        before = self.catalog.version
+        if catalog.version <= before:
+            emit(logger, Event.TABLES_LOWER, version=catalog.version, current=before)
+            return
+        self.index = CatalogIndex(catalog)
+        self._dispatcher.set_catalog(catalog)
+        emit(
+            logger,
+            Event.CATALOG_IN_FORCE,
+            version=catalog.version,
+            before=before,
+            routes=len(catalog.routes),
+            workspaces=len(catalog.holders),
+            revision=revision,
+            source=source,
+        )
+        self._audit.record(
+            Subject.TABLES,
+            "catalog",
+            before=str(before),
+            after=str(catalog.version),
+            cause=source,
+            version=revision,
+        )
+        self.on_catalog(catalog)
+
+    def _take_instance(self, instance: Instance, revision: int, source: str) -> None:
+        now = self._clock()
+        if self._dispatcher.registry.put(instance, now):
+            self._dispatcher.restarted(instance.id)
+            self._pool.forget(instance.id)
+        emit(
+            logger,
+            Event.SERVER_REGISTERED,
+            server=instance.id,
+            service=instance.service,
+            data_centre=instance.data_centre,
+            draining=instance.draining,
+            warmup_left_s=instance.warmup_left_s,
+            revision=revision,
+            source=source,
+        )
+
+    def _take_gone(self, fact: InstanceGoneFact, revision: int, calm_s: float) -> None:
+        registry = self._dispatcher.registry
+        if registry.remove(fact.server, self._clock(), store_calm_s=calm_s):
+            self._note_gone(fact.server, "removed", revision)
+
+    def _note_gone(self, server: str, cause: str, revision: int) -> None:
+        self._pool.forget(server)
+        emit(logger, Event.SERVER_GONE, server=server, cause=cause, revision=revision)
+
+    def _take_centre(self, fact: CentreFact, revision: int, source: str) -> None:
+        registry = self._dispatcher.registry
+        was_left = fact.data_centre in registry.centres_left
+        if fact.leaves == was_left:
+            return
+        if fact.leaves:
+            registry.leave_centre(fact.data_centre)
+            emit(logger, Event.CENTRE_LEFT, data_centre=fact.data_centre, at=revision)
+        else:
+            registry.return_centre(fact.data_centre)
+            emit(
+                logger, Event.CENTRE_RETURNED, data_centre=fact.data_centre, at=revision
+            )
+        self._audit.record(
+            Subject.DATA_CENTRE,
+            fact.data_centre,
+            before="left" if was_left else "in service",
+            after="left" if fact.leaves else "in service",
+            cause=source,
+            version=revision,
+        )
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -0,0 +1,245 @@
+"""The application for callers: read a call, check it by the configuration, run it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+
+from attrs import define, field
+
+from fulmarroad.events import Event, emit
+from fulmarroad.types import RefusalReason
+from fulmarroad_router.asgi import (
+    AsgiResponder,
+    CallerLeft,
+    Headers,
+    Receive,
+    Scope,
+    SendEvent,
+    read_body,
+    run_watched,
+)
+from fulmarroad_router.exceptions import (
+    AnswerBroken,
+    BadRequest,
+    CallError,
+    Refused,
+    RouteNotFound,
+    Unauthorized,
+)
+from fulmarroad_router.gate import CallGate, GateState
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._catalog import CatalogIndex, ServedRoute, pick_target
+from fulmarroad_serving._forwarding import Forwarder, ServedCall, Telling
+from fulmarroad_serving._measures import Measures
+from fulmarroad_serving.contracts import CallCodec, CallHead
+
+logger = logging.getLogger("fulmarroad.serving")
+
+NOT_READY_RETRY_S = 0.5
+"""Return to a router that has just started: it knows the configuration within that."""
+
+LEAST_DEADLINE_S = 0.005
+"""A caller with less time left is gone before its call could reach a server."""
+
+
+@define
+class _Stages:
+    """Hold what is known of a call while it is carried, for its log line."""
+
+    arrived: float
+    head: CallHead | None = None
+    route: ServedRoute | None = None
+    workspace: str = ""
+    version: int = 0
+    outcome: str = ""
+    telling: Telling = field(factory=Telling)
+
+
+class ServingApp:
+    """Answer callers' HTTP requests."""
+
+    def __init__(
+        self,
+        codec: CallCodec,
+        beliefs: Beliefs,
+        forwarder: Forwarder,
+        gate: CallGate,
+        measures: Measures,
+        clock: Callable[[], float],
+    ) -> None:
+        self._codec = codec
+        self._beliefs = beliefs
+        self._forwarder = forwarder
+        self._gate = gate
+        self._measures = measures
+        self._clock = clock
+
+    async def __call__(self, scope: Scope, receive: Receive, send: SendEvent) -> None:
+        """Serve one ASGI scope."""
+        if scope["type"] != "http":
+            return
+        stages = _Stages(self._clock())
+        marks: Headers = []
+        if self._gate.state is not GateState.OPEN:
+            # Callers who keep their connection would go on sending here.
+            marks.append((b"connection", b"close"))
+        responder = AsgiResponder(send, "", answer_marks=marks)
+        self._gate.enter()
+        try:
+            await self._serve(scope, receive, responder, stages)
+            stages.outcome = "served"
+        except CallerLeft:
+            stages.outcome = "caller_left"
+        except CallError as error:
+            stages.outcome = error.code
+            await self._fail(error, responder, stages, marks)
+        except Exception as error:
+            stages.outcome = "internal_error"
+            logger.debug("request failure", exc_info=error)
+            emit(
+                logger,
+                Event.REQUEST_FAILED,
+                request_id=stages.head.request_id if stages.head else "",
+                cause=repr(error),
+            )
+            failure = CallError("The router failed. The call may have run.")
+            await self._fail(failure, responder, stages, marks)
+        finally:
+            self._gate.leave()
+            self._note_end(responder, stages)
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        responder: AsgiResponder,
+        stages: _Stages,
+    ) -> None:
+        head = stages.head = self._codec.read_call(scope["headers"])
+        index = self._beliefs.index
+        most = self._beliefs.catalog.limits.body_bytes
+        body = await read_body(scope["headers"], receive, most)
+        reason = self._gate.refusal()
+        if reason is not None or index is None:
+            raise Refused(reason or RefusalReason.NOT_READY, NOT_READY_RETRY_S)
+        # The version in force when the call was read whole is the one that counts.
+        index = self._beliefs.index or index
+        stages.version = index.catalog.version
+        call = self._check(scope, head, body, index, stages)
+        await run_watched(
+            lambda: self._forwarder.run(call, responder, stages.telling),
+            receive,
+            responder,
+        )
+
+    def _check(
+        self,
+        scope: Scope,
+        head: CallHead,
+        body: bytes,
+        index: CatalogIndex,
+        stages: _Stages,
+    ) -> ServedCall:
+        if not head.request_id:
+            raise BadRequest("The call has no id.")
+        path = scope.get("raw_path") or scope["path"].encode()
+        route = index.route_for(head.host, path.decode("latin-1"))
+        if route is None:
+            raise RouteNotFound("No route of the configuration takes this call.")
+        stages.route = route
+        stages.workspace = self._workspace(head, route, index)
+        service = pick_target(route.targets, head.request_id)
+        if service is None:
+            raise Refused(RefusalReason.NO_SERVERS, NOT_READY_RETRY_S)
+        patience = route.timeout_s
+        if head.deadline_s is not None:
+            patience = min(patience, head.deadline_s)
+        deadline = stages.arrived + patience
+        if deadline - self._clock() < LEAST_DEADLINE_S:
+            raise Refused(RefusalReason.DEADLINE_PASSED, NOT_READY_RETRY_S)
+        query = scope.get("query_string", b"")
+        names = {name for name, _ in scope["headers"]}
+        return ServedCall(
+            head,
+            scope["method"],
+            path + (b"?" + query if query else b""),
+            body,
+            route,
+            service,
+            stages.workspace,
+            deadline,
+            bool(body) or b"content-length" in names or b"transfer-encoding" in names,
+        )
+
+    def _workspace(
+        self, head: CallHead, route: ServedRoute, index: CatalogIndex
+    ) -> str:
+        holder = index.holder_of(head.key) if head.key else None
+        if holder is not None:
+            return holder.name
+        if route.anonymous or not index.asks_for_keys:
+            return ""
+        raise Unauthorized("Send a known key.")
+
+    async def _fail(
+        self,
+        error: CallError,
+        responder: AsgiResponder,
+        stages: _Stages,
+        marks: Headers,
+    ) -> None:
+        """Answer with an error, or break off an answer that has begun."""
+        if responder.begun:
+            # The server closes the connection without its last chunk on an exception,
+            # so that no caller can take the answer for whole.
+            raise AnswerBroken(error.message)
+        own = [*marks, *self._codec.own_headers(stages.head)]
+        if error.retry_after_s is not None:
+            own.append((b"retry-after", b"%.2f" % error.retry_after_s))
+        await responder.error(error, own)
+
+    def _note_end(self, responder: AsgiResponder, stages: _Stages) -> None:
+        seconds = self._clock() - stages.arrived
+        telling, route = stages.telling, stages.route
+        kind = route.kind.value if route else "none"
+        self._measures.calls.labels(kind, stages.outcome or "cancelled").inc()
+        if telling.first_s:
+            self._measures.first.labels(kind).observe(telling.first_s)
+        if stages.outcome == "served":
+            self._measures.whole.labels(kind).observe(seconds)
+        emit(
+            logger,
+            _end_event(stages.outcome, responder),
+            request_id=stages.head.request_id if stages.head else "",
+            workspace=stages.workspace,
+            route=route.name if route else "",
+            version=stages.version,
+            outcome=stages.outcome,
+            status=responder.status,
+            seconds=round(seconds, 4),
+            first_s=round(telling.first_s, 4),
+            server=telling.server,
+            sends=telling.sends,
+            cached=telling.cached,
+            wait_s=round(telling.wait_s, 4),
+            share_used=round(telling.use, 3),
+            objective_s=route.objective_s if route else 0.0,
+        )
+
+
+_REFUSED = {reason.value for reason in RefusalReason} | {
+    error.code for error in (BadRequest, RouteNotFound, Unauthorized)
+}
+
+
+def _end_event(outcome: str, responder: AsgiResponder) -> Event:
+    if outcome == "served":
+        return Event.REQUEST_DONE
+    if outcome == "caller_left":
+        return Event.CALLER_LEFT
+    if outcome in _REFUSED:
+        return Event.REQUEST_REFUSED
+    if responder.begun and not responder.finished:
+        return Event.STREAM_BROKEN
+    return Event.REQUEST_UNKNOWN
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -0,0 +1,355 @@
+"""The decisions on a call put together: let in or refuse, where to send, what it cost.
+
+One object holds all that a router believes and decides without a network, so that the
+same code runs behind callers, in tests and in the model of a whole fleet. Time is
+passed in; what happened is told by the tasks that own the sockets.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Mapping
+
+from attrs import define, field, frozen
+
+from fulmarroad.types import (
+    DataCentreName,
+    RefusalReason,
+    RouterName,
+    ServerName,
+    WorkspaceName,
+)
+from fulmarroad_serving._attempts import SendOutcome
+from fulmarroad_serving._budgets import ColdShare, RetryShare
+from fulmarroad_serving._catalog import Catalog, Service, ServiceName
+from fulmarroad_serving._health import ServerTrust
+from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad
+from fulmarroad_serving._registry import Registered, Registry, cold_bound
+from fulmarroad_serving._routing import (
+    Candidate,
+    Choice,
+    PartMemory,
+    choose_engine,
+    choose_plain,
+)
+from fulmarroad_serving._shares import ShareBook, wait_part
+
+CALL_UNITS = 1.0
+"""Units of service of a call at a plain service."""
+
+GENERATED_WEIGHT = 2.0
+"""Units of service of a generated token; a token read counts one."""
+
+LATE_PROMPT_PART = 0.3
+"""Part of the objective that a prompt may wait whose reading alone takes longer: it
+comes late in any case, and would otherwise never be served."""
+
+PLAIN_SERVICE_S = 0.05
+"""Time of a call at a plain service before any was seen."""
+
+PLAIN_LEARNING = 0.05
+
+PLAIN_WAIT_PART = 0.6
+"""Part of the objective that a call may wait for a slot of a plain service."""
+
+RETRY_AFTER_S = (0.3, 0.9)
+"""Earliest and latest return after a refusal by load: the queue of an engine is read
+within a fraction of a second, and the spread keeps returns from coming at once."""
+
+LONGEST_RETRY_AFTER_S = 4.0
+"""The window of shares: what was used up then is free again."""
+
+NO_SERVER_RETRY_S = (0.8, 1.6)
+"""Return where no server is known: new entries come about once a second."""
+
+
+@frozen
+class FleetBounds:
+    """Hold the bounds that the whole fleet keeps."""
+
+    retry_ratio: float = 0.1
+    retry_window_s: float = 10.0
+    retry_burst: float = 20.0
+    warmup_factor: float = 1.0
+    warmup_tolerance: float = 0.0
+    share_window_s: float = 4.0
+
+
+@frozen
+class Demand:
+    """Describe a call to be placed."""
+
+    call_id: str
+    service: ServiceName
+    workspace: WorkspaceName
+    objective_s: float
+    part: str = ""  # name of the shared part of its prompt
+    shared_tokens: int = 0
+    own_tokens: int = 0
+    output_tokens: int = 0
+
+    @property
+    def units(self) -> float:
+        """Return the service that the call takes."""
+        read = self.shared_tokens + self.own_tokens
+        return read + GENERATED_WEIGHT * self.output_tokens or CALL_UNITS
+
+
+@frozen
+class Placement:
+    """Say where a call goes, with what the decision went by."""
+
+    registered: Registered
+    choice: Choice
+    use: float  # part of its share that the workspace has used
+    candidates: int
+
+
+@frozen
+class Refusal:
+    """Say why a call is turned away without being sent, and when to come back."""
+
+    reason: RefusalReason
+    retry_after_s: float
+    wait_s: float = 0.0
+    use: float = 0.0
+    candidates: int = 0
+
+
+@define
+class Ticket:
+    """Hold a call that is at a server."""
+
+    demand: Demand
+    charge: Charge
+    begun: bool = False
+
+
+@define
+class _ServerView:
+    """Hold all that this router knows of one server's doing."""
+
+    load: ServerLoad = field(factory=ServerLoad)
+    trust: ServerTrust = field(factory=ServerTrust)
+    cold: ColdShare | None = None
+    plain_s: float = PLAIN_SERVICE_S
+
+
+class Dispatcher:
+    """Decide for one router."""
+
+    def __init__(
+        self, me: RouterName, centre: DataCentreName, bounds: FleetBounds, seed: int = 0
+    ) -> None:
+        self._me = me
+        self._centre = centre
+        self._bounds = bounds
+        self._random = random.Random(seed)
+        self._views: dict[ServerName, _ServerView] = {}
+        self._retries: dict[ServiceName, RetryShare] = {}
+        self._memory = PartMemory()
+        self._catalog = Catalog(0)
+        self._peers: dict[RouterName, float] = {}
+        self.registry = Registry()
+        self.shares = ShareBook(window_s=bounds.share_window_s)
+        self.routers: list[RouterName] = [me]
+        """Routers that may exist, this one too; set by the membership."""
+
+    def set_catalog(self, catalog: Catalog) -> None:
+        """Decide by another version of the configuration."""
+        self._catalog = catalog
+        self.shares.units_per_s = catalog.limits.units_per_s
+
+    def restarted(self, server: ServerName) -> None:
+        """Forget what was known of a server that started anew."""
+        self._views.pop(server, None)
+        self._memory.forget(server)
+
+    def trust(self, server: ServerName) -> ServerTrust:
+        """Return how far a server is trusted."""
+        return self._view(server).trust
+
+    def load(self, server: ServerName) -> ServerLoad:
+        """Return what is known of a server's load."""
+        return self._view(server).load
+
+    def own_load(self) -> dict[ServerName, PeerLoad]:
+        """Return what this router has at servers, for its peers."""
+        return {
+            server: PeerLoad(view.load.running, max(0, view.load.waiting_tokens))
+            for server, view in self._views.items()
+            if view.load.running
+        }
+
+    def hear_load(
+        self, router: RouterName, loads: Mapping[ServerName, PeerLoad], now: float
+    ) -> None:
+        """Take a peer's word on what it has at servers."""
+        for server, load in loads.items():
+            self._view(server).load.hear(router, load, now)
+        for server, view in self._views.items():
+            if server not in loads:
+                view.load.peers.pop(router, None)
+
+    def note_asked(self, demand: Demand, now: float) -> None:
+        """Count a call that came in."""
+        self.shares.note_asked(demand.workspace, demand.units, now)
+        self._retry_share(demand.service).note_request(now)
+
+    def take_retry(self, service: ServiceName, now: float) -> bool:
+        """Take one retry from the budget; tell whether there was one."""
+        return self._retry_share(service).take(now, len(self.routers))
+
+    def place(
+        self, demand: Demand, now: float, *, avoid: Collection[ServerName] = ()
+    ) -> Placement | Refusal:
+        """Choose a server, or say why there is none."""
+        service = self._catalog.services.get(demand.service) or Service(demand.service)
+        rows = self._open_servers(service, now, avoid)
+        if not rows:
+            return self._no_server()
+        candidates = [self._candidate(row, service, now) for row in rows]
+        if service.engine is not None:
+            choice = choose_engine(
+                demand.part,
+                demand.shared_tokens,
+                demand.own_tokens,
+                candidates,
+                self._memory,
+                self._centre,
+                now,
+            )
+        else:
+            choice = choose_plain(candidates, self._centre, self._random)
+        assert choice is not None
+        use = self.shares.use_of(demand.workspace, demand.units, now)
+        if service.engine is None:
+            use = 0.0
+        if choice.wait_s > self._allowed_wait(demand, service, choice, use):
+            return self._overloaded(choice, use, len(rows))
+        registered = self.registry.get(choice.server)
+        assert registered is not None
+        return Placement(registered, choice, use, len(rows))
+
+    def send(self, demand: Demand, placement: Placement, now: float) -> Ticket:
+        """Count a call that is about to be sent."""
+        server = placement.choice.server
+        view = self._view(server)
+        charge = view.load.send(server, placement.choice.tokens, now)
+        if placement.registered.cold(now):
+            self._cold_share(view, demand.service).note(now)
+        if demand.part:
+            self._memory.note(demand.part, server, now)
+        self.shares.note_got(demand.workspace, demand.units, now)
+        return Ticket(demand, charge)
+
+    def begin(self, ticket: Ticket, now: float) -> None:
+        """Count the first part of an answer."""
+        if not ticket.begun:
+            ticket.begun = True
+            self._view(ticket.charge.server).load.begin(ticket.charge, now)
+
+    def end(self, ticket: Ticket, outcome: SendOutcome | None, now: float) -> None:
+        """Count a call that ended; no outcome: answered, or its caller left."""
+        view = self._view(ticket.charge.server)
+        view.load.end(ticket.charge, begun=ticket.begun)
+        if outcome is None:
+            if ticket.begun:
+                view.trust.succeed(now)
+                took = now - ticket.charge.sent_at
+                view.plain_s += PLAIN_LEARNING * (took - view.plain_s)
+        elif outcome in (SendOutcome.UNKNOWN, SendOutcome.FAILED):
+            view.trust.fail(now)
+
+    def expire(self, now: float) -> list[ServerName]:
+        """Drop what is over; return the servers that are gone for good."""
+        gone = self.registry.expire(now)
+        for server in list(self._views):
+            view = self._views[server]
+            if self.registry.get(server) is None and not view.load.running:
+                del self._views[server]
+                self._memory.forget(server)
+        return gone
+
+    def _open_servers(
+        self, service: Service, now: float, avoid: Collection[ServerName]
+    ) -> list[Registered]:
+        rows = []
+        for row in self.registry.usable(service.name):
+            server = row.instance.id
+            if server in avoid or self._view(server).trust.paused(now):
+                continue
+            if service.warmup_rate > 0 and row.cold(now):
+                share = self._cold_share(self._view(server), service.name)
+                if not share.allows(server, self._me, self.routers, now):
+                    continue
+            rows.append(row)
+        return rows
+
+    def _candidate(self, row: Registered, service: Service, now: float) -> Candidate:
+        instance = row.instance
+        view = self._view(instance.id)
+        if service.engine is not None:
+            wait = view.load.wait_s(instance.slots, now)
+        else:
+            over = view.load.total_running(now) + 1 - instance.slots
+            wait = max(0.0, over / max(1, instance.slots)) * view.plain_s
+            # A fuller server among those with room is slower and closer to waiting.
+            wait += 0.001 * view.load.total_running(now)
+        return Candidate(
+            instance.id,
+            instance.data_centre,
+            now - row.seen_at,
+            wait,
+            view.load.read_rate,
+            view.load.base_s if service.engine is not None else view.plain_s,
+            view.trust.penalty_s(now),
+        )
+
+    def _allowed_wait(
+        self, demand: Demand, service: Service, choice: Choice, use: float
+    ) -> float:
+        if service.engine is None:
+            return PLAIN_WAIT_PART * demand.objective_s
+        room = max(
+            demand.objective_s - choice.read_s, LATE_PROMPT_PART * demand.objective_s
+        )
+        return wait_part(use) * room
+
+    def _no_server(self) -> Refusal:
+        pause = self._random.uniform(*NO_SERVER_RETRY_S)
+        return Refusal(RefusalReason.NO_SERVERS, pause)
+
+    def _overloaded(self, choice: Choice, use: float, candidates: int) -> Refusal:
+        early, late = RETRY_AFTER_S
+        pause = self._random.uniform(early, late)
+        if use > 1.0:
+            # The share is free again as the window moves on.
+            pause += min(use - 1.0, 1.0) * self._bounds.share_window_s / 2
+        pause = min(pause, LONGEST_RETRY_AFTER_S)
+        reason = RefusalReason.WAIT_TOO_LONG
+        return Refusal(reason, pause, choice.wait_s, use, candidates)
+
+    def _view(self, server: ServerName) -> _ServerView:
+        view = self._views.get(server)
+        if view is None:
+            view = self._views[server] = _ServerView()
+        return view
+
+    def _cold_share(self, view: _ServerView, service: ServiceName) -> ColdShare:
+        row = self._catalog.services.get(service) or Service(service)
+        bounds = self._bounds
+        bound = cold_bound(row, bounds.warmup_factor, bounds.warmup_tolerance)
+        if view.cold is None:
+            view.cold = ColdShare(bound)
+        view.cold.bound = bound
+        return view.cold
+
+    def _retry_share(self, service: ServiceName) -> RetryShare:
+        share = self._retries.get(service)
+        if share is None:
+            bounds = self._bounds
+            share = self._retries[service] = RetryShare(
+                bounds.retry_ratio, bounds.retry_window_s, bounds.retry_burst
+            )
+        return share
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -0,0 +1,129 @@
+"""Estimate how soon a model engine would begin an answer.
+
+Pattern of load: long prompts among short answers, sent by many routers at once. An
+engine admits in the order of arrival and reads one prompt after the other, so what
+waits there decides the first token; its own report is a tenth of a second old and read
+by everybody. Without an estimate of one's own, operators would notice first tokens that
+come late at some engines while others idle. The estimate counts what this router sent
+and has not seen begin, adds what its peers say of theirs, and learns each engine's
+speed from the first tokens that come.
+"""
+
+from __future__ import annotations
+
+import math
+
+from attrs import define, field, frozen
+
+from fulmarroad.types import RouterName, ServerName
+
+READ_RATE = 90_000.0
+"""Prompt tokens a second before anything was seen: an engine of 112 to 157 tokens per
+millisecond that shares its steps with about thirty running answers."""
+
+READ_RATE_BOUNDS = (8_000.0, 400_000.0)
+"""Learned rates outside of these come from mistaken guesses of what was cached."""
+
+BASE_S = 0.035
+"""First token of an idle engine with the prompt cached: two steps and both ways."""
+
+LEARNING = 0.08
+"""Weight of one first token in what is learned: a slow engine shows after ten."""
+
+LEAST_LEARNED_TOKENS = 1_500
+"""A shorter wait tells more about the network than about the engine."""
+
+PEER_FRESH_S = 1.0
+"""Age at which a peer's word on its own load is dropped: five of its reports."""
+
+FULL_PENALTY_S = 1.0
+"""Added where every slot is taken: the next place is an answer's end away."""
+
+
+@frozen
+class PeerLoad:
+    """Hold what one peer has running and waiting at a server."""
+
+    running: int
+    waiting_tokens: int
+
+
+@frozen
+class Charge:
+    """Hold one running call at a server as this router counts it."""
+
+    server: ServerName
+    tokens: int  # prompt tokens to read, as far as known not cached
+    ahead_tokens: float  # waiting there when it was sent
+    sent_at: float
+
+
+@define
+class ServerLoad:
+    """Hold what is known of the load of one server."""
+
+    running: int = 0
+    waiting_tokens: int = 0
+    read_rate: float = READ_RATE
+    base_s: float = BASE_S
+    peers: dict[RouterName, tuple[float, PeerLoad]] = field(factory=dict)
+
+    def send(self, server: ServerName, tokens: int, now: float) -> Charge:
+        """Count a call that is sent."""
+        charge = Charge(server, tokens, self.total_waiting(now), now)
+        self.running += 1
+        self.waiting_tokens += tokens
+        return charge
+
+    def begin(self, charge: Charge, now: float) -> None:
+        """Count a first token; learn the engine's speed from it."""
+        self.waiting_tokens -= charge.tokens
+        took = now - charge.sent_at
+        tokens = charge.ahead_tokens + charge.tokens
+        if tokens < LEAST_LEARNED_TOKENS:
+            self.base_s += LEARNING * (min(took, 4 * BASE_S) - self.base_s)
+            return
+        seen = tokens / max(took - self.base_s, 0.001)
+        low, high = READ_RATE_BOUNDS
+        # The mean of logarithms: one wrong guess of ten times must not stay for long.
+        rate = math.log(self.read_rate)
+        rate += LEARNING * (math.log(min(max(seen, low), high)) - rate)
+        self.read_rate = math.exp(rate)
+
+    def end(self, charge: Charge, *, begun: bool) -> None:
+        """Count a call that ended."""
+        self.running -= 1
+        if not begun:
+            self.waiting_tokens -= charge.tokens
+
+    def hear(self, router: RouterName, load: PeerLoad, now: float) -> None:
+        """Take a peer's word."""
+        self.peers[router] = (now, load)
+
+    def total_running(self, now: float) -> int:
+        """Return the calls of all routers that run or wait there."""
+        return self.running + sum(load.running for load in self._fresh(now))
+
+    def total_waiting(self, now: float) -> float:
+        """Return the prompt tokens of all routers that wait to be read there."""
+        theirs = 0.0
+        for at, load in self.peers.values():
+            age = now - at
+            if age < PEER_FRESH_S:
+                # The engine has read on since the peer wrote.
+                theirs += max(0.0, load.waiting_tokens - self.read_rate * age)
+        return self.waiting_tokens + theirs
+
+    def wait_s(self, slots: int, now: float) -> float:
+        """Return how long a new prompt waits before it is read."""
+        wait = self.total_waiting(now) / self.read_rate
+        if slots and self.total_running(now) >= slots:
+            wait += FULL_PENALTY_S
+        return wait
+
+    def read_s(self, tokens: int) -> float:
+        """Return how long reading a prompt takes, with the first token."""
+        return self.base_s + tokens / self.read_rate
+
+    def _fresh(self, now: float) -> list[PeerLoad]:
+        return [load for at, load in self.peers.values() if now - at < PEER_FRESH_S]
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
@@ -0,0 +1,66 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
+
+
+class Measures:
+    """Hold the measures of one router."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.calls = Counter(
+            "fulmarroad_calls",
+            "Calls that ended, by route kind and outcome",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.sends = Counter(
+            "fulmarroad_sends",
+            "Sends to backend servers that failed, by what is known of them",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self.first = Histogram(
+            "fulmarroad_first_answer_seconds",
+            "Time from a call's arrival to the first part of its answer",
+            ["kind"],
+            buckets=SECONDS,
+            registry=self._registry,
+        )
+        self.whole = Histogram(
+            "fulmarroad_whole_answer_seconds",
+            "Time from a call's arrival to the end of its answer",
+            ["kind"],
+            buckets=SECONDS,
+            registry=self._registry,
+        )
+        self.in_flight = Gauge(
+            "fulmarroad_in_flight", "Calls in flight", registry=self._registry
+        )
+        self.peers = Gauge(
+            "fulmarroad_peers_alive", "Peers heard lately", registry=self._registry
+        )
+        self.version = Gauge(
+            "fulmarroad_catalog_version",
+            "Version of the configuration in force",
+            registry=self._registry,
+        )
+        self.store_age = Gauge(
+            "fulmarroad_store_age_seconds",
+            "Time since this router heard from the store itself",
+            registry=self._registry,
+        )
+        self.dropped = Gauge(
+            "fulmarroad_log_lines_dropped",
+            "Log lines waiting to be told as dropped",
+            registry=self._registry,
+        )
+
+    def text(self) -> bytes:
+        """Return every measure as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -0,0 +1,147 @@
+"""Backend servers that register themselves: who may get work, who is cold, who left."""
+
+from __future__ import annotations
+
+from attrs import define, frozen
+
+from fulmarroad.types import DataCentreName, ServerName
+from fulmarroad_serving._catalog import Service, ServiceName
+
+LAPSE_GRACE_S = 2.0
+"""How long a server whose entry vanished around an outage of the store stays in use.
+
+Entries lapse while the store is away although their servers live; all at once they
+would leave a router without servers. Live ones are written again within two seconds.
+"""
+
+SUSPECT_S = 4.0
+"""How long a server that broke a connection is treated as cold: three intervals of its
+own entry's writing (1.2 s), by which a restart shows in the entry."""
+
+
+@frozen
+class Instance:
+    """Describe one start of a backend server, as it registered itself."""
+
+    id: ServerName
+    service: ServiceName
+    host: str
+    port: int
+    data_centre: DataCentreName
+    slots: int
+    draining: bool = False
+    warmup_left_s: float = 0.0
+    started_ms: int = 0  # Unix time of its start; the same id may start again
+
+
+@define
+class Registered:
+    """Hold an instance with what is believed of it."""
+
+    instance: Instance
+    seen_at: float
+    cold_until: float = 0.0
+    suspect_until: float = 0.0
+    lapses_at: float | None = None
+
+    def cold(self, now: float) -> bool:
+        """Tell whether it bears little now, or may have started again unseen."""
+        return now < self.cold_until or now < self.suspect_until
+
+
+class Registry:
+    """Hold every registered backend server."""
+
+    def __init__(self) -> None:
+        self._rows: dict[ServerName, Registered] = {}
+        self._left: set[DataCentreName] = set()
+
+    @property
+    def centres_left(self) -> frozenset[DataCentreName]:
+        """Return the data centres whose servers get nothing."""
+        return frozenset(self._left)
+
+    def get(self, server: ServerName) -> Registered | None:
+        """Return what is believed of a server, or nothing."""
+        return self._rows.get(server)
+
+    def rows(self) -> list[Registered]:
+        """Return every server."""
+        return list(self._rows.values())
+
+    def put(self, instance: Instance, now: float) -> bool:
+        """Take an entry in; tell whether the server is a new start."""
+        row = self._rows.get(instance.id)
+        fresh = row is None or row.instance.started_ms != instance.started_ms
+        if row is None:
+            row = self._rows[instance.id] = Registered(instance, now)
+        row.instance = instance
+        row.lapses_at = None
+        row.suspect_until = 0.0
+        if fresh:
+            row.seen_at = now
+        row.cold_until = now + max(0.0, instance.warmup_left_s)
+        return fresh
+
+    def remove(
+        self, server: ServerName, now: float, *, store_calm_s: float = LAPSE_GRACE_S
+    ) -> bool:
+        """Drop a server, or keep it until it would be back; tell whether it is gone.
+
+        `store_calm_s` is the time since the store last failed whoever read the removal.
+        """
+        row = self._rows.get(server)
+        if row is None:
+            return False
+        grace = LAPSE_GRACE_S - store_calm_s
+        if grace > 0 and not row.instance.draining:
+            row.lapses_at = now + grace
+            return False
+        del self._rows[server]
+        return True
+
+    def expire(self, now: float) -> list[ServerName]:
+        """Drop the servers whose entry has not come back; return them."""
+        gone = [
+            name
+            for name, row in self._rows.items()
+            if row.lapses_at is not None and now >= row.lapses_at
+        ]
+        for name in gone:
+            del self._rows[name]
+        return gone
+
+    def leave_centre(self, centre: DataCentreName) -> None:
+        """Send nothing more to a data centre."""
+        self._left.add(centre)
+
+    def return_centre(self, centre: DataCentreName) -> None:
+        """Let a data centre take work again."""
+        self._left.discard(centre)
+
+    def suspect(self, server: ServerName, now: float) -> None:
+        """Note a broken connection: the server may have started again, cold."""
+        row = self._rows.get(server)
+        if row is not None:
+            row.suspect_until = now + SUSPECT_S
+
+    def chill(self, server: ServerName, left_s: float, now: float) -> None:
+        """Note that a server said that it is cold."""
+        row = self._rows.get(server)
+        if row is not None:
+            row.cold_until = max(row.cold_until, now + left_s)
+
+    def usable(self, service: ServiceName) -> list[Registered]:
+        """Return the servers of a service that may get new work."""
+        return [
+            row
+            for row in self._rows.values()
+            if row.instance.service == service
+            and not row.instance.draining
+            and row.instance.data_centre not in self._left
+        ]
+
+
+def cold_bound(service: Service, factor: float, tolerance: float) -> float:
+    """Return the calls a second that a cold server may get from all routers."""
+    return service.warmup_rate * factor + tolerance
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -0,0 +1,152 @@
+"""Choose the server of a call: where its prompt is cached, unless that one is behind.
+
+Pattern of load: prompts that share long parts, some of them asked for far more often.
+Spread evenly, every engine reads every part again and again; sent to one home each, a
+popular part overloads its engine. Operators would notice prompt tokens read several
+times over, or one late engine among idle ones. Each part has the same order of servers
+at every router, by rendezvous hashing, so routers agree without a message. A call goes
+to the first in that order unless another would begin it sooner even though it has to
+read the part; then that one has it too, and the next calls count on that.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Sequence
+
+import xxhash
+from attrs import define, field, frozen
+
+from fulmarroad.types import DataCentreName, ServerName
+
+REMEMBERED_S = 12.0
+"""How long a router counts on a part that it sent to a server: engines keep what was
+used last, and a part that nobody used for longer may have gone."""
+
+REMEMBERED_PARTS = 20_000
+"""Pairs of part and server remembered, about 4 MB; the oldest go first."""
+
+SETTLED_S = 3.0
+"""A server that is known for a shorter time does not have its parts yet."""
+
+READ_AGAIN_WEIGHT = 0.6
+"""Cost of reading a cached part again beside this call's own wait: the time is also
+taken from everybody else at that engine, who is mostly not at the edge of lateness."""
+
+OTHER_CENTRE_S = 0.003
+"""Cost of leaving the data centre: both ways between two, and the bytes."""
+
+
+@frozen
+class Candidate:
+    """Hold what placement knows of one server."""
+
+    server: ServerName
+    data_centre: DataCentreName
+    known_s: float  # time since it registered
+    wait_s: float  # before a prompt is read there
+    read_rate: float  # prompt tokens a second
+    base_s: float  # first token of a cached prompt
+    penalty_s: float = 0.0
+
+
+@frozen
+class Choice:
+    """Say where a call goes and what is expected there."""
+
+    server: ServerName
+    wait_s: float
+    read_s: float
+    tokens: int  # prompt tokens to read there
+    cached: bool
+    home: bool
+
+
+@define
+class PartMemory:
+    """Remember which servers were sent which shared part lately."""
+
+    _seen: OrderedDict[tuple[str, ServerName], float] = field(factory=OrderedDict)
+
+    def note(self, part: str, server: ServerName, now: float) -> None:
+        """Note that a server was sent a part."""
+        self._seen[(part, server)] = now
+        self._seen.move_to_end((part, server))
+        if len(self._seen) > REMEMBERED_PARTS:
+            self._seen.popitem(last=False)
+
+    def has(self, part: str, server: ServerName, now: float) -> bool:
+        """Tell whether a server was sent a part lately."""
+        at = self._seen.get((part, server))
+        return at is not None and now - at < REMEMBERED_S
+
+    def forget(self, server: ServerName) -> None:
+        """Drop a server that started again."""
+        for pair in [pair for pair in self._seen if pair[1] == server]:
+            del self._seen[pair]
+
+
+def home_order(part: str, servers: Sequence[ServerName]) -> list[ServerName]:
+    """Return the servers in the order in which a part goes to them."""
+    return sorted(
+        servers,
+        key=lambda server: xxhash.xxh3_64_intdigest(f"{part}\0{server}".encode()),
+        reverse=True,
+    )
+
+
+def choose_engine(
+    part: str,
+    shared_tokens: int,
+    own_tokens: int,
+    candidates: Sequence[Candidate],
+    memory: PartMemory,
+    centre: DataCentreName,
+    now: float,
+) -> Choice | None:
+    """Return the server that begins a prompt soonest, counting what it has cached."""
+    if not candidates:
+        return None
+    home = home_order(part, [row.server for row in candidates])[0] if part else ""
+    best: tuple[float, Choice] | None = None
+    for row in candidates:
+        is_home = row.server == home
+        cached = memory.has(part, row.server, now) or (
+            is_home and row.known_s > SETTLED_S
+        )
+        tokens = own_tokens if cached else own_tokens + shared_tokens
+        read_s = row.base_s + tokens / row.read_rate
+        cost = row.wait_s + read_s + row.penalty_s
+        if not cached:
+            cost += READ_AGAIN_WEIGHT * shared_tokens / row.read_rate
+        if row.data_centre != centre:
+            cost += OTHER_CENTRE_S
+        if best is None or cost < best[0]:
+            choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
+            best = (cost, choice)
+    assert best is not None
+    return best[1]
+
+
+def choose_plain(
+    candidates: Sequence[Candidate],
+    centre: DataCentreName,
+    source: random.Random,
+) -> Choice | None:
+    """Return the better of two servers picked at random.
+
+    The least loaded one as many routers see it would get the next call of each.
+    """
+    if not candidates:
+        return None
+    pair = source.sample(candidates, 2) if len(candidates) > 1 else list(candidates)
+    row = min(
+        pair,
+        key=lambda row: (
+            row.wait_s
+            + row.penalty_s
+            + (OTHER_CENTRE_S if row.data_centre != centre else 0.0)
+        ),
+    )
+    return Choice(row.server, row.wait_s, row.base_s, 0, True, True)
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -0,0 +1,282 @@
+"""Put one serving process together: its tasks under one supervisor, start and drain."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from fulmarroad.audit import AuditRecord, AuditTrail, Subject
+from fulmarroad.events import Event, emit
+from fulmarroad.supervision import ChildSpec, Supervisor
+from fulmarroad_router.gate import CallGate, GateState
+from fulmarroad_router.http_server import HttpServer
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._callers import ServingApp
+from fulmarroad_serving._catalog import Catalog
+from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._forwarding import Forwarder
+from fulmarroad_serving._measures import Measures
+from fulmarroad_serving._peers import Peers
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
+from fulmarroad_serving.bounded_log import BoundedLog
+from fulmarroad_serving.contracts import CallCodec, ServingSettings, StateStore
+
+logger = logging.getLogger("fulmarroad.serving")
+
+NOTICE_S = 2.5
+"""How long a draining router goes on taking calls: the balancer asks each second and
+takes a router out after two misses."""
+
+GRACE_MARGIN_S = 0.4
+"""Part of the time until the kill that is kept for closing down."""
+
+TICK_S = 0.2
+PAUSE_S = 0.5
+"""A gap of the clock beyond the tick that counts as a pause of the whole process."""
+
+SETTLE_S = 2.0
+"""Time after the configuration is known at which a router without any server is ready
+all the same: it then says truthfully that there is none."""
+
+
+def boot_clock() -> float:
+    """Return seconds since boot, counting the time that a VM was suspended.
+
+    By the monotonic clock, which leaves that time out, a woken router would take old
+    beliefs for fresh and give servers more time than a caller has left.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ServingNode:
+    """Own the life of one process: start, serve, drain, end."""
+
+    def __init__(
+        self,
+        settings: ServingSettings,
+        codec: CallCodec,
+        store: StateStore,
+        log: BoundedLog,
+        read_seeds: Callable[[], tuple[str, ...]],
+        clock: Callable[[], float] = boot_clock,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._read_seeds = read_seeds
+        self._clock = clock
+        self._incarnation = time.time_ns() // 1_000_000
+        self._gate = CallGate()
+        self._measures = Measures()
+        self._drain_asked = anyio.Event()
+        self._audit = AuditTrail(_log_audit)
+        self._dispatcher = Dispatcher(
+            settings.router, settings.data_centre, settings.bounds, self._incarnation
+        )
+        self._pool = ConnectionPool(clock)
+        self._beliefs = Beliefs(store, self._dispatcher, self._pool, self._audit, clock)
+        self._reader = StoreReader(
+            store, self._beliefs, self._reads_store, clock, self._incarnation
+        )
+        self._peers = Peers(
+            settings.router,
+            settings.data_centre,
+            settings.host,
+            settings.peer_port,
+            self._incarnation,
+            self._dispatcher,
+            self._beliefs,
+            lambda: (self._reader.age_s(), self._reader.calm_s()),
+            clock,
+        )
+        self._peers.seeds = settings.seeds
+        self._beliefs.on_news = self._peers.tell_news
+        self._beliefs.on_catalog = self._take_catalog
+        forwarder = Forwarder(
+            self._dispatcher, self._pool, codec, lambda: self._beliefs.catalog, clock
+        )
+        app = ServingApp(
+            codec, self._beliefs, forwarder, self._gate, self._measures, clock
+        )
+        self._callers = HttpServer(
+            app,
+            settings.host,
+            settings.callers_port,
+            idle_timeout_s=Catalog(0).limits.idle_timeout_s,
+        )
+
+    async def run(self) -> None:
+        """Run until the graceful shutdown is done."""
+        emit(logger, Event.STARTED, incarnation=self._incarnation)
+        async with anyio.create_task_group() as group:
+            await group.start(self._watch_signals)
+            group.start_soon(self._run_tree)
+            group.start_soon(self._open_gate)
+            await self._drain_asked.wait()
+            await self._shut_down()
+            group.cancel_scope.cancel()
+        self._pool.close()
+        emit(logger, Event.SHUTDOWN_DONE)
+        self._log.drain()
+
+    async def _run_tree(self) -> None:
+        settings = self._settings
+        status = PageApp(json_page(self.status))
+        metrics = PageApp(text_page(self._metrics_text))
+        ready = PageApp(readiness_page(self._gate))
+        children = [
+            ChildSpec("log", self._log.run),
+            ChildSpec("reader", self._reader.run),
+            ChildSpec("peers", self._peers.run),
+            ChildSpec("copies", self._peers.serve),
+            ChildSpec("callers", self._callers.run),
+            ChildSpec("ready", self._page(ready, settings.readiness_port).run),
+            ChildSpec("status", self._page(status, settings.admin_port).run),
+            ChildSpec("metrics", self._page(metrics, settings.metrics_port).run),
+            ChildSpec("tick", self._tick),
+        ]
+        await Supervisor("serving", children, seed=self._incarnation).run()
+
+    def _page(self, app: PageApp, port: int) -> HttpServer:
+        return HttpServer(app, self._settings.host, port)
+
+    def _reads_store(self) -> bool:
+        return self._peers.reads_store()
+
+    def _take_catalog(self, catalog: Catalog) -> None:
+        self._callers.set_idle_timeout(catalog.limits.idle_timeout_s)
+
+    async def _open_gate(self) -> None:
+        while self._beliefs.index is None:
+            await anyio.sleep(0.02)
+        with anyio.move_on_after(SETTLE_S):
+            while not self._dispatcher.registry.rows():
+                await anyio.sleep(0.02)
+        gc.collect()
+        gc.freeze()
+        self._gate.open()
+        emit(
+            logger,
+            Event.READY,
+            version=self._beliefs.catalog.version,
+            servers=len(self._dispatcher.registry.rows()),
+        )
+
+    async def _tick(self) -> None:
+        last = self._clock()
+        while True:
+            await anyio.sleep(TICK_S)
+            now = self._clock()
+            if now - last > TICK_S + PAUSE_S:
+                emit(logger, Event.CLOCK_PAUSE, seconds=round(now - last, 2))
+            last = now
+
+    async def _watch_signals(self, *, task_status: TaskStatus[None]) -> None:
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGHUP:
+                    self._reload()
+                else:
+                    self._ask_drain(number.name)
+
+    def _ask_drain(self, cause: str) -> None:
+        if not self._drain_asked.is_set():
+            emit(logger, Event.DRAIN_ASKED, cause=cause)
+            self._drain_asked.set()
+
+    def _reload(self) -> None:
+        try:
+            self._peers.seeds = self._read_seeds()
+        except (OSError, ValueError) as error:
+            emit(logger, Event.SETTINGS_REJECTED, cause=repr(error))
+            return
+        emit(logger, Event.SETTINGS_RELOADED, seeds=list(self._peers.seeds))
+
+    async def _shut_down(self) -> None:
+        """Become unready, go on serving for a notice, finish what was taken, leave."""
+        begun = self._clock()
+        emit(logger, Event.SHUTDOWN_BEGUN, in_flight=self._gate.in_flight)
+        self._audit.record(
+            Subject.PROCESS,
+            self._settings.router,
+            before=self._gate.state.value,
+            after=GateState.DRAINING.value,
+            cause="signal",
+        )
+        self._gate.drain()
+        self._peers.leaving = True
+        self._peers.tell_news()
+        most = self._settings.grace_s - GRACE_MARGIN_S
+        with anyio.move_on_after(most):
+            await anyio.sleep(min(NOTICE_S, most / 2))
+            self._gate.close()
+            await self._callers.stop()
+            await self._gate.wait_idle()
+        emit(
+            logger,
+            Event.CALLS_LEFT,
+            in_flight=self._gate.in_flight,
+            seconds=round(self._clock() - begun, 2),
+        )
+
+    def status(self) -> dict[str, Any]:
+        """Return what this router believes, and how old that is."""
+        now = self._clock()
+        registry = self._dispatcher.registry
+        return {
+            "router": self._settings.router,
+            "state": self._gate.state.value,
+            "in_flight": self._gate.in_flight,
+            "version": self._beliefs.catalog.version,
+            "store_revision": self._beliefs.replica.at,
+            "store_age_s": round(min(self._reader.age_s(), 1e6), 2),
+            "reads_store": self._reads_store(),
+            "centres_left": sorted(registry.centres_left),
+            "peers": {
+                peer.router: {"news_at": peer.news_at, "leaving": peer.leaving}
+                for peer in self._peers.book.alive(now)
+            },
+            "servers": {
+                row.instance.id: self._server_status(row.instance.id, now)
+                for row in registry.rows()
+            },
+        }
+
+    def _server_status(self, server: str, now: float) -> dict[str, Any]:
+        row = self._dispatcher.registry.get(server)
+        load = self._dispatcher.load(server)
+        assert row is not None
+        return {
+            "service": row.instance.service,
+            "draining": row.instance.draining,
+            "cold": row.cold(now),
+            "running": load.total_running(now),
+            "waiting_tokens": round(load.total_waiting(now)),
+            "read_rate": round(load.read_rate),
+            "failure_rate": round(self._dispatcher.trust(server).rate, 3),
+        }
+
+    def _metrics_text(self) -> bytes:
+        now = self._clock()
+        self._measures.in_flight.set(self._gate.in_flight)
+        self._measures.peers.set(len(self._peers.book.alive(now)))
+        self._measures.version.set(self._beliefs.catalog.version)
+        self._measures.store_age.set(min(self._reader.age_s(), 1e6))
+        self._measures.dropped.set(self._log.dropped)
+        return self._measures.text()
+
+
+def _log_audit(record: AuditRecord) -> None:
+    logging.getLogger("fulmarroad.audit").info(
+        "audit", extra={"audit": record.as_dict()}
+    )
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_load.py
@@ -0,0 +1,59 @@
+"""Estimates of when an engine begins an answer."""
+
+import pytest
+
+from fulmarroad_serving._load import PEER_FRESH_S, READ_RATE, PeerLoad, ServerLoad
+
+
+class TestWaiting:
+    def test_prompts_that_wait_are_counted_until_they_begin(self):
+        load = ServerLoad()
+        charge = load.send("s", 9_000, 0.0)
+        assert load.wait_s(128, 0.0) == pytest.approx(9_000 / READ_RATE)
+        load.begin(charge, 0.1)
+        assert load.wait_s(128, 0.1) == 0.0
+        load.end(charge, begun=True)
+        assert load.total_running(0.1) == 0
+
+    def test_a_call_that_never_begins_leaves_nothing_behind(self):
+        load = ServerLoad()
+        load.end(load.send("s", 9_000, 0.0), begun=False)
+        assert (load.running, load.waiting_tokens) == (0, 0)
+
+    def test_what_peers_sent_counts_less_as_their_word_ages(self):
+        """Two routers send long prompts to the same idle engine at once. Without the
+        other's word each would think it idle, and both prompts would come late.
+        """
+        load = ServerLoad()
+        load.hear("router-b", PeerLoad(3, 20_000), 0.0)
+        assert load.total_waiting(0.0) == 20_000
+        assert 0 < load.total_waiting(0.1) < 20_000
+        assert load.total_running(0.1) == 3
+        assert load.total_running(PEER_FRESH_S) == 0
+
+    def test_a_full_engine_costs_the_end_of_an_answer(self):
+        load = ServerLoad()
+        for _ in range(8):
+            load.begin(load.send("s", 0, 0.0), 0.1)
+        assert load.wait_s(8, 0.2) >= 1.0
+        assert load.wait_s(9, 0.2) < 1.0
+
+
+class TestLearning:
+    def test_a_slow_engine_shows_after_some_first_tokens(self):
+        """One engine of a pool works at a quarter of its speed. Estimates that stay the
+        same would go on sending it as much as the others.
+        """
+        load, now = ServerLoad(), 0.0
+        for _ in range(20):
+            charge = load.send("s", 9_000, now)
+            now += 0.4
+            load.begin(charge, now)
+            load.end(charge, begun=True)
+        assert load.read_rate < READ_RATE / 2
+
+    def test_one_wrong_guess_of_what_was_cached_changes_little(self):
+        load = ServerLoad()
+        charge = load.send("s", 17_000, 0.0)
+        load.begin(charge, 0.03)
+        assert load.read_rate < 1.2 * READ_RATE
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -0,0 +1,90 @@
+"""Which server a call goes to."""
+
+import random
+from collections import Counter
+
+from fulmarroad_serving._health import ServerTrust
+from fulmarroad_serving._routing import (
+    Candidate,
+    PartMemory,
+    choose_engine,
+    choose_plain,
+    home_order,
+)
+
+SERVERS = [f"s-{n}" for n in range(5)]
+
+
+def candidate(server, wait_s=0.0, *, rate=90_000.0, penalty_s=0.0, known_s=60.0):
+    return Candidate(server, "fes", known_s, wait_s, rate, 0.035, penalty_s)
+
+
+def choose(part, waits, memory=None, **changes):
+    rows = [candidate(server, waits.get(server, 0.0), **changes) for server in SERVERS]
+    memory = memory or PartMemory()
+    return choose_engine(part, 13_000, 3_700, rows, memory, "fes", 100.0)
+
+
+class TestSharedParts:
+    def test_routers_agree_on_the_home_of_a_part(self):
+        homes = Counter(choose(f"part-{n}", {}).server for n in range(500))
+        assert set(homes) == set(SERVERS)
+        assert max(homes.values()) < 2 * min(homes.values())
+
+    def test_a_lost_server_moves_only_its_own_parts(self):
+        for n in range(100):
+            first, second = home_order(f"part-{n}", SERVERS)[:2]
+            rest = [server for server in SERVERS if server != first]
+            assert home_order(f"part-{n}", rest)[0] == second
+
+    def test_a_short_wait_at_home_is_cheaper_than_reading_again(self):
+        home = home_order("part", SERVERS)[0]
+        assert choose("part", {home: 0.1}).server == home
+
+    def test_a_popular_part_spreads_to_a_second_server(self):
+        """One part gets a fifth of all calls. Kept at its home, every one of them would
+        wait behind the others while four engines idle.
+        """
+        home = home_order("part", SERVERS)[0]
+        away = choose("part", {home: 0.5})
+        assert away.server != home
+        assert not away.cached
+        assert away.tokens == 16_700
+
+    def test_the_second_server_is_counted_on_once_it_was_sent_the_part(self):
+        home, second = home_order("part", SERVERS)[:2]
+        memory = PartMemory()
+        memory.note("part", second, 99.0)
+        choice = choose("part", {home: 0.1}, memory)
+        assert (choice.server, choice.cached, choice.tokens) == (second, True, 3_700)
+
+    def test_a_new_server_does_not_have_its_parts_yet(self):
+        assert not choose("part", {}, known_s=0.5).cached
+
+
+class TestTrust:
+    def test_a_server_that_fails_half_gets_less(self):
+        """A server fails part of its calls quickly and so looks idle. Balancing by load
+        alone would send it more than the others.
+        """
+        trust = ServerTrust()
+        for outcome in (trust.fail, trust.succeed, trust.fail, trust.fail):
+            outcome(1.0)
+        rows = [
+            candidate("s-0", penalty_s=trust.penalty_s(1.0)),
+            candidate("s-1", 0.05),
+        ]
+        picked = choose_plain(rows, "fes", random.Random(1))
+        assert picked.server == "s-1"
+
+    def test_a_server_that_cannot_be_reached_is_passed_over_for_a_growing_pause(self):
+        trust, now, pauses = ServerTrust(), 0.0, []
+        for _ in range(6):
+            trust.unreachable(now)
+            pauses.append(trust.pause_until - now)
+            now = trust.pause_until
+        assert pauses == sorted(pauses)
+        assert pauses[0] < 0.5
+        assert pauses[-1] == 4.0
+        trust.succeed(now)
+        assert not trust.paused(now)
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_shares.py
@@ -0,0 +1,58 @@
+"""Max-min shares by workspace."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad_serving._shares import (
+    LEAST_WAIT,
+    ShareBook,
+    WorkspaceCount,
+    max_min_level,
+    wait_part,
+)
+
+
+class TestLevel:
+    def test_who_asks_for_little_keeps_it(self):
+        assert max_min_level({"small": 10, "large": 500, "larger": 900}, 310) == 150
+
+    def test_there_is_no_level_where_everything_fits(self):
+        assert max_min_level({"a": 10, "b": 20}, 30) == float("inf")
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.floats(1, 1e6), min_size=1, max_size=20), st.floats(1, 1e6))
+    def test_shares_use_up_the_capacity_and_no_more(self, asked, capacity):
+        level = max_min_level(dict(enumerate(asked)), capacity)
+        given_out = sum(min(value, level) for value in asked)
+        assert given_out == pytest.approx(min(capacity, sum(asked)))
+
+
+class TestFlood:
+    def test_a_workspace_that_floods_is_turned_away_before_the_others(self):
+        """One workspace asks eight times its usual through every router. First come
+        first served would give it most of the capacity and refuse the small ones.
+        """
+        book, now = ShareBook(units_per_s=1_000.0), 10.0
+        for workspace, units in (("flood", 8_000), ("small", 400), ("other", 900)):
+            book.note_asked(workspace, units, now)
+        book.note_got("flood", 4_000, now)
+        book.note_got("small", 300, now)
+        flood = wait_part(book.use_of("flood", 100, now))
+        small = wait_part(book.use_of("small", 100, now))
+        assert flood < 0.6 < small
+
+    def test_counts_of_other_routers_are_added(self):
+        book, now = ShareBook(units_per_s=1_000.0), 10.0
+        book.note_asked("flood", 3_000, now)
+        book.hear("router-b", {"flood": WorkspaceCount(6_000, 3_000)}, now)
+        assert book.use_of("flood", 0, now) == pytest.approx(0.75)
+        assert book.use_of("flood", 0, now + 60) == 0.0
+
+    def test_nobody_is_limited_while_everything_fits(self):
+        book = ShareBook(units_per_s=1_000.0)
+        book.note_asked("one", 3_000, 0.0)
+        assert wait_part(book.use_of("one", 1_000, 0.0)) == 1.0
+
+    def test_even_the_largest_may_use_an_idle_engine(self):
+        assert wait_part(100.0) == LEAST_WAIT > 0
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -29,6 +29,10 @@
     READY = EventKind(101, _I, "process takes calls")
     SHUTDOWN_BEGUN = EventKind(102, _I, "graceful shutdown begun")
     SHUTDOWN_DONE = EventKind(103, _I, "graceful shutdown done")
+    SETTINGS_RELOADED = EventKind(104, _I, "settings read again")
+    SETTINGS_REJECTED = EventKind(105, _E, "settings rejected, the former ones stay")
+    CALLS_LEFT = EventKind(106, _I, "calls in flight at the end of the drain")
+    LOG_LINES_DROPPED = EventKind(107, _W, "log lines dropped")
     TASK_FAILED = EventKind(110, _E, "task failed and is restarted")
     TASK_GIVEN_UP = EventKind(111, _E, "task failed too often")
     CLOCK_PAUSE = EventKind(112, _W, "process did not run for a while")
@@ -43,6 +47,11 @@
     TABLES_FROM_PEER = EventKind(206, _I, "tables fetched from a peer")
     VM_LIST_CHANGED = EventKind(207, _I, "VM list changed")
     VM_LIST_REJECTED = EventKind(208, _W, "VM list rejected, last good one stays")
+    CATALOG_IN_FORCE = EventKind(210, _I, "configuration in force")
+    STORE_LOST = EventKind(211, _W, "store gave no answer")
+    STORE_BACK = EventKind(212, _I, "store answers again")
+    STORE_HISTORY_LOST = EventKind(213, _W, "store lost its history, listed anew")
+    STORE_ITEM_UNUSABLE = EventKind(214, _W, "item of the store can't be read")
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
@@ -54,6 +63,12 @@
     FOLLOW_CHANGED = EventKind(313, _I, "router follows another scheduler")
     LINK_LOST = EventKind(314, _W, "link to a peer lost")
     PEER_REJECTED = EventKind(315, _W, "frame from a peer rejected")
+    PEER_HEARD = EventKind(320, _I, "peer heard")
+    PEER_SILENT = EventKind(321, _W, "peer silent")
+    REPORT_REJECTED = EventKind(322, _W, "peer's report rejected")
+    REPORT_UNSENT = EventKind(323, _W, "report not sent to a peer")
+    REPLICA_PULL_FAILED = EventKind(324, _W, "peer gave no copy of the store")
+    REPLICA_GIVE_FAILED = EventKind(325, _W, "copy of the store not given to a peer")
 
     # 400: backend servers and data centres
     WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
@@ -61,6 +76,8 @@
     CENTRE_LEFT = EventKind(410, _I, "data centre taken out of service")
     CENTRE_RETURNED = EventKind(411, _I, "data centre back in service")
     SHARES_TAKEN = EventKind(412, _W, "shares of lost routers taken up")
+    SERVER_REGISTERED = EventKind(420, _I, "backend server registered or changed")
+    SERVER_GONE = EventKind(421, _I, "backend server gone")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
@@ -71,6 +88,7 @@
     STREAM_BROKEN = EventKind(505, _W, "answer broken off to its caller")
     CALLER_LEFT = EventKind(506, _I, "caller left before its answer ended")
     REQUEST_FAILED = EventKind(508, _E, "request failed inside the router")
+    SEND_FAILED = EventKind(509, _W, "send to a backend server failed")
 
     # 600: keys
     KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
