--- /dev/null
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -0,0 +1,290 @@
+"""A router's serving side in one process, with scripted backend servers on loopback."""
+
+import asyncio
+import contextlib
+import time
+
+import anyio
+from attrs import define, evolve, field
+
+from fulmarroad.audit import AuditTrail
+from fulmarroad_router.gate import CallGate
+from fulmarroad_serving import (
+    CallerLimits,
+    CallKind,
+    Catalog,
+    Dispatcher,
+    EngineProfile,
+    FleetBounds,
+    Instance,
+    KeyHolder,
+    ServedRoute,
+    Service,
+    Target,
+    digest_key,
+)
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._callers import ServingApp
+from fulmarroad_serving._forwarding import Forwarder
+from fulmarroad_serving._measures import Measures
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving.contracts import (
+    AnswerHead,
+    CallHead,
+    CatalogFact,
+    InstanceFact,
+)
+
+KEY = b"key-of-coop"
+
+
+class PlainCodec:
+    """Headers as tests write them."""
+
+    def read_call(self, headers):
+        rows = dict(headers)
+        number = int(rows.get(b"x-deadline-ms", b"0"))
+        return CallHead(
+            request_id=rows.get(b"x-id", b"").decode(),
+            host=rows.get(b"host", b"").decode(),
+            key=rows.get(b"x-key", b""),
+            deadline_s=number / 1000 if number else None,
+            last_event_id=rows.get(b"last-event-id", b"").decode(),
+            part=rows.get(b"x-part", b"").decode(),
+            forward=tuple(row for row in headers if row[0] in (b"host", b"x-id")),
+        )
+
+    def server_headers(self, head, *, instance, workspace, remaining_s, last_event_id):
+        return [
+            *head.forward,
+            (b"x-instance", instance.encode()),
+            (b"x-workspace", workspace.encode()),
+            (b"x-left-ms", str(int(remaining_s * 1000)).encode()),
+            (b"last-event-id", last_event_id.encode()),
+        ]
+
+    def read_answer(self, status, headers):
+        rows = {name.lower(): value for name, value in headers}
+        return AnswerHead(
+            status,
+            request_id=rows.get(b"x-id", b"").decode(),
+            signed=b"x-signed" in rows,
+            not_run=b"x-not-run" in rows,
+            encoded=b"content-encoding" in rows,
+            forward=((b"x-signed", rows.get(b"x-signed", b"")),),
+        )
+
+    def own_headers(self, head):
+        return [(b"x-id", head.request_id.encode())] if head else []
+
+
+@define
+class Arrival:
+    """One request as a server got it."""
+
+    server: str
+    head: str
+    body: bytes
+    connection: int
+
+    def header(self, name):
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(": ")
+            if key.lower() == name:
+                return value
+        return ""
+
+
+@define
+class Caller:
+    """One call through the application, and what its caller saw."""
+
+    status: int = 0
+    headers: dict = field(factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    broken: bool = False
+    left: anyio.Event = field(factory=anyio.Event)
+
+
+def answer(status=200, body=b"done", request_id="", extra="", signed=True):
+    """Return the bytes of a framed answer."""
+    mark = "x-signed: s\r\n" if signed else ""
+    mark += f"x-id: {request_id}\r\n" if request_id else ""
+    head = f"HTTP/1.1 {status} S\r\ncontent-length: {len(body)}\r\n{mark}{extra}\r\n"
+    return head.encode() + body
+
+
+def stream_head(request_id=""):
+    """Return the head of an answer in chunks."""
+    return (
+        f"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nx-signed: s\r\n"
+        f"x-id: {request_id}\r\n\r\n"
+    ).encode()
+
+
+def chunk(data):
+    """Return one chunk of a body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def event(number):
+    """Return one event of a stream."""
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+PLAIN = ServedRoute(
+    "plain",
+    "svc.example",
+    "/look/",
+    CallKind.IDEMPOTENT,
+    (Target("ledger"),),
+    timeout_s=1.0,
+    objective_s=0.2,
+    max_attempts=2,
+)
+ONCE = evolve(PLAIN, name="once", path_prefix="/post/", kind=CallKind.AT_MOST_ONCE)
+STREAM = evolve(
+    PLAIN,
+    name="stream",
+    path_prefix="/draft/",
+    kind=CallKind.STREAM,
+    targets=(Target("drafting"),),
+    resumable=True,
+    pause_objective_s=0.1,
+    prefix_affinity=True,
+)
+SHORT = evolve(STREAM, name="short", path_prefix="/sms/", resumable=False)
+OPEN = evolve(PLAIN, name="open", path_prefix="/open/", anonymous=True)
+
+
+def make_catalog(version=1, **changes):
+    """Return a configuration of every kind of route."""
+    services = {
+        "ledger": Service("ledger", max_connections=600),
+        "drafting": Service(
+            "drafting", max_connections=600, engine=EngineProfile(16, 100_000)
+        ),
+    }
+    holder = KeyHolder("coop", (digest_key(KEY),))
+    catalog = Catalog(
+        version, (PLAIN, ONCE, STREAM, SHORT, OPEN), services, (holder,), CallerLimits()
+    )
+    return evolve(catalog, **changes)
+
+
+class Bed:
+    """Everything between a caller and scripted servers."""
+
+    def __init__(self, bounds=None):
+        self.arrivals = []
+        self._servers = []
+        self._connections = 0
+        clock = time.monotonic
+        bounds = bounds or FleetBounds(retry_burst=600.0)
+        self.dispatcher = Dispatcher("router-a", "fes", bounds, 1)
+        self.pool = ConnectionPool(clock)
+        self.beliefs = Beliefs(None, self.dispatcher, self.pool, AuditTrail(), clock)
+        self.gate = CallGate()
+        self.gate.open()
+        codec = PlainCodec()
+        forwarder = Forwarder(
+            self.dispatcher, self.pool, codec, lambda: self.beliefs.catalog, clock
+        )
+        self.app = ServingApp(
+            codec, self.beliefs, forwarder, self.gate, Measures(), clock
+        )
+        self.tell(CatalogFact(make_catalog()))
+
+    def tell(self, fact):
+        self.beliefs._take(fact, 1, 60.0, "test")
+
+    async def serve(self, name, script, service="ledger", slots=8):
+        """Start a server; `script(arrival, writer)` answers each request."""
+
+        async def connected(reader, writer):
+            self._connections += 1
+            number = self._connections
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                    arrival = Arrival(name, head.rstrip(), b"", number)
+                    length = int(arrival.header("content-length") or 0)
+                    arrival.body = await reader.readexactly(length)
+                    self.arrivals.append(arrival)
+                    if await script(arrival, writer) is False:
+                        break
+                    await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(connected, "127.0.0.1", 0)
+        self._servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        self.tell(
+            InstanceFact(Instance(name, service, "127.0.0.1", port, "fes", slots))
+        )
+        return port
+
+    async def call(
+        self, path="/look/1", request_id="c-1", key=KEY, caller=None, **more
+    ):
+        """Make one call and return what its caller saw."""
+        caller = caller or Caller()
+        headers = [(b"host", b"svc.example"), (b"x-id", request_id.encode())]
+        headers += [(b"x-key", key)] if key else []
+        for name, value in more.pop("headers", {}).items():
+            headers.append((name.encode(), value.encode()))
+        body = more.pop("body", b"")
+        if body:
+            headers.append((b"content-length", str(len(body)).encode()))
+        scope = {
+            "type": "http",
+            "method": more.pop("method", "GET"),
+            "path": path,
+            "raw_path": path.encode(),
+            "query_string": more.pop("query", b""),
+            "headers": headers,
+        }
+        assert not more
+        sent = False
+
+        async def receive():
+            nonlocal sent
+            if not sent:
+                sent = True
+                return {"type": "http.request", "body": body, "more_body": False}
+            await caller.left.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message):
+            if message["type"] == "http.response.start":
+                caller.status = message["status"]
+                caller.headers = dict(message["headers"])
+            else:
+                caller.body += message["body"]
+                caller.whole = not message.get("more_body", False)
+
+        try:
+            await self.app(scope, receive, send)
+        except Exception:
+            caller.broken = True
+        return caller
+
+    async def close(self):
+        self.pool.close()
+        for server in self._servers:
+            server.close()
+
+
+def run(test):
+    """Run a test with a bed of its own."""
+
+    async def go():
+        bed = Bed()
+        try:
+            with anyio.fail_after(10):
+                await test(bed)
+        finally:
+            await bed.close()
+
+    anyio.run(go)
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_callers.py
@@ -0,0 +1,83 @@
+"""Calls checked against the configuration in force."""
+
+from serving_bed import KEY, Bed, answer, make_catalog, run
+
+from fulmarroad_serving.contracts import CatalogFact
+
+
+async def echo(arrival, writer):
+    writer.write(answer(200, b"done", arrival.header("x-id")))
+
+
+class TestKeys:
+    def test_an_unknown_key_is_turned_away(self):
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            assert (await bed.call(key=b"other")).status == 401
+            assert (await bed.call(key=b"")).status == 401
+            assert not bed.arrivals
+
+        run(test)
+
+    def test_an_anonymous_route_needs_none(self):
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            assert (await bed.call("/open/1", key=b"")).status == 200
+            assert (await bed.call("/open/1", key=KEY)).status == 200
+            assert [row.header("x-workspace") for row in bed.arrivals] == ["", "coop"]
+
+        run(test)
+
+    def test_a_withdrawn_key_ends_with_its_version(self):
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            bed.tell(CatalogFact(make_catalog(2, holders=())))
+            bed.tell(CatalogFact(make_catalog(1)))
+            assert bed.beliefs.catalog.version == 2
+
+        run(test)
+
+
+class TestRoutes:
+    def test_the_longest_prefix_takes_a_call(self):
+        index = Bed().beliefs.index
+        assert index.route_for("svc.example", "/look/a/b").name == "plain"
+        assert index.route_for("svc.example", "/lookout") is None
+        assert index.route_for("svc.example", "/other/") is None
+        assert index.route_for("other.example", "/look/") is None
+
+    def test_a_router_without_configuration_promises_that_nothing_ran(self):
+        """A router has just started and knows no route yet. Told as 404, callers would
+        not come back.
+        """
+
+        async def test(bed):
+            bed.beliefs.index = None
+            caller = await bed.call()
+            assert caller.status == 503
+            assert b"retry-after" in caller.headers
+
+        run(test)
+
+    def test_without_a_server_the_call_is_refused_at_once(self):
+        async def test(bed):
+            caller = await bed.call()
+            assert caller.status == 503
+            assert float(caller.headers[b"retry-after"]) > 0
+
+        run(test)
+
+
+class TestDraining:
+    def test_a_draining_router_serves_and_asks_callers_to_leave(self):
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            bed.gate.drain()
+            caller = await bed.call()
+            assert caller.status == 200
+            assert caller.headers[b"connection"] == b"close"
+            bed.gate.close()
+            caller = await bed.call()
+            assert caller.status == 503
+
+        run(test)
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -0,0 +1,396 @@
+"""Calls carried to scripted backend servers over real connections."""
+
+import anyio
+from attrs import evolve
+from serving_bed import PLAIN, answer, chunk, event, make_catalog, run, stream_head
+
+from fulmarroad_serving.contracts import CatalogFact
+
+
+def says(*parts):
+    """Return a script that writes bytes for each request."""
+
+    async def script(arrival, writer):
+        writer.write(b"".join(parts))
+
+    return script
+
+
+def echo(status=200, body=b"done", **more):
+    async def script(arrival, writer):
+        writer.write(answer(status, body, arrival.header("x-id"), **more))
+
+    return script
+
+
+async def hang_up(arrival, writer):
+    return False
+
+
+async def say_nothing(arrival, writer):
+    await anyio.sleep(5)
+
+
+class TestWholeAnswers:
+    def test_an_answer_goes_on_unchanged(self):
+        async def test(bed):
+            await bed.serve("s-1", echo(body=b"the answer"))
+            caller = await bed.call(query=b"a=%20b")
+            assert (caller.status, caller.body) == (200, b"the answer")
+            assert caller.headers[b"x-signed"] == b"s"
+            arrival = bed.arrivals[0]
+            assert arrival.head.startswith("GET /look/1?a=%20b HTTP/1.1")
+            assert arrival.header("x-workspace") == "coop"
+            assert arrival.header("x-instance") == "s-1"
+            assert 0 < int(arrival.header("x-left-ms")) <= 1000
+
+        run(test)
+
+    def test_connections_are_kept(self):
+        async def test(bed):
+            await bed.serve("s-1", echo())
+            for n in range(3):
+                await bed.call(request_id=f"c-{n}")
+            assert {arrival.connection for arrival in bed.arrivals} == {1}
+
+        run(test)
+
+    def test_a_late_second_answer_goes_to_nobody(self):
+        """A faulty server answers one call twice. The second answer comes after the
+        connection was used again, where the next call's answer is due, and its caller
+        would get somebody else's letter.
+        """
+
+        async def test(bed):
+            seen = []
+
+            async def script(arrival, writer):
+                seen.append(arrival)
+                if len(seen) == 2:
+                    writer.write(answer(200, b"first", "c-0"))
+                name = arrival.header("x-id")
+                writer.write(answer(200, b"for " + name.encode(), name))
+
+            await bed.serve("s-1", script)
+            await bed.call(request_id="c-0")
+            caller = await bed.call(request_id="c-1")
+            assert caller.body == b"for c-1"
+            await bed.call(request_id="c-2")
+            assert bed.arrivals[2].connection != bed.arrivals[1].connection
+
+        run(test)
+
+    def test_bytes_behind_an_answer_spoil_the_connection(self):
+        async def test(bed):
+            await bed.serve("s-1", says(answer(), b"left over"))
+            assert (await bed.call()).body == b"done"
+            await bed.call(request_id="c-2")
+            assert bed.arrivals[0].connection != bed.arrivals[1].connection
+
+        run(test)
+
+    def test_a_success_without_signature_is_no_success(self):
+        """A machine that took over an address answers calls that aren't for it. Handed
+        on, its page would pass for the record of a booking.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", says(answer(signed=False)))
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 502
+
+        run(test)
+
+    def test_an_answer_in_an_encoding_nobody_asked_for_is_no_success(self):
+        async def test(bed):
+            await bed.serve("s-1", echo(extra="content-encoding: gzip\r\n"))
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 502
+
+        run(test)
+
+    def test_an_answer_cut_short_is_no_answer(self):
+        async def test(bed):
+            cut = answer(body=b"0123456789")[:-4]
+
+            async def script(arrival, writer):
+                writer.write(cut)
+                return False
+
+            await bed.serve("s-1", script)
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 502
+
+        run(test)
+
+    def test_an_answer_without_a_length_ends_with_its_connection(self):
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(b"HTTP/1.1 200 OK\r\nx-signed: s\r\n\r\nthe end")
+                return False
+
+            await bed.serve("s-1", script)
+            caller = await bed.call()
+            assert (caller.status, caller.body) == (200, b"the end")
+
+        run(test)
+
+    def test_an_answer_before_the_body_was_read_leaves_the_connection(self):
+        """A server turns a long request away before it has read it, and reads on later.
+        The next request on that connection would be taken for the rest of the first.
+        """
+
+        async def test(bed):
+            import asyncio
+
+            async def connected(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                bed.arrivals.append(writer)
+                writer.write(answer(413, b"no", "c-1"))
+                await writer.drain()
+                await asyncio.sleep(1)
+
+            port = await bed.serve("s-1", echo())
+            bed._servers.pop().close()
+            early = await asyncio.start_server(connected, "127.0.0.1", port)
+            bed._servers.append(early)
+            body = b"x" * 4_000_000
+            caller = await bed.call("/post/1", method="POST", body=body)
+            assert caller.status == 413
+            await bed.call("/post/1", request_id="c-2", method="POST", body=b"y")
+            assert len(bed.arrivals) == 2
+
+        run(test)
+
+
+class TestAtMostOnce:
+    def test_a_lost_answer_is_not_asked_for_again(self):
+        """A server books a room and its answer is lost. Sent to another server, the
+        booking would land twice.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", hang_up)
+            await bed.serve("s-2", hang_up)
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 502
+            assert len(bed.arrivals) == 1
+
+        run(test)
+
+    def test_a_refusal_that_does_not_say_not_run_is_not_told_as_one(self):
+        """A server answers 503 after it has begun. Told as 503 to the caller, who takes
+        that as "not run", the call would be sent again and run twice.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", echo(503))
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 502
+
+        run(test)
+
+    def test_a_call_that_was_not_run_goes_to_another_server(self):
+        async def test(bed):
+            shed = echo(503, extra="x-not-run: 1\r\n")
+            await bed.serve("s-1", shed)
+            await bed.serve("s-2", shed)
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 503
+            assert float(caller.headers[b"retry-after"]) > 0
+            assert {arrival.server for arrival in bed.arrivals} == {"s-1", "s-2"}
+
+        run(test)
+
+    def test_another_server_at_the_address_takes_the_first_out(self):
+        async def test(bed):
+            await bed.serve("s-1", echo(421, extra="x-not-run: 1\r\n"))
+            await bed.call("/post/1", method="POST", body=b"x")
+            assert bed.dispatcher.registry.get("s-1") is None
+
+        run(test)
+
+    def test_a_server_that_cannot_be_reached_was_sent_nothing(self):
+        async def test(bed):
+            await bed.serve("s-1", echo())
+            bed._servers.pop().close()
+            await bed.serve("s-2", echo())
+            for n in range(4):
+                caller = await bed.call(
+                    "/post/1", request_id=f"c-{n}", method="POST", body=b"x"
+                )
+                assert caller.status == 200
+
+        run(test)
+
+
+class TestRepeating:
+    def test_a_failed_call_is_repeated_at_another_server(self):
+        async def test(bed):
+            seen = []
+
+            async def script(arrival, writer):
+                seen.append(arrival.server)
+                status = 500 if len(seen) == 1 else 200
+                writer.write(answer(status, b"it", arrival.header("x-id")))
+
+            await bed.serve("s-1", script)
+            await bed.serve("s-2", script)
+            caller = await bed.call()
+            assert caller.status == 200
+            assert len(set(seen)) == 2
+
+        run(test)
+
+    def test_no_more_servers_than_the_route_allows(self):
+        async def test(bed):
+            for name in ("s-1", "s-2", "s-3"):
+                await bed.serve(name, echo(500, b"failed"))
+            caller = await bed.call()
+            assert (caller.status, caller.body) == (500, b"failed")
+            assert len(bed.arrivals) == 2
+
+        run(test)
+
+    def test_a_silent_server_is_left_in_time_for_another(self):
+        """A server takes calls and never answers, with a good health check. A caller
+        who may be served elsewhere would wait for the whole deadline.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", say_nothing)
+            bed.tell(
+                CatalogFact(make_catalog(2, routes=(evolve(PLAIN, timeout_s=3.0),)))
+            )
+            caller_done = []
+
+            async def call():
+                caller_done.append(await bed.call())
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(call)
+                await anyio.sleep(0.1)
+                await bed.serve("s-2", echo())
+            assert caller_done[0].status == 200
+
+        run(test)
+
+    def test_an_outage_spends_the_budget_and_no_more(self):
+        """Every server of a service fails. Repeats of every call would double the load
+        of what is left.
+        """
+
+        async def test(bed):
+            bed.dispatcher._bounds = evolve(bed.dispatcher._bounds, retry_burst=12.0)
+            await bed.serve("s-1", echo(500))
+            await bed.serve("s-2", echo(500))
+            for n in range(20):
+                await bed.call(request_id=f"c-{n}")
+            assert len(bed.arrivals) <= 20 * 1.1 + 12 / 6
+
+        run(test)
+
+
+class TestStreams:
+    def test_events_go_on_as_they_come(self):
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")))
+                for n in (1, 2):
+                    writer.write(chunk(event(n)))
+                writer.write(b"0\r\n\r\n")
+
+            await bed.serve("s-1", script, "drafting")
+            caller = await bed.call("/draft/1", method="POST", body=b"p")
+            assert caller.body == event(1) + event(2)
+            assert caller.whole
+
+        run(test)
+
+    def test_a_stream_whose_server_dies_goes_on_after_its_last_event(self):
+        """A server dies in the middle of an event. The half event must not be joined
+        with what the next server sends, and no event may be missing or come twice.
+        """
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")))
+                after = arrival.header("last-event-id")
+                if not after:
+                    writer.write(chunk(event(1)) + chunk(event(2)))
+                    writer.write(chunk(event(3)[:5]))
+                    return False
+                for n in range(int(after) + 1, 5):
+                    writer.write(chunk(event(n)))
+                writer.write(b"0\r\n\r\n")
+                return None
+
+            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-2", script, "drafting")
+            caller = await bed.call("/draft/1", method="POST", body=b"p")
+            assert caller.body == b"".join(event(n) for n in range(1, 5))
+            assert caller.whole
+            assert bed.arrivals[1].header("last-event-id") == "2"
+
+        run(test)
+
+    def test_a_stream_that_cannot_be_resumed_does_not_look_whole(self):
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+                return False
+
+            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-2", script, "drafting")
+            caller = await bed.call("/sms/1", method="POST", body=b"p")
+            assert caller.broken
+            assert not caller.whole
+            assert len(bed.arrivals) == 1
+
+        run(test)
+
+    def test_a_caller_who_leaves_ends_the_work(self):
+        """A caller closes its connection while its letter is written. Without a word to
+        the server, the engine would go on for nobody.
+        """
+
+        async def test(bed):
+            from serving_bed import Caller
+
+            ended = anyio.Event()
+
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+                await writer.drain()
+                await writer.wait_closed()
+                ended.set()
+                return False
+
+            await bed.serve("s-1", script, "drafting")
+            caller = Caller()
+            async with anyio.create_task_group() as group:
+
+                async def call():
+                    await bed.call("/draft/1", method="POST", body=b"p", caller=caller)
+
+                group.start_soon(call)
+                while not caller.body:
+                    await anyio.sleep(0.01)
+                caller.left.set()
+            assert bed.dispatcher.load("s-1").running == 0
+
+        run(test)
+
+
+class TestTimes:
+    def test_a_call_past_its_routes_time_is_answered(self):
+        async def test(bed):
+            route = evolve(PLAIN, timeout_s=0.3, max_attempts=1)
+            bed.tell(CatalogFact(make_catalog(2, routes=(route,))))
+            await bed.serve("s-1", say_nothing)
+            started = anyio.current_time()
+            caller = await bed.call(headers={"x-deadline-ms": "3000"})
+            assert caller.status == 504
+            assert anyio.current_time() - started < 0.6
+
+        run(test)
