--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_platform_calls.py
@@ -0,0 +1,103 @@
+"""Headers of calls and answers, translated."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad_platform.calls import PlatformCodec
+
+CODEC = PlatformCodec()
+HEADERS = [
+    (b"host", b"svc.example:80"),
+    (b"attempt-id", b"9c41"),
+    (b"token-usage", b"1460,80"),
+    (b"prefix-hash", b"5c1e:800,91bd:410,e440:250"),
+    (b"deadline-ms", b"8000"),
+    (b"authorization", b"Token secret"),
+    (b"tenant-id", b"somebody-else"),
+    (b"kv-hold", b"h-1"),
+    (b"connection", b"keep-alive, x-hop"),
+    (b"x-hop", b"1"),
+    (b"x-kept", b"1"),
+]
+
+
+def server_headers(head, **changes):
+    values = {
+        "instance": "i-1",
+        "workspace": "coop",
+        "remaining_s": 1.25,
+        "last_event_id": "",
+    }
+    return dict(CODEC.server_headers(head, **(values | changes)))
+
+
+class TestCalls:
+    def test_what_the_headers_say(self):
+        head = CODEC.read_call(HEADERS)
+        assert (head.request_id, head.host, head.key) == (
+            "9c41",
+            "svc.example",
+            b"secret",
+        )
+        assert head.deadline_s == 8.0
+        assert head.part == "5c1e,91bd"
+        assert (head.shared_tokens, head.own_tokens) == (1210, 250)
+        assert head.output_tokens == 80
+
+    def test_a_caller_cannot_set_what_is_the_systems(self):
+        """A caller names another workspace, or a reservation not its own. Passed
+        on, its call would be charged to somebody else.
+        """
+        sent = server_headers(CODEC.read_call(HEADERS))
+        assert sent[b"tenant-id"] == b"coop"
+        assert b"kv-hold" not in sent
+        assert b"authorization" not in sent
+
+    def test_headers_of_one_connection_stay_on_it(self):
+        sent = server_headers(CODEC.read_call(HEADERS))
+        assert b"connection" not in sent
+        assert b"x-hop" not in sent
+        assert sent[b"x-kept"] == b"1"
+
+    def test_a_server_is_told_the_time_that_is_left(self):
+        sent = server_headers(CODEC.read_call(HEADERS))
+        assert sent[b"deadline-ms"] == b"1250"
+        assert sent[b"expect-instance"] == b"i-1"
+
+    def test_a_resumed_stream_names_its_last_event(self):
+        head = CODEC.read_call([*HEADERS, (b"last-event-id", b"3")])
+        assert head.last_event_id == "3"
+        assert server_headers(head, last_event_id="12")[b"last-event-id"] == b"12"
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from([name for name, _ in HEADERS]), st.binary(max_size=20)
+            )
+        )
+    )
+    def test_any_value_is_read_without_an_error(self, headers):
+        CODEC.read_call(headers)
+
+
+class TestAnswers:
+    def test_a_servers_answer(self):
+        headers = [
+            (b"Attempt-Id", b"9c41"),
+            (b"Server-Signature", b"3e1b"),
+            (b"Content-Length", b"5"),
+            (b"Keep-Alive", b"timeout=5"),
+        ]
+        head = CODEC.read_answer(200, headers)
+        assert (head.request_id, head.signed, head.not_run) == ("9c41", True, False)
+        assert [name for name, _ in head.forward] == [
+            b"attempt-id",
+            b"server-signature",
+        ]
+
+    def test_a_server_that_did_not_run_a_call(self):
+        assert CODEC.read_answer(503, [(b"Not-Executed", b"1")]).not_run
+
+    def test_a_cold_server(self):
+        assert CODEC.read_answer(200, [(b"Warmup-Ms", b"2500")]).warmup_left_s == 2.5
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -0,0 +1,157 @@
+"""Items of the store, decoded; and entries that other writers left there."""
+
+import json
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarroad_platform.facts import decode_item
+from fulmarroad_serving import CallKind, ReplicaItem
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    CentreFact,
+    InstanceFact,
+    InstanceGoneFact,
+    UnusableFact,
+)
+
+ENTRY = {
+    "ServiceName": "drafting",
+    "Address": "10.1.0.9:8080",
+    "Zone": "fes-1",
+    "Version": "v1",
+    "Capacity": 128,
+    "LifecycleState": "healthy",
+    "WarmupLeftMs": 1500,
+    "Sequence": 4,
+    "born": 1774344319005,
+}
+ROUTE = {
+    "Name": "r-1",
+    "Hostname": "svc.example",
+    "PathPrefix": "/draft/",
+    "RouteType": "streaming",
+    "TimeoutMs": 8000,
+    "TargetLatencyMs": 400,
+    "PriorityClass": 1,
+    "TrafficSplit": [
+        {"ServiceName": "a", "Weight": 90},
+        {"ServiceName": "b", "Weight": 10},
+    ],
+    "MaxAttempts": 2,
+    "SessionAffinity": True,
+    "StreamResume": True,
+    "ItlTargetMs": 200,
+    "NewField": {"of": "another release"},
+}
+CONFIG = {
+    "Version": 7,
+    "Routes": [ROUTE],
+    "Services": [
+        {
+            "Name": "a",
+            "MaxConnections": 620,
+            "WarmupPerS": 19.0,
+            "InferenceEngine": {"Capacity": 128, "KvCapacityTokens": 1000},
+        }
+    ],
+    "Limits": {"IdleTimeoutMs": 15000, "ThroughputPerS": 455000},
+    "Tenants": [{"Name": "coop", "ApiKeys": ["k1", "k2"], "PriorityClass": 1}],
+}
+
+
+def decode(key, value):
+    data = value if value is None or isinstance(value, bytes) else json.dumps(value)
+    data = data.encode() if isinstance(data, str) else data
+    return decode_item(ReplicaItem(key, 5, data))
+
+
+class TestServers:
+    def test_an_entry(self):
+        instance = decode("servers/i-1", ENTRY).instance
+        assert (instance.id, instance.host, instance.port) == ("i-1", "10.1.0.9", 8080)
+        assert (instance.data_centre, instance.slots) == ("fes-1", 128)
+        assert (instance.draining, instance.warmup_left_s) == (False, 1.5)
+        assert instance.started_ms == 1774344319005
+
+    def test_a_draining_server(self):
+        entry = ENTRY | {"LifecycleState": "draining"}
+        assert decode("servers/i-1", entry).instance.draining
+
+    def test_a_removed_entry(self):
+        assert decode("servers/i-1", None) == InstanceGoneFact("i-1")
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"Address": "10.1.0.9"},
+            {"Address": 7},
+            {"ServiceName": None},
+            {"LifecycleState": "resting"},
+            {"Capacity": "128"},
+            {"Capacity": True},
+            {"WarmupLeftMs": -1},
+            {"born": "now"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_server(self, change):
+        """Somebody else writes an entry of another shape. A router that used what it
+        understands of it would send callers' data to an unknown place.
+        """
+        fact = decode("servers/i-1", ENTRY | change)
+        assert isinstance(fact, UnusableFact)
+        assert fact.server == "i-1"
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        st.one_of(
+            st.binary(max_size=60),
+            st.dictionaries(
+                st.sampled_from(sorted(ENTRY)),
+                st.one_of(
+                    st.none(), st.booleans(), st.integers(), st.floats(), st.text()
+                ),
+            ),
+        )
+    )
+    def test_whatever_lies_there_is_decoded_or_named(self, value):
+        assert isinstance(decode("servers/i-1", value), InstanceFact | UnusableFact)
+
+
+class TestConfiguration:
+    def test_a_configuration(self):
+        catalog = decode("op/config", CONFIG).catalog
+        route = catalog.routes[0]
+        assert (catalog.version, route.kind) == (7, CallKind.STREAM)
+        assert route.repeatable
+        assert (route.timeout_s, route.objective_s) == (8.0, 0.4)
+        assert route.pause_objective_s == 0.2
+        assert [row.weight for row in route.targets] == [90, 10]
+        assert catalog.services["a"].engine.slots == 128
+        assert catalog.limits.idle_timeout_s == 15
+        assert catalog.limits.units_per_s == 455000
+        assert len(catalog.holders[0].key_digests) == 2
+
+    @settings(derandomize=True, deadline=None, max_examples=200)
+    @given(
+        st.sampled_from(sorted(CONFIG)),
+        st.one_of(st.none(), st.integers(-5, 5), st.text(), st.lists(st.integers())),
+    )
+    def test_a_damaged_configuration_is_named_and_not_half_used(self, field, value):
+        fact = decode("op/config", CONFIG | {field: value})
+        assert isinstance(fact, CatalogFact | UnusableFact)
+
+    def test_a_removed_configuration_takes_nothing_away(self):
+        assert decode("op/config", None) is None
+
+
+class TestDataCentres:
+    def test_one_that_is_left_and_taken_back(self):
+        assert decode("op/evacuate/fes-1", b"{}") == CentreFact("fes-1", leaves=True)
+        assert decode("op/evacuate/fes-1", None) == CentreFact("fes-1", leaves=False)
+
+
+class TestOtherItems:
+    def test_they_concern_nobody(self):
+        assert decode("my/leader", b"x") is None
