Share what the engines really give; read parts again only where it is on time

The engines give about twice the stated throughput, so both workspaces were above their stated share and the surplus went to whoever asked most.

Change: levels of both; the given one ranks, above the stated one a workspace waits a third. Placement takes a server that has the part while it is on time there, and above a share never reads a part again.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -223,7 +223,8 @@
             sends=telling.sends,
             cached=telling.cached,
             wait_s=round(telling.wait_s, 4),
-            share_used=round(telling.use, 3),
+            share_used=round(telling.use.given, 3),
+            stated_used=round(telling.use.stated, 3),
             objective_s=route.objective_s if route else 0.0,
         )
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -32,7 +32,7 @@
     choose_engine,
     choose_plain,
 )
-from fulmarroad_serving._shares import ShareBook, wait_part
+from fulmarroad_serving._shares import NO_USE, ShareBook, ShareUse
 
 CALL_UNITS = 1.0
 """Units of service of a call at a plain service."""
@@ -101,7 +101,7 @@
 
     registered: Registered
     choice: Choice
-    use: float  # part of its share that the workspace has used
+    use: ShareUse
     candidates: int
 
 
@@ -112,7 +112,7 @@
     reason: RefusalReason
     retry_after_s: float
     wait_s: float = 0.0
-    use: float = 0.0
+    use: ShareUse = NO_USE
     candidates: int = 0
 
 
@@ -209,7 +209,9 @@
         if not rows:
             return self._no_server()
         candidates = [self._candidate(row, service, now) for row in rows]
+        use = NO_USE
         if service.engine is not None:
+            use = self.shares.use_of(demand.workspace, demand.units, now)
             choice = choose_engine(
                 demand.part,
                 demand.shared_tokens,
@@ -217,14 +219,13 @@
                 candidates,
                 self._memory,
                 self._centre,
+                demand.objective_s,
                 now,
+                may_read_again=not use.above,
             )
         else:
             choice = choose_plain(candidates, self._centre, self._random)
         assert choice is not None
-        use = self.shares.use_of(demand.workspace, demand.units, now)
-        if service.engine is None:
-            use = 0.0
         if choice.wait_s > self._allowed_wait(demand, service, choice, use):
             return self._overloaded(choice, use, len(rows))
         registered = self.registry.get(choice.server)
@@ -307,25 +308,26 @@
         )
 
     def _allowed_wait(
-        self, demand: Demand, service: Service, choice: Choice, use: float
+        self, demand: Demand, service: Service, choice: Choice, use: ShareUse
     ) -> float:
         if service.engine is None:
             return PLAIN_WAIT_PART * demand.objective_s
         room = max(
             demand.objective_s - choice.read_s, LATE_PROMPT_PART * demand.objective_s
         )
-        return wait_part(use) * room
+        return use.wait_part * room
 
     def _no_server(self) -> Refusal:
         pause = self._random.uniform(*NO_SERVER_RETRY_S)
         return Refusal(RefusalReason.NO_SERVERS, pause)
 
-    def _overloaded(self, choice: Choice, use: float, candidates: int) -> Refusal:
+    def _overloaded(self, choice: Choice, use: ShareUse, candidates: int) -> Refusal:
         early, late = RETRY_AFTER_S
         pause = self._random.uniform(early, late)
-        if use > 1.0:
+        over = use.given - 1.0
+        if over > 0:
             # The share is free again as the window moves on.
-            pause += min(use - 1.0, 1.0) * self._bounds.share_window_s / 2
+            pause += min(over, 1.0) * self._bounds.share_window_s / 2
         pause = min(pause, LONGEST_RETRY_AFTER_S)
         reason = RefusalReason.WAIT_TOO_LONG
         return Refusal(reason, pause, choice.wait_s, use, candidates)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -27,6 +27,7 @@
 from fulmarroad_serving._dispatch import Demand, Dispatcher, Placement, Refusal, Ticket
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._shares import NO_USE, ShareUse
 from fulmarroad_serving._stream import StreamEvents, WholeEvents
 from fulmarroad_serving.contracts import AnswerHead, CallCodec, CallHead
 from fulmarroad_serving.exceptions import (
@@ -105,7 +106,7 @@
     sends: int = 0
     first_s: float = 0.0
     cached: bool | None = None
-    use: float = 0.0
+    use: ShareUse = NO_USE
     wait_s: float = 0.0
     resumed: int = 0
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -5,8 +5,10 @@
 popular part overloads its engine. Operators would notice prompt tokens read several
 times over, or one late engine among idle ones. Each part has the same order of servers
 at every router, by rendezvous hashing, so routers agree without a message. A call goes
-to the first in that order unless another would begin it sooner even though it has to
-read the part; then that one has it too, and the next calls count on that.
+to a server that has its part as long as it begins there on time; only then to another
+one that does, which has the part from then on, and the next calls count on that.
+Reading 13,000 tokens again takes an engine a seventh of a second from everybody, so
+beginning somewhat sooner is no reason for it.
 """
 
 from __future__ import annotations
@@ -30,9 +32,9 @@
 SETTLED_S = 3.0
 """A server that is known for a shorter time does not have its parts yet."""
 
-READ_AGAIN_WEIGHT = 0.6
-"""Cost of reading a cached part again beside this call's own wait: the time is also
-taken from everybody else at that engine, who is mostly not at the edge of lateness."""
+ON_TIME_PART = 0.75
+"""Part of the objective within which an estimate counts as on time: estimates are off
+by a quarter where several routers send at once."""
 
 OTHER_CENTRE_S = 0.003
 """Cost of leaving the data centre: both ways between two, and the bytes."""
@@ -103,13 +105,20 @@
     candidates: Sequence[Candidate],
     memory: PartMemory,
     centre: DataCentreName,
+    objective_s: float,
     now: float,
+    *,
+    may_read_again: bool = True,
 ) -> Choice | None:
-    """Return the server that begins a prompt soonest, counting what it has cached."""
+    """Return the server for a prompt, counting what each one has cached.
+
+    A prompt that may not be read again goes where it is cached, however late: a
+    workspace above its share would else take its surplus from everybody's engines.
+    """
     if not candidates:
         return None
     home = home_order(part, [row.server for row in candidates])[0] if part else ""
-    best: tuple[float, Choice] | None = None
+    ranked = []
     for row in candidates:
         is_home = row.server == home
         cached = memory.has(part, row.server, now) or (
@@ -118,15 +127,14 @@
         tokens = own_tokens if cached else own_tokens + shared_tokens
         read_s = row.base_s + tokens / row.read_rate
         cost = row.wait_s + read_s + row.penalty_s
-        if not cached:
-            cost += READ_AGAIN_WEIGHT * shared_tokens / row.read_rate
         if row.data_centre != centre:
             cost += OTHER_CENTRE_S
-        if best is None or cost < best[0]:
-            choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
-            best = (cost, choice)
-    assert best is not None
-    return best[1]
+        choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
+        late = cost > ON_TIME_PART * objective_s
+        # On time goes first, then what is cached, then what begins soonest.
+        order = (late, not cached) if may_read_again else (not cached, late)
+        ranked.append(((*order, cost), choice))
+    return min(ranked, key=lambda pair: pair[0])[1]
 
 
 def choose_plain(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -25,19 +25,25 @@
 PEER_FRESH_S = 2.0
 """Age at which a peer's counts are dropped: ten of its reports."""
 
-FULL_WAIT = 1.0
-"""Part of an objective that a workspace far below its share may wait."""
+FULL_WAIT_USE = 0.5
+"""Part of its share up to which a workspace may wait for its whole objective: half of
+a share is what everybody has to get, whatever the engines' queues look like."""
 
-WAIT_SLOPE = 0.45
-"""Wait that is lost for each whole share used: at its share a workspace may still wait
-for 0.7 of the objective, so that half of the shares are not left to chance."""
+WAIT_SLOPE = 0.8
+"""Part of the objective that is lost for each further whole share: a workspace at its
+share may still wait 0.6 of it, one at one and a half 0.2."""
 
 REFRESH_S = 0.1
 """Age of the level that calls are judged by; peers' counts are older than that."""
 
-LEAST_WAIT = 0.2
-"""Part that even the largest workspace may wait: an engine with less waiting than this
-has room for everybody."""
+SURPLUS_PART = 0.35
+"""Part of its wait that a workspace keeps above its share of the stated capacity: what
+it asks beyond is served from what others leave, so its queue must stay short enough for
+theirs; tried 0 (idle engines only), where surplus went to whoever asked most."""
+
+LEAST_WAIT = 0.04
+"""Part that even the largest workspace may wait: an engine with less waiting than a
+small prompt has room for everybody."""
 
 
 @frozen
@@ -66,14 +72,50 @@
 
 def wait_part(use: float) -> float:
     """Return the part of an objective that may be spent waiting, by the share used."""
-    return max(LEAST_WAIT, min(FULL_WAIT, FULL_WAIT + 0.15 - WAIT_SLOPE * use))
+    return max(LEAST_WAIT, min(1.0, 1.0 - WAIT_SLOPE * (use - FULL_WAIT_USE)))
+
+
+def real_level(totals: Mapping[WorkspaceName, WorkspaceCount]) -> float:
+    """Return the level of shares of what the engines really give.
+
+    What is handed out is the capacity: with lost or cold engines it is less than any
+    stated one, with prompts that are mostly cached more. By a larger one nobody would
+    be above its share, by a smaller one everybody would, and both ways whoever asks
+    most would get most.
+    """
+    asked = {name: count.asked for name, count in totals.items()}
+    return max_min_level(asked, sum(count.got for count in totals.values()))
+
+
+@frozen
+class ShareUse:
+    """Say which part of its share a workspace uses; one is all of it."""
+
+    given: float = 0.0  # of an equal share of what is handed out now
+    stated: float = 0.0  # of an equal share of the capacity that operators state
+
+    @property
+    def above(self) -> bool:
+        """Tell whether the workspace is above one of its shares."""
+        return self.given > 1.0 or self.stated > 1.0
+
+    @property
+    def wait_part(self) -> float:
+        """Return the part of an objective that may be spent waiting."""
+        part = wait_part(self.given)
+        if self.stated > 1.0:
+            part *= SURPLUS_PART
+        return max(LEAST_WAIT, part)
+
+
+NO_USE = ShareUse()
 
 
 @define
 class ShareBook:
     """Count what workspaces ask and get in the whole fleet."""
 
-    units_per_s: float = 0.0  # capacity to share; 0: what is handed out now
+    units_per_s: float = 0.0  # the capacity that operators state; 0: none
     window_s: float = SHARE_WINDOW_S
     _asked: dict[WorkspaceName, SlidingSum] = field(factory=dict)
     _got: dict[WorkspaceName, SlidingSum] = field(factory=dict)
@@ -82,7 +124,8 @@
     )
     _summed_at: float = float("-inf")
     _totals: dict[WorkspaceName, WorkspaceCount] = field(factory=dict)
-    _level: float = float("inf")
+    _given_level: float = float("inf")
+    _stated_level: float = float("inf")
 
     def note_asked(self, workspace: WorkspaceName, units: float, now: float) -> None:
         """Count a call that came in."""
@@ -115,17 +158,15 @@
                 self._got.pop(workspace, None)
         return counts
 
-    def use_of(self, workspace: WorkspaceName, units: float, now: float) -> float:
-        """Return the part of its share that a workspace would have used with a call.
-
-        One is its whole share; 0 where everything that is asked fits.
-        """
+    def use_of(self, workspace: WorkspaceName, units: float, now: float) -> ShareUse:
+        """Return what a workspace would use of its shares with a call more."""
         if now - self._summed_at >= REFRESH_S:
             self._sum(now)
-        if self._level == float("inf") or self._level <= 0:
-            return 0.0
         count = self._totals.get(workspace)
-        return ((count.got if count else 0.0) + units) / self._level
+        used = (count.got if count else 0.0) + units
+        return ShareUse(
+            _part_of(used, self._given_level), _part_of(used, self._stated_level)
+        )
 
     def _sum(self, now: float) -> None:
         totals = self.own_counts(now)
@@ -137,13 +178,13 @@
                 totals[name] = WorkspaceCount(
                     mine.asked + theirs.asked, mine.got + theirs.got
                 )
-        capacity = self.units_per_s * self.window_s
-        if not capacity:
-            capacity = sum(count.got for count in totals.values())
-        asked = {name: count.asked for name, count in totals.items()}
         self._summed_at = now
         self._totals = totals
-        self._level = max_min_level(asked, capacity)
+        self._given_level = real_level(totals)
+        if self.units_per_s:
+            asked = {name: count.asked for name, count in totals.items()}
+            capacity = self.units_per_s * self.window_s
+            self._stated_level = max_min_level(asked, capacity)
 
     def _window(
         self, windows: dict[WorkspaceName, SlidingSum], workspace: WorkspaceName
@@ -152,3 +193,7 @@
         if window is None:
             window = windows[workspace] = SlidingSum(self.window_s)
         return window
+
+
+def _part_of(used: float, level: float) -> float:
+    return 0.0 if level == float("inf") or level <= 0 else used / level
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -22,7 +22,7 @@
 def choose(part, waits, memory=None, **changes):
     rows = [candidate(server, waits.get(server, 0.0), **changes) for server in SERVERS]
     memory = memory or PartMemory()
-    return choose_engine(part, 13_000, 3_700, rows, memory, "fes", 100.0)
+    return choose_engine(part, 13_000, 3_700, rows, memory, "fes", 0.4, 100.0)
 
 
 class TestSharedParts:
@@ -58,6 +58,25 @@
         choice = choose("part", {home: 0.1}, memory)
         assert (choice.server, choice.cached, choice.tokens) == (second, True, 3_700)
 
+    def test_a_workspace_above_its_share_stays_where_its_part_is(self):
+        """A flooding workspace uses one part. Spread over all engines, each call would
+        make another engine read the part while small workspaces wait there.
+        """
+        home = home_order("part", SERVERS)[0]
+        rows = [candidate(name, 0.9 * (name == home)) for name in SERVERS]
+        choice = choose_engine(
+            "part",
+            13_000,
+            3_700,
+            rows,
+            PartMemory(),
+            "fes",
+            0.4,
+            100.0,
+            may_read_again=False,
+        )
+        assert choice.server == home
+
     def test_a_new_server_does_not_have_its_parts_yet(self):
         assert not choose("part", {}, known_s=0.5).cached
 
--- a/packages/fulmarroad-serving/tests/test_shares.py
+++ b/packages/fulmarroad-serving/tests/test_shares.py
@@ -33,26 +33,53 @@
         """One workspace asks eight times its usual through every router. First come
         first served would give it most of the capacity and refuse the small ones.
         """
-        book, now = ShareBook(units_per_s=1_000.0), 10.0
+        book, now = ShareBook(), 10.0
         for workspace, units in (("flood", 8_000), ("small", 400), ("other", 900)):
             book.note_asked(workspace, units, now)
         book.note_got("flood", 4_000, now)
         book.note_got("small", 300, now)
-        flood = wait_part(book.use_of("flood", 100, now))
-        small = wait_part(book.use_of("small", 100, now))
+        flood = book.use_of("flood", 100, now).wait_part
+        small = book.use_of("small", 100, now).wait_part
         assert flood < 0.6 < small
 
+    def test_two_that_flood_get_the_same(self):
+        """Two workspaces ask for several times what the engines give. One asks twice as
+        much as the other; without shares of what is really given it gets most.
+        """
+        book, now = ShareBook(), 10.0
+        for workspace, asked, got in (("most", 9_000, 2_400), ("more", 4_500, 400)):
+            book.note_asked(workspace, asked, now)
+            book.note_got(workspace, got, now)
+        assert book.use_of("most", 100, now).wait_part < 0.1
+        assert book.use_of("more", 100, now).wait_part > 0.9
+
+    def test_surplus_waits_less_than_what_operators_state(self):
+        """The engines give more than operators promise. A workspace that asks for far
+        more than its promised share takes the surplus, and others wait behind it.
+        """
+        book, now = ShareBook(units_per_s=500.0), 10.0
+        for workspace, asked, got in (("large", 3_000, 1_400), ("small", 600, 500)):
+            book.note_asked(workspace, asked, now)
+            book.note_got(workspace, got, now)
+        large, small = (book.use_of(name, 10, now) for name in ("large", "small"))
+        assert large.above
+        assert not small.above
+        assert large.wait_part < 0.4 * small.wait_part
+
     def test_counts_of_other_routers_are_added(self):
-        book, now = ShareBook(units_per_s=1_000.0), 10.0
+        book, now = ShareBook(), 10.0
         book.note_asked("flood", 3_000, now)
-        book.hear("router-b", {"flood": WorkspaceCount(6_000, 3_000)}, now)
-        assert book.use_of("flood", 0, now) == pytest.approx(0.75)
-        assert book.use_of("flood", 0, now + 60) == 0.0
+        book.note_asked("other", 2_000, now)
+        book.note_got("other", 2_000, now)
+        book.hear("router-b", {"flood": WorkspaceCount(3_000, 2_500)}, now)
+        assert book.use_of("flood", 0, now).given == pytest.approx(1.0)
+        assert book.use_of("flood", 0, now + 60).given == 0.0
 
     def test_nobody_is_limited_while_everything_fits(self):
-        book = ShareBook(units_per_s=1_000.0)
+        book = ShareBook()
         book.note_asked("one", 3_000, 0.0)
-        assert wait_part(book.use_of("one", 1_000, 0.0)) == 1.0
+        book.note_got("one", 3_000, 0.0)
+        assert book.use_of("one", 1_000, 0.0).wait_part == 1.0
 
     def test_even_the_largest_may_use_an_idle_engine(self):
         assert wait_part(100.0) == LEAST_WAIT > 0
