Tell peers where shared parts were sent; judge a young window by stated capacity

Change: stated capacity for the first window; a guess of 60,000, learned at 0.12 with one surprise bounded to three times; parts sent are told in reports and spread in one order.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -31,6 +31,7 @@
     PartMemory,
     choose_engine,
     choose_plain,
+    part_id,
 )
 from fulmarroad_serving._shares import NO_USE, ShareBook, ShareUse
 
@@ -147,7 +148,7 @@
         self._random = random.Random(seed)
         self._views: dict[ServerName, _ServerView] = {}
         self._retries: dict[ServiceName, RetryShare] = {}
-        self._memory = PartMemory()
+        self.parts = PartMemory()
         self._catalog = Catalog(0)
         self._peers: dict[RouterName, float] = {}
         self.registry = Registry()
@@ -163,7 +164,7 @@
     def restarted(self, server: ServerName) -> None:
         """Forget what was known of a server that started anew."""
         self._views.pop(server, None)
-        self._memory.forget(server)
+        self.parts.forget(server)
 
     def trust(self, server: ServerName) -> ServerTrust:
         """Return how far a server is trusted."""
@@ -213,11 +214,11 @@
         if service.engine is not None:
             use = self.shares.use_of(demand.workspace, demand.units, now)
             choice = choose_engine(
-                demand.part,
+                part_id(demand.part),
                 demand.shared_tokens,
                 demand.own_tokens,
                 candidates,
-                self._memory,
+                self.parts,
                 self._centre,
                 demand.objective_s,
                 now,
@@ -240,7 +241,7 @@
         if placement.registered.cold(now):
             self._cold_share(view, demand.service).note(now)
         if demand.part:
-            self._memory.note(demand.part, server, now)
+            self.parts.send(part_id(demand.part), server, now)
         self.shares.note_got(demand.workspace, demand.units, now)
         return Ticket(demand, charge)
 
@@ -269,7 +270,7 @@
             view = self._views[server]
             if self.registry.get(server) is None and not view.load.running:
                 del self._views[server]
-                self._memory.forget(server)
+                self.parts.forget(server)
         return gone
 
     def _open_servers(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -17,9 +17,10 @@
 
 from fulmarroad.types import RouterName, ServerName
 
-READ_RATE = 90_000.0
-"""Prompt tokens a second before anything was seen: an engine of 112 to 157 tokens per
-millisecond that shares its steps with about thirty running answers."""
+READ_RATE = 60_000.0
+"""Prompt tokens a second before anything was seen: engines of 112 to 157 tokens per
+millisecond that share each step of 1,024 with about thirty running answers gave 50 to
+90 thousand. A guess that is too high fills every engine before the first answer."""
 
 READ_RATE_BOUNDS = (8_000.0, 400_000.0)
 """Learned rates outside of these come from mistaken guesses of what was cached."""
@@ -27,8 +28,11 @@
 BASE_S = 0.035
 """First token of an idle engine with the prompt cached: two steps and both ways."""
 
-LEARNING = 0.08
-"""Weight of one first token in what is learned: a slow engine shows after ten."""
+LEARNING = 0.12
+"""Weight of one first token in what is learned: a slow engine shows after eight."""
+
+MOST_SURPRISE = 3.0
+"""Most that one first token may say the engine is faster or slower than thought."""
 
 LEAST_LEARNED_TOKENS = 1_500
 """A shorter wait tells more about the network than about the engine."""
@@ -84,11 +88,13 @@
             self.base_s += LEARNING * (min(took, 4 * BASE_S) - self.base_s)
             return
         seen = tokens / max(took - self.base_s, 0.001)
+        # A prompt that was thought to be cached and was not, or the other way round,
+        # looks like an engine of a quarter or of four times the speed.
+        low, high = self.read_rate / MOST_SURPRISE, self.read_rate * MOST_SURPRISE
+        step = math.log(min(max(seen, low), high) / self.read_rate)
         low, high = READ_RATE_BOUNDS
-        # The mean of logarithms: one wrong guess of ten times must not stay for long.
-        rate = math.log(self.read_rate)
-        rate += LEARNING * (math.log(min(max(seen, low), high)) - rate)
-        self.read_rate = math.exp(rate)
+        learned = self.read_rate * math.exp(LEARNING * step)
+        self.read_rate = min(max(learned, low), high)
 
     def end(self, charge: Charge, *, begun: bool) -> None:
         """Count a call that ended."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -39,6 +39,9 @@
 MOST_WORKSPACES = 40
 """Workspaces in one report, those that ask for most first: shares turn on those."""
 
+MOST_PARTS = 40
+"""Parts in one report, about 0.6 KB: more than a router sends between two reports."""
+
 PULL_TIMEOUT_S = 0.6
 MOST_PULL_BYTES = 8 * 1024 * 1024
 FRESH_STORE_S = 1.6
@@ -166,6 +169,7 @@
             self._dispatcher.own_load(),
             counts,
             tuple(known),
+            self._dispatcher.parts.news(MOST_PARTS),
         )
 
     async def _read_reports(self, udp: UDPSocket) -> None:
@@ -199,6 +203,8 @@
         self._dispatcher.routers = self.book.remembered(now)
         self._dispatcher.hear_load(report.router, report.loads, now)
         self._dispatcher.shares.hear(report.router, report.counts, now)
+        for part, server in report.parts:
+            self._dispatcher.parts.note(part, server, now)
         if report.news_at > self._beliefs.replica.at:
             self._pull.set()
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -11,6 +11,7 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import DataCentreName, RouterName, ServerName, WorkspaceName
 from fulmarroad_serving._load import PeerLoad
+from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
 
 FORMAT = 1
@@ -40,6 +41,7 @@
     loads: Mapping[ServerName, PeerLoad] = field(factory=dict)
     counts: Mapping[WorkspaceName, WorkspaceCount] = field(factory=dict)
     known: tuple[tuple[RouterName, str], ...] = ()  # routers and their hosts
+    parts: tuple[tuple[PartId, ServerName], ...] = ()  # sent to servers since the last
 
 
 def pack_report(report: PeerReport) -> bytes:
@@ -61,6 +63,7 @@
         ],
         [[name, int(row.asked), int(row.got)] for name, row in report.counts.items()],
         [list(pair) for pair in report.known],
+        [list(pair) for pair in report.parts],
     ]
     return bytes(msgpack.packb(row))
 
@@ -84,6 +87,7 @@
             loads={str(n): PeerLoad(int(r), int(w)) for n, r, w in row[10]},
             counts={str(n): WorkspaceCount(float(a), float(g)) for n, a, g in row[11]},
             known=tuple((str(name), str(host)) for name, host in row[12]),
+            parts=tuple((int(part), str(server)) for part, server in row[13]),
         )
     except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
         raise MessageError("This is no report of a router.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -65,20 +65,43 @@
     home: bool
 
 
-@define
-class PartMemory:
-    """Remember which servers were sent which shared part lately."""
+PartId = int
+
 
-    _seen: OrderedDict[tuple[str, ServerName], float] = field(factory=OrderedDict)
+def part_id(part: str) -> PartId:
+    """Return the number by which routers name a shared part to each other."""
+    return xxhash.xxh3_64_intdigest(part.encode()) & 0xFFFFFFFF if part else 0
 
-    def note(self, part: str, server: ServerName, now: float) -> None:
+
+@define
+class PartMemory:
+    """Remember which servers were sent which shared part lately, by any router."""
+
+    _seen: OrderedDict[tuple[PartId, ServerName], float] = field(factory=OrderedDict)
+    _untold: dict[tuple[PartId, ServerName], None] = field(factory=dict)
+
+    def send(self, part: PartId, server: ServerName, now: float) -> None:
+        """Note that this router sent a part; peers are told of it once."""
+        before = self._seen.get((part, server))
+        self.note(part, server, now)
+        if before is None or now - before > REMEMBERED_S / 2:
+            self._untold[(part, server)] = None
+
+    def news(self, most: int) -> tuple[tuple[PartId, ServerName], ...]:
+        """Return what peers were not told yet, the oldest first."""
+        pairs = tuple(self._untold)[:most]
+        for pair in pairs:
+            del self._untold[pair]
+        return pairs
+
+    def note(self, part: PartId, server: ServerName, now: float) -> None:
         """Note that a server was sent a part."""
         self._seen[(part, server)] = now
         self._seen.move_to_end((part, server))
         if len(self._seen) > REMEMBERED_PARTS:
             self._seen.popitem(last=False)
 
-    def has(self, part: str, server: ServerName, now: float) -> bool:
+    def has(self, part: PartId, server: ServerName, now: float) -> bool:
         """Tell whether a server was sent a part lately."""
         at = self._seen.get((part, server))
         return at is not None and now - at < REMEMBERED_S
@@ -89,7 +112,7 @@
             del self._seen[pair]
 
 
-def home_order(part: str, servers: Sequence[ServerName]) -> list[ServerName]:
+def home_order(part: PartId, servers: Sequence[ServerName]) -> list[ServerName]:
     """Return the servers in the order in which a part goes to them."""
     return sorted(
         servers,
@@ -99,7 +122,7 @@
 
 
 def choose_engine(
-    part: str,
+    part: PartId,
     shared_tokens: int,
     own_tokens: int,
     candidates: Sequence[Candidate],
@@ -117,10 +140,10 @@
     """
     if not candidates:
         return None
-    home = home_order(part, [row.server for row in candidates])[0] if part else ""
+    order = home_order(part, [row.server for row in candidates]) if part else []
     ranked = []
     for row in candidates:
-        is_home = row.server == home
+        is_home = row.server in order[:1]
         cached = memory.has(part, row.server, now) or (
             is_home and row.known_s > SETTLED_S
         )
@@ -132,8 +155,11 @@
         choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
         late = cost > ON_TIME_PART * objective_s
         # On time goes first, then what is cached, then what begins soonest.
-        order = (late, not cached) if may_read_again else (not cached, late)
-        ranked.append(((*order, cost), choice))
+        first = (late, not cached) if may_read_again else (not cached, late)
+        # A part that spreads goes to the same next server from every router, or each
+        # of them would make another engine read it.
+        spread = order.index(row.server) if order and not (late or cached) else 0
+        ranked.append(((*first, spread, cost), choice))
     return min(ranked, key=lambda pair: pair[0])[1]
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -75,16 +75,19 @@
     return max(LEAST_WAIT, min(1.0, 1.0 - WAIT_SLOPE * (use - FULL_WAIT_USE)))
 
 
-def real_level(totals: Mapping[WorkspaceName, WorkspaceCount]) -> float:
+def real_level(
+    totals: Mapping[WorkspaceName, WorkspaceCount], least: float = 0.0
+) -> float:
     """Return the level of shares of what the engines really give.
 
     What is handed out is the capacity: with lost or cold engines it is less than any
     stated one, with prompts that are mostly cached more. By a larger one nobody would
     be above its share, by a smaller one everybody would, and both ways whoever asks
-    most would get most.
+    most would get most. `least` is the capacity taken for granted.
     """
     asked = {name: count.asked for name, count in totals.items()}
-    return max_min_level(asked, sum(count.got for count in totals.values()))
+    given = sum(count.got for count in totals.values())
+    return max_min_level(asked, max(given, least))
 
 
 @frozen
@@ -124,11 +127,13 @@
     )
     _summed_at: float = float("-inf")
     _totals: dict[WorkspaceName, WorkspaceCount] = field(factory=dict)
+    _begun_at: float = float("inf")
     _given_level: float = float("inf")
     _stated_level: float = float("inf")
 
     def note_asked(self, workspace: WorkspaceName, units: float, now: float) -> None:
         """Count a call that came in."""
+        self._begun_at = min(self._begun_at, now)
         self._window(self._asked, workspace).add(units, now)
 
     def note_got(self, workspace: WorkspaceName, units: float, now: float) -> None:
@@ -180,10 +185,13 @@
                 )
         self._summed_at = now
         self._totals = totals
-        self._given_level = real_level(totals)
-        if self.units_per_s:
+        capacity = self.units_per_s * self.window_s
+        # A router that has just started has handed out nothing yet, and by that
+        # everybody would be far above a share of nothing.
+        young = now - self._begun_at < self.window_s
+        self._given_level = real_level(totals, capacity if young else 0.0)
+        if capacity:
             asked = {name: count.asked for name, count in totals.items()}
-            capacity = self.units_per_s * self.window_s
             self._stated_level = max_min_level(asked, capacity)
 
     def _window(
--- a/packages/fulmarroad-serving/tests/test_shares.py
+++ b/packages/fulmarroad-serving/tests/test_shares.py
@@ -42,6 +42,17 @@
         small = book.use_of("small", 100, now).wait_part
         assert flood < 0.6 < small
 
+    def test_a_router_that_has_just_started_takes_the_stated_capacity(self):
+        """All routers restart at once under load. Nothing was handed out yet, so each
+        workspace is far above an equal share of nothing and everybody is refused.
+        """
+        book = ShareBook(units_per_s=1_000.0)
+        for workspace in ("a", "b", "c"):
+            book.note_asked(workspace, 2_000, 10.0)
+        book.note_got("a", 100, 10.0)
+        assert book.use_of("b", 100, 10.2).wait_part == 1.0
+        assert book.use_of("b", 100, 14.2).wait_part < 0.5
+
     def test_two_that_flood_get_the_same(self):
         """Two workspaces ask for several times what the engines give. One asks twice as
         much as the other; without shares of what is really given it gets most.
