Who lacks something may go to any engine; who gets most yields meanwhile

By the logs the short one was refused at a mean wait of 0.3 to 0.4 s: above its stated share it was tied to engines that were busy, while the one that asked four times as often met empty ones.

Change: shares are never below the stated ones; the best served yield busy engines while somebody gets less than 0.6 of that; who lacks may read parts again; a prompt late everywhere goes where it begins soonest.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -45,6 +45,9 @@
 """Part of the objective that a prompt may wait whose reading alone takes longer: it
 comes late in any case, and would otherwise never be served."""
 
+EMPTY_WAIT_S = 0.002
+"""Wait below which an engine stands empty: less than one step."""
+
 PLAIN_SERVICE_S = 0.05
 """Time of a call at a plain service before any was seen."""
 
@@ -222,7 +225,7 @@
                 self._centre,
                 demand.objective_s,
                 now,
-                may_read_again=not use.above,
+                may_read_again=use.may_spread,
             )
         else:
             choice = choose_plain(candidates, self._centre, self._random)
@@ -313,6 +316,8 @@
     ) -> float:
         if service.engine is None:
             return PLAIN_WAIT_PART * demand.objective_s
+        if use.yields:
+            return EMPTY_WAIT_S
         room = max(
             demand.objective_s - choice.read_s, LATE_PROMPT_PART * demand.objective_s
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -36,6 +36,10 @@
 """Part of the objective within which an estimate counts as on time: estimates are off
 by a quarter where several routers send at once."""
 
+READ_AGAIN_WEIGHT = 0.6
+"""Cost of reading a part again where a prompt is late everywhere, beside its own wait:
+the engine's time is taken from all others there."""
+
 OTHER_CENTRE_S = 0.003
 """Cost of leaving the data centre: both ways between two, and the bytes."""
 
@@ -155,11 +159,17 @@
         choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
         late = cost > ON_TIME_PART * objective_s
         # On time goes first, then what is cached, then what begins soonest.
-        first = (late, not cached) if may_read_again else (not cached, late)
-        # A part that spreads goes to the same next server from every router, or each
-        # of them would make another engine read it.
-        spread = order.index(row.server) if order and not (late or cached) else 0
-        ranked.append(((*first, spread, cost), choice))
+        again = 0.0 if cached else READ_AGAIN_WEIGHT * shared_tokens / row.read_rate
+        if not may_read_again:
+            key = (float(not cached), 0.0, cost)
+        elif late:
+            key = (2.0, 0.0, cost + again)
+        else:
+            # A part that spreads goes to the same next server from every router, or
+            # each of them would make another engine read it.
+            spread = order.index(row.server) if order and not cached else 0
+            key = (float(not cached), float(spread), cost)
+        ranked.append((key, choice))
     return min(ranked, key=lambda pair: pair[0])[1]
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -41,6 +41,15 @@
 it asks beyond is served from what others leave, so its queue must stay short enough for
 theirs; tried 0 (idle engines only), where surplus went to whoever asked most."""
 
+LACKING_PART = 0.6
+"""Part of what it asks, or of what the best served one gets, below which a workspace
+lacks something. At half of it shares count as unfair; tried 0.75, where a tenth fewer
+prompts came on time since places stood empty."""
+
+LACKING_ASKED = 0.2
+"""Part of what the best served one gets that a workspace has to ask for to count as
+lacking: a few calls that came at a bad moment are no reason to turn others away."""
+
 LEAST_WAIT = 0.04
 """Part that even the largest workspace may wait: an engine with less waiting than a
 small prompt has room for everybody."""
@@ -75,19 +84,30 @@
     return max(LEAST_WAIT, min(1.0, 1.0 - WAIT_SLOPE * (use - FULL_WAIT_USE)))
 
 
-def real_level(
-    totals: Mapping[WorkspaceName, WorkspaceCount], least: float = 0.0
-) -> float:
-    """Return the level of shares of what the engines really give.
+def given_level(totals: Mapping[WorkspaceName, WorkspaceCount], stated: float) -> float:
+    """Return the level of shares of what the engines give, or are stated to give.
 
-    What is handed out is the capacity: with lost or cold engines it is less than any
-    stated one, with prompts that are mostly cached more. By a larger one nobody would
-    be above its share, by a smaller one everybody would, and both ways whoever asks
-    most would get most. `least` is the capacity taken for granted.
+    With prompts that are mostly cached they give more than is stated; by the stated
+    level alone, whoever asks most would get all of the rest. What is handed out can't
+    be the only measure: after a restart it is nothing, everybody is above a share of
+    nothing, and with everybody refused it stays that way.
     """
     asked = {name: count.asked for name, count in totals.items()}
     given = sum(count.got for count in totals.values())
-    return max_min_level(asked, max(given, least))
+    return max_min_level(asked, max(given, stated))
+
+
+def lacking(
+    totals: Mapping[WorkspaceName, WorkspaceCount],
+) -> frozenset[WorkspaceName]:
+    """Return the workspaces that get far less than they ask and than others get."""
+    most = max((count.got for count in totals.values()), default=0.0)
+    return frozenset(
+        name
+        for name, count in totals.items()
+        if count.asked >= LACKING_ASKED * most
+        and count.got < LACKING_PART * min(count.asked, most)
+    )
 
 
 @frozen
@@ -96,11 +116,30 @@
 
     given: float = 0.0  # of an equal share of what is handed out now
     stated: float = 0.0  # of an equal share of the capacity that operators state
+    among_most: bool = False  # gets about as much as the best served one
+    lacks: bool = False  # gets far less than it asks and than others get
+    others_lack: bool = False  # others get far less of what they ask
 
     @property
-    def above(self) -> bool:
-        """Tell whether the workspace is above one of its shares."""
-        return self.given > 1.0 or self.stated > 1.0
+    def yields(self) -> bool:
+        """Tell whether the workspace has to leave its place to others.
+
+        Engines' queues go up and down within a tenth of a second. A workspace that asks
+        often meets a short one by chance, however little wait it is granted, and would
+        keep several times the share of one that asks seldom. It may use what stands
+        empty, so nothing is lost while those who lack something ask for other engines.
+        """
+        return self.among_most and self.others_lack
+
+    @property
+    def may_spread(self) -> bool:
+        """Tell whether engines may read its prompts' shared parts again for it.
+
+        Above a share they may not, or its surplus is read at everybody's cost; but one
+        that lacks something would be tied to engines that happen to be busy while
+        others stand empty.
+        """
+        return self.lacks or (self.given <= 1.0 and self.stated <= 1.0)
 
     @property
     def wait_part(self) -> float:
@@ -127,13 +166,13 @@
     )
     _summed_at: float = float("-inf")
     _totals: dict[WorkspaceName, WorkspaceCount] = field(factory=dict)
-    _begun_at: float = float("inf")
     _given_level: float = float("inf")
     _stated_level: float = float("inf")
+    _most: float = 0.0
+    _lacking: frozenset[WorkspaceName] = frozenset()
 
     def note_asked(self, workspace: WorkspaceName, units: float, now: float) -> None:
         """Count a call that came in."""
-        self._begun_at = min(self._begun_at, now)
         self._window(self._asked, workspace).add(units, now)
 
     def note_got(self, workspace: WorkspaceName, units: float, now: float) -> None:
@@ -169,8 +208,13 @@
             self._sum(now)
         count = self._totals.get(workspace)
         used = (count.got if count else 0.0) + units
+        lacks = workspace in self._lacking
         return ShareUse(
-            _part_of(used, self._given_level), _part_of(used, self._stated_level)
+            _part_of(used, self._given_level),
+            _part_of(used, self._stated_level),
+            among_most=used > LACKING_PART * self._most and not lacks,
+            lacks=lacks,
+            others_lack=bool(self._lacking - {workspace}),
         )
 
     def _sum(self, now: float) -> None:
@@ -186,10 +230,9 @@
         self._summed_at = now
         self._totals = totals
         capacity = self.units_per_s * self.window_s
-        # A router that has just started has handed out nothing yet, and by that
-        # everybody would be far above a share of nothing.
-        young = now - self._begun_at < self.window_s
-        self._given_level = real_level(totals, capacity if young else 0.0)
+        self._given_level = given_level(totals, capacity)
+        self._most = max((count.got for count in totals.values()), default=0.0)
+        self._lacking = lacking(totals)
         if capacity:
             asked = {name: count.asked for name, count in totals.items()}
             self._stated_level = max_min_level(asked, capacity)
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -79,6 +79,14 @@
         )
         assert choice.server == home
 
+    def test_a_prompt_late_everywhere_goes_where_it_begins_soonest(self):
+        """A prompt is too long to come on time. Its home is busy for half a second more
+        than the others; waiting there would help nobody.
+        """
+        home = home_order(PART, SERVERS)[0]
+        assert choose(PART, {home: 0.6}, rate=40_000.0).server != home
+        assert choose(PART, {home: 0.3}, rate=40_000.0).server == home
+
     def test_a_part_spreads_to_the_same_second_server_from_every_router(self):
         """A popular part's home is behind. Each router sees slightly different waits at
         the others; by the shortest, every one would make another engine read the part.
--- a/packages/fulmarroad-serving/tests/test_shares.py
+++ b/packages/fulmarroad-serving/tests/test_shares.py
@@ -42,16 +42,48 @@
         small = book.use_of("small", 100, now).wait_part
         assert flood < 0.6 < small
 
-    def test_a_router_that_has_just_started_takes_the_stated_capacity(self):
+    def test_shares_do_not_shrink_to_nothing_after_a_restart(self):
         """All routers restart at once under load. Nothing was handed out yet, so each
-        workspace is far above an equal share of nothing and everybody is refused.
+        workspace is far above an equal share of nothing, everybody is refused, and
+        nothing is handed out again.
         """
-        book = ShareBook(units_per_s=1_000.0)
+        book, now = ShareBook(units_per_s=1_000.0), 10.0
         for workspace in ("a", "b", "c"):
-            book.note_asked(workspace, 2_000, 10.0)
-        book.note_got("a", 100, 10.0)
-        assert book.use_of("b", 100, 10.2).wait_part == 1.0
-        assert book.use_of("b", 100, 14.2).wait_part < 0.5
+            book.note_asked(workspace, 6_000, now)
+            book.note_got(workspace, 100, now)
+        for workspace in ("a", "b", "c"):
+            assert book.use_of(workspace, 100, now).wait_part == 1.0
+
+    def test_who_asks_often_leaves_its_place_to_who_lacks_something(self):
+        """Engines' queues swing. A workspace that asks ten times as often as another
+        meets ten times as many short ones, and gets most although it is granted less.
+        """
+        book, now = ShareBook(), 10.0
+        for workspace, asked, got in (("often", 9_000, 1_800), ("seldom", 1_500, 600)):
+            book.note_asked(workspace, asked, now)
+            book.note_got(workspace, got, now)
+        assert book.use_of("often", 100, now).yields
+        assert not book.use_of("seldom", 100, now).yields
+
+    def test_who_lacks_something_may_go_to_any_engine(self):
+        """A workspace above its stated share is tied to engines that have its parts. It
+        is refused there while the best served one finds others empty.
+        """
+        book, now = ShareBook(units_per_s=200.0), 10.0
+        for workspace, asked, got in (("often", 9_000, 1_800), ("seldom", 1_500, 600)):
+            book.note_asked(workspace, asked, now)
+            book.note_got(workspace, got, now)
+        seldom = book.use_of("seldom", 100, now)
+        assert seldom.stated > 1.0
+        assert seldom.may_spread
+        assert not book.use_of("often", 100, now).may_spread
+
+    def test_nobody_leaves_its_place_while_others_have_what_they_ask(self):
+        book, now = ShareBook(), 10.0
+        for workspace, asked, got in (("often", 9_000, 1_800), ("seldom", 600, 500)):
+            book.note_asked(workspace, asked, now)
+            book.note_got(workspace, got, now)
+        assert not book.use_of("often", 100, now).yields
 
     def test_two_that_flood_get_the_same(self):
         """Two workspaces ask for several times what the engines give. One asks twice as
@@ -73,8 +105,8 @@
             book.note_asked(workspace, asked, now)
             book.note_got(workspace, got, now)
         large, small = (book.use_of(name, 10, now) for name in ("large", "small"))
-        assert large.above
-        assert not small.above
+        assert not large.may_spread
+        assert small.may_spread
         assert large.wait_part < 0.4 * small.wait_part
 
     def test_counts_of_other_routers_are_added(self):
