--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -0,0 +1,163 @@
+"""One serving process in this one: start, serve, drain."""
+
+import json
+
+import anyio
+from serving_bed import OPEN, PlainCodec, make_catalog
+
+from fulmarroad_serving import CallerLimits, FleetBounds, Instance, ReplicaItem
+from fulmarroad_serving.bounded_log import BoundedLog
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    InstanceFact,
+    Listing,
+    ServingSettings,
+)
+from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.http_client import HttpClient
+from fulmarroad_serving.node import ServingNode
+
+HOST = "127.0.0.9"
+CALLERS, READY, STATUS, PEERS, METRICS = range(17500, 17505)
+
+
+class OneConfiguration:
+    """A store that has one configuration and one server."""
+
+    def __init__(self, port):
+        self.port = port
+        self.answers = False
+
+    async def list_all(self):
+        if not self.answers:
+            raise StoreError("away")
+        items = (ReplicaItem("catalog", 2, b"x"), ReplicaItem("server", 3, b"x"))
+        return Listing(3, items)
+
+    async def watch(self, at, wait_s):
+        await anyio.sleep(wait_s)
+        return Listing(at, ())
+
+    def decode(self, item):
+        if item.key == "catalog":
+            limits = CallerLimits(idle_timeout_s=9.0)
+            return CatalogFact(make_catalog(routes=(OPEN,), limits=limits))
+        server = Instance("s-1", "ledger", "127.0.0.1", self.port, "fes", 8)
+        return InstanceFact(server)
+
+
+class KeylessCodec(PlainCodec):
+    """Name every call, since the client sends no headers of its own."""
+
+    def read_call(self, headers):
+        return super().read_call([*headers, (b"x-id", b"c-1")])
+
+
+def settings():
+    return ServingSettings(
+        router="router-a",
+        data_centre="fes",
+        host=HOST,
+        callers_port=CALLERS,
+        readiness_port=READY,
+        admin_port=STATUS,
+        peer_port=PEERS,
+        metrics_port=METRICS,
+        seeds=(HOST,),
+        descriptors=1000,
+        grace_s=4.0,
+        contact_s=3.0,
+        bounds=FleetBounds(),
+    )
+
+
+async def get(port, path="/"):
+    client = HttpClient(HOST, port)
+    try:
+        return await client.get(path, 1.0)
+    finally:
+        client.close()
+
+
+async def until_status(port, status):
+    while True:
+        try:
+            if (await get(port)).status == status:
+                return
+        except StoreError:
+            pass
+        await anyio.sleep(0.02)
+
+
+def run_node(test):
+    async def go():
+        store = OneConfiguration(1)
+        log = BoundedLog("router-a", 1)
+        node = ServingNode(settings(), KeylessCodec(), store, log, lambda: (HOST,))
+        log.run = anyio.sleep_forever
+        ended = anyio.Event()
+
+        async def run():
+            await node.run()
+            ended.set()
+
+        with anyio.fail_after(15):
+            async with anyio.create_task_group() as group:
+                group.start_soon(run)
+                await until_status(READY, 503)
+                await test(node, store, ended)
+                group.cancel_scope.cancel()
+
+    anyio.run(go)
+
+
+class TestLife:
+    def test_ready_once_the_configuration_is_known_and_unready_as_it_drains(self):
+        """A process starts while the store is away, and is later told to stop. Ready
+        too early it would refuse callers; ended at once it would lose theirs.
+        """
+
+        async def test(node, store, ended):
+            await anyio.sleep(0.3)
+            assert (await get(READY)).status == 503
+            store.answers = True
+            await until_status(READY, 200)
+            assert (await get(CALLERS, "/nowhere/")).status == 404
+            node._ask_drain("test")
+            await until_status(READY, 503)
+            reply = await get(CALLERS, "/nowhere/")
+            assert reply.status == 404
+            with anyio.fail_after(4.0):
+                await ended.wait()
+
+        run_node(test)
+
+    def test_what_it_believes_is_shown(self):
+        async def test(node, store, ended):
+            store.answers = True
+            await until_status(READY, 200)
+            status = json.loads((await get(STATUS)).body)
+            assert status["version"] == 1
+            assert status["reads_store"]
+            assert status["servers"]["s-1"]["service"] == "ledger"
+            metrics = (await get(METRICS, "/metrics")).body
+            assert b"fulmarroad_catalog_version 1.0" in metrics
+            node._ask_drain("test")
+            await ended.wait()
+
+        run_node(test)
+
+    def test_seeds_are_read_again_on_a_signal(self):
+        async def test(node, store, ended):
+            node._read_seeds = lambda: ("127.0.0.10",)
+            node._reload()
+            assert node._peers.seeds == ("127.0.0.10",)
+            node._read_seeds = _unreadable
+            node._reload()
+            assert node._peers.seeds == ("127.0.0.10",)
+
+        run_node(test)
+
+
+def _unreadable():
+    raise ValueError("no TOML")
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -0,0 +1,315 @@
+"""Reading the store, and news that come by peers, in virtual time or on loopback."""
+
+import anyio
+import pytest
+
+from fulmarroad.audit import AuditTrail
+from fulmarroad.exceptions import MessageError
+from fulmarroad.testing import run_virtual
+from fulmarroad_serving import (
+    CallerLimits,
+    Catalog,
+    Dispatcher,
+    FleetBounds,
+    Instance,
+    ReplicaItem,
+)
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._load import PeerLoad
+from fulmarroad_serving._peers import Peers
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._reports import PeerReport, pack_report, unpack_report
+from fulmarroad_serving._shares import WorkspaceCount
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    InstanceFact,
+    InstanceGoneFact,
+    Listing,
+)
+from fulmarroad_serving.exceptions import HistoryLostError, StoreError
+
+
+class FakeStore:
+    """A store in memory that can be away or lose its history."""
+
+    def __init__(self):
+        self.items = {}
+        self.at = 1
+        self.away = False
+        self.history_lost = False
+        self.listings = 0
+
+    def put(self, key, data=b"x"):
+        self.at += 1
+        self.items[key] = ReplicaItem(key, self.at, data)
+
+    def remove(self, key):
+        self.put(key, None)
+
+    async def list_all(self):
+        await self._answer()
+        self.listings += 1
+        live = tuple(row for row in self.items.values() if row.data is not None)
+        return Listing(self.at, live)
+
+    async def watch(self, at, wait_s):
+        await self._answer()
+        if self.history_lost:
+            self.history_lost = False
+            raise HistoryLostError("gone")
+        with anyio.move_on_after(wait_s):
+            while self.at <= at:
+                await anyio.sleep(0.02)
+        await self._answer()
+        news = tuple(row for row in self.items.values() if row.revision > at)
+        return Listing(self.at, news)
+
+    async def _answer(self):
+        await anyio.sleep(0.004)
+        if self.away:
+            raise StoreError("away")
+
+    def decode(self, item):
+        kind, _, name = item.key.partition("/")
+        if kind == "op":
+            version = int(item.data)
+            return CatalogFact(Catalog(version, limits=CallerLimits()))
+        if item.data is None:
+            return InstanceGoneFact(name)
+        return InstanceFact(Instance(name, "drafting", "127.0.0.1", 9001, "fes", 8))
+
+
+def make_beliefs(store, clock):
+    dispatcher = Dispatcher("router-a", "fes", FleetBounds(), 1)
+    pool = ConnectionPool(clock)
+    return dispatcher, Beliefs(store, dispatcher, pool, AuditTrail(), clock)
+
+
+def read(test):
+    """Run a test beside a reader of a fake store, in virtual time."""
+
+    async def go():
+        store = FakeStore()
+        store.put("op/config", b"7")
+        store.put("servers/s-1")
+        store.put("servers/s-2")
+        clock = anyio.current_time
+        dispatcher, beliefs = make_beliefs(store, clock)
+        reader = StoreReader(store, beliefs, lambda: True, clock, 1)
+
+        def servers():
+            beliefs.expire()
+            return sorted(row.instance.id for row in dispatcher.registry.rows())
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(reader.run)
+            await anyio.sleep(0.5)
+            assert servers() == ["s-1", "s-2"]
+            await test(store, beliefs, servers)
+            group.cancel_scope.cancel()
+
+    run_virtual(go)
+
+
+class TestReader:
+    def test_a_change_is_known_well_within_its_bound(self):
+        async def test(store, beliefs, servers):
+            store.put("op/config", b"8")
+            store.remove("servers/s-1")
+            await anyio.sleep(0.4)
+            assert beliefs.catalog.version == 8
+            assert servers() == ["s-2"]
+
+        read(test)
+
+    def test_a_lost_history_is_read_anew(self):
+        """The store drops its history while a server leaves. The changes asked for are
+        gone, and a router that only went on watching would use the server for ever.
+        """
+
+        async def test(store, beliefs, servers):
+            store.remove("servers/s-1")
+            store.history_lost = True
+            await anyio.sleep(1.5)
+            assert store.listings == 2
+            assert servers() == ["s-2"]
+
+        read(test)
+
+    def test_servers_stay_in_use_while_the_store_is_away(self):
+        """The store is away for six seconds, its entries lapse and are written again a
+        second after its return. Callers must not notice.
+        """
+
+        async def test(store, beliefs, servers):
+            store.away = True
+            await anyio.sleep(6)
+            assert servers() == ["s-1", "s-2"]
+            store.remove("servers/s-1")
+            store.remove("servers/s-2")
+            store.away = False
+            await anyio.sleep(1)
+            assert servers() == ["s-1", "s-2"]
+            store.put("servers/s-1")
+            await anyio.sleep(3)
+            assert servers() == ["s-1"]
+
+        read(test)
+
+    def test_a_lower_version_changes_nothing(self):
+        async def test(store, beliefs, servers):
+            store.put("op/config", b"6")
+            await anyio.sleep(0.5)
+            assert beliefs.catalog.version == 7
+
+        read(test)
+
+
+class Fleet:
+    """Peers on loopback addresses of their own, without a store unless given one."""
+
+    def __init__(self, names):
+        self.store = FakeStore()
+        self.nodes = {}
+        self.ages = dict.fromkeys(names, (1e6, 1e6))
+        for number, name in enumerate(names, start=2):
+            dispatcher = Dispatcher(name, "fes", FleetBounds(), 1)
+            clock = anyio.current_time
+            beliefs = Beliefs(
+                self.store, dispatcher, ConnectionPool(clock), AuditTrail(), clock
+            )
+            peers = Peers(
+                name,
+                "fes",
+                f"127.0.0.{number}",
+                17400,
+                1,
+                dispatcher,
+                beliefs,
+                lambda name=name: self.ages[name],
+                clock,
+            )
+            peers.seeds = ("127.0.0.2",)
+            self.nodes[name] = (dispatcher, beliefs, peers)
+
+    def run(self, test):
+        async def go():
+            async with anyio.create_task_group() as group:
+                for _, _, peers in self.nodes.values():
+                    group.start_soon(peers.run)
+                    group.start_soon(peers.serve)
+                with anyio.fail_after(8):
+                    await test()
+                group.cancel_scope.cancel()
+
+        anyio.run(go)
+
+
+async def until(condition):
+    while not condition():
+        await anyio.sleep(0.02)
+
+
+class TestPeers:
+    def test_routers_find_each_other_by_one_seed(self):
+        fleet = Fleet(["a", "b", "c"])
+
+        async def test():
+            await until(
+                lambda: all(
+                    row[0].routers == ["a", "b", "c"] for row in fleet.nodes.values()
+                )
+            )
+
+        fleet.run(test)
+
+    def test_a_router_that_the_store_turns_away_learns_from_a_peer(self):
+        """The store refuses one router while a key is withdrawn and a server leaves. It
+        would go on serving the key and sending to the server.
+        """
+        fleet = Fleet(["a", "b"])
+
+        async def test():
+            _, told, _ = fleet.nodes["a"]
+            dispatcher, learns, _ = fleet.nodes["b"]
+            items = [
+                ReplicaItem("op/config", 2, b"7"),
+                ReplicaItem("servers/s", 3, b"x"),
+            ]
+            told.take_listing(items, 3, 60.0, "store")
+            await until(lambda: learns.catalog.version == 7)
+            change = [
+                ReplicaItem("op/config", 4, b"9"),
+                ReplicaItem("servers/s", 5, None),
+            ]
+            fleet.ages["a"] = (0.1, 60.0)
+            told.take_changes(change, 5, 60.0, "store")
+            await until(lambda: learns.catalog.version == 9)
+            await until(lambda: not dispatcher.registry.rows())
+
+        for _, beliefs, peers in fleet.nodes.values():
+            beliefs.on_news = peers.tell_news
+        fleet.run(test)
+
+    def test_loads_and_counts_are_told(self):
+        fleet = Fleet(["a", "b"])
+
+        async def test():
+            sender, _, _ = fleet.nodes["a"]
+            hears, _, _ = fleet.nodes["b"]
+            now = anyio.current_time()
+            sender.load("s").send("s", 9_000, now)
+            sender.shares.note_asked("coop", 500.0, now)
+            await until(lambda: hears.load("s").total_running(anyio.current_time()))
+            await until(lambda: hears.shares._peers["a"][1]["coop"].asked == 500.0)
+
+        fleet.run(test)
+
+    def test_one_router_of_a_data_centre_reads_and_others_if_it_falls_silent(self):
+        fleet = Fleet(["a", "b"])
+
+        async def test():
+            await until(
+                lambda: all(len(r[0].routers) == 2 for r in fleet.nodes.values())
+            )
+            fleet.ages["a"] = fleet.ages["b"] = (0.1, 60.0)
+            await anyio.sleep(0.5)
+            reading = [row[2].reads_store() for row in fleet.nodes.values()]
+            assert sum(reading) == 1
+            fleet.ages["a"] = fleet.ages["b"] = (5.0, 0.0)
+            await until(lambda: all(r[2].reads_store() for r in fleet.nodes.values()))
+
+        fleet.run(test)
+
+
+class TestReports:
+    REPORT = PeerReport(
+        "a",
+        5,
+        9,
+        "fes",
+        "127.0.0.2",
+        False,
+        44,
+        0.25,
+        60.0,
+        {"s": PeerLoad(2, 900)},
+        {"coop": WorkspaceCount(10.0, 5.0)},
+        (("b", "127.0.0.3"),),
+        ((17, "s"),),
+    )
+
+    def test_a_report_is_read_as_it_was_written(self):
+        assert unpack_report(pack_report(self.REPORT)) == self.REPORT
+
+    @pytest.mark.parametrize("data", [b"", b"\x01", b"\x91\x63", b"{}", b"\x91\x01"])
+    def test_other_bytes_are_no_report(self, data):
+        with pytest.raises(MessageError):
+            unpack_report(data)
+
+    def test_every_cut_report_is_none(self):
+        whole = pack_report(self.REPORT)
+        for end in range(len(whole)):
+            with pytest.raises(MessageError):
+                unpack_report(whole[:end])
