--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/cli.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/cli.py
@@ -20,6 +20,7 @@
   check    check settings and tables in files, without a router
   diff     show what new tables would change
   status   show a router's state: members, schedulers, servers and their warmth
+  beliefs  show what serving routers believe, side by side
   explain  show where a call of a route would go now, and why
   audit    follow the changes that a router sees
   drain    begin a router's graceful shutdown
--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/commands.py
@@ -6,17 +6,25 @@
 import os
 import sys
 from collections.abc import Iterable, Mapping
+from pathlib import Path
 from typing import Any, TextIO
 
 from attrs import asdict
 from result import Err, Result
 
 from fulmarroad.tables import TableChange, Tables, diff_tables, servers_leaving
+from fulmarroad_ctl._beliefs import belief_lines, differing, gather
 from fulmarroad_ctl._client import AdminClient
 from fulmarroad_ctl._files import read_tables
 from fulmarroad_ctl._render import audit_line, explain_lines, status_lines
 from fulmarroad_ctl._router_tables import tables_of, with_counted_keys
-from fulmarroad_ctl.exceptions import EXIT_DIFFERS, RouterError, UsageError
+from fulmarroad_ctl.exceptions import (
+    EXIT_DIFFERS,
+    EXIT_ROUTER,
+    RouterError,
+    UsageError,
+)
+from fulmarroad_platform.settings import load_settings as load_platform_settings
 from fulmarroad_router.settings import Settings, load_settings
 
 ADMIN_VARIABLE = "FULMARROAD_ADMIN"
@@ -52,7 +60,12 @@
         self._environment = environment
 
     def check(
-        self, settings: str = "", routes: str = "", pools: str = "", json: bool = False
+        self,
+        settings: str = "",
+        routes: str = "",
+        pools: str = "",
+        platform_settings: str = "",
+        json: bool = False,
     ) -> None:
         """Check settings and tables in files, without a router.
 
@@ -62,15 +75,18 @@
             settings: settings of a router, TOML.
             routes: files of the routes table, parted by commas; needs --pools.
             pools: files of the pools table, parted by commas; needs --routes.
+            platform_settings: settings that the users' platform wrote, TOML.
             json: print JSON.
 
         """
-        if not (settings or routes or pools):
+        if not (settings or routes or pools or platform_settings):
             raise UsageError(
                 "Nothing to check is named.",
                 hint="Name --settings FILE, or --routes FILES and --pools FILES.",
             )
         loaded = load_settings(settings) if settings else None
+        if platform_settings:
+            load_platform_settings(Path(platform_settings), metrics_port=0)
         tables = read_tables(routes, pools) if routes or pools else None
         warnings = _joint_warnings(loaded, tables)
         counts = _counts(tables) if tables else {}
@@ -78,7 +94,7 @@
             self._print_json({"valid": True, "counts": counts, "warnings": warnings})
             return
         self._print(f"warning: {warning}" for warning in warnings)
-        self._print(["settings are valid"] if loaded else [])
+        self._print(["settings are valid"] if loaded or platform_settings else [])
         parts = ", ".join(f"{count} {kind}" for kind, count in counts.items())
         self._print([f"tables are valid: {parts}"] if tables else [])
 
@@ -104,6 +120,23 @@
         document = _answer(client.get("/status"))
         self._show(document, status_lines(document), json)
 
+    def beliefs(self, routers: str, json: bool = False) -> None:
+        """Show what serving routers believe, side by side, and where they differ.
+
+        Exit code 0: they agree. 1: they differ. 3: a router gave no answer.
+
+        Args:
+            routers: control addresses, HOST:PORT, parted by commas.
+            json: print JSON.
+
+        """
+        answers = gather(filter(None, routers.split(",")))
+        self._show({"routers": answers}, belief_lines(answers), json)
+        if any("error" in row for row in answers.values()):
+            raise SystemExit(EXIT_ROUTER)
+        if differing(answers):
+            raise SystemExit(EXIT_DIFFERS)
+
     def explain(
         self,
         route: str,
--- a/packages/fulmarroad-ctl/tests/test_ctl.py
+++ b/packages/fulmarroad-ctl/tests/test_ctl.py
@@ -13,6 +13,7 @@
 from attrs import asdict
 
 from fulmarroad.tables import parse_texts
+from fulmarroad_ctl._beliefs import belief_lines, differing
 from fulmarroad_ctl.cli import OVERVIEW, main
 from fulmarroad_ctl.commands import Commands
 
@@ -379,6 +380,38 @@
         assert "No router is named" in err
 
 
+class TestBeliefs:
+    def answer(self, version, servers=("s-1",)):
+        return {
+            "router": "a",
+            "state": "open",
+            "version": version,
+            "store_revision": 9,
+            "store_age_s": 0.2,
+            "peers": {"b": {}},
+            "servers": {name: {"cold": True} for name in servers},
+        }
+
+    def test_routers_that_agree_are_shown_without_a_warning(self):
+        answers = {"h:1": self.answer(7), "h:2": self.answer(7)}
+        lines = list(belief_lines(answers))
+        assert len(lines) == 3
+        assert "1, 1 cold, 0 leaving" in lines[1]
+
+    def test_a_router_that_is_behind_is_named(self):
+        """One router did not hear of a version. Its callers are served by the old one,
+        and nobody would see that from the others.
+        """
+        answers = {"h:1": self.answer(7), "h:2": self.answer(6, ("s-2",))}
+        assert differing(answers) == ["version", "servers"]
+        assert "warning: the routers differ in their version" in belief_lines(answers)
+
+    def test_a_router_without_an_answer_is_exit_code_3(self, run):
+        code, out, _ = run("beliefs", "--routers", "127.0.0.1:1")
+        assert code == 3
+        assert "no answer" in out
+
+
 class TestPages:
     def commands(self):
         """Return the commands in the blocks of the operators' pages."""
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 
 import anyio
@@ -276,6 +277,20 @@
             server.close()
 
 
+def free_port(host):
+    """Return a port that nothing on an address uses, for TCP and UDP."""
+    while True:
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagram,
+        ):
+            stream.bind((host, 0))
+            port = stream.getsockname()[1]
+            with contextlib.suppress(OSError):
+                datagram.bind((host, port))
+                return port
+
+
 def run(test):
     """Run a test with a bed of its own."""
 
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -2,8 +2,11 @@
 
 import anyio
 from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from serving_bed import PLAIN, answer, chunk, event, make_catalog, run, stream_head
 
+from fulmarroad_serving._stream import WholeEvents
 from fulmarroad_serving.contracts import CatalogFact
 
 
@@ -334,6 +337,21 @@
 
         run(test)
 
+    @settings(derandomize=True, deadline=None)
+    @given(st.lists(st.integers(1, 12), min_size=1, max_size=30))
+    def test_events_are_whole_however_the_network_cuts_them(self, sizes):
+        data = b"".join(event(n) for n in range(9))
+        whole, passed = WholeEvents(), b""
+        for size in sizes:
+            part, data = data[:size], data[size:]
+            events = whole.feed(part)
+            if events is not None:
+                assert events.raw.endswith(b"\n\n")
+                passed += events.raw
+                assert passed.endswith(event(int(events.last_id)))
+        expected = b"".join(event(n) for n in range(9))
+        assert passed + whole.pending + data == expected
+
     def test_a_stream_that_cannot_be_resumed_does_not_look_whole(self):
         async def test(bed):
             async def script(arrival, writer):
--- a/packages/fulmarroad-serving/tests/test_node.py
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -3,7 +3,7 @@
 import json
 
 import anyio
-from serving_bed import OPEN, PlainCodec, make_catalog
+from serving_bed import OPEN, PlainCodec, free_port, make_catalog
 
 from fulmarroad_serving import CallerLimits, FleetBounds, Instance, ReplicaItem
 from fulmarroad_serving.bounded_log import BoundedLog
@@ -18,7 +18,7 @@
 from fulmarroad_serving.node import ServingNode
 
 HOST = "127.0.0.9"
-CALLERS, READY, STATUS, PEERS, METRICS = range(17500, 17505)
+CALLERS, READY, STATUS, PEERS, METRICS = (free_port(HOST) for _ in range(5))
 
 
 class OneConfiguration:
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -2,6 +2,7 @@
 
 import anyio
 import pytest
+from serving_bed import free_port
 
 from fulmarroad.audit import AuditTrail
 from fulmarroad.exceptions import MessageError
@@ -172,6 +173,7 @@
     def __init__(self, names):
         self.store = FakeStore()
         self.nodes = {}
+        port = free_port("127.0.0.2")
         self.ages = dict.fromkeys(names, (1e6, 1e6))
         for number, name in enumerate(names, start=2):
             dispatcher = Dispatcher(name, "fes", FleetBounds(), 1)
@@ -183,7 +185,7 @@
                 name,
                 "fes",
                 f"127.0.0.{number}",
-                17400,
+                port,
                 1,
                 dispatcher,
                 beliefs,
