One list of hop-by-hop headers; drop fields that nothing reads

A trial that let a caller's own workspace header through passed the tests, since they looked at the last header of a name only; they now refuse a name twice.

--- a/packages/fulmarroad-router/src/fulmarroad_router/asgi.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/asgi.py
@@ -15,6 +15,21 @@
 Receive = Callable[[], Awaitable[dict[str, Any]]]
 SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
 
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers of one connection, which never go on to the next."""
+
 
 class CallerLeft(Exception):
     """End the work on a call whose caller is gone."""
--- a/packages/fulmarroad-router/src/fulmarroad_router/calls.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/calls.py
@@ -4,13 +4,14 @@
 
 import json
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 import xxhash
 from attrs import define, field, frozen
 
 from fulmarroad.tables import CostUnit, Pool, Route, Workspace
+from fulmarroad_router.asgi import HOP_BY_HOP
 from fulmarroad_router.backend import BackendRequest, Headers
 from fulmarroad_router.exceptions import BadRequest
 
@@ -25,18 +26,7 @@
 """Eight doublings reach 32 KB of prompt in forty bytes of a demand."""
 MAX_ID_LENGTH = 128
 
-_HOP_BY_HOP = {
-    b"connection",
-    b"keep-alive",
-    b"proxy-authenticate",
-    b"proxy-authorization",
-    b"proxy-connection",
-    b"te",
-    b"trailer",
-    b"transfer-encoding",
-    b"upgrade",
-}
-_NOT_SENT_ON = _HOP_BY_HOP | {
+_NOT_SENT_ON = HOP_BY_HOP | {
     b"host",
     b"authorization",
     b"content-length",
@@ -47,7 +37,7 @@
     b"fulmarroad-workspace",
     b"fulmarroad-first-attempt",
 }
-_NOT_SENT_BACK = _HOP_BY_HOP | {b"x-request-id", b"fulmarroad-ran", b"date", b"server"}
+_NOT_SENT_BACK = HOP_BY_HOP | {b"x-request-id", b"fulmarroad-ran", b"date", b"server"}
 
 
 @frozen
@@ -120,7 +110,7 @@
         return BackendRequest(self.method.encode(), self.target, headers, self.body)
 
 
-def cleaned(headers: Headers, dropped: set[bytes]) -> Headers:
+def cleaned(headers: Headers, dropped: Collection[bytes]) -> Headers:
     """Return headers without those that concern one hop only."""
     named = {
         token.strip().lower()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
@@ -57,10 +57,9 @@
 
 @frozen
 class EngineProfile:
-    """Say what every model engine of a service can hold."""
+    """Say what every model engine of a service takes at once."""
 
     slots: int
-    memory_tokens: int
 
 
 @frozen
@@ -68,9 +67,7 @@
     """Describe the backend servers that can stand in for each other."""
 
     name: ServiceName
-    health_path: str = "/"
     max_connections: int = 64  # of all routers together, to one server
-    warmup_s: float = 0.0
     warmup_rate: float = 0.0  # calls a second that a cold server bears
     engine: EngineProfile | None = None
 
@@ -81,7 +78,6 @@
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
-    header_timeout_s: float = 10.0
     idle_timeout_s: float = 15.0
     units_per_s: float = 0.0  # service that all workspaces share; 0: not stated
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -66,7 +66,6 @@
     read_s: float
     tokens: int  # prompt tokens to read there
     cached: bool
-    home: bool
 
 
 PartId = int
@@ -156,7 +155,7 @@
         cost = row.wait_s + read_s + row.penalty_s
         if row.data_centre != centre:
             cost += OTHER_CENTRE_S
-        choice = Choice(row.server, row.wait_s, read_s, tokens, cached, is_home)
+        choice = Choice(row.server, row.wait_s, read_s, tokens, cached)
         late = cost > ON_TIME_PART * objective_s
         # On time goes first, then what is cached, then what begins soonest.
         again = 0.0 if cached else READ_AGAIN_WEIGHT * shared_tokens / row.read_rate
@@ -193,4 +192,4 @@
             + (OTHER_CENTRE_S if row.data_centre != centre else 0.0)
         ),
     )
-    return Choice(row.server, row.wait_s, row.base_s, 0, True, True)
+    return Choice(row.server, row.wait_s, row.base_s, 0, True)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -152,7 +152,5 @@
     peer_port: int
     metrics_port: int
     seeds: tuple[str, ...]  # hosts of a few routers; may be stale
-    descriptors: int
     grace_s: float  # from the request to stop until the process is killed
-    contact_s: float  # time in touch after which bounds hold again
     bounds: FleetBounds = field(factory=FleetBounds)
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -163,9 +163,7 @@
     """Return a configuration of every kind of route."""
     services = {
         "ledger": Service("ledger", max_connections=600),
-        "drafting": Service(
-            "drafting", max_connections=600, engine=EngineProfile(16, 100_000)
-        ),
+        "drafting": Service("drafting", max_connections=600, engine=EngineProfile(16)),
     }
     holder = KeyHolder("coop", (digest_key(KEY),))
     catalog = Catalog(
--- a/packages/fulmarroad-serving/tests/test_dispatch.py
+++ b/packages/fulmarroad-serving/tests/test_dispatch.py
@@ -25,7 +25,7 @@
 def make(count=3, **service):
     dispatcher = Dispatcher("router-a", "fes", BOUNDS, 1)
     rows = {
-        "drafting": Service("drafting", engine=EngineProfile(32, 10**6), **service),
+        "drafting": Service("drafting", engine=EngineProfile(32), **service),
         "ledger": Service("ledger"),
     }
     dispatcher.set_catalog(Catalog(1, services=rows, limits=CallerLimits()))
--- a/packages/fulmarroad-serving/tests/test_node.py
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -64,9 +64,7 @@
         peer_port=PEERS,
         metrics_port=METRICS,
         seeds=(HOST,),
-        descriptors=1000,
         grace_s=4.0,
-        contact_s=3.0,
         bounds=FleetBounds(),
     )
 
--- a/packages/fulmarroad-serving/tests/test_platform_calls.py
+++ b/packages/fulmarroad-serving/tests/test_platform_calls.py
@@ -28,7 +28,10 @@
         "remaining_s": 1.25,
         "last_event_id": "",
     }
-    return dict(CODEC.server_headers(head, **(values | changes)))
+    rows = CODEC.server_headers(head, **(values | changes))
+    names = [name for name, _ in rows]
+    assert len(names) == len(set(names)), "a header is sent twice"
+    return dict(rows)
 
 
 class TestCalls:
@@ -53,6 +56,11 @@
         assert b"kv-hold" not in sent
         assert b"authorization" not in sent
 
+    def test_a_call_without_a_workspace_names_none(self):
+        assert b"tenant-id" not in server_headers(
+            CODEC.read_call(HEADERS), workspace=""
+        )
+
     def test_headers_of_one_connection_stay_on_it(self):
         sent = server_headers(CODEC.read_call(HEADERS))
         assert b"connection" not in sent
