Let peers' prompts at an engine drain as one sum, by half

Cause: each peer's waiting prompts were taken to drain at the engine's whole rate, so with eight peers a queue looked eight times as fast as it is, and nothing counted what they sent meanwhile.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -45,6 +45,10 @@
 PEER_FRESH_S = 1.0
 """Age at which a peer's word on its own load is dropped: five of its reports."""
 
+DRAINED_PART = 0.5
+"""Part of what an engine reads in the age of a report by which peers' prompts are fewer
+by now. In a steady load they send as much as is read, in a burst that ends nothing."""
+
 FULL_PENALTY_S = 1.0
 """Added where every slot is taken: the next place is an answer's end away."""
 
@@ -140,13 +144,18 @@
 
     def total_waiting(self, now: float) -> float:
         """Return the prompt tokens of all routers that wait to be read there."""
-        theirs = 0.0
-        for at, load in self.peers.values():
-            age = now - at
-            if age < PEER_FRESH_S:
-                # The engine has read on since the peer wrote.
-                theirs += max(0.0, load.waiting_tokens - self.read_rate * age)
-        return self.waiting_tokens + theirs
+        told = [
+            (now - at, load.waiting_tokens)
+            for at, load in self.peers.values()
+            if now - at < PEER_FRESH_S and load.waiting_tokens
+        ]
+        theirs = float(sum(tokens for _, tokens in told))
+        if not theirs:
+            return float(self.waiting_tokens)
+        # The engine has read on since the peers wrote, and they have sent more.
+        age = sum(age * tokens for age, tokens in told) / theirs
+        read = DRAINED_PART * self.read_rate * age
+        return self.waiting_tokens + max(0.0, theirs - read)
 
     def wait_s(self, slots: int, now: float) -> float:
         """Return how long a new prompt waits before it is read."""
