--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -266,6 +266,9 @@
         """Count a call that ended; no outcome: answered, or its caller left."""
         view = self._view(ticket.charge.server)
         view.load.end(ticket.charge, begun=ticket.begun)
+        if not ticket.begun:
+            demand, sent_at = ticket.demand, ticket.charge.sent_at
+            self.shares.take_back(demand.workspace, demand.units, sent_at, now)
         if outcome is None:
             if ticket.begun:
                 view.trust.succeed(now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -179,6 +179,17 @@
         """Count a call that is sent to a server."""
         self._window(self._got, workspace).add(units, now)
 
+    def take_back(
+        self, workspace: WorkspaceName, units: float, sent_at: float, now: float
+    ) -> None:
+        """Uncount a call that ended without an answer.
+
+        Servers crash with the prompts of whoever asks most. Counted as got, those
+        would keep that workspace from others' engines as well, and it has nothing.
+        """
+        if now - sent_at < self.window_s:
+            self._window(self._got, workspace).add(-units, now)
+
     def hear(
         self,
         router: RouterName,
@@ -194,7 +205,7 @@
         for workspace, asked in list(self._asked.items()):
             total = asked.total(now)
             got = self._got.get(workspace)
-            count = WorkspaceCount(total, got.total(now) if got else 0.0)
+            count = WorkspaceCount(total, max(0.0, got.total(now)) if got else 0.0)
             if count.asked or count.got:
                 counts[workspace] = count
             else:
--- a/packages/fulmarroad-serving/tests/test_dispatch.py
+++ b/packages/fulmarroad-serving/tests/test_dispatch.py
@@ -97,6 +97,22 @@
         assert urgent > 2 * late
 
 
+class TestShares:
+    def test_calls_that_servers_lost_are_not_counted_as_got(self):
+        """Servers crash under the prompts of the workspace that asks most. If those
+        count, it is held back as the best served one although it got nothing.
+        """
+        dispatcher = make()
+        ticket = send(dispatcher)
+        assert dispatcher.shares.own_counts(100.1)["coop"].got == CALL.units
+        dispatcher.end(ticket, SendOutcome.UNKNOWN, 100.2)
+        assert dispatcher.shares.own_counts(100.3)["coop"].got == 0.0
+        served = send(dispatcher)
+        dispatcher.begin(served, 100.2)
+        dispatcher.end(served, None, 100.3)
+        assert dispatcher.shares.own_counts(100.3)["coop"].got == CALL.units
+
+
 class TestServersOut:
     def test_without_any_the_refusal_is_at_once_and_says_when_to_come_back(self):
         refusal = make(0).place(CALL, 100.0)
