--- a/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
@@ -16,6 +16,7 @@
 import httpcore
 
 CALLS = 2_000
+DECISIONS = 2_000
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
 
 MODULES = (
@@ -57,6 +58,83 @@
     print(json.dumps(row))
 
 
+def decisions() -> None:
+    """Print bytes and processor time of a report and of a placement, by fleet size."""
+    for servers, workspaces in ((9, 16), (45, 30), (128, 40), (128, 1_600)):
+        print(json.dumps(_decision_row(servers, workspaces)))
+
+
+def _decision_row(servers: int, workspaces: int) -> dict[str, float]:
+    from fulmarroad_serving import (
+        CallerLimits,
+        Catalog,
+        Demand,
+        Dispatcher,
+        EngineProfile,
+        FleetBounds,
+        Instance,
+        Service,
+    )
+    from fulmarroad_serving._reports import PeerReport, pack_report, unpack_report
+
+    dispatcher = Dispatcher("router-000", "centre-1", FleetBounds(), 1)
+    service = Service("drafting", engine=EngineProfile(128))
+    limits = CallerLimits(units_per_s=1e6)
+    catalog = Catalog(1, services={"drafting": service}, limits=limits)
+    dispatcher.set_catalog(catalog)
+    for n in range(servers):
+        instance = Instance(
+            f"i-{n:08x}", "drafting", "10.0.0.1", n + 1, "centre-1", 128
+        )
+        dispatcher.registry.put(instance, 0.0)
+    demands = [
+        Demand(
+            f"c-{n}", "drafting", f"work{n:04d}", 0.4, f"part-{n}", 9_000, 3_000, 100
+        )
+        for n in range(workspaces)
+    ]
+    now = 100.0
+    for demand in demands:
+        dispatcher.note_asked(demand, now)
+        placed = dispatcher.place(demand, now)
+        if hasattr(placed, "choice"):
+            dispatcher.send(demand, placed, now)
+    begun = _cpu()
+    for n in range(DECISIONS):
+        now += 0.005
+        dispatcher.place(demands[n % workspaces], now)
+    place_us = (_cpu() - begun) / DECISIONS * 1e6
+    counts = dispatcher.shares.own_counts(now)
+    parts = dispatcher.parts.news(40)
+    report = PeerReport(
+        "router-000",
+        1,
+        1,
+        "centre-1",
+        "10.0.0.1",
+        False,
+        9,
+        0.1,
+        9.0,
+        dispatcher.own_load(),
+        dict(list(counts.items())[:40]),
+        (),
+        parts,
+    )
+    data = pack_report(report)
+    begun = _cpu()
+    for _ in range(DECISIONS):
+        unpack_report(pack_report(report))
+    codec_us = (_cpu() - begun) / DECISIONS * 1e6
+    return {
+        "servers": servers,
+        "workspaces": workspaces,
+        "place_us": round(place_us, 1),
+        "report_bytes": len(data),
+        "pack_and_unpack_us": round(codec_us, 1),
+    }
+
+
 async def _serve() -> tuple[asyncio.Server, int]:
     async def connected(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -109,4 +187,4 @@
 
 
 if __name__ == "__main__":
-    fire.Fire({"memory": memory, "calls": calls})
+    fire.Fire({"memory": memory, "calls": calls, "decisions": decisions})
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -213,12 +213,11 @@
             await anyio.sleep(EXPIRE_S)
             now = self._clock()
             self._beliefs.expire()
-            alive = {peer.router for peer in self.book.alive(now)}
-            for router in self.book.remembered(now):
-                if router in alive or router == self._me or router in self._silent:
-                    continue
-                self._silent.add(router)
-                emit(logger, Event.PEER_SILENT, peer=router)
+            self._dispatcher.routers = self.book.remembered(now)
+            for router in self.book.silent(now):
+                if router not in self._silent:
+                    self._silent.add(router)
+                    emit(logger, Event.PEER_SILENT, peer=router)
 
     # the store's copy
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -134,6 +134,12 @@
             if now - peer.heard_at < ALIVE_S
         ]
 
+    def silent(self, now: float) -> list[RouterName]:
+        """Return the peers that were heard once and not lately."""
+        return [
+            name for name, peer in self._peers.items() if now - peer.heard_at >= ALIVE_S
+        ]
+
     def remembered(self, now: float) -> list[RouterName]:
         """Return every router that may exist, this one too, sorted."""
         for name, peer in list(self._peers.items()):
--- a/packages/fulmarroad-serving/tests/test_bounded_log.py
+++ b/packages/fulmarroad-serving/tests/test_bounded_log.py
@@ -37,8 +37,9 @@
         every call in the process.
         """
         log, read, _ = make()
-        for _ in range(1_500):
-            log.emit(record("x" * 200))
+        for _ in range(300):
+            # Longer than a pipe takes in one piece, so that lines are cut on the way.
+            log.emit(record("x" * 9_001))
         log.write(1_500)
         data = os.read(read, 1 << 20)
         while not data.endswith(b"\n") or log._records:
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -2,6 +2,7 @@
 
 import anyio
 import pytest
+from attrs import evolve
 from serving_bed import free_port
 
 from fulmarroad.audit import AuditTrail
@@ -20,7 +21,13 @@
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
-from fulmarroad_serving._reports import PeerReport, pack_report, unpack_report
+from fulmarroad_serving._reports import (
+    REMEMBERED_S,
+    PeerBook,
+    PeerReport,
+    pack_report,
+    unpack_report,
+)
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving.contracts import (
     CatalogFact,
@@ -285,6 +292,30 @@
         fleet.run(test)
 
 
+class TestPeerBook:
+    def test_only_a_peer_that_was_heard_can_fall_silent(self):
+        """A router starts and hears names of others before their reports. Told as lost,
+        they would send the operators after routers that are well.
+        """
+        book = PeerBook("z", "127.0.0.9")
+        book.take(TestReports.REPORT, 10.0)
+        assert book.remembered(10.0) == ["a", "b", "z"]
+        assert book.silent(11.0) == []
+        assert book.silent(12.5) == ["a"]
+        assert book.alive(12.5) == []
+
+    def test_an_older_report_changes_nothing(self):
+        book = PeerBook("z", "127.0.0.9")
+        assert book.take(TestReports.REPORT, 10.0)
+        assert not book.take(evolve(TestReports.REPORT, sequence=8), 11.0)
+        assert book.take(evolve(TestReports.REPORT, incarnation=6, sequence=1), 11.0)
+
+    def test_a_router_that_is_gone_for_long_no_longer_counts(self):
+        book = PeerBook("z", "127.0.0.9")
+        book.take(TestReports.REPORT, 10.0)
+        assert "a" not in book.remembered(10.0 + REMEMBERED_S)
+
+
 class TestReports:
     REPORT = PeerReport(
         "a",
