--- a/packages/fulmarroad-serving/tests/test_dispatch.py
+++ b/packages/fulmarroad-serving/tests/test_dispatch.py
@@ -119,24 +119,21 @@
         assert refusal.reason is RefusalReason.NO_SERVERS
         assert refusal.retry_after_s > 0
 
-    def test_a_server_that_swallows_calls_gets_fewer(self):
+    def test_a_server_that_swallows_a_call_is_passed_over(self):
         """One of three servers answers nothing. It has the least running of all, and
         without looking at what is overdue every call would go there.
         """
         dispatcher = make()
+        for row in dispatcher.registry.rows():
+            # With many slots a growing number of calls alone tells nothing.
+            dispatcher.registry.put(evolve(row.instance, slots=500), 0.0)
         demand = Demand("c", "ledger", "coop", 0.5)
-        now, counts = 100.0, {}
-        for _ in range(150):
-            now += 0.02
-            ticket = send(dispatcher, demand, now)
-            if isinstance(ticket, Refusal):
-                continue
-            server = ticket.charge.server
-            counts[server] = counts.get(server, 0) + 1
-            if server != "ledger-0":
-                dispatcher.begin(ticket, now)
-                dispatcher.end(ticket, None, now)
-        assert counts["ledger-0"] < 0.2 * sum(counts.values())
+        dispatcher.load("ledger-0").send("ledger-0", 0, 99.0, 0.05)
+        for server in ("ledger-1", "ledger-2"):
+            for _ in range(20):
+                dispatcher.load(server).send(server, 0, 99.9, 0.05)
+        chosen = {dispatcher.place(demand, 100.0).choice.server for _ in range(40)}
+        assert chosen == {"ledger-1", "ledger-2"}
 
     @pytest.mark.parametrize(
         "outcome", [SendOutcome.UNKNOWN, SendOutcome.FAILED, SendOutcome.NOT_RUN]
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -248,7 +248,9 @@
             async with anyio.create_task_group() as group:
                 for n in range(3):
                     group.start_soon(bed.call, "/look/1", f"c-{n}")
-            assert not bed.dispatcher.trust("s-1").paused(time.monotonic())
+                while not bed.arrivals:
+                    await anyio.sleep(0.005)
+                assert not bed.dispatcher.trust("s-1").paused(time.monotonic())
             assert len({arrival.connection for arrival in bed.arrivals}) == 1
 
         run(test)
