--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -37,7 +37,7 @@
     ServedRoute,
     pick_target,
 )
-from fulmarroad_serving._forwarding import Forwarder, ServedCall, Telling
+from fulmarroad_serving._forwarding import CallSummary, Forwarder, ServedCall
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving.contracts import CallCodec, CallHead
 
@@ -60,7 +60,7 @@
     workspace: str = ""
     version: int = 0
     outcome: str = ""
-    telling: Telling = field(factory=Telling)
+    summary: CallSummary = field(factory=CallSummary)
 
 
 class ServingApp:
@@ -138,7 +138,7 @@
         stages.version = index.catalog.version
         call = self._check(scope, head, body, index, stages)
         await run_watched(
-            lambda: self._forwarder.run(call, responder, stages.telling),
+            lambda: self._forwarder.run(call, responder, stages.summary),
             receive,
             responder,
         )
@@ -211,11 +211,11 @@
 
     def _note_end(self, responder: AsgiResponder, stages: _Stages) -> None:
         seconds = self._clock() - stages.arrived
-        telling, route = stages.telling, stages.route
+        summary, route = stages.summary, stages.route
         kind = route.kind.value if route else "none"
         self._measures.calls.labels(kind, stages.outcome or "cancelled").inc()
-        if telling.first_s:
-            self._measures.first.labels(kind).observe(telling.first_s)
+        if summary.first_s:
+            self._measures.first.labels(kind).observe(summary.first_s)
         if stages.outcome == "served":
             self._measures.whole.labels(kind).observe(seconds)
         emit(
@@ -228,13 +228,13 @@
             outcome=stages.outcome,
             status=responder.status,
             seconds=round(seconds, 4),
-            first_s=round(telling.first_s, 4),
-            server=telling.server,
-            sends=telling.sends,
-            cached=telling.cached,
-            wait_s=round(telling.wait_s, 4),
-            share_used=round(telling.use.given, 3),
-            stated_used=round(telling.use.stated, 3),
+            first_s=round(summary.first_s, 4),
+            server=summary.server,
+            sends=summary.sends,
+            cached=summary.cached,
+            wait_s=round(summary.wait_s, 4),
+            share_used=round(summary.use.given, 3),
+            stated_used=round(summary.use.stated, 3),
             objective_s=route.objective_s if route else 0.0,
         )
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -101,7 +101,7 @@
 
 
 @define
-class Telling:
+class CallSummary:
     """Collect what a call's last log line says."""
 
     server: ServerName = ""
@@ -121,7 +121,7 @@
     responder: Responder
     demand: Demand
     progress: CallProgress
-    telling: Telling
+    summary: CallSummary
     begun_at: float
     signed_head: AnswerHead | None = None
     avoid: set[ServerName] = field(factory=set)
@@ -146,7 +146,7 @@
         self._clock = clock
 
     async def run(
-        self, call: ServedCall, responder: Responder, telling: Telling
+        self, call: ServedCall, responder: Responder, summary: CallSummary
     ) -> None:
         """Answer a call, or raise `CallError`."""
         now = self._clock()
@@ -155,7 +155,7 @@
             responder,
             demand_of(call),
             CallProgress(call.route.repeatable, call.route.max_attempts),
-            telling,
+            summary,
             now,
         )
         self._dispatcher.note_asked(run.demand, now)
@@ -182,11 +182,11 @@
     def _place(self, run: _Run) -> Placement | Refusal:
         placement = self._dispatcher.place(run.demand, self._clock(), avoid=run.avoid)
         if isinstance(placement, Refusal):
-            run.telling.wait_s, run.telling.use = placement.wait_s, placement.use
+            run.summary.wait_s, run.summary.use = placement.wait_s, placement.use
         else:
             choice = placement.choice
-            run.telling.server, run.telling.cached = choice.server, choice.cached
-            run.telling.wait_s, run.telling.use = choice.wait_s, placement.use
+            run.summary.server, run.summary.cached = choice.server, choice.cached
+            run.summary.wait_s, run.summary.use = choice.wait_s, placement.use
         return placement
 
     async def _attempt(self, run: _Run, placement: Placement) -> SendError | None:
@@ -201,7 +201,7 @@
             return error
         ticket = self._dispatcher.send(run.demand, placement, self._clock())
         run.progress.note_send(instance.id)
-        run.telling.sends = run.progress.sends
+        run.summary.sends = run.progress.sends
         outcome: SendOutcome | None = None
         try:
             await self._exchange(run, connection, instance, ticket)
@@ -324,7 +324,7 @@
         await self._answer(run, head, body)
 
     async def _answer(self, run: _Run, head: AnswerHead, body: bytes) -> None:
-        run.telling.first_s = self._clock() - run.begun_at
+        run.summary.first_s = self._clock() - run.begun_at
         length = (b"content-length", str(len(body)).encode())
         await run.responder.begin(head.status, [*head.forward, length])
         await run.responder.finish(body)
@@ -370,7 +370,7 @@
     ) -> None:
         self._dispatcher.begin(ticket, self._clock())
         if not run.responder.begun:
-            run.telling.first_s = self._clock() - run.begun_at
+            run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
         await run.responder.send(whole.raw)
--- a/packages/fulmarroad/src/fulmarroad/_fairqueue.py
+++ b/packages/fulmarroad/src/fulmarroad/_fairqueue.py
@@ -128,29 +128,11 @@
         self.began = now
 
 
-class FleetQueue:
-    """Serve backlogged workspaces by least service, wherever it was received."""
+class WaitingById:
+    """Find waiting demands by id; what every queue of demands has in common."""
 
     def __init__(self) -> None:
-        self._accounts: dict[WorkspaceName, Account] = {}
         self._waiting: dict[str, Waiting] = {}
-        self._heap: list[tuple[float, int, Account]] = []
-        self._backlogged: dict[WorkspaceName, Account] = {}
-        self._remote: dict[WorkspaceName, Account] = {}
-        self._passed: dict[WorkspaceName, Waiting] = {}
-        self._stamps = itertools.count(1)
-        self._reached = 0.0
-        self._mean = 0.0
-
-    @property
-    def spreads(self) -> bool:
-        """Tell that totals and moves between shards apply to this policy."""
-        return True
-
-    @property
-    def usual_cost(self) -> float:
-        """Return the running mean of every request's cost, 0 while none is known."""
-        return self._mean
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -171,6 +153,35 @@
         deadline = now + sane(demand.remaining_s)
         return self.restore(Waiting(demand, router, arrival, deadline), now)
 
+    def restore(self, waiting: Waiting, now: float) -> bool:
+        """Queue a demand that waited before, at its old place."""
+        raise NotImplementedError
+
+
+class FleetQueue(WaitingById):
+    """Serve backlogged workspaces by least service, wherever it was received."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._accounts: dict[WorkspaceName, Account] = {}
+        self._heap: list[tuple[float, int, Account]] = []
+        self._backlogged: dict[WorkspaceName, Account] = {}
+        self._remote: dict[WorkspaceName, Account] = {}
+        self._passed: dict[WorkspaceName, Waiting] = {}
+        self._stamps = itertools.count(1)
+        self._reached = 0.0
+        self._mean = 0.0
+
+    @property
+    def spreads(self) -> bool:
+        """Tell that totals and moves between shards apply to this policy."""
+        return True
+
+    @property
+    def usual_cost(self) -> float:
+        """Return the running mean of every request's cost, 0 while none is known."""
+        return self._mean
+
     def restore(self, waiting: Waiting, now: float) -> bool:
         """Queue a demand that waited before, at its old place."""
         demand = waiting.demand
--- a/packages/fulmarroad/src/fulmarroad/_keys.py
+++ b/packages/fulmarroad/src/fulmarroad/_keys.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from fulmarroad._keymemory import VoteRight
 from fulmarroad._keyrecords import (
@@ -74,29 +74,11 @@
 
     def start(self, asked: KeyStart, now: float) -> KeyRecorded:
         """Record that an attempt is about to be sent, unless something forbids it."""
-        name = (asked.workspace, asked.key)
-        refusal = self._refusal(name, asked.group, now)
-        if refusal is not None:
-            return refusal
-        known = self._records.get(name)
-        ballot = (asked.fence, asked.attempt)
-        if known is not None and _forbids_start(known, ballot):
-            return self._told(known, now)
-        record = Record(KeyState.STARTED, asked.attempt, asked.fence, asked.fingerprint)
-        return self._records.put(name, record, now).told()
+        return self._vote(asked, KeyState.STARTED, _forbids_start, now)
 
     def fence(self, asked: KeyFence, now: float) -> KeyRecorded:
         """Refuse lower attempts from now on, or tell what was recorded before."""
-        name = (asked.workspace, asked.key)
-        refusal = self._refusal(name, asked.group, now)
-        if refusal is not None:
-            return refusal
-        known = self._records.get(name)
-        ballot = (asked.fence, asked.attempt)
-        if known is not None and _outweighs_fence(known, ballot):
-            return self._told(known, now)
-        record = Record(KeyState.FENCED, asked.attempt, asked.fence, asked.fingerprint)
-        return self._records.put(name, record, now).told()
+        return self._vote(asked, KeyState.FENCED, _outweighs_fence, now)
 
     def finish(self, asked: KeyFinish, now: float) -> KeyRecorded:
         """Keep what became of an attempt; a fact needs no vote."""
@@ -146,6 +128,23 @@
         """Tell whether this member may vote on a key."""
         return self._right.ready((workspace, key), now)
 
+    def _vote(
+        self,
+        asked: KeyStart | KeyFence,
+        state: KeyState,
+        outweighs: Callable[[Record, tuple[int, str]], bool],
+        now: float,
+    ) -> KeyRecorded:
+        name = (asked.workspace, asked.key)
+        refusal = self._refusal(name, asked.group, now)
+        if refusal is not None:
+            return refusal
+        known = self._records.get(name)
+        if known is not None and outweighs(known, (asked.fence, asked.attempt)):
+            return self._told(known, now)
+        record = Record(state, asked.attempt, asked.fence, asked.fingerprint)
+        return self._records.put(name, record, now).told()
+
     def _refusal(
         self, name: KeyName, group: tuple[RouterName, ...], now: float
     ) -> KeyRecorded | None:
--- a/packages/fulmarroad/src/fulmarroad/_policies.py
+++ b/packages/fulmarroad/src/fulmarroad/_policies.py
@@ -8,7 +8,13 @@
 from operator import attrgetter
 from typing import Protocol
 
-from fulmarroad._fairqueue import Charge, Eligible, FleetQueue, Waiting, sane
+from fulmarroad._fairqueue import (
+    Charge,
+    Eligible,
+    FleetQueue,
+    Waiting,
+    WaitingById,
+)
 from fulmarroad._messages import Demand
 from fulmarroad.exceptions import ConfigurationError
 from fulmarroad.types import RouterName, WorkspaceName
@@ -96,34 +102,15 @@
         """Do nothing."""
 
 
-class FifoQueue(_Uncounted):
+class FifoQueue(_Uncounted, WaitingById):
     """Serve demands in the order of arrival, whoever sent them.
 
     This is the baseline without fairness: a flood fills the line before everybody.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self._line: list[Waiting] = []
-        self._waiting: dict[str, Waiting] = {}
-
-    def __len__(self) -> int:
-        return len(self._waiting)
-
-    def __contains__(self, demand_id: object) -> bool:
-        return demand_id in self._waiting
-
-    def __iter__(self) -> Iterator[Waiting]:
-        return iter(self._waiting.values())
-
-    def get(self, demand_id: str) -> Waiting | None:
-        """Return a waiting demand by its id."""
-        return self._waiting.get(demand_id)
-
-    def add(self, demand: Demand, router: RouterName, now: float) -> bool:
-        """Queue a demand by its arrival; return false if it waits already."""
-        arrival = now - sane(demand.waited_s)
-        deadline = now + sane(demand.remaining_s)
-        return self.restore(Waiting(demand, router, arrival, deadline), now)
 
     def ahead(self) -> int:
         """Return the length of the line."""
