--- a/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
@@ -73,6 +73,7 @@
         EngineProfile,
         FleetBounds,
         Instance,
+        Placement,
         Service,
     )
     from fulmarroad_serving._reports import PeerReport, pack_report, unpack_report
@@ -97,7 +98,7 @@
     for demand in demands:
         dispatcher.note_asked(demand, now)
         placed = dispatcher.place(demand, now)
-        if hasattr(placed, "choice"):
+        if isinstance(placed, Placement):
             dispatcher.send(demand, placed, now)
     begun = _cpu()
     for n in range(DECISIONS):
