--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -18,9 +18,9 @@
 from fulmarroad.types import RouterName, ServerName
 
 READ_RATE = 60_000.0
-"""Prompt tokens a second before anything was seen. Worked out, 50 to 90
-thousand, for engines that read 112 to 157 tokens a millisecond and share steps of 1,024
-with some thirty answers. Too high a guess fills every engine before its first answer."""
+"""Prompt tokens a second before anything was seen. Worked out, 50 to 90 thousand, for
+engines that read 112 to 157 tokens a millisecond in steps of 1,024 shared with some
+thirty answers. Too high a guess fills every engine before its first answer."""
 
 READ_RATE_BOUNDS = (8_000.0, 400_000.0)
 """Learned rates outside of these come from mistaken guesses of what was cached."""
