Bound the time that callers have for a request's headers

Cause: uvicorn limits the idle time between two requests only. Headers that begin and never end, and connections without a first byte, held a descriptor for good; HeaderTimeoutMs was read by nobody. Ruled out: a task a connection (memory and wake-ups for each of some thousand); a check in the application, which uvicorn calls only once the headers are whole. Change: a subclass of uvicorn's connection with a timer that is set only when a packet ends in the middle of headers, so a request in one packet costs nothing. At the limit it looks once more before it closes, since after a pause timers run before the bytes that came meanwhile. An answer that is still on its way is not cut off. Operators' HeaderTimeoutMs is decoded and taken over with its version.

--- a/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -12,6 +12,7 @@
 import uvicorn
 
 from fulmarroad.exceptions import TransportError
+from fulmarroad_router._header_guard import HEADER_TIMEOUT_S, GuardedConfig
 from fulmarroad_router.settings import TlsSettings
 
 BACKLOG = 1024
@@ -23,6 +24,8 @@
 class _Server(uvicorn.Server):
     """Leave signals to the daemon's own supervisor."""
 
+    config: GuardedConfig
+
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Capture none."""
@@ -41,6 +44,7 @@
         max_connections: int | None = None,
         tls: TlsSettings | None = None,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        header_timeout_s: float = HEADER_TIMEOUT_S,
         on_ready: Callable[[int], None] = lambda port: None,
     ) -> None:
         self._app = app
@@ -51,13 +55,14 @@
         self._max_connections = max_connections
         self._tls = tls
         self._idle_timeout_s = idle_timeout_s
+        self._header_timeout_s = header_timeout_s
 
     async def run(self) -> None:
         """Serve until cancelled or stopped."""
-        config = uvicorn.Config(
+        config = GuardedConfig(
             self._app,
             loop="none",
-            http="httptools",
+            header_timeout_s=self._header_timeout_s,
             ws="none",
             lifespan="off",
             log_config=None,
@@ -86,11 +91,13 @@
             self._server.should_exit = True
         await anyio.lowlevel.checkpoint()
 
-    def set_idle_timeout(self, seconds: float) -> None:
-        """Close new connections after another idle time."""
-        self._idle_timeout_s = seconds
+    def set_timeouts(self, idle_s: float, header_s: float) -> None:
+        """Bound the idle time of new connections, and the headers of all requests."""
+        self._idle_timeout_s = idle_s
+        self._header_timeout_s = header_s
         if self._server is not None:
-            self._server.config.timeout_keep_alive = math.ceil(seconds)
+            self._server.config.timeout_keep_alive = math.ceil(idle_s)
+            self._server.config.header_timeout_s = header_s
 
     def _bind(self) -> socket.socket:
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
@@ -78,6 +78,7 @@
 
     header_bytes: int = 16384
     body_bytes: int = 4 * 1024 * 1024
+    header_timeout_s: float = 10.0  # from a request's first byte to its last header
     idle_timeout_s: float = 15.0
     units_per_s: float = 0.0  # service that all workspaces share; 0: not stated
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -152,7 +152,8 @@
         return self._peers.reads_store()
 
     def _take_catalog(self, catalog: Catalog) -> None:
-        self._callers.set_idle_timeout(catalog.limits.idle_timeout_s)
+        limits = catalog.limits
+        self._callers.set_timeouts(limits.idle_timeout_s, limits.header_timeout_s)
 
     async def _open_gate(self) -> None:
         while self._beliefs.index is None:
--- a/packages/fulmarroad-serving/tests/test_node.py
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -40,7 +40,7 @@
 
     def decode(self, item):
         if item.key == "catalog":
-            limits = CallerLimits(idle_timeout_s=9.0)
+            limits = CallerLimits(header_timeout_s=0.2, idle_timeout_s=9.0)
             return CatalogFact(make_catalog(routes=(OPEN,), limits=limits))
         server = Instance("s-1", "ledger", "127.0.0.1", self.port, "fes", 8)
         return InstanceFact(server)
@@ -130,6 +130,24 @@
 
         run_node(test)
 
+    def test_headers_that_do_not_end_are_given_up_in_the_configured_time(self):
+        """A caller is lost in the middle of its headers. Without the limit in force its
+        connection stays open until the router has no descriptor left for others.
+        """
+
+        async def test(node, store, ended):
+            store.answers = True
+            await until_status(READY, 200)
+            async with await anyio.connect_tcp(HOST, CALLERS) as stream:
+                await stream.send(b"GET /nowhere/ HTTP/1.1\r\nhost: svc")
+                with anyio.fail_after(3.0):
+                    reply = await stream.receive()
+            assert reply.startswith(b"HTTP/1.1 408 ")
+            node._ask_drain("test")
+            await ended.wait()
+
+        run_node(test)
+
     def test_what_it_believes_is_shown(self):
         async def test(node, store, ended):
             store.answers = True
--- a/packages/fulmarroad-serving/tests/test_platform_facts.py
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -56,7 +56,11 @@
             "InferenceEngine": {"Capacity": 128, "KvCapacityTokens": 1000},
         }
     ],
-    "Limits": {"IdleTimeoutMs": 15000, "ThroughputPerS": 455000},
+    "Limits": {
+        "HeaderTimeoutMs": 4000,
+        "IdleTimeoutMs": 15000,
+        "ThroughputPerS": 455000,
+    },
     "Tenants": [{"Name": "coop", "ApiKeys": ["k1", "k2"], "PriorityClass": 1}],
 }
 
@@ -129,6 +133,7 @@
         assert route.pause_objective_s == 0.2
         assert [row.weight for row in route.targets] == [90, 10]
         assert catalog.services["a"].engine.slots == 128
+        assert catalog.limits.header_timeout_s == 4
         assert catalog.limits.idle_timeout_s == 15
         assert catalog.limits.units_per_s == 455000
         assert len(catalog.holders[0].key_digests) == 2
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -89,6 +89,7 @@
     CALLER_LEFT = EventKind(506, _I, "caller left before its answer ended")
     REQUEST_FAILED = EventKind(508, _E, "request failed inside the router")
     SEND_FAILED = EventKind(509, _W, "send to a backend server failed")
+    CALLER_HEADERS_LATE = EventKind(510, _I, "caller sent no whole headers in time")
 
     # 600: keys
     KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
