--- a/packages/fulmarroad-serving/tests/test_platform_days.py
+++ b/packages/fulmarroad-serving/tests/test_platform_days.py
@@ -48,8 +48,43 @@
     "hup",
     "reset_conns",
     "zone_loss",
+    "srv_lying_health",
+    "srv_flap",
+    "bridge_cut",
+    "idle_race",
 ]
 
+VARIANTS = {
+    "srv_crash": "dark gone domain across",
+    "srv_grey": "errors shed busy hang reset mute slow one_zone all",
+    "srv_lying_health": "errors hang reset bad",
+    "scale_in": "spot reclaim dry",
+    "cold_return": "dark",
+    "answer_lost": "reset",
+    "garble": "extra late unframed early rot",
+    "node_kill": "power reader",
+    "node_freeze": "leader turn",
+    "roll_term": "remove leader busy",
+    "herd_kill": "power",
+    "zone_cut": "reset one_way drop",
+    "core_cut": (
+        "leader refuse meet race reader turn seed drain"
+        " split all near one_way seeds both lure relieve"
+    ),
+    "node_cut": "all servers reborn reset one_way",
+    "platform_down": "nodes busy many reset silent leader revoke lapse drain meet",
+    "platform_lost": "late",
+    "platform_compact": "drain",
+    "config_change": "route weights timeout tenant quota topup idle",
+    "revoke": "last",
+    "evacuate": "warm",
+    "srv_cut": "fronts some one_way reborn",
+    "replace_with_reuse": "drain dark",
+    "after_ack_kill": "kill timed",
+    "clock_step": "back ahead",
+}
+"""Words of each kind that say how it comes; kinds without any come in one way only."""
+
 
 def trouble_rows():
     """Return the kinds of each row with its test and its days."""
@@ -67,6 +102,28 @@
     return {entry["kind"] for entry in [*day["plan"], *day["faults"]]}
 
 
+def played_variants(kind):
+    """Return the words by which the days of the repository play a kind."""
+    words = set()
+    for path in (ROOT / "deploy" / "days").glob("*.toml"):
+        day = tomllib.loads(path.read_text())
+        for entry in [*day["plan"], *day["faults"]]:
+            if entry["kind"] == kind:
+                words |= set(entry.get("how", "").split())
+    return words
+
+
+class TestVariants:
+    @pytest.mark.parametrize("kind", VARIANTS)
+    def test_each_way_in_which_a_kind_comes_is_in_a_day(self, kind):
+        assert set(VARIANTS[kind].split()) <= played_variants(kind)
+
+    def test_every_word_of_the_days_is_one_that_is_known(self):
+        known = {word for row in VARIANTS.values() for word in row.split()}
+        for kind in KINDS:
+            assert played_variants(kind) <= known
+
+
 class TestTable:
     @pytest.mark.parametrize("kind", KINDS)
     def test_each_kind_has_a_row_and_plays_in_a_day_that_it_names(self, kind):
