Log what a prompt had to read and how far its estimate was off

Cause: nothing told whether shared parts were read again by the routers' own decision or by a wrong belief of what is cached, nor how good estimates are. Change: shared_tokens, read_tokens, expected_s and begun_s in each call's last line, a histogram of the error on the metrics address. An unused field is gone.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -216,6 +216,9 @@
         self._measures.calls.labels(kind, stages.outcome or "cancelled").inc()
         if summary.first_s:
             self._measures.first.labels(kind).observe(summary.first_s)
+        if summary.begun_s:
+            error = summary.begun_s - summary.expected_s
+            self._measures.estimate_error.labels(kind).observe(error)
         if stages.outcome == "served":
             self._measures.whole.labels(kind).observe(seconds)
         emit(
@@ -233,6 +236,10 @@
             sends=summary.sends,
             cached=summary.cached,
             wait_s=round(summary.wait_s, 4),
+            shared_tokens=stages.head.shared_tokens if stages.head else 0,
+            read_tokens=summary.read_tokens,
+            expected_s=round(summary.expected_s, 4),
+            begun_s=round(summary.begun_s, 4),
             share_used=round(summary.use.given, 3),
             stated_used=round(summary.use.stated, 3),
             objective_s=route.objective_s if route else 0.0,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -110,7 +110,9 @@
     cached: bool | None = None
     use: ShareUse = NO_USE
     wait_s: float = 0.0
-    resumed: int = 0
+    read_tokens: int = 0  # of its prompt, as far as known not cached at the server
+    expected_s: float = 0.0  # from sending to the first part, as estimated
+    begun_s: float = 0.0  # the same, as seen
 
 
 @define
@@ -187,6 +189,8 @@
             choice = placement.choice
             run.summary.server, run.summary.cached = choice.server, choice.cached
             run.summary.wait_s, run.summary.use = choice.wait_s, placement.use
+            run.summary.read_tokens = choice.tokens
+            run.summary.expected_s = choice.wait_s + choice.read_s
         return placement
 
     async def _attempt(self, run: _Run, placement: Placement) -> SendError | None:
@@ -316,7 +320,7 @@
             if size > HELD_BODY_BYTES:
                 await self._pass_large(run, connection, head, parts)
                 return
-        self._dispatcher.begin(ticket, self._clock())
+        self._note_begun(run, ticket)
         body = b"".join(parts)
         if head.status >= FIRST_FAILURE_STATUS:
             run.failed_answer = (head, body)
@@ -368,7 +372,7 @@
     async def _pass_events(
         self, run: _Run, head: AnswerHead, whole: StreamEvents, ticket: Ticket
     ) -> None:
-        self._dispatcher.begin(ticket, self._clock())
+        self._note_begun(run, ticket)
         if not run.responder.begun:
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
@@ -377,6 +381,12 @@
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
 
+    def _note_begun(self, run: _Run, ticket: Ticket) -> None:
+        if not ticket.begun:
+            now = self._clock()
+            run.summary.begun_s = now - ticket.charge.sent_at
+            self._dispatcher.begin(ticket, now)
+
     # ends
 
     async def _give_up(self, run: _Run, error: SendError) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
@@ -5,6 +5,9 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+ERRORS = (-0.4, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
+"""Bounds in seconds of errors of an estimate; above zero the answer came later."""
+
 SECONDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0)
 
 
@@ -32,6 +35,13 @@
             buckets=SECONDS,
             registry=self._registry,
         )
+        self.estimate_error = Histogram(
+            "fulmarroad_first_estimate_error_seconds",
+            "Time from sending to the first part, beyond what was estimated",
+            ["kind"],
+            buckets=ERRORS,
+            registry=self._registry,
+        )
         self.whole = Histogram(
             "fulmarroad_whole_answer_seconds",
             "Time from a call's arrival to the end of its answer",
