Count servers of a router's first listing as having their parts

Cause: a router counts on a part's home only once it has known the server for 3 s, since a new server has read nothing. Ruled out: wrong beliefs of what engines keep (2.26 of 2.48 million tokens read again were known beforehand); parts that spread to a second server (254 sends). Change: an instance that is not warming up in the first listing has run before; later ones and new starts are new as before. Calls log how many servers have their part.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
@@ -85,6 +85,7 @@
             if fact is not None:
                 self._take(fact, item.revision, calm_s, source)
         if items:
+            self._dispatcher.registry.note_listed()
             self.on_news()
 
     def _take(self, fact: Fact, revision: int, calm_s: float, source: str) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -235,6 +235,7 @@
             server=summary.server,
             sends=summary.sends,
             cached=summary.cached,
+            copies=summary.copies,
             wait_s=round(summary.wait_s, 4),
             shared_tokens=stages.head.shared_tokens if stages.head else 0,
             read_tokens=summary.read_tokens,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -316,7 +316,7 @@
         return Candidate(
             instance.id,
             instance.data_centre,
-            now - row.seen_at,
+            now - row.started_at,
             wait,
             view.load.read_rate,
             view.load.base_s if service.engine is not None else view.plain_s,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -108,6 +108,7 @@
     sends: int = 0
     first_s: float = 0.0
     cached: bool | None = None
+    copies: int = 0  # servers that had its part
     use: ShareUse = NO_USE
     wait_s: float = 0.0
     read_tokens: int = 0  # of its prompt, as far as known not cached at the server
@@ -190,6 +191,7 @@
             run.summary.server, run.summary.cached = choice.server, choice.cached
             run.summary.wait_s, run.summary.use = choice.wait_s, placement.use
             run.summary.read_tokens = choice.tokens
+            run.summary.copies = choice.copies
             run.summary.expected_s = choice.wait_s + choice.read_s
         return placement
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -39,7 +39,7 @@
     """Hold an instance with what is believed of it."""
 
     instance: Instance
-    seen_at: float
+    started_at: float  # by this router's clock; long ago if it ran before the router
     cold_until: float = 0.0
     suspect_until: float = 0.0
     lapses_at: float | None = None
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         self._rows: dict[ServerName, Registered] = {}
         self._left: set[DataCentreName] = set()
+        self._listed = False
 
     @property
     def centres_left(self) -> frozenset[DataCentreName]:
@@ -79,10 +80,17 @@
         row.lapses_at = None
         row.suspect_until = 0.0
         if fresh:
-            row.seen_at = now
+            # A router that starts again finds servers that have their parts; taken for
+            # new, each of them would be made to read the parts of its neighbours.
+            ran_before = not self._listed and instance.warmup_left_s <= 0
+            row.started_at = float("-inf") if ran_before else now
         row.cold_until = now + max(0.0, instance.warmup_left_s)
         return fresh
 
+    def note_listed(self) -> None:
+        """Note that the first listing is in: servers that come now have just started."""
+        self._listed = True
+
     def remove(
         self, server: ServerName, now: float, *, store_calm_s: float = LAPSE_GRACE_S
     ) -> bool:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -18,7 +18,7 @@
 from collections.abc import Sequence
 
 import xxhash
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import DataCentreName, ServerName
 
@@ -30,7 +30,7 @@
 """Pairs of part and server remembered; the oldest go first."""
 
 SETTLED_S = 3.0
-"""A server that is known for a shorter time does not have its parts yet."""
+"""A server that started less long ago does not have its parts yet."""
 
 ON_TIME_PART = 0.75
 """Part of the objective within which an estimate counts as on time; the rest is margin
@@ -50,7 +50,7 @@
 
     server: ServerName
     data_centre: DataCentreName
-    known_s: float  # time since it registered
+    age_s: float  # time since it started
     wait_s: float  # before a prompt is read there
     read_rate: float  # prompt tokens a second
     base_s: float  # first token of a cached prompt
@@ -66,6 +66,7 @@
     read_s: float
     tokens: int  # prompt tokens to read there
     cached: bool
+    copies: int = 0  # servers that have the part, by what this router knows
 
 
 PartId = int
@@ -148,7 +149,7 @@
     for row in candidates:
         is_home = row.server in order[:1]
         cached = memory.has(part, row.server, now) or (
-            is_home and row.known_s > SETTLED_S
+            is_home and row.age_s > SETTLED_S
         )
         tokens = own_tokens if cached else own_tokens + shared_tokens
         read_s = row.base_s + tokens / row.read_rate
@@ -169,7 +170,8 @@
             spread = order.index(row.server) if order and not cached else 0
             key = (float(not cached), float(spread), cost)
         ranked.append((key, choice))
-    return min(ranked, key=lambda pair: pair[0])[1]
+    best = min(ranked, key=lambda pair: pair[0])[1]
+    return evolve(best, copies=sum(choice.cached for _, choice in ranked))
 
 
 def choose_plain(
--- a/packages/fulmarroad-serving/tests/test_registry.py
+++ b/packages/fulmarroad-serving/tests/test_registry.py
@@ -34,6 +34,35 @@
         assert usable(registry) == ["s-1"]
 
 
+class TestStarts:
+    def test_a_router_that_starts_finds_servers_that_have_run(self):
+        """A router is restarted among servers that have read their parts. Taking them
+        for new ones, it would have neighbours read all those parts again for seconds.
+        """
+        registry = Registry()
+        registry.put(SERVER, 100.0)
+        assert 100.0 - registry.get("s-1").started_at > 3600.0
+
+    def test_a_server_that_warms_up_has_just_started(self):
+        registry = Registry()
+        registry.put(evolve(SERVER, warmup_left_s=3.0), 100.0)
+        assert registry.get("s-1").started_at == 100.0
+
+    def test_a_server_that_comes_later_has_just_started(self):
+        registry = Registry()
+        registry.put(SERVER, 100.0)
+        registry.note_listed()
+        registry.put(evolve(SERVER, id="s-2"), 130.0)
+        assert registry.get("s-2").started_at == 130.0
+
+    def test_a_new_start_under_the_same_id_has_just_started(self):
+        registry = Registry()
+        registry.put(SERVER, 100.0)
+        registry.note_listed()
+        registry.put(evolve(SERVER, started_ms=7), 130.0)
+        assert registry.get("s-1").started_at == 130.0
+
+
 class TestLapsedEntries:
     def test_servers_stay_while_their_entries_may_come_back(self):
         """The store was away and every entry lapsed, although the servers live. Dropped
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -17,8 +17,8 @@
 SERVERS = [f"s-{n}" for n in range(5)]
 
 
-def candidate(server, wait_s=0.0, *, rate=90_000.0, penalty_s=0.0, known_s=60.0):
-    return Candidate(server, "fes", known_s, wait_s, rate, 0.035, penalty_s)
+def candidate(server, wait_s=0.0, *, rate=90_000.0, penalty_s=0.0, age_s=60.0):
+    return Candidate(server, "fes", age_s, wait_s, rate, 0.035, penalty_s)
 
 
 def choose(part, waits, memory=None, **changes):
@@ -106,7 +106,7 @@
         assert memory.news(10) == ((PART, "s-1"),)
 
     def test_a_new_server_does_not_have_its_parts_yet(self):
-        assert not choose(PART, {}, known_s=0.5).cached
+        assert not choose(PART, {}, age_s=0.5).cached
 
 
 class TestTrust:
