--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -88,7 +88,7 @@
         return fresh
 
     def note_listed(self) -> None:
-        """Note that the first listing is in: servers that come now have just started."""
+        """Note that the first listing is in: later servers have just started."""
         self._listed = True
 
     def remove(
