Never bring back what the store deleted before a listing

Cause: a router that lists the store knows nothing of items that came and went before. (1) It told peers that had seen them come only its newest changes, so they kept a server that had left, or a data centre as emptied, for good. (2) A peer's answer that was overtaken by a listing was taken in and brought a deleted item back. Change: after a listing only whole copies are given for older revisions; an unknown item at or below the revision of a complete copy is ignored.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
@@ -75,8 +75,9 @@
                 deleted = ReplicaItem(key, at)
                 self._items[key] = deleted
                 fresh.append(deleted)
-            # Deletions before the listing were not seen one by one.
-            self._forgotten = max(self._forgotten, self.at)
+            # What came and went before the listing is not in it. A peer that has seen
+            # it come would keep it for good if it got the newest changes only.
+            self._forgotten = at
             self.at = at
         self._prune()
         self._note_news(tuple(fresh))
@@ -104,6 +105,10 @@
         before = self._items.get(item.key)
         if before is not None and before.revision >= item.revision:
             return False
+        if before is None and item.revision <= self.at:
+            # The copy is complete up to there, so the item was deleted since. A peer's
+            # answer that was overtaken by a listing would bring it back.
+            return False
         self._items[item.key] = item
         return True
 
--- a/packages/fulmarroad-serving/tests/test_replica.py
+++ b/packages/fulmarroad-serving/tests/test_replica.py
@@ -35,6 +35,16 @@
         copy.merge([item("b", 7)], 7)
         assert copy.replace([item("a", 1)], 6) == ()
 
+    def test_an_item_that_was_deleted_before_the_listing_does_not_come_back(self):
+        """A router asks a peer for news, reads a whole listing before the answer is
+        there, and the answer names a server that has left meanwhile. Taken in, the
+        server would get calls for good, as its removal is never told again.
+        """
+        copy = StateReplica()
+        copy.replace([item("a", 1)], 9)
+        assert copy.merge([item("gone", 7)], 8) == ()
+        assert copy.replace([item("a", 1), item("gone", 7)], 8) == ()
+
     def test_news_are_told_only_where_something_changed(self):
         copy = StateReplica()
         copy.replace([item("a", 1)], 3)
@@ -51,6 +61,18 @@
         assert not delta.whole
         assert delta.items == (ReplicaItem("a", 3),)
 
+    def test_a_peer_that_saw_what_a_listing_no_longer_names_gets_the_whole_copy(self):
+        """A router starts and lists after a server has left. A peer that the store turns
+        away still has the server, asks this router for news and would never hear of the
+        removal: calls would go to a server that is gone, or to an emptied data centre's.
+        """
+        peer, started = StateReplica(), StateReplica()
+        peer.replace([item("a", 1), item("server", 2)], 2)
+        started.replace([item("a", 1)], 4)
+        delta = started.since(peer.at)
+        assert delta.whole
+        assert peer.take_delta(delta) == (ReplicaItem("server", 4),)
+
     def test_a_peer_that_lacks_forgotten_deletions_gets_the_whole_copy(self):
         """Deletions are remembered in a limited number. A peer that was away for longer
         would keep servers that are gone if it got only the newest changes.
