Sum up reports on the way in fleets of more than 16 routers

Cause: in a large fleet each report went to 16 of 59 or 73 peers, so that loads were 0.3 to 0.55 s old, an eighth of the peers was missing from each sum, and 107 packets a second went in and out of every router. Ruled out: reports to all (74 x 73 x 6.7/s packets); fewer reports (older loads). Change: two collectors of each data centre sum up its reports and exchange the sums; a router takes its own report out of what it hears. Up to 16 others nothing changes. Copies of the store's state have a module of their own.

--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_copies.py
@@ -0,0 +1,134 @@
+"""Exchange copies of the store's state with the other routers, over TCP."""
+
+from __future__ import annotations
+
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import msgpack
+from anyio.abc import SocketStream
+
+from fulmarroad.events import Event, emit
+from fulmarroad.exceptions import MessageError, TransportError
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem
+from fulmarroad_serving._reports import PeerBook, PeerReport
+
+logger = logging.getLogger("fulmarroad.serving")
+
+PULL_TIMEOUT_S = 0.6
+MOST_PULL_BYTES = 8 * 1024 * 1024
+
+
+class Copies:
+    """Give this router's copy to peers, and take news from theirs."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        beliefs: Beliefs,
+        book: PeerBook,
+        source: random.Random,
+        clock: Callable[[], float],
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._beliefs = beliefs
+        self._book = book
+        self._random = source
+        self._clock = clock
+        self._wanted = anyio.Event()
+
+    def want(self) -> None:
+        """Pull from a peer: one of them has news."""
+        self._wanted.set()
+
+    async def serve(self) -> None:
+        """Give this router's copy to peers, until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._host, local_port=self._port, reuse_port=False
+        )
+        async with listener:
+            await listener.serve(self._give)
+
+    async def pull_news(self) -> None:
+        """Pull whenever a peer has news, until cancelled."""
+        while True:
+            await self._wanted.wait()
+            self._wanted = anyio.Event()
+            peer = self._freshest()
+            if peer is None:
+                continue
+            try:
+                with anyio.fail_after(PULL_TIMEOUT_S):
+                    delta = await self._ask(peer.host)
+            except (OSError, TimeoutError, MessageError, anyio.EndOfStream) as error:
+                emit(
+                    logger,
+                    Event.REPLICA_PULL_FAILED,
+                    peer=peer.router,
+                    cause=repr(error),
+                )
+                continue
+            self._beliefs.take_delta(delta, peer.store_calm_s, peer.router)
+
+    def _freshest(self) -> PeerReport | None:
+        ahead = [
+            peer
+            for peer in self._book.alive(self._clock())
+            if peer.news_at > self._beliefs.replica.at
+        ]
+        if not ahead:
+            return None
+        newest = max(peer.news_at for peer in ahead)
+        return self._random.choice([row for row in ahead if row.news_at == newest])
+
+    async def _ask(self, host: str) -> ReplicaDelta:
+        async with await anyio.connect_tcp(host, self._port) as stream:
+            await stream.send(msgpack.packb([self._beliefs.replica.at]))
+            await stream.send_eof()
+            return _read_delta(await _read_all(stream))
+
+    async def _give(self, stream: SocketStream) -> None:
+        async with stream:
+            try:
+                with anyio.fail_after(PULL_TIMEOUT_S):
+                    asked = msgpack.unpackb(await _read_all(stream))
+                    delta = self._beliefs.replica.since(int(asked[0]))
+                    await stream.send(_delta_bytes(delta))
+                    await stream.send_eof()
+            except (OSError, TimeoutError, ValueError, TypeError) as error:
+                emit(logger, Event.REPLICA_GIVE_FAILED, cause=repr(error))
+            except (anyio.BrokenResourceError, TransportError) as error:
+                emit(logger, Event.REPLICA_GIVE_FAILED, cause=repr(error))
+
+
+async def _read_all(stream: SocketStream) -> bytes:
+    data = bytearray()
+    while True:
+        try:
+            data += await stream.receive()
+        except anyio.EndOfStream:
+            return bytes(data)
+        except anyio.BrokenResourceError as error:
+            raise MessageError("The peer broke off.") from error
+        if len(data) > MOST_PULL_BYTES:
+            raise MessageError("A peer sent more than a copy can hold.")
+
+
+def _delta_bytes(delta: ReplicaDelta) -> bytes:
+    items = [[item.key, item.revision, item.data] for item in delta.items]
+    return bytes(msgpack.packb([delta.at, delta.whole, items]))
+
+
+def _read_delta(data: bytes) -> ReplicaDelta:
+    try:
+        row: list[Any] = msgpack.unpackb(data)
+        items = (ReplicaItem(str(k), int(r), d) for k, r, d in row[2])
+        return ReplicaDelta(int(row[0]), bool(row[1]), tuple(items))
+    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+        raise MessageError("A peer gave no copy that can be read.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -199,7 +199,14 @@
             self._view(server).load.hear(router, load, now)
         for server, view in self._views.items():
             if server not in loads:
-                view.load.peers.pop(router, None)
+                view.load.forget(router)
+
+    def forget_peers(self, routers: Collection[RouterName]) -> None:
+        """Drop what peers said that is told by others from now on."""
+        for view in self._views.values():
+            for router in routers:
+                view.load.forget(router)
+        self.shares.forget(routers)
 
     def note_asked(self, demand: Demand, now: float) -> None:
         """Count a call that came in."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -45,6 +45,11 @@
 PEER_FRESH_S = 1.0
 """Age at which a peer's word on its own load is dropped: five of its reports."""
 
+RESUM_S = 0.05
+"""Age of the sum of peers' words: a twentieth of the age at which one is dropped."""
+
+NEVER = float("-inf")
+
 DRAINED_PART = 0.5
 """Part of what an engine reads in the age of a report by which peers' prompts are fewer
 by now. In a steady load they send as much as is read, in a burst that ends nothing."""
@@ -84,6 +89,10 @@
     peers: dict[RouterName, tuple[float, PeerLoad]] = field(factory=dict)
     _unbegun: dict[int, Charge] = field(factory=dict)  # in the order of sending
     _number: int = 0
+    _summed_at: float = NEVER
+    _peers_running: int = 0
+    _peers_waiting: int = 0
+    _peers_wrote_at: float = 0.0  # on average, by waiting tokens
 
     def send(
         self, server: ServerName, tokens: int, now: float, expected_s: float = 0.0
@@ -137,25 +146,26 @@
     def hear(self, router: RouterName, load: PeerLoad, now: float) -> None:
         """Take a peer's word."""
         self.peers[router] = (now, load)
+        self._summed_at = NEVER
+
+    def forget(self, router: RouterName) -> None:
+        """Drop a peer's word."""
+        if self.peers.pop(router, None) is not None:
+            self._summed_at = NEVER
 
     def total_running(self, now: float) -> int:
         """Return the calls of all routers that run or wait there."""
-        return self.running + sum(load.running for load in self._fresh(now))
+        self._sum_peers(now)
+        return self.running + self._peers_running
 
     def total_waiting(self, now: float) -> float:
         """Return the prompt tokens of all routers that wait to be read there."""
-        told = [
-            (now - at, load.waiting_tokens)
-            for at, load in self.peers.values()
-            if now - at < PEER_FRESH_S and load.waiting_tokens
-        ]
-        theirs = float(sum(tokens for _, tokens in told))
-        if not theirs:
+        self._sum_peers(now)
+        if not self._peers_waiting:
             return float(self.waiting_tokens)
         # The engine has read on since the peers wrote, and they have sent more.
-        age = sum(age * tokens for age, tokens in told) / theirs
-        read = DRAINED_PART * self.read_rate * age
-        return self.waiting_tokens + max(0.0, theirs - read)
+        read = DRAINED_PART * self.read_rate * (now - self._peers_wrote_at)
+        return self.waiting_tokens + max(0.0, self._peers_waiting - read)
 
     def wait_s(self, slots: int, now: float) -> float:
         """Return how long a new prompt waits before it is read."""
@@ -168,5 +178,14 @@
         """Return how long reading a prompt takes, with the first token."""
         return self.base_s + tokens / self.read_rate
 
-    def _fresh(self, now: float) -> list[PeerLoad]:
-        return [load for at, load in self.peers.values() if now - at < PEER_FRESH_S]
+    def _sum_peers(self, now: float) -> None:
+        """Sum what peers said, at most once in a while: each call asks twice."""
+        if now - self._summed_at < RESUM_S:
+            return
+        told = [row for row in self.peers.values() if now - row[0] < PEER_FRESH_S]
+        self._peers_running = sum(load.running for _, load in told)
+        self._peers_waiting = sum(load.waiting_tokens for _, load in told)
+        weighted = sum(at * load.waiting_tokens for at, load in told)
+        waiting = self._peers_waiting
+        self._peers_wrote_at = weighted / waiting if waiting else now
+        self._summed_at = now
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -25,6 +25,22 @@
 is replaced is back long before, and a share that grew too soon would break a bound."""
 
 
+@frozen
+class Member:
+    """Say where a router is and how fresh its copy of the store, without its loads."""
+
+    router: RouterName
+    incarnation: int  # boot time in ms since 1970
+    sequence: int  # of the report that this was taken from
+    data_centre: DataCentreName
+    host: str
+    leaving: bool
+    news_at: int
+    store_age_s: float
+    store_calm_s: float
+    age_s: float  # of that report when this was written
+
+
 @frozen
 class PeerReport:
     """Hold what one router says of itself."""
@@ -40,7 +56,7 @@
     store_calm_s: float  # since the store last failed it
     loads: Mapping[ServerName, PeerLoad] = field(factory=dict)
     counts: Mapping[WorkspaceName, WorkspaceCount] = field(factory=dict)
-    known: tuple[tuple[RouterName, str], ...] = ()  # routers and their hosts
+    known: tuple[Member, ...] = ()  # other routers
     parts: tuple[tuple[PartId, ServerName], ...] = ()  # sent to servers since the last
 
 
@@ -57,23 +73,115 @@
         report.news_at,
         round(report.store_age_s, 2),
         round(report.store_calm_s, 2),
-        [
-            [name, load.running, load.waiting_tokens]
-            for name, load in report.loads.items()
-        ],
-        [[name, int(row.asked), int(row.got)] for name, row in report.counts.items()],
-        [list(pair) for pair in report.known],
+        pack_loads(report.loads),
+        pack_counts(report.counts),
+        [pack_member(row) for row in report.known],
         [list(pair) for pair in report.parts],
     ]
     return bytes(msgpack.packb(row))
 
 
+def pack_loads(loads: Mapping[ServerName, PeerLoad]) -> list[Any]:
+    """Return loads as rows."""
+    return [[name, load.running, load.waiting_tokens] for name, load in loads.items()]
+
+
+def pack_counts(counts: Mapping[WorkspaceName, WorkspaceCount]) -> list[Any]:
+    """Return workspaces' counts as rows."""
+    return [[name, int(row.asked), int(row.got)] for name, row in counts.items()]
+
+
+def read_loads(rows: list[Any]) -> dict[ServerName, PeerLoad]:
+    """Return the loads that rows hold; raise `ValueError` or `TypeError`."""
+    return {str(n): PeerLoad(int(r), int(w)) for n, r, w in rows}
+
+
+def read_counts(rows: list[Any]) -> dict[WorkspaceName, WorkspaceCount]:
+    """Return the counts that rows hold; raise `ValueError` or `TypeError`."""
+    return {str(n): WorkspaceCount(float(a), float(g)) for n, a, g in rows}
+
+
+def member_of(report: PeerReport, age_s: float) -> Member:
+    """Return where a router is, by its report of some age."""
+    return Member(
+        report.router,
+        report.incarnation,
+        report.sequence,
+        report.data_centre,
+        report.host,
+        report.leaving,
+        report.news_at,
+        report.store_age_s,
+        report.store_calm_s,
+        age_s,
+    )
+
+
+def report_of(member: Member) -> PeerReport:
+    """Return a report that says no more than where a router is."""
+    return PeerReport(
+        member.router,
+        member.incarnation,
+        member.sequence,
+        member.data_centre,
+        member.host,
+        member.leaving,
+        member.news_at,
+        member.store_age_s,
+        member.store_calm_s,
+    )
+
+
+def pack_member(member: Member) -> list[Any]:
+    """Return a member as a row."""
+    return [
+        member.router,
+        member.incarnation,
+        member.sequence,
+        member.data_centre,
+        member.host,
+        member.leaving,
+        member.news_at,
+        round(member.store_age_s, 2),
+        round(member.store_calm_s, 2),
+        round(member.age_s, 2),
+    ]
+
+
+def read_member(row: list[Any]) -> Member:
+    """Return the member that a row holds; raise `ValueError` or `TypeError`."""
+    return Member(
+        router=str(row[0]),
+        incarnation=int(row[1]),
+        sequence=int(row[2]),
+        data_centre=str(row[3]),
+        host=str(row[4]),
+        leaving=bool(row[5]),
+        news_at=int(row[6]),
+        store_age_s=float(row[7]),
+        store_calm_s=float(row[8]),
+        age_s=float(row[9]),
+    )
+
+
+def unpack(data: bytes) -> object:
+    """Return what a packet of a router holds, or raise `MessageError`."""
+    try:
+        return msgpack.unpackb(data)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise MessageError("This is no packet of a router.") from error
+
+
 def unpack_report(data: bytes) -> PeerReport:
     """Return the report that bytes hold, or raise `MessageError`."""
+    return read_report(unpack(data))
+
+
+def read_report(row: Any) -> PeerReport:
+    """Return the report that an unpacked packet holds, or raise `MessageError`."""
+    if not isinstance(row, list) or not row or row[0] != FORMAT:
+        raise MessageError("This is no report of the format spoken here.")
     try:
-        row: list[Any] = msgpack.unpackb(data)
-        if not isinstance(row, list) or row[0] != FORMAT:
-            raise MessageError("This is no report of the format spoken here.")
         return PeerReport(
             router=str(row[1]),
             incarnation=int(row[2]),
@@ -84,25 +192,27 @@
             news_at=int(row[7]),
             store_age_s=float(row[8]),
             store_calm_s=float(row[9]),
-            loads={str(n): PeerLoad(int(r), int(w)) for n, r, w in row[10]},
-            counts={str(n): WorkspaceCount(float(a), float(g)) for n, a, g in row[11]},
-            known=tuple((str(name), str(host)) for name, host in row[12]),
+            loads=read_loads(row[10]),
+            counts=read_counts(row[11]),
+            known=tuple(read_member(member) for member in row[12]),
             parts=tuple((int(part), str(server)) for part, server in row[13]),
         )
-    except (ValueError, TypeError, IndexError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, IndexError) as error:
         raise MessageError("This is no report of a router.") from error
 
 
 @define
 class Peer:
-    """Hold the newest report of a peer."""
+    """Hold the newest that is known of a peer, and its own newest report."""
 
     report: PeerReport
     heard_at: float
+    own: PeerReport | None = None
+    own_at: float = float("-inf")
 
 
 class PeerBook:
-    """Know the other routers from their reports."""
+    """Know the other routers from their reports, or from what others say of them."""
 
     def __init__(self, me: RouterName, host: str) -> None:
         self._me = me
@@ -110,34 +220,64 @@
         self._peers: dict[RouterName, Peer] = {}
         self._hosts: dict[RouterName, str] = {}
 
+    @property
+    def size(self) -> int:
+        """Return how many peers are known."""
+        return len(self._hosts)
+
     def take(self, report: PeerReport, now: float) -> bool:
-        """Take a report in; tell whether it is news."""
+        """Take a peer's own report; tell whether it is news."""
         if report.router == self._me:
             return False
-        before = self._peers.get(report.router)
-        if before is not None:
-            old = before.report
-            if (report.incarnation, report.sequence) <= (old.incarnation, old.sequence):
-                return False
-        self._peers[report.router] = Peer(report, now)
+        peer = self._peers.get(report.router)
+        if peer is not None and peer.own is not None and not _newer(report, peer.own):
+            return False
+        if peer is None:
+            peer = self._peers[report.router] = Peer(report, now)
+        peer.own, peer.own_at = report, now
+        if report is peer.report or not _newer(peer.report, report):
+            peer.report, peer.heard_at = report, now
         self._hosts[report.router] = report.host
-        for name, host in report.known:
-            if name != self._me:
-                self._hosts.setdefault(name, host)
+        for member in report.known:
+            self.take_member(member, now)
         return True
 
-    def alive(self, now: float) -> list[PeerReport]:
-        """Return the newest reports of peers that were heard lately."""
+    def take_member(self, member: Member, now: float) -> None:
+        """Take what another router says of a peer."""
+        if member.router == self._me:
+            return
+        report, heard_at = report_of(member), now - member.age_s
+        peer = self._peers.get(member.router)
+        if peer is None:
+            self._peers[member.router] = Peer(report, heard_at)
+        elif _newer(report, peer.report):
+            peer.report, peer.heard_at = report, heard_at
+        else:
+            return
+        self._hosts[member.router] = member.host
+
+    def members(self, now: float) -> list[Member]:
+        """Return every peer that was heard lately, with the age of its report."""
         return [
-            peer.report
+            member_of(peer.report, max(0.0, now - peer.heard_at))
             for peer in self._peers.values()
             if now - peer.heard_at < ALIVE_S
         ]
 
-    def silent(self, now: float) -> list[RouterName]:
-        """Return the peers that were heard once and not lately."""
+    def own_reports(self, now: float, fresh_s: float) -> list[tuple[PeerReport, float]]:
+        """Return the reports that peers sent here lately, with their age."""
         return [
-            name for name, peer in self._peers.items() if now - peer.heard_at >= ALIVE_S
+            (peer.own, now - peer.own_at)
+            for peer in self._peers.values()
+            if peer.own is not None and now - peer.own_at < fresh_s
+        ]
+
+    def alive(self, now: float, within_s: float = ALIVE_S) -> list[PeerReport]:
+        """Return the newest reports of peers that were heard lately."""
+        return [
+            peer.report
+            for peer in self._peers.values()
+            if now - peer.heard_at < within_s
         ]
 
     def remembered(self, now: float) -> list[RouterName]:
@@ -151,3 +291,8 @@
     def hosts(self) -> dict[RouterName, str]:
         """Return the address of every known peer."""
         return dict(self._hosts)
+
+
+def _newer(report: PeerReport, other: PeerReport) -> bool:
+    mine = (report.incarnation, report.sequence)
+    return mine > (other.incarnation, other.sequence)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -16,9 +16,10 @@
 import random
 from collections import OrderedDict
 from collections.abc import Sequence
+from functools import lru_cache
 
 import xxhash
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from fulmarroad.types import DataCentreName, ServerName
 
@@ -116,11 +117,17 @@
             del self._seen[pair]
 
 
+@lru_cache(maxsize=4096)
+def _server_seed(server: ServerName) -> int:
+    return xxhash.xxh3_64_intdigest(server.encode())
+
+
 def home_order(part: PartId, servers: Sequence[ServerName]) -> list[ServerName]:
     """Return the servers in the order in which a part goes to them."""
+    data = part.to_bytes(8, "big")
     return sorted(
         servers,
-        key=lambda server: xxhash.xxh3_64_intdigest(f"{part}\0{server}".encode()),
+        key=lambda server: xxhash.xxh3_64_intdigest(data, _server_seed(server)),
         reverse=True,
     )
 
@@ -145,18 +152,19 @@
     if not candidates:
         return None
     order = home_order(part, [row.server for row in candidates]) if part else []
-    ranked = []
+    place = {server: number for number, server in enumerate(order)}
+    best: tuple[tuple[float, float, float], Candidate, int, bool] | None = None
+    copies = 0
     for row in candidates:
-        is_home = row.server in order[:1]
+        is_home = place.get(row.server) == 0
         cached = memory.has(part, row.server, now) or (
             is_home and row.age_s > SETTLED_S
         )
+        copies += cached
         tokens = own_tokens if cached else own_tokens + shared_tokens
-        read_s = row.base_s + tokens / row.read_rate
-        cost = row.wait_s + read_s + row.penalty_s
+        cost = row.wait_s + row.base_s + tokens / row.read_rate + row.penalty_s
         if row.data_centre != centre:
             cost += OTHER_CENTRE_S
-        choice = Choice(row.server, row.wait_s, read_s, tokens, cached)
         late = cost > ON_TIME_PART * objective_s
         # On time goes first, then what is cached, then what begins soonest.
         again = 0.0 if cached else READ_AGAIN_WEIGHT * shared_tokens / row.read_rate
@@ -167,11 +175,14 @@
         else:
             # A part that spreads goes to the same next server from every router, or
             # each of them would make another engine read it.
-            spread = order.index(row.server) if order and not cached else 0
+            spread = place.get(row.server, 0) if not cached else 0
             key = (float(not cached), float(spread), cost)
-        ranked.append((key, choice))
-    best = min(ranked, key=lambda pair: pair[0])[1]
-    return evolve(best, copies=sum(choice.cached for _, choice in ranked))
+        if best is None or key < best[0]:
+            best = (key, row, tokens, cached)
+    assert best is not None
+    _, row, tokens, cached = best
+    read_s = row.base_s + tokens / row.read_rate
+    return Choice(row.server, row.wait_s, read_s, tokens, cached, copies)
 
 
 def choose_plain(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -12,7 +12,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from attrs import define, field, frozen
 
@@ -200,6 +200,11 @@
         """Take a peer's counts in."""
         self._peers[router] = (now, counts)
 
+    def forget(self, routers: Collection[RouterName]) -> None:
+        """Drop peers' counts."""
+        for router in routers:
+            self._peers.pop(router, None)
+
     def own_counts(self, now: float) -> dict[WorkspaceName, WorkspaceCount]:
         """Return this router's counts, for its peers."""
         counts = {}
