Look at the time left before a call is sent; hear starts that look older

Causes, found while writing the missing tests for frozen, slow and stepped VMs: (1) a call that came in just before its VM stood still was sent on after the wake, though its caller had left; (2) a router started again after its VM's time of day was set back by seconds looked older than its former life, so that peers ignored its reports for up to two minutes. Ruled out: the decisions' own clock counts the time away (a test now holds it). Change: the time left is looked at once more when the connection is there, and the call is refused as not run; a lower start is taken after a second's silence. Tests: four, three of them red first.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -205,6 +205,14 @@
                 self._dispatcher.trust(instance.id).unreachable(self._clock())
             self._note_failure(run, instance.id, error)
             return error
+        if self._left(run) <= 0:
+            # The process or its VM stood still meanwhile, and the caller has left. Sent
+            # now, the call would run for nobody, and one that books or posts would do
+            # so after its caller was told nothing.
+            self._pool.release(instance.id, connection)
+            late = NotSentError("The call's time ran out before it could be sent.")
+            self._note_failure(run, instance.id, late)
+            return late
         ticket = self._dispatcher.send(run.demand, placement, self._clock())
         run.progress.note_send(instance.id)
         run.summary.sends = run.progress.sends
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -20,6 +20,10 @@
 ALIVE_S = 2.0
 """Silence after which a peer's word no longer counts: ten of its reports."""
 
+SILENT_START_S = 1.0
+"""Silence after which a router's start is taken though it seems older: six reports
+long, and packets do not stay on the way for that time."""
+
 REMEMBERED_S = 120.0
 """Silence after which a peer no longer counts towards the size of the fleet: a VM that
 is replaced is back long before, and a share that grew too soon would break a bound."""
@@ -231,7 +235,12 @@
             return False
         peer = self._peers.get(report.router)
         if peer is not None and peer.own is not None and not _newer(report, peer.own):
-            return False
+            same_start = report.incarnation == peer.own.incarnation
+            if same_start or now - peer.heard_at < SILENT_START_S:
+                return False
+            # Its VM's time of day was set back before it started again: by that time
+            # the start looks older than the one before, which has fallen silent.
+            peer = None
         if peer is None:
             peer = self._peers[report.router] = Peer(report, now)
         peer.own, peer.own_at = report, now
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -179,7 +179,11 @@
         self.arrivals = []
         self._servers = []
         self._connections = 0
-        clock = time.monotonic
+        self.skipped_s = 0.0
+
+        def clock():
+            return time.monotonic() + self.skipped_s
+
         bounds = bounds or FleetBounds(retry_burst=600.0)
         self.dispatcher = Dispatcher("router-a", "fes", bounds, 1)
         self.pool = ConnectionPool(clock)
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -256,6 +256,53 @@
         run(test)
 
 
+class TestPauses:
+    def test_a_call_whose_time_ran_out_in_a_pause_is_not_sent(self):
+        """A VM stands still for seconds just after a call has come in. Its caller has
+        left when the VM wakes; sent all the same, the call would cost a server work for
+        nobody, and a booking would be made that its caller believes was not.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", echo())
+            acquire = bed.pool.acquire
+
+            async def acquire_slowly(*args):
+                connection = await acquire(*args)
+                bed.skipped_s += 5.0
+                return connection
+
+            bed.pool.acquire = acquire_slowly
+            caller = await bed.call("/post/1")
+            assert caller.status == 503
+            assert not bed.arrivals
+            bed.pool.acquire = acquire
+            assert (await bed.call("/post/1")).status == 200
+
+        run(test)
+
+    def test_a_slow_router_gives_servers_only_the_time_that_is_left(self):
+        """A router runs several times slower than usual. Told the caller's whole time,
+        servers would work on after their callers have gone.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", echo())
+            acquire = bed.pool.acquire
+
+            async def acquire_slowly(*args):
+                connection = await acquire(*args)
+                bed.skipped_s += 0.6
+                return connection
+
+            bed.pool.acquire = acquire_slowly
+            caller = await bed.call("/post/1", headers={"x-deadline-ms": "900"})
+            assert caller.status == 200
+            assert int(bed.arrivals[0].header("x-left-ms")) <= 300
+
+        run(test)
+
+
 class TestRepeating:
     def test_a_failed_call_is_repeated_at_another_server(self):
         async def test(bed):
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -344,6 +344,36 @@
         assert not book.take(evolve(TestReports.REPORT, sequence=8), 11.0)
         assert book.take(evolve(TestReports.REPORT, incarnation=6, sequence=1), 11.0)
 
+    def test_a_router_whose_time_of_day_was_set_back_is_heard_after_its_restart(self):
+        """The time of day of a VM is set back by seconds and its router starts again.
+        The new start looks older than the one before: peers would ignore its reports,
+        and send to engines that it has filled, until they had forgotten the former.
+        """
+        book = PeerBook("z", "127.0.0.9")
+        book.take(TestReports.REPORT, 10.0)
+        again = evolve(TestReports.REPORT, incarnation=2, sequence=1)
+        assert not book.take(again, 10.4)
+        assert book.take(evolve(again, sequence=5), 11.1)
+        assert book.alive(11.2)[0].incarnation == 2
+        assert book.take(evolve(again, sequence=6), 11.3)
+
+    def test_a_router_that_stood_still_believes_nothing_it_heard_before(self):
+        """A VM is frozen for five seconds. Going by loads and readers of before, it
+        would fill engines that are busy now and take nobody's news.
+        """
+        fleet = Fleet(["a", "b"])
+        dispatcher, _, peers = fleet.nodes["b"]
+        clock = [10.0]
+        peers._clock = lambda: clock[0]
+        peers._take(pack_report(TestReports.REPORT))
+        assert [peer.router for peer in peers.book.alive(clock[0])] == ["a"]
+        assert dispatcher.load("s").total_running(clock[0]) == 2
+        clock[0] += 5.0
+        assert peers.book.alive(clock[0]) == []
+        assert peers.reads_store()
+        assert dispatcher.load("s").total_running(clock[0]) == 0
+        assert dispatcher.routers == ["a", "b"]
+
     def test_a_router_that_is_gone_for_long_no_longer_counts(self):
         book = PeerBook("z", "127.0.0.9")
         book.take(TestReports.REPORT, 10.0)
