--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -18,11 +18,10 @@
     Granted,
     Lease,
     Rejected,
-    Running,
     SendTo,
     Waiting,
-    progress_interval,
 )
+from fulmarroad._running import RunningLeases
 from fulmarroad._shardmap import ShardMap
 from fulmarroad._tables import Tables
 from fulmarroad.placement import ShardView, choose_shard
@@ -79,8 +78,7 @@
         self._unreachable: dict[RouterName, float] = {}
         self._follows: dict[ShardId, Follow] = {}
         self._waiting: dict[str, Waiting] = {}
-        self._running: dict[str, Running] = {}
-        self._progress_at = 0.0
+        self._running = RunningLeases()
         self._changes: list[FollowChange] = []
 
     @property
@@ -164,10 +162,9 @@
 
     def started(self, lease_id: str, now: float) -> list[Decision]:
         """Report that the request of a lease is on its way to the backend server."""
-        running = self._running.get(lease_id)
-        if running is None:
+        shard = self._running.shard_of(lease_id)
+        if shard is None:
             return []
-        shard = running.lease.shard
         return self._tell(shard, m.Started(shard, lease_id))
 
     def progress(
@@ -178,19 +175,15 @@
         gap_s: float | None = None,
     ) -> None:
         """Add service that a lease used; the next report tells it."""
-        running = self._running.get(lease_id)
-        if running is None:
-            return
-        running.unreported += service
-        if first_s is not None:
-            running.first_s, running.gap_s = first_s, gap_s
+        self._running.use(lease_id, service, first_s, gap_s)
 
     def finished(self, report: m.Finished, now: float) -> list[Decision]:
         """Report the end of a lease."""
-        running = self._running.pop(report.lease_id, None)
-        if running is None:
+        shard = self._running.shard_of(report.lease_id)
+        if shard is None:
             return []
-        return self._tell(running.lease.shard, report)
+        self._running.end(report.lease_id)
+        return self._tell(shard, report)
 
     def handle(
         self, peer: RouterName, message: m.RouterMessage, now: float
@@ -291,7 +284,6 @@
         follow.heard = now
         shard = follow.shard
         demands = [w for w in self._waiting.values() if w.shard == shard]
-        leases = [r for r in self._running.values() if r.lease.shard == shard]
         hello = m.Hello(
             shard=shard,
             router=self._router,
@@ -299,7 +291,7 @@
             data_centre=self._data_centre,
             clock=now,
             demands=tuple(waiting.demand(now) for waiting in demands),
-            leases=tuple(running.told(now) for running in leases),
+            leases=self._running.told(shard, now),
             hints=tuple(
                 m.ServerHint(name, status.limit, status.warmth, now - at)
                 for name, (status, at) in follow.hints.items()
@@ -382,7 +374,7 @@
             return self._decline(peer, grant, waiting, following, now)
         del self._waiting[grant.demand_id]
         lease = Lease(grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now)
-        self._running[grant.lease_id] = Running(lease)
+        self._running.add(lease)
         return [Granted(grant.demand_id, lease)]
 
     def _decline(
@@ -441,23 +433,9 @@
         return self._reassign(now)
 
     def _report_progress(self, now: float) -> list[Decision]:
-        if now < self._progress_at:
-            return []
-        self._progress_at = now + progress_interval(len(self._running))
-        used: dict[ShardId, list[m.ServiceUsed]] = {}
-        for lease_id, running in self._running.items():
-            if running.unreported <= 0:
-                continue
-            row = m.ServiceUsed(
-                lease_id, running.unreported, running.first_s, running.gap_s
-            )
-            running.first_s = running.gap_s = None
-            used.setdefault(running.lease.shard, []).append(row)
-            running.charged += running.unreported
-            running.unreported = 0.0
         decisions: list[Decision] = []
-        for shard, rows in used.items():
-            decisions += self._tell(shard, m.Progress(shard, tuple(rows)))
+        for progress in self._running.report(now):
+            decisions += self._tell(progress.shard, progress)
         return decisions
 
     def _reject_overdue(self, now: float) -> list[Decision]:
@@ -496,7 +474,7 @@
 
     def _let_go_foreign(self, now: float) -> list[Decision]:
         busy = {w.shard for w in self._waiting.values()}
-        busy |= {r.lease.shard for r in self._running.values()}
+        busy |= self._running.shards
         decisions: list[Decision] = []
         for shard, follow in list(self._follows.items()):
             if shard.data_centre == self._data_centre or shard in busy:
