--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -17,6 +17,7 @@
     FollowChange,
     Granted,
     Lease,
+    LostPeers,
     Rejected,
     SendTo,
     Waiting,
@@ -37,21 +38,6 @@
     ShardId,
 )
 
-SILENCE_S = 3.0
-"""A scheduler that sent no heartbeat for this long is passed over.
-
-Its heartbeats come every second; a process that is frozen closes no stream, so
-without this its followers' callers would wait until membership notices.
-"""
-
-HELLO_TIMEOUT_S = 1.0
-UNREACHABLE_S = 3.0
-"""How long a peer whose stream broke is passed over before it is tried again.
-
-Shorter makes followers run to and fro between two schedulers while a peer starts;
-longer leaves a returned peer unused. Membership has settled within this time.
-"""
-
 FOREIGN_IDLE_S = 30.0
 """A shard of another data centre that was not asked for this long is let go.
 
@@ -75,7 +61,7 @@
         self._incarnation = incarnation
         self._data_centre = data_centre
         self._map = ShardMap()
-        self._unreachable: dict[RouterName, float] = {}
+        self._lost = LostPeers()
         self._follows: dict[ShardId, Follow] = {}
         self._waiting: dict[str, Waiting] = {}
         self._running = RunningLeases()
@@ -279,11 +265,8 @@
     def _hello(self, follow: Follow, now: float) -> list[Decision]:
         if follow.scheduler is None:
             return []
-        follow.epoch = None
-        follow.hello_at = now
-        follow.heard = now
         shard = follow.shard
-        demands = [w for w in self._waiting.values() if w.shard == shard]
+        demands = [row for row in self._waiting.values() if row.shard == shard]
         hello = m.Hello(
             shard=shard,
             router=self._router,
@@ -292,12 +275,10 @@
             clock=now,
             demands=tuple(waiting.demand(now) for waiting in demands),
             leases=self._running.told(shard, now),
-            hints=tuple(
-                m.ServerHint(name, status.limit, status.warmth, now - at)
-                for name, (status, at) in follow.hints.items()
-            ),
+            hints=follow.told_hints(now),
             handed_over=follow.handed_over,
         )
+        follow.greet(now)
         return [SendTo(follow.scheduler, hello)]
 
     def _tell(self, shard: ShardId, message: m.SchedulerMessage) -> list[Decision]:
@@ -308,7 +289,7 @@
 
     def _reassign(self, now: float) -> list[Decision]:
         """Work out every shard's scheduler anew and turn to those that changed."""
-        self._map.assign(lambda router: self._passed_over(router, now))
+        self._map.assign(lambda router: self._lost.passed_over(router, now))
         decisions: list[Decision] = []
         for shard in list(self._follows):
             decisions += self._refollow(shard, now)
@@ -317,9 +298,6 @@
                 decisions += self._follow(shard, now)
         return decisions + self._place_lost(now)
 
-    def _passed_over(self, router: RouterName, now: float) -> bool:
-        return self._unreachable.get(router, now) > now
-
     def _refollow(self, shard: ShardId, now: float) -> list[Decision]:
         follow = self._follows[shard]
         known = shard in self._map
@@ -426,7 +404,7 @@
     def _pass_over(self, peer: RouterName, now: float) -> list[Decision]:
         if peer == self._router:
             return []
-        self._unreachable[peer] = now + UNREACHABLE_S
+        self._lost.note(peer, now)
         for follow in self._follows.values():
             if follow.scheduler == peer:
                 follow.epoch = None
@@ -450,18 +428,13 @@
         return decisions
 
     def _check_silence(self, now: float) -> list[Decision]:
-        silent = set()
-        for follow in self._follows.values():
-            limit = SILENCE_S if follow.epoch is not None else HELLO_TIMEOUT_S
-            if follow.scheduler is not None and now - follow.heard > limit:
-                silent.add(follow.scheduler)
+        follows = self._follows.values()
+        silent = {row.scheduler for row in follows if row.silent(now)}
         decisions: list[Decision] = []
         for peer in silent - {self._router}:
-            decisions += self._pass_over(peer, now)
-        back = [r for r, until in self._unreachable.items() if until <= now]
-        for peer in back:
-            del self._unreachable[peer]
-        if back:
+            if peer is not None:
+                decisions += self._pass_over(peer, now)
+        if self._lost.take_back(now):
             decisions += self._reassign(now)
         return decisions
 
--- a/packages/fulmarroad/src/fulmarroad/_following.py
+++ b/packages/fulmarroad/src/fulmarroad/_following.py
@@ -17,6 +17,22 @@
     WorkspaceName,
 )
 
+SILENCE_S = 3.0
+"""A scheduler that sent no heartbeat for this long is passed over.
+
+Its heartbeats come every second; a process that is frozen closes no stream, so
+without this its followers' callers would wait until membership notices.
+"""
+
+HELLO_TIMEOUT_S = 1.0
+
+UNREACHABLE_S = 3.0
+"""How long a peer whose stream broke is passed over before it is tried again.
+
+Shorter makes followers run to and fro between two schedulers while a peer starts;
+longer leaves a returned peer unused. Membership has settled within this time.
+"""
+
 PROGRESS_S = 0.5
 """Shortest time between reports of progress; in it a request uses some twenty tokens,
 far less than the cost of one request, by which the gap is bounded anyway."""
@@ -140,6 +156,28 @@
         )
 
 
+@define
+class LostPeers:
+    """Remember whose streams broke, to pass them over for a while."""
+
+    _until: dict[RouterName, float] = field(factory=dict)
+
+    def note(self, peer: RouterName, now: float) -> None:
+        """Pass a peer over from now on."""
+        self._until[peer] = now + UNREACHABLE_S
+
+    def passed_over(self, peer: RouterName, now: float) -> bool:
+        """Tell whether a peer is passed over."""
+        return self._until.get(peer, now) > now
+
+    def take_back(self, now: float) -> bool:
+        """Forget those whose time is over; tell whether there were any."""
+        back = [peer for peer, until in self._until.items() if until <= now]
+        for peer in back:
+            del self._until[peer]
+        return bool(back)
+
+
 @define
 class Follow:
     """Hold how this router stands with the scheduler of one shard."""
@@ -154,6 +192,24 @@
     handed_over: bool = False
     hints: dict[ServerName, tuple[m.ServerStatus, float]] = field(factory=dict)
 
+    def greet(self, now: float) -> None:
+        """Note that the scheduler is greeted and has to answer."""
+        self.epoch = None
+        self.hello_at = now
+        self.heard = now
+
+    def silent(self, now: float) -> bool:
+        """Tell whether the scheduler has not been heard for too long."""
+        limit = SILENCE_S if self.epoch is not None else HELLO_TIMEOUT_S
+        return self.scheduler is not None and now - self.heard > limit
+
+    def told_hints(self, now: float) -> tuple[m.ServerHint, ...]:
+        """Return what is known of the shard's servers, as a new scheduler gets it."""
+        return tuple(
+            m.ServerHint(name, status.limit, status.warmth, now - at)
+            for name, (status, at) in self.hints.items()
+        )
+
 
 @frozen
 class FollowChange:
--- a/packages/fulmarroad/tests/test_follower.py
+++ b/packages/fulmarroad/tests/test_follower.py
@@ -4,8 +4,7 @@
 from attrs import evolve
 
 from fulmarroad import messages as m
-from fulmarroad._follower import SILENCE_S
-from fulmarroad._following import PROGRESS_S, progress_interval
+from fulmarroad._following import PROGRESS_S, SILENCE_S, progress_interval
 from fulmarroad.coordination import (
     Ask,
     Follower,
