--- a/packages/fulmarroad-serving/tests/test_digests.py
+++ b/packages/fulmarroad-serving/tests/test_digests.py
@@ -153,16 +153,13 @@
     now: float = 100.0
     routers: dict = field(factory=dict)
     packets: int = 0
+    seeds: tuple = ("h0", "h1", "h2")
     _random: random.Random = field(factory=lambda: random.Random(7))
 
     def __attrs_post_init__(self):
         for number in range(self.size):
             self.start(number)
 
-    @property
-    def seeds(self):
-        return [f"h{number}" for number in range(3)]
-
     def start(self, number, incarnation=1):
         name, centre = f"r{number}", CENTRES[number % len(CENTRES)]
         dispatcher = Dispatcher(name, centre, FleetBounds(), number)
@@ -290,6 +287,24 @@
         bed.run(1.2)
         assert set(bed.errors()) == {0}
 
+    def test_a_seed_that_does_not_collect_names_those_who_do(self):
+        """A router starts, and the one seed that it knows collects nothing and is in
+        another data centre. Left without an answer, it would believe that it is alone.
+        """
+        bed = FleetBed(40)
+        bed.run(3.0)
+        view = bed.routers["h0"].view
+        bed.seeds = tuple(
+            f"h{number}"
+            for number in range(40)
+            if CENTRES[number % 3] == "rabat"
+            and f"r{number}" not in view.collectors_of("rabat", bed.now)
+        )[:1]
+        bed.start(42)
+        assert bed.routers["h42"].centre == "fes"
+        bed.run(1.2)
+        assert set(bed.errors()) == {0}
+
     def test_a_data_centre_that_is_cut_off_goes_on_alone_and_comes_back(self):
         """A data centre is cut off for six seconds. Counting the others' loads from
         before the cut would leave its engines idle.
