Name no source of a prompt's part where the link between engines is slower than reading

Cause: found in reading: an engine thought to have a part was given a source whatever the link. Behind a slow link it would fetch, after dropping the part, for longer than reading takes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -118,7 +118,7 @@
     tokens: int
     cached: bool
     cost_s: float  # until its first token
-    again_s: float  # time that getting the part there takes from all others
+    taken_s: float  # time that getting the part there takes from all others
     place: int  # in the part's order of servers
     source: ServerName
 
@@ -126,7 +126,7 @@
         """Return the order of preference: on time, then cached, then soonest."""
         behind = not self.cached and self.row.wait_s > SPREAD_WAIT_S
         if self.cost_s > late_s or behind:
-            return (2.0, 0.0, self.cost_s + self.again_s)
+            return (2.0, 0.0, self.cost_s + self.taken_s)
         # A part that spreads goes to the same next server from every router, or
         # each of them would make another engine read it.
         spread = 0 if self.cached else self.place
@@ -244,36 +244,39 @@
     sources = [name for name in holders if name in sound]
     options = []
     for row in candidates:
+        # Over a link that is slower than reading, a fetch would only delay the prompt.
+        names = sources if row.fetch_rate > row.read_rate else []
+        source = next((name for name in names if name != row.server), "")
         cached = row.server in holders
-        source = next((name for name in sources if name != row.server), "")
-        fetch_s = prompt.fetch_s(row.fetch_rate) if source else float("inf")
-        again_s = prompt.shared_tokens / row.read_rate
-        fetched = not cached and fetch_s < again_s
-        tokens = prompt.own_tokens
-        if not cached and not fetched:
-            tokens += prompt.shared_tokens
-        read_s = row.base_s + tokens / row.read_rate + (fetch_s if fetched else 0.0)
-        cost_s = row.wait_s + read_s + row.penalty_s
-        if row.data_centre != centre:
-            cost_s += OTHER_CENTRE_S
-        again_cost_s = 0.0
-        if not cached:
-            again_cost_s = fetch_s if fetched else READ_AGAIN_WEIGHT * again_s
-        options.append(
-            _Option(
-                row,
-                read_s,
-                tokens,
-                cached,
-                cost_s,
-                again_cost_s,
-                place.get(row.server, 0),
-                source if row.fetch_rate else "",
-            )
-        )
+        number = place.get(row.server, 0)
+        options.append(_option(prompt, row, centre, number, source, cached=cached))
     return options
 
 
+def _option(
+    prompt: Prompt,
+    row: Candidate,
+    centre: DataCentreName,
+    place: int,
+    source: ServerName,
+    *,
+    cached: bool,
+) -> _Option:
+    again_s = prompt.shared_tokens / row.read_rate
+    fetch_s = prompt.fetch_s(row.fetch_rate) if source else float("inf")
+    tokens, extra_s, taken_s = prompt.own_tokens, 0.0, 0.0
+    if not cached and fetch_s < again_s:
+        extra_s = taken_s = fetch_s
+    elif not cached:
+        tokens += prompt.shared_tokens
+        taken_s = READ_AGAIN_WEIGHT * again_s
+    read_s = row.base_s + tokens / row.read_rate + extra_s
+    cost_s = row.wait_s + read_s + row.penalty_s
+    if row.data_centre != centre:
+        cost_s += OTHER_CENTRE_S
+    return _Option(row, read_s, tokens, cached, cost_s, taken_s, place, source)
+
+
 def _order(prompt: Prompt, servers: Sequence[ServerName]) -> list[ServerName]:
     return home_order(prompt.part, servers) if prompt.part else []
 
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -166,8 +166,16 @@
         assert choice.source == ""
 
     def test_over_a_slow_link_parts_are_read(self):
-        home = home_order(PART, SERVERS)[0]
-        assert choose(PART, {home: 0.5}, rate=120_000.0, fetch_rate=6e4).tokens > 13_000
+        """Engines read faster than their link carries a part. One that fetched would
+        begin a prompt later than one that reads it.
+        """
+        home, second = home_order(PART, SERVERS)[:2]
+        slow = {"rate": 120_000.0, "fetch_rate": 60_000.0}
+        away = choose(PART, {home: 0.5}, **slow)
+        assert (away.tokens, away.source) == (16_700, "")
+        memory = PartMemory()
+        memory.note(PART, second, 99.0)
+        assert choose(PART, {second: 0.1}, memory, **slow).source == ""
 
     def test_engines_without_a_link_name_no_source(self):
         memory = PartMemory()
