--- a/packages/fulmarroad-serving/tests/test_holding.py
+++ b/packages/fulmarroad-serving/tests/test_holding.py
@@ -5,7 +5,7 @@
 from serving_bed import Caller, chunk, event, run, stream_head
 
 from fulmarroad.types import RefusalReason
-from fulmarroad_serving import Refusal
+from fulmarroad_serving import Refusal, _holding
 from fulmarroad_serving._holding import HELD_PART, HeldCalls
 from fulmarroad_serving._shares import ShareUse
 
@@ -94,6 +94,52 @@
 
         run(test)
 
+    def test_the_time_held_counts_against_the_objective(self, monkeypatch):
+        """A call was held for half of its objective. A place where it would begin
+        within a whole objective from now would make it late.
+        """
+        monkeypatch.setattr(_holding, "HELD_PART", 0.9)
+        monkeypatch.setattr(_holding, "LOOK_S", 0.1)
+
+        async def test(bed):
+            async def script(arrival, writer):
+                raise AssertionError("the call was sent")
+
+            await bed.serve("s-1", script, "drafting")
+            load = bed.dispatcher.load("s-1")
+            load.send("s-1", 6_000, bed.now())
+            busy = load.send("s-1", 60_000, bed.now())
+
+            async def shorten():
+                await anyio.sleep(0.03)
+                load.end(busy, begun=False)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(shorten)
+                caller = await bed.call("/draft/1", method="POST", body=b"p")
+            assert caller.status == 503
+
+        run(test)
+
+    def test_a_caller_with_no_time_for_another_look_is_told_at_once(self, monkeypatch):
+        """A caller gives up in 30 ms. Held until a later look, its call would end
+        without an answer.
+        """
+        monkeypatch.setattr(_holding, "LOOK_S", 60.0)
+
+        async def test(bed):
+            async def script(arrival, writer):
+                raise AssertionError("the call was sent")
+
+            await bed.serve("s-1", script, "drafting")
+            bed.dispatcher.load("s-1").send("s-1", 60_000, bed.now())
+            caller = await bed.call(
+                "/draft/1", method="POST", body=b"p", headers={"x-deadline-ms": "30"}
+            )
+            assert caller.status == 503
+
+        run(test)
+
     def test_a_caller_who_leaves_while_held_is_not_sent_on(self):
         """A caller closes its connection while its call waits for a place. Sent later,
         the call would run for nobody.
