--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_report.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_report.py
@@ -8,7 +8,7 @@
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import matplotlib
 
@@ -16,9 +16,8 @@
 from matplotlib import pyplot as plt  # noqa: E402
 from matplotlib.figure import Figure  # noqa: E402
 
-if TYPE_CHECKING:
-    from fulmarroad_bench._lab_traffic import Sheet
-    from fulmarroad_bench.lab import LabDay
+from fulmarroad_bench._lab_day import LabDay, worth  # noqa: E402
+from fulmarroad_bench._lab_traffic import Sheet  # noqa: E402
 
 WINDOW_S = 2.0
 COLUMNS = ("policy", "seed", "calls", "worth", "on_time", "late", "refused")
@@ -59,8 +58,6 @@
 
 
 def _by_second(sheet: Sheet, days: Sequence[LabDay]) -> Figure:
-    from fulmarroad_bench.lab import worth
-
     figure, axes = plt.subplots(figsize=(9, 4))
     for day in days:
         windows = defaultdict(list)
