Tell how late a router's event loop runs, and beliefs before single calls

Cause: what a router at its processor's limit believed could not be seen. Its log came 5 to 18 s late, since thousands of lines of calls went first, and ended with its process; its metrics address gave no answer; no line said that its loop ran late. Lines on what the router believes, with the failed pulls of copies among them, go before lines of calls.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
@@ -59,6 +59,11 @@
             "Time since this router heard from the store itself",
             registry=self._registry,
         )
+        self.loop_late = Gauge(
+            "fulmarroad_loop_late_seconds",
+            "Delay with which the event loop runs what is due, standing for 0.3 s",
+            registry=self._registry,
+        )
         self.dropped = Gauge(
             "fulmarroad_log_lines_dropped",
             "Log lines waiting to be told as dropped",
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/bounded_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/bounded_log.py
@@ -2,7 +2,9 @@
 
 Whoever logs only appends to a queue. A task of its own formats and writes, without
 blocking: a full pipe or a burst of lines drops lines, and the next line that gets
-through tells how many.
+through tells how many. Lines on what the router believes go before those of single
+calls: behind thousands of these they would come out many seconds late, or be lost with
+the process, and nobody could tell afterwards what it went by.
 """
 
 from __future__ import annotations
@@ -17,7 +19,11 @@
 from fulmarroad.events import Event
 
 QUEUE_LINES = 2_000
-"""Lines that wait to be written: about ten seconds at the highest rate."""
+"""Lines of calls that wait to be written, and as many others: about ten seconds at the
+highest rate."""
+
+CALL_EVENTS = range(500, 600)
+"""Numbers of the events that tell of one call."""
 
 LINES_PER_S = 200
 """Lines written a second: each call leaves one or two, and a router wrote 81
@@ -43,16 +49,24 @@
         )
         self._descriptor = descriptor
         self._rate = rate
-        self._records: deque[logging.LogRecord] = deque()
+        self._calls: deque[logging.LogRecord] = deque()
+        self._beliefs: deque[logging.LogRecord] = deque()
         self._rest = b""
         self.dropped = 0
 
+    @property
+    def waiting(self) -> int:
+        """Return how many lines wait to be written."""
+        return len(self._calls) + len(self._beliefs)
+
     def emit(self, record: logging.LogRecord) -> None:
         """Queue a record, or count it as dropped."""
-        if len(self._records) >= QUEUE_LINES:
+        of_call = getattr(record, "event", 0) in CALL_EVENTS
+        records = self._calls if of_call else self._beliefs
+        if len(records) >= QUEUE_LINES:
             self.dropped += 1
             return
-        self._records.append(record)
+        records.append(record)
 
     async def run(self) -> None:
         """Write until cancelled."""
@@ -63,12 +77,14 @@
 
     def write(self, lines: int) -> None:
         """Write up to a number of lines, as far as the pipe takes them."""
-        if self.dropped and len(self._records) < QUEUE_LINES:
-            self._records.append(self._dropped_record())
+        if self.dropped and len(self._beliefs) < QUEUE_LINES:
+            self._beliefs.append(self._dropped_record())
             self.dropped = 0
-        while self._records and lines > 0 and not self._rest:
+        while (records := self._beliefs or self._calls) and not self._rest:
+            if lines <= 0:
+                break
             lines -= 1
-            record = self._records.popleft()
+            record = records.popleft()
             self._rest = self.format(record).encode() + b"\n"
             self._push()
         self._push()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -23,6 +23,7 @@
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._forwarding import Forwarder
+from fulmarroad_serving._lateness import LoopLateness
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
@@ -44,6 +45,9 @@
 PAUSE_S = 0.5
 """A gap of the clock beyond the tick that counts as a pause of the whole process."""
 
+LATE_S = 0.03
+"""Standing delay of the event loop that is told: three times that of a busy router."""
+
 SETTLE_S = 2.0
 """Time after the configuration is known at which a router without any server is ready
 all the same: it then says truthfully that there is none."""
@@ -77,6 +81,7 @@
         self._incarnation = time.time_ns() // 1_000_000
         self._gate = CallGate()
         self._measures = Measures()
+        self._lateness = LoopLateness()
         self._drain_asked = anyio.Event()
         self._audit = AuditTrail(_log_audit)
         self._dispatcher = Dispatcher(
@@ -148,6 +153,7 @@
             ChildSpec("status", self._page(status, settings.admin_port).run),
             ChildSpec("metrics", self._page(metrics, settings.metrics_port).run),
             ChildSpec("tick", self._tick),
+            ChildSpec("lateness", self._watch_loop),
         ]
         await Supervisor("serving", children, seed=self._incarnation).run()
 
@@ -179,13 +185,36 @@
 
     async def _tick(self) -> None:
         last = self._clock()
+        late_since: float | None = None
         while True:
             await anyio.sleep(TICK_S)
             now = self._clock()
             if now - last > TICK_S + PAUSE_S:
                 emit(logger, Event.CLOCK_PAUSE, seconds=round(now - last, 2))
+            late_since = self._tell_lateness(late_since, now)
             last = now
 
+    def _tell_lateness(self, since: float | None, now: float) -> float | None:
+        """Log where the loop begins or ends to run late; return since when it does."""
+        late_s = self._lateness.standing_s
+        if since is None and late_s >= LATE_S:
+            in_flight = self._gate.in_flight
+            emit(logger, Event.LOOP_LATE, late_s=round(late_s, 3), in_flight=in_flight)
+            return now
+        if since is None or late_s >= LATE_S / 2:
+            return since
+        worst_s, self._lateness.worst_s = self._lateness.worst_s, 0.0
+        emit(
+            logger,
+            Event.LOOP_ON_TIME,
+            seconds=round(now - since, 1),
+            worst_s=round(worst_s, 3),
+        )
+        return None
+
+    async def _watch_loop(self) -> None:
+        await self._lateness.run(self._clock)
+
     async def _watch_signals(self, *, task_status: TaskStatus[None]) -> None:
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*wanted) as signals:
@@ -247,6 +276,7 @@
             "version": self._beliefs.catalog.version,
             "store_revision": self._beliefs.replica.at,
             "store_age_s": round(min(self._reader.age_s(), 1e6), 2),
+            "loop_late_s": round(self._lateness.standing_s, 3),
             "reads_store": self._reads_store(),
             "centres_left": sorted(registry.centres_left),
             "peers": {
@@ -279,6 +309,7 @@
         self._measures.peers.set(len(self._peers.book.alive(now)))
         self._measures.version.set(self._beliefs.catalog.version)
         self._measures.store_age.set(min(self._reader.age_s(), 1e6))
+        self._measures.loop_late.set(self._lateness.standing_s)
         self._measures.dropped.set(self._log.dropped)
         return self._measures.text()
 
--- a/packages/fulmarroad-serving/tests/test_bounded_log.py
+++ b/packages/fulmarroad-serving/tests/test_bounded_log.py
@@ -13,8 +13,10 @@
     return BoundedLog("router-a", write), read, write
 
 
-def record(text="hello"):
-    return logging.LogRecord("fulmarroad.test", logging.INFO, "", 0, text, None, None)
+def record(text="hello", event=0):
+    made = logging.LogRecord("fulmarroad.test", logging.INFO, "", 0, text, None, None)
+    made.event = event
+    return made
 
 
 class TestWriting:
@@ -32,6 +34,18 @@
         log.write(20)
         assert os.read(read, 1 << 16).count(b"\n") == 20
 
+    def test_what_the_router_believes_goes_before_lines_of_calls(self):
+        """A router carries more calls than it may write lines of. What it came to
+        believe meanwhile must not wait behind them: the process may be killed first,
+        and nobody could tell what it went by.
+        """
+        log, read, _ = make()
+        for _ in range(QUEUE_LINES + 30):
+            log.emit(record(event=500))
+        log.emit(record(event=421))
+        log.write(1)
+        assert json.loads(os.read(read, 1 << 16))["event"] == 421
+
     def test_a_full_pipe_holds_nobody_up_and_cuts_no_line(self):
         """Nobody reads the router's output for a while. A write that waited would stop
         every call in the process.
@@ -42,7 +56,7 @@
             log.emit(record("x" * 9_001))
         log.write(1_500)
         data = os.read(read, 1 << 20)
-        while not data.endswith(b"\n") or log._records:
+        while not data.endswith(b"\n") or log.waiting:
             log.write(1_500)
             data += os.read(read, 1 << 20)
         assert all(json.loads(line) for line in data.splitlines())
@@ -53,7 +67,7 @@
             log.emit(record())
         log.write(10)
         os.read(read, 1 << 16)
-        while log._records:
+        while log.waiting:
             log.write(100)
             last = os.read(read, 1 << 20).splitlines()[-1]
         row = json.loads(last)
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -36,6 +36,8 @@
     TASK_FAILED = EventKind(110, _E, "task failed and is restarted")
     TASK_GIVEN_UP = EventKind(111, _E, "task failed too often")
     CLOCK_PAUSE = EventKind(112, _W, "process did not run for a while")
+    LOOP_LATE = EventKind(113, _W, "event loop runs late")
+    LOOP_ON_TIME = EventKind(114, _I, "event loop runs on time again")
 
     # 200: configuration
     TABLES_ACCEPTED = EventKind(200, _I, "tables accepted")
