--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -0,0 +1,223 @@
+"""A router with more calls than its processor carries, in virtual time."""
+
+import anyio
+from attrs import define
+from serving_bed import OPEN, PlainCodec, make_catalog
+from slow_processor import STEP_S, run_slowly, take_turns
+
+from fulmarroad.audit import AuditTrail
+from fulmarroad_router.gate import CallGate
+from fulmarroad_serving import Dispatcher, FleetBounds, Instance, ReplicaItem
+from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._callers import ServingApp
+from fulmarroad_serving._measures import Measures
+from fulmarroad_serving._peers import REPORT_S, Peers
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._reports import pack_report
+from fulmarroad_serving.contracts import CatalogFact, InstanceFact
+
+PULL_TURNS = 10
+"""Turns of the loop in which a copy is fetched from a peer: to connect, to ask, to read
+the answer and its end."""
+
+SHORTEST_DRAIN_S = 2.0
+"""Shortest time after its word within which a leaving server still takes calls."""
+
+
+class ServerEntries:
+    """A store whose items are servers; their data says whether they leave."""
+
+    def decode(self, item):
+        name = item.key.partition("/")[2]
+        leaves = item.data == b"leaves"
+        row = Instance(name, "drafting", "127.0.0.1", 9001, "fes", 8, draining=leaves)
+        return InstanceFact(row)
+
+
+@define
+class Node:
+    """Hold one router without its sockets."""
+
+    dispatcher: Dispatcher
+    beliefs: Beliefs
+    peers: Peers
+
+    def packet(self):
+        """Return the router's next report as it goes out."""
+        now = anyio.current_time()
+        self.peers._sequence += 1
+        return pack_report(self.peers._view.complete(self.peers._report(now), now))
+
+    def leaving(self, server):
+        """Tell whether the router knows that a server leaves."""
+        row = self.dispatcher.registry.get(server)
+        return row is not None and row.instance.draining
+
+
+def make_node(name, host, store_age_s):
+    clock = anyio.current_time
+    dispatcher = Dispatcher(name, "fes", FleetBounds(), 1)
+    pool = ConnectionPool(clock)
+    beliefs = Beliefs(ServerEntries(), dispatcher, pool, AuditTrail(), clock)
+    ages = (store_age_s, 60.0)
+    peers = Peers(name, "fes", host, 7400, 1, dispatcher, beliefs, lambda: ages, clock)
+    return Node(dispatcher, beliefs, peers)
+
+
+class TestNews:
+    def test_a_router_at_its_limit_learns_in_time_that_a_server_leaves(self):
+        """One caller sends more through a small VM than its processor carries, so that
+        each turn of the router's loop takes a tenth of a second. A peer tells it of a
+        change; fetching that takes ten turns and is given up after 0.6 s, over and
+        over. Callers are still sent to a server that has said seconds ago that it
+        leaves, and are cut off when it is gone.
+        """
+
+        async def test():
+            reader = make_node("a", "127.0.0.2", 0.1)
+            small = make_node("b", "127.0.0.3", 1e6)
+            for node in (reader, small):
+                items = [ReplicaItem("servers/s", 3, b"serves")]
+                node.beliefs.take_listing(items, 3, 60.0, "store")
+
+            async def ask(host):
+                await take_turns(PULL_TURNS)
+                return reader.beliefs.replica.since(small.beliefs.replica.at)
+
+            async def hear():
+                while True:
+                    small.peers._take(reader.packet())
+                    await anyio.sleep(REPORT_S)
+
+            async def keep_busy():
+                while True:
+                    await anyio.sleep(0)
+
+            small.peers._copies._ask = ask
+            async with anyio.create_task_group() as group:
+                for _ in range(int(0.1 / STEP_S)):
+                    group.start_soon(keep_busy)
+                group.start_soon(small.peers._copies.pull_news)
+                group.start_soon(hear)
+                await anyio.sleep(1.0)
+                change = [ReplicaItem("servers/s", 5, b"leaves")]
+                reader.beliefs.take_changes(change, 5, 60.0, "store")
+                told_at = anyio.current_time()
+                with anyio.move_on_after(2 * SHORTEST_DRAIN_S):
+                    while not small.leaving("s"):
+                        await anyio.sleep(0)
+                took_s = anyio.current_time() - told_at
+                group.cancel_scope.cancel()
+            assert took_s < SHORTEST_DRAIN_S
+
+        run_slowly(test)
+
+
+CALL_TURNS = 25
+"""Turns of the loop that a call takes: read, placed, sent, events handed on."""
+
+CALL_S = CALL_TURNS * STEP_S
+
+PATIENCE_S = 0.5
+"""Time within which a caller has to know that it was turned away: it may still be
+served by another router."""
+
+
+@define
+class Caller:
+    """Hold what one caller saw."""
+
+    status: int = 0
+    took_s: float = float("inf")
+
+
+class BusyForwarder:
+    """Serve each call by work of this router alone."""
+
+    async def run(self, call, responder, summary):
+        await take_turns(CALL_TURNS)
+        await responder.begin(200, [])
+        await responder.finish(b"done")
+
+
+def make_app(group):
+    clock = anyio.current_time
+    node = make_node("a", "127.0.0.2", 0.1)
+    node.beliefs._take(CatalogFact(make_catalog(routes=(OPEN,))), 1, 60.0, "test")
+    gate = CallGate()
+    gate.open()
+    return ServingApp(
+        PlainCodec(), node.beliefs, BusyForwarder(), gate, Measures(), clock
+    )
+
+
+async def call(app, caller):
+    begun = anyio.current_time()
+    scope = {
+        "type": "http",
+        "method": "GET",
+        "path": "/open/1",
+        "headers": [(b"host", b"svc.example"), (b"x-id", b"c-1")],
+    }
+    asked = False
+
+    async def receive():
+        nonlocal asked
+        if asked:
+            await anyio.sleep_forever()
+        asked = True
+        return {"type": "http.request", "body": b""}
+
+    async def send(message):
+        if message["type"] == "http.response.start":
+            caller.status = message["status"]
+            caller.took_s = anyio.current_time() - begun
+
+    await app(scope, receive, send)
+
+
+class TestCalls:
+    SECONDS = 8.0
+
+    def press(self, load):
+        """Send a multiple of what the processor carries; return what callers saw."""
+        callers = []
+
+        async def test():
+            async with anyio.create_task_group() as group:
+                app = make_app(group)
+                while anyio.current_time() < self.SECONDS:
+                    # Callers come by their own clock, however late this loop runs.
+                    while len(callers) * CALL_S < load * anyio.current_time():
+                        callers.append(Caller())
+                        group.start_soon(call, app, callers[-1])
+                    await anyio.sleep(CALL_S / load)
+                await anyio.sleep(2.0)
+                group.cancel_scope.cancel()
+
+        run_slowly(test)
+        return callers
+
+    def test_callers_are_soon_told_to_go_elsewhere(self):
+        """The balancer hands all connections of one large caller to a small VM. Each
+        call there takes its part of every turn of the loop, so that all of them wait
+        for seconds, and the workspace whose calls come there gets far less than others
+        while neighbouring VMs idle.
+        """
+        callers = self.press(2.5)
+        refused = [row for row in callers if row.status == 503]
+        assert all(row.took_s < PATIENCE_S for row in refused)
+        late = [row for row in callers if row.took_s >= 2 * PATIENCE_S]
+        assert len(late) <= 0.01 * len(callers)
+
+    def test_a_router_at_its_limit_serves_what_it_carries(self):
+        """Turning callers away takes work as well. A router that turned away all of
+        them for as long as more come than it carries would serve nobody.
+        """
+        callers = self.press(2.5)
+        served = [row for row in callers if row.status == 200]
+        assert len(served) >= 0.5 * self.SECONDS / CALL_S
+
+    def test_nobody_is_turned_away_below_the_limit(self):
+        callers = self.press(0.5)
+        assert {row.status for row in callers} == {200}
