Turn calls away at a router whose event loop runs late

Cause: a router took on every call that came. All of them share the turns of one loop, so that past the processor's limit none ends in time; nothing measured that. Ruled out: the loss of the store's reader (three routers of that data centre read), and a break on the way of news (none of the 14 neighbours was late). Change: streams are turned away in a growing part while the loop's delay stands at 10 ms, all of them from 30 ms, calls with one answer from 40 ms; their callers come back after 0.02 to 0.1 s and meet another router. Conclusion: the delay is bounded; how connections are accepted is not.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -39,6 +39,7 @@
 )
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._measures import Measures
+from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._served_call import CallSummary, ServedCall
 from fulmarroad_serving.contracts import CallCodec, CallHead
 
@@ -74,6 +75,7 @@
         forwarder: Forwarder,
         gate: CallGate,
         measures: Measures,
+        saturation: SaturationGuard,
         clock: Callable[[], float],
     ) -> None:
         self._codec = codec
@@ -81,6 +83,7 @@
         self._forwarder = forwarder
         self._gate = gate
         self._measures = measures
+        self._saturation = saturation
         self._clock = clock
 
     async def __call__(self, scope: Scope, receive: Receive, send: SendEvent) -> None:
@@ -138,6 +141,9 @@
         index = self._beliefs.index or index
         stages.version = index.catalog.version
         call = self._check(scope, head, body, index, stages)
+        if self._saturation.turns_away(call.route.kind):
+            pause_s = self._saturation.retry_after_s()
+            raise Refused(RefusalReason.ROUTER_BUSY, pause_s)
         await run_watched(
             lambda: self._forwarder.run(call, responder, stages.summary),
             receive,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_lateness.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_lateness.py
@@ -14,10 +14,10 @@
 import anyio
 from attrs import define, field
 
-SAMPLE_S = 0.05
+SAMPLE_S = 0.03
 """Time between two samples."""
 
-STANDING_SAMPLES = 6
+STANDING_SAMPLES = 4
 """Samples in which a delay has to stand. VMs whose processor is shared out by tenths of
 a second stop within each of them, so that single samples are late on an idle one."""
 
@@ -32,7 +32,7 @@
 
     @property
     def standing_s(self) -> float:
-        """Return the delay that every sample of the last 0.3 s had, in seconds."""
+        """Return the delay that every sample of the last 0.12 s had, in seconds."""
         if len(self._samples) < STANDING_SAMPLES:
             return 0.0
         return min(self._samples)
@@ -42,9 +42,12 @@
         self._samples.append(max(0.0, late_s))
         self.worst_s = max(self.worst_s, late_s)
 
-    async def run(self, clock: Callable[[], float]) -> None:
-        """Sample until cancelled."""
+    async def run(
+        self, clock: Callable[[], float], on_sample: Callable[[], None]
+    ) -> None:
+        """Sample until cancelled, and tell of each sample."""
         while True:
             due = clock() + SAMPLE_S
             await anyio.sleep(SAMPLE_S)
             self.note(clock() - due)
+            on_sample()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_measures.py
@@ -61,7 +61,7 @@
         )
         self.loop_late = Gauge(
             "fulmarroad_loop_late_seconds",
-            "Delay with which the event loop runs what is due, standing for 0.3 s",
+            "Delay with which the event loop runs what is due, standing for 0.12 s",
             registry=self._registry,
         )
         self.dropped = Gauge(
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_saturation.py
@@ -0,0 +1,67 @@
+"""Decide whom a router turns away that gets more calls than its processor carries.
+
+Pattern of load: the balancer picks a router by its caller, so one large caller fills a
+small VM while its neighbours idle. All calls there share the turns of one event loop;
+with each call more, every turn takes longer, and soon none of them ends in time and the
+router itself learns too late what it must not do any more. Operators would notice
+callers without an answer at one VM whose processor is used up, and servers that get
+calls after they have left. So calls are turned away as long as the loop runs late: told
+at once, their callers come back by another router and are still served on time.
+"""
+
+from __future__ import annotations
+
+import random
+
+from attrs import define
+
+from fulmarroad_serving._catalog import CallKind
+from fulmarroad_serving._lateness import LoopLateness
+
+LATE_S = 0.01
+"""Standing delay that counts as late. A call takes some ten turns to its first token,
+so that the delay adds a tenth of a second to it."""
+
+FAR_TOO_LATE_S = 0.03
+"""Standing delay at which every stream is turned away."""
+
+SHORT_CALL_LATE_S = 0.04
+"""Standing delay at which calls with one answer are turned away: they take a small part
+of a stream's work."""
+
+MORE = 0.1
+"""Added with each late sample to the part of streams that is turned away."""
+
+LESS = 0.03
+"""Taken from that part with each other sample. All or nothing would let calls in by
+the bunch, each of which slows down all others of its bunch."""
+
+RETRY_AFTER_S = (0.02, 0.1)
+"""Earliest and latest return: another router has room now, and the spread keeps those
+that were turned away in one turn from coming back in one."""
+
+
+@define
+class SaturationGuard:
+    """Turn calls away while the event loop runs late."""
+
+    lateness: LoopLateness
+    _random: random.Random
+    _part: float = 0.0  # of streams that are turned away
+
+    def adapt(self) -> None:
+        """Follow the newest sample of the loop's delay."""
+        late = self.lateness.standing_s >= LATE_S
+        self._part += MORE if late else -LESS
+        self._part = min(1.0, max(0.0, self._part))
+
+    def turns_away(self, kind: CallKind) -> bool:
+        """Tell whether a call of a kind is one too many now."""
+        late_s = self.lateness.standing_s
+        if kind is not CallKind.STREAM:
+            return late_s >= SHORT_CALL_LATE_S
+        return late_s >= FAR_TOO_LATE_S or self._random.random() < self._part
+
+    def retry_after_s(self) -> float:
+        """Return the time after which a caller should come back."""
+        return self._random.uniform(*RETRY_AFTER_S)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -4,6 +4,7 @@
 
 import gc
 import logging
+import random
 import signal
 import time
 from collections.abc import Callable
@@ -28,6 +29,7 @@
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
 from fulmarroad_serving.bounded_log import BoundedLog
 from fulmarroad_serving.contracts import CallCodec, ServingSettings, StateStore
@@ -114,8 +116,16 @@
         forwarder = Forwarder(
             self._dispatcher, self._pool, codec, lambda: self._beliefs.catalog, clock
         )
+        source = random.Random(self._incarnation)
+        self._saturation = SaturationGuard(self._lateness, source)
         app = ServingApp(
-            codec, self._beliefs, forwarder, self._gate, self._measures, clock
+            codec,
+            self._beliefs,
+            forwarder,
+            self._gate,
+            self._measures,
+            self._saturation,
+            clock,
         )
         self._callers = HttpServer(
             app,
@@ -213,7 +223,7 @@
         return None
 
     async def _watch_loop(self) -> None:
-        await self._lateness.run(self._clock)
+        await self._lateness.run(self._clock, self._saturation.adapt)
 
     async def _watch_signals(self, *, task_status: TaskStatus[None]) -> None:
         wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import socket
 import time
 
@@ -27,8 +28,10 @@
 from fulmarroad_serving._beliefs import Beliefs
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._forwarding import Forwarder
+from fulmarroad_serving._lateness import LoopLateness
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving.contracts import (
     AnswerHead,
     CallHead,
@@ -198,8 +201,10 @@
         forwarder = Forwarder(
             self.dispatcher, self.pool, codec, lambda: self.beliefs.catalog, clock
         )
+        self.lateness = LoopLateness()
+        saturation = SaturationGuard(self.lateness, random.Random(1))
         self.app = ServingApp(
-            codec, self.beliefs, forwarder, self.gate, Measures(), clock
+            codec, self.beliefs, forwarder, self.gate, Measures(), saturation, clock
         )
         self.tell(CatalogFact(make_catalog()))
 
--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -1,19 +1,29 @@
 """A router with more calls than its processor carries, in virtual time."""
 
+import random
+
 import anyio
-from attrs import define
+from attrs import define, evolve
 from serving_bed import OPEN, PlainCodec, make_catalog
 from slow_processor import STEP_S, run_slowly, take_turns
 
 from fulmarroad.audit import AuditTrail
 from fulmarroad_router.gate import CallGate
-from fulmarroad_serving import Dispatcher, FleetBounds, Instance, ReplicaItem
+from fulmarroad_serving import CallKind, Dispatcher, FleetBounds, Instance, ReplicaItem
 from fulmarroad_serving._beliefs import Beliefs
 from fulmarroad_serving._callers import ServingApp
+from fulmarroad_serving._lateness import STANDING_SAMPLES, LoopLateness
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._peers import REPORT_S, Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reports import pack_report
+from fulmarroad_serving._saturation import (
+    FAR_TOO_LATE_S,
+    LATE_S,
+    RETRY_AFTER_S,
+    SHORT_CALL_LATE_S,
+    SaturationGuard,
+)
 from fulmarroad_serving.contracts import CatalogFact, InstanceFact
 
 PULL_TURNS = 10
@@ -64,6 +74,11 @@
     return Node(dispatcher, beliefs, peers)
 
 
+async def keep_busy():
+    while True:
+        await anyio.sleep(0)
+
+
 class TestNews:
     def test_a_router_at_its_limit_learns_in_time_that_a_server_leaves(self):
         """One caller sends more through a small VM than its processor carries, so that
@@ -89,10 +104,6 @@
                     small.peers._take(reader.packet())
                     await anyio.sleep(REPORT_S)
 
-            async def keep_busy():
-                while True:
-                    await anyio.sleep(0)
-
             small.peers._copies._ask = ask
             async with anyio.create_task_group() as group:
                 for _ in range(int(0.1 / STEP_S)):
@@ -143,11 +154,15 @@
 def make_app(group):
     clock = anyio.current_time
     node = make_node("a", "127.0.0.2", 0.1)
-    node.beliefs._take(CatalogFact(make_catalog(routes=(OPEN,))), 1, 60.0, "test")
+    catalog = make_catalog(routes=(evolve(OPEN, kind=CallKind.STREAM),))
+    node.beliefs._take(CatalogFact(catalog), 1, 60.0, "test")
     gate = CallGate()
     gate.open()
+    lateness = LoopLateness()
+    guard = SaturationGuard(lateness, random.Random(1))
+    group.start_soon(lateness.run, clock, guard.adapt)
     return ServingApp(
-        PlainCodec(), node.beliefs, BusyForwarder(), gate, Measures(), clock
+        PlainCodec(), node.beliefs, BusyForwarder(), gate, Measures(), guard, clock
     )
 
 
@@ -202,7 +217,9 @@
         """The balancer hands all connections of one large caller to a small VM. Each
         call there takes its part of every turn of the loop, so that all of them wait
         for seconds, and the workspace whose calls come there gets far less than others
-        while neighbouring VMs idle.
+        while neighbouring VMs idle. Nothing bounded what the router took on: its delay
+        was not measured. In the record it stood at its processor's limit for as long as
+        that workspace lacked its share.
         """
         callers = self.press(2.5)
         refused = [row for row in callers if row.status == 503]
@@ -221,3 +238,51 @@
     def test_nobody_is_turned_away_below_the_limit(self):
         callers = self.press(0.5)
         assert {row.status for row in callers} == {200}
+
+
+def guard_at(late_s):
+    lateness = LoopLateness()
+    for _ in range(STANDING_SAMPLES):
+        lateness.note(late_s)
+    return SaturationGuard(lateness, random.Random(1))
+
+
+class TestGuard:
+    def test_an_idle_router_turns_nobody_away(self):
+        guard = guard_at(0.0)
+        guard.adapt()
+        assert not any(guard.turns_away(kind) for kind in CallKind)
+
+    def test_more_streams_are_turned_away_for_as_long_as_the_loop_is_late(self):
+        guard = guard_at(1.5 * LATE_S)
+        parts = []
+        for _ in range(9):
+            guard.adapt()
+            away = sum(guard.turns_away(CallKind.STREAM) for _ in range(500))
+            parts.append(away / 500)
+        assert parts[0] < 0.2 < 0.8 < parts[-1]
+
+    def test_streams_are_let_in_again_once_the_loop_is_on_time(self):
+        guard = guard_at(1.5 * LATE_S)
+        for _ in range(50):
+            guard.adapt()
+        assert guard.turns_away(CallKind.STREAM)
+        guard.lateness.note(0.0)
+        for _ in range(50):
+            guard.adapt()
+        assert not guard.turns_away(CallKind.STREAM)
+
+    def test_calls_with_one_answer_are_turned_away_last(self):
+        """A booking is one answer, a draft dozens of events. Turned away alike, many
+        bookings would be lost to win the time of a few drafts.
+        """
+        guard = guard_at(FAR_TOO_LATE_S)
+        assert guard.turns_away(CallKind.STREAM)
+        assert not guard.turns_away(CallKind.AT_MOST_ONCE)
+        assert guard_at(SHORT_CALL_LATE_S).turns_away(CallKind.AT_MOST_ONCE)
+
+    def test_callers_come_back_at_once_but_not_together(self):
+        guard = guard_at(FAR_TOO_LATE_S)
+        pauses = [guard.retry_after_s() for _ in range(50)]
+        assert RETRY_AFTER_S[0] <= min(pauses) < max(pauses) <= RETRY_AFTER_S[1]
+        assert len(set(pauses)) > 10
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -84,6 +84,7 @@
     NO_SERVERS = "no_servers"
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
+    ROUTER_BUSY = "router_busy"
     RETRY_BUDGET = "retry_budget"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_UNVERIFIABLE = "key_unverifiable"
