--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -1,10 +1,11 @@
 """A router with more calls than its processor carries, in virtual time."""
 
 import random
+import socket
 
 import anyio
 from attrs import define, evolve
-from serving_bed import OPEN, PlainCodec, make_catalog
+from serving_bed import OPEN, PlainCodec, free_port, make_catalog
 from slow_processor import STEP_S, run_slowly, take_turns
 
 from fulmarroad.audit import AuditTrail
@@ -64,16 +65,25 @@
         return row is not None and row.instance.draining
 
 
-def make_node(name, host, store_age_s):
+def make_node(name, host, store_age_s, port=7400):
     clock = anyio.current_time
     dispatcher = Dispatcher(name, "fes", FleetBounds(), 1)
     pool = ConnectionPool(clock)
     beliefs = Beliefs(ServerEntries(), dispatcher, pool, AuditTrail(), clock)
     ages = (store_age_s, 60.0)
-    peers = Peers(name, "fes", host, 7400, 1, dispatcher, beliefs, lambda: ages, clock)
+    peers = Peers(name, "fes", host, port, 1, dispatcher, beliefs, lambda: ages, clock)
     return Node(dispatcher, beliefs, peers)
 
 
+def port_is_free(host, port):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 async def keep_busy():
     while True:
         await anyio.sleep(0)
@@ -123,6 +133,42 @@
 
         run_slowly(test)
 
+    def test_packets_that_wait_are_read_in_one_turn(self):
+        """Reports come to a router whose loop takes a tenth of a second for a turn.
+        Read one a turn they pile up, and the router goes by loads, counts and news that
+        are as old as the pile.
+        """
+        packets = 40
+
+        async def test():
+            host = "127.0.0.3"
+            port = free_port(host)
+            small = make_node("b", host, 0.1, port)
+            peer = make_node("a", "127.0.0.2", 0.1)
+
+            def newest():
+                alive = small.peers.book.alive(anyio.current_time())
+                return max((row.sequence for row in alive), default=0)
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(small.peers.run)
+                while port_is_free(host, port):
+                    await anyio.sleep(0.01)
+                for _ in range(int(0.1 / STEP_S)):
+                    group.start_soon(keep_busy)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                    for _ in range(packets):
+                        sender.sendto(peer.packet(), (host, port))
+                sent_at = anyio.current_time()
+                with anyio.move_on_after(6.0):
+                    while newest() < packets:
+                        await anyio.sleep(0)
+                took_s = anyio.current_time() - sent_at
+                group.cancel_scope.cancel()
+            assert took_s < 1.0
+
+        run_slowly(test)
+
 
 CALL_TURNS = 25
 """Turns of the loop that a call takes: read, placed, sent, events handed on."""
