Read all packets that wait in one turn of the event loop

What callers saw: calls sent by loads, shares and news of seconds ago, at a router whose processor was used up. Cause: the library's UDP socket hands out one packet a turn. Change: a socket of the router's own that reads until nothing waits, 256 packets a turn at most; sending needs no turn any more.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable, Iterable
 
 import anyio
-from anyio.abc import UDPSocket
 
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import MessageError
@@ -18,6 +17,7 @@
 from fulmarroad_serving._digests import is_digest, pack_digest, read_digest
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._fleet_view import FleetView
+from fulmarroad_serving._packets import PacketSocket
 from fulmarroad_serving._reports import (
     PeerBook,
     PeerReport,
@@ -105,42 +105,30 @@
 
     async def run(self) -> None:
         """Talk until cancelled."""
-        async with (
-            await anyio.create_udp_socket(
-                local_host=self._host, local_port=self._port
-            ) as udp,
-            anyio.create_task_group() as group,
-        ):
-            group.start_soon(self._send_reports, udp)
-            group.start_soon(self._read_packets, udp)
-            group.start_soon(self._copies.pull_news)
-            group.start_soon(self._expire)
+        with PacketSocket(self._host, self._port, self._on_packet) as packets:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_reports, packets)
+                group.start_soon(self._copies.pull_news)
+                group.start_soon(self._expire)
 
     async def serve(self) -> None:
         """Give this router's copy of the store to peers, until cancelled."""
         await self._copies.serve()
 
-    async def _send_reports(self, udp: UDPSocket) -> None:
+    async def _send_reports(self, packets: PacketSocket) -> None:
         while True:
             self._news = anyio.Event()
             now = self._clock()
             self._sequence += 1
             report = self._view.complete(self._report(now), now)
             hosts = self._view.receivers(self.seeds, self._sequence, now)
-            await self._send(udp, pack_report(report), hosts)
+            _send(packets, pack_report(report), hosts)
             for digest, followers in self._view.digests(now):
-                await self._send(udp, pack_digest(digest), followers)
+                _send(packets, pack_digest(digest), followers)
             await anyio.sleep(LEAST_PAUSE_S)
             with anyio.move_on_after(REPORT_S - LEAST_PAUSE_S):
                 await self._news.wait()
 
-    async def _send(self, udp: UDPSocket, data: bytes, hosts: Iterable[str]) -> None:
-        for host in hosts:
-            try:
-                await udp.sendto(data, host, self._port)
-            except OSError as error:
-                emit(logger, Event.REPORT_UNSENT, peer=host, cause=repr(error))
-
     def _report(self, now: float) -> PeerReport:
         counts = self._dispatcher.shares.own_counts(now)
         if len(counts) > MOST_WORKSPACES:
@@ -161,17 +149,11 @@
             counts,
         )
 
-    async def _read_packets(self, udp: UDPSocket) -> None:
-        while True:
-            try:
-                data, (host, _) = await udp.receive()
-            except OSError as error:
-                emit(logger, Event.REPORT_REJECTED, cause=repr(error))
-                continue
-            try:
-                self._take(data)
-            except MessageError as error:
-                emit(logger, Event.REPORT_REJECTED, peer=host, cause=error.message)
+    def _on_packet(self, data: bytes, host: str) -> None:
+        try:
+            self._take(data)
+        except MessageError as error:
+            emit(logger, Event.REPORT_REJECTED, peer=host, cause=error.message)
 
     def _take(self, data: bytes) -> None:
         row = unpack(data)
@@ -214,3 +196,8 @@
         for router in sorted(before - alive.keys()):
             emit(logger, Event.PEER_SILENT, peer=router)
         return set(alive)
+
+
+def _send(packets: PacketSocket, data: bytes, hosts: Iterable[str]) -> None:
+    for host in hosts:
+        packets.send(data, host)
