Let a pull of news end at a router whose event loop runs late

What callers saw: a router sent calls to a backend server 3.2 s after its word to leave (bound 3 s); the server may be gone by then. Cause: a pull from a peer takes some ten turns of the loop. No other router of that data centre was late in the record. Ruled out: the loss of the reader, and of the way to it (three routers there read). Change: a pull may take 2.4 s, and after 0.6 s another peer is asked as well, not the same one. So a peer that can't be reached no longer keeps the news of others back either.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_copies.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_copies.py
@@ -13,13 +13,20 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import MessageError, TransportError
+from fulmarroad.types import RouterName
 from fulmarroad_serving._beliefs import Beliefs
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem
 from fulmarroad_serving._reports import PeerBook, PeerReport
 
 logger = logging.getLogger("fulmarroad.serving")
 
-PULL_TIMEOUT_S = 0.6
+PULL_PATIENCE_S = 0.6
+"""Time after which another peer is asked as well, if there is still news."""
+
+PULL_TIMEOUT_S = 2.4
+"""Time after which a pull is given up. At a router whose loop runs late a pull takes as
+many turns as ever and so much longer; given up sooner, and begun anew, it would never
+end. Operators would notice a router that uses servers which have long left."""
 MOST_PULL_BYTES = 8 * 1024 * 1024
 
 UNREADABLE = (
@@ -51,6 +58,7 @@
         self._random = source
         self._clock = clock
         self._wanted = anyio.Event()
+        self._asked: set[RouterName] = set()
 
     def want(self) -> None:
         """Pull from a peer: one of them has news."""
@@ -66,30 +74,41 @@
 
     async def pull_news(self) -> None:
         """Pull whenever a peer has news, until cancelled."""
-        while True:
-            await self._wanted.wait()
-            self._wanted = anyio.Event()
-            peer = self._freshest()
-            if peer is None:
-                continue
-            try:
-                with anyio.fail_after(PULL_TIMEOUT_S):
-                    delta = await self._ask(peer.host)
-            except (OSError, TimeoutError, MessageError, anyio.EndOfStream) as error:
-                emit(
-                    logger,
-                    Event.REPLICA_PULL_FAILED,
-                    peer=peer.router,
-                    cause=repr(error),
-                )
-                continue
+        async with anyio.create_task_group() as group:
+            while True:
+                await self._wanted.wait()
+                self._wanted = anyio.Event()
+                peer = self._freshest()
+                if peer is None:
+                    continue
+                ended = anyio.Event()
+                group.start_soon(self._pull, peer, ended)
+                with anyio.move_on_after(PULL_PATIENCE_S):
+                    await ended.wait()
+
+    async def _pull(self, peer: PeerReport, ended: anyio.Event) -> None:
+        self._asked.add(peer.router)
+        try:
+            with anyio.fail_after(PULL_TIMEOUT_S):
+                delta = await self._ask(peer.host)
             self._beliefs.take_delta(delta, peer.store_calm_s, peer.router)
+        except (OSError, TimeoutError, MessageError, anyio.EndOfStream) as error:
+            emit(
+                logger,
+                Event.REPLICA_PULL_FAILED,
+                peer=peer.router,
+                cause=repr(error),
+            )
+        finally:
+            self._asked.discard(peer.router)
+            ended.set()
 
     def _freshest(self) -> PeerReport | None:
         ahead = [
             peer
             for peer in self._book.alive(self._clock())
             if peer.news_at > self._beliefs.replica.at
+            and peer.router not in self._asked
         ]
         if not ahead:
             return None
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -1,5 +1,7 @@
 """Reading the store, and news that come by peers, in virtual time or on loopback."""
 
+import random
+
 import anyio
 import msgpack
 import pytest
@@ -19,11 +21,12 @@
     _peers,
 )
 from fulmarroad_serving._beliefs import Beliefs
-from fulmarroad_serving._copies import _read_asked, _read_delta
+from fulmarroad_serving._copies import Copies, _read_asked, _read_delta
 from fulmarroad_serving._load import PeerLoad
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._replica import ReplicaDelta
 from fulmarroad_serving._reports import (
     REMEMBERED_S,
     Member,
@@ -335,6 +338,40 @@
 
 
 class TestCopies:
+    def test_a_peer_that_cannot_be_reached_does_not_keep_the_news_back(self):
+        """Two data centres can't reach each other and a third one reaches both, so that
+        a router hears of a newer copy over there and can't get it. Others nearby know
+        nearly as much; without asking them it would go on sending to servers that have
+        left for as long as the cut lasts.
+        """
+
+        async def test():
+            clock = anyio.current_time
+            _, beliefs = make_beliefs(FakeStore(), clock)
+            before = ReplicaItem("op/config", 2, b"7")
+            beliefs.take_listing([before], 2, 60.0, "store")
+            book = PeerBook("z", "127.0.0.9")
+            report = evolve(TestReports.REPORT, known=())
+            for name, host, news_at in (("far", "127.0.0.2", 9), ("near", "n", 8)):
+                book.take(evolve(report, router=name, host=host, news_at=news_at), 0.0)
+            copies = Copies("h", 1, beliefs, book, random.Random(1), clock)
+
+            async def ask(host):
+                if host != "n":
+                    await anyio.sleep_forever()
+                return ReplicaDelta(8, False, (ReplicaItem("op/config", 8, b"8"),))
+
+            copies._ask = ask
+            async with anyio.create_task_group() as group:
+                group.start_soon(copies.pull_news)
+                while beliefs.catalog.version < 8:
+                    assert clock() < 1.5
+                    copies.want()
+                    await anyio.sleep(0.15)
+                group.cancel_scope.cancel()
+
+        run_virtual(test)
+
     @pytest.mark.parametrize("row", [[], {}, 7, [float("inf")], ["x"], None])
     def test_a_question_of_another_format_is_told(self, row):
         """A peer of another release asks in another way. Any other error than the one
