Send callers elsewhere while a router is saturated

What callers saw: no connection at a router that turns calls away, since those that were turned away kept their connections and used up its descriptors (4,854 seen, 4,100 there are); the second tries of one large caller met another small VM, while large ones idled. Cause: a saturated router answered the balancer as ready and kept connections open. Change: while more than half of the streams are turned away, and for 3 s after, the readiness page says 503 and connections are closed after their answer; 6, 12 and 24 s if the router is saturated again within 10 s of its return. What one large caller sends is turned away more than others' calls; its workspace is served by what the balancer's hash lets through.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -92,7 +92,7 @@
             return
         stages = _Stages(self._clock())
         marks: Headers = []
-        if self._gate.state is not GateState.OPEN:
+        if self._gate.state is not GateState.OPEN or self._saturation.saturated:
             # Callers who keep their connection would go on sending here.
             marks.append((b"connection", b"close"))
         responder = AsgiResponder(send, "", answer_marks=marks)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_lateness.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_lateness.py
@@ -43,11 +43,12 @@
         self.worst_s = max(self.worst_s, late_s)
 
     async def run(
-        self, clock: Callable[[], float], on_sample: Callable[[], None]
+        self, clock: Callable[[], float], on_sample: Callable[[float], None]
     ) -> None:
-        """Sample until cancelled, and tell of each sample."""
+        """Sample until cancelled, and tell the time of each sample."""
         while True:
             due = clock() + SAMPLE_S
             await anyio.sleep(SAMPLE_S)
-            self.note(clock() - due)
-            on_sample()
+            now = clock()
+            self.note(now - due)
+            on_sample(now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_saturation.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_saturation.py
@@ -36,6 +36,20 @@
 """Taken from that part with each other sample. All or nothing would let calls in by
 the bunch, each of which slows down all others of its bunch."""
 
+SATURATED_PART = 0.5
+"""Part of streams turned away from which new callers should not come here at all."""
+
+SATURATED_S = 3.0
+"""Time for which they should not, from the last sample that said so: a balancer that
+asks each second takes two to notice, and the calls that it sent end meanwhile."""
+
+LONGEST_SATURATED_S = 24.0
+"""The same for a router that was saturated again each time that callers came back: what
+it can't bear goes to VMs that can, instead of to and fro."""
+
+AGAIN_S = 10.0
+"""Time after callers came back within which the next saturation counts as the same."""
+
 RETRY_AFTER_S = (0.02, 0.1)
 """Earliest and latest return: another router has room now, and the spread keeps those
 that were turned away in one turn from coming back in one."""
@@ -48,12 +62,34 @@
     lateness: LoopLateness
     _random: random.Random
     _part: float = 0.0  # of streams that are turned away
+    _now: float = 0.0
+    _saturated_until: float = float("-inf")
+    _pause_s: float = SATURATED_S
+
+    @property
+    def saturated(self) -> bool:
+        """Tell whether callers should use other routers.
+
+        Those that keep their connection would go on sending here, each of them turned
+        away, until none is left for anything else.
+        """
+        return self._now < self._saturated_until
 
-    def adapt(self) -> None:
+    def adapt(self, now: float) -> None:
         """Follow the newest sample of the loop's delay."""
         late = self.lateness.standing_s >= LATE_S
         self._part += MORE if late else -LESS
         self._part = min(1.0, max(0.0, self._part))
+        self._now = now
+        if self._part >= SATURATED_PART:
+            self._saturate(now)
+
+    def _saturate(self, now: float) -> None:
+        if not self.saturated:
+            again = now - self._saturated_until < AGAIN_S
+            longer_s = min(2 * self._pause_s, LONGEST_SATURATED_S)
+            self._pause_s = longer_s if again else SATURATED_S
+        self._saturated_until = now + self._pause_s
 
     def turns_away(self, kind: CallKind) -> bool:
         """Tell whether a call of a kind is one too many now."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_status.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_status.py
@@ -8,6 +8,7 @@
 
 from fulmarroad_router.asgi import Receive, Scope, SendEvent
 from fulmarroad_router.gate import CallGate
+from fulmarroad_serving._saturation import SaturationGuard
 
 READY_STATUS = 200
 UNREADY_STATUS = 503
@@ -33,12 +34,15 @@
         await send({"type": "http.response.body", "body": body})
 
 
-def readiness_page(gate: CallGate) -> Callable[[str], tuple[int, bytes, bytes]]:
+def readiness_page(
+    gate: CallGate, saturation: SaturationGuard
+) -> Callable[[str], tuple[int, bytes, bytes]]:
     """Return the page by which a balancer learns whether to send callers here."""
 
     def page(path: str) -> tuple[int, bytes, bytes]:
-        status = READY_STATUS if gate.ready else UNREADY_STATUS
-        return status, b"text/plain", gate.state.value.encode()
+        ready = gate.ready and not saturation.saturated
+        state = "saturated" if saturation.saturated else gate.state.value
+        return READY_STATUS if ready else UNREADY_STATUS, b"text/plain", state.encode()
 
     return page
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -152,7 +152,7 @@
         settings = self._settings
         status = PageApp(json_page(self.status))
         metrics = PageApp(text_page(self._metrics_text))
-        ready = PageApp(readiness_page(self._gate))
+        ready = PageApp(readiness_page(self._gate, self._saturation))
         children = [
             ChildSpec("log", self._log.run),
             ChildSpec("reader", self._reader.run),
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -202,9 +202,15 @@
             self.dispatcher, self.pool, codec, lambda: self.beliefs.catalog, clock
         )
         self.lateness = LoopLateness()
-        saturation = SaturationGuard(self.lateness, random.Random(1))
+        self.saturation = SaturationGuard(self.lateness, random.Random(1))
         self.app = ServingApp(
-            codec, self.beliefs, forwarder, self.gate, Measures(), saturation, clock
+            codec,
+            self.beliefs,
+            forwarder,
+            self.gate,
+            Measures(),
+            self.saturation,
+            clock,
         )
         self.tell(CatalogFact(make_catalog()))
 
--- a/packages/fulmarroad-serving/tests/test_lateness.py
+++ b/packages/fulmarroad-serving/tests/test_lateness.py
@@ -12,7 +12,7 @@
 
         async def test():
             with anyio.move_on_after(5.0):
-                await lateness.run(anyio.current_time, lambda: None)
+                await lateness.run(anyio.current_time, lambda now: None)
 
         run_virtual(test)
         assert lateness.standing_s < 1e-6
--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -5,7 +5,7 @@
 
 import anyio
 from attrs import define, evolve
-from serving_bed import OPEN, PlainCodec, free_port, make_catalog
+from serving_bed import OPEN, PlainCodec, answer, free_port, make_catalog, run
 from slow_processor import STEP_S, run_slowly, take_turns
 
 from fulmarroad.audit import AuditTrail
@@ -13,18 +13,21 @@
 from fulmarroad_serving import CallKind, Dispatcher, FleetBounds, Instance, ReplicaItem
 from fulmarroad_serving._beliefs import Beliefs
 from fulmarroad_serving._callers import ServingApp
-from fulmarroad_serving._lateness import STANDING_SAMPLES, LoopLateness
+from fulmarroad_serving._lateness import SAMPLE_S, STANDING_SAMPLES, LoopLateness
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._peers import REPORT_S, Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reports import pack_report
 from fulmarroad_serving._saturation import (
+    AGAIN_S,
     FAR_TOO_LATE_S,
     LATE_S,
     RETRY_AFTER_S,
+    SATURATED_S,
     SHORT_CALL_LATE_S,
     SaturationGuard,
 )
+from fulmarroad_serving._status import readiness_page
 from fulmarroad_serving.contracts import CatalogFact, InstanceFact
 
 PULL_TURNS = 10
@@ -296,14 +299,14 @@
 class TestGuard:
     def test_an_idle_router_turns_nobody_away(self):
         guard = guard_at(0.0)
-        guard.adapt()
+        guard.adapt(0.0)
         assert not any(guard.turns_away(kind) for kind in CallKind)
 
     def test_more_streams_are_turned_away_for_as_long_as_the_loop_is_late(self):
         guard = guard_at(1.5 * LATE_S)
         parts = []
         for _ in range(9):
-            guard.adapt()
+            guard.adapt(0.0)
             away = sum(guard.turns_away(CallKind.STREAM) for _ in range(500))
             parts.append(away / 500)
         assert parts[0] < 0.2 < 0.8 < parts[-1]
@@ -311,11 +314,11 @@
     def test_streams_are_let_in_again_once_the_loop_is_on_time(self):
         guard = guard_at(1.5 * LATE_S)
         for _ in range(50):
-            guard.adapt()
+            guard.adapt(0.0)
         assert guard.turns_away(CallKind.STREAM)
         guard.lateness.note(0.0)
         for _ in range(50):
-            guard.adapt()
+            guard.adapt(0.0)
         assert not guard.turns_away(CallKind.STREAM)
 
     def test_calls_with_one_answer_are_turned_away_last(self):
@@ -332,3 +335,81 @@
         pauses = [guard.retry_after_s() for _ in range(50)]
         assert RETRY_AFTER_S[0] <= min(pauses) < max(pauses) <= RETRY_AFTER_S[1]
         assert len(set(pauses)) > 10
+
+
+def saturate(guard, now=0.0):
+    for _ in range(STANDING_SAMPLES):
+        guard.lateness.note(FAR_TOO_LATE_S)
+    for _ in range(10):
+        guard.adapt(now)
+
+
+class TestSaturated:
+    """One large caller opens a connection for each call to a small VM and keeps it. For
+    as long as the balancer sends more, thousands stay open, and the router has no
+    descriptor left to reach a server or a peer with.
+    """
+
+    def test_a_router_is_saturated_for_some_seconds_after_the_last_sign(self):
+        guard = guard_at(0.0)
+        saturate(guard, now=10.0)
+        guard.lateness.note(0.0)
+        seen = []
+        for step in range(200):
+            guard.adapt(10.0 + step * SAMPLE_S)
+            seen.append(guard.saturated)
+        assert all(seen[: int(SATURATED_S / SAMPLE_S)])
+        assert not any(seen[int((SATURATED_S + 1.0) / SAMPLE_S) :])
+
+    def test_callers_stay_away_longer_each_time_that_they_were_too_many(self):
+        """A small VM is taken out of service, idles, is put back and gets the same
+        large caller again. The caller's calls would go to and fro between small VMs,
+        turned away for two seconds each time, while large ones idle.
+        """
+        guard = guard_at(0.0)
+        now = 0.0
+        away = []
+        for _ in range(6):
+            saturate(guard, now)
+            begun = now
+            while guard.saturated:
+                guard.lateness.note(0.0)
+                now += SAMPLE_S
+                guard.adapt(now)
+            away.append(now - begun)
+        assert all(4.0 < later < 30.0 for later in away[1:])
+        assert away[1] > 1.5 * away[0]
+        assert away[2] > 1.5 * away[1]
+        now += AGAIN_S + 1.0
+        guard.adapt(now)
+        saturate(guard, now)
+        guard.lateness.note(0.0)
+        for _ in range(int((SATURATED_S + 1.0) / SAMPLE_S)):
+            now += SAMPLE_S
+            guard.adapt(now)
+        assert not guard.saturated
+
+    def test_a_short_delay_saturates_nobody(self):
+        guard = guard_at(FAR_TOO_LATE_S)
+        for _ in range(3):
+            guard.adapt(0.0)
+        assert not guard.saturated
+
+    def test_the_balancer_is_told_and_connections_are_closed(self):
+        async def echo(arrival, writer):
+            writer.write(answer(200, b"done", arrival.header("x-id")))
+
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            page = readiness_page(bed.gate, bed.saturation)
+            assert page("/")[0] == 200
+            kept = await bed.call()
+            assert b"connection" not in kept.headers
+            saturate(bed.saturation)
+            bed.lateness.note(0.0)
+            assert page("/")[0] == 503
+            closed = await bed.call()
+            assert closed.status == 200
+            assert closed.headers[b"connection"] == b"close"
+
+        run(test)
