--- a/packages/fulmarroad-serving/tests/test_node.py
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -6,6 +6,7 @@
 from serving_bed import OPEN, PlainCodec, free_port, make_catalog
 
 from fulmarroad_serving import CallerLimits, FleetBounds, Instance, ReplicaItem
+from fulmarroad_serving._lateness import STANDING_SAMPLES
 from fulmarroad_serving.bounded_log import BoundedLog
 from fulmarroad_serving.contracts import (
     CatalogFact,
@@ -109,6 +110,33 @@
     anyio.run(go)
 
 
+class TestLateness:
+    def test_a_late_loop_is_told_once_and_so_is_its_end(self, caplog):
+        """A VM gets more calls than its processor carries. Without a word on it, its
+        callers' trouble would look like that of any other router.
+        """
+        store = OneConfiguration(1)
+        log = BoundedLog("router-a", 1)
+        node = ServingNode(settings(), KeylessCodec(), store, log, lambda: (HOST,))
+
+        def step(since, late_s, now):
+            for _ in range(STANDING_SAMPLES):
+                node._lateness.note(late_s)
+            return node._tell_lateness(since, now)
+
+        with caplog.at_level("INFO", "fulmarroad.serving"):
+            since = step(None, 0.001, 1.0)
+            assert since is None
+            since = step(since, 0.2, 2.0)
+            since = step(since, 0.3, 3.0)
+            assert since == 2.0
+            assert step(since, 0.001, 5.5) is None
+        told = [(row.name_of_event, vars(row)) for row in caplog.records]
+        assert [name for name, _ in told] == ["loop_late", "loop_on_time"]
+        assert told[0][1]["late_s"] == 0.2
+        assert (told[1][1]["seconds"], told[1][1]["worst_s"]) == (3.5, 0.3)
+
+
 class TestLife:
     def test_ready_once_the_configuration_is_known_and_unready_as_it_drains(self):
         """A process starts while the store is away, and is later told to stop. Ready
--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -98,7 +98,8 @@
         each turn of the router's loop takes a tenth of a second. A peer tells it of a
         change; fetching that takes ten turns and is given up after 0.6 s, over and
         over. Callers are still sent to a server that has said seconds ago that it
-        leaves, and are cut off when it is gone.
+        leaves, and are cut off when it is gone. At such a router five pulls in a row
+        were given up and its copy stood still for 4.8 s, while its neighbours' did not.
         """
 
         async def test():
