--- a/packages/fulmarroad/tests/test_gossip.py
+++ b/packages/fulmarroad/tests/test_gossip.py
@@ -1,6 +1,7 @@
 """The membership's task on loopback: real sockets, waits on events only."""
 
 import logging
+import socket
 import time
 
 import anyio
@@ -37,10 +38,10 @@
 
 
 async def free_ports(count):
-    sockets = [await anyio.create_udp_socket(local_host=HOST) for _ in range(count)]
-    ports = [s.extra(anyio.abc.SocketAttribute.local_port) for s in sockets]
-    for socket in sockets:
-        await socket.aclose()
+    probes = [await anyio.create_udp_socket(local_host=HOST) for _ in range(count)]
+    ports = [row.extra(anyio.abc.SocketAttribute.local_port) for row in probes]
+    for probe in probes:
+        await probe.aclose()
     return ports
 
 
@@ -127,19 +128,19 @@
         async def test():
             [port] = await free_ports(1)
             node = Node("r0", port)
-            stranger = messages.MemberUpdate(
+            unknown = messages.MemberUpdate(
                 "r9", 1, MemberState.ALIVE, "fes-1", HOST, 1, port
             )
-            ping = messages.Ping(1, "r9", 1, 0, (stranger,), "r0")
+            ping = messages.Ping(1, "r9", 1, 0, (unknown,), "r0")
             forged = PacketSeal(b"another secret").seal(ping)
             async with anyio.create_task_group() as group:
                 await start(group, node)
-                socket = await anyio.create_udp_socket(local_host=HOST)
+                stranger = await anyio.create_udp_socket(local_host=HOST)
                 for packet in [b"", b"x", forged, forged, forged]:
-                    await socket.sendto(packet, HOST, port)
-                await socket.sendto(PacketSeal(SECRET).seal(ping), HOST, port)
+                    await stranger.sendto(packet, HOST, port)
+                await stranger.sendto(PacketSeal(SECRET).seal(ping), HOST, port)
                 await node.wait_for("r9", MemberState.ALIVE)
-                await socket.aclose()
+                await stranger.aclose()
                 group.cancel_scope.cancel()
 
         with caplog.at_level(logging.WARNING, "fulmarroad.membership"):
@@ -148,6 +149,44 @@
         assert numbers.count(Event.GOSSIP_REJECTED.value.number) == 1
 
 
+class CountPackets:
+    """Metrics that count the packets received."""
+
+    def __init__(self):
+        self.packets = 0
+
+    def incr(self, name, count=1):
+        self.packets += name == "membership.received_bytes"
+
+
+class TestBusyLoop:
+    def test_packets_that_wait_are_read_in_few_turns(self):
+        """A router's processor is used up, and a turn of its loop takes a tenth of a
+        second. Probes wait behind each other, one a turn; answered too late, they make
+        others take this router for lost while it serves its callers.
+        """
+        waiting = 40
+
+        async def test():
+            [port] = await free_ports(1)
+            node = Node("r0", port)
+            node.gossip._metrics = counted = CountPackets()
+            async with anyio.create_task_group() as group:
+                await start(group, node)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+                    for _ in range(waiting):
+                        sender.sendto(b"x", (HOST, port))
+                turns = 0
+                while counted.packets < waiting:
+                    assert turns < 10 * waiting
+                    turns += 1
+                    await anyio.sleep(0)
+                group.cancel_scope.cancel()
+            assert turns < waiting / 3
+
+        run(test)
+
+
 class TestPacketSeal:
     PING = messages.Ping(1, "r9", 1, 0, (), "r0")
 
