--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -201,10 +201,10 @@
         await responder.finish(b"done")
 
 
-def make_app(group):
+def make_app(group, kind):
     clock = anyio.current_time
     node = make_node("a", "127.0.0.2", 0.1)
-    catalog = make_catalog(routes=(evolve(OPEN, kind=CallKind.STREAM),))
+    catalog = make_catalog(routes=(evolve(OPEN, kind=kind),))
     node.beliefs._take(CatalogFact(catalog), 1, 60.0, "test")
     gate = CallGate()
     gate.open()
@@ -244,13 +244,13 @@
 class TestCalls:
     SECONDS = 8.0
 
-    def press(self, load):
+    def press(self, load, kind=CallKind.STREAM):
         """Send a multiple of what the processor carries; return what callers saw."""
         callers = []
 
         async def test():
             async with anyio.create_task_group() as group:
-                app = make_app(group)
+                app = make_app(group, kind)
                 while anyio.current_time() < self.SECONDS:
                     # Callers come by their own clock, however late this loop runs.
                     while len(callers) * CALL_S < load * anyio.current_time():
@@ -277,6 +277,17 @@
         late = [row for row in callers if row.took_s >= 2 * PATIENCE_S]
         assert len(late) <= 0.01 * len(callers)
 
+    def test_callers_who_want_one_answer_are_soon_told_to_go_elsewhere(self):
+        """The same large caller asks for calls with one answer. They are turned away
+        later than streams and all at once, so that those let in between slow each
+        other down: half of the ones that are served take more than a second.
+        """
+        callers = self.press(2.5, CallKind.IDEMPOTENT)
+        refused = [row for row in callers if row.status == 503]
+        assert all(row.took_s < PATIENCE_S for row in refused)
+        late = [row for row in callers if row.took_s >= 2 * PATIENCE_S]
+        assert len(late) <= 0.01 * len(callers)
+
     def test_a_router_at_its_limit_serves_what_it_carries(self):
         """Turning callers away takes work as well. A router that turned away all of
         them for as long as more come than it carries would serve nobody.
