Wait for a slow server where the retry budget has nothing left

With the budget of retries used up it can't go elsewhere, and its caller was answered 504 with seconds left, while the engine went on with its prompt. Ruled out: a missed case of attempts; the route allows two, the call had one. Change: the silence limit asks the budget first. RetryShare tells without taking. Result: the test fails on the code before (504) and passes now. Conclusion: what an engine has begun to read in overload is no longer thrown away.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
@@ -82,11 +82,15 @@
         """Count a caller's request."""
         self._requests.add(1.0, now)
 
-    def take(self, now: float, routers: int) -> bool:
-        """Take one retry; tell whether there was one."""
+    def allows(self, now: float, routers: int) -> bool:
+        """Tell whether there is a retry to take."""
         paid = self.ratio * self._requests.total(now)
         allowed = SHARE_USED * (paid + self.burst / assumed_routers(routers))
-        if self._retries.total(now) + 1.0 > allowed:
+        return self._retries.total(now) + 1.0 <= allowed
+
+    def take(self, now: float, routers: int) -> bool:
+        """Take one retry; tell whether there was one."""
+        if not self.allows(now, routers):
             return False
         self._retries.add(1.0, now)
         return True
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -239,6 +239,10 @@
         self.shares.note_asked(demand.workspace, demand.units, now)
         self._retry_share(demand.service).note_request(now)
 
+    def may_retry(self, service: ServiceName, now: float) -> bool:
+        """Tell whether the budget has a retry left."""
+        return self._retry_share(service).allows(now, len(self.routers))
+
     def take_retry(self, service: ServiceName, now: float) -> bool:
         """Take one retry from the budget; tell whether there was one."""
         return self._retry_share(service).take(now, len(self.routers))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -197,10 +197,13 @@
         A call that can't go on elsewhere waits until its deadline: ending it sooner
         would lose an answer that may still come.
         """
-        left = max(0.0, run.left_s(self._clock()))
+        now = self._clock()
+        left = max(0.0, run.left_s(now))
         route, progress = run.call.route, run.progress
         if not progress.repeatable or progress.sends >= progress.max_attempts:
             return left
+        if not self._dispatcher.may_retry(run.demand.service, now):
+            return left
         if progress.answer_begun:
             limit = PAUSE_OBJECTIVES * route.pause_objective_s
         else:
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from serving_bed import PLAIN, answer, chunk, event, make_catalog, run, stream_head
 
 from fulmarroad_serving import EngineProfile, Service
+from fulmarroad_serving._exchange import LEAST_SILENCE_S
 from fulmarroad_serving._routing import part_id
 from fulmarroad_serving._stream import WholeEvents
 from fulmarroad_serving.contracts import CatalogFact
@@ -383,6 +384,30 @@
 
         run(test)
 
+    def test_a_slow_server_is_waited_for_where_no_repeat_is_left(self):
+        """Engines are so far behind that first answers take over a second, and the
+        retry budget is used up. Given up after that second, callers with six seconds
+        left got a timeout in place of an answer that was on its way.
+        """
+
+        async def test(bed):
+            async def slow(arrival, writer):
+                await anyio.sleep(LEAST_SILENCE_S + 0.3)
+                writer.write(answer(200, b"late", arrival.header("x-id")))
+
+            await bed.serve("s-1", slow)
+            await bed.serve("s-2", slow)
+            bed.tell(
+                CatalogFact(make_catalog(2, routes=(evolve(PLAIN, timeout_s=3.0),)))
+            )
+            while bed.dispatcher.take_retry("ledger", bed.now()):
+                pass
+            caller = await bed.call()
+            assert (caller.status, caller.body) == (200, b"late")
+            assert len(bed.arrivals) == 1
+
+        run(test)
+
     def test_an_outage_spends_the_budget_and_no_more(self):
         """Every server of a service fails. Repeats of every call would double the load
         of what is left.
