Price an engine's time by what is turned away

Cause: in overload engines read parts again which others have. By news of a moment ago many engines seem to stand empty, so a prompt whose home is behind goes to one of them and takes the time in which it would have served calls whose parts it has. Ruled out: fewer engines looked at in place of a price. Change: _engine_time.py. The price follows from the part of what all workspaces asked that nobody got, and is divided by the calls that ask this router for the part; from 0.2 on no engine reads again. PartMemory counts calls by part. Beside it, smaller costs: a packet no longer copies the list of routers or builds the set of all that sums cover, the rank of a router before a cold server is worked out when the routers change.

--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -1,6 +1,7 @@
 """The policy lab: its engine, its traffic, and what it tells of placements."""
 
 import json
+import random
 
 import pytest
 from attrs import evolve
@@ -127,6 +128,55 @@
         assert sum(small) / len(small) > rows["w02"]
 
 
+OVERLOAD = evolve(
+    REMINDERS, seconds=12.0, surges=(Surge(2.0, 4.0, 5.0, 2), Surge(6.0, 6.0, 1.8))
+)
+STEADY = evolve(
+    REMINDERS,
+    classes=tuple(evolve(row, per_s=0.6 * row.per_s) for row in REMINDERS.classes),
+    seconds=10.0,
+    surges=(),
+)
+HOT = "dossier-letter-0"
+
+
+def with_hot_part(sheet, seed):
+    """Let a third of the letters ask for one part, as on the day of a new template."""
+    source = random.Random(seed)
+    for row in arrivals(sheet, seed):
+        if row.kind == "dossier-letter" and source.random() < 0.35:
+            row.part = HOT
+        yield row
+
+
+class TestEngineTime:
+    def test_parts_are_not_read_again_in_overload(self):
+        """Twice as much is asked as engines read. Each of them that seems to have a
+        moment reads a part that another one has, and calls that would have been served
+        where their part is are turned away: more than a tenth of all reading was that.
+        """
+        day = lab.summary(OVERLOAD, lab.play(OVERLOAD, "cached", 1))
+        assert day["read_again_part"] < 0.05
+
+    def test_a_part_that_many_ask_for_is_read_by_more_engines(self, monkeypatch):
+        """A third of all letters ask for one part, more than one engine answers. Left
+        where it is, its callers would be turned away beside engines with room.
+        """
+        monkeypatch.setattr(lab, "arrivals", with_hot_part)
+        day = lab.play(STEADY, "cached", 1, routers=10, engines=10)
+        letters = [row for row in day.outcomes if row.call.kind == "dossier-letter"]
+        ended = {
+            hot: [
+                row.ended == "on time"
+                for row in letters
+                if (row.call.part == HOT) is hot
+            ]
+            for hot in (True, False)
+        }
+        on_time = {hot: sum(rows) / len(rows) for hot, rows in ended.items()}
+        assert on_time[True] > 0.9 * on_time[False]
+
+
 class TestReport:
     def test_the_report_holds_every_policy_and_its_plots(
         self, tmp_path, monkeypatch, capsys
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_baselines.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_baselines.py
@@ -36,6 +36,7 @@
         now: float,
         *,
         may_read_again: bool = True,
+        shortage: float = 0.0,
     ) -> Choice | None:
         """Return the choice, or nothing without candidates."""
 
@@ -48,6 +49,7 @@
     now: float,
     *,
     may_read_again: bool = True,
+    shortage: float = 0.0,
 ) -> Choice | None:
     """Return the engine with the least to do."""
     if not candidates:
@@ -64,6 +66,7 @@
     now: float,
     *,
     may_read_again: bool = True,
+    shortage: float = 0.0,
 ) -> Choice | None:
     """Return the home of the part."""
     if not candidates:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
@@ -106,6 +106,8 @@
 
     bound: float  # calls of all routers in a second
     _sent: deque[float] = field(factory=deque)
+    _ranked: list[RouterName] = field(factory=list)
+    _rank: int = 0  # of this router among those
 
     def allows(
         self, server: ServerName, me: RouterName, routers: list[RouterName], now: float
@@ -119,7 +121,9 @@
             self._sent.popleft()
         spent = SHARE_USED * self.bound
         share = int(spent / assumed_routers(len(routers)))
-        if share == 0 and _rank(server, me, routers) < int(spent / FLEET_MARGIN):
+        if share == 0 and self._rank_of(server, me, routers) < int(
+            spent / FLEET_MARGIN
+        ):
             share = 1
         return len(self._sent) < share
 
@@ -127,6 +131,14 @@
         """Count a call that is sent."""
         self._sent.append(now)
 
+    def _rank_of(
+        self, server: ServerName, me: RouterName, routers: list[RouterName]
+    ) -> int:
+        if routers is not self._ranked:
+            self._ranked = routers
+            self._rank = _rank(server, me, routers)
+        return self._rank
+
 
 def _rank(server: ServerName, me: RouterName, routers: list[RouterName]) -> int:
     def weight(name: RouterName) -> int:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -237,6 +237,8 @@
     def note_asked(self, demand: Demand, now: float) -> None:
         """Count a call that came in."""
         self.shares.note_asked(demand.workspace, demand.units, now)
+        if demand.part:
+            self.parts.note_asked(part_id(demand.part), now)
         self._retry_share(demand.service).note_request(now)
 
     def may_retry(self, service: ServiceName, now: float) -> bool:
@@ -266,6 +268,7 @@
                 self._centre,
                 now,
                 may_read_again=use.may_spread,
+                shortage=use.shortage,
             )
         else:
             choice = choose_plain(candidates, self._centre, self._random)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -107,7 +107,7 @@
     @property
     def relayed(self) -> bool:
         """Tell whether the fleet is too large for everybody to tell everybody."""
-        return len(self.book.hosts()) > MOST_DIRECT
+        return self.book.size > MOST_DIRECT
 
     def collectors_of(
         self, centre: DataCentreName, now: float
@@ -258,7 +258,7 @@
 
     def take_report(self, report: PeerReport, now: float) -> bool:
         """Take a peer's own report; tell whether it is news."""
-        is_new = report.router not in self.book.hosts()
+        is_new = not self.book.knows(report.router)
         if not self.book.take(report, now):
             return False
         self._note_direct(report.router, now)
@@ -266,7 +266,7 @@
         if self.relayed and not self.collects(now):
             self._maybe_greet(report, is_new=is_new)
         member = member_id(report.router)
-        if member not in self._covered(now):
+        if not self._covers(member, now):
             self._direct[member] = report.router
             self._dispatcher.hear_load(report.router, report.loads, now)
             self._dispatcher.shares.hear(report.router, report.counts, now)
@@ -329,11 +329,10 @@
         self._dispatcher.hear_load(source, total.loads, now - total.age_s)
         self._dispatcher.shares.hear(source, total.counts, now)
 
-    def _covered(self, now: float) -> set[MemberId]:
+    def _covers(self, member: MemberId, now: float) -> bool:
+        """Tell whether a router's report is in a sum that is believed."""
         rows = [*self._centres.values(), *([self._fleet] if self._fleet else [])]
-        return {
-            member for row in rows if row.fresh(now) for member in row.total.sequences
-        }
+        return any(row.fresh(now) and member in row.total.sequences for row in rows)
 
     def _note_parts(self, parts: Iterable[tuple[PartId, str]], now: float) -> None:
         relay = self.collects(now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -179,17 +179,26 @@
             newest = report.news_at
         if self.book.size != known:
             # Shares of the fleet's bounds must not stay those of a smaller fleet.
-            self._dispatcher.routers = self.book.remembered(now)
+            self._remember(now)
         if newest > self._beliefs.replica.at:
             self._copies.want()
 
+    def _remember(self, now: float) -> None:
+        """Tell the dispatcher which routers may exist, where that has changed.
+
+        What is worked out by them is kept for as long as it is the same object.
+        """
+        routers = self.book.remembered(now)
+        if routers != self._dispatcher.routers:
+            self._dispatcher.routers = routers
+
     async def _expire(self) -> None:
         heard: set[RouterName] = set()
         while True:
             await anyio.sleep(EXPIRE_S)
             now = self._clock()
             self._beliefs.expire()
-            self._dispatcher.routers = self.book.remembered(now)
+            self._remember(now)
             heard = self._tell_changes(heard, now)
 
     def _tell_changes(self, before: set[RouterName], now: float) -> set[RouterName]:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -229,6 +229,10 @@
         """Return how many peers are known."""
         return len(self._hosts)
 
+    def knows(self, router: RouterName) -> bool:
+        """Tell whether a peer was ever heard of."""
+        return router in self._hosts
+
     def take(self, report: PeerReport, now: float) -> bool:
         """Take a peer's own report; tell whether it is news."""
         if report.router == self._me:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -8,8 +8,8 @@
 to a server that has its part as long as it begins there on time; only then to another
 one that does, which has the part from then on, and the next calls count on that.
 Reading 13,000 tokens again takes an engine a seventh of a second from everybody, so
-beginning somewhat sooner is no reason for it, and in overload, with every engine
-behind, parts stay where they are.
+beginning somewhat sooner is no reason for it, and in overload parts stay where they are
+(`_engine_time`).
 
 Engines that are linked fetch a part from each other instead of reading it: 5,400
 tokens take some 13 ms, not 80. So each call names another engine that was sent its part
@@ -28,11 +28,19 @@
 from attrs import define, field, frozen
 
 from fulmarroad.types import DataCentreName, ServerName
+from fulmarroad_serving._engine_time import reading_price
 
 REMEMBERED_S = 12.0
 """How long a router counts on a part that it sent to a server: engines keep what was
 used last, and a part that nobody used for longer may have gone."""
 
+ASKED_HALF_LIFE_S = 3.0
+"""Time in which the count of a part's calls halves: a part that is asked for now will
+likely be asked for while a new copy is kept."""
+
+COUNTED_PARTS = 5_000
+"""Parts whose calls are counted; those that nobody asked for go first."""
+
 REMEMBERED_PAIRS = 20_000
 """Pairs of part and server remembered; the parts that nobody used go first."""
 
@@ -43,14 +51,6 @@
 """Part of the objective within which an estimate counts as on time; the rest is margin
 for what other routers send at the same moment."""
 
-READ_AGAIN_WEIGHT = 2.0
-"""Cost of reading a part again, in times of the reading itself, beside the prompt's own
-wait: the engine's time is taken from all others there."""
-
-SPREAD_WAIT_S = 0.05
-"""Wait up to which an engine is asked to read a part that another one has: one that is
-behind itself has no time for it."""
-
 FETCH_SETUP_S = 0.003
 """Time to open a fetch of a part from another engine, beside its bytes."""
 
@@ -120,6 +120,20 @@
     _seen: OrderedDict[PartId, dict[ServerName, float]] = field(factory=OrderedDict)
     _pairs: int = 0
     _untold: dict[tuple[PartId, ServerName], None] = field(factory=dict)
+    _asked: OrderedDict[PartId, tuple[float, float]] = field(factory=OrderedDict)
+    """Calls lately, and the time of that count."""
+
+    def note_asked(self, part: PartId, now: float) -> None:
+        """Count a call that asks for a part here."""
+        self._asked[part] = (self.asked(part, now) + 1.0, now)
+        self._asked.move_to_end(part)
+        if len(self._asked) > COUNTED_PARTS:
+            self._asked.popitem(last=False)
+
+    def asked(self, part: PartId, now: float) -> float:
+        """Return how many calls asked this router for a part lately."""
+        count, at = self._asked.get(part, (0.0, now))
+        return count * 0.5 ** ((now - at) / ASKED_HALF_LIFE_S)
 
     def send(self, part: PartId, server: ServerName, now: float) -> None:
         """Note that this router sent a part; peers are told of it once."""
@@ -190,11 +204,13 @@
     now: float,
     *,
     may_read_again: bool = True,
+    shortage: float = 0.0,
 ) -> Choice | None:
     """Return the server for a prompt, counting what each one has cached.
 
     A prompt that may not be read again goes where it is cached, however late: a
     workspace above its share would else take its surplus from everybody's engines.
+    `shortage` is the part of what callers asked that was turned away.
     """
     if not candidates:
         return None
@@ -207,6 +223,7 @@
     sound = {row.server for row in candidates if row.penalty_s <= 0}
     sources = [name for name in holders if name in sound]
     late_s = ON_TIME_PART * prompt.objective_s
+    price = reading_price(shortage, memory.asked(prompt.part, now))
     best: tuple[Rank, Candidate] | None = None
     for row in candidates:
         cached = row.server in holders
@@ -217,8 +234,8 @@
             cost_s += OTHER_CENTRE_S
         if not may_read_again:
             rank = (float(not cached), 0.0, cost_s)
-        elif cost_s > late_s or (not cached and row.wait_s > SPREAD_WAIT_S):
-            rank = (2.0, 0.0, cost_s + taken_s)
+        elif cost_s > late_s or (not cached and row.wait_s > price.spread_wait_s):
+            rank = (2.0, 0.0, cost_s + price.weight * taken_s)
         else:
             # A part that spreads goes to the same next server from every router, or
             # each of them would make another engine read it.
@@ -265,8 +282,7 @@
         fetch_s = prompt.fetch_s(row.fetch_rate)
         if fetch_s < again_s:
             return read_s + fetch_s, fetch_s, own
-    taken_s = READ_AGAIN_WEIGHT * again_s
-    return read_s + again_s, taken_s, own + prompt.shared_tokens
+    return read_s + again_s, again_s, own + prompt.shared_tokens
 
 
 def _holders(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -109,6 +109,13 @@
     )
 
 
+def shortage(totals: Mapping[WorkspaceName, WorkspaceCount]) -> float:
+    """Return the part of what all workspaces ask that they don't get."""
+    asked = sum(count.asked for count in totals.values())
+    got = sum(min(count.got, count.asked) for count in totals.values())
+    return 1.0 - got / asked if asked else 0.0
+
+
 @frozen
 class ShareUse:
     """Say which part of its share a workspace uses; one is all of it."""
@@ -117,6 +124,7 @@
     among_most: bool = False  # gets about as much as the best served one
     lacks: bool = False  # gets far less than it asks and than others get
     others_lack: bool = False  # others get far less of what they ask
+    shortage: float = 0.0  # part of what all ask that is turned away
 
     @property
     def yields(self) -> bool:
@@ -164,6 +172,7 @@
     _totals: dict[WorkspaceName, WorkspaceCount] = field(factory=dict)
     _given_level: float = float("inf")
     _most: float = 0.0
+    _shortage: float = 0.0
     _lacking: frozenset[WorkspaceName] = frozenset()
 
     def note_asked(self, workspace: WorkspaceName, units: float, now: float) -> None:
@@ -225,6 +234,7 @@
             among_most=used > LACKING_PART * self._most and not lacks,
             lacks=lacks,
             others_lack=bool(self._lacking - {workspace}),
+            shortage=self._shortage,
         )
 
     def _sum(self, now: float) -> None:
@@ -244,6 +254,7 @@
         self._given_level = given_level(totals, capacity)
         self._most = max((count.got for count in totals.values()), default=0.0)
         self._lacking = lacking(totals)
+        self._shortage = shortage(totals)
 
     def _window(
         self, windows: dict[WorkspaceName, SlidingSum], workspace: WorkspaceName
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -3,9 +3,9 @@
 import random
 from collections import Counter
 
+from fulmarroad_serving._engine_time import SPREAD_WAIT_S
 from fulmarroad_serving._health import ServerTrust
 from fulmarroad_serving._routing import (
-    SPREAD_WAIT_S,
     Candidate,
     PartMemory,
     Prompt,
