Hold calls in the lab too; settle that one router's calls get their share

Cause: the incident left open whether the rule of shares leaves a workspace behind whose calls all come to one router, since each look of a held call is a chance and many routers look more often. The lab refused at once where routers hold, so it could not tell. A test asks for four fifths of the best served workspace.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -17,7 +17,7 @@
 from pathlib import Path
 
 import fire
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad_bench._lab_day import LabDay, Outcome, summary
 from fulmarroad_bench._lab_engine import EngineShape, LabCall, LabEngine
@@ -38,6 +38,7 @@
     placement_named,
 )
 from fulmarroad_serving import EngineProfile as Profile
+from fulmarroad_serving._holding import HeldCalls
 
 REPORT_S = 0.15
 """Time between two exchanges of reports, as between routers."""
@@ -56,9 +57,29 @@
 """Time at which engines started: long before the day."""
 
 
+PickRouter = Callable[[LabCall, int], int]
+"""Return the number of the router that a call comes to, of so many."""
+
+
+def spread_calls(call: LabCall, routers: int) -> int:
+    """Let calls come to all routers in turn, and return to another one."""
+    return (call.number + 3 * call.returns) % routers
+
+
 @define
 class _Router:
     dispatcher: Dispatcher
+    held: HeldCalls = field(factory=HeldCalls)
+
+
+@define
+class _Waiting:
+    """Hold a call that looks for a place at a router."""
+
+    call: LabCall
+    demand: Demand
+    router: _Router
+    since: float
 
 
 @define
@@ -68,6 +89,7 @@
     sheet: Sheet
     policy: str
     seed: int
+    pick_router: PickRouter = spread_calls
     routers: list[_Router] = field(factory=list)
     engines: dict[str, LabEngine] = field(factory=dict)
     tickets: dict[int, tuple[_Router, Ticket]] = field(factory=dict)
@@ -116,7 +138,7 @@
         return next(row for row in self.sheet.classes if row.name == call.kind)
 
     def arrive(self, call: LabCall) -> None:
-        router = self.routers[(call.number + 3 * call.returns) % len(self.routers)]
+        router = self.routers[self.pick_router(call, len(self.routers))]
         demand = Demand(
             f"c{call.number}",
             SERVICE,
@@ -128,11 +150,32 @@
             call.output_tokens,
         )
         router.dispatcher.note_asked(demand, self.now)
+        self.look(_Waiting(call, demand, router, self.now))
+
+    def look(self, waiting: _Waiting) -> None:
+        """Look for a place, and again while the call may be held."""
+        router, objective_s = waiting.router, waiting.demand.objective_s
+        held_s = self.now - waiting.since
+        demand = evolve(waiting.demand, objective_s=max(0.0, objective_s - held_s))
         placed = router.dispatcher.place(demand, self.now)
-        if not isinstance(placed, Placement):
-            self.refuse(call, placed.retry_after_s)
+        if isinstance(placed, Placement):
+            self.send(waiting, placed)
             return
-        ticket = router.dispatcher.send(demand, placed, self.now)
+        router.held.count += 1
+        pause_s = router.held.next_look_s(placed, objective_s, held_s)
+        if pause_s is None:
+            router.held.count -= 1
+            self.refuse(waiting.call, placed.retry_after_s)
+            return
+        self.at(self.now + pause_s, lambda: self.look_again(waiting))
+
+    def look_again(self, waiting: _Waiting) -> None:
+        waiting.router.held.count -= 1
+        self.look(waiting)
+
+    def send(self, waiting: _Waiting, placed: Placement) -> None:
+        call, router = waiting.call, waiting.router
+        ticket = router.dispatcher.send(waiting.demand, placed, self.now)
         self.tickets[call.number] = (router, ticket)
         server = placed.choice.server
         self.at(self.now + WAY_S, lambda: self.reach(call, server))
@@ -186,9 +229,10 @@
     routers: int = 7,
     engines: int = 5,
     shape: EngineShape | None = None,
+    pick_router: PickRouter = spread_calls,
 ) -> LabDay:
     """Play one day with one policy."""
-    run = _Run(sheet, policy, seed)
+    run = _Run(sheet, policy, seed, pick_router)
     service = Service(SERVICE, engine=Profile(128))
     catalog = Catalog(
         1,
--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -2,13 +2,14 @@
 
 import json
 import random
+from collections import Counter
 
 import pytest
 from attrs import evolve
 
 from fulmarroad_bench import lab
 from fulmarroad_bench._lab_engine import EngineShape, LabCall, LabEngine
-from fulmarroad_bench._lab_traffic import REMINDERS, Surge, arrivals
+from fulmarroad_bench._lab_traffic import REMINDERS, CallClass, Sheet, Surge, arrivals
 
 SHORT = evolve(
     REMINDERS,
@@ -177,6 +178,38 @@
         assert on_time[True] > 0.9 * on_time[False]
 
 
+EQUAL = Sheet(
+    (CallClass("letter", 500.0, 6_000, 6_000, 100, 0.5, 3.0, 0.3, 300),),
+    workspaces=4,
+    skew=0.0,
+    seconds=7.0,
+)
+"""Four workspaces that ask alike, together three times what eight engines give."""
+
+
+def one_at_one_router(call, routers):
+    return 0 if call.workspace == "w00" else lab.spread_calls(call, routers)
+
+
+class TestShares:
+    def test_calls_that_all_come_to_one_router_get_their_share(self):
+        """The balancer hands one workspace's calls to a single router, those of others
+        to all. Each look of a held call is a chance to find a place, and sixteen routers
+        look more often than one: the workspace would get a part of what others get,
+        though it asks for as much.
+        """
+        day = lab.play(
+            EQUAL, "cached", 1, routers=16, engines=8, pick_router=one_at_one_router
+        )
+        begun = Counter(
+            row.call.workspace
+            for row in day.outcomes
+            if row.ended != "refused" and row.call.arrived > 2.0
+        )
+        assert sum(row.ended == "refused" for row in day.outcomes) > 1_000
+        assert begun["w00"] >= 0.8 * max(begun.values())
+
+
 class TestReport:
     def test_the_report_holds_every_policy_and_its_plots(
         self, tmp_path, monkeypatch, capsys
