--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -194,9 +194,9 @@
 class TestShares:
     def test_calls_that_all_come_to_one_router_get_their_share(self):
         """The balancer hands one workspace's calls to a single router, those of others
-        to all. Each look of a held call is a chance to find a place, and sixteen routers
-        look more often than one: the workspace would get a part of what others get,
-        though it asks for as much.
+        to all. Each look of a held call is a chance to find a place, and sixteen
+        routers look more often than one: the workspace would get a part of what others
+        get, though it asks for as much.
         """
         day = lab.play(
             EQUAL, "cached", 1, routers=16, engines=8, pick_router=one_at_one_router
