--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -34,7 +34,7 @@
 
 RELAYED_REPORT_S = 0.075
 """Time between two reports, and two digests of a collector, in a large fleet. News go
-there by up to two collectors, and nearly all calls at an engine are of other routers."""
+there by up to two collectors, and nearly all calls at an engine are of others."""
 
 LEAST_PAUSE_S = 0.02
 """Least time between two reports: in a burst every large prompt would send one."""
