--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -51,6 +51,10 @@
 """Part of the objective within which an estimate counts as on time; the rest is margin
 for what other routers send at the same moment."""
 
+EVICTED_PART = 0.5
+"""Part of its reading that a fetched copy costs others: it takes as much memory as one
+that was read, and what goes for it has to be fetched or read again."""
+
 FETCH_SETUP_S = 0.003
 """Time to open a fetch of a part from another engine, beside its bytes."""
 
@@ -281,7 +285,7 @@
     if source:
         fetch_s = prompt.fetch_s(row.fetch_rate)
         if fetch_s < again_s:
-            return read_s + fetch_s, fetch_s, own
+            return read_s + fetch_s, max(fetch_s, EVICTED_PART * again_s), own
     return read_s + again_s, again_s, own + prompt.shared_tokens
 
 
--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -122,6 +122,21 @@
 class TestFetching:
     """Engines linked at half a million tokens a second."""
 
+    def test_copies_do_not_push_each_other_out_in_overload(self):
+        """Every engine is behind, and a fetch takes a fiftieth of a second. Each prompt
+        that fetches its part to an engine a little less behind takes the memory of
+        others' parts there, which are then fetched back: engines move several times
+        what callers send, and read again what was pushed out.
+        """
+        home, second = home_order(PART, SERVERS)[:2]
+        waits = dict.fromkeys(SERVERS, 0.40) | {home: 0.45}
+        assert choose(PART, waits, fetch_rate=600_000.0).server == home
+
+    def test_a_part_is_fetched_to_an_engine_that_is_far_less_behind(self):
+        home, second = home_order(PART, SERVERS)[:2]
+        waits = dict.fromkeys(SERVERS, 0.9) | {home: 0.8, second: 0.3}
+        assert choose(PART, waits, fetch_rate=600_000.0).server == second
+
     def test_a_part_that_spreads_is_fetched_and_not_read_again(self):
         """A popular part's home is behind. The next engine would read 13,000 tokens
         that its neighbour keeps, and everybody there would wait a seventh of a second.
