--- a/packages/fulmarroad-serving/tests/test_routing.py
+++ b/packages/fulmarroad-serving/tests/test_routing.py
@@ -129,7 +129,7 @@
         what callers send, and read again what was pushed out.
         """
         home, second = home_order(PART, SERVERS)[:2]
-        waits = dict.fromkeys(SERVERS, 0.40) | {home: 0.45}
+        waits = dict.fromkeys(SERVERS, 0.36) | {home: 0.45}
         assert choose(PART, waits, fetch_rate=600_000.0).server == home
 
     def test_a_part_is_fetched_to_an_engine_that_is_far_less_behind(self):
