--- a/packages/fulmarroad-bench/src/fulmarroad_bench/capacity.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/capacity.py
@@ -1,8 +1,8 @@
 """Measure what one more of each thing costs a router, on the real modules.
 
 One process, no network. Each cost is measured at three sizes or more and a line is laid
-through them; docs/CAPACITY.md works out from the slopes what a large fleet needs. The
-last line printed is JSON.
+through them; docs/CAPACITY-LIBRARY.md works out from the slopes what a large fleet
+needs. The last line printed is JSON.
 """
 
 from __future__ import annotations
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
@@ -8,15 +8,15 @@
 import asyncio
 import importlib
 import json
-import resource
 import time
 from pathlib import Path
 
 import fire
 import httpcore
 
+from fulmarroad_bench._processor_time import cpu_s
+
 CALLS = 2_000
-DECISIONS = 2_000
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\ndone"
 
 MODULES = (
@@ -60,80 +60,22 @@
 
 def decisions() -> None:
     """Print bytes and processor time of a report and of a placement, by fleet size."""
-    for servers, workspaces in ((9, 16), (45, 30), (128, 40), (128, 1_600)):
-        print(json.dumps(_decision_row(servers, workspaces)))
-
-
-def _decision_row(servers: int, workspaces: int) -> dict[str, float]:
-    from fulmarroad_serving import (
-        CallerLimits,
-        Catalog,
-        Demand,
-        Dispatcher,
-        EngineProfile,
-        FleetBounds,
-        Instance,
-        Placement,
-        Service,
-    )
-    from fulmarroad_serving._reports import PeerReport, pack_report, unpack_report
-
-    dispatcher = Dispatcher("router-000", "centre-1", FleetBounds(), 1)
-    service = Service("drafting", engine=EngineProfile(128))
-    limits = CallerLimits(units_per_s=1e6)
-    catalog = Catalog(1, services={"drafting": service}, limits=limits)
-    dispatcher.set_catalog(catalog)
-    for n in range(servers):
-        instance = Instance(
-            f"i-{n:08x}", "drafting", "10.0.0.1", n + 1, "centre-1", 128
-        )
-        dispatcher.registry.put(instance, 0.0)
-    demands = [
-        Demand(
-            f"c-{n}", "drafting", f"work{n:04d}", 0.4, f"part-{n}", 9_000, 3_000, 100
-        )
-        for n in range(workspaces)
-    ]
-    now = 100.0
-    for demand in demands:
-        dispatcher.note_asked(demand, now)
-        placed = dispatcher.place(demand, now)
-        if isinstance(placed, Placement):
-            dispatcher.send(demand, placed, now)
-    begun = _cpu()
-    for n in range(DECISIONS):
-        now += 0.005
-        dispatcher.place(demands[n % workspaces], now)
-    place_us = (_cpu() - begun) / DECISIONS * 1e6
-    counts = dispatcher.shares.own_counts(now)
-    parts = dispatcher.parts.news(40)
-    report = PeerReport(
-        "router-000",
-        1,
-        1,
-        "centre-1",
-        "10.0.0.1",
-        False,
-        9,
-        0.1,
-        9.0,
-        dispatcher.own_load(),
-        dict(list(counts.items())[:40]),
-        (),
-        parts,
-    )
-    data = pack_report(report)
-    begun = _cpu()
-    for _ in range(DECISIONS):
-        unpack_report(pack_report(report))
-    codec_us = (_cpu() - begun) / DECISIONS * 1e6
-    return {
-        "servers": servers,
-        "workspaces": workspaces,
-        "place_us": round(place_us, 1),
-        "report_bytes": len(data),
-        "pack_and_unpack_us": round(codec_us, 1),
-    }
+    from attrs import asdict
+
+    from fulmarroad_bench._footprint_decisions import decision_cost
+
+    for servers, workspaces in ((9, 16), (45, 30), (128, 40), (300, 40), (128, 1_600)):
+        print(json.dumps(asdict(decision_cost(servers, workspaces))))
+
+
+def digests() -> None:
+    """Print bytes and processor time of a digest of the whole fleet, by fleet size."""
+    from attrs import asdict
+
+    from fulmarroad_bench._footprint_decisions import digest_cost
+
+    for routers, servers in ((20, 12), (70, 33), (195, 84), (400, 300)):
+        print(json.dumps(asdict(digest_cost(routers, servers, 60))))
 
 
 async def _serve() -> tuple[asyncio.Server, int]:
@@ -162,10 +104,10 @@
 
     server, port = await _serve()
     client = HttpClient("127.0.0.1", port)
-    begun = _cpu()
+    begun = cpu_s()
     for _ in range(CALLS):
         await client.get("/", 5.0)
-    spent = _cpu() - begun
+    spent = cpu_s() - begun
     client.close()
     server.close()
     return round(spent / CALLS * 1e6, 1)
@@ -174,18 +116,20 @@
 async def _library() -> float:
     server, port = await _serve()
     async with httpcore.AsyncConnectionPool() as pool:
-        begun = _cpu()
+        begun = cpu_s()
         for _ in range(CALLS):
             await pool.request("GET", f"http://127.0.0.1:{port}/")
-        spent = _cpu() - begun
+        spent = cpu_s() - begun
     server.close()
     return round(spent / CALLS * 1e6, 1)
 
 
-def _cpu() -> float:
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
-
-
 if __name__ == "__main__":
-    fire.Fire({"memory": memory, "calls": calls, "decisions": decisions})
+    fire.Fire(
+        {
+            "memory": memory,
+            "calls": calls,
+            "decisions": decisions,
+            "digests": digests,
+        }
+    )
