--- a/packages/fulmarroad-ctl/src/fulmarroad_ctl/_beliefs.py
+++ b/packages/fulmarroad-ctl/src/fulmarroad_ctl/_beliefs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -9,7 +10,22 @@
 
 from fulmarroad_ctl._client import AdminClient
 
-COLUMNS = ("router", "state", "version", "revision", "store age", "peers", "servers")
+COLUMNS = (
+    "router",
+    "state",
+    "version",
+    "revision",
+    "store age",
+    "loop late",
+    "peers",
+    "servers",
+)
+
+MOST_LISTED = 20
+"""Routers up to which each has a line; of more, only those that stand out."""
+
+LATE_S = 0.01
+"""Delay of the event loop from which a router turns callers away."""
 
 
 def gather(addresses: Iterable[str]) -> dict[str, Any]:
@@ -39,19 +55,47 @@
 
 
 def belief_lines(answers: Mapping[str, Any]) -> Iterable[str]:
-    """Yield a table with a line for each router, then what they differ in."""
-    rows = [COLUMNS, *(_row(address, row) for address, row in answers.items())]
+    """Yield what routers differ in, then a table with a line for each router.
+
+    In a large fleet only those that stand out are listed, with the number of others.
+    """
+    for name in differing(answers):
+        yield f"warning: the routers differ in their {name}"
+    listed = answers
+    if len(answers) > MOST_LISTED:
+        listed = _outstanding(answers)
+        yield f"{len(answers) - len(listed)} of {len(answers)} routers believe the same"
+    rows = [COLUMNS, *(_row(address, row) for address, row in listed.items())]
     widths = [max(len(row[n]) for row in rows) for n in range(len(COLUMNS))]
-    for row in rows:
+    for row in rows if listed else []:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
         yield "  ".join(cells).rstrip()
-    for name in differing(answers):
-        yield f"warning: the routers differ in their {name}"
+
+
+def _outstanding(answers: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the routers that believe something else than most, or run late."""
+    beliefs = {address: _belief(row) for address, row in answers.items()}
+    [(usual, _)] = Counter(beliefs.values()).most_common(1)
+    return {
+        address: row
+        for address, row in answers.items()
+        if beliefs[address] != usual or row.get("loop_late_s", 0.0) >= LATE_S
+    }
+
+
+def _belief(row: Mapping[str, Any]) -> tuple[Any, ...]:
+    return (
+        "error" in row,
+        row.get("state"),
+        row.get("version"),
+        tuple(row.get("centres_left", ())),
+        tuple(sorted(row.get("servers", {}))),
+    )
 
 
 def _row(address: str, row: Mapping[str, Any]) -> tuple[str, ...]:
     if "error" in row:
-        return (address, "no answer", "", "", "", "", "")
+        return (address, "no answer", *([""] * (len(COLUMNS) - 2)))
     servers = row.get("servers", {})
     cold = sum(bool(server.get("cold")) for server in servers.values())
     draining = sum(bool(server.get("draining")) for server in servers.values())
@@ -61,6 +105,7 @@
         str(row.get("version", "")),
         str(row.get("store_revision", "")),
         f"{row.get('store_age_s', 0.0):.1f} s",
+        f"{row.get('loop_late_s', 0.0):.3f} s",
         str(len(row.get("peers", ()))),
         f"{len(servers)}, {cold} cold, {draining} leaving",
     )
--- a/packages/fulmarroad-ctl/tests/test_ctl.py
+++ b/packages/fulmarroad-ctl/tests/test_ctl.py
@@ -406,6 +406,23 @@
         assert differing(answers) == ["version", "servers"]
         assert "warning: the routers differ in their version" in belief_lines(answers)
 
+    def test_of_hundreds_only_those_that_stand_out_are_listed(self):
+        """One of two hundred routers is behind, another is at its processor's limit.
+        Among two hundred lines nobody would see either.
+        """
+        answers = {f"h:{n}": self.answer(7) for n in range(200)}
+        answers["h:42"] = self.answer(6) | {"router": "behind"}
+        answers["h:77"] = self.answer(7) | {"router": "busy", "loop_late_s": 0.08}
+        answers["h:99"] = {"error": "gave no answer"}
+        lines = list(belief_lines(answers))
+        assert lines[0] == "warning: the routers differ in their version"
+        assert lines[1] == "197 of 200 routers believe the same"
+        assert [line.split()[0] for line in lines[3:]] == ["behind", "busy", "h:99"]
+
+    def test_hundreds_that_agree_take_one_line(self):
+        answers = {f"h:{n}": self.answer(7) for n in range(200)}
+        assert list(belief_lines(answers)) == ["200 of 200 routers believe the same"]
+
     def test_a_router_without_an_answer_is_exit_code_3(self, run):
         code, out, _ = run("beliefs", "--routers", "127.0.0.1:1")
         assert code == 3
