Let held calls that are near a place look sooner

A held call waited half of the time by which its queue was too long, though other engines come free. Change: a held call looks again after 0.15 of that time (0.5), 0.04 s at most as before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
@@ -29,7 +29,7 @@
 """Time after which a call looks again however long the queue was: a call that ends, or
 news of another engine, makes room at any moment."""
 
-QUEUE_PART = 0.5
+QUEUE_PART = 0.15
 """Part of the time in which a queue would come down to what the call may wait after
 which it looks again: other engines come free sooner."""
 
