--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_time.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_time.py
@@ -13,22 +13,23 @@
 from attrs import frozen
 
 SCARCE = 0.2
-"""Part of what was asked and not handed out from which no engine has time to spare."""
+"""Part of what is asked that is turned away, from which on no engine has time to spare:
+a fifth is more than queues that come and go turn away."""
 
 SPREAD_WAIT_S = 0.05
-"""Wait up to which an engine is asked to read a part that another one has, while
+"""Wait up to which an engine is asked to read a part that another one has, as long as
 nothing is turned away: one that is behind itself has no time for it."""
 
 LEAST_WEIGHT = 2.0
-"""Cost of a reading, in times of itself, beside the prompt's own wait: the engine's
-time is taken from all others there."""
+"""Cost of a reading, as a multiple of its time, beside the prompt's own wait: the time
+is taken from all others there."""
 
 NO_TIME_S = float("-inf")
-"""The same where no engine has time, not even one that seems to stand empty: by news of
-a moment ago many do."""
+"""The same where no engine has time. Not zero: by news of a moment ago many engines
+seem to stand empty."""
 
 SCARCE_WEIGHT = 20.0
-"""Added to that cost for all of what is asked being turned away."""
+"""Added to that multiple if all that is asked were turned away; less in proportion."""
 
 
 @frozen
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
@@ -30,11 +30,12 @@
 news of another engine, makes room at any moment."""
 
 QUEUE_PART = 0.15
-"""Part of the time in which a queue would come down to what the call may wait after
-which it looks again: other engines come free sooner."""
+"""Part of the time until a queue would be short enough after which its call looks
+again: other engines come free sooner."""
 
 LOOKS_PER_S = 400.0
-"""Looks of all held calls of a router: at some 0.1 ms each they take 4% of a core."""
+"""Looks of all held calls of a router in a second: at some 0.1 ms each they take 4% of
+a core."""
 
 PLACING_S = 0.02
 """Time that is kept free for sending, beside the reading: two steps of an engine."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
@@ -27,8 +27,8 @@
 """Servers looked at from the front of the part's order, where it spreads to."""
 
 OTHERS = 4
-"""Servers looked at besides: with four the fullest are avoided about as well as by
-looking at all, and two calls seldom see the same ones."""
+"""Servers looked at besides, at random: enough to avoid the fullest, and so few that
+two calls seldom see the same ones."""
 
 MOST = HOLDERS + FIRST + OTHERS
 """Servers of a service up to which every call looks at all of them."""
@@ -39,13 +39,14 @@
 
 @define
 class Shortlist:
-    """Pick servers for one router's calls."""
+    """Pick servers of one service for one router's calls."""
 
     _random: random.Random
     _servers: Sequence[Registered] = ()
     _rows: dict[ServerName, Registered] = field(factory=dict)
     _names: tuple[ServerName, ...] = ()
     _first: dict[PartId, list[ServerName]] = field(factory=dict)
+    """The front of each part's order."""
 
     def pick(
         self,
