--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -13,12 +13,13 @@
 import heapq
 import itertools
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
 import fire
-from attrs import define, evolve, field
+from attrs import define, evolve, field, frozen
 
+from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_bench._lab_day import LabDay, Outcome, summary
 from fulmarroad_bench._lab_engine import EngineShape, LabCall, LabEngine
 from fulmarroad_bench._lab_report import write_report
@@ -39,6 +40,9 @@
 )
 from fulmarroad_serving import EngineProfile as Profile
 from fulmarroad_serving._holding import HeldCalls
+from fulmarroad_serving._load import PeerLoad
+from fulmarroad_serving._routing import PartId
+from fulmarroad_serving._shares import WorkspaceCount
 
 REPORT_S = 0.15
 """Time between two exchanges of reports, as between routers."""
@@ -82,6 +86,16 @@
     since: float
 
 
+@frozen
+class _Told:
+    """Hold what one router tells the others."""
+
+    sender: _Router
+    loads: Mapping[ServerName, PeerLoad]
+    counts: Mapping[WorkspaceName, WorkspaceCount]
+    parts: Sequence[tuple[PartId, ServerName]]
+
+
 @define
 class _Run:
     """Drive one day."""
@@ -90,6 +104,7 @@
     policy: str
     seed: int
     pick_router: PickRouter = spread_calls
+    news_s: float = 0.0  # on their way between routers
     routers: list[_Router] = field(factory=list)
     engines: dict[str, LabEngine] = field(factory=dict)
     tickets: dict[int, tuple[_Router, Ticket]] = field(factory=dict)
@@ -114,18 +129,20 @@
 
     def exchange(self) -> None:
         """Let every router tell every other, as their reports do."""
-        for sender in self.routers:
-            loads = sender.dispatcher.own_load()
-            counts = sender.dispatcher.shares.own_counts(self.now)
-            parts = sender.dispatcher.parts.news(40)
-            name = f"r{self.routers.index(sender)}"
-            for other in self.routers:
-                if other is sender:
-                    continue
-                other.dispatcher.hear_load(name, loads, self.now)
-                other.dispatcher.shares.hear(name, counts, self.now)
-                for part, server in parts:
-                    other.dispatcher.parts.note(part, server, self.now)
+        told = [
+            _Told(
+                sender,
+                sender.dispatcher.own_load(),
+                sender.dispatcher.shares.own_counts(self.now),
+                sender.dispatcher.parts.news(40),
+            )
+            for sender in self.routers
+        ]
+        written_at = self.now
+        if self.news_s:
+            self.at(self.now + self.news_s, lambda: self.hear(told, written_at))
+        else:
+            self.hear(told, written_at)
         waiting = sum(len(row.waiting) for row in self.engines.values())
         used = sum(
             row.memory_used / row.shape.memory_tokens for row in self.engines.values()
@@ -134,6 +151,18 @@
         if self.now < self.sheet.seconds + 10.0:
             self.at(self.now + REPORT_S, self.exchange)
 
+    def hear(self, told: Sequence[_Told], written_at: float) -> None:
+        """Let every router take in what the others told at a time."""
+        for number, row in enumerate(told):
+            name = f"r{number}"
+            for other in self.routers:
+                if other is row.sender:
+                    continue
+                other.dispatcher.hear_load(name, row.loads, written_at)
+                other.dispatcher.shares.hear(name, row.counts, written_at)
+                for part, server in row.parts:
+                    other.dispatcher.parts.note(part, server, self.now)
+
     def kind(self, call: LabCall) -> CallClass:
         return next(row for row in self.sheet.classes if row.name == call.kind)
 
@@ -230,9 +259,10 @@
     engines: int = 5,
     shape: EngineShape | None = None,
     pick_router: PickRouter = spread_calls,
+    news_s: float = 0.0,
 ) -> LabDay:
-    """Play one day with one policy."""
-    run = _Run(sheet, policy, seed, pick_router)
+    """Play one day with one policy; news between routers take `news_s` seconds."""
+    run = _Run(sheet, policy, seed, pick_router, news_s)
     service = Service(SERVICE, engine=Profile(128))
     catalog = Catalog(
         1,
--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -187,6 +187,16 @@
 """Four workspaces that ask alike, together three times what eight engines give."""
 
 
+UNEQUAL = evolve(
+    EQUAL,
+    classes=tuple(evolve(row, per_s=450.0) for row in EQUAL.classes),
+    workspaces=6,
+    skew=1.3,
+    seconds=9.0,
+)
+"""Six workspaces, the first of which asks as much as the next three."""
+
+
 def one_at_one_router(call, routers):
     return 0 if call.workspace == "w00" else lab.spread_calls(call, routers)
 
@@ -209,6 +219,19 @@
         assert sum(row.ended == "refused" for row in day.outcomes) > 1_000
         assert begun["w00"] >= 0.8 * max(begun.values())
 
+    def test_the_largest_workspace_crowds_nobody_out_by_old_news(self):
+        """Routers hear of each other's calls a fifth of a second late. Many engines seem
+        to stand empty then, and whoever asks most finds them first: workspaces that
+        ask for a third of that get less than half of what they ask.
+        """
+        day = lab.play(UNEQUAL, "cached", 2, routers=16, engines=10, news_s=0.2)
+        calm = [row for row in day.outcomes if row.call.arrived > 3.0]
+        asked = Counter(row.call.workspace for row in calm)
+        got = Counter(row.call.workspace for row in calm if row.ended != "refused")
+        most = max(got.values())
+        parts = [got[name] / min(asked[name], most) for name in asked]
+        assert min(parts) >= 0.5
+
 
 class TestReport:
     def test_the_report_holds_every_policy_and_its_plots(
