--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -220,9 +220,9 @@
         assert begun["w00"] >= 0.8 * max(begun.values())
 
     def test_the_largest_workspace_crowds_nobody_out(self):
-        """Routers hear of each other's calls a fifth of a second late, and twice as much
-        is asked as engines give. Workspaces that ask for a third of what the largest
-        one does get less than half of it.
+        """Routers hear of each other's calls a fifth of a second late, and twice as
+        much is asked as engines give. Workspaces that ask for a third of what the
+        largest one does get less than half of it.
         """
         day = lab.play(UNEQUAL, "cached", 2, routers=16, engines=10, news_s=0.2)
         calm = [row for row in day.outcomes if row.call.arrived > 3.0]
