Tell in the log which request was where a server ended

Cause: attempts come with ids of their own, so no line showed that it is one request that is at every engine that ends, and none said that an engine had ended: a reset connection and a crash left the same line. Change: lines of failed sends carry a fingerprint of caller, host, method, path and body (BLAKE2b, 16 bytes); a server that broke a call off is asked once, for all calls that it broke off together, whether its host still takes connections, and event 422 says that it doesn't. One that said it leaves is not asked about. No choice of a server changes; a broken call waits for the verdict before it goes on, a few ms, 0.25 s at most.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -37,6 +37,7 @@
     ServedRoute,
     pick_target,
 )
+from fulmarroad_serving._fingerprints import fingerprint_of
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._saturation import SaturationGuard
@@ -177,16 +178,18 @@
         if deadline - self._clock() < LEAST_DEADLINE_S:
             raise Refused(RefusalReason.DEADLINE_PASSED, NOT_READY_RETRY_S)
         query = scope.get("query_string", b"")
+        target = path + (b"?" + query if query else b"")
         names = {name for name, _ in scope["headers"]}
         return ServedCall(
             head,
             scope["method"],
-            path + (b"?" + query if query else b""),
+            target,
             body,
             route,
             service,
             stages.workspace,
             deadline,
+            fingerprint_of(stages.workspace, head.host, scope["method"], target, body),
             bool(body) or b"content-length" in names or b"transfer-encoding" in names,
             index.rank_of(route, holder),
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -19,7 +19,11 @@
 from attrs import frozen
 
 from fulmarroad_serving.contracts import AnswerHead, Header
-from fulmarroad_serving.exceptions import BrokenAnswerError, SilentServerError
+from fulmarroad_serving.exceptions import (
+    BrokenAnswerError,
+    ConnectionBrokenError,
+    SilentServerError,
+)
 
 PAUSE_READING_BYTES = 256 * 1024
 """Unread bytes of an answer above which the server has to wait for the caller."""
@@ -54,6 +58,11 @@
     cause: str
 
 
+@frozen
+class _Lost(_Broken):
+    """The connection ended before the answer did."""
+
+
 _Part = AnswerHead | _Body | _End | _Broken
 
 
@@ -110,7 +119,7 @@
         self._closed = True
         if self._expects:
             cause = repr(error) if error else "closed by the server"
-            self._add(_Broken(cause))
+            self._add(_Lost(cause))
         self._wake()
 
     # httptools callbacks
@@ -222,7 +231,7 @@
 
     async def _wait(self, timeout_s: float) -> None:
         if self._closed:
-            raise BrokenAnswerError("The connection is closed.")
+            raise ConnectionBrokenError("The connection is closed.")
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
         timer = loop.call_later(max(0.0, timeout_s), self._wake)
@@ -233,7 +242,7 @@
             timer.cancel()
         if not self._parts:
             if self._closed:
-                raise BrokenAnswerError("The connection is closed.")
+                raise ConnectionBrokenError("The connection is closed.")
             raise SilentServerError(f"No byte came for {timeout_s:.2f} s.")
 
     def _add(self, part: _Part) -> None:
@@ -268,7 +277,8 @@
 
 def _broken(part: _Part) -> BrokenAnswerError:
     cause = part.cause if isinstance(part, _Broken) else "it is out of order"
-    return BrokenAnswerError(f"The answer broke off: {cause}.")
+    kind = ConnectionBrokenError if isinstance(part, _Lost) else BrokenAnswerError
+    return kind(f"The answer broke off: {cause}.")
 
 
 def set_silence_limits(raw: socket.socket | None) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -24,6 +24,7 @@
 from fulmarroad_serving._catalog import Catalog, Service
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._dispatch import Dispatcher, Placement, Refusal
+from fulmarroad_serving._ended_servers import EndedServers
 from fulmarroad_serving._exchange import Exchanger
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._pool import ConnectionPool
@@ -38,6 +39,7 @@
 from fulmarroad_serving.contracts import CallCodec
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
+    ConnectionBrokenError,
     ConnectionsUsedError,
     NotSentError,
     OtherInstanceError,
@@ -68,6 +70,7 @@
         self._clock = clock
         self._held = HeldCalls()
         self._exchanger = Exchanger(dispatcher, codec, clock)
+        self._ended = EndedServers(pool, dispatcher.registry, clock)
 
     async def run(
         self, call: ServedCall, responder: Responder, summary: CallSummary
@@ -168,7 +171,7 @@
             await self._exchanger.exchange(run, connection, instance, ticket)
         except SendError as error:
             outcome = error.outcome
-            self._on_failure(run, instance, error)
+            await self._on_failure(run, instance, error)
             return error
         finally:
             # A connection whose answer was not read to its end is closed here, which
@@ -182,8 +185,10 @@
         routers = len(self._dispatcher.routers)
         return await self._pool.acquire(instance, service.max_connections, routers)
 
-    def _on_failure(self, run: Run, instance: Instance, error: SendError) -> None:
+    async def _on_failure(self, run: Run, instance: Instance, error: SendError) -> None:
         now = self._clock()
+        if isinstance(error, ConnectionBrokenError):
+            await self._ended.has_ended(instance, now)
         if isinstance(error, OtherInstanceError):
             # The address belongs to another server: this one is gone.
             self._dispatcher.registry.remove(instance.id, now)
@@ -203,6 +208,7 @@
             cause=error.message,
             sends=run.progress.sends,
             event_id=run.progress.last_event_id,
+            fingerprint=run.call.fingerprint.hex(),
         )
 
     # ends
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -13,7 +13,11 @@
 from fulmarroad_serving._budgets import assumed_routers
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._registry import Instance
-from fulmarroad_serving.exceptions import ConnectionsUsedError, NotSentError
+from fulmarroad_serving.exceptions import (
+    ConnectionRefusedByHostError,
+    ConnectionsUsedError,
+    NotSentError,
+)
 
 CONNECT_TIMEOUT_S = 0.25
 """Time for one connection within a region: a few milliseconds, or a lost first packet,
@@ -63,6 +67,24 @@
             kept.open -= 1
             raise
 
+    async def refuses(self, instance: Instance) -> bool:
+        """Tell whether a server's host refuses connections; keep one that it takes."""
+        kept = self._kept.setdefault(instance.id, _Kept())
+        kept.open += 1
+        try:
+            connection = await self._connect(instance)
+        except ConnectionRefusedByHostError:
+            kept.open -= 1
+            return True
+        except NotSentError:
+            kept.open -= 1
+            return False
+        except BaseException:
+            kept.open -= 1
+            raise
+        self.release(instance.id, connection)
+        return False
+
     def release(self, server: ServerName, connection: BackendConnection) -> None:
         """Keep a connection for the next call, or close it."""
         kept = self._kept.get(server)
@@ -122,7 +144,9 @@
                     BackendConnection, instance.host, instance.port
                 )
         except (OSError, TimeoutError) as error:
-            raise NotSentError(
+            refused = isinstance(error, ConnectionRefusedError)
+            kind = ConnectionRefusedByHostError if refused else NotSentError
+            raise kind(
                 f"{instance.host}:{instance.port} can't be reached: {error!r}."
             ) from error
         self.opened += 1
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -11,6 +11,7 @@
 from fulmarroad_serving._attempts import CallProgress
 from fulmarroad_serving._catalog import ServedRoute
 from fulmarroad_serving._dispatch import Demand
+from fulmarroad_serving._fingerprints import Fingerprint
 from fulmarroad_serving._shares import NO_USE, ShareUse
 from fulmarroad_serving.contracts import AnswerHead, CallHead
 
@@ -45,6 +46,7 @@
     workspace: WorkspaceName
     deadline: float
     """When the caller or the route gives it up, by the router's clock."""
+    fingerprint: Fingerprint = b""
     has_body: bool = True
     rank: int = 0
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/exceptions.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/exceptions.py
@@ -22,6 +22,10 @@
     """Report that this router may open no more connections to the server."""
 
 
+class ConnectionRefusedByHostError(NotSentError):
+    """Report that nothing listens at the server's address any more."""
+
+
 class NotRunError(SendError):
     """Report that the backend server said that it did not run the call."""
 
@@ -36,6 +40,10 @@
     """Report an answer that is cut off, spoiled or missing."""
 
 
+class ConnectionBrokenError(BrokenAnswerError):
+    """Report a connection that ended before the answer did."""
+
+
 class SilentServerError(BrokenAnswerError):
     """Report a backend server that said nothing for too long."""
 
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -80,6 +80,7 @@
     SHARES_TAKEN = EventKind(412, _W, "shares of lost routers taken up")
     SERVER_REGISTERED = EventKind(420, _I, "backend server registered or changed")
     SERVER_GONE = EventKind(421, _I, "backend server gone")
+    SERVER_ENDED = EventKind(422, _W, "backend server ended under its calls")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
