--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -294,6 +294,36 @@
             server.close()
 
 
+class EndingServers:
+    """Servers that end under a request, as a process does that crashes."""
+
+    def __init__(self, bed, killer=b"killer", service="drafting"):
+        self.bed = bed
+        self.killer = killer
+        self.service = service
+        self.ended = []
+
+    async def start(self, *names):
+        for name in names:
+            await self._start(name)
+
+    async def _start(self, name):
+        async def script(arrival, writer):
+            if arrival.body == self.killer:
+                self.ended.append(name)
+                server.close()
+                return False
+            if self.service == "drafting":
+                writer.write(stream_head(arrival.header("x-id")))
+                writer.write(chunk(event(1)) + b"0\r\n\r\n")
+            else:
+                writer.write(answer(200, b"done", arrival.header("x-id")))
+            return None
+
+        await self.bed.serve(name, script, self.service)
+        server = self.bed._servers[-1]
+
+
 def free_port(host):
     """Return a port that nothing on an address uses, for TCP and UDP."""
     while True:
--- a/packages/fulmarroad-serving/tests/test_ended_servers.py
+++ b/packages/fulmarroad-serving/tests/test_ended_servers.py
@@ -4,42 +4,12 @@
 
 import anyio
 from attrs import evolve
-from serving_bed import answer, chunk, event, run, stream_head
+from serving_bed import EndingServers, run
 
 from fulmarroad.events import Event
 from fulmarroad_serving._fingerprints import fingerprint_of
 
 
-class EndingServers:
-    """Servers that end under a request, as a process does that crashes."""
-
-    def __init__(self, bed, killer=b"killer", service="drafting"):
-        self.bed = bed
-        self.killer = killer
-        self.service = service
-        self.ended = []
-
-    async def start(self, *names):
-        for name in names:
-            await self._start(name)
-
-    async def _start(self, name):
-        async def script(arrival, writer):
-            if arrival.body == self.killer:
-                self.ended.append(name)
-                server.close()
-                return False
-            if self.service == "drafting":
-                writer.write(stream_head(arrival.header("x-id")))
-                writer.write(chunk(event(1)) + b"0\r\n\r\n")
-            else:
-                writer.write(answer(200, b"done", arrival.header("x-id")))
-            return None
-
-        await self.bed.serve(name, script, self.service)
-        server = self.bed._servers[-1]
-
-
 def number(kind):
     return kind.value.number
 
