Tell in the log at which revision and era the store was listed

Cause: listings of a store that had come back older were thrown away without a line, so that a copy that is ahead of the store looked like a store that answers nothing new. The header Store-Era was not read. Change: event 215 with the store's revision and era, the copy's revision before and how many items were news. A stand-in store over HTTP that comes back from a copy of itself. Nothing is decided by the era yet.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
@@ -57,9 +57,11 @@
 
     def take_listing(
         self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
-    ) -> None:
-        """Take a whole listing of the store."""
-        self._apply(self.replica.replace(items, at), calm_s, source)
+    ) -> int:
+        """Take a whole listing of the store; return how many items were news."""
+        fresh = self.replica.replace(items, at)
+        self._apply(fresh, calm_s, source)
+        return len(fresh)
 
     def take_changes(
         self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -85,9 +85,19 @@
             listing = await self._store.list_all()
             self._note_heard()
             self._must_list = False
-            self._beliefs.take_listing(
+            known_at = self._beliefs.replica.at
+            changed = self._beliefs.take_listing(
                 listing.items, listing.at, self.calm_s(), "store"
             )
+            emit(
+                logger,
+                Event.STORE_LISTED,
+                at=listing.at,
+                era=listing.era,
+                known_at=known_at,
+                items=len(listing.items),
+                changed=changed,
+            )
             return
         listing = await self._store.watch(self._beliefs.replica.at, WATCH_S)
         self._note_heard()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -127,6 +127,7 @@
 
     at: int
     items: tuple[ReplicaItem, ...]
+    era: int = 0  # how often the store came back from an older copy of itself
 
 
 class StateStore(Protocol):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
@@ -22,6 +22,12 @@
 
     status: int
     body: bytes
+    headers: tuple[Header, ...] = ()  # names as they came
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header by its name in lower case, or nothing."""
+        rows = (value for key, value in self.headers if key.lower() == name)
+        return next(rows, b"")
 
 
 class HttpClient:
@@ -67,7 +73,7 @@
             while (chunk := await connection.body(timeout_s)) is not None:
                 parts.append(chunk)
             whole = True
-            return Reply(head.status, b"".join(parts))
+            return Reply(head.status, b"".join(parts), head.forward)
         finally:
             if whole and connection.reusable:
                 self._connection = connection
@@ -84,4 +90,4 @@
 
 
 def _read_head(status: int, headers: Sequence[Header]) -> AnswerHead:
-    return AnswerHead(status)
+    return AnswerHead(status, forward=tuple(headers))
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/store_standin.py
@@ -0,0 +1,120 @@
+"""A stand-in for the platform's store, which may come back from an older copy."""
+
+import asyncio
+import base64
+import contextlib
+import copy
+import json
+from urllib.parse import parse_qs, urlsplit
+
+from attrs import define, field
+
+
+@define
+class _Item:
+    revision: int
+    data: bytes | None
+
+
+@define
+class StandInStore:
+    """Answer ranges and watches as the platform's pages say."""
+
+    era: int = 1
+    states_era: bool = True  # stores of before don't
+    revision: int = 1
+    away: bool = False
+    listings: int = 0
+    watches: int = 0
+    port: int = 0
+    _items: dict = field(factory=dict)
+    _oldest: int = 0  # watches from before get 410
+    _changed: asyncio.Event = field(factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _writers: list = field(factory=list)
+
+    def put(self, key, value):
+        """Write an item as the operator and the servers do."""
+        data = value if value is None else json.dumps(value).encode()
+        self.revision += 1
+        self._items[key] = _Item(self.revision, data)
+        self._wake()
+
+    def remove(self, key):
+        self.put(key, None)
+
+    def keep_copy(self):
+        """Return the state as of now, to come back from."""
+        return copy.deepcopy((self.revision, self._items))
+
+    def come_back(self, kept):
+        """Lose all that was written since a copy; revisions are given out again."""
+        self.revision, self._items = copy.deepcopy(kept)
+        self._oldest = self.revision
+        self.era += 1
+        self._wake()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        """Close, and let every answer end before the loop does."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _connected(self, reader, writer):
+        self._writers.append(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                if self.away:
+                    break
+                url = urlsplit(head.split(" ")[1])
+                query = {key: row[0] for key, row in parse_qs(url.query).items()}
+                status, body = await self._answer(url.path, query)
+                if self.away:
+                    break
+                writer.write(self._bytes(status, body))
+                await writer.drain()
+        writer.close()
+
+    async def _answer(self, path, query):
+        if path == "/api/kv-range":
+            self.listings += 1
+            rows = [self._row(key, row) for key, row in self._items.items() if row.data]
+            return 200, {"Entries": rows, "Truncated": False, "At": self.revision}
+        self.watches += 1
+        after = int(query["After"])
+        if not self._oldest <= after <= self.revision:
+            return 410, {}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query["WaitTimeMs"]) / 1000):
+                while self.revision == after:
+                    await self._changed.wait()
+        news = [
+            self._row(key, row)
+            for key, row in sorted(
+                self._items.items(), key=lambda pair: pair[1].revision
+            )
+            if row.revision > after
+        ]
+        return 200, {"events": news, "At": self.revision}
+
+    def _row(self, key, row):
+        if row.data is None:
+            return {"Key": key, "Revision": row.revision, "Deleted": True}
+        data = base64.b64encode(row.data).decode()
+        return {"Key": key, "Revision": row.revision, "Data": data, "Created": 1}
+
+    def _bytes(self, status, body):
+        data = json.dumps(body).encode()
+        era = f"Store-Era: {self.era}\r\n" if self.states_era else ""
+        head = f"HTTP/1.1 {status} X\r\ncontent-length: {len(data)}\r\n{era}\r\n"
+        return head.encode() + data
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -54,6 +54,7 @@
     STORE_BACK = EventKind(212, _I, "store answers again")
     STORE_HISTORY_LOST = EventKind(213, _W, "store lost its history, listed anew")
     STORE_ITEM_UNUSABLE = EventKind(214, _W, "item of the store can't be read")
+    STORE_LISTED = EventKind(215, _I, "store listed whole")
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
