Show by a failing test that a store which comes back older is not heard

Seen: after the store returns from a copy some seconds old, a new route and a server's leaving are not known two seconds after their writing (the stated bound).

--- a/packages/fulmarroad-serving/tests/test_store_returns.py
+++ b/packages/fulmarroad-serving/tests/test_store_returns.py
@@ -13,6 +13,9 @@
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
 
+CONFIG_S = 2.0
+"""Time within which a change must be in force."""
+
 
 def config(version, *hosts):
     routes = [
@@ -107,3 +110,26 @@
         assert rows[0].changed == 3
         assert rows[1].era == 2
         assert rows[1].at < rows[0].at + 1
+
+
+class TestReturns:
+    def test_what_is_written_after_the_return_is_in_force_in_time(self):
+        """The store counts its revisions anew from an older one. What is written then
+        has numbers that were seen before: a route that was added was answered 404, and
+        a server that had said it leaves still got calls.
+        """
+
+        async def test(store, router):
+            kept = store.keep_copy()
+            for n in range(6):
+                store.put("op/config", config(8 + n, "a.example"))
+            await anyio.sleep(0.4)
+            store.come_back(kept)
+            await anyio.sleep(0.4)
+            store.put("op/config", config(20, "a.example", "b.example"))
+            store.put("servers/s-1", entry("draining", 2))
+            await anyio.sleep(CONFIG_S)
+            assert router.serves("b.example")
+            assert router.usable() == ["s-2"]
+
+        read(test)
