Order the store's history by era and revision, and believe what it lost

Seen by callers: calls at a server 2.0 to 3.0 s after it had said that it leaves, 404 on routes that had been added; the store was called 160 times a second. Cause: copies, watches and peers compared bare revisions, on the belief that these only rise. The store came back from a copy and counted from 17 again while routers held 20: listings were thrown away item by item, each watch from 20 got 410, and once the count passed 20 what was written below it was never told. One entry that was taken (its own revision rose) stayed with the readers, since their copy's number didn't move. Class of fault: an order that holds within one history, used across. Ruled out: a lost history (410 would not end without an event at the store), a stuck reader (it takes one entry, no task failed). Change: a position holds the era above the revision, one comparison for copies, deltas, reports and members; packets carry the era in a field of its own, and a packet of the version before is read in the era known here. A watch answered in another era is a lost history, pages of two eras no listing. For ten seconds after a return what the new history lacks is believed: a server that left stays out, a data centre that was to get nothing stays so, entries that are missing get the usual two seconds. A server that said it leaves never comes back under the same start. The reader pauses after a lost history. Looked for elsewhere: copies given to peers, the start of a router, status page and logs.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/__init__.py
@@ -25,6 +25,10 @@
 from fulmarroad_serving._dispatch import Placement as Placement
 from fulmarroad_serving._dispatch import Refusal as Refusal
 from fulmarroad_serving._dispatch import Ticket as Ticket
+from fulmarroad_serving._positions import Position as Position
+from fulmarroad_serving._positions import era_of as era_of
+from fulmarroad_serving._positions import position as position
+from fulmarroad_serving._positions import revision_of as revision_of
 from fulmarroad_serving._registry import Instance as Instance
 from fulmarroad_serving._registry import Registry as Registry
 from fulmarroad_serving._replica import ReplicaItem as ReplicaItem
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_beliefs.py
@@ -9,11 +9,14 @@
 import logging
 from collections.abc import Callable, Iterable
 
+from attrs import frozen
+
 from fulmarroad.audit import AuditTrail, Subject
 from fulmarroad.events import Event, emit
 from fulmarroad_serving._catalog import Catalog, CatalogIndex
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._positions import Position, era_of, revision_of
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem, StateReplica
 from fulmarroad_serving.contracts import (
@@ -28,6 +31,21 @@
 
 logger = logging.getLogger("fulmarroad.serving")
 
+REWRITE_S = 10.0
+"""Time after the store came back older in which what it lost is believed: operators and
+servers write it again within seconds."""
+
+
+@frozen
+class _Doubted:
+    """Hold a fact that is believed only if it still stands after a while."""
+
+    fact: Fact
+    revision: int
+    calm_s: float
+    source: str
+    due: float
+
 
 class Beliefs:
     """Turn items of the store into what the dispatcher goes by."""
@@ -45,6 +63,8 @@
         self._pool = pool
         self._audit = audit
         self._clock = clock
+        self._returned_at = float("-inf")
+        self._doubted: dict[str, _Doubted] = {}
         self.replica = StateReplica()
         self.index: CatalogIndex | None = None
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
@@ -56,40 +76,89 @@
         return self.index.catalog if self.index is not None else Catalog(0)
 
     def take_listing(
-        self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
+        self, items: Iterable[ReplicaItem], at: Position, calm_s: float, source: str
     ) -> int:
         """Take a whole listing of the store; return how many items were news."""
+        before = self.replica.at
         fresh = self.replica.replace(items, at)
-        self._apply(fresh, calm_s, source)
+        self._apply(before, fresh, calm_s, source)
         return len(fresh)
 
     def take_changes(
-        self, items: Iterable[ReplicaItem], at: int, calm_s: float, source: str
+        self, items: Iterable[ReplicaItem], at: Position, calm_s: float, source: str
     ) -> None:
         """Take changes of the store."""
-        self._apply(self.replica.merge(items, at), calm_s, source)
+        before = self.replica.at
+        self._apply(before, self.replica.merge(items, at), calm_s, source)
 
     def take_delta(self, delta: ReplicaDelta, calm_s: float, source: str) -> None:
         """Take what a peer gave."""
-        self._apply(self.replica.take_delta(delta), calm_s, source)
+        before = self.replica.at
+        self._apply(before, self.replica.take_delta(delta), calm_s, source)
 
     def expire(self) -> None:
         """Drop servers whose entries have not come back, and idle connections."""
         self._pool.prune()
-        for server in self._dispatcher.expire(self._clock()):
+        now = self._clock()
+        for server in self._dispatcher.expire(now):
             self._note_gone(server, "lapsed", 0)
+        for key, row in list(self._doubted.items()):
+            if now >= row.due:
+                del self._doubted[key]
+                self._take(row.fact, row.revision, row.calm_s, row.source)
 
     def _apply(
-        self, items: tuple[ReplicaItem, ...], calm_s: float, source: str
+        self,
+        before: Position,
+        items: tuple[ReplicaItem, ...],
+        calm_s: float,
+        source: str,
     ) -> None:
+        self._note_era(before, source)
+        # A return is an outage, also where no call fell into it.
+        calm_s = min(calm_s, self._clock() - self._returned_at)
         for item in items:
             fact = self._store.decode(item)
-            if fact is not None:
-                self._take(fact, item.revision, calm_s, source)
+            self._doubted.pop(item.key, None)
+            if fact is None:
+                continue
+            if self._doubts(fact):
+                due = self._returned_at + REWRITE_S
+                revision = revision_of(item.revision)
+                self._doubted[item.key] = _Doubted(fact, revision, calm_s, source, due)
+            else:
+                self._take(fact, revision_of(item.revision), calm_s, source)
         if items:
             self._dispatcher.registry.note_listed()
             self.on_news()
 
+    def _note_era(self, before: Position, source: str) -> None:
+        """Note that the store came back from an older copy of itself."""
+        era = era_of(self.replica.at)
+        if before and era > era_of(before):
+            self._returned_at = self._clock()
+            emit(
+                logger,
+                Event.STORE_RETURNED_OLDER,
+                era=era,
+                at=revision_of(self.replica.at),
+                known_at=revision_of(before),
+                source=source,
+            )
+
+    def _doubts(self, fact: Fact) -> bool:
+        """Tell whether the store may say this only because it lost what came after.
+
+        A server that left and a data centre that is to get nothing bind from their
+        acknowledgement on, which the store's return doesn't take back.
+        """
+        if self._clock() - self._returned_at >= REWRITE_S:
+            return False
+        registry = self._dispatcher.registry
+        if isinstance(fact, CentreFact):
+            return not fact.leaves and fact.data_centre in registry.centres_left
+        return isinstance(fact, InstanceFact) and registry.has_left(fact.instance)
+
     def _take(self, fact: Fact, revision: int, calm_s: float, source: str) -> None:
         if isinstance(fact, CatalogFact):
             self._take_catalog(fact.catalog, revision, source)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_copies.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_copies.py
@@ -15,6 +15,7 @@
 from fulmarroad.exceptions import MessageError, TransportError
 from fulmarroad.types import RouterName
 from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem
 from fulmarroad_serving._reports import PeerBook, PeerReport
 
@@ -60,6 +61,11 @@
         self._wanted = anyio.Event()
         self._asked: set[RouterName] = set()
 
+    @property
+    def _era(self) -> int:
+        """Return the store's era as known here; peers of before state none."""
+        return era_of(self._beliefs.replica.at)
+
     def want(self) -> None:
         """Pull from a peer: one of them has news."""
         self._wanted.set()
@@ -117,15 +123,15 @@
 
     async def _ask(self, host: str) -> ReplicaDelta:
         async with await anyio.connect_tcp(host, self._port) as stream:
-            await stream.send(msgpack.packb([self._beliefs.replica.at]))
+            await stream.send(_asked_bytes(self._beliefs.replica.at))
             await stream.send_eof()
-            return _read_delta(await _read_all(stream))
+            return _read_delta(await _read_all(stream), self._era)
 
     async def _give(self, stream: SocketStream) -> None:
         async with stream:
             try:
                 with anyio.fail_after(PULL_TIMEOUT_S):
-                    asked = _read_asked(await _read_all(stream))
+                    asked = _read_asked(await _read_all(stream), self._era)
                     delta = self._beliefs.replica.since(asked)
                     await stream.send(_delta_bytes(delta))
                     await stream.send_eof()
@@ -148,22 +154,39 @@
             raise MessageError("A peer sent more than a copy can hold.")
 
 
-def _read_asked(data: bytes) -> int:
+def _asked_bytes(at: Position) -> bytes:
+    return bytes(msgpack.packb([revision_of(at), era_of(at)]))
+
+
+def _read_asked(data: bytes, era: int = 0) -> Position:
     try:
-        return int(msgpack.unpackb(data)[0])
+        row: list[Any] = msgpack.unpackb(data)
+        return position(int(row[1]) if len(row) > 1 else era, int(row[0]))
     except UNREADABLE as error:
         raise MessageError("A peer asked for something that can't be read.") from error
 
 
 def _delta_bytes(delta: ReplicaDelta) -> bytes:
-    items = [[item.key, item.revision, item.data] for item in delta.items]
-    return bytes(msgpack.packb([delta.at, delta.whole, items]))
+    items = [
+        [item.key, revision_of(item.revision), item.data, era_of(item.revision)]
+        for item in delta.items
+    ]
+    return bytes(
+        msgpack.packb([revision_of(delta.at), delta.whole, items, era_of(delta.at)])
+    )
 
 
-def _read_delta(data: bytes) -> ReplicaDelta:
+def _read_delta(data: bytes, era: int = 0) -> ReplicaDelta:
     try:
         row: list[Any] = msgpack.unpackb(data)
-        items = (ReplicaItem(str(k), int(r), d) for k, r, d in row[2])
-        return ReplicaDelta(int(row[0]), bool(row[1]), tuple(items))
+        era = int(row[3]) if len(row) > 3 else era
+        items = tuple(_read_item(item, era) for item in row[2])
+        return ReplicaDelta(position(era, int(row[0])), bool(row[1]), items)
     except UNREADABLE as error:
         raise MessageError("A peer gave no copy that can be read.") from error
+
+
+def _read_item(row: list[Any], era: int) -> ReplicaItem:
+    key, revision, data, *stated = row
+    at = position(int(stated[0]) if stated else era, int(revision))
+    return ReplicaItem(str(key), at, data)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -194,8 +194,11 @@
     return bytes(msgpack.packb(row))
 
 
-def read_digest(row: Any) -> Digest:
-    """Return the digest that an unpacked packet holds, or raise `MessageError`."""
+def read_digest(row: Any, era: int = 0) -> Digest:
+    """Return the digest that an unpacked packet holds, or raise `MessageError`.
+
+    `era` is the store's as known here, for members that state none.
+    """
     try:
         total = Sum(
             {int(member): int(number) for member, number in row[3]},
@@ -207,7 +210,7 @@
             str(row[1]),
             str(row[2]),
             total,
-            tuple(read_member(member) for member in row[7]),
+            tuple(read_member(member, era) for member in row[7]),
             tuple((int(part), str(server)) for part, server in row[8]),
             # Collectors of the version before say nothing of suspects.
             read_suspects(row[9]) if len(row) > 9 else (),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._digests import is_digest, pack_digest, read_digest
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._fleet_view import FleetView
+from fulmarroad_serving._positions import era_of
 from fulmarroad_serving._reports import (
     PeerBook,
     PeerReport,
@@ -196,12 +197,13 @@
         row = unpack(data)
         now = self._clock()
         known = self.book.size
+        era = era_of(self._beliefs.replica.at)
         if is_digest(row):
-            digest = read_digest(row)
+            digest = read_digest(row, era)
             self._view.take_digest(digest, now)
             newest = max((member.news_at for member in digest.members), default=0)
         else:
-            report = read_report(row)
+            report = read_report(row, era)
             self._view.take_report(report, now)
             newest = report.news_at
         if self.book.size != known:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -16,6 +16,7 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad_serving._beliefs import Beliefs
+from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving.contracts import StateStore
 from fulmarroad_serving.exceptions import HistoryLostError, StoreError
 
@@ -76,6 +77,8 @@
             except HistoryLostError as error:
                 self._must_list = True
                 emit(logger, Event.STORE_HISTORY_LOST, cause=error.message)
+                # A store that refuses each watch would be listed without a pause.
+                await anyio.sleep(BATCH_S)
             except StoreError as error:
                 self._note_lost(error)
                 await anyio.sleep(self._random.uniform(*RETRY_S))
@@ -92,9 +95,9 @@
             emit(
                 logger,
                 Event.STORE_LISTED,
-                at=listing.at,
-                era=listing.era,
-                known_at=known_at,
+                at=revision_of(listing.at),
+                era=era_of(listing.at),
+                known_at=revision_of(known_at),
                 items=len(listing.items),
                 changed=changed,
             )
@@ -108,7 +111,7 @@
         self._heard_at = self._clock()
         if self._lost:
             self._lost = False
-            emit(logger, Event.STORE_BACK, at=self._beliefs.replica.at)
+            emit(logger, Event.STORE_BACK, at=revision_of(self._beliefs.replica.at))
 
     def _note_lost(self, error: StoreError) -> None:
         self._failed_at = self._clock()
@@ -118,5 +121,5 @@
                 logger,
                 Event.STORE_LOST,
                 cause=error.message,
-                at=self._beliefs.replica.at,
+                at=revision_of(self._beliefs.replica.at),
             )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from attrs import define, frozen
+from attrs import define, evolve, frozen
 
 from fulmarroad.types import DataCentreName, ServerName
 from fulmarroad_serving._catalog import Service, ServiceName
@@ -19,6 +19,10 @@
 own entry's writing (1.2 s), by which a restart shows in the entry."""
 
 
+MOST_LEFT = 512
+"""Servers remembered that have left: more than leave within a store's return."""
+
+
 @frozen
 class Instance:
     """Describe one start of a backend server, as it registered itself."""
@@ -55,6 +59,7 @@
     def __init__(self) -> None:
         self._rows: dict[ServerName, Registered] = {}
         self._left: set[DataCentreName] = set()
+        self._left_servers: dict[ServerName, int] = {}  # the start that left
         self._listed = False
         self._usable: dict[ServiceName, tuple[Registered, ...]] = {}
 
@@ -77,6 +82,10 @@
         fresh = row is None or row.instance.started_ms != instance.started_ms
         if row is None:
             row = self._rows[instance.id] = Registered(instance, now)
+        if not fresh and row.instance.draining:
+            # A server that has said it leaves doesn't stay; a store that came back from
+            # an older copy shows it as before.
+            instance = evolve(instance, draining=True)
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
@@ -109,8 +118,15 @@
             return False
         del self._rows[server]
         self._usable.clear()
+        self._left_servers[server] = row.instance.started_ms
+        if len(self._left_servers) > MOST_LEFT:
+            del self._left_servers[next(iter(self._left_servers))]
         return True
 
+    def has_left(self, instance: Instance) -> bool:
+        """Tell whether this start of a server has left, by a word on its entry."""
+        return self._left_servers.get(instance.id) == instance.started_ms
+
     def expire(self, now: float) -> list[ServerName]:
         """Drop the servers whose entry has not come back; return them."""
         gone = [
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
@@ -1,7 +1,8 @@
 """A copy of the platform's store that routers keep and hand on to each other.
 
-The store is the only writer. Every item carries the store's revision, so news may come
-twice, late and from any router: the higher revision wins, and nothing ever reverts.
+The store is the only writer. Every item carries its position in the store's history, so
+news may come twice, late and from any router: the higher position wins. A store that
+comes back from an older copy goes on at higher positions, though its revisions fall.
 A router that the store turns away so learns from a peer what it isn't told itself.
 """
 
@@ -11,6 +12,8 @@
 
 from attrs import frozen
 
+from fulmarroad_serving._positions import Position
+
 KEPT_DELETIONS = 512
 """Deletions remembered for peers; a peer that lacks older ones gets the whole copy."""
 
@@ -20,7 +23,7 @@
     """Hold one item as the store has it; no data means that it was deleted."""
 
     key: str
-    revision: int
+    revision: Position
     data: bytes | None = None
 
 
@@ -28,7 +31,7 @@
 class ReplicaDelta:
     """Hold what a peer lacks; `whole` says that nothing else exists."""
 
-    at: int
+    at: Position
     whole: bool
     items: tuple[ReplicaItem, ...]
 
@@ -38,10 +41,10 @@
 
     def __init__(self) -> None:
         self._items: dict[str, ReplicaItem] = {}
-        self._forgotten = 0
-        self.at = 0
-        """The store's revision up to which this copy is complete; 0: not yet."""
-        self.news_at = 0
+        self._forgotten: Position = 0
+        self.at: Position = 0
+        """The store's position up to which this copy is complete; 0: not yet."""
+        self.news_at: Position = 0
         """Value of `at` when something last changed, so that peers need not ask for
         revisions that changed nothing here."""
 
@@ -51,7 +54,7 @@
         return self.at > 0
 
     def merge(
-        self, items: Iterable[ReplicaItem], at: int = 0
+        self, items: Iterable[ReplicaItem], at: Position = 0
     ) -> tuple[ReplicaItem, ...]:
         """Take news in; return those that this copy did not know."""
         fresh = tuple(item for item in items if self._take(item))
@@ -60,7 +63,9 @@
         self._note_news(fresh)
         return fresh
 
-    def replace(self, items: Iterable[ReplicaItem], at: int) -> tuple[ReplicaItem, ...]:
+    def replace(
+        self, items: Iterable[ReplicaItem], at: Position
+    ) -> tuple[ReplicaItem, ...]:
         """Take a whole listing in that was begun at a revision.
 
         What the listing lacks and was last written before it is deleted. A listing
@@ -83,7 +88,7 @@
         self._note_news(tuple(fresh))
         return tuple(fresh)
 
-    def since(self, at: int) -> ReplicaDelta:
+    def since(self, at: Position) -> ReplicaDelta:
         """Return what a copy that is complete up to a revision lacks."""
         whole = at < self._forgotten or at == 0
         items = (
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -12,6 +12,7 @@
 from fulmarroad.types import DataCentreName, RouterName, ServerName, WorkspaceName
 from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, Fingerprint
 from fulmarroad_serving._load import PeerLoad
+from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving._suspects import SuspectRow
@@ -41,7 +42,7 @@
     data_centre: DataCentreName
     host: str
     leaving: bool
-    news_at: int
+    news_at: Position
     store_age_s: float
     store_calm_s: float
     age_s: float  # of that report when this was written
@@ -57,7 +58,7 @@
     data_centre: DataCentreName
     host: str
     leaving: bool
-    news_at: int  # the store's revision at which its copy last changed
+    news_at: Position  # the store's at which its copy last changed
     store_age_s: float  # since it heard from the store itself; negative: never
     store_calm_s: float  # since the store last failed it
     loads: Mapping[ServerName, PeerLoad] = field(factory=dict)
@@ -77,7 +78,7 @@
         report.data_centre,
         report.host,
         report.leaving,
-        report.news_at,
+        revision_of(report.news_at),
         round(report.store_age_s, 2),
         round(report.store_calm_s, 2),
         pack_loads(report.loads),
@@ -85,6 +86,7 @@
         [pack_member(row) for row in report.known],
         [list(pair) for pair in report.parts],
         pack_suspects(report.suspects),
+        era_of(report.news_at),
     ]
     return bytes(msgpack.packb(row))
 
@@ -192,15 +194,24 @@
         member.data_centre,
         member.host,
         member.leaving,
-        member.news_at,
+        revision_of(member.news_at),
         round(member.store_age_s, 2),
         round(member.store_calm_s, 2),
         round(member.age_s, 2),
+        era_of(member.news_at),
     ]
 
 
-def read_member(row: list[Any]) -> Member:
-    """Return the member that a row holds; raise `ValueError` or `TypeError`."""
+def _read_position(revision: Any, row: list[Any], place: int, era: int) -> Position:
+    """Return a position; routers of the version before state no era."""
+    return position(int(row[place]) if len(row) > place else era, int(revision))
+
+
+def read_member(row: list[Any], era: int = 0) -> Member:
+    """Return the member that a row holds; raise `ValueError` or `TypeError`.
+
+    `era` is the store's as known here, for a row that states none.
+    """
     return Member(
         router=str(row[0]),
         incarnation=int(row[1]),
@@ -208,7 +219,7 @@
         data_centre=str(row[3]),
         host=str(row[4]),
         leaving=bool(row[5]),
-        news_at=int(row[6]),
+        news_at=_read_position(row[6], row, 10, era),
         store_age_s=float(row[7]),
         store_calm_s=float(row[8]),
         age_s=float(row[9]),
@@ -228,8 +239,11 @@
     return read_report(unpack(data))
 
 
-def read_report(row: Any) -> PeerReport:
-    """Return the report that an unpacked packet holds, or raise `MessageError`."""
+def read_report(row: Any, era: int = 0) -> PeerReport:
+    """Return the report that an unpacked packet holds, or raise `MessageError`.
+
+    `era` is the store's as known here, for a packet that states none.
+    """
     if not isinstance(row, list) or not row or row[0] != FORMAT:
         raise MessageError("This is no report of the format spoken here.")
     try:
@@ -240,12 +254,12 @@
             data_centre=str(row[4]),
             host=str(row[5]),
             leaving=bool(row[6]),
-            news_at=int(row[7]),
+            news_at=_read_position(row[7], row, 15, era),
             store_age_s=float(row[8]),
             store_calm_s=float(row[9]),
             loads=read_loads(row[10]),
             counts=read_counts(row[11]),
-            known=tuple(read_member(member) for member in row[12]),
+            known=tuple(read_member(member, era) for member in row[12]),
             parts=tuple((int(part), str(server)) for part, server in row[13]),
             # Routers of the version before say nothing of suspects.
             suspects=read_suspects(row[14]) if len(row) > 14 else (),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -15,6 +15,7 @@
 from fulmarroad_serving._baselines import DEFAULT_PLACEMENT
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._dispatch import FleetBounds
+from fulmarroad_serving._positions import Position
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._replica import ReplicaItem
 
@@ -123,11 +124,10 @@
 
 @frozen
 class Listing:
-    """Hold every item, complete up to a revision."""
+    """Hold every item, complete up to a position."""
 
-    at: int
+    at: Position
     items: tuple[ReplicaItem, ...]
-    era: int = 0  # how often the store came back from an older copy of itself
 
 
 class StateStore(Protocol):
@@ -136,10 +136,11 @@
     async def list_all(self) -> Listing:
         """Return every item that concerns routers."""
 
-    async def watch(self, at: int, wait_s: float) -> Listing:
-        """Return the changes after a revision, waiting for the first one.
+    async def watch(self, at: Position, wait_s: float) -> Listing:
+        """Return the changes after a position, waiting for the first one.
 
-        Raise `HistoryLostError` where the store no longer has them.
+        Raise `HistoryLostError` where the store no longer has them, also because it
+        came back from an older copy.
         """
 
     def decode(self, item: ReplicaItem) -> Fact | None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -29,6 +29,7 @@
 from fulmarroad_serving._measures import Measures
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving._reader import StoreReader
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
@@ -288,7 +289,8 @@
             "state": self._gate.state.value,
             "in_flight": self._gate.in_flight,
             "version": self._beliefs.catalog.version,
-            "store_revision": self._beliefs.replica.at,
+            "store_revision": revision_of(self._beliefs.replica.at),
+            "store_era": era_of(self._beliefs.replica.at),
             "store_age_s": round(min(self._reader.age_s(), 1e6), 2),
             "loop_late_s": round(self._lateness.standing_s, 3),
             "reads_store": self._reads_store(),
@@ -298,7 +300,10 @@
             },
             "centres_left": sorted(registry.centres_left),
             "peers": {
-                peer.router: {"news_at": peer.news_at, "leaving": peer.leaving}
+                peer.router: {
+                    "news_at": revision_of(peer.news_at),
+                    "leaving": peer.leaving,
+                }
                 for peer in self._peers.book.alive(now)
             },
             "servers": {
--- a/packages/fulmarroad-serving/tests/store_standin.py
+++ b/packages/fulmarroad-serving/tests/store_standin.py
@@ -24,6 +24,7 @@
     states_era: bool = True  # stores of before don't
     revision: int = 1
     away: bool = False
+    refuses_watches: bool = False
     listings: int = 0
     watches: int = 0
     port: int = 0
@@ -71,7 +72,8 @@
 
     async def _connected(self, reader, writer):
         self._writers.append(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        ends = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 if self.away:
@@ -92,7 +94,7 @@
             return 200, {"Entries": rows, "Truncated": False, "At": self.revision}
         self.watches += 1
         after = int(query["After"])
-        if not self._oldest <= after <= self.revision:
+        if self.refuses_watches or not self._oldest <= after <= self.revision:
             return 410, {}
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query["WaitTimeMs"]) / 1000):
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -55,6 +55,7 @@
     STORE_HISTORY_LOST = EventKind(213, _W, "store lost its history, listed anew")
     STORE_ITEM_UNUSABLE = EventKind(214, _W, "item of the store can't be read")
     STORE_LISTED = EventKind(215, _I, "store listed whole")
+    STORE_RETURNED_OLDER = EventKind(216, _W, "store came back from an older copy")
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
