Let only collectors tell on which requests are suspected

Cause: in a large fleet each router that heard of a suspect in a digest sent it back to its collectors, six packets each, at once: some 1.2 MB for one end among 195. Change: as with parts of prompts, what is heard is told on by collectors alone; what ended two servers is still told again each second by whoever knows it. Measured: a follower's next packet is empty (test, failed before); all the tests of spreading, loss and cuts hold.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -27,6 +27,7 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._reports import Member, PeerBook, PeerReport, member_of
 from fulmarroad_serving._routing import PartId
+from fulmarroad_serving._suspects import SuspectRow
 
 MOST_DIRECT = 16
 """Peers up to which each router tells all others itself: some 100 packets a second."""
@@ -272,7 +273,7 @@
             return False
         self._note_direct(report.router, now)
         self._note_parts(report.parts, now)
-        self._dispatcher.suspects.take(report.suspects, now)
+        self._note_suspects(report.suspects, now)
         if self.relayed and not self.collects(now):
             self._maybe_greet(report, is_new=is_new)
         member = member_id(report.router)
@@ -297,7 +298,7 @@
             self.book.take_member(member, now)
         self._note_direct(digest.sender, now)
         self._note_parts(digest.parts, now)
-        self._dispatcher.suspects.take(digest.suspects, now)
+        self._note_suspects(digest.suspects, now)
         if digest.scope == self._centre:
             return
         if digest.scope:
@@ -352,3 +353,8 @@
                 self._dispatcher.parts.send(part, server, now)
             else:
                 self._dispatcher.parts.note(part, server, now)
+
+    def _note_suspects(self, rows: Iterable[SuspectRow], now: float) -> None:
+        if rows:
+            relay = self.collects(now)
+            self._dispatcher.suspects.take(rows, now, relay=relay)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
@@ -207,7 +207,8 @@
         record = self._record(fingerprint, now)
         before = record.count()
         if record.add(end, now):
-            self._changed(fingerprint, record, before)
+            self._note_barred(fingerprint, record, before)
+            self._tell(fingerprint)
 
     # what peers hear, and say
 
@@ -228,8 +229,10 @@
                 del self._untold[name]
         return tuple(self._row(name, now) for name in chosen)
 
-    def take(self, rows: Iterable[SuspectRow], now: float) -> None:
-        """Take in what a peer tells."""
+    def take(
+        self, rows: Iterable[SuspectRow], now: float, *, relay: bool = False
+    ) -> None:
+        """Take in what a peer tells, to be told on by whom others hear it from."""
         for row in rows:
             record = self._record(row.fingerprint, now)
             before = record.count()
@@ -246,7 +249,9 @@
                     record.trial_at, record.trial_at_server = now - age_s, server
                     is_news = True
             if is_news:
-                self._changed(row.fingerprint, record, before)
+                self._note_barred(row.fingerprint, record, before)
+            if is_news and relay:
+                self._tell(row.fingerprint)
 
     def _record(self, fingerprint: Fingerprint, now: float) -> _Record:
         record = self._records.get(fingerprint)
@@ -257,11 +262,12 @@
             record = self._records[fingerprint] = _Record(good_at=good_at)
         return record
 
-    def _changed(self, fingerprint: Fingerprint, record: _Record, before: int) -> None:
+    def _note_barred(
+        self, fingerprint: Fingerprint, record: _Record, before: int
+    ) -> None:
         after = record.count()
         if before < Standing.BARRED <= after:
             self.on_barred(fingerprint, after)
-        self._tell(fingerprint)
 
     def _tell(self, fingerprint: Fingerprint) -> None:
         self._untold[fingerprint] = TELLINGS
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -171,7 +171,7 @@
             now = 1.0 + tick / 10
             for sender, hearer in ((one, other), (other, one)):
                 news = sender.news(MOST_SUSPECTS, now)
-                hearer.take(news, now + 0.004)
+                hearer.take(news, now + 0.004, relay=True)
                 rows += len(news)
         assert rows <= 20
 
@@ -230,6 +230,18 @@
         bed.run(0.6)
         assert not self.unaware(bed)
 
+    def test_only_collectors_tell_on_what_they_hear(self):
+        """Hundreds of routers would each send their collectors what these told them."""
+        bed = FleetBed(60)
+        bed.run(1.05)
+        bed.routers["h4"].dispatcher.suspects.note_end(KILLER, 1, bed.now)
+        bed.run(0.6)
+        for host, row in bed.routers.items():
+            suspects = row.dispatcher.suspects
+            assert suspects.standing(KILLER, bed.now) is Standing.WATCHED
+            if host != "h4" and not row.view.collects(bed.now):
+                assert suspects.news(MOST_SUSPECTS, bed.now) == ()
+
     @pytest.mark.parametrize("size", [9, 60])
     def test_lost_packets_hold_it_up_and_no_more(self, size):
         bed = self.spread(size, loss=0.3)
