Keep nothing of a server whose host refuses connections

Cause: asking whether a server has ended made a record of its connections that nobody took out where its entry was gone by then: one for each end. Measured: the test keeps one record without the change and none with it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -75,6 +75,7 @@
             connection = await self._connect(instance)
         except ConnectionRefusedByHostError:
             kept.open -= 1
+            self.forget(instance.id)
             return True
         except NotSentError:
             kept.open -= 1
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -18,7 +18,6 @@
 """How long a server that broke a connection is treated as cold: three intervals of its
 own entry's writing (1.2 s), by which a restart shows in the entry."""
 
-
 MOST_LEFT = 512
 """Servers remembered that have left: more than leave within a store's return."""
 
--- a/packages/fulmarroad-serving/tests/test_ended_servers.py
+++ b/packages/fulmarroad-serving/tests/test_ended_servers.py
@@ -10,6 +10,10 @@
 from fulmarroad_serving._fingerprints import fingerprint_of
 
 
+async def hang_up(arrival, writer):
+    return False
+
+
 def number(kind):
     return kind.value.number
 
@@ -108,6 +112,21 @@
         run(test)
 
 
+class TestPool:
+    def test_nothing_is_kept_of_a_server_that_ended(self):
+        """Servers come back under new ids; what is kept of each would pile up."""
+
+        async def test(bed):
+            await bed.serve("s-1", hang_up)
+            instance = bed.dispatcher.registry.get("s-1").instance
+            assert not await bed.pool.refuses(instance)
+            bed._servers[0].close()
+            assert await bed.pool.refuses(instance)
+            assert not bed.pool._kept
+
+        run(test)
+
+
 class TestFingerprints:
     def test_another_caller_path_or_body_is_another_request(self):
         request = ("coop", "svc.example", "POST", b"/draft/1", b"body")
