Give the router's waiting demands a home of their own

The module that follows schedulers had grown past 400 lines, and the same look-up of a waiting demand by shard stood in it three times. No behaviour changes; the library's tests of followers, schedulers and coordination pass.

--- a/packages/fulmarroad/src/fulmarroad/_follower.py
+++ b/packages/fulmarroad/src/fulmarroad/_follower.py
@@ -25,6 +25,7 @@
 from fulmarroad._running import RunningLeases
 from fulmarroad._shardmap import ShardMap
 from fulmarroad._tables import Tables
+from fulmarroad._waiting import WaitingDemands
 from fulmarroad.placement import ShardView, choose_shard
 from fulmarroad.scheduling import grant_valid
 from fulmarroad.shifting import CentreChange, CentreState
@@ -63,7 +64,7 @@
         self._map = ShardMap()
         self._lost = LostPeers()
         self._follows: dict[ShardId, Follow] = {}
-        self._waiting: dict[str, Waiting] = {}
+        self._waiting = WaitingDemands()
         self._running = RunningLeases()
         self._changes: list[FollowChange] = []
 
@@ -136,12 +137,12 @@
         if not self._map.open_shards(ask.pool):
             return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
         waiting = Waiting(ask, moves=moves)
-        self._waiting[ask.demand_id] = waiting
+        self._waiting.add(waiting)
         return self._place(waiting, now)
 
     def withdraw(self, demand_id: str, now: float) -> list[Decision]:
         """Take a demand back."""
-        waiting = self._waiting.pop(demand_id, None)
+        waiting = self._waiting.pop(demand_id)
         if waiting is None or waiting.shard is None:
             return []
         return self._tell(waiting.shard, m.Withdraw(waiting.shard, demand_id))
@@ -266,14 +267,13 @@
         if follow.scheduler is None:
             return []
         shard = follow.shard
-        demands = [row for row in self._waiting.values() if row.shard == shard]
         hello = m.Hello(
             shard=shard,
             router=self._router,
             incarnation=self._incarnation,
             data_centre=self._data_centre,
             clock=now,
-            demands=tuple(waiting.demand(now) for waiting in demands),
+            demands=self._waiting.told(shard, now),
             leases=self._running.told(shard, now),
             hints=follow.told_hints(now),
             handed_over=follow.handed_over,
@@ -320,7 +320,7 @@
     def _place_lost(self, now: float) -> list[Decision]:
         """Ask elsewhere for demands whose shard takes no more work."""
         decisions: list[Decision] = []
-        for waiting in list(self._waiting.values()):
+        for waiting in self._waiting:
             shard = waiting.shard
             if shard is None or shard in self._map.open_shards(shard.pool):
                 continue
@@ -332,25 +332,24 @@
     def _place_or_reject(self, waiting: Waiting, now: float) -> list[Decision]:
         ask = waiting.ask
         if not self._map.open_shards(ask.pool):
-            del self._waiting[ask.demand_id]
+            self._waiting.pop(ask.demand_id)
             return [Rejected(ask.demand_id, RefusalReason.NO_SERVERS, RETRY_AFTER_S)]
         return self._place(waiting, now)
 
     def _on_grant(
         self, peer: RouterName, follow: Follow | None, grant: m.Grant, now: float
     ) -> list[Decision]:
-        waiting = self._waiting.get(grant.demand_id)
+        waiting = self._waiting.at(grant.shard, grant.demand_id)
         following = follow.epoch if follow and follow.scheduler == peer else None
         greeted = follow.hello_at if follow else now
         server = self._map.server(grant.unit.server)
         if (
             waiting is None
-            or waiting.shard != grant.shard
             or server is None
             or not grant_valid(grant, following, now, greeted)
         ):
             return self._decline(peer, grant, waiting, following, now)
-        del self._waiting[grant.demand_id]
+        self._waiting.pop(grant.demand_id)
         lease = Lease(grant.lease_id, grant.shard, grant.unit, server, waiting.ask, now)
         self._running.add(lease)
         return [Granted(grant.demand_id, lease)]
@@ -367,7 +366,7 @@
         declined = m.Finished(grant.shard, grant.lease_id, Outcome.DECLINED, 0.0)
         decisions: list[Decision] = [SendTo(peer, declined)]
         current = following is not None and following == grant.epoch
-        if waiting is not None and waiting.shard == grant.shard and current:
+        if waiting is not None and current:
             decisions += self._place_or_reject(waiting, now)
         return decisions
 
@@ -385,8 +384,8 @@
         return self._tell(follow.shard, lend)
 
     def _on_move(self, move: m.Move, now: float) -> list[Decision]:
-        waiting = self._waiting.get(move.demand_id)
-        if waiting is None or waiting.shard != move.shard:
+        waiting = self._waiting.at(move.shard, move.demand_id)
+        if waiting is None:
             return []
         waiting.moves += 1
         if move.target not in self._map or move.target not in self.schedulers:
@@ -395,10 +394,9 @@
         return self._send_demand(waiting, now)
 
     def _on_refuse(self, refuse: m.Refuse) -> list[Decision]:
-        waiting = self._waiting.get(refuse.demand_id)
-        if waiting is None or waiting.shard != refuse.shard:
+        if self._waiting.at(refuse.shard, refuse.demand_id) is None:
             return []
-        del self._waiting[refuse.demand_id]
+        self._waiting.pop(refuse.demand_id)
         return [Rejected(refuse.demand_id, refuse.reason, refuse.retry_after_s)]
 
     def _pass_over(self, peer: RouterName, now: float) -> list[Decision]:
@@ -418,13 +416,11 @@
 
     def _reject_overdue(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
-        for waiting in list(self._waiting.values()):
-            ask = waiting.ask
-            if ask.deadline > now:
-                continue
-            decisions += self.withdraw(ask.demand_id, now)
+        for waiting in self._waiting.overdue(now):
+            demand_id = waiting.ask.demand_id
+            decisions += self.withdraw(demand_id, now)
             reason = RefusalReason.DEADLINE_PASSED
-            decisions.append(Rejected(ask.demand_id, reason, RETRY_AFTER_S))
+            decisions.append(Rejected(demand_id, reason, RETRY_AFTER_S))
         return decisions
 
     def _check_silence(self, now: float) -> list[Decision]:
@@ -440,14 +436,13 @@
 
     def _place_unplaced(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
-        for waiting in list(self._waiting.values()):
+        for waiting in self._waiting:
             if waiting.shard is None or waiting.shard not in self.schedulers:
                 decisions += self._place(waiting, now)
         return decisions
 
     def _let_go_foreign(self, now: float) -> list[Decision]:
-        busy = {w.shard for w in self._waiting.values()}
-        busy |= self._running.shards
+        busy = self._waiting.shards | self._running.shards
         decisions: list[Decision] = []
         for shard, follow in list(self._follows.items()):
             if shard.data_centre == self._data_centre or shard in busy:
