--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_house.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_house.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import anyio
 
@@ -13,6 +13,7 @@
     Receive,
     Scope,
     Send,
+    read_call,
     respond_json,
     run,
     wait_for_signal,
@@ -40,6 +41,30 @@
         """Do what the stand-in does beside answering calls."""
 
 
+class Controlled(Protocol):
+    """What takes a scenario's orders and tells what it has seen."""
+
+    async def control(self, order: dict[str, Any]) -> None:
+        """Obey an order of the scenario."""
+
+    def report(self) -> dict[str, Any]:
+        """Return what was seen."""
+
+
+async def answer_control(
+    standin: Controlled, scope: Scope, receive: Receive, send: Send
+) -> None:
+    """Answer one call to a stand-in's control paths."""
+    call = await read_call(scope, receive)
+    if call.path.endswith("/control"):
+        await standin.control(call.json())
+        await respond_json(send, 200, {"ok": True})
+    elif call.path.endswith("/records"):
+        await respond_json(send, 200, standin.report())
+    else:
+        await respond_json(send, 404, {"error": "no such path"})
+
+
 class House:
     """Serve stand-ins and their control port."""
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/plain.py
@@ -24,7 +24,7 @@
     WORKSPACE_HEADER,
     plain_answer,
 )
-from fulmarroad_bench._house import as_tuple, run_house
+from fulmarroad_bench._house import answer_control, as_tuple, run_house
 from fulmarroad_bench._server import (
     BreakOffError,
     Call,
@@ -99,14 +99,7 @@
 
     async def control_app(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one call on the control port."""
-        call = await read_call(scope, receive)
-        if call.path.endswith("/control"):
-            await self.control(call.json())
-            await respond_json(send, 200, {"ok": True})
-        elif call.path.endswith("/records"):
-            await respond_json(send, 200, self.report())
-        else:
-            await respond_json(send, 404, {"error": "no such path"})
+        await answer_control(self, scope, receive, send)
 
     async def control(self, order: dict[str, Any]) -> None:
         """Obey an order of the scenario.
