--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_suspects.py
@@ -0,0 +1,75 @@
+"""Measure what suspects cost a router: fingerprints, packets, memory."""
+
+from __future__ import annotations
+
+import tracemalloc
+from collections.abc import Callable
+
+import msgpack
+from attrs import frozen
+
+from fulmarroad_bench._processor_time import cpu_s
+from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, fingerprint_of
+from fulmarroad_serving._fleet_view import MOST_SUSPECTS
+from fulmarroad_serving._reports import pack_suspects, read_suspects
+from fulmarroad_serving._suspects import MOST_RECORDS, Standing, Suspects
+
+ROUNDS = 2_000
+BODY_BYTES = 17_000
+"""Size of a long prompt's body."""
+
+
+@frozen
+class SuspectCost:
+    """Hold what suspects cost one router."""
+
+    fingerprint_us: float  # of a long prompt
+    rows: int  # in one packet, each with three ends
+    packet_bytes: int
+    pack_and_take_us: float
+    known: int
+    known_kb: float
+
+
+def suspect_cost() -> SuspectCost:
+    """Return the cost with as many suspects as a router keeps."""
+    body = bytes(BODY_BYTES)
+    target = b"/draft/1"
+    fingerprint_us = _each_us(
+        lambda: fingerprint_of("coop", "svc.example", "POST", target, body)
+    )
+    tracemalloc.start()
+    suspects = _full()
+    known_kb = tracemalloc.get_traced_memory()[0] / 1024
+    tracemalloc.stop()
+    rows = suspects.news(MOST_SUSPECTS, 2.0)
+    hearer = Suspects()
+
+    def carry() -> None:
+        data = msgpack.packb(pack_suspects(rows))
+        hearer.take(read_suspects(msgpack.unpackb(data)), 3.0)
+
+    return SuspectCost(
+        fingerprint_us,
+        len(rows),
+        len(msgpack.packb(pack_suspects(rows))),
+        _each_us(carry),
+        MOST_RECORDS,
+        round(known_kb, 1),
+    )
+
+
+def _full() -> Suspects:
+    suspects = Suspects()
+    for number in range(MOST_RECORDS):
+        name = number.to_bytes(FINGERPRINT_BYTES, "big")
+        for end in range(Standing.BARRED):
+            suspects.note_end(name, end << 40 | number, 1.0)
+    return suspects
+
+
+def _each_us(step: Callable[[], object]) -> float:
+    begun = cpu_s()
+    for _ in range(ROUNDS):
+        step()
+    return round((cpu_s() - begun) / ROUNDS * 1e6, 1)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
@@ -78,6 +78,15 @@
         print(json.dumps(asdict(digest_cost(routers, servers, 60))))
 
 
+def suspects() -> None:
+    """Print what requests under which servers ended cost a router."""
+    from attrs import asdict
+
+    from fulmarroad_bench._footprint_suspects import suspect_cost
+
+    print(json.dumps(asdict(suspect_cost())))
+
+
 async def _serve() -> tuple[asyncio.Server, int]:
     async def connected(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -131,5 +140,6 @@
             "calls": calls,
             "decisions": decisions,
             "digests": digests,
+            "suspects": suspects,
         }
     )
