Refuse a suspect's trial of another kind like any other packet

Found by reading: a map in the place of the pair raised KeyError, which ends the task that reads packets.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -121,12 +121,17 @@
             _read_fingerprint(name),
             tuple((int(end), _read_age(age)) for end, age in ends),
             None if good is None else _read_age(good),
-            None if trial is None else (int(trial[0]), _read_age(trial[1])),
+            None if trial is None else _read_trial(trial),
         )
         for name, ends, good, trial in rows
     )
 
 
+def _read_trial(value: Any) -> tuple[int, float]:
+    server, age_s = value
+    return int(server), _read_age(age_s)
+
+
 def _read_fingerprint(value: Any) -> Fingerprint:
     if not isinstance(value, bytes) or len(value) != FINGERPRINT_BYTES:
         raise ValueError("This is no fingerprint.")
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -11,7 +11,7 @@
 
 from fulmarroad.exceptions import MessageError
 from fulmarroad_serving._fleet_view import MOST_SUSPECTS
-from fulmarroad_serving._reports import pack_report, unpack_report
+from fulmarroad_serving._reports import pack_report, read_report, unpack_report
 from fulmarroad_serving._suspects import (
     BAR_S,
     GOOD_S,
@@ -198,6 +198,14 @@
         data = msgpack.unpackb(pack_report(FleetBed(1).report("h0")))
         assert unpack_report(msgpack.packb(data[:14])).suspects == ()
 
+    @pytest.mark.parametrize("trial", [{1: 2}, {}, "", 7, [1], [1, -2.0]])
+    def test_a_trial_of_another_kind_is_told(self, trial):
+        """Any other error would end the task that reads packets."""
+        row = msgpack.unpackb(pack_report(FleetBed(1).report("h0")))
+        row[14] = [[KILLER, [], None, trial]]
+        with pytest.raises(MessageError):
+            read_report(msgpack.unpackb(msgpack.packb(row), strict_map_key=False))
+
     @pytest.mark.parametrize("wrong", [10**12, b"short", "text", None])
     def test_a_fingerprint_of_another_kind_is_told(self, wrong):
         row = SuspectRow(wrong, ())
