Ask again whether a server has ended, a second after it had

Found by reading: a verdict was kept for good, so after a cut that refuses connections each reset connection to a server that lives would count as its end. The test got "ended" from a server that took connections again, and doesn't now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_ended_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_ended_servers.py
@@ -23,6 +23,10 @@
 MOST_VERDICTS = 256
 """Servers that ended or were asked lately; the oldest verdicts go first."""
 
+ONE_END_S = 1.0
+"""Time after an end in which calls that break off belong to it. Later ones ask anew: a
+cut that refused connections may have healed."""
+
 Start = tuple[ServerName, int]
 
 
@@ -31,6 +35,10 @@
     ended: bool
     asked_at: float
 
+    def holds(self, broke_at: float) -> bool:
+        """Tell whether it answers for a call that broke off at a time."""
+        return broke_at <= self.asked_at + (ONE_END_S if self.ended else 0.0)
+
 
 class EndedServers:
     """Ask a server once for all the calls that it broke off together."""
@@ -49,7 +57,7 @@
         start = (instance.id, instance.started_ms)
         while True:
             verdict = self._verdicts.get(start)
-            if verdict and (verdict.ended or verdict.asked_at >= broke_at):
+            if verdict is not None and verdict.holds(broke_at):
                 return verdict.ended
             asking = self._asking.get(start)
             if asking is None:
--- a/packages/fulmarroad-serving/tests/test_ended_servers.py
+++ b/packages/fulmarroad-serving/tests/test_ended_servers.py
@@ -7,6 +7,7 @@
 from serving_bed import EndingServers, run
 
 from fulmarroad.events import Event
+from fulmarroad_serving._ended_servers import ONE_END_S, EndedServers
 from fulmarroad_serving._fingerprints import fingerprint_of
 
 
@@ -111,6 +112,27 @@
 
         run(test)
 
+    def test_a_server_that_was_out_of_reach_for_a_while_may_still_be_there(self):
+        """A cut refused connections and has healed. Each connection that is reset later
+        would count as another end of the server.
+        """
+
+        async def test(bed):
+            verdicts = [True, False]
+
+            async def refuses(instance):
+                return verdicts.pop(0)
+
+            bed.pool.refuses = refuses
+            await bed.serve("s-1", hang_up)
+            instance = bed.dispatcher.registry.get("s-1").instance
+            ended = EndedServers(bed.pool, bed.dispatcher.registry, bed.now)
+            assert await ended.has_ended(instance, bed.now())
+            bed.skipped_s += ONE_END_S + 0.1
+            assert not await ended.has_ended(instance, bed.now())
+
+        run(test)
+
 
 class TestPool:
     def test_nothing_is_kept_of_a_server_that_ended(self):
