--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -297,9 +297,9 @@
 class EndingServers:
     """Servers that end under a request, as a process does that crashes."""
 
-    def __init__(self, bed, killer=b"killer", service="drafting"):
+    def __init__(self, bed, poison=b"poison", service="drafting"):
         self.bed = bed
-        self.killer = killer
+        self.poison = poison
         self.service = service
         self.ended = []
 
@@ -309,7 +309,7 @@
 
     async def _start(self, name):
         async def script(arrival, writer):
-            if arrival.body == self.killer:
+            if arrival.body == self.poison:
                 self.ended.append(name)
                 server.close()
                 return False
--- a/packages/fulmarroad-serving/tests/test_ended_servers.py
+++ b/packages/fulmarroad-serving/tests/test_ended_servers.py
@@ -34,7 +34,7 @@
             servers = EndingServers(bed)
             await servers.start("s-1", "s-2", "s-3", "s-4")
             for n in range(2):
-                body = {"method": "POST", "body": b"killer"}
+                body = {"method": "POST", "body": b"poison"}
                 await bed.call("/draft/1", request_id=f"c-{n}", **body)
             ended = {row.server for row in events(caplog, Event.SERVER_ENDED)}
             assert ended == set(servers.ended)
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -1,4 +1,4 @@
-"""A request under which backend servers ended, and the innocent ones beside it."""
+"""A request under which backend servers ended, and the others beside it."""
 
 import random
 
@@ -30,7 +30,7 @@
 MOST_LATE_SENDS = 3
 """Sends that the whole fleet may make after that time."""
 
-KILLER = b"k" * 16
+POISON = b"p" * 16
 
 CALLS = 25
 """Calls at a server at once: it goes down with all of them."""
@@ -50,42 +50,42 @@
     """Return suspects of which one has ended servers at these times."""
     suspects = Suspects()
     for number, moment in enumerate(at):
-        suspects.note_end(KILLER, number, moment)
+        suspects.note_end(POISON, number, moment)
     return suspects
 
 
 class TestStanding:
     def test_each_end_narrows_what_may_be_done(self):
         suspects = Suspects()
-        assert suspects.standing(KILLER, 1.0) is Standing.CLEAR
+        assert suspects.standing(POISON, 1.0) is Standing.CLEAR
         for number, standing in enumerate(
             (Standing.WATCHED, Standing.ALONE, Standing.BARRED, Standing.BARRED)
         ):
-            suspects.note_end(KILLER, number, 1.0)
-            assert suspects.standing(KILLER, 1.0) is standing
+            suspects.note_end(POISON, number, 1.0)
+            assert suspects.standing(POISON, 1.0) is standing
 
     def test_one_server_that_ends_counts_once(self):
         """Several copies of a request run at the server that ends; each notes it."""
         suspects = with_ends(1.0)
-        suspects.note_end(KILLER, 0, 1.0)
-        assert suspects.standing(KILLER, 1.0) is Standing.WATCHED
+        suspects.note_end(POISON, 0, 1.0)
+        assert suspects.standing(POISON, 1.0) is Standing.WATCHED
 
     def test_a_good_run_lets_a_request_off(self):
         suspects = with_ends(1.0, 2.0)
-        suspects.note_good(KILLER, 3.0)
-        assert suspects.standing(KILLER, 3.0) is Standing.CLEAR
-        suspects.note_end(KILLER, 7, 3.0 + GOOD_S + 1)
-        assert suspects.standing(KILLER, 30.0) is Standing.WATCHED
+        suspects.note_good(POISON, 3.0)
+        assert suspects.standing(POISON, 3.0) is Standing.CLEAR
+        suspects.note_end(POISON, 7, 3.0 + GOOD_S + 1)
+        assert suspects.standing(POISON, 30.0) is Standing.WATCHED
 
     def test_a_body_that_many_send_is_not_barred_when_servers_end_together(self):
         """A data centre loses power with copies of one popular request at three of its
         servers. Three ends without a good run between them would bar it.
         """
         suspects = Suspects()
-        suspects.note_good(KILLER, 1.0)
+        suspects.note_good(POISON, 1.0)
         for number in range(3):
-            suspects.note_end(KILLER, number, 1.5)
-        assert suspects.standing(KILLER, 1.5) is Standing.CLEAR
+            suspects.note_end(POISON, number, 1.5)
+        assert suspects.standing(POISON, 1.5) is Standing.CLEAR
 
     def test_a_barred_request_is_tried_once_after_its_time_and_then_more_rarely(self):
         """Servers get new software and run the request well: it must come back in. One
@@ -93,16 +93,16 @@
         """
         suspects = with_ends(1.0, 1.1, 1.2)
         later = 1.2 + BAR_S
-        assert suspects.standing(KILLER, later - 1) is Standing.BARRED
-        assert suspects.standing(KILLER, later) is Standing.ALONE
-        suspects.note_end(KILLER, 3, later)
-        assert suspects.standing(KILLER, later + BAR_S) is Standing.BARRED
-        assert suspects.standing(KILLER, later + 2 * BAR_S) is Standing.ALONE
+        assert suspects.standing(POISON, later - 1) is Standing.BARRED
+        assert suspects.standing(POISON, later) is Standing.ALONE
+        suspects.note_end(POISON, 3, later)
+        assert suspects.standing(POISON, later + BAR_S) is Standing.BARRED
+        assert suspects.standing(POISON, later + 2 * BAR_S) is Standing.ALONE
 
     def test_a_request_is_forgotten_in_the_end(self):
         suspects = with_ends(1.0)
         suspects.news(MOST_SUSPECTS, 1.0 + KEPT_S)
-        assert suspects.standing(KILLER, 1.0 + KEPT_S) is Standing.CLEAR
+        assert suspects.standing(POISON, 1.0 + KEPT_S) is Standing.CLEAR
 
     def test_the_certain_ones_are_kept_when_there_are_too_many(self):
         """Each end of a server makes a hundred suspects. Pushed out by them, a request
@@ -111,7 +111,7 @@
         suspects = with_ends(1.0, 1.0, 1.0)
         for number in range(10 * MOST_RECORDS):
             suspects.note_end(name(number), number, 2.0 + number)
-        assert suspects.standing(KILLER, 3.0) is Standing.BARRED
+        assert suspects.standing(POISON, 3.0) is Standing.BARRED
         assert suspects.standing(name(1), 3.0) is Standing.CLEAR
         newest = name(10 * MOST_RECORDS - 1)
         assert suspects.standing(newest, 3.0) is Standing.WATCHED
@@ -128,23 +128,23 @@
         """Three routers see one end each. Each by itself would send the request on."""
         senders = [Suspects() for _ in range(3)]
         for number, sender in enumerate(senders):
-            sender.note_end(KILLER, number, 4.0)
-        assert self.told(*senders).standing(KILLER, 5.0) is Standing.BARRED
+            sender.note_end(POISON, number, 4.0)
+        assert self.told(*senders).standing(POISON, 5.0) is Standing.BARRED
 
     def test_an_end_that_two_routers_saw_counts_once(self):
         senders = [with_ends(4.0), with_ends(4.1)]
-        assert self.told(*senders).standing(KILLER, 5.0) is Standing.WATCHED
+        assert self.told(*senders).standing(POISON, 5.0) is Standing.WATCHED
 
     def test_a_good_run_elsewhere_lets_a_request_off(self):
         first, second = with_ends(4.0, 4.1), with_ends(4.0, 4.1)
-        second.note_good(KILLER, 4.5)
-        assert self.told(first, second).standing(KILLER, 5.0) is Standing.CLEAR
+        second.note_good(POISON, 4.5)
+        assert self.told(first, second).standing(POISON, 5.0) is Standing.CLEAR
 
     def test_a_router_that_was_cut_off_hears_of_it_later(self):
         sender = with_ends(1.0, 1.0, 1.0)
         for tick in range(100):
             sender.news(MOST_SUSPECTS, 1.0 + tick / 10)
-        assert self.told(sender, now=60.0).standing(KILLER, 60.0) is Standing.BARRED
+        assert self.told(sender, now=60.0).standing(POISON, 60.0) is Standing.BARRED
 
     def test_the_most_certain_are_told_first_and_packets_are_bounded(self):
         suspects = with_ends(1.0, 1.0, 1.0)
@@ -152,7 +152,7 @@
             suspects.note_end(name(number), 99, 2.0)
         rows = suspects.news(MOST_SUSPECTS, 2.0)
         assert len(rows) == MOST_SUSPECTS
-        assert rows[0].fingerprint == KILLER
+        assert rows[0].fingerprint == POISON
 
     def test_all_are_told_within_two_seconds_of_packets(self):
         sender, hearer = Suspects(), Suspects()
@@ -181,15 +181,15 @@
         server before anything is certain.
         """
         first = with_ends(1.0)
-        first.begin(KILLER, 77, 4.9)
+        first.begin(POISON, 77, 4.9)
         hearer = self.told(first, now=5.0)
-        assert hearer.tried(KILLER, 5.0)
-        assert not hearer.tried(KILLER, 4.9 + TRIAL_S)
-        first.end(KILLER)
-        assert not first.tried(KILLER, 5.0)
+        assert hearer.tried(POISON, 5.0)
+        assert not hearer.tried(POISON, 4.9 + TRIAL_S)
+        first.end(POISON)
+        assert not first.tried(POISON, 5.0)
 
     def test_rows_are_read_as_they_were_written(self):
-        row = SuspectRow(KILLER, ((7, 0.25), (2**63, 1.5)), 0.5, (9, 0.25))
+        row = SuspectRow(POISON, ((7, 0.25), (2**63, 1.5)), 0.5, (9, 0.25))
         bed = FleetBed(1)
         sent = evolve(bed.report("h0"), suspects=(row,))
         assert unpack_report(pack_report(sent)).suspects == (row,)
@@ -202,7 +202,7 @@
     def test_a_trial_of_another_kind_is_told(self, trial):
         """Any other error would end the task that reads packets."""
         row = msgpack.unpackb(pack_report(FleetBed(1).report("h0")))
-        row[14] = [[KILLER, [], None, trial]]
+        row[14] = [[POISON, [], None, trial]]
         with pytest.raises(MessageError):
             read_report(msgpack.unpackb(msgpack.packb(row), strict_map_key=False))
 
@@ -220,7 +220,7 @@
         bed = FleetBed(size, **trouble)
         bed.run(1.05)
         for number, host in enumerate(("h1", "h4", "h7")):
-            bed.routers[host].dispatcher.suspects.note_end(KILLER, number, bed.now)
+            bed.routers[host].dispatcher.suspects.note_end(POISON, number, bed.now)
         return bed
 
     def unaware(self, bed):
@@ -228,7 +228,7 @@
             row.host
             for row in bed.routers.values()
             if row.alive
-            and row.dispatcher.suspects.standing(KILLER, bed.now) is not Standing.BARRED
+            and row.dispatcher.suspects.standing(POISON, bed.now) is not Standing.BARRED
         ]
 
     @pytest.mark.parametrize("size", [9, 60, 195])
@@ -244,7 +244,7 @@
         first = next(
             host for host, row in bed.routers.items() if not row.view.collects(bed.now)
         )
-        bed.routers[first].dispatcher.suspects.note_end(KILLER, 1, bed.now)
+        bed.routers[first].dispatcher.suspects.note_end(POISON, 1, bed.now)
         told = set()
         for _ in range(8):
             bed.tick()
@@ -255,7 +255,7 @@
             }
         assert told == {first}
         standings = {
-            row.dispatcher.suspects.standing(KILLER, bed.now)
+            row.dispatcher.suspects.standing(POISON, bed.now)
             for row in bed.routers.values()
         }
         assert standings == {Standing.WATCHED}
@@ -288,7 +288,7 @@
         bed.run(3.0)
         for number in range(3):
             suspects = bed.routers["h1"].dispatcher.suspects
-            suspects.note_end(KILLER, number, bed.now)
+            suspects.note_end(POISON, number, bed.now)
         bed.run(3.0)
         assert {int(host[1:]) % 3 for host in self.unaware(bed)} == {2}
         bed.cut = ""
@@ -298,18 +298,18 @@
 
 @define
 class CrashDay:
-    """Servers that end by themselves and under a killer; nine routers before them.
+    """Servers that end by themselves and under a poison request, before nine routers.
 
-    Those that a server takes down with it are repeated at
-    another server by their router, or come back by any router where it may not repeat
-    them; there it may happen again. Whoever is barred without being the killer counts.
+    Calls that a server takes down with it are repeated at another server by their
+    router, or come back by any router where it may not repeat them; there it may happen
+    again. Every other request that is barred counts.
     """
 
     seed: int
     routers: list = field(factory=lambda: [Suspects() for _ in range(9)])
     now: float = 100.0
     barred: int = 0
-    sends: list = field(factory=list)  # when the killer was sent
+    sends: list = field(factory=list)  # when the poison request was sent
     _starts: int = 0
     _running: dict = field(factory=dict)  # server: requests, each with its router
     _returns: list = field(factory=list)  # requests that come back, each with its time
@@ -330,7 +330,7 @@
                     self._end(server)
             self._come_back()
             if step % 7 == 0:
-                self._send(KILLER, self._random.randrange(9))
+                self._send(POISON, self._random.randrange(9))
 
     def _fill(self):
         rows = {}
@@ -375,7 +375,7 @@
         for request, router in lost.items():
             if self.routers[router].standing(request, self.now) < Standing.ALONE:
                 self._send(request, router, avoid=server)
-            elif request != KILLER:
+            elif request != POISON:
                 self._returns.append(
                     (self.now + self._random.uniform(0.05, 0.9), request)
                 )
@@ -383,7 +383,7 @@
     def _send(self, request, router, avoid=None):
         suspects = self.routers[router]
         if suspects.standing(request, self.now) is Standing.BARRED:
-            self.barred += request != KILLER
+            self.barred += request != POISON
             return
         if suspects.tried(request, self.now):
             return
@@ -397,14 +397,14 @@
         server = self._random.choice(free)
         suspects.begin(request, server, self.now)
         self._running[server][request] = router
-        if request == KILLER:
+        if request == POISON:
             self.sends.append(self.now)
             self._end(server)
 
 
 class TestCrashDays:
     @pytest.mark.parametrize("seed", [*range(5), 113])
-    def test_nobody_innocent_is_barred_where_servers_end_all_the_time(self, seed):
+    def test_no_other_request_is_barred_where_servers_end_all_the_time(self, seed):
         """Each server ends every two minutes, and a request that ends servers is among
         the calls. Its neighbours fall with one server after another.
         """
@@ -413,7 +413,7 @@
         assert day.barred == 0
 
     @pytest.mark.parametrize("seed", range(5))
-    def test_a_killer_is_sent_three_times_and_hardly_more(self, seed):
+    def test_the_poison_request_is_sent_three_times_and_hardly_more(self, seed):
         day = CrashDay(seed)
         day.play(40.0)
         third = day.sends[2]
@@ -438,10 +438,10 @@
     return asked
 
 
-async def send_killer(bed, times, path="/draft/1"):
+async def send_poison(bed, times, path="/draft/1"):
     """Send one body again and again, each time under another id."""
     for n in range(times):
-        await bed.call(path, request_id=f"k-{n}", method="POST", body=b"killer")
+        await bed.call(path, request_id=f"k-{n}", method="POST", body=b"poison")
 
 
 class TestCalls:
@@ -453,7 +453,7 @@
         async def test(bed):
             servers = EndingServers(bed)
             await servers.start(*(f"s-{n}" for n in range(9)))
-            await send_killer(bed, 5)
+            await send_poison(bed, 5)
             assert 1 <= len(servers.ended) <= 3
 
         run(test)
@@ -463,7 +463,7 @@
         async def test(bed):
             servers = EndingServers(bed, service="ledger")
             await servers.start(*(f"s-{n}" for n in range(9)))
-            await send_killer(bed, 5, path)
+            await send_poison(bed, 5, path)
             assert 1 <= len(servers.ended) <= 3
 
         run(test)
@@ -474,8 +474,8 @@
         async def test(bed):
             servers = EndingServers(bed)
             await servers.start(*(f"s-{n}" for n in range(4)))
-            await send_killer(bed, 2)
-            caller = await bed.call("/draft/1", method="POST", body=b"killer")
+            await send_poison(bed, 2)
+            caller = await bed.call("/draft/1", method="POST", body=b"poison")
             assert caller.status == 502
             assert b"request_barred" in caller.body
             assert b"retry-after" not in caller.headers
@@ -487,7 +487,7 @@
         async def test(bed):
             servers = EndingServers(bed)
             await servers.start(*(f"s-{n}" for n in range(5)))
-            await send_killer(bed, 4)
+            await send_poison(bed, 4)
             caller = await bed.call("/draft/1", method="POST", body=b"letter")
             assert (caller.status, caller.whole) == (200, True)
 
@@ -499,7 +499,7 @@
             bed.tell(CatalogFact(make_catalog(2, routes=tuple(routes))))
             servers = EndingServers(bed)
             await servers.start(*(f"s-{n}" for n in range(5)))
-            caller = await bed.call("/draft/1", method="POST", body=b"killer")
+            caller = await bed.call("/draft/1", method="POST", body=b"poison")
             assert caller.status == 502
             assert len(servers.ended) == 2
 
@@ -524,7 +524,7 @@
 
             asked = suspect(bed, ends=0)
             bed.pool.acquire = acquire_late
-            caller = await bed.call("/draft/1", method="POST", body=b"killer")
+            caller = await bed.call("/draft/1", method="POST", body=b"poison")
             assert caller.status == 502
             assert not bed.arrivals
 
