--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -14,6 +14,7 @@
 import heapq
 import itertools
 import json
+import random
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 
@@ -48,9 +49,18 @@
 )
 from fulmarroad_serving import EngineProfile as Profile
 from fulmarroad_serving._fingerprints import fingerprint_of, hash_fraction_of
+from fulmarroad_serving._granting import AddressedReply, Granter
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._load import PeerLoad
-from fulmarroad_serving._routing import PartId
+from fulmarroad_serving._owner_messages import (
+    PlacementReply,
+    PlacementRequest,
+    ProgressNote,
+    ProgressReport,
+    ReplyKind,
+)
+from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._routing import PartId, part_id
 from fulmarroad_serving._shares import WorkspaceCount
 
 REPORT_S = 0.15
@@ -81,7 +91,9 @@
 
 @define
 class _Router:
+    name: str
     dispatcher: Dispatcher
+    granter: Granter | None = None  # None: each router places its own calls
     held: HeldCalls = field(factory=HeldCalls)
     processor: Processor | None = None  # None: work takes no time
 
@@ -126,6 +138,11 @@
     routers: list[_Router] = field(factory=list)
     engines: dict[str, SimulatedEngine] = field(factory=dict)
     tickets: dict[int, tuple[_Router, Ticket]] = field(factory=dict)
+    requests: dict[int, _PendingCall] = field(factory=dict)  # sent to owners
+    grants: dict[int, tuple[_Router, str, int]] = field(factory=dict)
+    """The owner of each granted call, its router's name and the request's number."""
+    owners: OwnerTable = field(factory=lambda: OwnerTable(lambda service: ()))
+    random: random.Random = field(factory=lambda: random.Random(1))
     stepping_engines: set[str] = field(factory=set)
     known: set[str] = field(factory=set)
     outcomes: list[CallOutcome] = field(factory=list)
@@ -216,7 +233,76 @@
             assert router.processor is not None
             self.refuse(call, router.processor.guard.retry_after_s())
             return
-        self.try_to_place(_PendingCall(call, demand, router, self.now))
+        pending = _PendingCall(call, demand, router, self.now)
+        if router.granter is None:
+            self.try_to_place(pending)
+        else:
+            self.ask_owner(pending)
+
+    def ask_owner(self, pending: _PendingCall) -> None:
+        """Send a call's placement request to the owner of the engines that suit it."""
+        order = self.owners.owners(SERVICE).order(
+            part_id(pending.demand.part), self.random
+        )
+        owner = next(row for row in self.routers if row.name == order[0])
+        number = next(self._number)
+        self.requests[number] = pending
+        request = PlacementRequest(pending.router.name, 1, number, pending.demand)
+        self.at(
+            self.now + NETWORK_DELAY_S, lambda: self.receive_request(owner, request)
+        )
+
+    def receive_request(self, owner: _Router, request: PlacementRequest) -> None:
+        assert owner.granter is not None
+        self.deliver(owner, [owner.granter.receive_request(request, self.now)])
+        self.schedule_held(owner)
+
+    def schedule_held(self, owner: _Router) -> None:
+        """Let an owner decide on its held requests when the next one is due."""
+        assert owner.granter is not None
+        due = owner.granter.next_due
+        if due is not None:
+            self.at(max(due, self.now), lambda: self.decide_held(owner))
+
+    def decide_held(self, owner: _Router) -> None:
+        assert owner.granter is not None
+        due = owner.granter.next_due
+        if due is None or due > self.now:
+            return
+        self.deliver(owner, owner.granter.decide_held(self.now))
+        self.schedule_held(owner)
+
+    def deliver(self, owner: _Router, replies: Sequence[AddressedReply]) -> None:
+        for row in replies:
+            if row.reply.kind is not ReplyKind.WAITS:
+                self.at(
+                    self.now + NETWORK_DELAY_S,
+                    lambda reply=row.reply: self.receive_reply(owner, reply),  # type: ignore[misc]
+                )
+
+    def receive_reply(self, owner: _Router, reply: PlacementReply) -> None:
+        pending = self.requests.pop(reply.number)
+        call = pending.call
+        if reply.kind is not ReplyKind.GRANTED:
+            self.refuse(call, reply.retry_after_s)
+            return
+        self.grants[call.number] = (owner, pending.router.name, reply.number)
+        self.at(
+            self.now + NETWORK_DELAY_S, lambda: self.reach_engine(call, reply.server)
+        )
+
+    def report_progress(self, call: SimulatedCall, note: ProgressNote) -> None:
+        """Tell the owner how far a call is."""
+        owner, name, number = self.grants[call.number]
+        if note.ended:
+            del self.grants[call.number]
+        report = ProgressReport(name, 1, (evolve(note, number=number),))
+        granter = owner.granter
+        assert granter is not None
+        self.at(
+            self.now + NETWORK_DELAY_S,
+            lambda: granter.receive_progress(report, self.now),
+        )
 
     def try_to_place(self, waiting: _PendingCall) -> None:
         """Place a call on an engine; otherwise hold it and retry, or refuse it."""
@@ -259,8 +345,7 @@
 
     def reach_engine(self, call: SimulatedCall, server: str) -> None:
         if not self.engines[server].admit(call):
-            router, ticket = self.tickets.pop(call.number)
-            router.dispatcher.end(ticket, SendOutcome.NOT_RUN, self.now)
+            self.end(call, SendOutcome.NOT_RUN)
             self.refuse(call, 0.5)
         elif server not in self.stepping_engines:
             self.stepping_engines.add(server)
@@ -280,15 +365,25 @@
         self.at(end, lambda: self.step(server))
 
     def begin(self, call: SimulatedCall) -> None:
-        router, ticket = self.tickets[call.number]
-        router.dispatcher.begin(ticket, self.now)
+        if call.number in self.grants:
+            self.report_progress(call, ProgressNote(0, True))
+        else:
+            router, ticket = self.tickets[call.number]
+            router.dispatcher.begin(ticket, self.now)
         on_time = self.now - call.arrived <= self.kind(call).objective_s
         ended = "on time" if on_time else "late"
         self.outcomes.append(CallOutcome(call, ended, self.now))
 
     def finish(self, call: SimulatedCall) -> None:
+        self.end(call, None)
+
+    def end(self, call: SimulatedCall, outcome: SendOutcome | None) -> None:
+        if call.number in self.grants:
+            note = ProgressNote(0, outcome is None, True, outcome)
+            self.report_progress(call, note)
+            return
         router, ticket = self.tickets.pop(call.number)
-        router.dispatcher.end(ticket, None, self.now)
+        router.dispatcher.end(ticket, outcome, self.now)
 
 
 def _hash_fraction(call: SimulatedCall) -> float:
@@ -307,11 +402,13 @@
     pick_router: PickRouter = pick_round_robin,
     report_delay_s: float = 0.0,
     cores: Sequence[float] = (),
+    owners: bool = False,
 ) -> SimulatedDay:
     """Simulate one day with one policy.
 
-    Reports between routers take `report_delay_s` seconds. `cores` lists the processor
-    cores of each router; if empty, the routers' work takes no time.
+    With `owners`, calls are placed by the owners of engines, otherwise each router
+    places its own. Reports between routers take `report_delay_s` seconds. `cores` lists
+    the processor cores of each router; if empty, the routers' work takes no time.
     """
     run = _Simulation(workload, policy, seed, pick_router, report_delay_s)
     service = Service(SERVICE, engine=Profile(128))
@@ -331,7 +428,14 @@
             instance = Instance(name, SERVICE, "10.0.0.1", 1, "fes", slots)
             dispatcher.registry.put(instance, ENGINES_STARTED_AT_S)
         processor = Processor(cores[number]) if cores else None
-        run.routers.append(_Router(dispatcher, processor=processor))
+        router = _Router(f"r{number}", dispatcher, processor=processor)
+        run.routers.append(router)
+    if owners:
+        run.owners = OwnerTable(run.routers[0].dispatcher.registry.usable)
+        run.owners.set_routers({row.name: "fes" for row in run.routers})
+        for row in run.routers:
+            table = OwnerTable(row.dispatcher.registry.usable, run.owners.routers)
+            row.granter = Granter(row.name, 1, row.dispatcher, table)
     run.simulate()
     return SimulatedDay(
         policy,
--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -277,6 +277,57 @@
         assert min(parts) >= 0.5
 
 
+MIXED = Workload(
+    (
+        CallClass("letter", 120.0, 13_300, 3_720, 120, 0.6, 3.0, 0.3, 160),
+        CallClass("notice", 150.0, 6_300, 2_890, 50, 0.4, 2.5, 0.25, 90),
+        CallClass("nudge", 130.0, 350, 1_110, 170, 0.3, 0.42, 0.042, 90),
+    ),
+    workspaces=20,
+    seconds=8.0,
+)
+"""Long and short prompts that twenty engines can carry once their parts are read."""
+
+
+@pytest.fixture(scope="module")
+def mixed_days():
+    """Simulate a day without and one with owners, with news a tenth of a second old."""
+    return [
+        lab.simulate(
+            MIXED,
+            "cached",
+            1,
+            routers=30,
+            engines=20,
+            shape=EngineShape(queue=268),
+            report_delay_s=0.1,
+            owners=owners,
+        )
+        for owners in (False, True)
+    ]
+
+
+class TestOwners:
+    def test_calls_begin_on_time_however_many_routers_there_are(self, mixed_days):
+        """Guard against late answers and refusals beside idle engines. Thirty routers
+        choose engines by reports of each other that are older than an engine's queue:
+        several fill the same engine while others idle.
+        """
+        on_time = []
+        for day in mixed_days:
+            ended = [row.ended for row in day.outcomes if row.call.arrived > 5.0]
+            on_time.append(ended.count("on time") / len(ended))
+        assert on_time[1] > 0.95
+        assert on_time[1] > on_time[0]
+
+    def test_owners_let_fewer_parts_be_read_again(self, mixed_days):
+        """Guard against a prompt part on more engines than needed: the routers don't
+        know of each other's last calls, and each of them lets another engine read it.
+        """
+        read_again = [lab.summary(MIXED, day)["read_again_part"] for day in mixed_days]
+        assert read_again[1] < 0.5 * read_again[0]
+
+
 class TestReport:
     def test_the_report_contains_every_policy_and_two_plots(
         self, tmp_path, monkeypatch, capsys
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -4,7 +4,8 @@
 
 from attrs import define, frozen
 
-from fulmarroad.types import RefusalReason, WorkspaceName
+from fulmarroad.types import RefusalReason, RouterName, WorkspaceName
+from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._load import Charge
 from fulmarroad_serving._registry import Instance, Registered
@@ -58,6 +59,16 @@
         return read + GENERATED_WEIGHT * self.output_tokens or CALL_UNITS
 
 
+@define
+class Grant:
+    """Hold a place that the owner of a server granted to a call of this router."""
+
+    owner: RouterName
+    incarnation: int  # of the owner
+    number: int
+    sent: bool = False
+
+
 @frozen
 class Placement:
     """Hold the server chosen for a call and the inputs of the decision."""
@@ -67,6 +78,12 @@
     use: ShareUse
     candidates: int
     source: Registered | None = None  # another engine that may have the part
+    grant: Grant | None = None  # None: this router placed it itself
+
+    @property
+    def wait_s(self) -> float:
+        """Return the expected wait before the prompt is read."""
+        return self.choice.wait_s
 
 
 @frozen
@@ -90,6 +107,9 @@
     charge: Charge
     source: Instance | None = None  # another engine that may have its part
     begun_at: float | None = None
+    grant: Grant | None = None  # set while the owner of the server counts the call
+    ended: bool = False
+    outcome: SendOutcome | None = None  # of an ended call that was not answered
 
     @property
     def begun(self) -> bool:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from attrs import define, field
 
@@ -25,13 +25,14 @@
 from fulmarroad_serving._demands import (
     Demand,
     FleetBounds,
+    Grant,
     Placement,
     Refusal,
     Ticket,
 )
 from fulmarroad_serving._early_rejection import EngineCapacity, admitted_fraction
 from fulmarroad_serving._health import ServerHealth
-from fulmarroad_serving._load import PeerLoad, ServerLoad
+from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad
 from fulmarroad_serving._registry import Registered, Registry, cold_bound
 from fulmarroad_serving._routing import (
     Candidate,
@@ -133,6 +134,8 @@
         """Routers that may exist, including this one; set by the membership."""
         self.on_large_prompt: Callable[[], None] | None = None
         """Called after a large prompt was sent, to report it to peers at once."""
+        self.on_progress: Callable[[Ticket], None] = lambda ticket: None
+        """Called when a granted call is sent, begins or ends, to tell its owner."""
 
     def set_catalog(self, catalog: Catalog) -> None:
         """Apply another version of the configuration."""
@@ -220,18 +223,32 @@
         """Take one retry from the budget and return whether there was one."""
         return self._retry_share(service).take(now, len(self.routers))
 
+    def use_of(self, demand: Demand, now: float) -> ShareUse:
+        """Return the share use of a call's workspace, for calls to engines."""
+        service = self._catalog.services.get(demand.service)
+        if service is None or service.engine is None:
+            return NO_USE
+        return self.shares.use_of(demand.workspace, demand.units, now)
+
     def place(
-        self, demand: Demand, now: float, *, avoid: Collection[ServerName] = ()
+        self,
+        demand: Demand,
+        now: float,
+        *,
+        avoid: Collection[ServerName] = (),
+        owned: Sequence[Registered] | None = None,
     ) -> Placement | Refusal:
-        """Choose a server, or return the reason for a refusal."""
+        """Choose a server, or return the reason for a refusal.
+
+        `owned` limits the choice to servers whose queues this router knows exactly.
+        """
         service = self._catalog.services.get(demand.service) or Service(demand.service)
-        rows = self._eligible_servers(demand, service, now, avoid)
+        rows = self._eligible_servers(demand, service, now, avoid, owned)
         if not rows:
             return self._refuse_without_server()
         candidates = [self._candidate(row, service, now) for row in rows]
-        use = NO_USE
+        use = self.use_of(demand, now)
         if service.engine is not None:
-            use = self.shares.use_of(demand.workspace, demand.units, now)
             choice = self._choose(
                 demand.prompt,
                 candidates,
@@ -242,7 +259,8 @@
                 shortage=use.shortage,
             )
         else:
-            choice = choose_plain(candidates, self._centre, self._random)
+            source = self._random if owned is None else None
+            choice = choose_plain(candidates, self._centre, source)
         assert choice is not None
         excess_wait_s = choice.wait_s - self._allowed_wait_s(
             demand, service, choice, use
@@ -251,11 +269,13 @@
             return self._refuse_for_wait(choice, use, len(rows), excess_wait_s)
         registered = self.registry.get(choice.server)
         assert registered is not None
-        source = self.registry.get(choice.source) if choice.source else None
-        return Placement(registered, choice, use, len(rows), source)
+        supplier = self.registry.get(choice.source) if choice.source else None
+        return Placement(registered, choice, use, len(rows), supplier)
 
     def send(self, demand: Demand, placement: Placement, now: float) -> Ticket:
         """Record a call that is about to be sent."""
+        if placement.grant is not None:
+            return self._send_granted(demand, placement, placement.grant, now)
         server = placement.choice.server
         view = self._view(server)
         choice = placement.choice
@@ -273,11 +293,38 @@
         source = placement.source
         return Ticket(demand, charge, source.instance if source is not None else None)
 
+    def _send_granted(
+        self, demand: Demand, placement: Placement, grant: Grant, now: float
+    ) -> Ticket:
+        """Record a call whose place another router granted, and counts."""
+        choice = placement.choice
+        grant.sent = True
+        if placement.use is not NO_USE:
+            self._capacity(demand.service).note_sent(choice.tokens, demand.units)
+        if demand.part:
+            self.parts.note(part_id(demand.part), choice.server, now)
+        expected_s = choice.wait_s + choice.read_s
+        charge = Charge(choice.server, choice.tokens, 0.0, now, expected_s)
+        source = placement.source.instance if placement.source is not None else None
+        ticket = Ticket(demand, charge, source, grant=grant)
+        self.on_progress(ticket)
+        return ticket
+
+    def adopt(self, ticket: Ticket) -> None:
+        """Count a granted call here from now on, as its owner is gone."""
+        view = self._view(ticket.charge.server)
+        ticket.charge = view.load.adopt(ticket.charge, begun=ticket.begun)
+        ticket.grant = None
+
     def begin(self, ticket: Ticket, now: float) -> None:
         """Record the first part of an answer."""
-        if not ticket.begun:
-            ticket.begun_at = now
+        if ticket.begun:
+            return
+        ticket.begun_at = now
+        if ticket.grant is None:
             self._view(ticket.charge.server).load.begin(ticket.charge, now)
+        else:
+            self.on_progress(ticket)
 
     def end(self, ticket: Ticket, outcome: SendOutcome | None, now: float) -> None:
         """Record the end of a call.
@@ -285,10 +332,11 @@
         `outcome` is None if the call was answered or its caller disconnected.
         """
         view = self._view(ticket.charge.server)
-        view.load.end(ticket.charge, begun=ticket.begun)
-        if not ticket.begun:
-            demand, sent_at = ticket.demand, ticket.charge.sent_at
-            self.shares.refund(demand.workspace, demand.units, sent_at, now)
+        if ticket.grant is not None:
+            ticket.outcome, ticket.ended = outcome, True
+            self.on_progress(ticket)
+        else:
+            self.release(ticket, now)
         if outcome is None:
             if ticket.begun:
                 view.health.record_success(now)
@@ -298,6 +346,13 @@
             # Without a penalty, a server that refuses calls looks idle and gets most.
             view.health.record_failure(now)
 
+    def release(self, ticket: Ticket, now: float) -> None:
+        """Stop counting a call, without learning from its end."""
+        self._view(ticket.charge.server).load.end(ticket.charge, begun=ticket.begun)
+        if not ticket.begun:
+            demand, sent_at = ticket.demand, ticket.charge.sent_at
+            self.shares.refund(demand.workspace, demand.units, sent_at, now)
+
     def expire(self, now: float) -> list[ServerName]:
         """Drop expired entries and return the servers that were removed."""
         removed = self.registry.expire(now)
@@ -314,12 +369,13 @@
         service: Service,
         now: float,
         avoid: Collection[ServerName],
+        owned: Sequence[Registered] | None,
     ) -> list[Registered]:
         """Return the shortlisted servers that accept a call now.
 
         Fall back to all usable servers if none of the shortlist accepts one.
         """
-        usable = self.registry.usable(service.name)
+        usable = self.registry.usable(service.name) if owned is None else owned
         part = part_id(demand.part)
         picked = self._shortlist(service.name).pick(
             part, usable, self.parts.holders(part)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import anyio
 from attrs import evolve
@@ -29,8 +29,9 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._exchange import Exchanger
 from fulmarroad_serving._holding import HeldCalls
+from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._pool import ConnectionPool
-from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._served_call import (
     ActiveCall,
     CallSummary,
@@ -69,7 +70,9 @@
         codec: CallCodec,
         catalog: Callable[[], Catalog],
         clock: Callable[[], float],
+        owner_client: OwnerClient | None = None,
     ) -> None:
+        self._owner_client = owner_client
         self._dispatcher = dispatcher
         self._pool = pool
         self._catalog = catalog
@@ -105,13 +108,14 @@
             if error is not None and not self._may_retry(run, error):
                 await self._give_up(run, error)
                 return
-            placement = self._place(run)
-            if error is None:
-                placement = await self._hold(run, placement)
+            placement = await self._find_place(run, may_wait=error is None)
             if isinstance(placement, Refusal):
                 await self._refuse(run, placement, error)
                 return
-            error = await self._attempt(run, placement)
+            try:
+                error = await self._attempt(run, placement)
+            finally:
+                self._return_unused(placement)
             if error is None:
                 return
 
@@ -153,10 +157,38 @@
         if suspect_state >= SuspectState.ISOLATED:
             run.progress.forbid_repeats()
 
-    async def _hold(
-        self, run: ActiveCall, placement: Placement | Refusal
+    async def _find_place(
+        self, run: ActiveCall, *, may_wait: bool
     ) -> Placement | Refusal:
-        """Retry placement while the call can still begin within its objective."""
+        """Ask the owner of the servers that suit a call, or decide here."""
+        client = self._owner_client
+        owner = client.owner_for(run.demand) if client is not None else None
+        if client is None or owner is None:
+            return await self._place_here(run, None, may_wait=may_wait)
+        if owner == client.me:
+            owned = client.own_servers(run.demand)
+            return await self._place_here(run, owned, may_wait=may_wait)
+        asked_at = self._clock()
+        placement = await client.request(
+            owner, run.demand, self._avoided(run), may_wait=may_wait
+        )
+        if placement is None:
+            return await self._place_here(run, None, may_wait=may_wait)
+        run.summary.held_s = self._clock() - asked_at
+        self._summarize(run, placement)
+        return placement
+
+    async def _place_here(
+        self,
+        run: ActiveCall,
+        owned: Sequence[Registered] | None,
+        *,
+        may_wait: bool,
+    ) -> Placement | Refusal:
+        """Choose a server; retry while the call can still begin on time."""
+        placement = self._place(run, owned)
+        if not may_wait:
+            return placement
         objective_s = run.demand.objective_s
         self._held.count += 1
         try:
@@ -168,29 +200,41 @@
                     break
                 await anyio.sleep(pause_s)
                 run.summary.held_s = self._clock() - run.begun_at
-                placement = self._place(run)
+                placement = self._place(run, owned)
         finally:
             self._held.count -= 1
         return placement
 
-    def _place(self, run: ActiveCall) -> Placement | Refusal:
+    def _place(
+        self, run: ActiveCall, owned: Sequence[Registered] | None
+    ) -> Placement | Refusal:
         demand = run.demand
         if run.summary.held_s:
             left_s = max(0.0, demand.objective_s - run.summary.held_s)
             demand = evolve(demand, objective_s=left_s)
-        avoid = run.avoid | self._trial_servers(run)
-        placement = self._dispatcher.place(demand, self._clock(), avoid=avoid)
-        if isinstance(placement, Refusal):
-            run.summary.wait_s, run.summary.use = placement.wait_s, placement.use
-        else:
-            choice = placement.choice
-            run.summary.server, run.summary.cached = choice.server, choice.cached
-            run.summary.wait_s, run.summary.use = choice.wait_s, placement.use
-            run.summary.read_tokens = choice.tokens
-            run.summary.copies = choice.copies
-            run.summary.expected_s = choice.wait_s + choice.read_s
+        placement = self._dispatcher.place(
+            demand, self._clock(), avoid=self._avoided(run), owned=owned
+        )
+        self._summarize(run, placement)
         return placement
 
+    def _summarize(self, run: ActiveCall, placement: Placement | Refusal) -> None:
+        run.summary.wait_s, run.summary.use = placement.wait_s, placement.use
+        if isinstance(placement, Refusal):
+            return
+        choice = placement.choice
+        run.summary.server, run.summary.cached = choice.server, choice.cached
+        run.summary.read_tokens = choice.tokens
+        run.summary.copies = choice.copies
+        run.summary.expected_s = choice.wait_s + choice.read_s
+
+    def _return_unused(self, placement: Placement) -> None:
+        if placement.grant is not None and self._owner_client is not None:
+            self._owner_client.abandon(placement.grant)
+
+    def _avoided(self, run: ActiveCall) -> set[ServerName]:
+        return run.avoid | self._trial_servers(run)
+
     def _trial_servers(self, run: ActiveCall) -> set[ServerName]:
         """Return the servers that the call must avoid if its request is isolated.
 
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -0,0 +1,205 @@
+"""Place calls of other routers on the servers that this router owns.
+
+Load pattern: routers hold calls for which no server has capacity. If each of them
+searched for a place again and again, scores of searches would run for each place that
+becomes free, and the first to look would get it. Here the calls for one server wait at
+its owner, which has the only list of them and answers each router once it has decided.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from heapq import heappop, heappush
+from itertools import count
+
+from attrs import define, evolve, field, frozen
+
+from fulmarroad.types import RouterName
+from fulmarroad_serving._demands import Demand, Placement, Refusal, Ticket
+from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._holding import HeldCalls
+from fulmarroad_serving._owner_messages import (
+    PlacementReply,
+    PlacementRequest,
+    ProgressNote,
+    ProgressReport,
+    ReplyKind,
+)
+from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._routing import part_id
+
+UNCONFIRMED_GRANT_S = 0.4
+"""Age at which a grant counts as unused if its router doesn't list it: a grant is used
+within a tenth of a second."""
+
+_Key = tuple[RouterName, int, int]
+"""Router, its incarnation and the number of its request."""
+
+
+@frozen
+class AddressedReply:
+    """Hold a reply and the router to which it is sent."""
+
+    router: RouterName
+    reply: PlacementReply
+
+
+@frozen
+class _HeldRequest:
+    request: PlacementRequest
+    since: float
+
+
+@define
+class _Granted:
+    ticket: Ticket
+    at: float
+
+
+@define
+class Granter:
+    """Decide on the requests of other routers and count the granted calls."""
+
+    _me: RouterName
+    _incarnation: int
+    _dispatcher: Dispatcher
+    _owners: OwnerTable
+    held: HeldCalls = field(factory=HeldCalls)
+    _due: list[tuple[float, int, _HeldRequest]] = field(factory=list)
+    _numbers: count[int] = field(factory=count)
+    _granted: dict[_Key, _Granted] = field(factory=dict)
+
+    @property
+    def next_due(self) -> float | None:
+        """Return when a held request looks for a place again; None without any."""
+        return self._due[0][0] if self._due else None
+
+    def receive_request(self, request: PlacementRequest, now: float) -> AddressedReply:
+        """Decide on a request, or hold it."""
+        if request.demand.part:
+            self._dispatcher.parts.note_asked(part_id(request.demand.part), now)
+        return self._decide(_HeldRequest(request, now), now)
+
+    def decide_held(self, now: float) -> list[AddressedReply]:
+        """Look for places for the held requests that are due and return the replies."""
+        replies = []
+        while self._due and self._due[0][0] <= now:
+            held = heappop(self._due)[2]
+            self.held.count -= 1
+            reply = self._decide(held, now)
+            if reply.reply.kind is not ReplyKind.WAITS:
+                replies.append(reply)
+        return replies
+
+    def receive_progress(self, report: ProgressReport, now: float) -> None:
+        """Apply what a router reports of its granted calls."""
+        for note in report.notes:
+            self._apply(report, note, now)
+        if report.held is not None:
+            self._drop_unlisted(report, set(report.held), now)
+
+    def forget_routers(self, alive: Mapping[RouterName, int], now: float) -> None:
+        """End the calls of routers that are gone or have restarted.
+
+        `alive` maps each live router to its incarnation.
+        """
+        lost = [key for key in self._granted if alive.get(key[0]) != key[1]]
+        self._end_unanswered(lost, now)
+
+    def _decide(self, held: _HeldRequest, now: float) -> AddressedReply:
+        request = held.request
+        left_out = frozenset(request.left_out) - {self._me}
+        owners = self._owners.owners(request.demand.service, left_out)
+        servers = owners.servers_of(self._me)
+        if not servers:
+            return self._reply(request, ReplyKind.NOT_OWNER)
+        held_s = now - held.since
+        demand = _after(request.demand, held_s)
+        placed = self._dispatcher.place(demand, now, avoid=request.avoid, owned=servers)
+        if isinstance(placed, Placement):
+            return self._grant(request, placed, now)
+        pause_s = self.held.next_poll_s(placed, request.demand.objective_s, held_s)
+        if pause_s is None or not request.may_wait:
+            return self._refuse(request, placed)
+        self.held.count += 1
+        heappush(self._due, (now + pause_s, next(self._numbers), held))
+        return self._reply(request, ReplyKind.WAITS)
+
+    def _grant(
+        self, request: PlacementRequest, placed: Placement, now: float
+    ) -> AddressedReply:
+        ticket = self._dispatcher.send(request.demand, placed, now)
+        self._granted[_key(request)] = _Granted(ticket, now)
+        choice = placed.choice
+        reply = PlacementReply(
+            self._me,
+            self._incarnation,
+            request.number,
+            ReplyKind.GRANTED,
+            choice.server,
+            choice.source,
+            choice.tokens,
+            choice.wait_s,
+            choice.read_s,
+            choice.cached,
+            choice.copies,
+            self._dispatcher.load(choice.server).read_rate,
+        )
+        return AddressedReply(request.router, reply)
+
+    def _refuse(self, request: PlacementRequest, refusal: Refusal) -> AddressedReply:
+        reply = PlacementReply(
+            self._me,
+            self._incarnation,
+            request.number,
+            ReplyKind.REFUSED,
+            wait_s=refusal.wait_s,
+            read_s=refusal.read_s,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+        )
+        return AddressedReply(request.router, reply)
+
+    def _reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
+        reply = PlacementReply(self._me, self._incarnation, request.number, kind)
+        return AddressedReply(request.router, reply)
+
+    def _apply(self, report: ProgressReport, note: ProgressNote, now: float) -> None:
+        key = (report.router, report.incarnation, note.number)
+        granted = self._granted.get(key)
+        if granted is None:
+            return
+        if note.begun:
+            self._dispatcher.begin(granted.ticket, now)
+        if note.ended:
+            del self._granted[key]
+            self._dispatcher.end(granted.ticket, note.outcome, now)
+
+    def _drop_unlisted(
+        self, report: ProgressReport, listed: Collection[int], now: float
+    ) -> None:
+        """End calls whose end was reported in a packet that was lost."""
+        router = (report.router, report.incarnation)
+        lost = [
+            key
+            for key, granted in self._granted.items()
+            if key[:2] == router
+            and key[2] not in listed
+            and now - granted.at >= UNCONFIRMED_GRANT_S
+        ]
+        self._end_unanswered(lost, now)
+
+    def _end_unanswered(self, keys: Iterable[_Key], now: float) -> None:
+        for key in keys:
+            granted = self._granted.pop(key)
+            self._dispatcher.release(granted.ticket, now)
+
+
+def _key(request: PlacementRequest) -> _Key:
+    return (request.router, request.incarnation, request.number)
+
+
+def _after(demand: Demand, held_s: float) -> Demand:
+    if not held_s:
+        return demand
+    return evolve(demand, objective_s=max(0.0, demand.objective_s - held_s))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -13,7 +13,7 @@
 
 import math
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import RouterName, ServerName
 
@@ -114,6 +114,16 @@
         self._unbegun[charge.number] = charge
         return charge
 
+    def adopt(self, charge: Charge, *, begun: bool) -> Charge:
+        """Count a call that another router counted until now."""
+        self._number += 1
+        charge = evolve(charge, number=self._number)
+        self.running += 1
+        if not begun:
+            self.waiting_tokens += charge.tokens
+            self._unbegun[charge.number] = charge
+        return charge
+
     def overdue_s(self, now: float) -> float:
         """Return by how much the oldest call without an answer is overdue.
 
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -0,0 +1,262 @@
+"""Ask the owner of a server for a place, and keep it informed of the call's progress.
+
+Load pattern: an owner crashes, freezes or is cut off while scores of routers depend on
+its decisions. If they waited for the membership to notice, its servers would idle for
+seconds. So a request without a prompt answer counts its owner as silent: the call is
+placed without it, later ones ask the next owner, and calls that the lost owner counted
+are counted here.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping
+
+import anyio
+from attrs import define, field
+
+from fulmarroad.types import RouterName, ServerName
+from fulmarroad_serving._attempts import SendOutcome
+from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
+from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._owner_messages import (
+    PlacementReply,
+    PlacementRequest,
+    ProgressNote,
+    ProgressReport,
+    ReplyKind,
+    pack_progress,
+    pack_request,
+)
+from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._registry import Registered
+from fulmarroad_serving._routing import Choice, part_id
+
+REPLY_TIMEOUT_S = 0.04
+"""Time for the first answer of an owner: a round trip between data centres and two
+iterations of busy event loops."""
+
+SILENCE_S = 1.0
+"""Time for which an owner that did not answer is left out. The membership notices a
+lost router in two seconds, and a lost packet is no reason to avoid one for longer."""
+
+MAX_SILENT_PER_CENTRE = 1
+"""Silent routers of one data centre above which all of its routers are left out: the
+data centre is cut off, and each of them would be tried in turn."""
+
+
+@define
+class _PendingRequest:
+    replied: anyio.Event = field(factory=anyio.Event)
+    reply: PlacementReply | None = None
+
+    async def wait(self, timeout_s: float) -> PlacementReply | None:
+        """Return the next reply, or None if it does not arrive in time."""
+        with anyio.move_on_after(timeout_s):
+            await self.replied.wait()
+        reply, self.reply = self.reply, None
+        self.replied = anyio.Event()
+        return reply
+
+
+@define
+class OwnerClient:
+    """Request places from the owners of servers for this router's calls."""
+
+    me: RouterName
+    _incarnation: int
+    _dispatcher: Dispatcher
+    _owners: OwnerTable
+    _random: random.Random
+    _clock: Callable[[], float]
+    send: Callable[[RouterName, bytes], None] = lambda owner, data: None
+    on_notes: Callable[[], None] = lambda: None
+    _number: int = 0
+    _pending: dict[int, _PendingRequest] = field(factory=dict)
+    _silent_until: dict[RouterName, float] = field(factory=dict)
+    _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
+    _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
+
+    def owner_for(self, demand: Demand) -> RouterName | None:
+        """Return the router to ask, which may be this one; None: there is no owner."""
+        owners = self._owners.owners(demand.service, self._left_out())
+        part = part_id(demand.part)
+        return next(iter(owners.order(part, self._random)), None)
+
+    def own_servers(self, demand: Demand) -> tuple[Registered, ...]:
+        """Return the servers that this router owns for a call."""
+        owners = self._owners.owners(demand.service, self._left_out())
+        return owners.servers_of(self.me)
+
+    async def request(
+        self,
+        owner: RouterName,
+        demand: Demand,
+        avoid: Collection[ServerName],
+        *,
+        may_wait: bool,
+    ) -> Placement | Refusal | None:
+        """Return the decision of an owner, or None without a usable one."""
+        self._number += 1
+        number = self._number
+        pending = self._pending[number] = _PendingRequest()
+        request = PlacementRequest(
+            self.me,
+            self._incarnation,
+            number,
+            demand,
+            tuple(avoid),
+            may_wait,
+            tuple(self._left_out()),
+        )
+        reply: PlacementReply | None = None
+        try:
+            self.send(owner, pack_request(request))
+            reply = await pending.wait(REPLY_TIMEOUT_S)
+            if reply is not None and reply.kind is ReplyKind.WAITS:
+                reply = await pending.wait(demand.objective_s)
+        finally:
+            del self._pending[number]
+            if reply is None and pending.reply is not None:
+                self._return_unused(pending.reply)
+        if reply is None:
+            self._silent_until[owner] = self._clock() + SILENCE_S
+            return None
+        self._silent_until.pop(owner, None)
+        return self._decision(demand, avoid, reply)
+
+    def receive_reply(self, reply: PlacementReply) -> None:
+        """Apply an owner's reply; return a place that came too late."""
+        pending = self._pending.get(reply.number)
+        if pending is None:
+            self._return_unused(reply)
+            return
+        pending.reply = reply
+        pending.replied.set()
+
+    def note_progress(self, ticket: Ticket) -> None:
+        """Record that a granted call was sent, began or ended."""
+        grant = ticket.grant
+        assert grant is not None
+        tickets = self._tickets.setdefault(grant.owner, {})
+        if ticket.ended:
+            tickets.pop(grant.number, None)
+        else:
+            tickets[grant.number] = ticket
+        if ticket.begun or ticket.ended:
+            note = ProgressNote(
+                grant.number, ticket.begun, ticket.ended, ticket.outcome
+            )
+            self._add_note(grant.owner, note)
+
+    def abandon(self, grant: Grant) -> None:
+        """Return a place that was not used."""
+        if not grant.sent:
+            self._return(grant.owner, grant.number)
+
+    def pop_notes(self) -> list[tuple[RouterName, bytes]]:
+        """Remove and return the packets with unreported progress, by owner."""
+        packets = []
+        for owner, notes in self._notes.items():
+            report = ProgressReport(self.me, self._incarnation, tuple(notes))
+            packets.append((owner, pack_progress(report)))
+        self._notes.clear()
+        return packets
+
+    def held_lists(self) -> list[tuple[RouterName, bytes]]:
+        """Return the packets that list all granted calls, by owner."""
+        packets = []
+        for owner, tickets in list(self._tickets.items()):
+            held = tuple(tickets)
+            report = ProgressReport(self.me, self._incarnation, held=held)
+            packets.append((owner, pack_progress(report)))
+            if not tickets:
+                del self._tickets[owner]
+        return packets
+
+    def adopt_from_lost(self, alive: Mapping[RouterName, int]) -> None:
+        """Count the calls of owners that are gone or have restarted.
+
+        `alive` maps each live router to its incarnation.
+        """
+        for owner, tickets in list(self._tickets.items()):
+            incarnation = alive.get(owner)
+            for number, ticket in list(tickets.items()):
+                assert ticket.grant is not None
+                if ticket.grant.incarnation != incarnation:
+                    del tickets[number]
+                    self._dispatcher.adopt(ticket)
+
+    def _left_out(self) -> frozenset[RouterName]:
+        """Return the routers that are not asked now."""
+        if not self._silent_until:
+            return frozenset()
+        now = self._clock()
+        for name, until in list(self._silent_until.items()):
+            if now >= until:
+                del self._silent_until[name]
+        routers = self._owners.routers
+        silent = Counter(routers.get(name, "") for name in self._silent_until)
+        cut = {at for at, number in silent.items() if number > MAX_SILENT_PER_CENTRE}
+        left_out = {name for name, at in routers.items() if at in cut}
+        return frozenset(left_out | self._silent_until.keys()) - {self.me}
+
+    def _decision(
+        self,
+        demand: Demand,
+        avoid: Collection[ServerName],
+        reply: PlacementReply,
+    ) -> Placement | Refusal | None:
+        if reply.kind is ReplyKind.REFUSED:
+            return Refusal(
+                reply.reason, reply.retry_after_s, reply.wait_s, read_s=reply.read_s
+            )
+        if reply.kind is not ReplyKind.GRANTED:
+            return None
+        if not self._usable(demand, reply.server, avoid):
+            self._return_unused(reply)
+            return None
+        if reply.read_rate:
+            self._dispatcher.load(reply.server).read_rate = reply.read_rate
+        registry = self._dispatcher.registry
+        registered = registry.get(reply.server)
+        assert registered is not None
+        choice = Choice(
+            reply.server,
+            reply.wait_s,
+            reply.read_s,
+            reply.tokens,
+            reply.cached,
+            reply.copies,
+            reply.source,
+        )
+        use = self._dispatcher.use_of(demand, self._clock())
+        source = registry.get(reply.source) if reply.source else None
+        grant = Grant(reply.owner, reply.incarnation, reply.number)
+        return Placement(registered, choice, use, 0, source, grant)
+
+    def _usable(
+        self, demand: Demand, server: ServerName, avoid: Collection[ServerName]
+    ) -> bool:
+        """Return whether this router may and can send a call to a server.
+
+        The owner may not know yet that the server is leaving, or be able to reach a
+        server that this router can't reach.
+        """
+        usable = self._dispatcher.registry.usable(demand.service)
+        known = any(row.instance.id == server for row in usable)
+        reachable = not self._dispatcher.health(server).in_backoff(self._clock())
+        return known and reachable and server not in avoid
+
+    def _return_unused(self, reply: PlacementReply) -> None:
+        if reply.kind is ReplyKind.GRANTED:
+            self._return(reply.owner, reply.number)
+
+    def _return(self, owner: RouterName, number: int) -> None:
+        note = ProgressNote(number, False, True, SendOutcome.NOT_SENT)
+        self._add_note(owner, note)
+
+    def _add_note(self, owner: RouterName, note: ProgressNote) -> None:
+        self._notes.setdefault(owner, []).append(note)
+        self.on_notes()
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -0,0 +1,121 @@
+"""Exchange placement messages with the other routers in tasks of their own."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import anyio
+
+from fulmarroad.types import RouterName
+from fulmarroad_serving._granting import AddressedReply, Granter
+from fulmarroad_serving._owner_client import OwnerClient
+from fulmarroad_serving._owner_messages import (
+    PROGRESS_FORMAT,
+    REPLY_FORMAT,
+    REQUEST_FORMAT,
+    pack_reply,
+    read_progress,
+    read_reply,
+    read_request,
+)
+
+NOTES_DELAY_S = 0.003
+"""Time for which progress is collected into one packet: less than an engine step."""
+
+HELD_LIST_INTERVAL_S = 0.5
+"""Time between two lists of granted calls, which replace progress that was lost."""
+
+Send = Callable[[bytes, str], None]
+"""Send a packet to a host."""
+
+
+def is_owner_message(row: object) -> bool:
+    """Return whether an unpacked packet is about placements."""
+    formats = (REQUEST_FORMAT, REPLY_FORMAT, PROGRESS_FORMAT)
+    return isinstance(row, list) and bool(row) and row[0] in formats
+
+
+class OwnerExchange:
+    """Deliver placement messages to the client and to the granter of this router."""
+
+    def __init__(
+        self,
+        client: OwnerClient,
+        granter: Granter,
+        hosts: Callable[[], Mapping[RouterName, str]],
+        incarnations: Callable[[], Mapping[RouterName, int]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._client = client
+        self._granter = granter
+        self._hosts = hosts
+        self._incarnations = incarnations
+        self._clock = clock
+        self._send: Send = lambda data, host: None
+        self._notes_due = anyio.Event()
+        self._request_held = anyio.Event()
+        client.send = self._send_to
+        client.on_notes = self._trigger_notes
+
+    def receive(self, row: Any, host: str) -> None:
+        """Apply a message; raise `MessageError` if it is not valid."""
+        now = self._clock()
+        if row[0] == REQUEST_FORMAT:
+            answer = self._granter.receive_request(read_request(row), now)
+            self._send(pack_reply(answer.reply), host)
+            if self._granter.next_due is not None:
+                self._request_held.set()
+        elif row[0] == REPLY_FORMAT:
+            reply = read_reply(row)
+            self._client.receive_reply(reply)
+        else:
+            self._granter.receive_progress(read_progress(row), now)
+
+    async def run(self, send: Send) -> None:
+        """Send what becomes due until cancelled."""
+        self._send = send
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._decide_held)
+            group.start_soon(self._send_notes)
+            group.start_soon(self._keep_in_step)
+
+    async def _decide_held(self) -> None:
+        while True:
+            due = self._granter.next_due
+            if due is None:
+                self._request_held = anyio.Event()
+                await self._request_held.wait()
+                continue
+            await anyio.sleep(max(0.0, due - self._clock()))
+            self._send_replies(self._granter.decide_held(self._clock()))
+
+    async def _send_notes(self) -> None:
+        while True:
+            await self._notes_due.wait()
+            await anyio.sleep(NOTES_DELAY_S)
+            self._notes_due = anyio.Event()
+            for owner, data in self._client.pop_notes():
+                self._send_to(owner, data)
+
+    async def _keep_in_step(self) -> None:
+        """Replace progress that was lost, and drop the calls of lost routers."""
+        while True:
+            await anyio.sleep(HELD_LIST_INTERVAL_S)
+            for owner, data in self._client.held_lists():
+                self._send_to(owner, data)
+            incarnations = self._incarnations()
+            self._client.adopt_from_lost(incarnations)
+            self._granter.forget_routers(incarnations, self._clock())
+
+    def _send_replies(self, replies: Iterable[AddressedReply]) -> None:
+        for row in replies:
+            self._send_to(row.router, pack_reply(row.reply))
+
+    def _send_to(self, router: RouterName, data: bytes) -> None:
+        host = self._hosts().get(router)
+        if host is not None:
+            self._send(data, host)
+
+    def _trigger_notes(self) -> None:
+        self._notes_due.set()
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -0,0 +1,214 @@
+"""Encode the messages between a router with a call and the owner that places it.
+
+Each fits into one UDP packet. A lost one costs a moment of accuracy and no call: a
+request without an answer is placed without the owner, and the list of granted calls
+that routers send every second corrects what an owner missed.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import Any
+
+import msgpack
+from attrs import frozen
+
+from fulmarroad.exceptions import MessageError
+from fulmarroad.types import RefusalReason, RouterName, ServerName
+from fulmarroad_serving._attempts import SendOutcome
+from fulmarroad_serving._demands import Demand
+
+REQUEST_FORMAT = 3
+REPLY_FORMAT = 4
+PROGRESS_FORMAT = 5
+"""First fields of the packets; reports and digests have other values there."""
+
+DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError, KeyError)
+
+
+@frozen
+class PlacementRequest:
+    """Ask an owner for a place for one call."""
+
+    router: RouterName
+    incarnation: int
+    number: int  # of this request; the router never uses it again
+    demand: Demand
+    avoid: tuple[ServerName, ...] = ()
+    may_wait: bool = True  # until a server has capacity
+    left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
+
+
+class ReplyKind(enum.IntEnum):
+    """Distinguish the answers of an owner."""
+
+    WAITS = 0  # another reply follows
+    GRANTED = 1
+    REFUSED = 2
+    NOT_OWNER = 3  # the router owns no server of the service
+
+
+@frozen
+class PlacementReply:
+    """Answer a placement request."""
+
+    owner: RouterName
+    incarnation: int  # of the owner
+    number: int
+    kind: ReplyKind
+    server: ServerName = ""
+    source: ServerName = ""  # another engine that may have the part
+    tokens: int = 0  # prompt tokens to read
+    wait_s: float = 0.0
+    read_s: float = 0.0
+    cached: bool = False
+    copies: int = 0
+    read_rate: float = 0.0  # tokens a second, as the owner learned it
+    reason: RefusalReason = RefusalReason.WAIT_TOO_LONG
+    retry_after_s: float = 0.0
+
+
+@frozen
+class ProgressNote:
+    """Report that a granted call began or ended."""
+
+    number: int
+    begun: bool
+    ended: bool = False
+    outcome: SendOutcome | None = None  # of an ended call that was not answered
+
+
+@frozen
+class ProgressReport:
+    """Report the progress of calls to the owner that granted them."""
+
+    router: RouterName
+    incarnation: int
+    notes: tuple[ProgressNote, ...] = ()
+    held: tuple[int, ...] | None = None  # numbers of all calls that still run
+
+
+_OUTCOMES: tuple[SendOutcome | None, ...] = (None, *SendOutcome)
+_REASONS = tuple(RefusalReason)
+
+
+def pack_request(request: PlacementRequest) -> bytes:
+    """Encode a request as a packet."""
+    demand = request.demand
+    row = [
+        REQUEST_FORMAT,
+        request.router,
+        request.incarnation,
+        request.number,
+        demand.call_id,
+        demand.service,
+        demand.workspace,
+        round(demand.objective_s, 4),
+        demand.part,
+        demand.shared_tokens,
+        demand.own_tokens,
+        demand.output_tokens,
+        demand.rank,
+        list(request.avoid),
+        request.may_wait,
+        list(request.left_out),
+    ]
+    return bytes(msgpack.packb(row))
+
+
+def read_request(row: Any) -> PlacementRequest:
+    """Decode a request; raise `MessageError` if it is not valid."""
+    try:
+        demand = Demand(
+            str(row[4]),
+            str(row[5]),
+            str(row[6]),
+            float(row[7]),
+            str(row[8]),
+            int(row[9]),
+            int(row[10]),
+            int(row[11]),
+            rank=int(row[12]),
+        )
+        avoid = tuple(str(name) for name in row[13])
+        left_out = tuple(str(name) for name in row[15])
+        return PlacementRequest(
+            str(row[1]),
+            int(row[2]),
+            int(row[3]),
+            demand,
+            avoid,
+            bool(row[14]),
+            left_out,
+        )
+    except DECODE_ERRORS as error:
+        raise MessageError("The placement request is not valid.") from error
+
+
+def pack_reply(reply: PlacementReply) -> bytes:
+    """Encode a reply as a packet."""
+    row = [
+        REPLY_FORMAT,
+        reply.owner,
+        reply.incarnation,
+        reply.number,
+        int(reply.kind),
+        reply.server,
+        reply.source,
+        reply.tokens,
+        round(reply.wait_s, 4),
+        round(reply.read_s, 4),
+        reply.cached,
+        reply.copies,
+        round(reply.read_rate),
+        _REASONS.index(reply.reason),
+        round(reply.retry_after_s, 3),
+    ]
+    return bytes(msgpack.packb(row))
+
+
+def read_reply(row: Any) -> PlacementReply:
+    """Decode a reply; raise `MessageError` if it is not valid."""
+    try:
+        return PlacementReply(
+            str(row[1]),
+            int(row[2]),
+            int(row[3]),
+            ReplyKind(row[4]),
+            str(row[5]),
+            str(row[6]),
+            int(row[7]),
+            float(row[8]),
+            float(row[9]),
+            bool(row[10]),
+            int(row[11]),
+            float(row[12]),
+            _REASONS[row[13]],
+            float(row[14]),
+        )
+    except DECODE_ERRORS as error:
+        raise MessageError("The placement reply is not valid.") from error
+
+
+def pack_progress(report: ProgressReport) -> bytes:
+    """Encode a progress report as a packet."""
+    notes = [
+        [note.number, note.begun, note.ended, _OUTCOMES.index(note.outcome)]
+        for note in report.notes
+    ]
+    held = None if report.held is None else list(report.held)
+    row = [PROGRESS_FORMAT, report.router, report.incarnation, notes, held]
+    return bytes(msgpack.packb(row))
+
+
+def read_progress(row: Any) -> ProgressReport:
+    """Decode a progress report; raise `MessageError` if it is not valid."""
+    try:
+        notes = tuple(
+            ProgressNote(int(number), bool(begun), bool(ended), _OUTCOMES[outcome])
+            for number, begun, ended, outcome in row[3]
+        )
+        held = None if row[4] is None else tuple(int(number) for number in row[4])
+        return ProgressReport(str(row[1]), int(row[2]), notes, held)
+    except DECODE_ERRORS as error:
+        raise MessageError("The progress report is not valid.") from error
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -0,0 +1,182 @@
+"""Assign each backend server to the router that places calls there.
+
+Load pattern: scores of routers each send a small part of the calls to the same servers.
+If every router chooses by reports of the others, which are older than a server's queue,
+several fill the same server at once while another one idles; calls begin late, and
+shared prompt parts are read by more servers than needed. The symptoms are late answers
+and refusals under a load that the servers can carry. So each server has one owner, a
+router that places nearly all calls there and thus knows its queue exactly. Each router
+computes the owners from the servers and the live routers, without messages.
+
+Routers may disagree while the fleet changes. Then a server has two owners for a moment,
+each of which sees the other's calls in its reports.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Callable, Mapping, Sequence
+
+import xxhash
+from attrs import define, field
+
+from fulmarroad.ownership import watchers
+from fulmarroad.types import DataCentreName, RouterName, ServerName
+from fulmarroad_serving._catalog import ServiceName
+from fulmarroad_serving._registry import Registered
+from fulmarroad_serving._routing import PartId, hash_weight
+
+SERVERS_PER_OWNER = 5
+"""Number of servers per owner: enough to even out their queues, and few enough that a
+small VM can place all calls to them."""
+
+RANKED_SERVERS = 12
+"""Number of a part's best servers of which the owners are asked in turn."""
+
+MAX_CACHED_PARTS = 4_096
+"""Maximum number of parts whose owners are cached."""
+
+MAX_CACHED_TABLES = 64
+"""Maximum number of cached assignments: routers leave out others for a moment."""
+
+Routers = Mapping[RouterName, DataCentreName]
+
+
+def assign_owners(
+    service: ServiceName,
+    servers: Mapping[ServerName, DataCentreName],
+    routers: Routers,
+) -> dict[ServerName, RouterName]:
+    """Return the owner of each server, empty without routers.
+
+    A server's owner is in its data centre if there are enough servers for that, so that
+    a data centre which is cut off keeps the owners of its servers.
+    """
+    if not servers or not routers:
+        return {}
+    centres = set(servers.values())
+    if len(servers) < SERVERS_PER_OWNER * len(centres):
+        return _assign(service, sorted(servers), list(routers))
+    owners: dict[ServerName, RouterName] = {}
+    for centre in centres:
+        names = sorted(name for name, at in servers.items() if at == centre)
+        local = [name for name, at in routers.items() if at == centre]
+        owners |= _assign(f"{service}\0{centre}", names, local or list(routers))
+    return owners
+
+
+def _assign(
+    subject: str, servers: Sequence[ServerName], routers: Sequence[RouterName]
+) -> dict[ServerName, RouterName]:
+    """Divide servers into groups and give each group an owner.
+
+    The groups don't depend on the routers: with another owner the servers of a group
+    still have the prompt parts that its calls need.
+    """
+    count = math.ceil(len(servers) / SERVERS_PER_OWNER)
+    groups: list[list[ServerName]] = [[] for _ in range(count)]
+    limit = math.ceil(len(servers) / count)
+    for server in servers:
+        ranked = sorted(
+            range(count), key=lambda number: _weight(server, number), reverse=True
+        )
+        group = next(number for number in ranked if len(groups[number]) < limit)
+        groups[group].append(server)
+    assigned = {}
+    free = set(routers)
+    for number, group_servers in enumerate(groups):
+        (owner,) = watchers(free, 1, f"owners\0{subject}\0{number}")
+        assigned.update(dict.fromkeys(group_servers, owner))
+        free = free - {owner} or set(routers)
+    return assigned
+
+
+def _weight(server: ServerName, group: int) -> int:
+    return xxhash.xxh3_64_intdigest(f"{server}\0{group}".encode())
+
+
+@define
+class ServiceOwners:
+    """Hold the owners of one service's servers."""
+
+    centres: Mapping[ServerName, DataCentreName]
+    by_server: Mapping[ServerName, RouterName]
+    servers: tuple[Registered, ...] = ()
+    _owned: dict[RouterName, tuple[Registered, ...]] = field(factory=dict)
+    _orders: dict[PartId, tuple[RouterName, ...]] = field(factory=dict)
+
+    def set_servers(self, servers: tuple[Registered, ...]) -> None:
+        """Replace the entries of the servers."""
+        self.servers = servers
+        self._owned.clear()
+
+    def servers_of(self, owner: RouterName) -> tuple[Registered, ...]:
+        """Return the servers of one owner."""
+        owned = self._owned.get(owner)
+        if owned is None:
+            owned = self._owned[owner] = tuple(
+                row
+                for row in self.servers
+                if self.by_server.get(row.instance.id) == owner
+            )
+        return owned
+
+    def order(self, part: PartId, source: random.Random) -> tuple[RouterName, ...]:
+        """Return the owners in order of preference for a call.
+
+        For a part it is the order of their best servers for it, the same at every
+        router, so that one owner knows all calls for the part.
+        """
+        if not part:
+            names = list(self.by_server)
+            source.shuffle(names)
+            return tuple(dict.fromkeys(self.by_server[name] for name in names))
+        known = self._orders.get(part)
+        if known is None:
+            if len(self._orders) >= MAX_CACHED_PARTS:
+                self._orders.clear()
+            weights = {name: hash_weight(part, name) for name in self.by_server}
+            ranked = heapq.nlargest(RANKED_SERVERS, weights, key=weights.__getitem__)
+            known = tuple(dict.fromkeys(self.by_server[name] for name in ranked))
+            self._orders[part] = known
+        return known
+
+
+@define
+class OwnerTable:
+    """Hold the owners of every service, as this router computes them."""
+
+    _usable: Callable[[ServiceName], tuple[Registered, ...]]
+    routers: Routers = field(factory=dict)
+    _tables: dict[tuple[ServiceName, frozenset[RouterName]], ServiceOwners] = field(
+        factory=dict
+    )
+
+    def set_routers(self, routers: Routers) -> None:
+        """Replace the routers that may own servers."""
+        if routers != self.routers:
+            self.routers = dict(routers)
+            self._tables.clear()
+
+    def owners(
+        self, service: ServiceName, left_out: frozenset[RouterName] = frozenset()
+    ) -> ServiceOwners:
+        """Return the owners of a service's servers, without some of the routers."""
+        servers = self._usable(service)
+        key = (service, left_out)
+        known = self._tables.get(key)
+        if known is not None and known.servers is servers:
+            return known
+        centres = {row.instance.id: row.instance.data_centre for row in servers}
+        if known is None or known.centres != centres:
+            routers = {
+                name: at for name, at in self.routers.items() if name not in left_out
+            }
+            if len(self._tables) >= MAX_CACHED_TABLES:
+                self._tables.clear()
+            by_server = assign_owners(service, centres, routers)
+            known = self._tables[key] = ServiceOwners(centres, by_server)
+        known.set_servers(servers)
+        return known
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -16,6 +16,10 @@
 from fulmarroad_serving._digests import is_digest, pack_digest, read_digest
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._fleet_view import FleetView
+from fulmarroad_serving._granting import Granter
+from fulmarroad_serving._owner_client import OwnerClient
+from fulmarroad_serving._owner_exchange import OwnerExchange, Send, is_owner_message
+from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._positions import era_of
 from fulmarroad_serving._replica_sync import ReplicaSync
 from fulmarroad_serving._reports import (
@@ -95,6 +99,18 @@
         self._report_due = anyio.Event()
         source = random.Random(incarnation)
         self._view = FleetView(me, centre, host, dispatcher, source)
+        self.owners = OwnerTable(dispatcher.registry.usable)
+        self.owner_client = OwnerClient(
+            me, incarnation, dispatcher, self.owners, source, clock
+        )
+        self._owner_exchange = OwnerExchange(
+            self.owner_client,
+            Granter(me, incarnation, dispatcher, self.owners),
+            self.book.hosts,
+            self._incarnations,
+            clock,
+        )
+        dispatcher.on_progress = self.owner_client.note_progress
         self._replica_sync = ReplicaSync(host, port, beliefs, self.book, source, clock)
         self._started_at = float("-inf")
         self.seeds: tuple[str, ...] = ()
@@ -160,6 +176,7 @@
         ) as packets:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._send_reports, packets)
+                group.start_soon(self._owner_exchange.run, self._sender(packets))
                 group.start_soon(self._replica_sync.pull_changes)
                 group.start_soon(self._expire_periodically)
 
@@ -181,6 +198,9 @@
             with anyio.move_on_after(self._report_s - MIN_REPORT_INTERVAL_S):
                 await self._report_due.wait()
 
+    def _sender(self, packets: PacketSocket) -> Send:
+        return lambda data, host: self._send(packets, data, (host,))
+
     def _send(self, packets: PacketSocket, data: bytes, hosts: Iterable[str]) -> None:
         for host in hosts:
             try:
@@ -207,16 +227,20 @@
             min(failure_age, 1e6),
             self._dispatcher.own_load(),
             counts,
+            owns_servers=self._may_own_servers,
         )
 
     def _on_packet(self, data: bytes, host: str) -> None:
         try:
-            self._receive(data)
+            self._receive(data, host)
         except MessageError as error:
             emit(logger, Event.REPORT_REJECTED, peer=host, cause=error.message)
 
-    def _receive(self, data: bytes) -> None:
+    def _receive(self, data: bytes, host: str) -> None:
         row = unpack(data)
+        if is_owner_message(row):
+            self._owner_exchange.receive(row, host)
+            return
         now = self._clock()
         known = self.book.size
         era = era_of(self._router_state.replica.at)
@@ -240,10 +264,30 @@
         Values derived from the list stay cached for as long as it is the same object,
         so an equal list is not assigned again.
         """
+        self.owners.set_routers(self._possible_owners(now))
         routers = self.book.known_routers(now)
         if routers != self._dispatcher.routers:
             self._dispatcher.routers = routers
 
+    @property
+    def _may_own_servers(self) -> bool:
+        return self._router_state.index is not None and not self.leaving
+
+    def _possible_owners(self, now: float) -> dict[RouterName, DataCentreName]:
+        """Return the routers that may own servers, with their data centres."""
+        routers = {
+            peer.router: peer.data_centre
+            for peer in self.book.alive(now)
+            if peer.owns_servers and not peer.leaving
+        }
+        if self._may_own_servers:
+            routers[self._me] = self._centre
+        return routers
+
+    def _incarnations(self) -> dict[RouterName, int]:
+        alive = self.book.alive(self._clock())
+        return {peer.router: peer.incarnation for peer in alive}
+
     async def _expire_periodically(self) -> None:
         alive: set[RouterName] = set()
         while True:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -54,6 +54,7 @@
     store_age_s: float
     store_failure_age_s: float
     age_s: float  # of that report when this was built
+    owns_servers: bool = False  # may place the calls of other routers
 
 
 @frozen
@@ -74,6 +75,7 @@
     known: tuple[Member, ...] = ()  # other routers
     parts: tuple[tuple[PartId, ServerName], ...] = ()  # sent since the last report
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
+    owns_servers: bool = False  # may place the calls of other routers
 
 
 def pack_report(report: PeerReport) -> bytes:
@@ -95,6 +97,7 @@
         [list(pair) for pair in report.parts],
         pack_suspects(report.suspects),
         era_of(report.news_at),
+        report.owns_servers,
     ]
     return bytes(msgpack.packb(row))
 
@@ -189,6 +192,7 @@
         report.store_age_s,
         report.store_failure_age_s,
         age_s,
+        report.owns_servers,
     )
 
 
@@ -204,6 +208,7 @@
         member.news_at,
         member.store_age_s,
         member.store_failure_age_s,
+        owns_servers=member.owns_servers,
     )
 
 
@@ -221,6 +226,7 @@
         round(member.store_failure_age_s, 2),
         round(member.age_s, 2),
         era_of(member.news_at),
+        member.owns_servers,
     ]
 
 
@@ -246,6 +252,8 @@
         store_age_s=float(row[7]),
         store_failure_age_s=float(row[8]),
         age_s=float(row[9]),
+        # Routers of the previous release neither own servers nor say so.
+        owns_servers=len(row) > 11 and bool(row[11]),
     )
 
 
@@ -286,6 +294,7 @@
             parts=tuple((int(part), str(server)) for part, server in row[13]),
             # Routers of the previous release send no suspects.
             suspects=read_suspects(row[14]) if len(row) > 14 else (),
+            owns_servers=len(row) > 16 and bool(row[16]),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise MessageError(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -325,16 +325,18 @@
 def choose_plain(
     candidates: Sequence[Candidate],
     centre: DataCentreName,
-    source: random.Random,
+    source: random.Random | None,
 ) -> Choice | None:
-    """Return the better of two servers picked at random.
+    """Return the better of two servers picked at random, or without `source` the best.
 
     If every router chose the least loaded server, it would get the next call of each.
-    Return None without candidates.
+    Only a router that places all calls there may do so. Return None without candidates.
     """
     if not candidates:
         return None
-    pair = source.sample(candidates, 2) if len(candidates) > 1 else list(candidates)
+    pair = candidates
+    if source is not None and len(candidates) > 2:
+        pair = source.sample(candidates, 2)
     row = min(
         pair,
         key=lambda row: (
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -230,14 +230,17 @@
     def own_counts(self, now: float) -> dict[WorkspaceName, WorkspaceCount]:
         """Return this router's counts, for its peers."""
         counts = {}
-        for workspace, asked in list(self._asked.items()):
-            total = asked.total(now)
-            got = self._got.get(workspace)
-            count = WorkspaceCount(total, max(0.0, got.total(now)) if got else 0.0)
+        # A router may place calls of a workspace whose callers all use other routers.
+        for workspace in {**self._asked, **self._got}:
+            asked, got = self._asked.get(workspace), self._got.get(workspace)
+            count = WorkspaceCount(
+                asked.total(now) if asked else 0.0,
+                max(0.0, got.total(now)) if got else 0.0,
+            )
             if count.asked or count.got:
                 counts[workspace] = count
             else:
-                del self._asked[workspace]
+                self._asked.pop(workspace, None)
                 self._got.pop(workspace, None)
         return counts
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -126,6 +126,7 @@
             codec,
             lambda: self._router_state.catalog,
             clock,
+            self._peers.owner_client,
         )
         source = random.Random(self._incarnation)
         self._saturation = SaturationGuard(self._lateness, source)
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -0,0 +1,222 @@
+"""Tests of calls that the owner of a server places: grants, losses and fallback."""
+
+import anyio
+from attrs import evolve
+from owner_bed import CALL, LOOKUP, OwnerBed
+
+from fulmarroad.types import RefusalReason
+from fulmarroad_serving import Placement, Refusal, SendOutcome
+from fulmarroad_serving._granting import UNCONFIRMED_GRANT_S
+from fulmarroad_serving._owner_client import SILENCE_S
+from fulmarroad_serving._owner_messages import PlacementRequest
+
+
+def run(test):
+    anyio.run(test)
+
+
+class TestGrants:
+    def test_the_owner_counts_a_granted_call_until_it_ends(self):
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            assert isinstance(placement, Placement)
+            ticket = bed.a.send(CALL, placement, bed.now)
+            assert bed.running() == 1
+            assert bed.a.own_load() == {}
+            bed.a.begin(ticket, bed.now)
+            bed.flush()
+            server = placement.choice.server
+            assert bed.b.load(server).waiting_tokens == 0
+            assert bed.running() == 1
+            bed.a.end(ticket, None, bed.now)
+            bed.flush()
+            assert bed.running() == 0
+
+        run(test)
+
+    def test_the_owner_learns_of_failures(self):
+        """A server fails calls of many routers. Its owner sends none of them itself and
+        would go on granting places there.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            ticket = bed.a.send(CALL, placement, bed.now)
+            bed.a.end(ticket, SendOutcome.FAILED, bed.now)
+            bed.flush()
+            assert bed.b.health(placement.choice.server).rate > 0
+
+        run(test)
+
+    def test_a_place_that_is_not_used_is_returned(self):
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            bed.client.abandon(placement.grant)
+            bed.flush()
+            assert bed.running() == 0
+
+        run(test)
+
+    def test_a_used_place_is_not_returned(self):
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            bed.a.send(CALL, placement, bed.now)
+            bed.client.abandon(placement.grant)
+            bed.flush()
+            assert bed.running() == 1
+
+        run(test)
+
+    def test_a_leaving_server_is_not_used(self):
+        """A server drains, and its owner does not know yet. The call would reach it
+        after its leaving was acknowledged, and be cut off.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            for row in bed.a.registry.rows():
+                bed.a.registry.put(evolve(row.instance, draining=True), bed.now)
+            assert await bed.place() is None
+            bed.flush()
+            assert bed.running() == 0
+
+        run(test)
+
+    def test_a_full_service_is_refused_by_its_owner(self):
+        async def test():
+            bed = OwnerBed()
+            placed = [await bed.place(LOOKUP, may_wait=False) for _ in range(100)]
+            refused = [row for row in placed if isinstance(row, Refusal)]
+            assert 20 < len(refused) < 88
+            assert all(row.reason is RefusalReason.WAIT_TOO_LONG for row in refused)
+            assert all(row.retry_after_s > 0 for row in refused)
+
+        run(test)
+
+    def test_a_call_waits_at_the_owner_for_a_place(self):
+        """A call finds all engines busy for a tenth of a second. Refused at once, its
+        caller would return too late.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            tickets = []
+            while True:
+                placement = await bed.place(may_wait=False)
+                if isinstance(placement, Refusal):
+                    break
+                tickets.append(bed.a.send(CALL, placement, bed.now))
+            results = []
+
+            async def ask():
+                results.append(await bed.place())
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(ask)
+                await anyio.sleep(0.01)
+                assert results == []
+                for ticket in tickets:
+                    bed.a.begin(ticket, bed.now)
+                bed.flush()
+                bed.now = bed.granter.next_due
+                bed.answer(bed.granter.decide_held(bed.now))
+            assert isinstance(results[0], Placement)
+
+        run(test)
+
+
+class TestLosses:
+    def test_a_silent_owner_is_left_out(self):
+        """An owner freezes. Until the membership notices, each call for its servers
+        would wait for it in vain.
+        """
+
+        async def test():
+            bed = OwnerBed(cut=True)
+            assert bed.client.owner_for(CALL) == "b"
+            assert await bed.place() is None
+            assert bed.client.owner_for(CALL) is None
+            bed.now += SILENCE_S
+            assert bed.client.owner_for(CALL) == "b"
+
+        run(test)
+
+    def test_a_lost_reply_leaves_no_call_behind(self):
+        """The reply with a place is lost, and the call is placed without it. Counted
+        for ever, such places would fill the server in its owner's view.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            first = await bed.place()
+            bed.a.send(CALL, first, bed.now)
+            bed.replies_lost = True
+            assert await bed.place() is None
+            assert bed.running() == 2
+            bed.now += UNCONFIRMED_GRANT_S
+            bed.list_held()
+            assert bed.running() == 1
+
+        run(test)
+
+    def test_a_late_reply_is_returned(self):
+        async def test():
+            bed = OwnerBed()
+            bed.cut = True
+            assert await bed.place() is None
+            bed.cut = False
+            request = PlacementRequest("a", 5, 1, CALL)
+            bed.answer([bed.granter.receive_request(request, bed.now)])
+            assert bed.running() == 1
+            bed.flush()
+            assert bed.running() == 0
+
+        run(test)
+
+    def test_calls_of_a_lost_owner_are_counted_here(self):
+        """An owner crashes while its servers run the calls that it placed. Nobody would
+        count them, and its servers would seem idle to all routers.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            ticket = bed.a.send(CALL, placement, bed.now)
+            bed.client.adopt_from_lost({"b": 7})
+            assert bed.a.own_load() == {}
+            bed.client.adopt_from_lost({"b": 8})
+            load = bed.a.own_load()[placement.choice.server]
+            assert load.running == 1
+            assert load.waiting_tokens == placement.choice.tokens
+            bed.a.begin(ticket, bed.now)
+            bed.a.end(ticket, None, bed.now)
+            assert bed.a.own_load() == {}
+            assert bed.client.pop_notes() == []
+
+        run(test)
+
+    def test_calls_of_a_lost_router_are_dropped(self):
+        async def test():
+            bed = OwnerBed()
+            bed.a.send(CALL, await bed.place(), bed.now)
+            bed.granter.forget_routers({"a": 5}, bed.now)
+            assert bed.running() == 1
+            bed.granter.forget_routers({"a": 6}, bed.now)
+            assert bed.running() == 0
+
+        run(test)
+
+    def test_a_caller_that_leaves_returns_its_place(self):
+        async def test():
+            bed = OwnerBed()
+            with anyio.move_on_after(0):
+                await bed.place()
+            bed.list_held()
+            bed.flush()
+            assert bed.running() == 0
+
+        run(test)
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -524,7 +524,7 @@
         dispatcher, _, peers = fleet.nodes["b"]
         clock = [10.0]
         peers._clock = lambda: clock[0]
-        peers._receive(pack_report(TestReports.REPORT))
+        peers._receive(pack_report(TestReports.REPORT), "127.0.0.1")
         assert [peer.router for peer in peers.book.alive(clock[0])] == ["a"]
         assert dispatcher.load("s").total_running(clock[0]) == 2
         clock[0] += 5.0
--- a/packages/fulmarroad-serving/tests/test_saturation.py
+++ b/packages/fulmarroad-serving/tests/test_saturation.py
@@ -116,7 +116,7 @@
 
             async def receive_reports():
                 while True:
-                    small.peers._receive(reader.packet())
+                    small.peers._receive(reader.packet(), "127.0.0.2")
                     await anyio.sleep(REPORT_S)
 
             small.peers._replica_sync._request_delta = ask
