Learn a plain server's duration without the wait that was expected

Cause: the time learned for a plain call included its wait in the server's queue, so that a queue seemed to slow the server down further; the allowed wait was a fraction of the objective whatever the call itself takes.

Change: the expected wait is subtracted before learning; a call may wait for what its objective leaves after its own duration and a margin of 0.3.

Kept because a longer objective with a short duration no longer refuses early.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -65,10 +65,14 @@
 PLAIN_SERVICE_S = 0.05
 """Assumed duration of a call to a plain service before any was measured."""
 
+MIN_PLAIN_SERVICE_S = 0.001
+"""Shortest duration learned, if a wait was estimated as too long."""
+
 PLAIN_LEARNING_RATE = 0.05
 
-PLAIN_WAIT_FRACTION = 0.6
-"""Fraction of the objective that a call may wait for a slot of a plain service."""
+PLAIN_MARGIN_FRACTION = 0.3
+"""Fraction of the objective that is kept free when a call waits for a slot of a plain
+service, besides its own duration."""
 
 RETRY_AFTER_S = (0.3, 0.9)
 """Range of the retry delay after a refusal for load: an engine works off its queue
@@ -280,7 +284,7 @@
         view = self._view(server)
         choice = placement.choice
         expected_s = choice.wait_s + choice.read_s
-        charge = view.load.send(server, choice.tokens, now, expected_s)
+        charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
         if placement.registered.cold(now):
             self._cold_share(view, demand.service).note(now)
         if choice.tokens >= LARGE_PROMPT_TOKENS and self.on_large_prompt is not None:
@@ -304,7 +308,9 @@
         if demand.part:
             self.parts.note(part_id(demand.part), choice.server, now)
         expected_s = choice.wait_s + choice.read_s
-        charge = Charge(choice.server, choice.tokens, 0.0, now, expected_s)
+        charge = Charge(
+            choice.server, choice.tokens, 0.0, now, expected_s, wait_s=choice.wait_s
+        )
         source = placement.source.instance if placement.source is not None else None
         ticket = Ticket(demand, charge, source, grant=grant)
         self.on_progress(ticket)
@@ -340,7 +346,9 @@
         if outcome is None:
             if ticket.begun:
                 view.health.record_success(now)
-                duration_s = now - ticket.charge.sent_at
+                # With its wait, a queue would seem to slow the server down further.
+                duration_s = now - ticket.charge.sent_at - ticket.charge.wait_s
+                duration_s = max(MIN_PLAIN_SERVICE_S, duration_s)
                 view.plain_s += PLAIN_LEARNING_RATE * (duration_s - view.plain_s)
         else:
             # Without a penalty, a server that refuses calls looks idle and gets most.
@@ -449,8 +457,8 @@
         self, demand: Demand, service: Service, choice: Choice, use: ShareUse
     ) -> float:
         if service.engine is None:
-            part = PLAIN_WAIT_FRACTION * WAIT_FACTOR_PER_RANK**demand.rank
-            return part * demand.objective_s
+            slack_s = (1.0 - PLAIN_MARGIN_FRACTION) * demand.objective_s - choice.read_s
+            return slack_s * WAIT_FACTOR_PER_RANK**demand.rank
         if use.idle_engines_only:
             return IDLE_ENGINE_WAIT_S
         slack_s = max(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -84,6 +84,7 @@
     sent_at: float
     expected_s: float = 0.0  # until the answer begins
     number: int = 0
+    wait_s: float = 0.0  # the expected wait in it
 
 
 @define
@@ -103,12 +104,17 @@
     _peers_reported_at: float = 0.0  # on average, by waiting tokens
 
     def send(
-        self, server: ServerName, tokens: int, now: float, expected_s: float = 0.0
+        self,
+        server: ServerName,
+        tokens: int,
+        now: float,
+        expected_s: float = 0.0,
+        wait_s: float = 0.0,
     ) -> Charge:
         """Record a call that is sent."""
         self._number += 1
         ahead = self.total_waiting(now)
-        charge = Charge(server, tokens, ahead, now, expected_s, self._number)
+        charge = Charge(server, tokens, ahead, now, expected_s, self._number, wait_s)
         self.running += 1
         self.waiting_tokens += tokens
         self._unbegun[charge.number] = charge
