Let calls that return after a refusal yield to first attempts

Cause: in overload a refused call returns after 0.3 to 0.9 s, late whatever happens, and takes the place of one that could begin on time, which is refused and returns as well. Routers couldn't tell returns; owners of servers can, since all calls for a part come to one of them.

Change: an owner remembers by the request's fingerprint whom it refused (`_returns.py`). A return has what is left of its objective since the first attempt; if that is under 0.1 s it may wait for 0.3 of its objective and isn't held. A refusal stands for one return, since callers may send equal requests.

--- a/packages/fulmarroad-bench/tests/test_lab.py
+++ b/packages/fulmarroad-bench/tests/test_lab.py
@@ -16,6 +16,7 @@
     Workload,
     arrivals,
 )
+from fulmarroad_serving._returns import Attempt, RefusedCalls
 
 SHORT = evolve(
     REMINDERS,
@@ -328,6 +329,36 @@
         assert read_again[1] < 0.5 * read_again[0]
 
 
+TWICE_TOO_MUCH = evolve(
+    MIXED,
+    classes=tuple(evolve(row, per_s=0.6 * row.per_s) for row in MIXED.classes),
+    seconds=6.0,
+)
+"""The same calls before five engines: twice what they can serve."""
+
+
+class TestReturns:
+    def test_more_calls_begin_on_time_if_returns_yield(self, monkeypatch):
+        """Guard against refused callers whose return takes the place of a call that
+        could begin on time. Engines are busy all the time, and half of what they serve
+        is late.
+        """
+
+        def simulate():
+            return lab.simulate(
+                TWICE_TOO_MUCH, "cached", 1, routers=12, engines=5, owners=True
+            )
+
+        days = [simulate()]
+        monkeypatch.setattr(
+            RefusedCalls, "attempt", lambda self, demand, now: Attempt(demand, now)
+        )
+        days.append(simulate())
+        ended = [[row.ended for row in day.outcomes] for day in days]
+        assert ended[0].count("on time") > ended[1].count("on time")
+        assert ended[0].count("late") < 0.7 * ended[1].count("late")
+
+
 class TestReport:
     def test_the_report_contains_every_policy_and_two_plots(
         self, tmp_path, monkeypatch, capsys
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -26,6 +26,7 @@
     ReplyKind,
 )
 from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._returns import Attempt, RefusedCalls
 from fulmarroad_serving._routing import part_id
 
 UNCONFIRMED_GRANT_S = 0.4
@@ -47,8 +48,13 @@
 @frozen
 class _HeldRequest:
     request: PlacementRequest
+    attempt: Attempt
     since: float
 
+    @property
+    def may_wait(self) -> bool:
+        return self.request.may_wait and not self.attempt.late_anyway
+
 
 @define
 class _Granted:
@@ -65,6 +71,7 @@
     _dispatcher: Dispatcher
     _owners: OwnerTable
     held: HeldCalls = field(factory=HeldCalls)
+    _refused: RefusedCalls = field(factory=RefusedCalls)
     _due: list[tuple[float, int, _HeldRequest]] = field(factory=list)
     _numbers: count[int] = field(factory=count)
     _granted: dict[_Key, _Granted] = field(factory=dict)
@@ -78,7 +85,8 @@
         """Decide on a request, or hold it."""
         if request.demand.part:
             self._dispatcher.parts.note_asked(part_id(request.demand.part), now)
-        return self._decide(_HeldRequest(request, now), now)
+        attempt = self._refused.attempt(request.demand, now)
+        return self._decide(_HeldRequest(request, attempt, now), now)
 
     def decide_held(self, now: float) -> list[AddressedReply]:
         """Look for places for the held requests that are due and return the replies."""
@@ -114,12 +122,14 @@
         if not servers:
             return self._reply(request, ReplyKind.NOT_OWNER)
         held_s = now - held.since
-        demand = _after(request.demand, held_s)
+        demand = _after(held.attempt.demand, held_s)
         placed = self._dispatcher.place(demand, now, avoid=request.avoid, owned=servers)
         if isinstance(placed, Placement):
             return self._grant(request, placed, now)
-        pause_s = self.held.next_poll_s(placed, request.demand.objective_s, held_s)
-        if pause_s is None or not request.may_wait:
+        objective_s = held.attempt.demand.objective_s
+        pause_s = self.held.next_poll_s(placed, objective_s, held_s)
+        if pause_s is None or not held.may_wait:
+            self._refused.note_refused(request.demand, held.attempt.first_at)
             return self._refuse(request, placed)
         self.held.count += 1
         heappush(self._due, (now + pause_s, next(self._numbers), held))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -109,6 +109,7 @@
         demand.own_tokens,
         demand.output_tokens,
         demand.rank,
+        demand.hash_fraction,
         list(request.avoid),
         request.may_wait,
         list(request.left_out),
@@ -128,17 +129,18 @@
             int(row[9]),
             int(row[10]),
             int(row[11]),
-            rank=int(row[12]),
+            float(row[13]),
+            int(row[12]),
         )
-        avoid = tuple(str(name) for name in row[13])
-        left_out = tuple(str(name) for name in row[15])
+        avoid = tuple(str(name) for name in row[14])
+        left_out = tuple(str(name) for name in row[16])
         return PlacementRequest(
             str(row[1]),
             int(row[2]),
             int(row[3]),
             demand,
             avoid,
-            bool(row[14]),
+            bool(row[15]),
             left_out,
         )
     except DECODE_ERRORS as error:
--- a/packages/fulmarroad-serving/tests/test_owner_messages.py
+++ b/packages/fulmarroad-serving/tests/test_owner_messages.py
@@ -24,7 +24,7 @@
 )
 from fulmarroad_serving._reports import unpack
 
-DEMAND = Demand("c-1", "drafting", "coop", 0.6, "part", 6_000, 2_000, 50, rank=1)
+DEMAND = Demand("c-1", "drafting", "coop", 0.6, "part", 6_000, 2_000, 50, 0.25, 1)
 REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",))
 REPLY = PlacementReply(
     "r2", 6, 9, ReplyKind.GRANTED, "e2", "e3", 2_000, 0.1, 0.06, True, 2, 70_000.0
