Price a copy of a part by the engines that its calls need

Cause: in a shortage the price of reading a part again was divided by the number of calls for it that a router sees.

Change: it is divided by the engines that these calls keep busy, from their rate, their own tokens and the engines' speed, at least one.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_time.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_time.py
@@ -4,8 +4,8 @@
 costs nothing if one more of them reads a part and begins a call sooner. When part of
 the demand is refused, each such reading displaces calls that would have been served
 where their parts are cached. The symptoms are engines that read several times the
-tokens callers send, and twice the refusals. A part that many calls ask for is worth its
-reading, so the cost is divided by the number of those calls.
+tokens callers send, and twice the refusals. A part that more calls ask for than one
+engine serves is worth its reading, so the cost is divided by the engines they need.
 """
 
 from __future__ import annotations
@@ -41,12 +41,12 @@
     spread_wait_s: float  # longest wait at which an engine has time for the reading
 
 
-def reading_price(shortage: float, calls: float) -> ReadingPrice:
-    """Return the cost of reading a part that a number of recent calls asked for.
+def reading_price(shortage: float, engines: float) -> ReadingPrice:
+    """Return the cost of reading a part for which calls need a number of engines.
 
     `shortage` is the refused fraction of the demand, 0 to 1.
     """
-    scarcity = shortage / max(1.0, calls)
+    scarcity = shortage / max(1.0, engines)
     spare_fraction = 1.0 - scarcity / SHORTAGE_LIMIT
     return ReadingPrice(
         BASE_WEIGHT + SHORTAGE_WEIGHT * scarcity,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
@@ -38,6 +39,9 @@
 """Half-life of the number of calls for a part: a part that is in demand now will likely
 be in demand for as long as a new copy is kept."""
 
+ASKED_MEAN_AGE_S = ASKED_HALF_LIFE_S / math.log(2.0)
+"""Time in which a decaying count is reached at a steady rate of calls."""
+
 MAX_COUNTED_PARTS = 5_000
 """Maximum number of parts whose calls are counted; the least recently asked for are
 dropped first."""
@@ -238,7 +242,7 @@
     healthy = {row.server for row in candidates if row.penalty_s <= 0}
     sources = [name for name in holders if name in healthy]
     late_s = ON_TIME_FRACTION * prompt.objective_s
-    price = reading_price(shortage, memory.asked(prompt.part, now))
+    price = reading_price(shortage, _engines_needed(prompt, candidates, memory, now))
     best: tuple[Rank, Candidate] | None = None
     for row in candidates:
         cached = row.server in holders
@@ -262,6 +266,15 @@
     return _choice(prompt, best[1], holders, _source(best[1], sources))
 
 
+def _engines_needed(
+    prompt: Prompt, candidates: Sequence[Candidate], memory: PartMemory, now: float
+) -> float:
+    """Return how many engines the calls for a part keep busy if all have it cached."""
+    calls_per_s = memory.asked(prompt.part, now) / ASKED_MEAN_AGE_S
+    rate = sum(row.read_rate for row in candidates) / len(candidates)
+    return calls_per_s * prompt.own_tokens / rate
+
+
 def _choice(
     prompt: Prompt, row: Candidate, holders: Sequence[ServerName], source: ServerName
 ) -> Choice:
