Let the sending router say which cold servers it may use and which it can't reach

And a grant for an engine that its router couldn't reach came back unused, so that the call was placed by old reports.

Change: a request names the cold servers to which its router may send a call now, and servers that it can't reach count as avoided. The bound of the fleet is kept as before: each router still sends from its own share. An owner without any usable server leaves the decision to the router.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -219,6 +219,28 @@
         pause = min(pause, MAX_RETRY_AFTER_S)
         return Refusal(RefusalReason.ABOVE_SHARE, pause, use=use)
 
+    def accepts_call(
+        self, service: ServiceName, server: ServerName, now: float
+    ) -> bool:
+        """Return whether this router may send a call to a server now."""
+        row = self.registry.get(server)
+        named = self._catalog.services.get(service) or Service(service)
+        return row is not None and self._accepts_call(row, named, now, ())
+
+    def cold_servers(self, service: ServiceName, now: float) -> list[ServerName]:
+        """Return the cold servers to which this router may send a call now."""
+        return [
+            row.instance.id
+            for row in self.registry.usable(service)
+            if row.cold(now) and self.accepts_call(service, row.instance.id, now)
+        ]
+
+    def unreachable_servers(self, now: float) -> set[ServerName]:
+        """Return the servers to which this router can't connect at present."""
+        return {
+            name for name, view in self._views.items() if view.health.in_backoff(now)
+        }
+
     def may_retry(self, service: ServiceName, now: float) -> bool:
         """Return whether the budget has a retry left."""
         return self._retry_share(service).allows(now, len(self.routers))
@@ -241,13 +263,21 @@
         *,
         avoid: Collection[ServerName] = (),
         owned: Sequence[Registered] | None = None,
+        permitted_cold: Collection[ServerName] | None = None,
     ) -> Placement | Refusal:
         """Choose a server, or return the reason for a refusal.
 
-        `owned` limits the choice to servers whose queues this router knows exactly.
+        `owned` limits the choice to servers whose queues this router knows exactly. For
+        another router's call, `permitted_cold` lists the cold servers to which that
+        router may send it.
         """
         service = self._catalog.services.get(demand.service) or Service(demand.service)
-        rows = self._eligible_servers(demand, service, now, avoid, owned)
+        usable = self.registry.usable(service.name) if owned is None else owned
+        rows = self._eligible_servers(
+            demand,
+            usable,
+            lambda row: self._accepts_call(row, service, now, avoid, permitted_cold),
+        )
         if not rows:
             return self._refuse_without_server()
         candidates = [self._candidate(row, service, now) for row in rows]
@@ -276,8 +306,15 @@
         supplier = self.registry.get(choice.source) if choice.source else None
         return Placement(registered, choice, use, len(rows), supplier)
 
-    def send(self, demand: Demand, placement: Placement, now: float) -> Ticket:
-        """Record a call that is about to be sent."""
+    def send(
+        self,
+        demand: Demand,
+        placement: Placement,
+        now: float,
+        *,
+        for_peer: bool = False,
+    ) -> Ticket:
+        """Record a call that is about to be sent, by another router if `for_peer`."""
         if placement.grant is not None:
             return self._send_granted(demand, placement, placement.grant, now)
         server = placement.choice.server
@@ -285,7 +322,7 @@
         choice = placement.choice
         expected_s = choice.wait_s + choice.read_s
         charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
-        if placement.registered.cold(now):
+        if placement.registered.cold(now) and not for_peer:
             self._cold_share(view, demand.service).note(now)
         if choice.tokens >= LARGE_PROMPT_TOKENS and self.on_large_prompt is not None:
             self.on_large_prompt()
@@ -303,6 +340,9 @@
         """Record a call whose place another router granted, and counts."""
         choice = placement.choice
         grant.sent = True
+        if placement.registered.cold(now):
+            view = self._view(choice.server)
+            self._cold_share(view, demand.service).note(now)
         if placement.use is not NO_USE:
             self._capacity(demand.service).note_sent(choice.tokens, demand.units)
         if demand.part:
@@ -374,25 +414,20 @@
     def _eligible_servers(
         self,
         demand: Demand,
-        service: Service,
-        now: float,
-        avoid: Collection[ServerName],
-        owned: Sequence[Registered] | None,
+        usable: Sequence[Registered],
+        accepts: Callable[[Registered], bool],
     ) -> list[Registered]:
         """Return the shortlisted servers that accept a call now.
 
         Fall back to all usable servers if none of the shortlist accepts one.
         """
-        usable = self.registry.usable(service.name) if owned is None else owned
         part = part_id(demand.part)
-        picked = self._shortlist(service.name).pick(
+        picked = self._shortlist(demand.service).pick(
             part, usable, self.parts.holders(part)
         )
-        rows = [row for row in picked if self._accepts_call(row, service, now, avoid)]
+        rows = [row for row in picked if accepts(row)]
         if not rows and len(picked) < len(usable):
-            rows = [
-                row for row in usable if self._accepts_call(row, service, now, avoid)
-            ]
+            rows = [row for row in usable if accepts(row)]
         return rows
 
     def _tokens_per_s(self, service: ServiceName) -> float:
@@ -420,6 +455,7 @@
         service: Service,
         now: float,
         avoid: Collection[ServerName],
+        permitted_cold: Collection[ServerName] | None = None,
     ) -> bool:
         server = row.instance.id
         if server in avoid:
@@ -429,6 +465,8 @@
             return False
         if service.warmup_rate <= 0 or not row.cold(now):
             return True
+        if permitted_cold is not None:
+            return server in permitted_cold
         share = self._cold_share(view, service.name)
         return share.allows(server, self._me, self.routers, now)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -123,7 +123,13 @@
             return self._reply(request, ReplyKind.NOT_OWNER)
         held_s = now - held.since
         demand = _after(held.attempt.demand, held_s)
-        placed = self._dispatcher.place(demand, now, avoid=request.avoid, owned=servers)
+        placed = self._dispatcher.place(
+            demand,
+            now,
+            avoid=request.avoid,
+            owned=servers,
+            permitted_cold=request.cold,
+        )
         if isinstance(placed, Placement):
             return self._grant(request, placed, now)
         objective_s = held.attempt.demand.objective_s
@@ -138,7 +144,7 @@
     def _grant(
         self, request: PlacementRequest, placed: Placement, now: float
     ) -> AddressedReply:
-        ticket = self._dispatcher.send(request.demand, placed, now)
+        ticket = self._dispatcher.send(request.demand, placed, now, for_peer=True)
         self._granted[_key(request)] = _Granted(ticket, now)
         choice = placed.choice
         reply = PlacementReply(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -16,7 +16,7 @@
 import anyio
 from attrs import define, field
 
-from fulmarroad.types import RouterName, ServerName
+from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
@@ -99,16 +99,17 @@
     ) -> Placement | Refusal | None:
         """Return the decision of an owner, or None without a usable one."""
         self._number += 1
-        number = self._number
+        number, now = self._number, self._clock()
         pending = self._pending[number] = _PendingRequest()
         request = PlacementRequest(
             self.me,
             self._incarnation,
             number,
             demand,
-            tuple(avoid),
+            tuple(self._dispatcher.unreachable_servers(now).union(avoid)),
             may_wait,
             tuple(self._left_out()),
+            tuple(self._dispatcher.cold_servers(demand.service, now)),
         )
         reply: PlacementReply | None = None
         try:
@@ -208,6 +209,8 @@
         avoid: Collection[ServerName],
         reply: PlacementReply,
     ) -> Placement | Refusal | None:
+        if reply.reason is RefusalReason.NO_SERVERS:
+            return None  # other owners may have servers that this router can reach
         if reply.kind is ReplyKind.REFUSED:
             return Refusal(
                 reply.reason, reply.retry_after_s, reply.wait_s, read_s=reply.read_s
@@ -246,8 +249,8 @@
         """
         usable = self._dispatcher.registry.usable(demand.service)
         known = any(row.instance.id == server for row in usable)
-        reachable = not self._dispatcher.health(server).in_backoff(self._clock())
-        return known and reachable and server not in avoid
+        accepts = self._dispatcher.accepts_call(demand.service, server, self._clock())
+        return known and accepts and server not in avoid
 
     def _return_unused(self, reply: PlacementReply) -> None:
         if reply.kind is ReplyKind.GRANTED:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -37,6 +37,7 @@
     avoid: tuple[ServerName, ...] = ()
     may_wait: bool = True  # until a server has capacity
     left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
+    cold: tuple[ServerName, ...] = ()  # cold servers to which it may send one call now
 
 
 class ReplyKind(enum.IntEnum):
@@ -113,6 +114,7 @@
         list(request.avoid),
         request.may_wait,
         list(request.left_out),
+        list(request.cold),
     ]
     return bytes(msgpack.packb(row))
 
@@ -134,6 +136,7 @@
         )
         avoid = tuple(str(name) for name in row[14])
         left_out = tuple(str(name) for name in row[16])
+        cold = tuple(str(name) for name in row[17])
         return PlacementRequest(
             str(row[1]),
             int(row[2]),
@@ -142,6 +145,7 @@
             avoid,
             bool(row[15]),
             left_out,
+            cold,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement request is not valid.") from error
--- a/packages/fulmarroad-serving/tests/owner_bed.py
+++ b/packages/fulmarroad-serving/tests/owner_bed.py
@@ -31,10 +31,12 @@
 LOOKUP = Demand("c-2", "ledger", "coop", 0.34)
 
 
-def make_dispatcher(name, engines=3, plain=2):
-    dispatcher = Dispatcher(name, "fes", FleetBounds(), 1)
+def make_dispatcher(name, engines=3, plain=2, warmup_rate=0.0):
+    bounds = FleetBounds(warmup_factor=1.5, warmup_tolerance=5.0)
+    dispatcher = Dispatcher(name, "fes", bounds, 1)
+    profile = EngineProfile(32)
     services = {
-        "drafting": Service("drafting", engine=EngineProfile(32)),
+        "drafting": Service("drafting", engine=profile, warmup_rate=warmup_rate),
         "ledger": Service("ledger"),
     }
     dispatcher.set_catalog(Catalog(1, services=services, limits=CallerLimits()))
@@ -56,12 +58,16 @@
     cut: bool = False
     replies_lost: bool = False
     packets: int = 0
-    a: Dispatcher = field(factory=lambda: make_dispatcher("a"))
-    b: Dispatcher = field(factory=lambda: make_dispatcher("b"))
+    warmup_rate: float = 0.0  # calls a second that a cold server may get
+    a: Dispatcher = field(init=False)
+    b: Dispatcher = field(init=False)
     client: OwnerClient = field(init=False)
     granter: Granter = field(init=False)
 
     def __attrs_post_init__(self):
+        self.a, self.b = [
+            make_dispatcher(name, warmup_rate=self.warmup_rate) for name in "ab"
+        ]
         tables = [OwnerTable(row.registry.usable) for row in (self.a, self.b)]
         for table in tables:
             table.set_routers({"b": "fes"})
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -129,6 +129,60 @@
         run(test)
 
 
+class TestPermissions:
+    """Tests of what the owner may decide for the router that sends the call."""
+
+    def make_cold(self, bed, warm=()):
+        for dispatcher in (bed.a, bed.b):
+            for row in dispatcher.registry.usable("drafting"):
+                if row.instance.id not in warm:
+                    dispatcher.registry.mark_cold(row.instance.id, 9.0, bed.now)
+
+    def test_a_cold_server_gets_what_the_sending_router_may_send(self):
+        """Servers restart cold. Limited by its owner's share alone, one gets one call a
+        second and idles; without the limit of each router it gets too many.
+        """
+
+        async def test():
+            bed = OwnerBed(warmup_rate=19.0)
+            self.make_cold(bed)
+            placed = [await bed.place(may_wait=False) for _ in range(3)]
+            assert isinstance(placed[0], Placement)
+            allowed = len(bed.a.cold_servers("drafting", bed.now))
+            for number in range(40):
+                placement = await bed.place(evolve(CALL, part=f"p{number}"))
+                if isinstance(placement, Placement):
+                    bed.a.send(CALL, placement, bed.now)
+            after = len(bed.a.cold_servers("drafting", bed.now))
+            assert allowed == 3
+            assert after == 0
+
+        run(test)
+
+    def test_a_server_that_the_sending_router_cannot_reach_is_avoided(self):
+        async def test():
+            bed = OwnerBed()
+            first = (await bed.place()).choice.server
+            bed.a.health(first).unreachable(bed.now)
+            second = await bed.place()
+            assert second.choice.server != first
+
+        run(test)
+
+    def test_without_a_server_at_the_owner_the_router_decides(self):
+        """All servers of one owner are out of reach of a router. Refused by that owner,
+        its call would not be tried at any other server.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            for row in bed.a.registry.usable("drafting"):
+                bed.a.health(row.instance.id).unreachable(bed.now)
+            assert await bed.place() is None
+
+        run(test)
+
+
 class TestLosses:
     def test_a_silent_owner_is_left_out(self):
         """An owner freezes. Until the membership notices, each call for its servers
