Learn for how long engines keep parts, and whether unrecorded ones are there

The first server of a part's order counted as having it without any record, also when all engines had just started; and each record ended after 12 s, though these engines keep parts for longer. So queues were misjudged by several tenths of a second, the speed learned was wrong, and parts moved.

Change: `_retention.py` learns from the time to the first token whether parts without a record are there, and about at which age recorded ones are evicted. Calls whose part wasn't as assumed teach no speed.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -10,7 +10,7 @@
 import random
 from collections.abc import Callable, Collection, Mapping, Sequence
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad.types import (
     DataCentreName,
@@ -32,7 +32,7 @@
 )
 from fulmarroad_serving._early_rejection import EngineCapacity, admitted_fraction
 from fulmarroad_serving._health import ServerHealth
-from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad
+from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad, SharedPart
 from fulmarroad_serving._registry import Registered, Registry, cold_bound
 from fulmarroad_serving._routing import (
     Candidate,
@@ -50,6 +50,10 @@
 """Uncached prompt tokens from which a prompt is reported to peers at once: it occupies
 an engine for longer than workspaces above their share may wait."""
 
+MIN_TELLING_TOKENS = 4_000
+"""Size of a shared part from which the time to the first token tells whether it was
+cached: smaller ones are read in the time that the estimate is off."""
+
 LATE_PROMPT_WAIT_FRACTION = 0.3
 """Fraction of the objective that a prompt may wait if reading it alone takes longer
 than the objective: it is late in any case, and would otherwise never be served."""
@@ -322,6 +326,7 @@
         choice = placement.choice
         expected_s = choice.wait_s + choice.read_s
         charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
+        charge = evolve(charge, part=self._shared_part(demand, choice, now))
         if placement.registered.cold(now) and not for_peer:
             self._cold_share(view, demand.service).note(now)
         if choice.tokens >= LARGE_PROMPT_TOKENS and self.on_large_prompt is not None:
@@ -368,10 +373,33 @@
             return
         ticket.begun_at = now
         if ticket.grant is None:
-            self._view(ticket.charge.server).load.begin(ticket.charge, now)
+            charge = ticket.charge
+            load = self._view(charge.server).load
+            load.begin(charge, now, learn=self._part_was_as_assumed(charge, load, now))
         else:
             self.on_progress(ticket)
 
+    def _shared_part(
+        self, demand: Demand, choice: Choice, now: float
+    ) -> SharedPart | None:
+        if not demand.part or choice.source:  # a part that is fetched tells nothing
+            return None
+        age_s = now - self.parts.sent_at(part_id(demand.part), choice.server)
+        return SharedPart(demand.shared_tokens, age_s, choice.cached)
+
+    def _part_was_as_assumed(
+        self, charge: Charge, load: ServerLoad, now: float
+    ) -> bool:
+        """Learn whether the shared part was cached; return whether as assumed."""
+        part = charge.part
+        if part is None or part.tokens < MIN_TELLING_TOKENS:
+            return True
+        part_s = part.tokens / load.read_rate
+        cached_s = charge.expected_s - (0.0 if part.cached else part_s)
+        hit = now - charge.sent_at < cached_s + part_s / 2
+        self.parts.retention.note(part.age_s, hit=hit)
+        return hit == part.cached
+
     def end(self, ticket: Ticket, outcome: SendOutcome | None, now: float) -> None:
         """Record the end of a call.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -74,6 +74,15 @@
     waiting_tokens: int
 
 
+@frozen
+class SharedPart:
+    """Hold what was assumed on the shared part of a prompt when it was sent."""
+
+    tokens: int
+    age_s: float  # since the server was last sent the part
+    cached: bool
+
+
 @frozen
 class Charge:
     """Hold what one call adds to a server's load, as counted by this router."""
@@ -85,6 +94,7 @@
     expected_s: float = 0.0  # until the answer begins
     number: int = 0
     wait_s: float = 0.0  # the expected wait in it
+    part: SharedPart | None = None  # of the prompt, if it has one
 
 
 @define
@@ -142,10 +152,15 @@
         due = OVERDUE_ESTIMATES * oldest.expected_s + OVERDUE_S
         return max(0.0, now - oldest.sent_at - due)
 
-    def begin(self, charge: Charge, now: float) -> None:
-        """Record a first token and learn the engine's speed from it."""
+    def begin(self, charge: Charge, now: float, *, learn: bool = True) -> None:
+        """Record a first token and learn the engine's speed from it.
+
+        `learn` is false if the part's state turned out not to be as assumed.
+        """
         self.waiting_tokens -= charge.tokens
         self._unbegun.pop(charge.number, None)
+        if not learn:
+            return
         duration_s = now - charge.sent_at
         tokens = charge.ahead_tokens + charge.tokens
         if tokens < MIN_LEARNED_TOKENS:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -30,10 +30,10 @@
 
 from fulmarroad.types import DataCentreName, ServerName
 from fulmarroad_serving._engine_time import reading_price
+from fulmarroad_serving._retention import PartRetention
 
-CACHED_ASSUMED_S = 12.0
-"""Time for which a part that was sent to a server counts as cached there: engines evict
-the least recently used parts, so one that is unused for longer may be evicted."""
+PART_REPORT_INTERVAL_S = 6.0
+"""Time after which a part that a server is still sent is reported to peers again."""
 
 ASKED_HALF_LIFE_S = 3.0
 """Half-life of the number of calls for a part: a part that is in demand now will likely
@@ -131,6 +131,7 @@
 class PartMemory:
     """Remember which servers any router recently sent which shared part."""
 
+    retention: PartRetention = field(factory=PartRetention)
     _sent_times: OrderedDict[PartId, dict[ServerName, float]] = field(
         factory=OrderedDict
     )
@@ -154,11 +155,11 @@
     def send(self, part: PartId, server: ServerName, now: float) -> None:
         """Record that a server was sent a part, and queue this for a report to peers.
 
-        It is not queued if the last time was less than half of `CACHED_ASSUMED_S` ago.
+        It is not queued if it was sent within `PART_REPORT_INTERVAL_S` before.
         """
         before = self.sent_at(part, server)
         self.note(part, server, now)
-        if now - before > CACHED_ASSUMED_S / 2:
+        if now - before > PART_REPORT_INTERVAL_S:
             self._unreported[(part, server)] = None
 
     def pop_updates(self, most: int) -> tuple[tuple[PartId, ServerName], ...]:
@@ -188,7 +189,7 @@
 
     def has(self, part: PartId, server: ServerName, now: float) -> bool:
         """Return whether a server was recently sent a part."""
-        return now - self.sent_at(part, server) < CACHED_ASSUMED_S
+        return self.retention.is_kept(now - self.sent_at(part, server))
 
     def forget(self, server: ServerName) -> None:
         """Drop the entries of a server that restarted."""
@@ -324,15 +325,16 @@
     if not prompt.part:
         return []
     times = memory.holders(prompt.part)
-    sent = [(times.get(row.server, NEVER), row) for row in candidates]
-    recent = [(at, row.server) for at, row in sent if now - at < CACHED_ASSUMED_S]
-    recent.sort(key=lambda pair: pair[0], reverse=True)
-    holders = [server for _, server in recent]
-    for _, row in sent:
-        is_home = positions[row.server] == 0 and row.age_s > WARM_CACHE_AGE_S
-        if is_home and row.server not in holders:
-            holders.append(row.server)
-    return holders
+    kept = memory.retention
+    recent, holders = [], []
+    for row in candidates:
+        at = times.get(row.server)
+        if at is not None and kept.is_kept(now - at):
+            recent.append((at, row.server))
+        elif at is None and kept.unrecorded_kept and positions[row.server] == 0:
+            holders += [row.server] if row.age_s > WARM_CACHE_AGE_S else []
+    recent.sort(reverse=True)
+    return [server for _, server in recent] + holders
 
 
 def choose_plain(
