Don't subtract calls of an earlier run of a server from its new load

Cause, found on reading: what is known of a server is dropped when it restarts, and the ends of calls to its earlier run were then subtracted from the new run's load, which went below zero and made it seem emptier than idle. With owners one router counts all calls there, so a restart is off by all of them.

Change: a load remembers the numbers of its calls; numbers are never used again. Test red before: one call running and 1,000 tokens waiting became 0 and -8,000.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -424,7 +424,7 @@
 
     def release(self, ticket: Ticket, now: float) -> None:
         """Stop counting a call, without learning from its end."""
-        self._view(ticket.charge.server).load.end(ticket.charge, begun=ticket.begun)
+        self._view(ticket.charge.server).load.end(ticket.charge)
         if not ticket.begun:
             demand, sent_at = ticket.demand, ticket.charge.sent_at
             self.shares.refund(demand.workspace, demand.units, sent_at, now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 
 from attrs import define, evolve, field, frozen
@@ -56,6 +57,8 @@
 
 NEVER = float("-inf")
 
+_charge_numbers = itertools.count(1)
+
 DRAINED_FRACTION = 0.5
 """Fraction of the tokens an engine reads since a peer's report that is subtracted from
 the peer's waiting tokens. Under steady load peers send as many tokens as are read, and
@@ -107,7 +110,7 @@
     base_s: float = BASE_S
     peers: dict[RouterName, tuple[float, PeerLoad]] = field(factory=dict)
     _unbegun: dict[int, Charge] = field(factory=dict)  # in the order of sending
-    _number: int = 0
+    _counted: set[int] = field(factory=set)  # numbers of the running calls
     _summed_at: float = NEVER
     _peers_running: int = 0
     _peers_waiting: int = 0
@@ -122,9 +125,10 @@
         wait_s: float = 0.0,
     ) -> Charge:
         """Record a call that is sent."""
-        self._number += 1
         ahead = self.total_waiting(now)
-        charge = Charge(server, tokens, ahead, now, expected_s, self._number, wait_s)
+        number = next(_charge_numbers)
+        charge = Charge(server, tokens, ahead, now, expected_s, number, wait_s)
+        self._counted.add(number)
         self.running += 1
         self.waiting_tokens += tokens
         self._unbegun[charge.number] = charge
@@ -132,8 +136,8 @@
 
     def adopt(self, charge: Charge, *, begun: bool) -> Charge:
         """Count a call that another router counted until now."""
-        self._number += 1
-        charge = evolve(charge, number=self._number)
+        charge = evolve(charge, number=next(_charge_numbers))
+        self._counted.add(charge.number)
         self.running += 1
         if not begun:
             self.waiting_tokens += charge.tokens
@@ -157,8 +161,8 @@
 
         `learn` is false if the part's state turned out not to be as assumed.
         """
-        self.waiting_tokens -= charge.tokens
-        self._unbegun.pop(charge.number, None)
+        if self._unbegun.pop(charge.number, None) is not None:
+            self.waiting_tokens -= charge.tokens
         if not learn:
             return
         duration_s = now - charge.sent_at
@@ -175,11 +179,16 @@
         learned = self.read_rate * math.exp(LEARNING_RATE * step)
         self.read_rate = min(max(learned, low), high)
 
-    def end(self, charge: Charge, *, begun: bool) -> None:
-        """Record the end of a call."""
+    def end(self, charge: Charge) -> None:
+        """Record the end of a call.
+
+        A call that was sent before the server restarted is no longer counted.
+        """
+        if charge.number not in self._counted:
+            return
+        self._counted.remove(charge.number)
         self.running -= 1
-        self._unbegun.pop(charge.number, None)
-        if not begun:
+        if self._unbegun.pop(charge.number, None) is not None:
             self.waiting_tokens -= charge.tokens
 
     def receive_load(self, router: RouterName, load: PeerLoad, now: float) -> None:
--- a/packages/fulmarroad-serving/tests/test_holding.py
+++ b/packages/fulmarroad-serving/tests/test_holding.py
@@ -84,7 +84,7 @@
 
             async def free():
                 await anyio.sleep(0.05)
-                load.end(busy, begun=False)
+                load.end(busy)
 
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(free)
@@ -129,7 +129,7 @@
 
             async def end_one_call():
                 await anyio.sleep(0.03)
-                load.end(busy, begun=False)
+                load.end(busy)
 
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(end_one_call)
@@ -179,7 +179,7 @@
                 await anyio.sleep(0.03)
                 caller.left.set()
                 await anyio.sleep(0.02)
-                load.end(busy, begun=False)
+                load.end(busy)
                 await anyio.sleep(0.1)
             assert not bed.arrivals
 
--- a/packages/fulmarroad-serving/tests/test_load.py
+++ b/packages/fulmarroad-serving/tests/test_load.py
@@ -12,14 +12,25 @@
         assert load.wait_s(128, 0.0) == pytest.approx(9_000 / READ_RATE)
         load.begin(charge, 0.1)
         assert load.wait_s(128, 0.1) == 0.0
-        load.end(charge, begun=True)
+        load.end(charge)
         assert load.total_running(0.1) == 0
 
     def test_a_call_that_ends_before_it_begins_is_removed(self):
         load = ServerLoad()
-        load.end(load.send("s", 9_000, 0.0), begun=False)
+        load.end(load.send("s", 9_000, 0.0))
         assert (load.running, load.waiting_tokens) == (0, 0)
 
+    def test_a_call_to_an_earlier_run_of_a_server_is_not_subtracted(self):
+        """A server crashes and restarts before its router notices the end of all calls.
+        Subtracted from the new run's load, they make it seem less busy than idle.
+        """
+        before, after = ServerLoad(), ServerLoad()
+        charge = before.send("s", 9_000, 0.0)
+        after.send("s", 1_000, 0.1)
+        after.begin(charge, 0.2)
+        after.end(charge)
+        assert (after.running, after.waiting_tokens) == (1, 1_000)
+
     def test_peer_load_decreases_with_the_age_of_its_report(self):
         """Two routers send long prompts to the same idle engine at once. Without the
         other's report each would consider it idle, and both prompts would be late.
@@ -49,7 +60,7 @@
             charge = load.send("s", 9_000, now)
             now += 0.4
             load.begin(charge, now)
-            load.end(charge, begun=True)
+            load.end(charge)
         assert load.read_rate < READ_RATE / 2
 
     def test_one_wrong_cache_assumption_changes_the_speed_little(self):
@@ -69,5 +80,5 @@
         load.send("s", 0, 0.4, 0.1)
         assert load.overdue_s(0.5) == 0.0
         assert load.overdue_s(1.0) == pytest.approx(0.45)
-        load.end(charge, begun=False)
+        load.end(charge)
         assert load.overdue_s(0.9) == 0.0
