--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, evolve, field
 
-from fulmarroad.types import DataCentreName, RouterName
+from fulmarroad.types import DataCentreName, RouterName, ServerName
 from fulmarroad_serving._digests import (
     MAX_REPORT_AGE_S,
     Digest,
@@ -42,14 +42,21 @@
 DIGESTS_PER_MEMBER_LIST = 10
 """Number of digests of which one lists the known routers: about once a second."""
 
+DIGESTS_PER_FOLLOWER = 2
+"""Number of digests of which one goes to a router that owns no servers.
+
+It needs the loads only while no owner answers; half of the digests is a tenth of its
+processor time.
+"""
+
 MAX_REPORT_PARTS = 40
 """Maximum number of parts in one report, about 0.6 KB.
 
 A router sends fewer to servers between two reports.
 """
 
-MAX_DIGEST_PARTS = 100
-"""Maximum number of parts in one digest, about 1.7 KB.
+MAX_DIGEST_PARTS = 150
+"""Maximum number of parts in one digest, about 2.5 KB.
 
 The routers of a data centre send as many to servers between two digests.
 """
@@ -128,6 +135,8 @@
         """Time of each local collector's last packet, or of its selection."""
         self._digest_count = 0
         self.book = PeerBook(me, host)
+        self.owners: Callable[[], Collection[RouterName]] = frozenset
+        """Returns the routers that place the calls of others; empty: all decide."""
 
     @property
     def uses_collectors(self) -> bool:
@@ -238,14 +247,19 @@
             self._digest_count = 0
             return []
         with_members = not self._digest_count % DIGESTS_PER_MEMBER_LIST
+        owners = self.owners()
+        to_all = not owners or not self._digest_count % DIGESTS_PER_FOLLOWER
         self._digest_count += 1
         centre_sum = sum_reports([(self._last_report, 0.0), *self._centre_reports(now)])
         remote_sums = [
             (row.total, now - row.at) for row in self._fresh_centre_sums(now)
         ]
         fleet = merge([(centre_sum, 0.0), *remote_sums])
-        parts = self._dispatcher.parts.pop_updates(MAX_DIGEST_PARTS)
-        suspects = self._dispatcher.suspects.pop_updates(MAX_SUSPECTS, now)
+        parts: tuple[tuple[PartId, ServerName], ...] = ()
+        suspects: tuple[SuspectRow, ...] = ()
+        if to_all:  # each of them is sent once
+            parts = self._dispatcher.parts.pop_updates(MAX_DIGEST_PARTS)
+            suspects = self._dispatcher.suspects.pop_updates(MAX_SUSPECTS, now)
         me = member_of(self._last_report, 0.0)
         members = self.book.members(now) if with_members else []
         centre_members = [row for row in members if row.data_centre == self._centre]
@@ -263,7 +277,7 @@
             ),
             (
                 Digest(self._me, "", fleet, (me, *members), parts, suspects),
-                self._centre_hosts(now),
+                self._centre_hosts(now, None if to_all else owners),
             ),
         ]
 
@@ -290,11 +304,15 @@
             names |= set(self.collectors_of(centre, now))
         return sorted(hosts[name] for name in names if name in hosts)
 
-    def _centre_hosts(self, now: float) -> list[str]:
+    def _centre_hosts(
+        self, now: float, only: Collection[RouterName] | None
+    ) -> list[str]:
+        """Return the hosts of this data centre, or of some of its routers."""
         return sorted(
             peer.host
             for peer in self.book.alive(now)
             if peer.data_centre == self._centre
+            and (only is None or peer.router in only)
         )
 
     # incoming packets
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -160,6 +160,15 @@
             self.routers = dict(routers)
             self._tables.clear()
 
+    def all_owners(self) -> frozenset[RouterName]:
+        """Return the owners of all servers that calls came for."""
+        return frozenset(
+            owner
+            for (_, left_out), table in self._tables.items()
+            if not left_out
+            for owner in table.by_server.values()
+        )
+
     def owners(
         self, service: ServiceName, left_out: frozenset[RouterName] = frozenset()
     ) -> ServiceOwners:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -100,6 +100,7 @@
         source = random.Random(incarnation)
         self._view = FleetView(me, centre, host, dispatcher, source)
         self.owners = OwnerTable(dispatcher.registry.usable)
+        self._view.owners = self.owners.all_owners
         self.owner_client = OwnerClient(
             me, incarnation, dispatcher, self.owners, source, clock
         )
@@ -123,8 +124,16 @@
 
     @property
     def _report_s(self) -> float:
-        """Return the time between two reports."""
-        return RELAYED_REPORT_S if self._view.uses_collectors else REPORT_S
+        """Return the time between two reports.
+
+        The load of a router whose calls are placed and counted by owners is no news.
+        """
+        owners = self.owners.all_owners()
+        if not self._view.uses_collectors:
+            return REPORT_S
+        if not owners or self._me in owners or self._view.is_collector(self._clock()):
+            return RELAYED_REPORT_S
+        return REPORT_S
 
     def trigger_report(self) -> None:
         """Send the next report now, as this router's copy of the store has changed."""
--- a/packages/fulmarroad-serving/tests/test_digests.py
+++ b/packages/fulmarroad-serving/tests/test_digests.py
@@ -193,6 +193,30 @@
             assert set(bed.errors()) == {0}
         assert large.packets < 1.5 * 3 * small.packets
 
+    def test_routers_without_servers_need_half_of_the_digests(self):
+        """Owners decide with fresh loads, and the other routers of a large fleet spend
+        less on news that they hardly use, but no part is left out.
+        """
+        fleet = FleetBed(60)
+        fleet.run(3.0)
+        before = fleet.packets
+        fleet.run(1.5)
+        all_decide = fleet.packets - before
+        for router in fleet.routers.values():
+            router.view.owners = lambda: frozenset({"r0", "r1", "r2"})
+        fleet.run(1.5)
+        before = fleet.packets
+        fleet.run(1.5)
+        assert fleet.packets - before < 0.8 * all_decide
+        sender = fleet.routers["h9"].dispatcher.parts
+        for part in range(1, 30):
+            sender.send(part, "s", fleet.now)
+            fleet.run(0.075)
+        fleet.run(0.6)
+        for router in fleet.routers.values():
+            parts = router.dispatcher.parts
+            assert all(parts.has(part, "s", fleet.now) for part in range(1, 30))
+
     def test_lost_packets_rarely_make_known_loads_wrong(self):
         bed = FleetBed(40, loss=0.1)
         bed.run(4.0)
