--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_retention.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_retention.py
@@ -20,12 +20,13 @@
 KEPT_STEP = 1.03
 """Factor on that time for each part found cached, or not, about at its end."""
 
-INITIAL_HIT_RATE = 0.7
+INITIAL_HIT_RATE = 0.95
 """Assumed fraction of cached ones among parts without a record: routers restart more
 often than all engines do."""
 
-HIT_LEARNING_RATE = 0.1
-"""Weight of one first token: ten calls change the assumption."""
+HIT_LEARNING_RATE = 0.05
+"""Weight of one first token: a dozen calls change the assumption, not a burst that finds
+queues misjudged."""
 
 LIKELY_RATE = 0.5
 
