--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_retention.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_retention.py
@@ -25,8 +25,8 @@
 often than all engines do."""
 
 HIT_LEARNING_RATE = 0.05
-"""Weight of one first token: a dozen calls change the assumption, not a burst that finds
-queues misjudged."""
+"""Weight of one first token: a dozen calls change the assumption, but no single burst
+that finds queues misjudged."""
 
 LIKELY_RATE = 0.5
 
