--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -254,6 +254,7 @@
 
     def receive_request(self, owner: _Router, request: PlacementRequest) -> None:
         assert owner.granter is not None
+        owner.work(PLACEMENT_COST_S, self.now)
         self.deliver(owner, [owner.granter.receive_request(request, self.now)])
         self.schedule_held(owner)
 
@@ -288,7 +289,8 @@
             return
         self.grants[call.number] = (owner, pending.router.name, reply.number)
         self.at(
-            self.now + NETWORK_DELAY_S, lambda: self.reach_engine(call, reply.server)
+            pending.router.work(FORWARD_COST_S, self.now) + NETWORK_DELAY_S,
+            lambda: self.reach_engine(call, reply.server),
         )
 
     def report_progress(self, call: SimulatedCall, note: ProgressNote) -> None:
