Don't let a call wait at the owner past its deadline

Cause, found on reading: a held call waited for its owner's second answer for up to its objective, also with less time left, and the owner then counted as silent. Change: the wait ends with the call's deadline, without a verdict on the owner. Test red before: no answer for 0.6 s with 0.05 s left.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -170,7 +170,11 @@
             return await self._place_here(run, owned, may_wait=may_wait)
         asked_at = self._clock()
         placement = await client.request(
-            owner, run.demand, self._avoided(run), may_wait=may_wait
+            owner,
+            run.demand,
+            self._avoided(run),
+            may_wait=may_wait,
+            remaining_s=run.remaining_s(asked_at),
         )
         if placement is None:
             return await self._place_here(run, None, may_wait=may_wait)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Collection, Mapping
@@ -96,8 +97,12 @@
         avoid: Collection[ServerName],
         *,
         may_wait: bool,
+        remaining_s: float = math.inf,
     ) -> Placement | Refusal | None:
-        """Return the decision of an owner, or None without a usable one."""
+        """Return the decision of an owner, or None without a usable one.
+
+        `remaining_s` is the time until the call's deadline.
+        """
         self._number += 1
         number, now = self._number, self._clock()
         pending = self._pending[number] = _PendingRequest()
@@ -116,13 +121,14 @@
             self.send(owner, pack_request(request))
             reply = await pending.wait(REPLY_TIMEOUT_S)
             if reply is not None and reply.kind is ReplyKind.WAITS:
-                reply = await pending.wait(demand.objective_s)
+                reply = await pending.wait(min(demand.objective_s, remaining_s))
         finally:
             del self._pending[number]
             if reply is None and pending.reply is not None:
                 self._return_unused(pending.reply)
         if reply is None:
-            self._silent_until[owner] = self._clock() + SILENCE_S
+            if remaining_s > demand.objective_s:
+                self._silent_until[owner] = self._clock() + SILENCE_S
             return None
         self._silent_until.pop(owner, None)
         return self._decision(demand, avoid, reply)
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -128,6 +128,25 @@
 
         run(test)
 
+    def test_a_call_does_not_wait_at_the_owner_past_its_deadline(self):
+        """A caller has less time left than its call may be held. It would be told after
+        it has gone, and the owner would count as silent.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            while isinstance(await bed.place(may_wait=False), Placement):
+                pass
+            started = anyio.current_time()
+            answer = await bed.client.request(
+                "b", CALL, (), may_wait=True, remaining_s=0.05
+            )
+            assert answer is None
+            assert anyio.current_time() - started < 0.3
+            assert bed.client.owner_for(CALL) == "b"
+
+        run(test)
+
 
 class TestPermissions:
     """Tests of what the owner may decide for the router that sends the call."""
