--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -200,7 +200,7 @@
         self.gate = CallGate()
         self.gate.open()
         codec = PlainCodec()
-        forwarder = Forwarder(
+        self.forwarder = Forwarder(
             self.dispatcher, self.pool, codec, lambda: self.beliefs.catalog, clock
         )
         self.lateness = LoopLateness()
@@ -208,7 +208,7 @@
         self.app = ServingApp(
             codec,
             self.beliefs,
-            forwarder,
+            self.forwarder,
             self.gate,
             Metrics(),
             self.saturation,
