Log an owner that doesn't answer and calls taken over from a lost one

Cause, found on reading: a request without an answer was placed without its owner and left no line. Events 326 and 327, one for each spell of silence and for each lost owner; the status page lists the servers that a router owns.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -169,6 +169,16 @@
             for owner in table.by_server.values()
         )
 
+    def owned_by(self, router: RouterName) -> list[ServerName]:
+        """Return the servers of a router, of services that calls came for."""
+        return sorted(
+            server
+            for (_, left_out), table in self._tables.items()
+            if not left_out
+            for server, owner in table.by_server.items()
+            if owner == router
+        )
+
     def owners(
         self, service: ServiceName, left_out: frozenset[RouterName] = frozenset()
     ) -> ServiceOwners:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -320,6 +320,7 @@
             "store_age_s": round(min(self._reader.age_s(), 1e6), 2),
             "loop_late_s": round(self._lateness.sustained_s, 3),
             "reads_store": self._reads_store(),
+            "owns": self._peers.owners.owned_by(self._settings.router),
             "requests_barred": {
                 name.hex(): ends
                 for name, ends in self._dispatcher.suspects.barred(now).items()
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -81,6 +81,8 @@
     REPORT_UNSENT = EventKind(323, _W, "report not sent to a peer")
     REPLICA_PULL_FAILED = EventKind(324, _W, "peer returned no copy of the store")
     REPLICA_GIVE_FAILED = EventKind(325, _W, "copy of the store not sent to a peer")
+    OWNER_SILENT = EventKind(326, _W, "no answer from the owner of servers")
+    OWNER_LOST = EventKind(327, _W, "calls of a lost owner are counted here")
 
     # 400: backend servers and data centres
     WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
