--- a/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/footprint.py
@@ -78,6 +78,15 @@
         print(json.dumps(asdict(digest_cost(routers, servers, 60))))
 
 
+def grants() -> None:
+    """Print the cost of a call that the owner of a server places."""
+    from attrs import asdict
+
+    from fulmarroad_bench._footprint_grants import grant_cost
+
+    print(json.dumps(asdict(grant_cost())))
+
+
 def suspects() -> None:
     """Print the cost of tracking requests suspected of crashing servers."""
     from attrs import asdict
@@ -138,6 +147,7 @@
         {
             "memory": memory,
             "calls": calls,
+            "grants": grants,
             "decisions": decisions,
             "digests": digests,
             "suspects": suspects,
