--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -61,10 +61,10 @@
 
 
 def refuse_above_share(
-    part: float, use: ShareUse, window_s: float, source: random.Random
+    admitted: float, use: ShareUse, window_s: float, source: random.Random
 ) -> Refusal:
-    """Refuse a call of a workspace of which only a part of the calls is tried."""
-    pause = source.uniform(*RETRY_AFTER_S) + (1.0 - part) * window_s / 2
+    """Refuse a call of a workspace of which only a fraction of the calls is tried."""
+    pause = source.uniform(*RETRY_AFTER_S) + (1.0 - admitted) * window_s / 2
     return Refusal(RefusalReason.ABOVE_SHARE, min(pause, MAX_RETRY_AFTER_S), use=use)
 
 
