Divide servers into groups only when they change

Each router that came or went made every router hash each server with each group, 35 ms of processor time; 33 ms at 370 routers and 1,800 servers in 12 data centres. Change: groups, which don't depend on routers, are kept.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -18,6 +18,7 @@
 import math
 import random
 from collections.abc import Callable, Mapping, Sequence
+from functools import lru_cache
 
 import xxhash
 from attrs import define, field
@@ -70,27 +71,33 @@
 def _assign(
     subject: str, servers: Sequence[ServerName], routers: Sequence[RouterName]
 ) -> dict[ServerName, RouterName]:
-    """Divide servers into groups and give each group an owner.
+    """Give each group of servers an owner."""
+    assigned = {}
+    free = set(routers)
+    for number, group in enumerate(_groups(tuple(servers))):
+        (owner,) = watchers(free, 1, f"owners\0{subject}\0{number}")
+        assigned.update(dict.fromkeys(group, owner))
+        free = free - {owner} or set(routers)
+    return assigned
+
+
+@lru_cache(maxsize=MAX_CACHED_TABLES)
+def _groups(servers: tuple[ServerName, ...]) -> tuple[tuple[ServerName, ...], ...]:
+    """Divide servers into groups by rendezvous hashing, none larger than the others.
 
     The groups don't depend on the routers: with another owner the servers of a group
     still have the prompt parts that its calls need.
     """
     count = math.ceil(len(servers) / SERVERS_PER_OWNER)
-    groups: list[list[ServerName]] = [[] for _ in range(count)]
     limit = math.ceil(len(servers) / count)
+    groups: list[list[ServerName]] = [[] for _ in range(count)]
     for server in servers:
         ranked = sorted(
             range(count), key=lambda number: _weight(server, number), reverse=True
         )
         group = next(number for number in ranked if len(groups[number]) < limit)
         groups[group].append(server)
-    assigned = {}
-    free = set(routers)
-    for number, group_servers in enumerate(groups):
-        (owner,) = watchers(free, 1, f"owners\0{subject}\0{number}")
-        assigned.update(dict.fromkeys(group_servers, owner))
-        free = free - {owner} or set(routers)
-    return assigned
+    return tuple(tuple(group) for group in groups if group)
 
 
 def _weight(server: ServerName, group: int) -> int:
