Weigh a server's failures less where many of its calls are seen

A failure rate was averaged over three or four calls. That kept one of sixty routers away from a server for some seconds after two chance failures; an owner decides for all.

Change: the weight of an outcome falls with the number of outcomes of the last second, from a quarter to 0.04. A router with few calls decides as before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_health.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_health.py
@@ -15,6 +15,13 @@
 """Weight of one outcome in the moving average: a server that fails half of its calls is
 detected after three outcomes."""
 
+MIN_FAILURE_WEIGHT = 0.04
+"""Weight of one outcome if many come in a second: at a router that places all calls of
+a server, two failures in a row are chance, and it would get no calls for seconds."""
+
+RECENT_HALF_LIFE_S = 1.0
+"""Half-life of the number of outcomes by which their weight is chosen."""
+
 PENALTY_S = 1.5
 """Time added to the estimate per unit of failure rate above `TOLERATED_RATE`: more than
 any objective, so that a server that fails all calls is only used as a last resort."""
@@ -39,6 +46,7 @@
     updated_at: float = 0.0
     backoff_until: float = 0.0
     _backoff_s: float = 0.0
+    _recent: float = 0.0  # outcomes, decaying
 
     def record_success(self, now: float) -> None:
         """Record a successful answer."""
@@ -70,5 +78,8 @@
 
     def _update_rate(self, outcome: float, now: float) -> None:
         rate = self._decayed_rate(now)
-        self.rate = rate + FAILURE_WEIGHT * (outcome - rate)
+        elapsed_s = max(0.0, now - self.updated_at)
+        self._recent = 1.0 + self._recent * 0.5 ** (elapsed_s / RECENT_HALF_LIFE_S)
+        weight = min(FAILURE_WEIGHT, max(MIN_FAILURE_WEIGHT, 1.0 / self._recent))
+        self.rate = rate + weight * (outcome - rate)
         self.updated_at = now
