--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_returns.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_returns.py
@@ -25,9 +25,9 @@
 MAX_REMEMBERED = 8_192
 """Maximum number of remembered calls; the oldest are dropped first."""
 
-LATE_WAIT_FRACTION = 0.6
+LATE_WAIT_FRACTION = 0.3
 """Fraction of its objective that a call may wait if it is late in any case. With less,
-callers who return are refused again while servers have room."""
+servers would idle at times although callers wait."""
 
 MIN_LEFT_S = 0.1
 """Remaining objective below which a call counts as late in any case: a server takes
