Log the software version of servers and the stream that a call takes up

The record of streams with two versions can't be told apart by its logs: no line names a server's version, or the stream of an earlier call that a caller takes up. An entry's Version and a caller's Resumes are decoded now, and stand in the lines of a call's end (500 to 506), of a send that failed (509) and of an entry (420). Nothing decides by them.

An entry without a version that is a text of at most 64 characters names no server to use, as the platform says of any entry with missing fields or other types.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -253,6 +253,7 @@
             return
         choice = placement.choice
         run.summary.server, run.summary.cached = choice.server, choice.cached
+        run.summary.server_version = placement.registered.instance.version
         run.summary.read_tokens = choice.tokens
         run.summary.copies = choice.copies
         run.summary.expected_s = choice.wait_s + choice.read_s
@@ -370,6 +371,7 @@
             Event.SEND_FAILED,
             request_id=run.call.head.request_id,
             server=server,
+            server_version=run.summary.server_version,
             outcome=error.outcome.value,
             cause=error.message,
             sends=run.progress.sends,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -37,6 +37,7 @@
     draining: bool = False
     warmup_left_s: float = 0.0
     started_ms: int = 0  # Unix time of this start; a restart may reuse the id
+    version: str = ""  # of its software
 
 
 @define
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -238,6 +238,7 @@
             server=instance.id,
             service=instance.service,
             data_centre=instance.data_centre,
+            server_version=instance.version,
             draining=instance.draining,
             warmup_left_s=instance.warmup_left_s,
             revision=revision,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -56,6 +56,7 @@
     """Collect the values of a call's final log line."""
 
     server: ServerName = ""
+    server_version: str = ""
     sends: int = 0
     first_s: float = 0.0
     cached: bool | None = None
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -32,6 +32,7 @@
     key: bytes = b""
     deadline_s: float | None = None
     last_event_id: str = ""
+    resumes: str = ""  # id of the call that brought the first event of its stream
     part: str = ""  # identifies the shared part of the prompt, which servers cache
     shared_tokens: int = 0
     own_tokens: int = 0
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -54,6 +54,7 @@
             key=rows.get(b"x-key", b""),
             deadline_s=number / 1000 if number else None,
             last_event_id=rows.get(b"last-event-id", b"").decode(),
+            resumes=rows.get(b"resumes", b"").decode(),
             part=rows.get(b"x-part", b"").decode(),
             forward=tuple(row for row in headers if row[0] in (b"host", b"x-id")),
         )
@@ -221,7 +222,7 @@
     def apply_fact(self, fact):
         self.beliefs._apply_fact(fact, 1, 60.0, "test")
 
-    async def serve(self, name, script, service="ledger", slots=8):
+    async def serve(self, name, script, service="ledger", slots=8, version="v1"):
         """Start a server; `script(arrival, writer)` answers each request."""
 
         async def connected(reader, writer):
@@ -242,9 +243,10 @@
         server = await asyncio.start_server(connected, "127.0.0.1", 0)
         self._servers.append(server)
         port = server.sockets[0].getsockname()[1]
-        self.apply_fact(
-            InstanceFact(Instance(name, service, "127.0.0.1", port, "fes", slots))
+        instance = Instance(
+            name, service, "127.0.0.1", port, "fes", slots, version=version
         )
+        self.apply_fact(InstanceFact(instance))
         return port
 
     async def call(
--- a/packages/fulmarroad-serving/tests/test_callers.py
+++ b/packages/fulmarroad-serving/tests/test_callers.py
@@ -1,8 +1,18 @@
 """Checks of calls against the current configuration."""
 
 from attrs import evolve
-from serving_bed import KEY, Bed, answer, make_catalog, run
-
+from serving_bed import (
+    KEY,
+    Bed,
+    answer,
+    chunk,
+    event,
+    make_catalog,
+    run,
+    stream_head,
+)
+
+from fulmarroad.events import Event
 from fulmarroad_serving import CatalogIndex, KeyHolder, digest_key
 from fulmarroad_serving.contracts import CatalogFact
 
@@ -112,3 +122,30 @@
             assert caller.status == 503
 
         run(test)
+
+
+class TestStreamLog:
+    def test_the_end_of_a_call_names_the_stream_it_takes_up(self, caplog):
+        """Guard against streams that go on at another software version, of which the
+        log doesn't say where they began.
+        """
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")))
+                writer.write(chunk(event(5)) + b"0\r\n\r\n")
+
+            await bed.serve("s-1", script, "drafting", version="v1")
+            headers = {"resumes": "c-1", "last-event-id": "4"}
+            await bed.call("/draft/1", "c-2", method="POST", body=b"p", headers=headers)
+
+        with caplog.at_level("INFO", "fulmarroad.serving"):
+            run(test)
+        (line,) = [
+            row for row in caplog.records if row.msg == Event.REQUEST_DONE.value.text
+        ]
+        assert (line.server_version, line.resumes, line.after_event) == (
+            "v1",
+            "c-1",
+            "4",
+        )
--- a/packages/fulmarroad-serving/tests/test_platform_calls.py
+++ b/packages/fulmarroad-serving/tests/test_platform_calls.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fulmarroad_platform.calls import PlatformCodec
+from fulmarroad_platform.calls import MAX_REQUEST_ID_CHARS, PlatformCodec
 from fulmarroad_serving import Instance
 
 CODEC = PlatformCodec()
@@ -48,6 +48,16 @@
         assert (head.shared_tokens, head.own_tokens) == (1210, 250)
         assert head.output_tokens == 80
 
+    def test_the_stream_that_a_caller_takes_up_is_decoded(self):
+        head = CODEC.read_call([*HEADERS, (b"resumes", b" 77ab ")])
+        assert head.resumes == "77ab"
+        assert CODEC.read_call(HEADERS).resumes == ""
+
+    def test_an_id_that_no_request_can_have_is_cut(self):
+        """Guard against a log and messages to peers that one caller fills."""
+        head = CODEC.read_call([*HEADERS, (b"resumes", b"7" * 1000)])
+        assert len(head.resumes) == MAX_REQUEST_ID_CHARS
+
     def test_a_caller_cannot_set_router_headers(self):
         """A caller sets another workspace's name, or a reservation that is not its own.
         Forwarded, the call would be charged to that workspace.
--- a/packages/fulmarroad-serving/tests/test_platform_facts.py
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -82,6 +82,7 @@
         assert (instance.data_centre, instance.slots) == ("fes-1", 128)
         assert (instance.draining, instance.warmup_left_s) == (False, 1.5)
         assert instance.started_ms == 1774344319005
+        assert instance.version == "v1"
 
     def test_a_draining_server_is_decoded(self):
         entry = ENTRY | {"LifecycleState": "draining"}
@@ -101,6 +102,10 @@
             {"Capacity": True},
             {"WarmupLeftMs": -1},
             {"born": "now"},
+            {"Version": ""},
+            {"Version": 2},
+            {"Version": None},
+            {"Version": "v" * 1000},
         ],
     )
     def test_a_malformed_entry_is_unusable(self, change):
--- a/packages/fulmarroad-serving/tests/test_store_returns.py
+++ b/packages/fulmarroad-serving/tests/test_store_returns.py
@@ -75,6 +75,7 @@
         "ServiceName": "ledger",
         "Address": "127.0.0.1:9001",
         "Zone": "fes",
+        "Version": "v1",
         "Capacity": 6,
         "LifecycleState": state,
         "WarmupLeftMs": 0,
