--- /dev/null
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -0,0 +1,524 @@
+"""A fleet of routers in virtual time whose callers take up broken streams elsewhere.
+
+Routers are real down to their connections; engines, packets and callers are simulated.
+A caller keeps each event with the service and version of the engine that made it, so
+that tests check what callers hold.
+"""
+
+import contextlib
+import itertools
+import random
+
+import anyio
+from attrs import define, evolve, field
+from serving_bed import KEY, SHORT, STREAM, PlainCodec, make_catalog, stream_head
+
+from fulmarroad.audit import AuditTrail
+from fulmarroad_router.gate import CallGate
+from fulmarroad_serving import (
+    Dispatcher,
+    EngineProfile,
+    FleetBounds,
+    Instance,
+    Service,
+    Target,
+)
+from fulmarroad_serving._callers import ServingApp
+from fulmarroad_serving._connection import BackendConnection
+from fulmarroad_serving._forwarding import Forwarder
+from fulmarroad_serving._granting import Granter
+from fulmarroad_serving._lateness import LoopLateness
+from fulmarroad_serving._metrics import Metrics
+from fulmarroad_serving._owner_client import OwnerClient
+from fulmarroad_serving._owner_exchange import OwnerExchange
+from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._reports import unpack
+from fulmarroad_serving._router_state import RouterState
+from fulmarroad_serving._saturation import SaturationGuard
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    InstanceFact,
+    InstanceRemovedFact,
+)
+from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
+
+EVENTS = 20
+FIRST_S = 0.05
+EVENT_S = 0.06
+NETWORK_S = 0.002
+STORE_S = 0.2
+"""Time in which a change of the store reaches every router."""
+
+DETECTION_S = 2.0
+"""Time until routers notice that another one is gone."""
+
+PATIENCE_S = 2.0
+"""Time without an event after which a caller gives up a try."""
+
+DEADLINE_S = 8.0
+CENTRES = ("fes", "rabat", "taza")
+
+
+@define(frozen=True)
+class HeldEvent:
+    """One event as its caller holds it."""
+
+    service: str
+    version: str
+    number: int
+
+
+@define(eq=False)
+class Engine:
+    """Simulate an engine that streams events which name its service and version."""
+
+    name: str
+    service: str
+    version: str
+    port: int
+    started_ms: int = 0
+    up: bool = True
+    running: int = 0
+    slots: int = 16
+    connections: list = field(factory=list)
+
+    def instance(self, **changes):
+        values = {"draining": False, "version": self.version} | changes
+        return Instance(
+            self.name,
+            self.service,
+            "h",
+            self.port,
+            CENTRES[self.port % len(CENTRES)],
+            self.slots,
+            started_ms=self.started_ms,
+            **values,
+        )
+
+    def crash(self):
+        self.up = False
+        connections, self.connections = self.connections, []
+        for connection in connections:
+            connection.end()
+
+
+class EngineConnection:
+    """The engine's side of one connection; also its transport at the router."""
+
+    def __init__(self, fleet, engine):
+        self.fleet, self.engine = fleet, engine
+        self.protocol = BackendConnection()
+        self.protocol.connection_made(self)
+        self.scope = None
+        self.received = b""
+        engine.connections.append(self)
+
+    # what the router's side calls
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self not in self.engine.connections
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def pause_reading(self):
+        pass
+
+    def resume_reading(self):
+        pass
+
+    def abort(self):
+        if self in self.engine.connections:
+            self.engine.connections.remove(self)
+        if self.scope is not None:
+            self.scope.cancel()
+
+    def write(self, data):
+        self.received += data
+        head, _, body = self.received.partition(b"\r\n\r\n")
+        self.received = b""
+        rows = [line.partition(": ") for line in head.decode().split("\r\n")[1:]]
+        headers = {name.lower(): value for name, _, value in rows}
+        self.fleet.group.start_soon(self.answer, headers)
+
+    # the engine
+
+    def end(self):
+        if self.scope is not None:
+            self.scope.cancel()
+        self.protocol.connection_lost(ConnectionResetError("the engine ended"))
+
+    async def answer(self, headers):
+        with anyio.CancelScope() as self.scope:
+            if headers["x-instance"] != self.engine.name:
+                self.send(b"HTTP/1.1 421 M\r\ncontent-length: 0\r\n\r\n")
+                return
+            self.engine.running += 1
+            try:
+                await self.stream(headers)
+            finally:
+                self.engine.running -= 1
+
+    async def stream(self, headers):
+        engine = self.engine
+        await anyio.sleep(FIRST_S)
+        self.send(stream_head(headers["x-id"]))
+        for number in range(int(headers["last-event-id"] or 0) + 1, EVENTS + 1):
+            data = f"{engine.service} {engine.version} {number}"
+            text = f"id: {number}\ndata: {data}\n\n".encode()
+            self.send(b"%x\r\n%s\r\n" % (len(text), text))
+            await anyio.sleep(EVENT_S)
+        self.send(b"0\r\n\r\n")
+
+    def send(self, data):
+        if self in self.engine.connections:
+            self.protocol.data_received(data)
+
+
+class FleetRouter:
+    """One router with everything that decides on calls."""
+
+    def __init__(self, fleet, name, centre, incarnation):
+        self.fleet, self.name, self.centre = fleet, name, centre
+        self.incarnation = incarnation
+        self.alive, self.leaving, self.cut = True, False, False
+        self.scopes = set()
+        clock = anyio.current_time
+        bounds = FleetBounds(retry_burst=2_000.0)
+        self.dispatcher = Dispatcher(name, centre, bounds, incarnation)
+        self.pool = ConnectionPool(clock)
+        self.pool._connect = self.connect
+        self.state = RouterState(None, self.dispatcher, self.pool, AuditTrail(), clock)
+        source = random.Random(incarnation)
+        owners = self.owners = OwnerTable(self.dispatcher.registry.usable)
+        self.client = OwnerClient(
+            name, incarnation, self.dispatcher, owners, source, clock
+        )
+        self.dispatcher.on_progress = self.client.note_progress
+        self.exchange = OwnerExchange(
+            self.client,
+            Granter(name, incarnation, self.dispatcher, owners),
+            lambda: {name: name for name in fleet.routers},
+            fleet.incarnations,
+            clock,
+        )
+        codec = PlainCodec()
+        forwarder = Forwarder(
+            self.dispatcher,
+            self.pool,
+            codec,
+            lambda: self.state.catalog,
+            clock,
+            self.client,
+        )
+        gate = CallGate()
+        gate.open()
+        guard = SaturationGuard(LoopLateness(), source)
+        self.app = ServingApp(
+            codec, self.state, forwarder, gate, Metrics(), guard, clock
+        )
+
+    async def connect(self, instance):
+        await anyio.sleep(NETWORK_S)
+        engine = self.fleet.at_port(instance.port)
+        if engine is None:
+            raise ConnectionRefusedByHostError("refused")
+        return EngineConnection(self.fleet, engine).protocol
+
+    async def run(self):
+        with self.scope():
+            await self.exchange.run(self.send)
+
+    @contextlib.contextmanager
+    def scope(self):
+        with anyio.CancelScope() as scope:
+            self.scopes.add(scope)
+            try:
+                yield scope
+            finally:
+                self.scopes.discard(scope)
+
+    def send(self, data, host):
+        if self.alive and not self.cut:
+            self.fleet.deliver(data, self.name, host)
+
+    def receive(self, data, host):
+        self.exchange.receive(unpack(data), host)
+
+    def apply(self, fact):
+        self.state._apply_fact(fact, 1, 60.0, "test")
+
+    def kill(self):
+        self.alive = False
+        for scope in list(self.scopes):
+            scope.cancel()
+
+
+@define(eq=False)
+class Try:
+    """One try of a caller."""
+
+    router: str
+    resumes: str
+    status: int = 0
+    at: float = 0.0
+    got: int = 0  # events of this try
+
+
+@define(eq=False)
+class StreamCaller:
+    """A caller of one stream, who comes back with what it holds."""
+
+    fleet: "StreamFleet"
+    number: int
+    path: str = "/draft/1"
+    workspace_key: bytes = KEY
+    events: list = field(factory=list)
+    tries: list = field(factory=list)
+    resumes: str = ""
+    whole: bool = False
+
+    async def run(self, router=None, tries=4):
+        deadline = anyio.current_time() + DEADLINE_S
+        for attempt in range(tries):
+            left_s = deadline - anyio.current_time()
+            if left_s <= 0.1 or self.whole:
+                return
+            router = router or self.fleet.pick(self.number, attempt)
+            pause_s = await self.attempt(router, f"c-{self.number}-{attempt}", left_s)
+            router = None
+            await anyio.sleep(min(pause_s, left_s / 3))
+
+    async def attempt(self, router, attempt_id, left_s):
+        row = Try(router.name, self.resumes, at=anyio.current_time())
+        self.tries.append(row)
+        headers = [
+            (b"host", b"svc.example"),
+            (b"x-id", attempt_id.encode()),
+            (b"x-key", self.workspace_key),
+            (b"x-part", b"part-%d" % (self.number % 7)),
+            (b"x-deadline-ms", str(int(left_s * 1000)).encode()),
+        ]
+        if self.resumes:
+            headers.append((b"resumes", self.resumes.encode()))
+            last = self.events[-1].number
+            headers.append((b"last-event-id", str(last).encode()))
+        scope = {
+            "type": "http",
+            "method": "POST",
+            "path": self.path,
+            "raw_path": self.path.encode(),
+            "query_string": b"",
+            "headers": headers,
+        }
+        sent = False
+        left = anyio.Event()
+        retry_after_s = 0.0
+        heard_at = anyio.current_time()
+
+        async def receive():
+            nonlocal sent
+            if not sent:
+                sent = True
+                return {"type": "http.request", "body": b"p", "more_body": False}
+            await left.wait()
+            return {"type": "http.disconnect"}
+
+        async def send(message):
+            nonlocal retry_after_s, heard_at
+            heard_at = anyio.current_time()
+            if message["type"] == "http.response.start":
+                row.status = message["status"]
+                after = dict(message["headers"]).get(b"retry-after", b"0")
+                retry_after_s = float(after)
+            elif row.status == 200:
+                self.hold(message["body"], attempt_id, row)
+                self.whole = not message.get("more_body", False)
+
+        async def watch():
+            while anyio.current_time() - heard_at < PATIENCE_S:
+                await anyio.sleep(0.1)
+            left.set()
+
+        with contextlib.suppress(Exception), router.scope():
+            async with anyio.create_task_group() as group:
+                group.start_soon(watch)
+                try:
+                    await router.app(scope, receive, send)
+                finally:
+                    group.cancel_scope.cancel()
+        return max(retry_after_s, 0.02)
+
+    def hold(self, body, attempt_id, row):
+        for text in body.decode().split("\n\n"):
+            if "data: " not in text:
+                continue
+            service, version, number = text.partition("data: ")[2].split()
+            self.events.append(HeldEvent(service, version, int(number)))
+            self.resumes = self.resumes or attempt_id
+            row.got += 1
+
+    @property
+    def makers(self):
+        """Return the services and versions whose events the caller holds."""
+        return {(row.service, row.version) for row in self.events}
+
+    @property
+    def in_order(self):
+        numbers = [row.number for row in self.events]
+        return numbers == list(range(1, len(numbers) + 1))
+
+
+class StreamFleet:
+    """Routers, engines and the store between them."""
+
+    def __init__(self, size=4, seed=1, loss=0.0):
+        self.random = random.Random(seed)
+        self.loss = loss
+        self.size = size
+        self.routers = {}
+        self.gone_at = {}
+        self.engines = {}
+        self.callers = []
+        self.group = None
+        self.catalog = make_catalog()
+        self.facts = []
+        self._numbers = itertools.count(1)
+
+    async def run(self, test):
+        async with anyio.create_task_group() as group:
+            self.group = group
+            for number in range(self.size):
+                self.start_router(f"router-{number}")
+            group.start_soon(self.keep_membership)
+            await anyio.sleep(0.5)
+            await test(self)
+            group.cancel_scope.cancel()
+
+    # routers
+
+    def start_router(self, name):
+        number = next(self._numbers)
+        centre = CENTRES[int(name.partition("-")[2]) % len(CENTRES)]
+        router = self.routers[name] = FleetRouter(self, name, centre, number)
+        self.gone_at.pop(name, None)
+        router.apply(CatalogFact(self.catalog))
+        for engine in self.engines.values():
+            if engine.up:
+                router.apply(InstanceFact(engine.instance()))
+        router.dispatcher.registry.note_listed()
+        self.group.start_soon(router.run)
+        self.update_membership()
+        return router
+
+    def kill(self, name):
+        self.routers[name].kill()
+        self.gone_at[name] = anyio.current_time()
+
+    async def restart(self, name, after_s=0.5):
+        self.kill(name)
+        await anyio.sleep(after_s)
+        self.start_router(name)
+
+    def believed_alive(self):
+        now = anyio.current_time()
+        return {
+            name: router.centre
+            for name, router in self.routers.items()
+            if not router.leaving
+            and (router.alive or now - self.gone_at[name] < DETECTION_S)
+        }
+
+    def incarnations(self):
+        believed = self.believed_alive()
+        return {name: self.routers[name].incarnation for name in believed}
+
+    def update_membership(self):
+        believed = self.believed_alive()
+        for router in self.routers.values():
+            router.owners.set_routers(believed)
+            router.dispatcher.routers = sorted(self.routers)
+
+    async def keep_membership(self):
+        while True:
+            self.update_membership()
+            await anyio.sleep(0.25)
+
+    def pick(self, client, attempt):
+        """Return a router as a balancer would, another one for each attempt."""
+        names = sorted(name for name, row in self.routers.items() if row.alive)
+        return self.routers[names[(client + 3 * attempt) % len(names)]]
+
+    def deliver(self, data, sender, to):
+        if self.random.random() < self.loss:
+            return
+
+        async def arrive():
+            await anyio.sleep(NETWORK_S)
+            router = self.routers.get(to)
+            if router is not None and router.alive and not router.cut:
+                router.receive(data, sender)
+
+        self.group.start_soon(arrive)
+
+    # engines
+
+    def add_engine(self, name, version="v1", service="drafting", **more):
+        port = len(self.engines) + 1
+        engine = self.engines[name] = Engine(name, service, version, port, **more)
+        self.publish(InstanceFact(engine.instance()))
+        return engine
+
+    def at_port(self, port):
+        rows = [row for row in self.engines.values() if row.port == port and row.up]
+        return rows[0] if rows else None
+
+    def crash(self, name):
+        self.engines[name].crash()
+        self.publish(InstanceRemovedFact(name), after_s=1.5)
+
+    def drain(self, name):
+        self.publish(InstanceFact(self.engines[name].instance(draining=True)))
+
+    def set_catalog(self, **changes):
+        self.catalog = make_catalog(self.catalog.version + 1, **changes)
+        self.publish(CatalogFact(self.catalog))
+
+    def publish(self, fact, after_s=STORE_S):
+        async def apply():
+            await anyio.sleep(after_s)
+            for router in self.routers.values():
+                router.apply(fact)
+
+        self.group.start_soon(apply)
+
+    # callers
+
+    def begin(self, number, **more):
+        """Begin a stream and return its caller, without waiting for the end."""
+        router = more.pop("router", None)
+        caller = StreamCaller(self, number, **more)
+        self.callers.append(caller)
+        self.group.start_soon(caller.run, router)
+        return caller
+
+    def mixed(self):
+        """Return the callers that hold events of two versions or services."""
+        return [row for row in self.callers if len(row.makers) > 1 or not row.in_order]
+
+
+def split_catalog(weights=(50.0, 50.0)):
+    """Return the changes that split the stream's route over two services."""
+    services = {
+        name: Service(name, max_connections=600, engine=EngineProfile(16))
+        for name in ("drafting", "drafting-b")
+    }
+    targets = tuple(map(Target, services, weights))
+    return {
+        "routes": (evolve(STREAM, targets=targets), SHORT),
+        "services": services,
+    }
