Let an answer go on only at the software version that began it

Callers held streams whose first part one software version had written and the rest another: their server ended midway, and the router went on at whichever had room.

Cause: a router knew no versions (Version of an entry was read for the log alone), so nothing held a begun stream to one.

The demand of a call carries the version from its first event on. One predicate (Registered.serves) is looked at where servers are listed, chosen, granted (also by owners, asked in the order of those that have the version) and just before a call is sent. A server whose process ended has no known version until its entry tells of another start: it may start again under its id as another version.

Weighed: a filter at the choice alone; a grant of an owner of the previous release, or a call that waits for a connection, would pass by it (tests of each).

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -45,6 +45,7 @@
     output_tokens: int = 0
     hash_fraction: float = 0.0  # 0 to 1, the same for each attempt of a request
     rank: int = 0  # ranks below the most urgent call of its service
+    version: str = ""  # of the software that began its stream; "": not begun
 
     @property
     def prompt(self) -> Prompt:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -61,6 +61,9 @@
 """Uncached prompt tokens from which a prompt is reported to peers at once: it occupies
 an engine for longer than workspaces above their share may wait."""
 
+MAX_SHORTLISTS = 64
+"""Maximum number of shortlists kept; each release of a service adds one."""
+
 MIN_TELLING_TOKENS = 4_000
 """Size of a shared part from which the time to the first token tells whether it was
 cached: smaller ones are read in the time that the estimate is off."""
@@ -82,7 +85,7 @@
         self._centre = centre
         self._bounds = bounds
         self._random = random.Random(seed)
-        self._shortlists: dict[ServiceName, Shortlist] = {}
+        self._shortlists: dict[tuple[ServiceName, str], Shortlist] = {}
         self._retries: dict[ServiceName, RetryShare] = {}
         self._capacities: dict[ServiceName, EngineCapacity] = {}
         self.parts = PartMemory()
@@ -188,13 +191,13 @@
         use = shares.use_of(demand.workspace, demand.units, now)
         return refuse_above_share(part, use, self._bounds.share_window_s, self._random)
 
-    def accepts_call(
-        self, service: ServiceName, server: ServerName, now: float
-    ) -> bool:
+    def accepts_call(self, demand: Demand, server: ServerName, now: float) -> bool:
         """Return whether this router may send a call to a server now."""
         row = self.registry.get(server)
-        named = self._service(service)
-        return row is not None and self.servers.accepts(row, named, now)
+        if row is None:
+            return False
+        service = self._service(demand.service)
+        return self.servers.accepts(row, service, now, version=demand.version)
 
     def cold_servers(self, service: ServiceName, now: float) -> list[ServerName]:
         """Return the cold servers to which this router may send a call now."""
@@ -231,11 +234,15 @@
         router may send it.
         """
         service = self._service(demand.service)
-        usable = self.registry.usable(service.name) if owned is None else owned
+        usable = owned
+        if usable is None:
+            usable = self.registry.usable(service.name, demand.version)
         rows = self._eligible_servers(
             demand,
             usable,
-            lambda row: self.servers.accepts(row, service, now, avoid, permitted_cold),
+            lambda row: self.servers.accepts(
+                row, service, now, avoid, permitted_cold, demand.version
+            ),
         )
         if not rows:
             # Another router knows itself which servers rest for it.
@@ -410,7 +417,7 @@
         Fall back to all usable servers if none of the shortlist accepts one.
         """
         part = part_id(demand.part)
-        picked = self._shortlist(demand.service).pick(
+        picked = self._shortlist(demand.service, demand.version).pick(
             part, usable, self.parts.holders(part)
         )
         rows = [row for row in picked if accepts(row)]
@@ -424,10 +431,12 @@
             capacity = self._capacities[service] = EngineCapacity()
         return capacity
 
-    def _shortlist(self, service: ServiceName) -> Shortlist:
-        shortlist = self._shortlists.get(service)
+    def _shortlist(self, service: ServiceName, version: str) -> Shortlist:
+        shortlist = self._shortlists.get((service, version))
         if shortlist is None:
-            shortlist = self._shortlists[service] = Shortlist(self._random)
+            if len(self._shortlists) >= MAX_SHORTLISTS:
+                self._shortlists.clear()
+            shortlist = self._shortlists[service, version] = Shortlist(self._random)
         return shortlist
 
     def _service(self, name: ServiceName) -> Service:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -81,7 +81,7 @@
         head = await connection.head(self._silence_timeout_s(run))
         self._check_head(head, instance)
         if run.call.route.kind is CallKind.STREAM and head.status < 300:
-            await self._forward_stream(run, connection, head, ticket)
+            await self._forward_stream(run, connection, head, ticket, instance)
         else:
             await self._forward_buffered(run, connection, head, ticket)
 
@@ -185,6 +185,7 @@
         connection: BackendConnection,
         head: AnswerHead,
         ticket: Ticket,
+        instance: Instance,
     ) -> None:
         events = EventSplitter()
         while True:
@@ -193,7 +194,7 @@
                 break
             whole = events.feed(chunk)
             if whole is not None:
-                await self._forward_events(run, head, whole, ticket)
+                await self._forward_events(run, head, whole, ticket, instance)
         if events.pending:
             raise BrokenAnswerError("The stream ended in the middle of an event.")
         if not run.responder.begun:
@@ -201,10 +202,16 @@
         await run.responder.finish()
 
     async def _forward_events(
-        self, run: ActiveCall, head: AnswerHead, whole: StreamEvents, ticket: Ticket
+        self,
+        run: ActiveCall,
+        head: AnswerHead,
+        whole: StreamEvents,
+        ticket: Ticket,
+        instance: Instance,
     ) -> None:
         self._note_begun(run, ticket)
         if not run.responder.begun:
+            run.bind(self._dispatcher.registry.version_of(instance))
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -300,8 +300,9 @@
             late = NotSentError("The call's time ran out before it could be sent.")
             self._note_failure(run, instance.id, late)
             return late
-        if not self._dispatcher.servers.may_send(instance, self._clock()):
-            # It announced its shutdown, left or asked for rest meanwhile.
+        version, now = run.demand.version, self._clock()
+        if not self._dispatcher.servers.may_send(instance, version, now):
+            # It announced its shutdown, left, asked for rest or restarted meanwhile.
             self._pool.release(instance.id, connection)
             withdrawn = WithdrawnServerError("The server takes no more calls.")
             self._note_failure(run, instance.id, withdrawn)
@@ -357,6 +358,7 @@
     ) -> None:
         now = self._clock()
         self._dispatcher.health(instance.id).unreachable(now)
+        self._dispatcher.registry.note_ended(instance)
         end = crash_id(instance.id, instance.started_ms)
         suspects = self._dispatcher.suspects
         suspects.note_crash(run.call.fingerprint, end, now, answered_s=answered_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -87,7 +87,8 @@
         """Return the router to ask, which may be this one; None: there is no owner."""
         owners = self._owners.owners(demand.service, self._left_out())
         part = part_id(demand.part)
-        return next(iter(owners.order(part, self._random)), None)
+        order = owners.order(part, self._random, demand.version)
+        return next(iter(order), None)
 
     def own_servers(self, demand: Demand) -> tuple[Registered, ...]:
         """Return the servers that this router owns for a call."""
@@ -269,9 +270,9 @@
         The owner may not know yet that the server is leaving, or be able to reach a
         server that this router can't reach.
         """
-        usable = self._dispatcher.registry.usable(demand.service)
+        usable = self._dispatcher.registry.usable(demand.service, demand.version)
         known = any(row.instance.id == server for row in usable)
-        accepts = self._dispatcher.accepts_call(demand.service, server, self._clock())
+        accepts = self._dispatcher.accepts_call(demand, server, self._clock())
         return known and accepts and server not in avoid
 
     def _return_unused(self, reply: PlacementReply) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -115,6 +115,7 @@
         request.may_wait,
         list(request.left_out),
         list(request.cold),
+        demand.version,
     ]
     return bytes(msgpack.packb(row))
 
@@ -133,6 +134,8 @@
             int(row[11]),
             float(row[13]),
             int(row[12]),
+            # Routers of the previous release know no versions.
+            str(row[18]) if len(row) > 18 else "",
         )
         avoid = tuple(str(name) for name in row[14])
         left_out = tuple(str(name) for name in row[16])
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -112,12 +112,13 @@
     by_server: Mapping[ServerName, RouterName]
     servers: tuple[Registered, ...] = ()
     _owned: dict[RouterName, tuple[Registered, ...]] = field(factory=dict)
-    _orders: dict[PartId, tuple[RouterName, ...]] = field(factory=dict)
+    _orders: dict[tuple[PartId, str], tuple[RouterName, ...]] = field(factory=dict)
 
     def set_servers(self, servers: tuple[Registered, ...]) -> None:
         """Replace the entries of the servers."""
         self.servers = servers
         self._owned.clear()
+        self._orders = {key: row for key, row in self._orders.items() if not key[1]}
 
     def servers_of(self, owner: RouterName) -> tuple[Registered, ...]:
         """Return the servers of one owner."""
@@ -130,26 +131,35 @@
             )
         return owned
 
-    def order(self, part: PartId, source: random.Random) -> tuple[RouterName, ...]:
+    def order(
+        self, part: PartId, source: random.Random, version: str = ""
+    ) -> tuple[RouterName, ...]:
         """Return the owners in order of preference for a call.
 
         For a part it is the order of their best servers for it, the same at every
-        router, so that one owner knows all calls for the part.
+        router, so that one owner knows all calls for the part. Only owners of servers
+        of a version are in its order.
         """
         if not part:
-            names = list(self.by_server)
+            names = self._servers_of_version(version)
             source.shuffle(names)
             return tuple(dict.fromkeys(self.by_server[name] for name in names))
-        known = self._orders.get(part)
+        known = self._orders.get((part, version))
         if known is None:
             if len(self._orders) >= MAX_CACHED_PARTS:
                 self._orders.clear()
-            weights = {name: hash_weight(part, name) for name in self.by_server}
+            names = self._servers_of_version(version)
+            weights = {name: hash_weight(part, name) for name in names}
             ranked = heapq.nlargest(RANKED_SERVERS, weights, key=weights.__getitem__)
             known = tuple(dict.fromkeys(self.by_server[name] for name in ranked))
-            self._orders[part] = known
+            self._orders[part, version] = known
         return known
 
+    def _servers_of_version(self, version: str) -> list[ServerName]:
+        if not version:
+            return list(self.by_server)
+        return [row.instance.id for row in self.servers if row.serves(version)]
+
 
 @define
 class OwnerTable:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -19,6 +19,9 @@
 three intervals at which a server writes its entry (1.2 s), within which the entry shows
 a restart."""
 
+UNKNOWN_VERSION = "?"
+"""Version of a server that ended and may have started again with another one."""
+
 MAX_REMOVED_SERVERS = 512
 """Maximum number of removed servers remembered; fewer are removed in the time that a
 restore of the store takes."""
@@ -49,6 +52,18 @@
     cold_until: float = 0.0
     suspect_until: float = 0.0
     lapses_at: float | None = None
+    ended: bool = False  # its process ended, and no entry tells of another start yet
+
+    @property
+    def version(self) -> str:
+        """Return the version of its software, as far as it is known."""
+        return UNKNOWN_VERSION if self.ended else self.instance.version
+
+    def serves(self, version: str) -> bool:
+        """Return whether a stream that a version began may go on here; "" is none."""
+        if not version:
+            return True
+        return version == self.version != UNKNOWN_VERSION
 
     def cold(self, now: float) -> bool:
         """Return whether it is warming up, or may have restarted unnoticed."""
@@ -63,7 +78,8 @@
         self._excluded_centres: set[DataCentreName] = set()
         self._removed_servers: dict[ServerName, int] = {}  # their `started_ms`
         self._listed = False
-        self._usable: dict[ServiceName, tuple[Registered, ...]] = {}
+        self._usable: dict[tuple[ServiceName, str], tuple[Registered, ...]] = {}
+        """By service and version; "" stands for all versions."""
         self._announced: dict[ServerName, int] = {}  # their `started_ms`
 
     @property
@@ -94,6 +110,7 @@
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
+        row.ended = False
         row.suspect_until = 0.0
         if is_new_run:
             # The first listing after a router's restart shows servers that have cached
@@ -173,6 +190,20 @@
         if row is not None:
             row.suspect_until = now + SUSPECT_S
 
+    def note_ended(self, instance: Instance) -> None:
+        """Record that a run's process ended; the next one may have another version."""
+        row = self._rows.get(instance.id)
+        if row is not None and row.instance.started_ms == instance.started_ms:
+            row.ended = True
+            self._usable.clear()
+
+    def version_of(self, instance: Instance) -> str:
+        """Return the version of a run's software, as far as it is known."""
+        row = self._rows.get(instance.id)
+        if row is None or row.instance.started_ms != instance.started_ms:
+            return instance.version
+        return row.version
+
     def mark_cold(self, server: ServerName, left_s: float, now: float) -> None:
         """Record that a server reported itself cold for another `left_s` seconds."""
         row = self._rows.get(server)
@@ -212,17 +243,19 @@
         """
         return tuple(self._announced.items())
 
-    def usable(self, service: ServiceName) -> tuple[Registered, ...]:
-        """Return the servers of a service that may get new calls.
+    def usable(self, service: ServiceName, version: str = "") -> tuple[Registered, ...]:
+        """Return the servers of a service, or of one version, that may get new calls.
 
         The same tuple is returned until one of the servers changes.
         """
-        rows = self._usable.get(service)
+        rows = self._usable.get((service, version))
         if rows is None:
-            rows = self._usable[service] = tuple(
+            rows = self._usable[service, version] = tuple(
                 row
                 for row in self._rows.values()
-                if row.instance.service == service and self.accepts_calls(row.instance)
+                if row.instance.service == service
+                and row.serves(version)
+                and self.accepts_calls(row.instance)
             )
         return rows
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_router.asgi import Headers
@@ -83,6 +83,10 @@
     avoid: set[ServerName] = field(factory=set)
     failed_answer: tuple[AnswerHead, bytes] | None = None
 
+    def bind(self, version: str) -> None:
+        """Let the call go on only at servers of the version that began its stream."""
+        self.demand = evolve(self.demand, version=version)
+
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the call's deadline."""
         return self.call.deadline - now
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -110,14 +110,18 @@
         now: float,
         avoid: Collection[ServerName] = (),
         permitted_cold: Collection[ServerName] | None = None,
+        version: str = "",
     ) -> bool:
         """Return whether a call may go to a server now.
 
         For another router's call, `permitted_cold` replaces this router's own share of
         calls to cold servers. A rest that a server asked of this router doesn't bind
-        the other one, which names the servers that rest for it in `avoid`.
+        the other one, which names the servers that rest for it in `avoid`. `version`
+        is that of the server that began the call's stream, "" before its first event.
         """
         server = row.instance.id
+        if not row.serves(version):
+            return False
         if server in avoid or not self.registry.accepts_calls(row.instance):
             return False
         view = self.view(server)
@@ -140,8 +144,15 @@
             if row.cold(now) and self.accepts(row, service, now)
         ]
 
-    def may_send(self, instance: Instance, now: float) -> bool:
-        """Return whether a call that was placed earlier may still be sent."""
+    def may_send(self, instance: Instance, version: str, now: float) -> bool:
+        """Return whether a call that was placed earlier may still be sent.
+
+        `version` is that of the server that began its stream, "" before its first
+        event.
+        """
+        row = self.registry.get(instance.id)
+        if row is None or not row.serves(version):
+            return False
         if not self.registry.accepts_calls(instance):
             return False
         return not self.view(instance.id).rest.is_on(now)
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -57,6 +57,7 @@
 """Time without an event after which a caller gives up a try."""
 
 DEADLINE_S = 8.0
+LONG_STREAM = evolve(STREAM, timeout_s=DEADLINE_S, objective_s=0.4)
 CENTRES = ("fes", "rabat", "taza")
 
 
@@ -385,7 +386,7 @@
         self.engines = {}
         self.callers = []
         self.group = None
-        self.catalog = make_catalog()
+        self.catalog = make_catalog(routes=(LONG_STREAM, SHORT))
         self.facts = []
         self._numbers = itertools.count(1)
 
@@ -519,6 +520,6 @@
     }
     targets = tuple(map(Target, services, weights))
     return {
-        "routes": (evolve(STREAM, targets=targets), SHORT),
+        "routes": (evolve(LONG_STREAM, targets=targets), SHORT),
         "services": services,
     }
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -438,7 +438,7 @@
         """Send a placed call and let its server answer."""
         bed, name = self.bed, placement.choice.server
         me = "a" if dispatcher is bed.a else "b"
-        if not dispatcher.servers.may_send(placement.registered.instance, bed.now):
+        if not dispatcher.servers.may_send(placement.registered.instance, "", bed.now):
             if placement.grant is not None:
                 bed.client.abandon(placement.grant)
             return
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -1,10 +1,24 @@
 """Tests that a stream goes on only at the software version that began it."""
 
+import random
+
 import anyio
 import pytest
+from attrs import evolve
+from owner_bed import CALL, OwnerBed, make_dispatcher
 from stream_fleet import StreamFleet, split_catalog
 
 from fulmarroad.testing import run_virtual
+from fulmarroad.types import RefusalReason
+from fulmarroad_serving import Placement, Refusal
+from fulmarroad_serving._owner_messages import (
+    PlacementRequest,
+    pack_request,
+    read_request,
+)
+from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._registry import UNKNOWN_VERSION
+from fulmarroad_serving._reports import unpack
 
 
 def run_fleet(test, **more):
@@ -82,3 +96,138 @@
             assert sum(row.whole for row in fleet.callers) >= 10
 
         run_fleet(test)
+
+
+BEGUN = evolve(CALL, version="v2")
+"""A call whose stream began at version v2."""
+
+
+def set_versions(dispatcher, *versions, now=0.0):
+    """Give each engine of a dispatcher a version, with a start of its own."""
+    for number, version in enumerate(versions):
+        row = dispatcher.registry.get(f"drafting-{number}")
+        instance = evolve(row.instance, version=version, started_ms=1)
+        dispatcher.registry.put(instance, now)
+
+
+class TestPlaces:
+    """Tests of each place that picks, grants or sends."""
+
+    def test_only_servers_of_the_version_are_chosen(self):
+        dispatcher = make_dispatcher("a")
+        set_versions(dispatcher, "v1", "v2", "v1")
+        placed = [dispatcher.place(BEGUN, 10.0) for _ in range(20)]
+        assert {row.choice.server for row in placed} == {"drafting-1"}
+
+    def test_a_full_server_of_the_version_is_no_reason_for_another_version(self):
+        dispatcher = make_dispatcher("a")
+        set_versions(dispatcher, "v1", "v2", "v1")
+        dispatcher.load("drafting-1").send("drafting-1", 900_000, 10.0)
+        refusal = dispatcher.place(BEGUN, 10.0)
+        assert refusal.reason is RefusalReason.WAIT_TOO_LONG
+
+    def test_a_leaving_server_of_the_version_gets_no_call(self):
+        dispatcher = make_dispatcher("a")
+        set_versions(dispatcher, "v1", "v2", "v1")
+        dispatcher.note_leaving("drafting-1", 1, "answer")
+        assert isinstance(dispatcher.place(BEGUN, 10.0), Refusal)
+
+    def test_all_servers_of_a_large_service_are_looked_at(self):
+        """Guard against a refusal because none of a call's shortlist has the version
+        that began its stream.
+        """
+        dispatcher = make_dispatcher("a", engines=60)
+        set_versions(dispatcher, *["v1"] * 59, "v2")
+        for _ in range(20):
+            assert dispatcher.place(BEGUN, 10.0).choice.server == "drafting-59"
+
+    def test_a_server_that_ended_is_not_trusted_until_it_registers_again(self):
+        """Guard against a server that starts again under its id with another version,
+        while its entry still names the one before.
+        """
+        dispatcher = make_dispatcher("a", engines=1)
+        set_versions(dispatcher, "v2")
+        (row,) = dispatcher.registry.usable("drafting")
+        dispatcher.registry.note_ended(row.instance)
+        assert isinstance(dispatcher.place(BEGUN, 20.0), Refusal)
+        assert isinstance(dispatcher.place(CALL, 20.0), Placement)
+        again = evolve(row.instance, started_ms=2)
+        dispatcher.registry.put(again, 20.0)
+        assert isinstance(dispatcher.place(BEGUN, 20.0), Placement)
+
+    def test_a_stream_begun_at_a_server_of_unknown_version_goes_on_nowhere(self):
+        dispatcher = make_dispatcher("a")
+        set_versions(dispatcher, "v2", "v2", UNKNOWN_VERSION)
+        instance = dispatcher.registry.get("drafting-0").instance
+        dispatcher.registry.note_ended(instance)
+        version = dispatcher.registry.version_of(instance)
+        demand = evolve(CALL, version=version)
+        assert isinstance(dispatcher.place(demand, 20.0), Refusal)
+
+    def test_an_owner_that_has_a_server_of_the_version_is_asked(self):
+        """Guard against a stream that is refused as its part's owner has no server of
+        its version, while another owner has one.
+        """
+        dispatcher = make_dispatcher("a", engines=40)
+        set_versions(dispatcher, *["v1"] * 39, "v2")
+        owners = OwnerTable(dispatcher.registry.usable)
+        owners.set_routers({f"r-{number}": "fes" for number in range(8)})
+        table = owners.owners("drafting")
+        holder = table.by_server["drafting-39"]
+        for part in (0, *range(1, 30)):
+            assert table.order(part, random.Random(1), "v2") == (holder,)
+
+    def test_the_order_of_owners_follows_a_release(self):
+        dispatcher = make_dispatcher("a", engines=1)
+        set_versions(dispatcher, "v1")
+        owners = OwnerTable(dispatcher.registry.usable)
+        owners.set_routers({"b": "fes"})
+        assert owners.owners("drafting").order(7, random.Random(1), "v2") == ()
+        row = dispatcher.registry.get("drafting-0")
+        dispatcher.registry.put(evolve(row.instance, version="v2", started_ms=2), 1.0)
+        assert owners.owners("drafting").order(7, random.Random(1), "v2") == ("b",)
+
+    def test_owners_grant_only_servers_of_the_version(self):
+        async def test():
+            bed = OwnerBed()
+            for dispatcher in (bed.a, bed.b):
+                set_versions(dispatcher, "v1", "v2", "v1")
+            for _ in range(20):
+                placement = await bed.place(BEGUN)
+                assert placement.choice.server == "drafting-1"
+                bed.client.abandon(placement.grant)
+                bed.flush()
+
+        anyio.run(test)
+
+    def test_a_grant_of_an_owner_that_knows_no_versions_is_given_back(self):
+        """Guard against an owner of the previous release, or one whose entries are
+        older, that grants a server of another version.
+        """
+
+        async def test():
+            bed = OwnerBed()
+            set_versions(bed.a, "v1", "v1", "v1")
+            set_versions(bed.b, "v2", "v2", "v2")
+            assert await bed.place(BEGUN) is None
+            bed.flush()
+            assert bed.running() == 0
+
+        anyio.run(test)
+
+    def test_a_call_is_not_sent_to_a_server_that_changed_its_version(self):
+        """Guard against a stream that goes on at another version, as its server
+        started again while the call waited for a connection.
+        """
+        dispatcher = make_dispatcher("a")
+        set_versions(dispatcher, "v1", "v2", "v1")
+        instance = dispatcher.place(BEGUN, 10.0).registered.instance
+        assert dispatcher.servers.may_send(instance, "v2", 10.0)
+        dispatcher.registry.put(evolve(instance, version="v3"), 10.0)
+        assert not dispatcher.servers.may_send(instance, "v2", 10.0)
+
+    def test_requests_of_the_previous_release_have_no_version(self):
+        request = PlacementRequest("a", 1, 7, BEGUN)
+        row = unpack(pack_request(request))
+        assert read_request(row).demand.version == "v2"
+        assert read_request(row[:18]).demand.version == ""
