Let a stream that its caller takes up go on where it began

Callers held events of two software versions, or of two services of a split route: their router ended, they took the stream up at another one, and that one knew nothing of it.

Cause: where a stream began was nobody's fact. The router that had it kept it in the call alone, which is lost exactly when it is needed; and a route's target was drawn from the id of the try, which is another one for each try.

A router tells up to four others (two of its own data centre, two of any, by rendezvous hashing of a key over workspace, route and the first call's id) the service and version of each resumable stream, 10 ms after its first event is sent at most, for as long as its caller may come back. Who gets the stream asks them, or one more of each kind; once more after 0.1 s. A router that ends hands its records over; keepers that start again or come back are told anew of streams that run. A stream that is known goes on at its service and version only, or is refused at once. One that isn't goes on only while its route has led to one service, of one version, by a list of servers of at most 3 s; a caller that names no stream goes on as before while one version serves.

A begun stream isn't rejected early for its workspace's share, is shed last by a router past its limit, and may wait for one objective for the few servers of its version: refusing it would make worthless what its caller has read.

Ruled out: reports to all routers (370 times the bytes), asking all peers (the one that knew is the one that was killed), drawing the version from the call's id (breaks as versions change, and halves what placement may choose from).

The key names service and version in one record, so both breaks have this one mend.

--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -161,6 +161,12 @@
     RefusalReason.DEADLINE_PASSED: ("No capacity came free in time. Try again later."),
     RefusalReason.NO_SERVERS: "No backend server takes work for this route now.",
     RefusalReason.SERVERS_REST: "All backend servers rest. Come back when one is back.",
+    RefusalReason.STREAM_ORIGIN_GONE: (
+        "No backend server can go on with this stream now. Send it anew."
+    ),
+    RefusalReason.STREAM_UNKNOWN: (
+        "Where this stream began is not known here. Send it anew."
+    ),
     RefusalReason.SHUTTING_DOWN: "This router is shutting down. Try again at once.",
     RefusalReason.ABOVE_SHARE: ("Your workspace uses its share. Come back later."),
     RefusalReason.ROUTER_BUSY: "This router is busy. Try another one at once.",
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -5,7 +5,7 @@
 import logging
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from fulmarroad.events import Event, emit
 from fulmarroad.types import RefusalReason
@@ -40,6 +40,7 @@
 from fulmarroad_serving._fingerprints import fingerprint_of
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._metrics import Metrics
+from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._served_call import CallSummary, ServedCall
@@ -82,7 +83,9 @@
         metrics: Metrics,
         saturation: SaturationGuard,
         clock: Callable[[], float],
+        resumption: StreamResumption | None = None,
     ) -> None:
+        self._resumption = resumption
         self._codec = codec
         self._router_state = beliefs
         self._forwarder = forwarder
@@ -148,6 +151,8 @@
         index = self._router_state.index or index
         record.version = index.catalog.version
         call = self._validate(scope, head, body, index, record)
+        if self._resumption is not None and (head.resumes or head.last_event_id):
+            call = await self._take_up(call, self._resumption)
         # Calls that the saturation guard sheds count as demand too, so admit first.
         self._forwarder.admit(call, record.summary)
         used_share = self._forwarder.used_share(call)
@@ -203,6 +208,34 @@
             index.rank_of(route, holder),
         )
 
+    async def _take_up(
+        self, call: ServedCall, resumption: StreamResumption
+    ) -> ServedCall:
+        """Bind a call to the version that began its stream; raise `Refused` if none."""
+        started = self._clock()
+        take_up, finding = await resumption.find(call)
+        emit(
+            logger,
+            Event.STREAM_TAKEN_UP if take_up.refusal is None else Event.STREAM_LOST,
+            request_id=call.head.request_id,
+            resumes=call.head.resumes,
+            service=take_up.origin.service if take_up.origin else "",
+            server_version=take_up.origin.version if take_up.origin else "",
+            found=finding.origin is not None,
+            versions=sorted({row.version for row in finding.versions}),
+            asked=finding.asked,
+            answered=finding.answered,
+            seconds=round(self._clock() - started, 4),
+            reason=take_up.refusal.value if take_up.refusal else "",
+        )
+        if take_up.refusal is not None:
+            refusal = self._forwarder.refuse_stream(take_up.refusal)
+            raise Refused(refusal.reason, refusal.retry_after_s)
+        if take_up.origin is None:
+            return call
+        version = take_up.origin.version
+        return evolve(call, service=take_up.origin.service, version=version)
+
     def _key_holder(
         self, head: CallHead, route: ServedRoute, index: CatalogIndex
     ) -> KeyHolder | None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -16,6 +16,7 @@
 from fulmarroad.events import Event, emit
 from fulmarroad.types import (
     DataCentreName,
+    RefusalReason,
     RouterName,
     ServerName,
 )
@@ -51,6 +52,7 @@
     refuse_above_share,
     refuse_for_rest,
     refuse_for_wait,
+    refuse_stream,
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
@@ -172,10 +174,11 @@
     def reject_early(self, demand: Demand, now: float) -> Refusal | None:
         """Refuse a call without trying a server if its workspace exceeds its share.
 
-        Return None for a call that may be placed.
+        Return None for a call that may be placed. A stream that has begun was let in
+        before.
         """
         service = self._catalog.services.get(demand.service)
-        if service is None or service.engine is None:
+        if service is None or service.engine is None or demand.version:
             return None
         engines = self._capacity(service.name)
         if engines.is_outdated(now):
@@ -244,6 +247,8 @@
                 row, service, now, avoid, permitted_cold, demand.version
             ),
         )
+        if not rows and not self._has_origin(demand):
+            return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
         if not rows:
             # Another router knows itself which servers rest for it.
             rest_s = (
@@ -425,6 +430,16 @@
             rows = [row for row in usable if accepts(row)]
         return rows
 
+    def _has_origin(self, demand: Demand) -> bool:
+        """Return whether a server is left that may go on with a call's stream."""
+        if not demand.version:
+            return True
+        return bool(self.registry.usable(demand.service, demand.version))
+
+    def refuse_stream(self, reason: RefusalReason) -> Refusal:
+        """Refuse a call that takes up a stream."""
+        return refuse_stream(reason, self._random)
+
     def _capacity(self, service: ServiceName) -> EngineCapacity:
         capacity = self._capacities.get(service)
         if capacity is None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -10,7 +10,7 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._rests import read_rest_s
-from fulmarroad_serving._served_call import ActiveCall
+from fulmarroad_serving._served_call import ActiveCall, ServedCall
 from fulmarroad_serving._stream import EventSplitter, StreamEvents
 from fulmarroad_serving.contracts import AnswerHead, CallCodec
 from fulmarroad_serving.exceptions import (
@@ -47,16 +47,24 @@
 
 FIRST_FAILURE_STATUS = 500
 
+StreamBegun = Callable[[ServedCall, str, float], None]
+"""Be told of a stream's software version and the time, just before its first event."""
+
 
 class Exchanger:
     """Perform one exchange for each send of a call."""
 
     def __init__(
-        self, dispatcher: Dispatcher, codec: CallCodec, clock: Callable[[], float]
+        self,
+        dispatcher: Dispatcher,
+        codec: CallCodec,
+        clock: Callable[[], float],
+        on_stream_begun: StreamBegun,
     ) -> None:
         self._dispatcher = dispatcher
         self._codec = codec
         self._clock = clock
+        self._on_stream_begun = on_stream_begun
 
     async def exchange(
         self,
@@ -211,7 +219,9 @@
     ) -> None:
         self._note_begun(run, ticket)
         if not run.responder.begun:
-            run.bind(self._dispatcher.registry.version_of(instance))
+            version = self._dispatcher.registry.version_of(instance)
+            run.bind(version)
+            self._on_stream_begun(run.call, version, self._clock())
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fingerprints.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fingerprints.py
@@ -26,9 +26,15 @@
     caller: str, host: str, method: str, target: bytes, body: bytes
 ) -> Fingerprint:
     """Return the fingerprint shared by all attempts of a request."""
+    digest = digest_fields(caller.encode(), host.encode(), method.encode(), target)
+    digest.update(body)
+    return digest.digest()[:FINGERPRINT_BYTES]
+
+
+def digest_fields(*fields: bytes) -> hashlib._Hash:
+    """Return a digest of some fields, which may be continued."""
     digest = hashlib.sha256()
-    for field in (caller.encode(), host.encode(), method.encode(), target):
+    for field in fields:
         # The length prefix keeps different fields from joining to the same bytes.
         digest.update(b"%d:" % len(field) + field)
-    digest.update(body)
-    return digest.digest()[:FINGERPRINT_BYTES]
+    return digest
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -27,7 +27,7 @@
 from fulmarroad_serving._crash_detector import CrashDetector
 from fulmarroad_serving._demands import Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
-from fulmarroad_serving._exchange import Exchanger
+from fulmarroad_serving._exchange import Exchanger, StreamBegun
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._pool import ConnectionPool
@@ -72,6 +72,7 @@
         catalog: Callable[[], Catalog],
         clock: Callable[[], float],
         owner_client: OwnerClient | None = None,
+        on_stream_begun: StreamBegun = lambda call, version, now: None,
     ) -> None:
         self._owner_client = owner_client
         self._dispatcher = dispatcher
@@ -79,7 +80,7 @@
         self._catalog = catalog
         self._clock = clock
         self._held = HeldCalls()
-        self._exchanger = Exchanger(dispatcher, codec, clock)
+        self._exchanger = Exchanger(dispatcher, codec, clock, on_stream_begun)
         self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
 
     def admit(self, call: ServedCall, summary: CallSummary) -> None:
@@ -91,8 +92,17 @@
             summary.use = refusal.use
             raise Refused(refusal.reason, refusal.retry_after_s)
 
+    def refuse_stream(self, reason: RefusalReason) -> Refusal:
+        """Return when a caller may come back whose stream can't go on now."""
+        return self._dispatcher.refuse_stream(reason)
+
     def used_share(self, call: ServedCall) -> float:
-        """Return the fraction of its share that a call's workspace uses with it."""
+        """Return the fraction of its share that a call's workspace uses with it.
+
+        It is 0 for a call that takes up a stream, of which a part was delivered.
+        """
+        if call.version:
+            return 0.0
         use = self._dispatcher.use_of(demand_of(call), self._clock())
         return use.used_fraction
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -51,6 +51,10 @@
 data centre is cut off, and each of them would be tried in turn."""
 
 
+LACKING_REASONS = (RefusalReason.NO_SERVERS, RefusalReason.STREAM_ORIGIN_GONE)
+"""Reasons for which an owner's refusal says nothing about other owners' servers."""
+
+
 @define
 class _PendingRequest:
     replied: anyio.Event = field(factory=anyio.Event)
@@ -232,7 +236,7 @@
         avoid: Collection[ServerName],
         reply: PlacementReply,
     ) -> Placement | Refusal | None:
-        if reply.reason is RefusalReason.NO_SERVERS:
+        if reply.reason in LACKING_REASONS:
             return None  # other owners may have servers that this router can reach
         if reply.kind is ReplyKind.REFUSED:
             return Refusal(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -30,6 +30,7 @@
     unpack,
 )
 from fulmarroad_serving._router_state import RouterState
+from fulmarroad_serving._stream_keepers import Keeper, StreamKeepers, is_stream_message
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -112,6 +113,13 @@
             clock,
         )
         dispatcher.on_progress = self.owner_client.note_progress
+        self.streams = StreamKeepers(
+            me,
+            centre,
+            lambda service: dispatcher.registry.versions(service, clock()),
+            self.book.hosts,
+            clock,
+        )
         self._replica_sync = ReplicaSync(host, port, beliefs, self.book, source, clock)
         self._started_at = float("-inf")
         self.seeds: tuple[str, ...] = ()
@@ -186,6 +194,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self._send_reports, packets)
                 group.start_soon(self._owner_exchange.run, self._sender(packets))
+                group.start_soon(self.streams.run, self._sender(packets))
                 group.start_soon(self._replica_sync.pull_changes)
                 group.start_soon(self._expire_periodically)
 
@@ -250,6 +259,9 @@
         if is_owner_message(row):
             self._owner_exchange.receive(row, host)
             return
+        if is_stream_message(row):
+            self.streams.receive(row, host)
+            return
         now = self._clock()
         known = self.book.size
         era = era_of(self._router_state.replica.at)
@@ -274,6 +286,7 @@
         so an equal list is not assigned again.
         """
         self.owners.set_routers(self._possible_owners(now))
+        self.streams.set_routers(self._possible_keepers(now))
         routers = self.book.known_routers(now)
         if routers != self._dispatcher.routers:
             self._dispatcher.routers = routers
@@ -293,6 +306,26 @@
             routers[self._me] = self._centre
         return routers
 
+    def _possible_keepers(self, now: float) -> list[Keeper]:
+        """Return the routers that may keep records of streams."""
+        return [
+            Keeper(peer.router, peer.data_centre, peer.incarnation)
+            for peer in self.book.alive(now)
+            if not peer.leaving
+        ]
+
+    def list_age_s(self) -> float:
+        """Return the age of this router's list of servers, in seconds.
+
+        A peer that is in contact with the store and knows nothing newer confirms it.
+        """
+        now, at = self._clock(), self._router_state.replica.at
+        ages = [self._store_ages()[0]]
+        for peer in self.book.members(now):
+            if peer.store_age_s >= 0 and peer.news_at <= at:
+                ages.append(peer.store_age_s + peer.age_s)
+        return min(ages)
+
     def _incarnations(self) -> dict[RouterName, int]:
         alive = self.book.alive(self._clock())
         return {peer.router: peer.incarnation for peer in alive}
@@ -304,6 +337,7 @@
             now = self._clock()
             self._router_state.expire()
             self._update_routers(now)
+            self.streams.expire()
             alive = self._log_changes(alive, now)
 
     def _log_changes(self, before: set[RouterName], now: float) -> set[RouterName]:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -19,6 +19,10 @@
 three intervals at which a server writes its entry (1.2 s), within which the entry shows
 a restart."""
 
+VERSION_MEMORY_S = 30.0
+"""Time in seconds for which a version without a server still counts: streams that it
+began may be taken up for as long."""
+
 UNKNOWN_VERSION = "?"
 """Version of a server that ended and may have started again with another one."""
 
@@ -81,6 +85,8 @@
         self._usable: dict[tuple[ServiceName, str], tuple[Registered, ...]] = {}
         """By service and version; "" stands for all versions."""
         self._announced: dict[ServerName, int] = {}  # their `started_ms`
+        self._former_versions: dict[tuple[ServiceName, str], float] = {}
+        """When a server of a service and version was last dropped."""
 
     @property
     def centres_left(self) -> frozenset[DataCentreName]:
@@ -107,6 +113,7 @@
             # A draining server never returns to service, but a store restored from an
             # older copy shows the entry that it had before.
             instance = evolve(instance, draining=True)
+        self._note_former(row.instance, now)
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
@@ -144,7 +151,7 @@
         if grace > 0 and not row.instance.draining:
             row.lapses_at = now + grace
             return False
-        self._drop(server)
+        self._drop(server, now)
         self._removed_servers[server] = row.instance.started_ms
         if len(self._removed_servers) > MAX_REMOVED_SERVERS:
             del self._removed_servers[next(iter(self._removed_servers))]
@@ -166,11 +173,11 @@
             if row.lapses_at is not None and now >= row.lapses_at
         ]
         for name in expired:
-            self._drop(name)
+            self._drop(name, now)
         return expired
 
-    def _drop(self, server: ServerName) -> None:
-        del self._rows[server]
+    def _drop(self, server: ServerName, now: float) -> None:
+        self._note_former(self._rows.pop(server).instance, now)
         self._announced.pop(server, None)
         self._usable.clear()
 
@@ -204,6 +211,25 @@
             return instance.version
         return row.version
 
+    def versions(self, service: ServiceName, now: float) -> set[str]:
+        """Return the versions that serve, or that may have begun streams before."""
+        former = {
+            version
+            for (name, version), left_at in self._former_versions.items()
+            if name == service and now - left_at < VERSION_MEMORY_S
+        }
+        return former | {
+            row.instance.version
+            for row in self._rows.values()
+            if row.instance.service == service
+        }
+
+    def _note_former(self, instance: Instance, now: float) -> None:
+        self._former_versions[instance.service, instance.version] = now
+        for key, left_at in list(self._former_versions.items()):
+            if now - left_at >= VERSION_MEMORY_S:
+                del self._former_versions[key]
+
     def mark_cold(self, server: ServerName, left_s: float, now: float) -> None:
         """Record that a server reported itself cold for another `left_s` seconds."""
         row = self._rows.get(server)
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
@@ -0,0 +1,144 @@
+"""Decide where a stream that a caller takes up may go on.
+
+Load pattern: after a router or a server ended, its streams are taken up within a tenth
+of a second. Going on at another software version gives callers a text of which the
+halves don't fit together; refusing all of them makes callers ask for everything again.
+So a stream goes on where it began. If nobody knows that, it goes on only while a single
+version serves, by a list of servers that is not out of date.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from fulmarroad.types import RefusalReason
+from fulmarroad_serving._catalog import Catalog, ServedRoute, ServiceName
+from fulmarroad_serving._served_call import ServedCall
+from fulmarroad_serving._stream_keepers import Finding, StreamKeepers
+from fulmarroad_serving._stream_records import (
+    MAX_LIFE_S,
+    StreamOrigin,
+    stream_key,
+)
+
+MAX_LIST_AGE_S = 3.0
+"""Age in seconds of the list of servers from which on an unknown version may serve."""
+
+RECORD_MARGIN_S = 1.0
+"""Time in seconds for which a stream is remembered beyond its caller's deadline."""
+
+
+_RouteKey = tuple[str, str]
+"""Host and path prefix of a route."""
+
+
+@attrs.frozen
+class TakeUp:
+    """Hold where a stream goes on, or why it can't; both unset: anywhere."""
+
+    origin: StreamOrigin | None = None
+    refusal: RefusalReason | None = None
+
+
+@attrs.define
+class RouteServices:
+    """Remember which services routes led to lately, which may have begun streams."""
+
+    _services: dict[_RouteKey, frozenset[ServiceName]] = attrs.field(factory=dict)
+    _former: dict[_RouteKey, dict[ServiceName, float]] = attrs.field(factory=dict)
+
+    def note_catalog(self, catalog: Catalog, now: float) -> None:
+        """Apply another version of the configuration."""
+        before, self._services = self._services, {}
+        for route in catalog.routes:
+            key, services = (route.host, route.path_prefix), services_of(route)
+            self._services[key] = services
+            for service in before.get(key, services) - services:
+                self._former.setdefault(key, {})[service] = now
+        for key in self._former.keys() - self._services.keys():
+            del self._former[key]
+
+    def recent(self, route: ServedRoute, now: float) -> frozenset[ServiceName]:
+        """Return the services of a route, with those that it left lately."""
+        former = self._former.get((route.host, route.path_prefix), {})
+        kept = {name for name, at in former.items() if now - at < MAX_LIFE_S}
+        return services_of(route) | kept
+
+
+def services_of(route: ServedRoute) -> frozenset[ServiceName]:
+    """Return the services to which a route sends calls."""
+    return frozenset(row.service for row in route.targets if row.weight > 0)
+
+
+def decide_take_up(
+    finding: Finding,
+    services: frozenset[ServiceName],
+    recent: frozenset[ServiceName],
+    *,
+    list_is_current: bool,
+) -> TakeUp:
+    """Return where a stream goes on that its caller names.
+
+    `services` are those to which its route leads now, `recent` also those to which it
+    led lately.
+    """
+    origin = finding.origin
+    if origin is not None:
+        if origin.service not in services:
+            return TakeUp(refusal=RefusalReason.STREAM_ORIGIN_GONE)
+        return TakeUp(origin)
+    if len(recent) == 1 and len(finding.versions) <= 1 and list_is_current:
+        return TakeUp(next(iter(finding.versions), None))
+    return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
+
+
+def decide_unnamed(versions: frozenset[StreamOrigin]) -> TakeUp:
+    """Return where a stream goes on whose caller doesn't name it."""
+    services = {row.service for row in versions}
+    if len(versions) > len(services):
+        return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
+    return TakeUp()
+
+
+class StreamResumption:
+    """Bind calls that take up a stream to where it began."""
+
+    def __init__(
+        self,
+        keepers: StreamKeepers,
+        list_age_s: Callable[[], float],
+        clock: Callable[[], float],
+    ) -> None:
+        self._keepers = keepers
+        self._list_age_s = list_age_s
+        self._clock = clock
+        self._routes = RouteServices()
+
+    def note_catalog(self, catalog: Catalog) -> None:
+        """Apply another version of the configuration."""
+        self._routes.note_catalog(catalog, self._clock())
+
+    async def find(self, call: ServedCall) -> tuple[TakeUp, Finding]:
+        """Return where the stream of a call goes on that takes one up."""
+        services = services_of(call.route)
+        recent = self._routes.recent(call.route, self._clock())
+        if not call.head.resumes:
+            finding = self._keepers.known(services)
+            return decide_unnamed(finding.versions), finding
+        key = stream_key(call.workspace, call.route, call.head.resumes)
+        finding = await self._keepers.find(key, recent)
+        current = self._list_age_s() <= MAX_LIST_AGE_S
+        take_up = decide_take_up(finding, services, recent, list_is_current=current)
+        return take_up, finding
+
+    def note_begun(self, call: ServedCall, version: str, now: float) -> None:
+        """Remember where a stream began, just before its first event is sent."""
+        if not call.route.resumable or not version:
+            return
+        # A stream is always named by the call that brought its first event.
+        first = call.head.resumes or call.head.request_id
+        key = stream_key(call.workspace, call.route, first)
+        life_s = max(0.0, call.deadline - now) + RECORD_MARGIN_S
+        self._keepers.note_begun(key, StreamOrigin(call.service, version), life_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -49,6 +49,7 @@
     fingerprint: Fingerprint = b""
     has_body: bool = True
     rank: int = 0
+    version: str = ""  # of the software that began the stream which it takes up
 
 
 @define
@@ -106,4 +107,5 @@
         head.output_tokens,
         hash_fraction_of(call.fingerprint),
         call.rank,
+        call.version,
     )
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -0,0 +1,319 @@
+"""Keep records of streams at several routers, and look them up there.
+
+Load pattern: a router ends, and all of its streams are taken up at other routers at
+once. A record that only the lost router had would be lost exactly then. So each router
+tells a few others, chosen by the stream's key, as a stream begins; any router computes
+from the key whom to ask. Two of them are in the data centre of the router that began
+the stream, which may be cut off from the others; two may be anywhere, as a caller may
+come back to another data centre.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Collection, Iterable, Mapping
+from typing import Any
+
+import anyio
+from attrs import define, field, frozen
+
+from fulmarroad.events import Event, emit
+from fulmarroad.ownership import watchers
+from fulmarroad.types import DataCentreName, RouterName
+from fulmarroad_serving._catalog import ServiceName
+from fulmarroad_serving._stream_messages import (
+    FINDING_FORMAT,
+    LOOKUP_FORMAT,
+    MAX_RECORDS_PER_PACKET,
+    RECORDS_FORMAT,
+    KeptStream,
+    StreamFinding,
+    StreamLookup,
+    pack_finding,
+    pack_kept,
+    pack_lookup,
+    read_finding,
+    read_kept,
+    read_lookup,
+)
+from fulmarroad_serving._stream_records import (
+    MAX_LIFE_S,
+    StreamKey,
+    StreamOrigin,
+    StreamRecord,
+    StreamRecords,
+)
+
+logger = logging.getLogger("fulmarroad.serving")
+
+LOCAL_KEEPERS = 2
+"""Number of routers of the own data centre that keep a record."""
+
+OTHER_KEEPERS = 2
+"""Number of further routers, of any data centre, that keep a record."""
+
+SPARE_KEEPERS = 1
+"""Number of routers asked beyond those that were told, of each kind: routers that came
+or went since then have moved the others in the order."""
+
+KEY_GROUPS = 256
+"""Number of groups of keys, each with its own order of routers."""
+
+FLUSH_INTERVAL_S = 0.01
+"""Time for which records are collected into one packet: less than the time between two
+events of a stream."""
+
+LOOKUP_TIMEOUT_S = 0.1
+"""Time for the answers to a lookup: a round trip between regions and a busy event
+loop."""
+
+LOOKUP_ATTEMPTS = 2
+"""Number of times that a lookup is sent to routers that don't answer."""
+
+Send = Callable[[bytes, str], None]
+"""Send a packet to a host."""
+
+
+@frozen
+class Keeper:
+    """Name one start of a router, which remembers nothing of an earlier start."""
+
+    router: RouterName
+    data_centre: DataCentreName
+    incarnation: int
+
+
+@define
+class KeeperTable:
+    """Choose the routers that keep a stream's record; the same order everywhere."""
+
+    _me: RouterName
+    _centre: DataCentreName
+    _routers: dict[RouterName, Keeper] = field(factory=dict)
+    _local: dict[int, tuple[RouterName, ...]] = field(factory=dict)
+    _all: dict[int, tuple[RouterName, ...]] = field(factory=dict)
+
+    def set_routers(self, routers: Iterable[Keeper]) -> bool:
+        """Replace the live routers and return whether they changed."""
+        others = {row.router: row for row in routers if row.router != self._me}
+        if others == self._routers:
+            return False
+        self._routers = others
+        self._local.clear()
+        self._all.clear()
+        return True
+
+    def told(self, key: StreamKey) -> tuple[Keeper, ...]:
+        """Return the routers that keep a record of a stream that began here."""
+        local, others = self._ranked(key)
+        first = local[:LOCAL_KEEPERS]
+        rest = [name for name in others if name not in first]
+        names = (*first, *rest[:OTHER_KEEPERS])
+        return tuple(self._routers[name] for name in names)
+
+    def asked(self, key: StreamKey) -> tuple[RouterName, ...]:
+        """Return the routers that may have the record of a stream, from anywhere."""
+        local, others = self._ranked(key)
+        # Routers of another data centre skipped their own two first ones there.
+        count = LOCAL_KEEPERS + OTHER_KEEPERS + SPARE_KEEPERS
+        first = local[: LOCAL_KEEPERS + SPARE_KEEPERS]
+        return tuple(dict.fromkeys((*first, *others[:count])))
+
+    def _ranked(
+        self, key: StreamKey
+    ) -> tuple[tuple[RouterName, ...], tuple[RouterName, ...]]:
+        group = key[0] % KEY_GROUPS
+        if group not in self._all:
+            subject = f"streams\0{group}"
+            routers = self._routers.values()
+            local = [row.router for row in routers if row.data_centre == self._centre]
+            count = LOCAL_KEEPERS + OTHER_KEEPERS + SPARE_KEEPERS
+            self._local[group] = watchers(local, count, subject)
+            self._all[group] = watchers(self._routers.keys(), count, subject)
+        return self._local[group], self._all[group]
+
+
+@frozen
+class Finding:
+    """Hold what is known of a stream that a caller takes up."""
+
+    origin: StreamOrigin | None
+    versions: frozenset[StreamOrigin]  # that routers know in the services concerned
+    asked: int = 0
+    answered: int = 0
+
+    @property
+    def complete(self) -> bool:
+        """Return whether every router that was asked has answered."""
+        return self.answered == self.asked
+
+
+@define
+class _PendingLookup:
+    waiting: set[RouterName]
+    origin: StreamOrigin | None = None
+    versions: set[StreamOrigin] = field(factory=set)
+    done: anyio.Event = field(factory=anyio.Event)
+
+    def note(self, finding: StreamFinding) -> None:
+        self.waiting.discard(finding.router)
+        self.versions.update(finding.versions)
+        if self.origin is None:
+            self.origin = finding.origin
+        if self.origin is not None or not self.waiting:
+            self.done.set()
+
+
+class StreamKeepers:
+    """Keep records of streams for this router and for others."""
+
+    def __init__(
+        self,
+        me: RouterName,
+        centre: DataCentreName,
+        versions: Callable[[ServiceName], Collection[str]],
+        hosts: Callable[[], Mapping[RouterName, str]],
+        clock: Callable[[], float],
+    ) -> None:
+        self._me = me
+        self._versions = versions
+        self._hosts = hosts
+        self._clock = clock
+        self._send: Send = lambda data, host: None
+        self._number = 0
+        self._lookups: dict[int, _PendingLookup] = {}
+        self._outbox: dict[RouterName, list[KeptStream]] = {}
+        self._due = anyio.Event()
+        self._table = KeeperTable(me, centre)
+        self._told: dict[StreamKey, frozenset[Keeper]] = {}
+        """Whom this router told of the streams that began here."""
+        self.records = StreamRecords()
+
+    def note_begun(self, key: StreamKey, origin: StreamOrigin, life_s: float) -> None:
+        """Remember a stream, just before its first event is sent to its caller."""
+        now = self._clock()
+        record = StreamRecord(key, origin, now + min(life_s, MAX_LIFE_S))
+        self.records.keep(record)
+        self._told[key] = frozenset()
+        self._tell(record, now)
+
+    def set_routers(self, routers: Iterable[Keeper]) -> None:
+        """Replace the live routers, and tell new keepers of the streams begun here."""
+        if not self._table.set_routers(routers):
+            return
+        now = self._clock()
+        for record in self.records.current(now):
+            if record.key in self._told:
+                self._tell(record, now)
+
+    def hand_over(self) -> None:
+        """Tell other routers all records, as this router is about to end."""
+        now = self._clock()
+        for record in self.records.current(now):
+            self._tell(record, now)
+        self._flush()
+
+    def known(self, services: Collection[ServiceName]) -> Finding:
+        """Return the versions of services that this router knows by itself."""
+        return Finding(None, frozenset(self._known_versions(services)))
+
+    async def find(self, key: StreamKey, services: Collection[ServiceName]) -> Finding:
+        """Return where a stream began, from memory or from other routers."""
+        known = self._known_versions(services)
+        origin = self.records.find(key, self._clock())
+        if origin is not None:
+            return Finding(origin, frozenset(known))
+        asked = self._table.asked(key)
+        self._number += 1
+        lookup = StreamLookup(self._me, self._number, key, tuple(services))
+        pending = self._lookups[lookup.number] = _PendingLookup(set(asked))
+        try:
+            await self._ask(lookup, pending)
+        finally:
+            del self._lookups[lookup.number]
+        answered = len(asked) - len(pending.waiting)
+        versions = frozenset(pending.versions.union(known))
+        return Finding(pending.origin, versions, len(asked), answered)
+
+    def expire(self) -> None:
+        """Drop records whose time is over, and log those that were dropped early."""
+        self.records.current(self._clock())
+        for key in [key for key in self._told if key not in self.records]:
+            del self._told[key]
+        if self.records.dropped:
+            emit(logger, Event.STREAM_RECORDS_DROPPED, records=self.records.dropped)
+            self.records.dropped = 0
+
+    async def _ask(self, lookup: StreamLookup, pending: _PendingLookup) -> None:
+        data = pack_lookup(lookup)
+        for _ in range(LOOKUP_ATTEMPTS):
+            if pending.done.is_set() or not pending.waiting:
+                return
+            for router in sorted(pending.waiting):
+                self._send_to(router, data)
+            with anyio.move_on_after(LOOKUP_TIMEOUT_S):
+                await pending.done.wait()
+
+    def receive(self, row: Any, host: str) -> None:
+        """Apply a message; raise `MessageError` if it is not valid."""
+        if row[0] == RECORDS_FORMAT:
+            now = self._clock()
+            for kept in read_kept(row):
+                record = StreamRecord(kept.key, kept.origin, now + kept.life_s)
+                self.records.keep(record)
+        elif row[0] == LOOKUP_FORMAT:
+            self._send(pack_finding(self._answer(read_lookup(row))), host)
+        else:
+            finding = read_finding(row)
+            pending = self._lookups.get(finding.number)
+            if pending is not None:
+                pending.note(finding)
+
+    async def run(self, send: Send) -> None:
+        """Send records in batches until cancelled."""
+        self._send = send
+        while True:
+            await self._due.wait()
+            await anyio.sleep(FLUSH_INTERVAL_S)
+            self._flush()
+
+    def _answer(self, lookup: StreamLookup) -> StreamFinding:
+        origin = self.records.find(lookup.key, self._clock())
+        versions = tuple(self._known_versions(lookup.services))
+        return StreamFinding(self._me, lookup.number, origin, versions)
+
+    def _known_versions(self, services: Iterable[ServiceName]) -> set[StreamOrigin]:
+        return {
+            StreamOrigin(service, version)
+            for service in services
+            for version in self._versions(service)
+        }
+
+    def _tell(self, record: StreamRecord, now: float) -> None:
+        """Tell the keepers of a record that were not told of it before."""
+        keepers = frozenset(self._table.told(record.key))
+        kept = KeptStream(record.key, record.origin, max(0.0, record.until - now))
+        for keeper in keepers - self._told.get(record.key, frozenset()):
+            self._outbox.setdefault(keeper.router, []).append(kept)
+            self._due.set()
+        if record.key in self._told:
+            self._told[record.key] = keepers
+
+    def _flush(self) -> None:
+        outbox, self._outbox = self._outbox, {}
+        self._due = anyio.Event()
+        for router, streams in outbox.items():
+            for start in range(0, len(streams), MAX_RECORDS_PER_PACKET):
+                packet = pack_kept(streams[start : start + MAX_RECORDS_PER_PACKET])
+                self._send_to(router, packet)
+
+    def _send_to(self, router: RouterName, data: bytes) -> None:
+        host = self._hosts().get(router)
+        if host is not None:
+            self._send(data, host)
+
+
+def is_stream_message(row: object) -> bool:
+    """Return whether an unpacked packet is about records of streams."""
+    formats = (RECORDS_FORMAT, LOOKUP_FORMAT, FINDING_FORMAT)
+    return isinstance(row, list) and bool(row) and row[0] in formats
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
@@ -0,0 +1,150 @@
+"""Encode the messages by which routers keep records of streams for each other.
+
+Each fits into one UDP packet. Several routers keep each record, and a lookup that is
+not answered is sent again, so that one lost packet does no harm.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import Any
+
+import msgpack
+from attrs import frozen
+
+from fulmarroad.exceptions import MessageError
+from fulmarroad.types import RouterName
+from fulmarroad_serving._catalog import ServiceName
+from fulmarroad_serving._stream_records import (
+    KEY_BYTES,
+    MAX_LIFE_S,
+    StreamKey,
+    StreamOrigin,
+)
+
+RECORDS_FORMAT = 6
+LOOKUP_FORMAT = 7
+FINDING_FORMAT = 8
+"""First fields of the packets; the other packets have other values there."""
+
+MAX_RECORDS_PER_PACKET = 24
+"""Maximum number of records in a packet, which then stays below 1,400 bytes."""
+
+MAX_NAME_CHARS = 200
+"""Maximum length of a service's name or a version in a message."""
+
+DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError)
+
+
+@frozen
+class KeptStream:
+    """Tell a router where a stream began, and how long its caller may come back."""
+
+    key: StreamKey
+    origin: StreamOrigin
+    life_s: float
+
+
+@frozen
+class StreamLookup:
+    """Ask a router where a stream began."""
+
+    router: RouterName
+    number: int  # of this lookup; the router never uses it again
+    key: StreamKey
+    services: tuple[ServiceName, ...]  # that may have begun it
+
+
+@frozen
+class StreamFinding:
+    """Answer a lookup."""
+
+    router: RouterName
+    number: int
+    origin: StreamOrigin | None
+    versions: tuple[StreamOrigin, ...] = ()  # of these services that it knows
+
+
+def pack_kept(streams: Sequence[KeptStream]) -> bytes:
+    """Encode records as a packet."""
+    rows = [
+        [row.key, row.origin.service, row.origin.version, round(row.life_s, 1)]
+        for row in streams
+    ]
+    return bytes(msgpack.packb([RECORDS_FORMAT, rows]))
+
+
+def read_kept(row: Any) -> list[KeptStream]:
+    """Decode records; raise `MessageError` if they are not valid."""
+    try:
+        return [
+            KeptStream(_key(key), _origin(service, version), _life_s(life_s))
+            for key, service, version, life_s in row[1]
+        ]
+    except DECODE_ERRORS as error:
+        raise MessageError("The records of streams are not valid.") from error
+
+
+def pack_lookup(lookup: StreamLookup) -> bytes:
+    """Encode a lookup as a packet."""
+    services = list(lookup.services)
+    row = [LOOKUP_FORMAT, lookup.router, lookup.number, lookup.key, services]
+    return bytes(msgpack.packb(row))
+
+
+def read_lookup(row: Any) -> StreamLookup:
+    """Decode a lookup; raise `MessageError` if it is not valid."""
+    try:
+        services = tuple(_name(service) for service in row[4])
+        return StreamLookup(_name(row[1]), int(row[2]), _key(row[3]), services)
+    except DECODE_ERRORS as error:
+        raise MessageError("The lookup of a stream is not valid.") from error
+
+
+def pack_finding(finding: StreamFinding) -> bytes:
+    """Encode the answer to a lookup as a packet."""
+    origin = finding.origin
+    row = [
+        FINDING_FORMAT,
+        finding.router,
+        finding.number,
+        None if origin is None else [origin.service, origin.version],
+        [[row.service, row.version] for row in finding.versions],
+    ]
+    return bytes(msgpack.packb(row))
+
+
+def read_finding(row: Any) -> StreamFinding:
+    """Decode the answer to a lookup; raise `MessageError` if it is not valid."""
+    try:
+        return StreamFinding(
+            _name(row[1]),
+            int(row[2]),
+            None if row[3] is None else _origin(*row[3]),
+            tuple(_origin(*origin) for origin in row[4]),
+        )
+    except DECODE_ERRORS as error:
+        raise MessageError("The answer to a lookup is not valid.") from error
+
+
+def _key(value: Any) -> StreamKey:
+    if not isinstance(value, bytes) or len(value) != KEY_BYTES:
+        raise ValueError("The key is not bytes of the expected length.")
+    return value
+
+
+def _origin(service: Any, version: Any) -> StreamOrigin:
+    return StreamOrigin(_name(service), _name(version))
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
+        raise ValueError("The name is not a text of a usual length.")
+    return value
+
+
+def _life_s(value: Any) -> float:
+    life_s = float(value)
+    if not 0 <= life_s <= MAX_LIFE_S:
+        raise ValueError(f"The life of {life_s} s is out of range.")
+    return life_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -46,6 +46,9 @@
     if service.engine is None:
         slack_s = (1.0 - PLAIN_MARGIN_FRACTION) * demand.objective_s - choice.read_s
         return slack_s * WAIT_FACTOR_PER_RANK**demand.rank
+    if demand.version:
+        # Its caller has read a part, which a refusal would make worthless.
+        return demand.objective_s
     if use.idle_engines_only:
         return IDLE_ENGINE_WAIT_S
     slack_s = max(
@@ -55,11 +58,21 @@
     return use.wait_fraction * slack_s * WAIT_FACTOR_PER_RANK**demand.rank
 
 
+BROKEN_STREAM_RETRY_AFTER_S = (2.0, 4.0)
+"""Range of the retry delay for a stream that can't go on: servers are replaced within
+seconds, and an earlier return would be refused again."""
+
+
 def refuse_without_server(source: random.Random) -> Refusal:
     """Refuse a call for whose service no server is known."""
     return Refusal(RefusalReason.NO_SERVERS, source.uniform(*NO_SERVER_RETRY_AFTER_S))
 
 
+def refuse_stream(reason: RefusalReason, source: random.Random) -> Refusal:
+    """Refuse to go on with a stream, for a reason that stays for some time."""
+    return Refusal(reason, source.uniform(*BROKEN_STREAM_RETRY_AFTER_S))
+
+
 def refuse_for_rest(rest_s: float) -> Refusal:
     """Refuse a call while all servers that could take it asked for rest."""
     return Refusal(RefusalReason.SERVERS_REST, rest_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -31,6 +31,7 @@
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._shedding_log import SheddingLog
@@ -121,6 +122,9 @@
         self._dispatcher.suspects.on_change = self._peers.trigger_report
         self._dispatcher.on_leaving = self._peers.trigger_report
         self._dispatcher.suspects.on_barred = _log_barred
+        self._resumption = resumption = StreamResumption(
+            self._peers.streams, self._peers.list_age_s, clock
+        )
         self._router_state.on_catalog = self._apply_catalog
         forwarder = Forwarder(
             self._dispatcher,
@@ -129,6 +133,7 @@
             lambda: self._router_state.catalog,
             clock,
             self._peers.owner_client,
+            resumption.note_begun,
         )
         source = random.Random(self._incarnation)
         self._saturation = SaturationGuard(self._lateness, source)
@@ -140,6 +145,7 @@
             self._metrics,
             self._saturation,
             clock,
+            resumption,
         )
         self._callers = HttpServer(
             self._app,
@@ -189,6 +195,7 @@
         return self._peers.reads_store()
 
     def _apply_catalog(self, catalog: Catalog) -> None:
+        self._resumption.note_catalog(catalog)
         limits = catalog.limits
         self._callers.set_timeouts(limits.idle_timeout_s, limits.header_timeout_s)
 
@@ -306,6 +313,7 @@
         )
         self._gate.drain()
         self._peers.leaving = True
+        self._peers.streams.hand_over()
         self._peers.trigger_report()
         max_drain_s = self._settings.grace_s - GRACE_MARGIN_S
         with anyio.move_on_after(max_drain_s):
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import itertools
+import json
 import random
 
 import anyio
@@ -34,8 +35,10 @@
 from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reports import unpack
+from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
+from fulmarroad_serving._stream_keepers import Keeper, StreamKeepers, is_stream_message
 from fulmarroad_serving.contracts import (
     CatalogFact,
     InstanceFact,
@@ -57,6 +60,9 @@
 """Time without an event after which a caller gives up a try."""
 
 DEADLINE_S = 8.0
+CONTACT_S = 3.0
+"""Time after a start or a cut from which a router counts as in touch."""
+
 LONG_STREAM = evolve(STREAM, timeout_s=DEADLINE_S, objective_s=0.4)
 CENTRES = ("fes", "rabat", "taza")
 
@@ -80,6 +86,8 @@
     port: int
     started_ms: int = 0
     up: bool = True
+    leaving: bool = False
+    started_at: float = 0.0
     running: int = 0
     slots: int = 16
     connections: list = field(factory=list)
@@ -188,6 +196,8 @@
         self.incarnation = incarnation
         self.alive, self.leaving, self.cut = True, False, False
         self.scopes = set()
+        self.list_age_s = 0.1
+        self.touched_at = anyio.current_time()
         clock = anyio.current_time
         bounds = FleetBounds(retry_burst=2_000.0)
         self.dispatcher = Dispatcher(name, centre, bounds, incarnation)
@@ -207,6 +217,15 @@
             fleet.incarnations,
             clock,
         )
+        self.streams = StreamKeepers(
+            name,
+            centre,
+            lambda service: self.dispatcher.registry.versions(service, clock()),
+            lambda: {name: name for name in fleet.routers},
+            clock,
+        )
+        resumption = StreamResumption(self.streams, lambda: self.list_age_s, clock)
+        self.state.on_catalog = resumption.note_catalog
         codec = PlainCodec()
         forwarder = Forwarder(
             self.dispatcher,
@@ -215,14 +234,19 @@
             lambda: self.state.catalog,
             clock,
             self.client,
+            resumption.note_begun,
         )
         gate = CallGate()
         gate.open()
         guard = SaturationGuard(LoopLateness(), source)
         self.app = ServingApp(
-            codec, self.state, forwarder, gate, Metrics(), guard, clock
+            codec, self.state, forwarder, gate, Metrics(), guard, clock, resumption
         )
 
+    @property
+    def in_touch(self):
+        return not self.cut and anyio.current_time() - self.touched_at >= CONTACT_S
+
     async def connect(self, instance):
         await anyio.sleep(NETWORK_S)
         engine = self.fleet.at_port(instance.port)
@@ -232,7 +256,9 @@
 
     async def run(self):
         with self.scope():
-            await self.exchange.run(self.send)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.exchange.run, self.send)
+                group.start_soon(self.streams.run, self.send)
 
     @contextlib.contextmanager
     def scope(self):
@@ -248,7 +274,11 @@
             self.fleet.deliver(data, self.name, host)
 
     def receive(self, data, host):
-        self.exchange.receive(unpack(data), host)
+        row = unpack(data)
+        if is_stream_message(row):
+            self.streams.receive(row, host)
+        else:
+            self.exchange.receive(row, host)
 
     def apply(self, fact):
         self.state._apply_fact(fact, 1, 60.0, "test")
@@ -268,6 +298,10 @@
     status: int = 0
     at: float = 0.0
     got: int = 0  # events of this try
+    code: str = ""  # of a refusal
+    retry_after_s: float = 0.0
+    in_touch: bool = True  # the router had reached the others for a while
+    servers: int = 0  # of its stream's version, at its begin
 
 
 @define(eq=False)
@@ -296,7 +330,11 @@
 
     async def attempt(self, router, attempt_id, left_s):
         row = Try(router.name, self.resumes, at=anyio.current_time())
+        row.in_touch = router.in_touch
         self.tries.append(row)
+        if self.events:
+            last = self.events[-1]
+            row.servers = self.fleet.serving(last.service, last.version)
         headers = [
             (b"host", b"svc.example"),
             (b"x-id", attempt_id.encode()),
@@ -306,7 +344,7 @@
         ]
         if self.resumes:
             headers.append((b"resumes", self.resumes.encode()))
-            last = self.events[-1].number
+            last = self.events[-1].number if self.events else 3
             headers.append((b"last-event-id", str(last).encode()))
         scope = {
             "type": "http",
@@ -335,8 +373,10 @@
             if message["type"] == "http.response.start":
                 row.status = message["status"]
                 after = dict(message["headers"]).get(b"retry-after", b"0")
-                retry_after_s = float(after)
-            elif row.status == 200:
+                row.retry_after_s = retry_after_s = float(after)
+            elif row.status != 200:
+                row.code = json.loads(message["body"])["error"]["code"]
+            else:
                 self.hold(message["body"], attempt_id, row)
                 self.whole = not message.get("more_body", False)
 
@@ -420,6 +460,23 @@
         self.routers[name].kill()
         self.gone_at[name] = anyio.current_time()
 
+    async def end(self, name):
+        """Let a router end as after SIGTERM: it serves on for a while, unready."""
+        router = self.routers[name]
+        router.leaving = True
+        self.update_membership()
+        router.streams.hand_over()
+        await anyio.sleep(2.5)
+        self.kill(name)
+
+    async def cut(self, name, for_s):
+        """Lose all packets between a router and the others for a while."""
+        router = self.routers[name]
+        router.cut = True
+        await anyio.sleep(for_s)
+        router.cut = False
+        router.touched_at = anyio.current_time()
+
     async def restart(self, name, after_s=0.5):
         self.kill(name)
         await anyio.sleep(after_s)
@@ -442,8 +499,15 @@
         believed = self.believed_alive()
         for router in self.routers.values():
             router.owners.set_routers(believed)
+            router.streams.set_routers(self.keepers(believed))
             router.dispatcher.routers = sorted(self.routers)
 
+    def keepers(self, believed):
+        return [
+            Keeper(name, centre, self.routers[name].incarnation)
+            for name, centre in believed.items()
+        ]
+
     async def keep_membership(self):
         while True:
             self.update_membership()
@@ -451,7 +515,9 @@
 
     def pick(self, client, attempt):
         """Return a router as a balancer would, another one for each attempt."""
-        names = sorted(name for name, row in self.routers.items() if row.alive)
+        names = sorted(
+            name for name, row in self.routers.items() if row.alive and not row.leaving
+        )
         return self.routers[names[(client + 3 * attempt) % len(names)]]
 
     def deliver(self, data, sender, to):
@@ -471,6 +537,7 @@
     def add_engine(self, name, version="v1", service="drafting", **more):
         port = len(self.engines) + 1
         engine = self.engines[name] = Engine(name, service, version, port, **more)
+        engine.started_at = anyio.current_time()
         self.publish(InstanceFact(engine.instance()))
         return engine
 
@@ -480,9 +547,35 @@
 
     def crash(self, name):
         self.engines[name].crash()
-        self.publish(InstanceRemovedFact(name), after_s=1.5)
+        engine = self.engines[name]
+
+        async def expire():
+            await anyio.sleep(1.5)
+            if not engine.up:
+                self.publish(InstanceRemovedFact(name), after_s=0.0)
+
+        self.group.start_soon(expire)
+
+    def start_again(self, name, version):
+        """Start an engine again under its id, maybe with another version."""
+        engine = self.engines[name]
+        engine.version, engine.up = version, True
+        engine.started_ms += 1
+        engine.started_at = anyio.current_time()
+        self.publish(InstanceFact(engine.instance()))
+
+    def serving(self, service, version):
+        """Return how many engines of a version run, are known and don't leave."""
+        return sum(
+            row.up
+            and not row.leaving
+            and (row.service, row.version) == (service, version)
+            and anyio.current_time() - row.started_at > 2 * STORE_S
+            for row in self.engines.values()
+        )
 
     def drain(self, name):
+        self.engines[name].leaving = True
         self.publish(InstanceFact(self.engines[name].instance(draining=True)))
 
     def set_catalog(self, **changes):
@@ -501,10 +594,10 @@
 
     def begin(self, number, **more):
         """Begin a stream and return its caller, without waiting for the end."""
-        router = more.pop("router", None)
+        router, tries = more.pop("router", None), more.pop("tries", 4)
         caller = StreamCaller(self, number, **more)
         self.callers.append(caller)
-        self.group.start_soon(caller.run, router)
+        self.group.start_soon(caller.run, router, tries)
         return caller
 
     def mixed(self):
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -456,7 +456,9 @@
         if name in self.leaving:
             self.told.add((me, name))
             head = evolve(head, leaving=True)
-        exchanger = Exchanger(dispatcher, None, lambda: bed.now)
+        exchanger = Exchanger(
+            dispatcher, None, lambda: bed.now, lambda call, version, now: None
+        )
         try:
             exchanger._check_head(head, placement.registered.instance)
         except SendError as error:
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -84,6 +84,7 @@
     REPLICA_GIVE_FAILED = EventKind(325, _W, "copy of the store not sent to a peer")
     OWNER_SILENT = EventKind(326, _W, "no answer from the owner of servers")
     OWNER_LOST = EventKind(327, _W, "calls of a lost owner are counted here")
+    STREAM_RECORDS_DROPPED = EventKind(328, _W, "records of streams dropped early")
 
     # 400: backend servers and data centres
     WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
@@ -116,6 +117,8 @@
         510, _I, "caller did not send complete headers in time"
     )
     REQUEST_BARRED = EventKind(511, _W, "request not sent, servers exited during it")
+    STREAM_TAKEN_UP = EventKind(513, _I, "caller takes up a stream")
+    STREAM_LOST = EventKind(514, _W, "stream can't go on, its caller is refused")
     REQUEST_BARRED_NOW = EventKind(512, _W, "request is barred from now on")
 
     # 600: keys
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -92,6 +92,8 @@
     KEYS_FULL = "keys_full"
     REQUEST_SUSPECTED = "request_suspected"
     SERVERS_REST = "servers_rest"
+    STREAM_ORIGIN_GONE = "stream_origin_gone"
+    STREAM_UNKNOWN = "stream_unknown"
 
 
 class MemberState(enum.StrEnum):
