Let a stream end of which its caller lacks only the end

An empty rest that is complete and signed is the server's whole answer to a call that names an event it has. A first try without any event still fails as before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -206,7 +206,11 @@
         if events.pending:
             raise BrokenAnswerError("The stream ended in the middle of an event.")
         if not run.responder.begun:
-            raise BrokenAnswerError("The stream ended before its first event.")
+            if not run.call.head.last_event_id:
+                raise BrokenAnswerError("The stream ended before its first event.")
+            # Its caller has every event and lacks only the end.
+            run.summary.first_s = self._clock() - run.begun_at
+            await run.responder.begin(head.status, list(head.forward))
         await run.responder.finish()
 
     async def _forward_events(
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 import time
 
 import anyio
+import pytest
 from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -472,6 +473,28 @@
 
         run(test)
 
+    @pytest.mark.parametrize(("last_event_id", "status"), [("20", 200), ("", 502)])
+    def test_a_stream_of_which_only_the_end_was_missing_ends(
+        self, last_event_id, status
+    ):
+        """Guard against a stream that fails for good as its caller lost the connection
+        between the last event and the end: nothing but the end is left to send.
+        """
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")) + b"0\r\n\r\n")
+
+            await bed.serve("s-1", script, "drafting")
+            headers = {"last-event-id": last_event_id}
+            caller = await bed.call(
+                "/draft/1", method="POST", body=b"p", headers=headers
+            )
+            assert caller.status == status
+            assert caller.whole
+
+        run(test)
+
     def test_a_stream_is_resumed_after_the_last_complete_event(self):
         """A server fails in the middle of an event. The incomplete event must not be
         joined with the next server's data, and no event may be lost or duplicated.
