--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -214,6 +214,7 @@
         """Bind a call to the version that began its stream; raise `Refused` if none."""
         started = self._clock()
         take_up, finding = await resumption.find(call)
+        reason = take_up.refusal.value if take_up.refusal else ""
         emit(
             logger,
             Event.STREAM_TAKEN_UP if take_up.refusal is None else Event.STREAM_LOST,
@@ -226,8 +227,9 @@
             asked=finding.asked,
             answered=finding.answered,
             seconds=round(self._clock() - started, 4),
-            reason=take_up.refusal.value if take_up.refusal else "",
+            reason=reason,
         )
+        self._metrics.taken_up.labels(reason).inc()
         if take_up.refusal is not None:
             refusal = self._forwarder.refuse_stream(take_up.refusal)
             raise Refused(refusal.reason, refusal.retry_after_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -43,6 +43,17 @@
             buckets=LATENCY_BUCKETS,
             registry=self._registry,
         )
+        self.taken_up = Counter(
+            "fulmarroad_streams_taken_up",
+            "Streams that callers took up, by why they could not go on",
+            ["refusal"],
+            registry=self._registry,
+        )
+        self.stream_records = Gauge(
+            "fulmarroad_stream_records",
+            "Streams of which this router remembers where they began",
+            registry=self._registry,
+        )
         self.in_flight = Gauge(
             "fulmarroad_in_flight", "Calls in flight", registry=self._registry
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -379,6 +379,7 @@
     def _metrics_text(self) -> bytes:
         now = self._clock()
         self._metrics.in_flight.set(self._gate.in_flight)
+        self._metrics.stream_records.set(len(self._peers.streams.records))
         self._metrics.peers.set(len(self._peers.book.alive(now)))
         self._metrics.version.set(self._router_state.catalog.version)
         self._metrics.store_age.set(min(self._reader.age_s(), 1e6))
--- a/packages/fulmarroad-serving/tests/test_platform_facts.py
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -6,6 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from fulmarroad_platform import facts
+from fulmarroad_platform.calls import PlatformCodec
 from fulmarroad_platform.facts import decode_item
 from fulmarroad_serving import CallKind, ReplicaItem
 from fulmarroad_serving.contracts import (
@@ -15,6 +17,7 @@
     InstanceRemovedFact,
     UnusableFact,
 )
+from fulmarroad_serving.unknown_names import MAX_NAME_CHARS, MAX_NAMES, UnknownNames
 
 ENTRY = {
     "ServiceName": "drafting",
@@ -75,6 +78,30 @@
     return decode_item(ReplicaItem(key, 5, data))
 
 
+class TestUnknownNames:
+    def test_a_field_that_no_list_names_is_logged_once(self, caplog, monkeypatch):
+        """Guard against a new field of the platform that nobody reads, and of which
+        nobody knows until callers miss what it says.
+        """
+        monkeypatch.setattr(facts, "unknown_names", UnknownNames())
+        with caplog.at_level("INFO", "fulmarroad.serving"):
+            for _ in range(2):
+                decode("servers/i-1", ENTRY | {"Build": "7"})
+                decode("op/config", CONFIG)
+        lines = {(row.place, row.unknown) for row in caplog.records}
+        assert lines == {("server", "Build"), ("route", "NewField")}
+        assert len(caplog.records) == 2
+
+    def test_callers_cannot_fill_the_log_with_headers(self, caplog):
+        codec = PlatformCodec()
+        headers = [(b"x-%d" % number, b"1") for number in range(3 * MAX_NAMES)]
+        with caplog.at_level("INFO", "fulmarroad.serving"):
+            codec.read_call([(b"y" * 1_000, b"1"), *headers])
+            codec.read_answer(200, [(b"Server-Signature", b"s"), (b"Date", b"now")])
+        assert len(caplog.records) == MAX_NAMES
+        assert all(len(row.unknown) <= MAX_NAME_CHARS for row in caplog.records)
+
+
 class TestServers:
     def test_a_valid_entry_is_decoded(self):
         instance = decode("servers/i-1", ENTRY).instance
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -65,6 +65,9 @@
     STORE_ITEM_UNUSABLE = EventKind(214, _W, "unreadable store item ignored")
     STORE_LISTED = EventKind(215, _I, "store listed completely")
     STORE_RETURNED_OLDER = EventKind(216, _W, "store restored from an older copy")
+    PLATFORM_NAME_UNKNOWN = EventKind(
+        217, _W, "unknown field or header of the platform"
+    )
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
@@ -117,9 +120,9 @@
         510, _I, "caller did not send complete headers in time"
     )
     REQUEST_BARRED = EventKind(511, _W, "request not sent, servers exited during it")
+    REQUEST_BARRED_NOW = EventKind(512, _W, "request is barred from now on")
     STREAM_TAKEN_UP = EventKind(513, _I, "caller takes up a stream")
     STREAM_LOST = EventKind(514, _W, "stream can't go on, its caller is refused")
-    REQUEST_BARRED_NOW = EventKind(512, _W, "request is barred from now on")
 
     # 600: keys
     KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
