Match answers to lookups of streams by key, and bound the lookups at once

Read in review: a router that froze may answer a lookup of an earlier start of the one that asked, by the number of a new one, and bind a stream to another one's version; a caller that names any call costs the fleet some ten packets each time; and a call to another kind of route with a stray Last-Event-Id was looked at as a stream. A test each for the first two, red before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -151,7 +151,7 @@
         index = self._router_state.index or index
         record.version = index.catalog.version
         call = self._validate(scope, head, body, index, record)
-        if self._resumption is not None and (head.resumes or head.last_event_id):
+        if self._resumption is not None and call.takes_up_stream:
             call = await self._take_up(call, self._resumption)
         # Calls that the saturation guard sheds count as demand too, so admit first.
         self._forwarder.admit(call, record.summary)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -51,6 +51,12 @@
     rank: int = 0
     version: str = ""  # of the software that began the stream which it takes up
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether it goes on with a stream of which its caller has a part."""
+        named = self.head.resumes or self.head.last_event_id
+        return self.route.resumable and bool(named)
+
 
 @define
 class CallSummary:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -70,6 +70,10 @@
 LOOKUP_ATTEMPTS = 2
 """Number of times that a lookup is sent to routers that don't answer."""
 
+MAX_LOOKUPS = 500
+"""Maximum number of lookups at once, several times the streams of a lost router; each
+costs some ten packets, and a caller may name any call."""
+
 Send = Callable[[bytes, str], None]
 """Send a packet to a host."""
 
@@ -142,20 +146,19 @@
     asked: int = 0
     answered: int = 0
 
-    @property
-    def complete(self) -> bool:
-        """Return whether every router that was asked has answered."""
-        return self.answered == self.asked
-
 
 @define
 class _PendingLookup:
+    key: StreamKey
     waiting: set[RouterName]
     origin: StreamOrigin | None = None
     versions: set[StreamOrigin] = field(factory=set)
     done: anyio.Event = field(factory=anyio.Event)
 
     def note(self, finding: StreamFinding) -> None:
+        if finding.key != self.key:
+            # It answers a lookup of an earlier start of this router.
+            return
         self.waiting.discard(finding.router)
         self.versions.update(finding.versions)
         if self.origin is None:
@@ -223,10 +226,12 @@
         origin = self.records.find(key, self._clock())
         if origin is not None:
             return Finding(origin, frozenset(known))
+        if len(self._lookups) >= MAX_LOOKUPS:
+            return Finding(None, frozenset(known))
         asked = self._table.asked(key)
         self._number += 1
         lookup = StreamLookup(self._me, self._number, key, tuple(services))
-        pending = self._lookups[lookup.number] = _PendingLookup(set(asked))
+        pending = self._lookups[lookup.number] = _PendingLookup(key, set(asked))
         try:
             await self._ask(lookup, pending)
         finally:
@@ -280,7 +285,7 @@
     def _answer(self, lookup: StreamLookup) -> StreamFinding:
         origin = self.records.find(lookup.key, self._clock())
         versions = tuple(self._known_versions(lookup.services))
-        return StreamFinding(self._me, lookup.number, origin, versions)
+        return StreamFinding(self._me, lookup.number, lookup.key, origin, versions)
 
     def _known_versions(self, services: Iterable[ServiceName]) -> set[StreamOrigin]:
         return {
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
@@ -61,6 +61,7 @@
 
     router: RouterName
     number: int
+    key: StreamKey
     origin: StreamOrigin | None
     versions: tuple[StreamOrigin, ...] = ()  # of these services that it knows
 
@@ -108,6 +109,7 @@
         FINDING_FORMAT,
         finding.router,
         finding.number,
+        finding.key,
         None if origin is None else [origin.service, origin.version],
         [[row.service, row.version] for row in finding.versions],
     ]
@@ -120,8 +122,9 @@
         return StreamFinding(
             _name(row[1]),
             int(row[2]),
-            None if row[3] is None else _origin(*row[3]),
-            tuple(_origin(*origin) for origin in row[4]),
+            _key(row[3]),
+            None if row[4] is None else _origin(*row[4]),
+            tuple(_origin(*origin) for origin in row[5]),
         )
     except DECODE_ERRORS as error:
         raise MessageError("The answer to a lookup is not valid.") from error
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -23,7 +23,13 @@
     decide_take_up,
     decide_unnamed,
 )
-from fulmarroad_serving._stream_keepers import Finding, Keeper, KeeperTable
+from fulmarroad_serving._stream_keepers import (
+    MAX_LOOKUPS,
+    Finding,
+    Keeper,
+    KeeperTable,
+    _PendingLookup,
+)
 from fulmarroad_serving._stream_messages import (
     MAX_RECORDS_PER_PACKET,
     KeptStream,
@@ -147,7 +153,7 @@
         lookup = StreamLookup("r-1", 7, key_of(1), ("drafting", "other"))
         assert read_lookup(unpack(pack_lookup(lookup))) == lookup
         for origin in (V1, None):
-            finding = StreamFinding("r-2", 7, origin, (V1, V2))
+            finding = StreamFinding("r-2", 7, key_of(1), origin, (V1, V2))
             assert read_finding(unpack(pack_finding(finding))) == finding
 
     def test_a_packet_fits_into_one_datagram(self):
@@ -187,6 +193,27 @@
                 read_kept([6, [row]])
 
 
+class TestLookups:
+    def test_an_answer_to_a_lookup_of_an_earlier_start_does_not_count(self):
+        """Guard against a stream bound to the version of another one: a router that
+        froze answers late, and the router that asked has started again since.
+        """
+        pending = _PendingLookup(key_of(1), {"r-2"})
+        pending.note(StreamFinding("r-2", 1, key_of(2), V1))
+        assert pending.origin is None
+        pending.note(StreamFinding("r-2", 1, key_of(1), V2))
+        assert pending.origin == V2
+
+    def test_a_caller_cannot_start_any_number_of_lookups(self):
+        async def test(fleet):
+            streams = fleet.routers["router-0"].streams
+            streams._lookups.update(dict.fromkeys(range(-MAX_LOOKUPS, 0)))
+            finding = await streams.find(key_of(1), ["drafting"])
+            assert (finding.origin, finding.asked) == (None, 0)
+
+        run_two_versions(test)
+
+
 class TestDecision:
     def decide(self, origin, versions, services=DRAFTING, recent=None, **more):
         finding = Finding(origin, frozenset(versions))
