Forget that a server ended only when it registers another start

An entry written before a server ended may be read after it, and made its version look known again (the test failed before). Versions without a server count for 60 s, as long as streams are remembered, and the versions of a service are counted only when its entries change: a storm of lookups would count them a thousand times.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -19,7 +19,7 @@
 three intervals at which a server writes its entry (1.2 s), within which the entry shows
 a restart."""
 
-VERSION_MEMORY_S = 30.0
+VERSION_MEMORY_S = 60.0
 """Time in seconds for which a version without a server still counts: streams that it
 began may be taken up for as long."""
 
@@ -85,6 +85,7 @@
         self._usable: dict[tuple[ServiceName, str], tuple[Registered, ...]] = {}
         """By service and version; "" stands for all versions."""
         self._announced: dict[ServerName, int] = {}  # their `started_ms`
+        self._live_versions: dict[ServiceName, frozenset[str]] = {}
         self._former_versions: dict[tuple[ServiceName, str], float] = {}
         """When a server of a service and version was last dropped."""
 
@@ -117,7 +118,7 @@
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
-        row.ended = False
+        row.ended = row.ended and not is_new_run
         row.suspect_until = 0.0
         if is_new_run:
             # The first listing after a router's restart shows servers that have cached
@@ -218,13 +219,20 @@
             for (name, version), left_at in self._former_versions.items()
             if name == service and now - left_at < VERSION_MEMORY_S
         }
-        return former | {
-            row.instance.version
-            for row in self._rows.values()
-            if row.instance.service == service
-        }
+        return former | self._versions_of_servers(service)
+
+    def _versions_of_servers(self, service: ServiceName) -> frozenset[str]:
+        versions = self._live_versions.get(service)
+        if versions is None:
+            versions = self._live_versions[service] = frozenset(
+                row.instance.version
+                for row in self._rows.values()
+                if row.instance.service == service
+            )
+        return versions
 
     def _note_former(self, instance: Instance, now: float) -> None:
+        self._live_versions.clear()
         self._former_versions[instance.service, instance.version] = now
         for key, left_at in list(self._former_versions.items()):
             if now - left_at >= VERSION_MEMORY_S:
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -151,6 +151,9 @@
         dispatcher.registry.note_ended(row.instance)
         assert isinstance(dispatcher.place(BEGUN, 20.0), Refusal)
         assert isinstance(dispatcher.place(CALL, 20.0), Placement)
+        # Written before the server ended, and read after it.
+        dispatcher.registry.put(evolve(row.instance, slots=9), 20.0)
+        assert isinstance(dispatcher.place(BEGUN, 20.0), Refusal)
         again = evolve(row.instance, started_ms=2)
         dispatcher.registry.put(again, 20.0)
         assert isinstance(dispatcher.place(BEGUN, 20.0), Placement)
