Tell routers that were heard lately, and all of a small fleet, where streams began

Keepers were chosen among all that had been heard in two seconds, so some were lost already when they were told.

A router tells those heard within 0.6 s, tells others anew as that changes (also after it was cut off itself), and in a fleet of up to 17 tells all: reports go to all of them there too. More are asked than before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -30,7 +30,12 @@
     unpack,
 )
 from fulmarroad_serving._router_state import RouterState
-from fulmarroad_serving._stream_keepers import Keeper, StreamKeepers, is_stream_message
+from fulmarroad_serving._stream_keepers import (
+    KEEPER_SILENCE_S,
+    Keeper,
+    StreamKeepers,
+    is_stream_message,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -308,8 +313,12 @@
 
     def _possible_keepers(self, now: float) -> list[Keeper]:
         """Return the routers that may keep records of streams."""
+        lately = self.book.alive(now, KEEPER_SILENCE_S)
+        heard = {peer.router for peer in lately}
         return [
-            Keeper(peer.router, peer.data_centre, peer.incarnation)
+            Keeper(
+                peer.router, peer.data_centre, peer.incarnation, peer.router in heard
+            )
             for peer in self.book.alive(now)
             if not peer.leaving
         ]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -52,10 +52,17 @@
 OTHER_KEEPERS = 2
 """Number of further routers, of any data centre, that keep a record."""
 
-SPARE_KEEPERS = 1
+SPARE_KEEPERS = 3
 """Number of routers asked beyond those that were told, of each kind: routers that came
 or went since then have moved the others in the order."""
 
+SMALL_FLEET = 16
+"""Number of other routers up to which all of them keep each record: most of a small
+fleet may be lost at once, and reports go to all of them too."""
+
+KEEPER_SILENCE_S = 0.6
+"""Silence after which a router is not told: four missed reports."""
+
 KEY_GROUPS = 256
 """Number of groups of keys, each with its own order of routers."""
 
@@ -85,6 +92,7 @@
     router: RouterName
     data_centre: DataCentreName
     incarnation: int
+    heard_lately: bool = True  # else it may be lost, or be cut off
 
 
 @define
@@ -94,8 +102,8 @@
     _me: RouterName
     _centre: DataCentreName
     _routers: dict[RouterName, Keeper] = field(factory=dict)
-    _local: dict[int, tuple[RouterName, ...]] = field(factory=dict)
-    _all: dict[int, tuple[RouterName, ...]] = field(factory=dict)
+    _told: dict[int, tuple[Keeper, ...]] = field(factory=dict)
+    _asked: dict[int, tuple[RouterName, ...]] = field(factory=dict)
 
     def set_routers(self, routers: Iterable[Keeper]) -> bool:
         """Replace the live routers and return whether they changed."""
@@ -103,38 +111,41 @@
         if others == self._routers:
             return False
         self._routers = others
-        self._local.clear()
-        self._all.clear()
+        self._told.clear()
+        self._asked.clear()
         return True
 
     def told(self, key: StreamKey) -> tuple[Keeper, ...]:
         """Return the routers that keep a record of a stream that began here."""
-        local, others = self._ranked(key)
-        first = local[:LOCAL_KEEPERS]
-        rest = [name for name in others if name not in first]
-        names = (*first, *rest[:OTHER_KEEPERS])
-        return tuple(self._routers[name] for name in names)
+        group = key[0] % KEY_GROUPS
+        if group not in self._told:
+            heard = [row for row in self._routers.values() if row.heard_lately]
+            names = self._choose(group, heard, LOCAL_KEEPERS, OTHER_KEEPERS)
+            self._told[group] = tuple(self._routers[name] for name in names)
+        return self._told[group]
 
     def asked(self, key: StreamKey) -> tuple[RouterName, ...]:
         """Return the routers that may have the record of a stream, from anywhere."""
-        local, others = self._ranked(key)
-        # Routers of another data centre skipped their own two first ones there.
-        count = LOCAL_KEEPERS + OTHER_KEEPERS + SPARE_KEEPERS
-        first = local[: LOCAL_KEEPERS + SPARE_KEEPERS]
-        return tuple(dict.fromkeys((*first, *others[:count])))
-
-    def _ranked(
-        self, key: StreamKey
-    ) -> tuple[tuple[RouterName, ...], tuple[RouterName, ...]]:
         group = key[0] % KEY_GROUPS
-        if group not in self._all:
-            subject = f"streams\0{group}"
-            routers = self._routers.values()
-            local = [row.router for row in routers if row.data_centre == self._centre]
-            count = LOCAL_KEEPERS + OTHER_KEEPERS + SPARE_KEEPERS
-            self._local[group] = watchers(local, count, subject)
-            self._all[group] = watchers(self._routers.keys(), count, subject)
-        return self._local[group], self._all[group]
+        if group not in self._asked:
+            # Routers of another data centre skipped their own first ones there.
+            local, others = LOCAL_KEEPERS + SPARE_KEEPERS, OTHER_KEEPERS + SPARE_KEEPERS
+            routers = list(self._routers.values())
+            self._asked[group] = self._choose(group, routers, local, others)
+        return self._asked[group]
+
+    def _choose(
+        self, group: int, routers: Collection[Keeper], local: int, others: int
+    ) -> tuple[RouterName, ...]:
+        """Return a number of routers of the own data centre, and of any others."""
+        if len(self._routers) <= SMALL_FLEET:
+            return tuple(row.router for row in routers)
+        subject = f"streams\0{group}"
+        names = [row.router for row in routers]
+        near = [row.router for row in routers if row.data_centre == self._centre]
+        first = watchers(near, local, subject)
+        rest = watchers(set(names).difference(first), others, subject)
+        return (*first, *rest)
 
 
 @frozen
