Give what answers a caller, and what statuses say, modules of their own

execution.py of the daemon had grown over 400 lines; app.py and keyed.py imported the responder from it.

--- a/packages/fulmarroad-router/src/fulmarroad_router/app.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/app.py
@@ -39,7 +39,7 @@
     RouteNotFound,
     Unauthorized,
 )
-from fulmarroad_router.execution import Responder
+from fulmarroad_router.responder import Responder
 
 logger = logging.getLogger("fulmarroad.router")
 
--- a/packages/fulmarroad-router/src/fulmarroad_router/execution.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/execution.py
@@ -10,7 +10,6 @@
 
 import logging
 from collections.abc import Callable
-from typing import Protocol
 
 import anyio
 from attrs import define
@@ -27,15 +26,19 @@
 from fulmarroad.events import Event, emit
 from fulmarroad.messages import Finished
 from fulmarroad.ownership import short_name
-from fulmarroad.tables import CostUnit, Pool, PoolKind
+from fulmarroad.tables import CostUnit
 from fulmarroad.types import Outcome, RefusalReason
 from fulmarroad_router.admitting import AdmissionController
+from fulmarroad_router.answer_statuses import (
+    FAILED_STATUSES,
+    REFUSED_STATUSES,
+    outcome_of,
+)
 from fulmarroad_router.backend import (
     BackendClient,
     BackendResponse,
     FailedAfterSend,
     FailedBeforeSend,
-    Headers,
     TimedOutAfterSend,
 )
 from fulmarroad_router.calls import (
@@ -52,6 +55,7 @@
     TimedOut,
 )
 from fulmarroad_router.metering import Meter
+from fulmarroad_router.responder import Responder
 from fulmarroad_router.sse import EventSplitter, EventTooLarge, StreamEvent, parse_usage
 
 logger = logging.getLogger("fulmarroad.router")
@@ -67,28 +71,6 @@
 """Maximum tries of one call, so that one request can't reach every server."""
 
 MAX_USAGE_BYTES = 256 * 1024
-REFUSED_STATUSES = {429, 503}
-"""Statuses by which a backend server reports that it did not accept the call."""
-
-FAILED_STATUSES = {500, 502, 504}
-"""Statuses by which a backend server reports that it failed."""
-
-
-class Responder(Protocol):
-    """Send an answer to the caller; sending blocks while the caller reads slowly."""
-
-    @property
-    def begun(self) -> bool:
-        """Return whether the status and headers have been sent."""
-
-    async def begin(self, status: int, headers: Headers) -> None:
-        """Send the status and headers."""
-
-    async def send(self, chunk: bytes) -> None:
-        """Send one chunk of the body."""
-
-    async def finish(self) -> None:
-        """Send the end of a complete answer."""
 
 
 @define
@@ -197,7 +179,7 @@
         try:
             with anyio.fail_after(max(0.0, call.deadline - self._clock())):
                 status = await self._send(call, lease, responder, progress, meter)
-            outcome = _outcome_of(call.pool, status)
+            outcome = outcome_of(call.pool, status)
         except FailedBeforeSend as error:
             outcome = Outcome.UNREACHABLE
             self._retry_unsent(call, lease, progress, error)
@@ -438,19 +420,6 @@
         return meter.prompt_tokens * call.pool.prompt_cost + meter.tokens
 
 
-def _outcome_of(pool: Pool, status: int) -> Outcome:
-    """Return the outcome that an answer's status counts as for its server.
-
-    A failing engine answers at once and would be rated as the fastest one, so its
-    failures count. A status 500 of a plain service does not: one caller's data may
-    have caused it, and other calls may succeed.
-    """
-    failed = status in REFUSED_STATUSES or status in FAILED_STATUSES - {500}
-    if failed or (pool.kind is PoolKind.MODEL and status in FAILED_STATUSES):
-        return Outcome.FAILED
-    return Outcome.COMPLETED
-
-
 def _is_event_stream(response: BackendResponse) -> bool:
     kind = response.header(b"content-type")
     return response.status == 200 and kind.startswith(b"text/event-stream")
--- a/packages/fulmarroad-router/src/fulmarroad_router/keyed.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/keyed.py
@@ -36,7 +36,7 @@
     OutcomeUnknown,
     Refused,
 )
-from fulmarroad_router.execution import Responder
+from fulmarroad_router.responder import Responder
 
 logger = logging.getLogger("fulmarroad.router")
 
--- a/packages/fulmarroad-router/tests/test_metering.py
+++ b/packages/fulmarroad-router/tests/test_metering.py
@@ -4,7 +4,7 @@
 
 from fulmarroad.tables import Pool, PoolKind
 from fulmarroad.types import Outcome
-from fulmarroad_router.execution import _outcome_of
+from fulmarroad_router.answer_statuses import outcome_of
 from fulmarroad_router.metering import Meter
 
 
@@ -70,4 +70,4 @@
         ],
     )
     def test_status_is_mapped_to_an_outcome_by_pool_kind(self, kind, status, outcome):
-        assert _outcome_of(Pool("p", kind=kind), status) is outcome
+        assert outcome_of(Pool("p", kind=kind), status) is outcome
