--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -300,6 +300,18 @@
             server.close()
 
 
+async def never_reached(arrival, writer):
+    """Fail the test: no call may reach this server."""
+    raise AssertionError("the call was sent")
+
+
+async def call_while(bed, happen):
+    """Make a call to an engine and let something happen meanwhile."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(happen)
+        return await bed.call("/draft/1", method="POST", body=b"p")
+
+
 class CrashingServers:
     """Servers that crash when they receive a given request body."""
 
--- a/packages/fulmarroad-serving/tests/test_holding.py
+++ b/packages/fulmarroad-serving/tests/test_holding.py
@@ -2,7 +2,15 @@
 
 import anyio
 from attrs import evolve
-from serving_bed import Caller, chunk, event, run, stream_head
+from serving_bed import (
+    Caller,
+    call_while,
+    chunk,
+    event,
+    never_reached,
+    run,
+    stream_head,
+)
 
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving import Refusal, _holding
@@ -86,9 +94,7 @@
                 await anyio.sleep(0.02)
                 load.end(busy)
 
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(free)
-                caller = await bed.call("/draft/1", method="POST", body=b"p")
+            caller = await call_while(bed, free)
             assert caller.status == 200
 
         run(test)
@@ -97,10 +103,7 @@
         """Every engine stays busy. The call is refused well before its objective."""
 
         async def test(bed):
-            async def script(arrival, writer):
-                raise AssertionError("the call was sent")
-
-            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-1", never_reached, "drafting")
             bed.dispatcher.load("s-1").send("s-1", 600_000, bed.now())
             begun = bed.now()
             caller = await bed.call("/draft/1", method="POST", body=b"p")
@@ -119,10 +122,7 @@
         monkeypatch.setattr(_holding, "POLL_INTERVAL_S", 0.1)
 
         async def test(bed):
-            async def script(arrival, writer):
-                raise AssertionError("the call was sent")
-
-            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-1", never_reached, "drafting")
             load = bed.dispatcher.load("s-1")
             load.send("s-1", 6_000, bed.now())
             busy = load.send("s-1", 60_000, bed.now())
@@ -131,9 +131,7 @@
                 await anyio.sleep(0.03)
                 load.end(busy)
 
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(end_one_call)
-                caller = await bed.call("/draft/1", method="POST", body=b"p")
+            caller = await call_while(bed, end_one_call)
             assert caller.status == 503
 
         run(test)
@@ -147,10 +145,7 @@
         monkeypatch.setattr(_holding, "POLL_INTERVAL_S", 60.0)
 
         async def test(bed):
-            async def script(arrival, writer):
-                raise AssertionError("the call was sent")
-
-            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-1", never_reached, "drafting")
             bed.dispatcher.load("s-1").send("s-1", 60_000, bed.now())
             caller = await bed.call(
                 "/draft/1", method="POST", body=b"p", headers={"x-deadline-ms": "30"}
@@ -165,10 +160,7 @@
         """
 
         async def test(bed):
-            async def script(arrival, writer):
-                raise AssertionError("the call was sent")
-
-            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-1", never_reached, "drafting")
             load = bed.dispatcher.load("s-1")
             busy = load.send("s-1", 60_000, bed.now())
             caller = Caller()
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -9,7 +9,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from owner_bed import CALL, LOOKUP, OwnerBed, make_dispatcher
-from serving_bed import Caller, answer, chunk, event, run, stream_head
+from serving_bed import (
+    Caller,
+    answer,
+    call_while,
+    chunk,
+    event,
+    never_reached,
+    run,
+    stream_head,
+)
 
 from fulmarroad_serving import Instance, Placement, Refusal, SendOutcome
 from fulmarroad_serving._attempts import CallProgress
@@ -190,10 +199,7 @@
 
     def test_a_held_call_does_not_go_to_a_server_that_leaves_meanwhile(self):
         async def test(bed):
-            async def script(arrival, writer):
-                raise AssertionError("the call was sent")
-
-            await bed.serve("s-1", script, "drafting")
+            await bed.serve("s-1", never_reached, "drafting")
             load = bed.dispatcher.load("s-1")
             busy = load.send("s-1", 60_000, bed.now())
 
@@ -202,9 +208,7 @@
                 bed.dispatcher.note_leaving("s-1", 0, "answer")
                 load.end(busy)
 
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(leave)
-                caller = await bed.call("/draft/1", method="POST", body=b"p")
+            caller = await call_while(bed, leave)
             assert caller.status == 503
 
         run(test)
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -26,10 +26,24 @@
     run_virtual(StreamFleet(**more).run, test)
 
 
-async def settle(fleet):
-    """Wait until every caller has its whole stream or has given up."""
+async def begin_at_two_versions(fleet):
+    """Let 24 streams begin at four engines, two of each version."""
+    for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")):
+        fleet.add_engine(name, version)
+    await anyio.sleep(0.3)
+    for number in range(24):
+        fleet.begin(number)
+    await anyio.sleep(0.6)
+
+
+async def check_streams(fleet, whole):
+    """Wait for the end of all streams and check what their callers hold.
+
+    At least `whole` of them have their whole stream.
+    """
     await anyio.sleep(9.0)
-    return fleet
+    assert not fleet.mixed()
+    assert sum(row.whole for row in fleet.callers) >= whole
 
 
 class TestTwoVersions:
@@ -39,16 +53,9 @@
         """
 
         async def test(fleet):
-            for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")):
-                fleet.add_engine(name, version)
-            await anyio.sleep(0.3)
-            for number in range(24):
-                fleet.begin(number)
-            await anyio.sleep(0.6)
+            await begin_at_two_versions(fleet)
             fleet.crash("a")
-            await settle(fleet)
-            assert not fleet.mixed()
-            assert sum(row.whole for row in fleet.callers) >= 20
+            await check_streams(fleet, whole=20)
 
         run_fleet(test)
 
@@ -58,18 +65,11 @@
         """
 
         async def test(fleet):
-            for name, version in (("a", "v1"), ("b", "v1"), ("c", "v2"), ("d", "v2")):
-                fleet.add_engine(name, version)
-            await anyio.sleep(0.3)
-            for number in range(24):
-                fleet.begin(number)
-            await anyio.sleep(0.6)
+            await begin_at_two_versions(fleet)
             fleet.crash("a")
             fleet.kill("router-0")
             fleet.kill("router-1")
-            await settle(fleet)
-            assert not fleet.mixed()
-            assert sum(row.whole for row in fleet.callers) >= 20
+            await check_streams(fleet, whole=20)
 
         run_fleet(test)
 
@@ -91,9 +91,7 @@
                 fleet.set_catalog(**split_catalog(weights=(1.0, 99.0)))
             fleet.kill("router-0")
             fleet.kill("router-1")
-            await settle(fleet)
-            assert not fleet.mixed()
-            assert sum(row.whole for row in fleet.callers) >= 10
+            await check_streams(fleet, whole=10)
 
         run_fleet(test)
 
