Trust a server again that only seemed to end, and favour begun streams only where few serve

A server whose host refuses connections was taken for ended until its entry told of another start; a cut link refuses connections too, and then that never comes: streams begun there at that router were bound to no version and broke for good at the next failure. And streams that go on within an answer waited for a whole objective whatever their workspace's share: after a crash they went before first attempts of workspaces that had got less.

A server counts as of unknown version for 4 s after it seemed to end: three intervals at which it writes its entry, which is gone by then if it has ended. A begun stream waits longer only if fewer servers can go on with it than the service has; where all run one version, it waits as before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -273,7 +273,10 @@
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
         assert choice is not None
-        excess_wait_s = choice.wait_s - allowed_wait_s(demand, service, choice, use)
+        few_servers = self._has_few_servers(demand)
+        excess_wait_s = choice.wait_s - allowed_wait_s(
+            demand, service, choice, use, few_servers=few_servers
+        )
         if excess_wait_s > 0:
             window_s = self._bounds.share_window_s
             return refuse_for_wait(
@@ -436,6 +439,13 @@
             return True
         return bool(self.registry.usable(demand.service, demand.version))
 
+    def _has_few_servers(self, demand: Demand) -> bool:
+        """Return whether a call's stream can go on at some of the servers only."""
+        if not demand.version:
+            return False
+        usable = self.registry.usable(demand.service, demand.version)
+        return len(usable) < len(self.registry.usable(demand.service))
+
     def refuse_stream(self, reason: RefusalReason) -> Refusal:
         """Refuse a call that takes up a stream."""
         return refuse_stream(reason, self._random)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -223,9 +223,10 @@
     ) -> None:
         self._note_begun(run, ticket)
         if not run.responder.begun:
-            version = self._dispatcher.registry.version_of(instance)
+            now = self._clock()
+            version = self._dispatcher.registry.version_of(instance, now)
             run.bind(version)
-            self._on_stream_begun(run.call, version, self._clock())
+            self._on_stream_begun(run.call, version, now)
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -368,7 +368,7 @@
     ) -> None:
         now = self._clock()
         self._dispatcher.health(instance.id).unreachable(now)
-        self._dispatcher.registry.note_ended(instance)
+        self._dispatcher.registry.note_ended(instance, now)
         end = crash_id(instance.id, instance.started_ms)
         suspects = self._dispatcher.suspects
         suspects.note_crash(run.call.fingerprint, end, now, answered_s=answered_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -158,7 +158,9 @@
     def _servers_of_version(self, version: str) -> list[ServerName]:
         if not version:
             return list(self.by_server)
-        return [row.instance.id for row in self.servers if row.serves(version)]
+        return [
+            row.instance.id for row in self.servers if row.instance.version == version
+        ]
 
 
 @define
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -15,7 +15,8 @@
 two seconds."""
 
 SUSPECT_S = 4.0
-"""Time in seconds that a server is treated as cold after it broke a connection: about
+"""Time in seconds that a server is treated as cold after it broke a connection, and as
+one of unknown version after its process seemed to end: about
 three intervals at which a server writes its entry (1.2 s), within which the entry shows
 a restart."""
 
@@ -56,18 +57,17 @@
     cold_until: float = 0.0
     suspect_until: float = 0.0
     lapses_at: float | None = None
-    ended: bool = False  # its process ended, and no entry tells of another start yet
+    ended_until: float = 0.0  # its process seemed to end: another version may run
 
-    @property
-    def version(self) -> str:
+    def version(self, now: float) -> str:
         """Return the version of its software, as far as it is known."""
-        return UNKNOWN_VERSION if self.ended else self.instance.version
+        return UNKNOWN_VERSION if now < self.ended_until else self.instance.version
 
-    def serves(self, version: str) -> bool:
+    def serves(self, version: str, now: float) -> bool:
         """Return whether a stream that a version began may go on here; "" is none."""
         if not version:
             return True
-        return version == self.version != UNKNOWN_VERSION
+        return version == self.version(now) != UNKNOWN_VERSION
 
     def cold(self, now: float) -> bool:
         """Return whether it is warming up, or may have restarted unnoticed."""
@@ -118,7 +118,8 @@
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
-        row.ended = row.ended and not is_new_run
+        if is_new_run:
+            row.ended_until = 0.0
         row.suspect_until = 0.0
         if is_new_run:
             # The first listing after a router's restart shows servers that have cached
@@ -198,19 +199,22 @@
         if row is not None:
             row.suspect_until = now + SUSPECT_S
 
-    def note_ended(self, instance: Instance) -> None:
-        """Record that a run's process ended; the next one may have another version."""
+    def note_ended(self, instance: Instance, now: float) -> None:
+        """Record that a run's process ended; the next one may have another version.
+
+        If it runs on, as a network cut may refuse connections too, its entry is still
+        there after `SUSPECT_S`.
+        """
         row = self._rows.get(instance.id)
         if row is not None and row.instance.started_ms == instance.started_ms:
-            row.ended = True
-            self._usable.clear()
+            row.ended_until = now + SUSPECT_S
 
-    def version_of(self, instance: Instance) -> str:
+    def version_of(self, instance: Instance, now: float) -> str:
         """Return the version of a run's software, as far as it is known."""
         row = self._rows.get(instance.id)
         if row is None or row.instance.started_ms != instance.started_ms:
             return instance.version
-        return row.version
+        return row.version(now)
 
     def versions(self, service: ServiceName, now: float) -> set[str]:
         """Return the versions that serve, or that may have begun streams before."""
@@ -288,7 +292,7 @@
                 row
                 for row in self._rows.values()
                 if row.instance.service == service
-                and row.serves(version)
+                and version in ("", row.instance.version)
                 and self.accepts_calls(row.instance)
             )
         return rows
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -120,7 +120,7 @@
         is that of the server that began the call's stream, "" before its first event.
         """
         server = row.instance.id
-        if not row.serves(version):
+        if not row.serves(version, now):
             return False
         if server in avoid or not self.registry.accepts_calls(row.instance):
             return False
@@ -151,7 +151,7 @@
         event.
         """
         row = self.registry.get(instance.id)
-        if row is None or not row.serves(version):
+        if row is None or not row.serves(version, now):
             return False
         if not self.registry.accepts_calls(instance):
             return False
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -40,14 +40,22 @@
 
 
 def allowed_wait_s(
-    demand: Demand, service: Service, choice: Choice, use: ShareUse
+    demand: Demand,
+    service: Service,
+    choice: Choice,
+    use: ShareUse,
+    *,
+    few_servers: bool = False,
 ) -> float:
-    """Return how many seconds a call may wait at the chosen server."""
+    """Return how many seconds a call may wait at the chosen server.
+
+    `few_servers`: its stream can go on at a part of the service's servers only.
+    """
     if service.engine is None:
         slack_s = (1.0 - PLAIN_MARGIN_FRACTION) * demand.objective_s - choice.read_s
         return slack_s * WAIT_FACTOR_PER_RANK**demand.rank
-    if demand.version:
-        # Its caller has read a part, which a refusal would make worthless.
+    if few_servers:
+        # Its share is one of all servers, which it can't use.
         return demand.objective_s
     if use.idle_engines_only:
         return IDLE_ENGINE_WAIT_S
