Bind no stream to a run that was replaced meanwhile

Whose events they are isn't known in that moment, so that such a stream goes on nowhere (test red before: v2). What remains is a stream whose first event comes before that entry.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -212,8 +212,11 @@
     def version_of(self, instance: Instance, now: float) -> str:
         """Return the version of a run's software, as far as it is known."""
         row = self._rows.get(instance.id)
-        if row is None or row.instance.started_ms != instance.started_ms:
+        if row is None:
             return instance.version
+        if row.instance.started_ms != instance.started_ms:
+            # Which of the two runs answers is not known.
+            return UNKNOWN_VERSION
         return row.version(now)
 
     def versions(self, service: ServiceName, now: float) -> set[str]:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -60,8 +60,8 @@
 """Number of other routers up to which all of them keep each record: most of a small
 fleet may be lost at once, and reports go to all of them too."""
 
-KEEPER_SILENCE_S = 1.0
-"""Silence after which a router is not told: six missed reports."""
+KEEPER_SILENCE_S = 0.6
+"""Silence after which a router is not told: four missed reports."""
 
 MAX_KNOWN_FACTOR = 2
 """Number of routers that were ever known, relative to the live ones, above which those
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -167,6 +167,17 @@
         assert isinstance(dispatcher.place(BEGUN, 20.0 + SUSPECT_S), Placement)
         assert dispatcher.registry.version_of(row.instance, 20.0 + SUSPECT_S) == "v2"
 
+    def test_a_run_that_was_replaced_meanwhile_is_of_no_known_version(self):
+        """Guard against a stream bound to the version of a run that ended before the
+        call reached its server, which had started again.
+        """
+        dispatcher = make_dispatcher("a", engines=1)
+        set_versions(dispatcher, "v2")
+        (row,) = dispatcher.registry.usable("drafting")
+        before = row.instance
+        dispatcher.registry.put(evolve(before, version="v3", started_ms=2), 20.0)
+        assert dispatcher.registry.version_of(before, 20.1) == UNKNOWN_VERSION
+
     def test_a_stream_begun_at_a_server_of_unknown_version_goes_on_nowhere(self):
         dispatcher = make_dispatcher("a")
         set_versions(dispatcher, "v2", "v2", UNKNOWN_VERSION)
