--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -200,7 +200,7 @@
         self.fleet, self.name, self.centre = fleet, name, centre
         self.incarnation = incarnation
         self.alive, self.leaving, self.cut = True, False, False
-        self.scopes = set()
+        self.scopes = {}
         self.list_age_s = 0.1
         self.touched_at = self.cut_at = anyio.current_time()
         clock = anyio.current_time
@@ -268,11 +268,11 @@
     @contextlib.contextmanager
     def scope(self):
         with anyio.CancelScope() as scope:
-            self.scopes.add(scope)
+            self.scopes[scope] = None
             try:
                 yield scope
             finally:
-                self.scopes.discard(scope)
+                del self.scopes[scope]
 
     def send(self, data, host):
         if self.alive and not self.cut:
@@ -423,7 +423,8 @@
     """Routers, engines and the store between them."""
 
     def __init__(self, size=4, seed=1, loss=0.0):
-        self.random = random.Random(seed)
+        self.seed = seed
+        self._links = {}
         self.loss = loss
         self.size = size
         self.routers = {}
@@ -541,7 +542,11 @@
         return self.routers[names[(client + 3 * attempt) % len(names)]]
 
     def deliver(self, data, sender, to):
-        if self.random.random() < self.loss:
+        # One source for each pair: packets to several routers leave in any order.
+        link = self._links.get((sender, to))
+        if link is None:
+            link = self._links[sender, to] = random.Random(f"{self.seed} {sender} {to}")
+        if link.random() < self.loss:
             return
 
         async def arrive():
--- a/packages/fulmarroad-serving/tests/test_stream_series.py
+++ b/packages/fulmarroad-serving/tests/test_stream_series.py
@@ -10,7 +10,7 @@
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving import _stream_keepers
 
-SEEDS = sorted({*range(int(os.environ.get("STREAM_SERIES_SEEDS", "4"))), 184})
+SEEDS = sorted({*range(int(os.environ.get("STREAM_SERIES_SEEDS", "4"))), 148})
 """A few in CI; a long run by hand sets the variable to 50 or more."""
 
 SERIES_S = 14.0
