Log the parts of a prompt, the phase and the crash with each failed send

The record can't tell requests that share a part from requests that only look alike: no line named a call's parts, and a crash's line didn't say which calls it broke off. Line 509 now has the shared parts (ten at most), the time since the first part of the answer and whether the server ended. The parts come from the head as names in order; the joined name, by which servers are chosen, follows from them. No decision changes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -60,6 +60,9 @@
 """Retry delay after every server that was tried refused a call. Server queues advance
 within this time."""
 
+MAX_LOGGED_PARTS = 10
+"""Maximum number of a prompt's parts in a log line."""
+
 
 class Forwarder:
     """Forward calls to backend servers."""
@@ -354,14 +357,16 @@
     ) -> None:
         now = self._clock()
         broken = isinstance(error, ConnectionBrokenError)
-        if broken and await self._crash_detector.has_crashed(instance, now):
+        crashed = broken and await self._crash_detector.has_crashed(instance, now)
+        if crashed:
             self._note_crash(run, instance, ticket.answered_s(now))
         if isinstance(error, OtherInstanceError):
             # Another server has this address now, so the instance no longer exists.
             self._dispatcher.registry.remove(instance.id, now)
         elif isinstance(error, BrokenAnswerError):
             self._dispatcher.registry.suspect(instance.id, now)
-        self._note_failure(run, instance.id, error)
+        answered_s = ticket.answered_s(now) if ticket.begun else None
+        self._note_failure(run, instance.id, error, answered_s, crashed=crashed)
 
     def _note_crash(
         self, run: ActiveCall, instance: Instance, answered_s: float
@@ -374,7 +379,13 @@
         suspects.note_crash(run.call.fingerprint, end, now, answered_s=answered_s)
 
     def _note_failure(
-        self, run: ActiveCall, server: ServerName, error: SendError
+        self,
+        run: ActiveCall,
+        server: ServerName,
+        error: SendError,
+        answered_s: float | None = None,
+        *,
+        crashed: bool = False,
     ) -> None:
         run.progress.note_outcome(error.outcome, server)
         run.avoid.add(server)
@@ -388,6 +399,9 @@
             cause=error.message,
             sends=run.progress.sends,
             event_id=run.progress.last_event_id,
+            answered_s=None if answered_s is None else round(answered_s, 3),
+            crashed=crashed,
+            parts=run.call.head.parts[:MAX_LOGGED_PARTS],
             fingerprint=run.call.fingerprint.hex(),
             ends=self._dispatcher.suspects.ends(run.call.fingerprint),
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -33,12 +33,17 @@
     deadline_s: float | None = None
     last_event_id: str = ""
     resumes: str = ""  # id of the call that brought the first event of its stream
-    part: str = ""  # identifies the shared part of the prompt, which servers cache
+    parts: tuple[str, ...] = ()  # names of the prompt's shared parts, in order
     shared_tokens: int = 0
     own_tokens: int = 0
     output_tokens: int = 0
     forward: tuple[Header, ...] = ()
 
+    @property
+    def part(self) -> str:
+        """Return the name of the shared parts as one, which servers cache together."""
+        return ",".join(self.parts)
+
 
 @frozen
 class AnswerHead:
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -55,8 +55,10 @@
             deadline_s=number / 1000 if number else None,
             last_event_id=rows.get(b"last-event-id", b"").decode(),
             resumes=rows.get(b"resumes", b"").decode(),
-            part=rows.get(b"x-part", b"").decode(),
-            forward=tuple(row for row in headers if row[0] in (b"host", b"x-id")),
+            parts=tuple(filter(None, rows.get(b"x-part", b"").decode().split(","))),
+            forward=tuple(
+                row for row in headers if row[0] in (b"host", b"x-id", b"x-part")
+            ),
         )
 
     def server_headers(
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -685,3 +685,24 @@
             assert len(bed.arrivals) == 1
 
         run(test)
+
+    def test_a_failed_send_names_the_parts_and_whether_the_server_crashed(self, caplog):
+        """Guard against crashes whose logs do not show what the requests had in common.
+
+        Requests that crash servers may share one part of their prompts only.
+        """
+
+        async def test(bed):
+            servers = CrashingServers(bed)
+            await servers.start("s-1", "s-2")
+            headers = {"x-part": "a1,b2"}
+            with caplog.at_level("WARNING"):
+                await bed.call(
+                    "/draft/1", method="POST", body=b"poison", headers=headers
+                )
+            failed = [row for row in caplog.records if row.event == 509]
+            assert {row.parts for row in failed} == {("a1", "b2")}
+            assert [row.crashed for row in failed] == [True, True]
+            assert {row.answered_s for row in failed} == {None}
+
+        run(test)
