--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -257,7 +257,7 @@
         engine = self.fleet.at_port(instance.port)
         if engine is None:
             raise ConnectionRefusedByHostError("refused")
-        return EngineConnection(self.fleet, engine).protocol
+        return self.fleet.connection_type(self.fleet, engine).protocol
 
     async def run(self):
         with self.scope():
@@ -317,6 +317,7 @@
     number: int
     path: str = "/draft/1"
     workspace_key: bytes = KEY
+    parts: str = ""
     events: list = field(factory=list)
     tries: list = field(factory=list)
     resumes: str = ""
@@ -344,7 +345,7 @@
             (b"host", b"svc.example"),
             (b"x-id", attempt_id.encode()),
             (b"x-key", self.workspace_key),
-            (b"x-part", b"part-%d" % (self.number % 7)),
+            (b"x-part", self.parts.encode() or b"part-%d" % (self.number % 7)),
             (b"x-deadline-ms", str(int(left_s * 1000)).encode()),
         ]
         if self.resumes:
@@ -422,6 +423,9 @@
 class StreamFleet:
     """Routers, engines and the store between them."""
 
+    router_type = FleetRouter
+    connection_type = EngineConnection
+
     def __init__(self, size=4, seed=1, loss=0.0):
         self.seed = seed
         self._links = {}
@@ -451,7 +455,7 @@
     def start_router(self, name):
         number = next(self._numbers)
         centre = CENTRES[int(name.partition("-")[2]) % len(CENTRES)]
-        router = self.routers[name] = FleetRouter(self, name, centre, number)
+        router = self.routers[name] = self.router_type(self, name, centre, number)
         self.gone_at.pop(name, None)
         router.apply(CatalogFact(self.catalog))
         for engine in self.engines.values():
