Bar parts of prompts that crash servers, by what explains the crashes

Cause: crashes were counted by the fingerprint of the whole request, a name that a caller changes with each call. The parts of a prompt had no names anywhere: the platform's list was joined to one. Class: evidence filed under a name that the one accused can change. Looked for elsewhere: retry budgets, rests, shares and the warm-up bound count by service, server or workspace; returns after a refusal are known by request, and are only ordered by it.

Change: each shared part of a prompt is a suspect like the request itself, named by its service and name. What a crash accuses is as before (calls not yet answered for half a second). New is what clears, and what explains: - a run whose answer goes on for half a second, or ends whole, clears all that it has, as of its begin; a crash within 1.5 s after the begin of a good run counts only if no other good run begins by then (before: never within 10 s); - culprits are the fewest suspects that explain the crashes, first those that never ran well; crashes that a culprit explains count against nobody else (_culprits.py); - of culprits at the same crashes, a request with one of them alone is let through, alone in the fleet; so is a request of another caller, if only one caller's requests crashed; - what ran well before is tried again after 2 s, then 6, not after ten minutes. Packets name the callers of crashes in a field of their own, which the previous release ignores.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_suspects.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_suspects.py
@@ -11,7 +11,7 @@
 from fulmarroad_bench._processor_time import cpu_s
 from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, fingerprint_of
 from fulmarroad_serving._fleet_view import MAX_SUSPECTS
-from fulmarroad_serving._reports import pack_suspects, read_suspects
+from fulmarroad_serving._suspect_rows import pack_suspects, read_suspects
 from fulmarroad_serving._suspects import MAX_RECORDS, Suspects, SuspectState
 
 ROUNDS = 2_000
@@ -47,7 +47,7 @@
 
     def transfer() -> None:
         data = msgpack.packb(pack_suspects(rows))
-        receiver.merge_rows(read_suspects(msgpack.unpackb(data)), 3.0)
+        receiver.merge_rows(read_suspects(msgpack.unpackb(data), []), 3.0)
 
     return SuspectCost(
         fingerprint_us,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -306,6 +306,7 @@
             share_used=round(summary.use.used_fraction, 3),
             objective_s=route.objective_s if route else 0.0,
             fingerprint=summary.fingerprint.hex(),
+            suspect_part=summary.suspect_part,
         )
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -35,15 +35,18 @@
     pack_loads,
     pack_member,
     pack_server_runs,
-    pack_suspects,
     read_counts,
     read_loads,
     read_member,
     read_server_runs,
-    read_suspects,
 )
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
+from fulmarroad_serving._suspect_rows import (
+    pack_suspect_callers,
+    pack_suspects,
+    read_suspects,
+)
 from fulmarroad_serving._suspects import SuspectRow
 
 FORMAT = 2
@@ -201,6 +204,7 @@
         [list(pair) for pair in digest.parts],
         pack_suspects(digest.suspects),
         pack_server_runs(digest.leaving_servers),
+        pack_suspect_callers(digest.suspects),
     ]
     return bytes(msgpack.packb(row))
 
@@ -224,7 +228,9 @@
             tuple(read_member(member, era) for member in row[7]),
             tuple((int(part), str(server)) for part, server in row[8]),
             # Collectors of the previous release send no suspects.
-            read_suspects(row[9]) if len(row) > 9 else (),
+            read_suspects(row[9], row[11] if len(row) > 11 else [])
+            if len(row) > 9
+            else (),
             read_server_runs(row[10]) if len(row) > 10 else (),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -12,6 +12,7 @@
 from fulmarroad_serving._rests import read_rest_s
 from fulmarroad_serving._served_call import ActiveCall, ServedCall
 from fulmarroad_serving._stream import EventSplitter, StreamEvents
+from fulmarroad_serving._suspects import MAX_SUSPECT_ANSWERING_S
 from fulmarroad_serving.contracts import AnswerHead, CallCodec
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -154,6 +155,7 @@
             parts.append(chunk)
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
+                self._note_begun(run, ticket)
                 await self._forward_unbuffered(run, connection, head, parts)
                 return
         self._note_begun(run, ticket)
@@ -222,6 +224,7 @@
         instance: Instance,
     ) -> None:
         self._note_begun(run, ticket)
+        self._note_good_run(run, ticket)
         if not run.responder.begun:
             now = self._clock()
             version = self._dispatcher.registry.version_of(instance, now)
@@ -240,6 +243,14 @@
             run.summary.begun_s = now - ticket.charge.sent_at
             self._dispatcher.begin(ticket, now)
 
+    def _note_good_run(self, run: ActiveCall, ticket: Ticket) -> None:
+        """Clear a call that would have crashed its server by now."""
+        now = self._clock()
+        if ticket.begun_at is None:
+            return
+        if ticket.answered_s(now) >= MAX_SUSPECT_ANSWERING_S:
+            run.suspects.note_good_run(ticket.begun_at, now)
+
     def _silence_timeout_s(self, run: ActiveCall) -> float:
         """Return how many seconds the server may be silent now.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fingerprints.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fingerprints.py
@@ -1,11 +1,14 @@
-"""Fingerprints that are equal for all attempts of a request.
+"""Fingerprints that are equal for all attempts of a request, or all uses of a part.
 
-They cover the caller, the target and the body, not the request id of one attempt.
+Those of requests cover the caller, the target and the body, not the request id of one
+attempt; those of parts the service and the part's name, not the caller: servers of
+another service may be able to run what crashes these.
 """
 
 from __future__ import annotations
 
 import hashlib
+from functools import lru_cache
 
 FINGERPRINT_BYTES = 16
 """Long enough that nobody can find a body whose fingerprint equals that of another
@@ -31,6 +34,13 @@
     return digest.digest()[:FINGERPRINT_BYTES]
 
 
+@lru_cache(maxsize=1_024)
+def part_fingerprint(service: str, part: str) -> Fingerprint:
+    """Return the fingerprint of a part of prompts, for servers of one service."""
+    digest = digest_fields(b"part", service.encode(), part.encode())
+    return digest.digest()[:FINGERPRINT_BYTES]
+
+
 def digest_fields(*fields: bytes) -> hashlib._Hash:
     """Return a digest of some fields, which may be continued."""
     digest = hashlib.sha256()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -38,6 +38,7 @@
     Responder,
     ServedCall,
     demand_of,
+    suspects_of,
 )
 from fulmarroad_serving._suspects import TRIAL_TIMEOUT_S, SuspectState, crash_id
 from fulmarroad_serving.contracts import CallCodec
@@ -119,6 +120,7 @@
             responder,
             demand_of(call),
             CallProgress(call.route.repeatable, call.route.max_attempts),
+            suspects_of(call, self._dispatcher.suspects),
             summary,
             now,
         )
@@ -149,31 +151,21 @@
         return self._dispatcher.take_retry(run.demand.service, self._clock())
 
     def _withheld_error(self, run: ActiveCall) -> WithheldError | None:
-        """Return an error if the request is a suspect that may not be sent now."""
-        suspects, now = self._dispatcher.suspects, self._clock()
-        fingerprint = run.call.fingerprint
-        suspect_state = suspects.suspect_state(fingerprint, now)
-        if suspect_state is SuspectState.CLEAR:
+        """Return an error if the call is a suspect that may not be sent now."""
+        now = self._clock()
+        suspicion = run.suspects.suspicion(now)
+        if suspicion.state is SuspectState.CLEAR:
             return None
-        run.summary.fingerprint = fingerprint
-        if suspect_state is SuspectState.BARRED:
-            return BarredError("Servers crashed while they ran the request.")
-        if suspects.is_running(fingerprint, now):
-            return WithheldError(
-                "The request is suspected of crashing servers and already runs."
-            )
-        return None
+        run.summary.fingerprint = suspicion.fingerprint
+        run.summary.suspect_part = run.suspects.part_name(suspicion.fingerprint)
+        return run.suspects.withheld_error(suspicion, now)
 
     def _limit_repeats(self, run: ActiveCall) -> None:
-        """Forbid retries of a request that two servers ran as they crashed.
+        """Forbid retries of a call under whose suspect two servers crashed.
 
         The caller may still retry it.
         """
-        now = self._clock()
-        suspect_state = self._dispatcher.suspects.suspect_state(
-            run.call.fingerprint, now
-        )
-        if suspect_state >= SuspectState.ISOLATED:
+        if run.suspects.suspicion(self._clock()).state >= SuspectState.ISOLATED:
             run.progress.forbid_repeats()
 
     async def _find_place(
@@ -281,14 +273,14 @@
         return run.avoid | self._trial_servers(run)
 
     def _trial_servers(self, run: ActiveCall) -> set[ServerName]:
-        """Return the servers that the call must avoid if its request is isolated.
+        """Return the servers that the call must avoid if it is isolated.
 
         Each of them runs an isolated request, and a crash must have a single suspect.
         """
-        suspects, now = self._dispatcher.suspects, self._clock()
-        if suspects.suspect_state(run.call.fingerprint, now) < SuspectState.ISOLATED:
+        now = self._clock()
+        if run.suspects.suspicion(now).state < SuspectState.ISOLATED:
             return set()
-        trial_servers = suspects.trial_servers(now)
+        trial_servers = self._dispatcher.suspects.trial_servers(now)
         rows = [row.instance for row in self._dispatcher.registry.rows()]
         return {
             row.id for row in rows if crash_id(row.id, row.started_ms) in trial_servers
@@ -325,16 +317,15 @@
             self._pool.release(instance.id, connection)
             return withheld
         self._limit_repeats(run)
-        suspects, fingerprint = self._dispatcher.suspects, run.call.fingerprint
-        server = crash_id(instance.id, instance.started_ms)
-        suspects.begin(fingerprint, server, self._clock())
+        run.suspects.begin(crash_id(instance.id, instance.started_ms), self._clock())
         ticket = self._dispatcher.send(run.demand, placement, self._clock())
         run.progress.note_send(instance.id)
         run.summary.sends = run.progress.sends
         outcome: SendOutcome | None = None
         try:
             await self._exchanger.exchange(run, connection, instance, ticket)
-            suspects.note_success(fingerprint, self._clock())
+            if ticket.begun_at is not None:
+                run.suspects.note_good_run(ticket.begun_at, self._clock())
         except SendError as error:
             outcome = error.outcome
             await self._on_failure(run, ticket, instance, error)
@@ -344,7 +335,7 @@
             # cancels the work at the server when the caller has disconnected.
             self._pool.release(instance.id, connection)
             self._dispatcher.end(ticket, outcome, self._clock())
-            suspects.end(fingerprint)
+            run.suspects.end()
         return None
 
     async def _acquire(self, instance: Instance, run: ActiveCall) -> BackendConnection:
@@ -375,8 +366,7 @@
         self._dispatcher.health(instance.id).unreachable(now)
         self._dispatcher.registry.note_ended(instance, now)
         end = crash_id(instance.id, instance.started_ms)
-        suspects = self._dispatcher.suspects
-        suspects.note_crash(run.call.fingerprint, end, now, answered_s=answered_s)
+        run.suspects.note_crash(end, now, answered_s)
 
     def _note_failure(
         self,
@@ -403,7 +393,7 @@
             crashed=crashed,
             parts=run.call.head.parts[:MAX_LOGGED_PARTS],
             fingerprint=run.call.fingerprint.hex(),
-            ends=self._dispatcher.suspects.ends(run.call.fingerprint),
+            ends=run.suspects.ends,
         )
 
     # final outcomes
@@ -417,7 +407,7 @@
             await self._exchanger.answer(run, head, body)
             return
         if isinstance(error, BarredError):
-            raise RequestBarred("It ran at several servers, and all of them crashed.")
+            raise RequestBarred(error.message)
         if run.progress.ran is Ran.NOT_RUN:
             if isinstance(error, WithheldError):
                 raise Refused(RefusalReason.REQUEST_SUSPECTED, TRIAL_TIMEOUT_S)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -13,11 +13,15 @@
 
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import DataCentreName, RouterName, ServerName, WorkspaceName
-from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, Fingerprint
 from fulmarroad_serving._load import PeerLoad
 from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
+from fulmarroad_serving._suspect_rows import (
+    pack_suspect_callers,
+    pack_suspects,
+    read_suspects,
+)
 from fulmarroad_serving._suspects import SuspectRow
 
 ServerRun = tuple[ServerName, int]
@@ -103,6 +107,7 @@
         era_of(report.news_at),
         report.owns_servers,
         pack_server_runs(report.leaving_servers),
+        pack_suspect_callers(report.suspects),
     ]
     return bytes(msgpack.packb(row))
 
@@ -130,57 +135,6 @@
     return [[name, int(row.asked), int(row.got)] for name, row in counts.items()]
 
 
-def pack_suspects(suspects: Iterable[SuspectRow]) -> list[Any]:
-    """Encode suspects as rows."""
-    return [
-        [
-            row.fingerprint,
-            [[end, _pack_age(age_s)] for end, age_s in row.ends],
-            _pack_age(row.success_age_s),
-            None if row.trial is None else [row.trial[0], _pack_age(row.trial[1])],
-        ]
-        for row in suspects
-    ]
-
-
-def read_suspects(rows: list[Any]) -> tuple[SuspectRow, ...]:
-    """Decode suspects from rows.
-
-    Raises `ValueError` or `TypeError` for rows that are not valid.
-    """
-    return tuple(
-        SuspectRow(
-            _read_fingerprint(name),
-            tuple((int(end), _read_age(age)) for end, age in ends),
-            None if success_age is None else _read_age(success_age),
-            None if trial is None else _read_trial(trial),
-        )
-        for name, ends, success_age, trial in rows
-    )
-
-
-def _read_trial(value: Any) -> tuple[int, float]:
-    server, age_s = value
-    return int(server), _read_age(age_s)
-
-
-def _read_fingerprint(value: Any) -> Fingerprint:
-    if not isinstance(value, bytes) or len(value) != FINGERPRINT_BYTES:
-        raise ValueError("The fingerprint is not bytes of the expected length.")
-    return value
-
-
-def _pack_age(age_s: float | None) -> float | None:
-    return None if age_s is None else round(max(0.0, age_s), 2)
-
-
-def _read_age(value: Any) -> float:
-    age_s = float(value)
-    if not 0 <= age_s < float("inf"):
-        raise ValueError(f"The age {age_s} is negative or not finite.")
-    return age_s
-
-
 def read_loads(rows: list[Any]) -> dict[ServerName, PeerLoad]:
     """Decode loads from rows.
 
@@ -311,7 +265,11 @@
             known=tuple(read_member(member, era) for member in row[12]),
             parts=tuple((int(part), str(server)) for part, server in row[13]),
             # Routers of the previous release send no suspects.
-            suspects=read_suspects(row[14]) if len(row) > 14 else (),
+            suspects=(
+                read_suspects(row[14], row[18] if len(row) > 18 else [])
+                if len(row) > 14
+                else ()
+            ),
             owns_servers=len(row) > 16 and bool(row[16]),
             # Routers of the previous release don't read such announcements.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -9,10 +9,12 @@
 from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_router.asgi import Headers
 from fulmarroad_serving._attempts import CallProgress
+from fulmarroad_serving._call_suspects import CallSuspects
 from fulmarroad_serving._catalog import ServedRoute
 from fulmarroad_serving._demands import Demand
 from fulmarroad_serving._fingerprints import Fingerprint, hash_fraction_of
 from fulmarroad_serving._shares import NO_USE, ShareUse
+from fulmarroad_serving._suspects import Suspects
 from fulmarroad_serving.contracts import AnswerHead, CallHead
 
 
@@ -74,7 +76,8 @@
     read_tokens: int = 0  # prompt tokens not known to be cached at the server
     expected_s: float = 0.0  # estimated time from sending to the first part
     begun_s: float = 0.0  # the same time as measured
-    fingerprint: Fingerprint = b""  # set if servers crashed running the request
+    fingerprint: Fingerprint = b""  # of the suspect for which it was restricted
+    suspect_part: str = ""  # its name, if the suspect is a part of the prompt
 
 
 @define
@@ -85,6 +88,7 @@
     responder: Responder
     demand: Demand
     progress: CallProgress
+    suspects: CallSuspects
     summary: CallSummary
     begun_at: float
     avoid: set[ServerName] = field(factory=set)
@@ -115,3 +119,10 @@
         call.rank,
         call.version,
     )
+
+
+def suspects_of(call: ServedCall, suspects: Suspects) -> CallSuspects:
+    """Return a call's request and parts as suspects of crashes."""
+    return CallSuspects.of(
+        suspects, call.fingerprint, call.service, call.workspace, call.head.parts
+    )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
@@ -1,11 +1,12 @@
-"""Detect requests that crash the servers which run them, and stop sending them.
+"""Detect requests and parts of prompts that crash servers, and stop sending them.
 
 Load pattern: a request crashes each server that starts it, and the caller repeats
-it through any router, each time with a new request id. Each crash breaks dozens of
-other calls too, so one crash does not identify the request. Crashes of several servers
-without a single successful run do. Each router counts the crashes that it sees, sends
-them to its peers and adds those that it receives: the router that sees the third crash
-already knows of the first two.
+it through any router, each time with a new request id; or requests that share a part of
+their prompts do, no two of them alike. Each crash breaks dozens of other calls too, so
+one crash does not identify the culprit. Crashes of several servers without a single
+successful run do, if nothing else explains them (`_culprits`). Each router counts the
+crashes that it sees, sends them to its peers and adds those that it receives: the
+router that sees the third crash already knows of the first two.
 """
 
 from __future__ import annotations
@@ -13,28 +14,43 @@
 import enum
 import math
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import xxhash
 from attrs import define, field, frozen
 
-from fulmarroad.types import ServerName
+from fulmarroad.types import ServerName, WorkspaceName
+from fulmarroad_serving._culprits import (
+    MIN_CRASHES,
+    Accused,
+    CrashId,
+    Culprits,
+    find_culprits,
+)
 from fulmarroad_serving._fingerprints import Fingerprint
 
 BAR_DURATION_S = 600.0
-"""Time for which a request is not sent to servers after its third crash.
+"""Time for which a suspect is not sent to servers after its third crash.
 
 Then one router tries it once. Each further crash doubles the time.
 """
 
+RETRIAL_S = 2.0
+"""The same for a suspect that ran well before: servers may have crashed for another
+reason, while too few were left for a good run."""
+
+RETRIAL_FACTOR = 3.0
+"""Factor by which each further crash of such a suspect prolongs that time."""
+
 RETENTION_S = 86_400.0
 """Time after its last crash at which the record of a request is dropped."""
 
-SUCCESS_WINDOW_S = 10.0
-"""Time after a successful run in which crashes are not counted against the request.
+SUCCESS_WINDOW_S = 1.5
+"""Time for which a crash does not count yet that came so soon after a good run began.
 
-Copies of a popular request run on every server that crashes, and may run on several
-servers that crash at the same time.
+Requests with a popular part run on every server that crashes, also on several that
+crash at the same time. Whether a later run is good is known half a second after its
+start, and at the other routers a few packets later.
 """
 
 TRIAL_TIMEOUT_S = 1.0
@@ -44,7 +60,8 @@
 """
 
 MAX_SUSPECT_ANSWERING_S = 0.5
-"""Time of answering after which a crash is no longer attributed to the request.
+"""Time of answering after which a crash is no longer attributed to a request, and from
+which its run counts as good.
 
 A request that crashes servers does so when they start it.
 """
@@ -56,10 +73,19 @@
 """
 
 MAX_SUCCESSES = 1_024
-"""Maximum number of successful requests kept: over a minute of one router's calls."""
+"""Maximum number of good runs kept: several seconds of one router's calls, each with
+its request and some parts."""
+
+CLEARED_RETENTION_S = 5.0
+"""Time after its last crash at which the record of a suspect that has run well is
+dropped."""
 
-MAX_CRASHES_PER_RECORD = 8
-"""Maximum number of crashes kept per request, the newest; more make no difference."""
+MAX_CRASHES_PER_RECORD = 16
+"""Maximum number of crashes kept per suspect, the newest: more than a fleet's servers
+that crash within the time in which good runs would become known."""
+
+MAX_SENT_CRASHES = 8
+"""Maximum number of crashes in a row, the newest; peers add them to those they know."""
 
 PACKETS_PER_UPDATE = 6
 """Number of packets in which a change is sent; with fewer, all might be lost."""
@@ -70,8 +96,14 @@
 MIN_TIME_DIFFERENCE_S = 0.5
 """Time difference up to which two routers' reports count as the same event."""
 
-CrashId = int
-"""Identifies the crash of one start of a server."""
+UNKNOWN_CALLER = 0
+"""Tag of a caller that a router of the previous release did not tell."""
+
+OnSuspect = Callable[[Fingerprint, int, str], None]
+"""Be told of a suspect: its fingerprint, its crashes, and its name if it is a part."""
+
+CallerTag = int
+"""Identifies the workspace of a caller in records, in 16 bits."""
 
 
 class SuspectState(enum.IntEnum):
@@ -91,33 +123,77 @@
     ends: tuple[tuple[CrashId, float], ...]
     success_age_s: float | None = None  # since its last successful run
     trial: tuple[CrashId, float] | None = None  # server start that runs it now, and age
+    callers: tuple[CallerTag, ...] = ()  # of each crash
+
+
+@frozen
+class Suspicion:
+    """Hold how a call may be run, and the suspect for which it is restricted."""
+
+    state: SuspectState
+    fingerprint: Fingerprint = b""
+
+
+NO_SUSPICION = Suspicion(SuspectState.CLEAR)
 
 
 @define
 class _Record:
     ends: dict[CrashId, float] = field(factory=dict)  # time of each crash
-    success_at: float = -math.inf
+    callers: dict[CrashId, CallerTag] = field(factory=dict)
+    success_at: float = -math.inf  # start of the last good run
     trial_started_at: float = -math.inf
     trial_server: CrashId = 0
+    barred_at: float = math.inf
+    part_name: str = ""  # of a part, if a call with it came here
 
     @property
     def last_crash_at(self) -> float:
         return max(self.ends.values(), default=-math.inf)
 
-    def count(self) -> int:
-        """Return the number of crashes since the window of the last success."""
-        return sum(
-            1 for at in self.ends.values() if at > self.success_at + SUCCESS_WINDOW_S
+    @property
+    def ran_well(self) -> bool:
+        return self.success_at > -math.inf
+
+    def counted(self, now: float = math.inf) -> frozenset[CrashId]:
+        """Return the crashes since the last good run began, as far as they count."""
+        since = self.success_at + SUCCESS_WINDOW_S
+        return frozenset(
+            end
+            for end, at in self.ends.items()
+            if at > self.success_at and (at > since or now >= at + SUCCESS_WINDOW_S)
+        )
+
+    def count(self, now: float = math.inf) -> int:
+        """Return the number of crashes that count."""
+        return len(self.counted(now))
+
+    def barred_until(self) -> float:
+        """Return the time until which a culprit is barred."""
+        trials = sum(at > self.barred_at + TRIAL_TIMEOUT_S for at in self.ends.values())
+        duration_s = (
+            RETRIAL_S * RETRIAL_FACTOR**trials
+            if self.ran_well
+            else BAR_DURATION_S * 2**trials
         )
+        return max(self.last_crash_at, self.barred_at) + duration_s
 
-    def add_crash(self, end: CrashId, at: float) -> bool:
+    def only_caller(self) -> CallerTag:
+        """Return the caller of all counted crashes, or unknown if they differ."""
+        tags = {self.callers.get(end, UNKNOWN_CALLER) for end in self.counted()}
+        return tags.pop() if len(tags) == 1 else UNKNOWN_CALLER
+
+    def add_crash(
+        self, end: CrashId, at: float, caller: CallerTag = UNKNOWN_CALLER
+    ) -> bool:
         """Add a crash and return whether it was unknown."""
         if end in self.ends:
             return False
         self.ends[end] = at
+        self.callers[end] = caller
         if len(self.ends) > MAX_CRASHES_PER_RECORD:
             oldest = min(self.ends, key=self.ends.__getitem__)
-            del self.ends[oldest]
+            del self.ends[oldest], self.callers[oldest]
             if oldest == end:
                 return False
         self.trial_started_at = -math.inf
@@ -129,56 +205,113 @@
     return xxhash.xxh3_64_intdigest(f"{server}\0{started_ms}".encode())
 
 
+def caller_tag(workspace: WorkspaceName) -> CallerTag:
+    """Return the tag of a caller; two share one in 65,000 cases."""
+    return xxhash.xxh3_64_intdigest(workspace.encode()) & 0xFFFF or 1
+
+
 def _ignore() -> None:
     pass
 
 
-def _ignore_barred(fingerprint: Fingerprint, ends: int) -> None:
+def _ignore_suspect(fingerprint: Fingerprint, ends: int, part: str) -> None:
     pass
 
 
 class Suspects:
-    """Hold the known requests that ran on servers as they crashed."""
+    """Hold the requests and parts that were on servers as they crashed."""
 
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
+        self._culprits = Culprits()
+        self._undecided: dict[Fingerprint, float] = {}  # when all their crashes count
         self._successes: OrderedDict[Fingerprint, float] = OrderedDict()
         self._running: dict[Fingerprint, int] = {}
         self._pending_updates: dict[Fingerprint, int] = {}
         self._refreshed_at = -math.inf
         self.on_change: Callable[[], None] = _ignore
         """Called when an update should be sent to peers at once."""
-        self.on_barred: Callable[[Fingerprint, int], None] = _ignore_barred
-        """Called with a request that becomes barred and its number of crashes."""
+        self.on_barred: OnSuspect = _ignore_suspect
+        """Called with a suspect that becomes barred."""
+        self.on_cleared: OnSuspect = _ignore_suspect
+        """Called with an isolated or barred suspect that a good run cleared."""
 
     def suspect_state(self, fingerprint: Fingerprint, now: float) -> SuspectState:
-        """Return how a request may be run."""
+        """Return how a request may be run, or requests with a part."""
         record = self._records.get(fingerprint)
         if record is None:
             return SuspectState.CLEAR
-        ends = record.count()
-        if ends < SuspectState.BARRED:
-            return SuspectState(ends)
-        duration_s = BAR_DURATION_S * 2 ** (ends - SuspectState.BARRED)
+        if fingerprint not in self._culprits:
+            ends = self.ends(fingerprint, now)
+            return SuspectState(min(ends, SuspectState.ISOLATED))
         return (
             SuspectState.BARRED
-            if now - record.last_crash_at < duration_s
+            if now < record.barred_until()
             else SuspectState.ISOLATED
         )
 
-    def ends(self, fingerprint: Fingerprint) -> int:
-        """Return the known number of servers that crashed while running a request."""
+    def suspicion_of(
+        self, fingerprints: Collection[Fingerprint], caller: CallerTag, now: float
+    ) -> Suspicion:
+        """Return how a call with all these suspects may be run."""
+        strictest = NO_SUSPICION
+        for name in fingerprints:
+            state = self.suspect_state(name, now)
+            if state is SuspectState.BARRED and self._tells(name, fingerprints, caller):
+                state = SuspectState.ISOLATED
+            if state > strictest.state:
+                strictest = Suspicion(state, name)
+        return strictest
+
+    def _tells(
+        self,
+        culprit: Fingerprint,
+        fingerprints: Collection[Fingerprint],
+        caller: CallerTag,
+    ) -> bool:
+        """Return whether a run of a call tells if a culprit is one.
+
+        It does if the call has no other suspect that explains the same crashes, or if
+        so far only one other caller's requests crashed servers.
+        """
+        group = self._culprits.group_of(culprit)
+        if len(group) > 1 and sum(name in fingerprints for name in group) == 1:
+            return True
+        return self._records[culprit].only_caller() not in (UNKNOWN_CALLER, caller)
+
+    def ends(self, fingerprint: Fingerprint, now: float = math.inf) -> int:
+        """Return the number of crashes that count against a suspect."""
         record = self._records.get(fingerprint)
-        return record.count() if record is not None else 0
+        if record is None:
+            return 0
+        counted = record.counted(now)
+        if fingerprint in self._culprits:
+            return len(counted)
+        return len(counted - self._culprits.explained)
 
     def barred(self, now: float) -> dict[Fingerprint, int]:
-        """Return the barred requests, each with its number of crashes."""
+        """Return the barred suspects, each with its number of crashes."""
         return {
-            name: record.count()
-            for name, record in self._records.items()
+            name: self.ends(name)
+            for name in self._culprits.names
             if self.suspect_state(name, now) is SuspectState.BARRED
         }
 
+    def barred_parts(self, now: float) -> dict[str, int]:
+        """Return the barred parts whose names are known here, with their crashes."""
+        named = {
+            self._records[name].part_name: ends
+            for name, ends in self.barred(now).items()
+        }
+        named.pop("", None)
+        return named
+
+    def note_part_name(self, fingerprint: Fingerprint, part: str) -> None:
+        """Record the name of a suspect that is a part of prompts."""
+        record = self._records.get(fingerprint)
+        if record is not None and part:
+            record.part_name = part
+
     def is_running(self, fingerprint: Fingerprint, now: float) -> bool:
         """Return whether a copy of a suspect is known to run, here or elsewhere."""
         if self._running.get(fingerprint):
@@ -201,8 +334,8 @@
     def begin(self, fingerprint: Fingerprint, server: CrashId, now: float) -> None:
         """Record that a request is about to be sent; report it to peers if suspect."""
         self._running[fingerprint] = self._running.get(fingerprint, 0) + 1
-        record = self._records.get(fingerprint)
-        if record is not None and record.count():
+        if self.ends(fingerprint, now):
+            record = self._records[fingerprint]
             record.trial_started_at, record.trial_server = now, server
             self._schedule_update(fingerprint)
 
@@ -214,20 +347,30 @@
         elif record := self._records.get(fingerprint):
             record.trial_started_at = -math.inf
 
-    def note_success(self, fingerprint: Fingerprint, now: float) -> None:
-        """Record a successful run, which clears earlier crashes of the request."""
-        self._successes[fingerprint] = now
-        self._successes.move_to_end(fingerprint)
+    def note_success(
+        self, fingerprint: Fingerprint, now: float, started_at: float | None = None
+    ) -> None:
+        """Record a good run, which clears earlier crashes of the suspect.
+
+        `started_at` is the time at which its answer began, `now` by default.
+        """
+        at = now if started_at is None else started_at
+        self._successes[fingerprint] = max(
+            at, self._successes.pop(fingerprint, -math.inf)
+        )
         if len(self._successes) > MAX_SUCCESSES:
             self._successes.popitem(last=False)
         record = self._records.get(fingerprint)
-        if record is None:
+        if record is None or at <= record.success_at:
+            return
+        before = record.count()
+        record.success_at = at
+        if record.count() == before:
             return
-        stale = now - record.success_at > SUCCESS_WINDOW_S / 2
-        record.success_at = now
         record.trial_started_at = -math.inf
-        if stale:
-            self._schedule_update(fingerprint)
+        self._note_cleared(fingerprint, before)
+        self._update_culprits(fingerprint, now)
+        self._schedule_update(fingerprint)
 
     def note_crash(
         self,
@@ -236,28 +379,32 @@
         now: float,
         *,
         answered_s: float = 0.0,
+        caller: CallerTag = UNKNOWN_CALLER,
+        part: str = "",
     ) -> None:
-        """Record that a server crashed while it ran a request.
+        """Record that a server crashed while it ran a request, or one with a part.
 
-        `answered_s` is the time since the start of its answer, in seconds.
+        `answered_s` is the time since the start of its answer, in seconds; `part` is
+        the name of a part.
         """
         if answered_s >= MAX_SUSPECT_ANSWERING_S:
             return
         record = self._record(fingerprint, now)
-        before = record.count()
-        if record.add_crash(end, now):
-            self._note_barred(fingerprint, record, before)
+        record.part_name = part
+        if record.add_crash(end, now, caller):
+            self._update_culprits(fingerprint, now)
             self._schedule_update(fingerprint)
 
     # exchange with peers
 
     def pop_updates(self, most: int, now: float) -> tuple[SuspectRow, ...]:
         """Return the rows for the next packet, `most` at most."""
+        self._decide(now)
         if now - self._refreshed_at >= REFRESH_INTERVAL_S:
             self._refreshed_at = now
             self._drop_expired(now)
-            for name, record in self._records.items():
-                if record.count() >= SuspectState.ISOLATED:
+            for name in self._records:
+                if self.ends(name) >= SuspectState.ISOLATED:
                     self._pending_updates.setdefault(name, 1)
         if not self._pending_updates:
             return ()
@@ -273,25 +420,49 @@
     ) -> None:
         """Merge rows from a peer; with `relay`, forward those that bring changes."""
         for row in rows:
-            record = self._record(row.fingerprint, now)
-            before = record.count()
-            is_new = False
-            if row.success_age_s is not None:
-                success_at = now - row.success_age_s
-                is_new = success_at > record.success_at + MIN_TIME_DIFFERENCE_S
-                record.success_at = max(record.success_at, success_at)
-            for end, age_s in row.ends:
-                is_new = record.add_crash(end, now - age_s) or is_new
-            if row.trial is not None:
-                server, age_s = row.trial
-                if now - age_s > record.trial_started_at + MIN_TIME_DIFFERENCE_S:
-                    record.trial_started_at, record.trial_server = now - age_s, server
-                    is_new = True
-            if is_new:
-                self._note_barred(row.fingerprint, record, before)
-            if is_new and relay:
+            if not self._merge(row, now):
+                continue
+            self._update_culprits(row.fingerprint, now)
+            if relay or self._refutes(row, now):
                 self._schedule_update(row.fingerprint)
 
+    def _merge(self, row: SuspectRow, now: float) -> bool:
+        """Merge a row of a peer and return whether it brings changes."""
+        record = self._record(row.fingerprint, now)
+        before = record.counted(now)
+        if row.success_age_s is not None:
+            record.success_at = max(record.success_at, now - row.success_age_s)
+        callers = row.callers
+        if len(callers) != len(row.ends):
+            callers = (UNKNOWN_CALLER,) * len(row.ends)
+        is_new = False
+        for (end, age_s), caller in zip(row.ends, callers, strict=True):
+            is_new = record.add_crash(end, now - age_s, caller) or is_new
+        if row.trial is not None:
+            server, age_s = row.trial
+            if now - age_s > record.trial_started_at + MIN_TIME_DIFFERENCE_S:
+                record.trial_started_at, record.trial_server = now - age_s, server
+                is_new = True
+        self._note_cleared(row.fingerprint, len(before))
+        return is_new or record.counted(now) != before
+
+    def _note_cleared(self, fingerprint: Fingerprint, before: int) -> None:
+        record = self._records[fingerprint]
+        if before >= SuspectState.ISOLATED and not record.count():
+            self.on_cleared(fingerprint, before, record.part_name)
+
+    def _refutes(self, row: SuspectRow, now: float) -> bool:
+        """Return whether a good run here clears a suspect that peers hold back."""
+        record = self._records[row.fingerprint]
+        sent_success_at = -math.inf
+        if row.success_age_s is not None:
+            sent_success_at = now - row.success_age_s
+        return (
+            len(row.ends) >= SuspectState.ISOLATED
+            and record.success_at > sent_success_at + MIN_TIME_DIFFERENCE_S
+            and not record.count()
+        )
+
     def _record(self, fingerprint: Fingerprint, now: float) -> _Record:
         record = self._records.get(fingerprint)
         if record is None:
@@ -301,12 +472,30 @@
             record = self._records[fingerprint] = _Record(success_at=success_at)
         return record
 
-    def _note_barred(
-        self, fingerprint: Fingerprint, record: _Record, before: int
-    ) -> None:
-        after = record.count()
-        if before < SuspectState.BARRED <= after:
-            self.on_barred(fingerprint, after)
+    def _update_culprits(self, changed: Fingerprint, now: float) -> None:
+        """Find the culprits again if a change of one record may matter for them."""
+        record = self._records[changed]
+        if record.count(now) != record.count():
+            self._undecided[changed] = record.last_crash_at + SUCCESS_WINDOW_S
+        if record.count(now) < MIN_CRASHES and changed not in self._culprits:
+            return
+        before = self._culprits.names
+        self._culprits = find_culprits(
+            Accused(name, row.counted(now), row.ran_well)
+            for name, row in self._records.items()
+            if len(row.ends) >= MIN_CRASHES
+        )
+        for name in self._culprits.names - before:
+            record = self._records[name]
+            record.barred_at = now
+            self.on_barred(name, self.ends(name), record.part_name)
+
+    def _decide(self, now: float) -> None:
+        """Let crashes count after which no good run has begun for a while."""
+        due = [name for name, at in self._undecided.items() if at <= now]
+        for name in due:
+            del self._undecided[name]
+            self._update_culprits(name, now)
 
     def _schedule_update(self, fingerprint: Fingerprint) -> None:
         self._pending_updates[fingerprint] = PACKETS_PER_UPDATE
@@ -314,27 +503,28 @@
 
     def _update_order(self, fingerprint: Fingerprint) -> tuple[int, int]:
         """Return the sort key of an update: least often sent, then most crashes."""
-        count = self._records[fingerprint].count()
-        return -self._pending_updates[fingerprint], -count
+        return -self._pending_updates[fingerprint], -self.ends(fingerprint)
 
     def _retention_order(self, fingerprint: Fingerprint) -> tuple[int, float]:
-        record = self._records[fingerprint]
-        return record.count(), record.last_crash_at
+        return self.ends(fingerprint), self._records[fingerprint].last_crash_at
 
     def _row(self, fingerprint: Fingerprint, now: float) -> SuspectRow:
         record = self._records[fingerprint]
-        ends = tuple((end, now - at) for end, at in record.ends.items())
+        newest = sorted(record.ends, key=record.ends.__getitem__)[-MAX_SENT_CRASHES:]
+        ends = tuple((end, now - record.ends[end]) for end in newest)
         success_age_s = (
             now - record.success_at if record.success_at > -math.inf else None
         )
         trial = None
         if now - record.trial_started_at < TRIAL_TIMEOUT_S:
             trial = (record.trial_server, now - record.trial_started_at)
-        return SuspectRow(fingerprint, ends, success_age_s, trial)
+        callers = tuple(record.callers[end] for end in newest)
+        return SuspectRow(fingerprint, ends, success_age_s, trial, callers)
 
     def _drop_expired(self, now: float) -> None:
         for name, record in list(self._records.items()):
-            if now - max(record.last_crash_at, record.trial_started_at) >= RETENTION_S:
+            kept_s = RETENTION_S if record.count() else CLEARED_RETENTION_S
+            if now - max(record.last_crash_at, record.trial_started_at) >= kept_s:
                 self._drop(name)
 
     def _drop_least_certain(self) -> None:
@@ -346,3 +536,5 @@
     def _drop(self, fingerprint: Fingerprint) -> None:
         del self._records[fingerprint]
         self._pending_updates.pop(fingerprint, None)
+        self._undecided.pop(fingerprint, None)
+        self._culprits.forget(fingerprint)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -122,6 +122,7 @@
         self._dispatcher.suspects.on_change = self._peers.trigger_report
         self._dispatcher.on_leaving = self._peers.trigger_report
         self._dispatcher.suspects.on_barred = _log_barred
+        self._dispatcher.suspects.on_cleared = _log_cleared
         self._resumption = resumption = StreamResumption(
             self._peers.streams, self._peers.list_age_s, clock
         )
@@ -347,6 +348,7 @@
                 name.hex(): ends
                 for name, ends in self._dispatcher.suspects.barred(now).items()
             },
+            "parts_barred": self._dispatcher.suspects.barred_parts(now),
             "centres_left": sorted(registry.centres_left),
             "peers": {
                 peer.router: {
@@ -388,8 +390,24 @@
         return self._metrics.text()
 
 
-def _log_barred(fingerprint: Fingerprint, ends: int) -> None:
-    emit(logger, Event.REQUEST_BARRED_NOW, fingerprint=fingerprint.hex(), ends=ends)
+def _log_barred(fingerprint: Fingerprint, ends: int, part: str) -> None:
+    emit(
+        logger,
+        Event.REQUEST_BARRED_NOW,
+        fingerprint=fingerprint.hex(),
+        ends=ends,
+        part=part,
+    )
+
+
+def _log_cleared(fingerprint: Fingerprint, ends: int, part: str) -> None:
+    emit(
+        logger,
+        Event.SUSPECT_CLEARED,
+        fingerprint=fingerprint.hex(),
+        ends=ends,
+        part=part,
+    )
 
 
 def _log_audit(record: AuditRecord) -> None:
--- a/packages/fulmarroad-serving/tests/crash_fleet.py
+++ b/packages/fulmarroad-serving/tests/crash_fleet.py
@@ -248,7 +248,7 @@
 
         async def replace():
             await anyio.sleep(RESTART_S)
-            self.add_engine(f"e-{next(self._numbers)}")
+            self.add_engine(f"e-{len(self.engines)}")
 
         self.group.start_soon(replace)
 
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -18,6 +18,7 @@
 )
 
 from fulmarroad.exceptions import MessageError
+from fulmarroad_serving._fingerprints import part_fingerprint
 from fulmarroad_serving._fleet_view import MAX_SUSPECTS
 from fulmarroad_serving._reports import pack_report, read_report, unpack_report
 from fulmarroad_serving._suspects import (
@@ -25,6 +26,8 @@
     MAX_RECORDS,
     MAX_SUSPECT_ANSWERING_S,
     RETENTION_S,
+    RETRIAL_FACTOR,
+    RETRIAL_S,
     SUCCESS_WINDOW_S,
     TRIAL_TIMEOUT_S,
     SuspectRow,
@@ -146,6 +149,117 @@
         assert suspects.suspect_state(newest, 3.0) is SuspectState.SERIALIZED
 
 
+GOOD_AT = 10.0
+LATER = GOOD_AT + SUCCESS_WINDOW_S + 0.5
+COMPANION = b"c" * 16
+REQUEST = b"r" * 16
+
+
+def suspects_of_one_caller(*names, caller=1):
+    """Return suspects with three crashes under one caller's requests."""
+    suspects = Suspects()
+    for number in range(3):
+        for part in names:
+            suspects.note_crash(part, number, GOOD_AT + number / 10, caller=caller)
+    return suspects
+
+
+class TestParts:
+    def test_a_crash_soon_after_a_good_run_counts_if_no_other_one_begins(self):
+        """Guard against good runs of a part that excuse crashes after it turned bad."""
+        suspects = Suspects()
+        suspects.note_success(POISON, GOOD_AT + 0.5, GOOD_AT)
+        for number in range(3):
+            suspects.note_crash(POISON, number, GOOD_AT + 0.6)
+        assert suspects.suspect_state(POISON, GOOD_AT + 1.0) is SuspectState.CLEAR
+        at = GOOD_AT + 0.6 + SUCCESS_WINDOW_S
+        suspects.pop_updates(MAX_SUSPECTS, at)
+        assert suspects.suspect_state(POISON, at) is SuspectState.BARRED
+
+    def test_a_good_run_that_began_after_crashes_clears_a_part(self):
+        suspects = suspects_of_one_caller(POISON)
+        suspects.note_success(POISON, GOOD_AT + 1.0, GOOD_AT + 0.5)
+        assert suspects.suspect_state(POISON, GOOD_AT + 1.0) is SuspectState.CLEAR
+
+    def test_a_good_run_that_began_before_crashes_does_not_clear_a_part(self):
+        """Guard against a part that turned bad and is excused by runs from before."""
+        suspects = suspects_of_one_caller(POISON)
+        suspects.note_success(POISON, LATER, GOOD_AT - 2.0)
+        assert suspects.suspect_state(POISON, LATER) is SuspectState.BARRED
+
+    def test_what_ran_well_before_is_tried_again_soon(self):
+        """Guard against a sound popular part that stays barred.
+
+        So many servers crashed that no run could show that it is good.
+        """
+        suspects = Suspects()
+        suspects.note_success(POISON, GOOD_AT - 20.0)
+        for number in range(3):
+            suspects.note_crash(POISON, number, GOOD_AT)
+        assert suspects.suspect_state(POISON, GOOD_AT + 1) is SuspectState.BARRED
+        again = GOOD_AT + RETRIAL_S
+        assert suspects.suspect_state(POISON, again) is SuspectState.ISOLATED
+        suspects.note_crash(POISON, 9, again)
+        later = again + RETRIAL_S * RETRIAL_FACTOR
+        assert suspects.suspect_state(POISON, later - 0.1) is SuspectState.BARRED
+        assert suspects.suspect_state(POISON, later) is SuspectState.ISOLATED
+
+    def test_parts_that_came_only_together_are_tried_apart(self):
+        """Guard against a sound part that stays barred, as it came with a bad one."""
+        suspects = suspects_of_one_caller(POISON, COMPANION)
+        at = GOOD_AT + 1.0
+
+        def state(*names):
+            return suspects.suspicion_of(names, 1, at).state
+
+        assert state(REQUEST, POISON, COMPANION) is SuspectState.BARRED
+        assert state(REQUEST, COMPANION) is SuspectState.ISOLATED
+        suspects.note_success(COMPANION, at, at)
+        assert state(REQUEST, COMPANION) is SuspectState.CLEAR
+        assert state(REQUEST, POISON) is SuspectState.BARRED
+
+    def test_a_caller_can_not_bar_a_part_for_others(self):
+        """Guard against a caller that crashes servers beside another one's part."""
+        suspects = suspects_of_one_caller(POISON)
+        at = GOOD_AT + 1.0
+        assert suspects.suspicion_of((POISON,), 1, at).state is SuspectState.BARRED
+        other = suspects.suspicion_of((POISON,), 2, at)
+        assert other.state is SuspectState.ISOLATED
+        suspects.note_crash(POISON, 9, at, caller=2)
+        assert suspects.suspicion_of((POISON,), 3, at).state is SuspectState.BARRED
+
+    def test_another_suspect_at_the_crashes_of_a_barred_part_is_served(self):
+        """Guard against barring what was beside a crashing part."""
+        suspects = suspects_of_one_caller(POISON)
+        for number in range(2):
+            suspects.note_crash(COMPANION, number, GOOD_AT)
+        at = GOOD_AT + 1.0
+        assert suspects.suspect_state(COMPANION, at) is SuspectState.CLEAR
+
+    def test_a_good_run_here_refutes_the_suspicion_of_peers(self):
+        """Guard against a part that is held back by routers without its good runs."""
+        sender, receiver = suspects_of_one_caller(POISON), Suspects()
+        receiver.note_success(POISON, GOOD_AT + 1.0, GOOD_AT + 0.5)
+        at = GOOD_AT + 1.0
+        receiver.merge_rows(sender.pop_updates(MAX_SUSPECTS, at), at)
+        sender.merge_rows(receiver.pop_updates(MAX_SUSPECTS, at), at)
+        assert sender.suspect_state(POISON, at) is SuspectState.CLEAR
+
+    def test_a_good_run_that_clears_a_barred_part_is_told(self):
+        told = []
+        suspects = suspects_of_one_caller(POISON)
+        suspects.note_part_name(POISON, "a1")
+        suspects.on_cleared = lambda *row: told.append(row)
+        assert suspects.barred_parts(GOOD_AT + 1.0) == {"a1": 3}
+        suspects.note_success(POISON, GOOD_AT + 1.0)
+        assert told == [(POISON, 3, "a1")]
+        assert suspects.barred_parts(GOOD_AT + 1.0) == {}
+
+    def test_the_same_part_of_another_service_is_another_suspect(self):
+        """Guard against barring a part at servers that can run it."""
+        assert part_fingerprint("drafting", "a1") != part_fingerprint("other", "a1")
+
+
 class TestUpdates:
     def receive_from(self, *senders, now=5.0):
         receiver = Suspects()
@@ -240,6 +354,30 @@
         sent = evolve(bed.report("h0"), suspects=(row,))
         assert unpack_report(pack_report(sent)).suspects == (row,)
 
+    def test_callers_of_crashes_survive_encoding_and_decoding(self):
+        row = SuspectRow(POISON, ((7, 0.25), (8, 1.5)), callers=(3, 4))
+        sent = evolve(FleetBed(1).report("h0"), suspects=(row,))
+        assert unpack_report(pack_report(sent)).suspects == (row,)
+
+    def test_suspects_of_the_previous_version_have_unknown_callers(self):
+        """Guard against crashes that are lost while routers are replaced."""
+        row = SuspectRow(POISON, ((7, 0.25), (8, 1.5)), callers=(3, 4))
+        sent = evolve(FleetBed(1).report("h0"), suspects=(row,))
+        data = msgpack.unpackb(pack_report(sent))
+        old = unpack_report(msgpack.packb(data[:18])).suspects
+        assert old == (evolve(row, callers=()),)
+        receiver = Suspects()
+        receiver.merge_rows(old, 5.0)
+        assert receiver.ends(POISON) == 2
+
+    @pytest.mark.parametrize("wrong", [7, "x", [["x"]], [7], {"a": 1}])
+    def test_callers_that_are_not_valid_are_rejected(self, wrong):
+        row = msgpack.unpackb(pack_report(FleetBed(1).report("h0")))
+        row[14] = [[POISON, [], None, None]]
+        row[18] = wrong
+        with pytest.raises(MessageError):
+            read_report(row)
+
     def test_a_report_of_the_previous_version_has_no_suspects(self):
         data = msgpack.unpackb(pack_report(FleetBed(1).report("h0")))
         assert unpack_report(msgpack.packb(data[:14])).suspects == ()
@@ -706,3 +844,56 @@
             assert {row.answered_s for row in failed} == {None}
 
         run(test)
+
+    def test_a_call_with_a_barred_part_is_told_its_name(self):
+        """Guard against a caller that can't know what to change."""
+
+        async def test(bed):
+            servers = CrashingServers(bed)
+            await servers.start(*(f"s-{n}" for n in range(5)))
+            for n in range(4):
+                await bed.call(
+                    f"/draft/{n}",
+                    method="POST",
+                    body=b"poison",
+                    headers={"x-part": f"a{n},b2"},
+                )
+            servers.poison = None
+            caller = await bed.call("/draft/9", headers={"x-part": "a9,b2"})
+            assert caller.status == 502
+            assert b"b2" in caller.body
+            assert b"retry-after" not in caller.headers
+            assert len(servers.ended) == 3
+            other = await bed.call("/draft/9", headers={"x-part": "a0,b3"})
+            assert (other.status, other.whole) == (200, True)
+
+        run(test)
+
+    def test_a_part_is_cleared_while_an_answer_goes_on(self):
+        """Guard against a part that is held back until a long answer has ended."""
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")))
+                for number in range(1, 9):
+                    writer.write(chunk(event(number)))
+                    await writer.drain()
+                    await anyio.sleep(0.1)
+                writer.write(b"0\r\n\r\n")
+
+            await bed.serve("s-1", script, "drafting")
+            part = part_fingerprint("drafting", "b2")
+            suspects = bed.dispatcher.suspects
+            for end in range(2):
+                suspects.note_crash(part, end, bed.now() - 1.0)
+            async with anyio.create_task_group() as group:
+                headers = {"x-part": "b2"}
+                group.start_soon(lambda: bed.call("/draft/1", headers=headers))
+                await anyio.sleep(0.2)
+                assert suspects.is_running(part, bed.now())
+                await anyio.sleep(0.5)
+                state = suspects.suspect_state(part, bed.now())
+                assert state is SuspectState.CLEAR
+                assert not suspects.is_running(part, bed.now())
+
+        run(test)
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -120,9 +120,10 @@
         510, _I, "caller did not send complete headers in time"
     )
     REQUEST_BARRED = EventKind(511, _W, "request not sent, servers exited during it")
-    REQUEST_BARRED_NOW = EventKind(512, _W, "request is barred from now on")
+    REQUEST_BARRED_NOW = EventKind(512, _W, "request or part is barred from now on")
     STREAM_TAKEN_UP = EventKind(513, _I, "caller takes up a stream")
     STREAM_LOST = EventKind(514, _W, "stream can't go on, its caller is refused")
+    SUSPECT_CLEARED = EventKind(515, _I, "a good run cleared a suspect of crashes")
 
     # 600: keys
     KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
