Look at the server before an answer that ends with its connection counts as whole

Callers saw: half a stream shown as a complete one, where the answer had neither a length nor chunks and its server crashed between two events. Nobody saw: such answers cleared what was known against their requests, and a stream that ended before its first event or inside one charged its server's crash to no request.

Cause: the kernel closes the connections of a crashed process as those of answers that have ended, and each such close counted as the end of the answer. The other two raised the error of a wrong answer, not of a closed connection, and only the latter makes a router ask whether the server crashed.

Change: only for answers that nothing but the close has ended, the crash detector looks at the server (a connection, which the next call uses) before the answer is complete; if it crashed, the send is broken: it goes on elsewhere, or the caller sees it broken off. An end before or inside an event of such an answer is a broken connection too.

Weighed: other connections to the server that end in the same moment tell the same without a connection, but come in any order and not where there are none.

Not covered: a server that says it leaves and crashes within such an answer.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -80,6 +80,7 @@
         self._in_answer = False
         self._skipping = False  # this answer belongs to another call
         self._has_framing = False
+        self._ended_by_close = False
         self._unread_bytes = 0
         self._unusable = False
         self._closed = False
@@ -111,6 +112,7 @@
     def eof_received(self) -> bool:
         """Handle the end of the stream, which ends an answer without a length."""
         if self._in_answer and not self._has_framing:
+            self._ended_by_close = True
             self._finish()
         return False
 
@@ -191,6 +193,14 @@
             and self._transport.get_write_buffer_size() == 0
         )
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Return whether nothing but the close of the connection ended the answer.
+
+        The kernel closes the connections of a crashed process in the same way.
+        """
+        return self._ended_by_close
+
     def send(self, request: bytes, read_head: ReadHead) -> None:
         """Write a complete request; the transport sends it as the server accepts it."""
         assert self._transport is not None
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from fulmarroad_serving._catalog import CallKind
 from fulmarroad_serving._connection import BackendConnection
@@ -16,6 +16,7 @@
 from fulmarroad_serving.contracts import AnswerHead, CallCodec
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
+    ConnectionBrokenError,
     FailedAnswerError,
     NotRunError,
     OtherInstanceError,
@@ -51,6 +52,9 @@
 StreamBegun = Callable[[ServedCall, str, float], None]
 """Be told of a stream's software version and the time, just before its first event."""
 
+HasCrashed = Callable[[Instance, float], Awaitable[bool]]
+"""Find out whether a server crashed at a time."""
+
 
 class Exchanger:
     """Perform one exchange for each send of a call."""
@@ -61,7 +65,9 @@
         codec: CallCodec,
         clock: Callable[[], float],
         on_stream_begun: StreamBegun,
+        has_crashed: HasCrashed,
     ) -> None:
+        self._has_crashed = has_crashed
         self._dispatcher = dispatcher
         self._codec = codec
         self._clock = clock
@@ -92,7 +98,7 @@
         if run.call.route.kind is CallKind.STREAM and head.status < 300:
             await self._forward_stream(run, connection, head, ticket, instance)
         else:
-            await self._forward_buffered(run, connection, head, ticket)
+            await self._forward_buffered(run, connection, head, ticket, instance)
 
     def _request_bytes(
         self, run: ActiveCall, instance: Instance, source: Instance | None
@@ -146,6 +152,7 @@
         connection: BackendConnection,
         head: AnswerHead,
         ticket: Ticket,
+        instance: Instance,
     ) -> None:
         parts: list[bytes] = []
         size = 0
@@ -156,8 +163,9 @@
             size += len(chunk)
             if size > MAX_BUFFERED_BYTES:
                 self._note_begun(run, ticket)
-                await self._forward_unbuffered(run, connection, head, parts)
+                await self._forward_unbuffered(run, connection, head, parts, instance)
                 return
+        await self._check_end(connection, instance)
         self._note_begun(run, ticket)
         body = b"".join(parts)
         if head.status >= FIRST_FAILURE_STATUS:
@@ -178,6 +186,7 @@
         connection: BackendConnection,
         head: AnswerHead,
         parts: list[bytes],
+        instance: Instance,
     ) -> None:
         run.progress.answer_begun = True
         await run.responder.begin(head.status, list(head.forward))
@@ -187,6 +196,7 @@
             chunk := await connection.body(run.remaining_s(self._clock()))
         ) is not None:
             await run.responder.send(chunk)
+        await self._check_end(connection, instance)
         await run.responder.finish()
 
     async def _forward_stream(
@@ -205,11 +215,16 @@
             whole = events.feed(chunk)
             if whole is not None:
                 await self._forward_events(run, head, whole, ticket, instance)
+        # Only a closed connection makes it ask whether the server crashed.
+        error_type = (
+            ConnectionBrokenError if connection.ended_by_close else BrokenAnswerError
+        )
         if events.pending:
-            raise BrokenAnswerError("The stream ended in the middle of an event.")
+            raise error_type("The stream ended in the middle of an event.")
+        if not run.responder.begun and not run.call.head.last_event_id:
+            raise error_type("The stream ended before its first event.")
+        await self._check_end(connection, instance)
         if not run.responder.begun:
-            if not run.call.head.last_event_id:
-                raise BrokenAnswerError("The stream ended before its first event.")
             # Its caller has every event and lacks only the end.
             run.summary.first_s = self._clock() - run.begun_at
             await run.responder.begin(head.status, list(head.forward))
@@ -237,6 +252,19 @@
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
 
+    async def _check_end(
+        self, connection: BackendConnection, instance: Instance
+    ) -> None:
+        """Raise `ConnectionBrokenError` if a crash may have cut off the answer.
+
+        An answer with neither a length nor chunks ends with its connection, whole or
+        not, so its server is looked at before the answer counts as complete.
+        """
+        if not connection.ended_by_close:
+            return
+        if await self._has_crashed(instance, self._clock()):
+            raise ConnectionBrokenError("The server crashed as its answer ended.")
+
     def _note_begun(self, run: ActiveCall, ticket: Ticket) -> None:
         if not ticket.begun:
             now = self._clock()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -84,8 +84,14 @@
         self._catalog = catalog
         self._clock = clock
         self._held = HeldCalls()
-        self._exchanger = Exchanger(dispatcher, codec, clock, on_stream_begun)
         self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
+        self._exchanger = Exchanger(
+            dispatcher,
+            codec,
+            clock,
+            on_stream_begun,
+            self._crash_detector.has_crashed,
+        )
 
     def admit(self, call: ServedCall, summary: CallSummary) -> None:
         """Count an incoming call; raise `Refused` if it must not be attempted."""
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -461,7 +461,11 @@
             self.told.add((me, name))
             head = evolve(head, leaving=True)
         exchanger = Exchanger(
-            dispatcher, None, lambda: bed.now, lambda call, version, now: None
+            dispatcher,
+            None,
+            lambda: bed.now,
+            lambda call, version, now: None,
+            lambda instance, at: None,
         )
         try:
             exchanger._check_head(head, placement.registered.instance)
