--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
@@ -2,13 +2,14 @@
 
 Load pattern: each crash breaks many calls, and each call has several parts that others
 share, so one crash accuses dozens of suspects, all but one of them wrongly. A suspect
-that explains three crashes is a culprit, and the crashes that it explains no longer
-count against the others that were there.
+that explains three crashes is a culprit, if not many other servers crashed meanwhile
+without it, and the crashes that it explains no longer count against the others that
+were there.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import define, evolve, field, frozen
 
@@ -17,8 +18,17 @@
 MIN_CRASHES = 3
 """Number of crashes that nothing else explains from which a suspect is a culprit."""
 
+CERTAIN_CRASHES = 5
+"""The same, whatever else crashed meanwhile."""
+
+MIN_CRASH_FRACTION = 0.4
+"""Fraction of the unexplained crashes of its time that a suspect must explain.
+
+Where servers crash for other reasons, a sound request is at three of them by chance.
+"""
+
 ALIKE_FRACTION = 0.75
-"""Fraction of crashes in common from which two suspects that ran well before are alike.
+"""Fraction of common crashes from which two suspects that ran well are alike.
 
 What a part that turns bad explains, popular parts explain too if so many servers crash
 that no run shows that these are good.
@@ -78,12 +88,17 @@
         ]
 
 
-def find_culprits(accused: Iterable[Accused]) -> Culprits:
+def find_culprits(
+    accused: Iterable[Accused], crash_times: Mapping[CrashId, float]
+) -> Culprits:
     """Return the fewest suspects that explain the crashes, with all that are alike."""
     culprits = Culprits()
     left = [row for row in accused if len(row.crashes) >= MIN_CRASHES]
     while left:
-        top = min(left, key=lambda row: row.rank)
+        telling = [row for row in left if _is_telling(row, crash_times, culprits)]
+        if not telling:
+            break
+        top = min(telling, key=lambda row: row.rank)
         alike = [row for row in left if row.is_alike(top)]
         culprits.groups.append(tuple(row.fingerprint for row in alike))
         for row in alike:
@@ -95,3 +110,19 @@
             and len(crashes := row.crashes - culprits.explained) >= MIN_CRASHES
         ]
     return culprits
+
+
+def _is_telling(
+    row: Accused, crash_times: Mapping[CrashId, float], culprits: Culprits
+) -> bool:
+    """Return whether a suspect was at so many crashes of its time, or at so many."""
+    if len(row.crashes) >= CERTAIN_CRASHES:
+        return True
+    times = [crash_times[end] for end in row.crashes if end in crash_times]
+    if not times:
+        return True
+    meanwhile = sum(
+        min(times) <= at <= max(times) and end not in culprits.explained
+        for end, at in crash_times.items()
+    )
+    return len(row.crashes) >= MIN_CRASH_FRACTION * meanwhile
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
@@ -87,6 +87,9 @@
 MAX_SENT_CRASHES = 8
 """Maximum number of crashes in a row, the newest; peers add them to those they know."""
 
+MAX_CRASH_TIMES = 256
+"""Maximum number of crashes whose times are kept, the newest."""
+
 PACKETS_PER_UPDATE = 6
 """Number of packets in which a change is sent; with fewer, all might be lost."""
 
@@ -225,6 +228,7 @@
         self._records: dict[Fingerprint, _Record] = {}
         self._culprits = Culprits()
         self._undecided: dict[Fingerprint, float] = {}  # when all their crashes count
+        self._crash_times: OrderedDict[CrashId, float] = OrderedDict()
         self._successes: OrderedDict[Fingerprint, float] = OrderedDict()
         self._running: dict[Fingerprint, int] = {}
         self._pending_updates: dict[Fingerprint, int] = {}
@@ -392,6 +396,7 @@
         record = self._record(fingerprint, now)
         record.part_name = part
         if record.add_crash(end, now, caller):
+            self._note_crash_time(end, now)
             self._update_culprits(fingerprint, now)
             self._schedule_update(fingerprint)
 
@@ -437,7 +442,9 @@
             callers = (UNKNOWN_CALLER,) * len(row.ends)
         is_new = False
         for (end, age_s), caller in zip(row.ends, callers, strict=True):
-            is_new = record.add_crash(end, now - age_s, caller) or is_new
+            if record.add_crash(end, now - age_s, caller):
+                self._note_crash_time(end, now - age_s)
+                is_new = True
         if row.trial is not None:
             server, age_s = row.trial
             if now - age_s > record.trial_started_at + MIN_TIME_DIFFERENCE_S:
@@ -472,6 +479,11 @@
             record = self._records[fingerprint] = _Record(success_at=success_at)
         return record
 
+    def _note_crash_time(self, end: CrashId, at: float) -> None:
+        self._crash_times.setdefault(end, at)
+        if len(self._crash_times) > MAX_CRASH_TIMES:
+            self._crash_times.popitem(last=False)
+
     def _update_culprits(self, changed: Fingerprint, now: float) -> None:
         """Find the culprits again if a change of one record may matter for them."""
         record = self._records[changed]
@@ -480,11 +492,12 @@
         if record.count(now) < MIN_CRASHES and changed not in self._culprits:
             return
         before = self._culprits.names
-        self._culprits = find_culprits(
+        accused = [
             Accused(name, row.counted(now), row.ran_well)
             for name, row in self._records.items()
             if len(row.ends) >= MIN_CRASHES
-        )
+        ]
+        self._culprits = find_culprits(accused, self._crash_times)
         for name in self._culprits.names - before:
             record = self._records[name]
             record.barred_at = now
--- a/packages/fulmarroad-serving/tests/test_culprits.py
+++ b/packages/fulmarroad-serving/tests/test_culprits.py
@@ -1,6 +1,7 @@
 """Tests of which suspects explain crashes of servers."""
 
-from fulmarroad_serving._culprits import Accused, find_culprits
+from fulmarroad_serving._culprits import CERTAIN_CRASHES, Accused
+from fulmarroad_serving._culprits import find_culprits as find_culprits_at
 
 BAD, POPULAR, OTHER, COMPANION = (b"bad", b"popular", b"other", b"companion")
 
@@ -9,6 +10,12 @@
     return Accused(name, frozenset(crashes), ran_well)
 
 
+def find_culprits(rows, others=()):
+    """Find the culprits; `others` are crashes at which none of the rows was."""
+    crashes = {end for row in rows for end in row.crashes}.union(others)
+    return find_culprits_at(rows, {end: float(end) for end in crashes})
+
+
 class TestFindCulprits:
     def test_two_crashes_make_no_culprit(self):
         assert not find_culprits([accused(BAD, 1, 2)]).names
@@ -57,3 +64,18 @@
         """Guard against routers that bar different suspects by the same evidence."""
         rows = [accused(BAD, 1, 2, 3), accused(OTHER, 3, 4, 5, 6)]
         assert find_culprits(rows).names == find_culprits(rows[::-1]).names
+
+    def test_three_of_many_crashes_are_chance(self):
+        """Guard against barring sound parts while servers crash for other reasons."""
+        rows = [accused(OTHER, 1, 5, 9)]
+        assert find_culprits(rows).names == {OTHER}
+        assert not find_culprits(rows, others=range(1, 10)).names
+
+    def test_many_crashes_are_none(self):
+        """Guard against two bad parts that hide behind each other's crashes."""
+        rows = [accused(BAD, *range(0, 10 * CERTAIN_CRASHES, 10))]
+        assert find_culprits(rows, others=range(100)).names == {BAD}
+
+    def test_crashes_that_another_one_explains_are_not_counted(self):
+        rows = [accused(BAD, *range(0, 20, 2)), accused(OTHER, 1, 7, 13)]
+        assert find_culprits(rows).names == {BAD, OTHER}
