Find culprits when they are asked for, in one pass over the suspects

Cause: each change of a record looked for culprits again, and each culprit that was found went over all suspects and crash times. With 512 suspects of three crashes each the measurement of their cost didn't end in 100 s. Seen by footprint suspects, not by a call.

Change: a change only marks the culprits as stale, and they are found when the next call or packet asks; suspects are looked at in the order of their ranks, again only if more is explained than before; crashes of a time are counted by bisection.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
@@ -9,9 +9,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Iterable, Mapping, Sequence
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field, frozen
 
 from fulmarroad_serving._fingerprints import Fingerprint
 
@@ -52,11 +53,7 @@
         return self.ran_well, -len(self.crashes), self.fingerprint
 
     def is_alike(self, other: Accused) -> bool:
-        """Return whether another suspect explains the same crashes as well."""
-        if self.ran_well != other.ran_well:
-            return False
-        if not self.ran_well:
-            return self.crashes == other.crashes
+        """Return whether another suspect explains nearly the same crashes."""
         common = len(self.crashes & other.crashes)
         return common >= ALIKE_FRACTION * len(self.crashes | other.crashes)
 
@@ -65,64 +62,100 @@
 class Culprits:
     """Hold the suspects that explain the crashes, in groups that are alike."""
 
-    groups: list[tuple[Fingerprint, ...]] = field(factory=list)
     explained: set[CrashId] = field(factory=set)
+    _groups: dict[Fingerprint, tuple[Fingerprint, ...]] = field(factory=dict)
 
     def __contains__(self, fingerprint: Fingerprint) -> bool:
-        return any(fingerprint in group for group in self.groups)
+        return fingerprint in self._groups
 
     @property
     def names(self) -> set[Fingerprint]:
         """Return all culprits."""
-        return {name for group in self.groups for name in group}
+        return set(self._groups)
 
     def group_of(self, fingerprint: Fingerprint) -> tuple[Fingerprint, ...]:
         """Return the culprits that explain the same crashes as one of them."""
-        return next(group for group in self.groups if fingerprint in group)
+        return self._groups[fingerprint]
 
     def forget(self, fingerprint: Fingerprint) -> None:
         """Drop a suspect of which nothing is known any more."""
-        self.groups = [
-            tuple(name for name in group if name != fingerprint)
-            for group in self.groups
-        ]
+        self._groups.pop(fingerprint, None)
+
+    def add(self, group: Sequence[Accused]) -> None:
+        """Add suspects that explain the same crashes."""
+        names = tuple(row.fingerprint for row in group)
+        for row in group:
+            self._groups[row.fingerprint] = names
+            self.explained |= row.crashes
 
 
 def find_culprits(
     accused: Iterable[Accused], crash_times: Mapping[CrashId, float]
 ) -> Culprits:
     """Return the fewest suspects that explain the crashes, with all that are alike."""
-    culprits = Culprits()
-    left = [row for row in accused if len(row.crashes) >= MIN_CRASHES]
-    while left:
-        telling = [row for row in left if _is_telling(row, crash_times, culprits)]
-        if not telling:
-            break
-        top = min(telling, key=lambda row: row.rank)
-        alike = [row for row in left if row.is_alike(top)]
-        culprits.groups.append(tuple(row.fingerprint for row in alike))
-        for row in alike:
-            culprits.explained |= row.crashes
-        left = [
-            evolve(row, crashes=crashes)
-            for row in left
-            if row not in alike
-            and len(crashes := row.crashes - culprits.explained) >= MIN_CRASHES
-        ]
-    return culprits
-
-
-def _is_telling(
-    row: Accused, crash_times: Mapping[CrashId, float], culprits: Culprits
-) -> bool:
-    """Return whether a suspect was at so many crashes of its time, or at so many."""
-    if len(row.crashes) >= CERTAIN_CRASHES:
-        return True
-    times = [crash_times[end] for end in row.crashes if end in crash_times]
-    if not times:
+    return _Search(accused, crash_times).run()
+
+
+class _Search:
+    """Find culprits in the order of their ranks, until nothing more is explained."""
+
+    def __init__(
+        self, accused: Iterable[Accused], crash_times: Mapping[CrashId, float]
+    ) -> None:
+        self._left = sorted(accused, key=lambda row: row.rank)
+        self._culprits = Culprits()
+        self._times = crash_times
+        self._sorted = sorted(crash_times.values())
+        self._explained: list[float] = []  # times, sorted
+        self._same: dict[frozenset[CrashId], list[Accused]] = {}
+        self._ran_well = [row for row in self._left if row.ran_well]
+        for row in self._left:
+            if not row.ran_well:
+                self._same.setdefault(row.crashes, []).append(row)
+
+    def run(self) -> Culprits:
+        """Return the culprits."""
+        found = True
+        while found:
+            # What is explained now may leave others as the only ones for the rest.
+            before = len(self._culprits.explained)
+            self._left = [row for row in self._left if not self._try(row)]
+            found = len(self._culprits.explained) > before
+        return self._culprits
+
+    def _try(self, row: Accused) -> bool:
+        """Add a suspect if it is a culprit, and return whether it is decided."""
+        if row.fingerprint in self._culprits:
+            return True
+        unexplained = row.crashes - self._culprits.explained
+        if len(unexplained) < MIN_CRASHES:
+            return True
+        if not self._is_telling(unexplained):
+            return False
+        self._note_explained(unexplained)
+        self._culprits.add(self._alike(row))
         return True
-    meanwhile = sum(
-        min(times) <= at <= max(times) and end not in culprits.explained
-        for end, at in crash_times.items()
-    )
-    return len(row.crashes) >= MIN_CRASH_FRACTION * meanwhile
+
+    def _alike(self, row: Accused) -> list[Accused]:
+        if not row.ran_well:
+            return self._same[row.crashes]
+        return [other for other in self._ran_well if other.is_alike(row)]
+
+    def _is_telling(self, crashes: frozenset[CrashId]) -> bool:
+        """Return whether a suspect was at many crashes, or at many of its time."""
+        times = [self._times[end] for end in crashes if end in self._times]
+        if len(crashes) >= CERTAIN_CRASHES or not times:
+            return True
+        since, until = min(times), max(times)
+        meanwhile = _count(self._sorted, since, until)
+        meanwhile -= _count(self._explained, since, until)
+        return len(crashes) >= MIN_CRASH_FRACTION * meanwhile
+
+    def _note_explained(self, crashes: frozenset[CrashId]) -> None:
+        for end in crashes:
+            if end in self._times:
+                insort(self._explained, self._times[end])
+
+
+def _count(ordered: Sequence[float], since: float, until: float) -> int:
+    return bisect_right(ordered, until) - bisect_left(ordered, since)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
@@ -226,7 +226,8 @@
 
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
-        self._culprits = Culprits()
+        self._known_culprits = Culprits()
+        self._stale_since: float | None = None  # when a change mattered for culprits
         self._undecided: dict[Fingerprint, float] = {}  # when all their crashes count
         self._crash_times: OrderedDict[CrashId, float] = OrderedDict()
         self._successes: OrderedDict[Fingerprint, float] = OrderedDict()
@@ -485,20 +486,31 @@
             self._crash_times.popitem(last=False)
 
     def _update_culprits(self, changed: Fingerprint, now: float) -> None:
-        """Find the culprits again if a change of one record may matter for them."""
+        """Have the culprits found again if a change of one record may matter."""
         record = self._records[changed]
         if record.count(now) != record.count():
             self._undecided[changed] = record.last_crash_at + SUCCESS_WINDOW_S
-        if record.count(now) < MIN_CRASHES and changed not in self._culprits:
-            return
-        before = self._culprits.names
+        if record.count(now) >= MIN_CRASHES or changed in self._known_culprits:
+            self._stale_since = now
+
+    @property
+    def _culprits(self) -> Culprits:
+        """Return the culprits; each crash changes many records, so find them late."""
+        if self._stale_since is not None:
+            now, self._stale_since = self._stale_since, None
+            self._find_culprits(now)
+        return self._known_culprits
+
+    def _find_culprits(self, now: float) -> None:
+        before = self._known_culprits.names
         accused = [
-            Accused(name, row.counted(now), row.ran_well)
+            Accused(name, crashes, row.ran_well)
             for name, row in self._records.items()
             if len(row.ends) >= MIN_CRASHES
+            and len(crashes := row.counted(now)) >= MIN_CRASHES
         ]
-        self._culprits = find_culprits(accused, self._crash_times)
-        for name in self._culprits.names - before:
+        self._known_culprits = find_culprits(accused, self._crash_times)
+        for name in self._known_culprits.names - before:
             record = self._records[name]
             record.barred_at = now
             self.on_barred(name, self.ends(name), record.part_name)
@@ -550,4 +562,4 @@
         del self._records[fingerprint]
         self._pending_updates.pop(fingerprint, None)
         self._undecided.pop(fingerprint, None)
-        self._culprits.forget(fingerprint)
+        self._known_culprits.forget(fingerprint)
--- a/packages/fulmarroad-serving/tests/test_culprits.py
+++ b/packages/fulmarroad-serving/tests/test_culprits.py
@@ -39,7 +39,7 @@
         rows = [accused(BAD, 1, 2, 3), accused(OTHER, 4, 5, 6)]
         culprits = find_culprits(rows)
         assert culprits.names == {BAD, OTHER}
-        assert len(culprits.groups) == 2
+        assert culprits.group_of(BAD) == (BAD,)
 
     def test_those_at_the_same_crashes_form_a_group(self):
         rows = [accused(BAD, 1, 2, 3), accused(COMPANION, 1, 2, 3)]
