Split the records and rows of suspects from the book that holds them

Records of one suspect are in _suspect_records.py, rows of packets in _suspect_rows.py, the servers that an isolated call avoids in _call_suspects.py. The measurement of rows counts the callers of crashes.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_suspects.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_suspects.py
@@ -4,7 +4,7 @@
 
 import itertools
 import tracemalloc
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgpack
 from attrs import frozen
@@ -13,8 +13,17 @@
 from fulmarroad_serving._call_suspects import CallSuspects
 from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, fingerprint_of
 from fulmarroad_serving._fleet_view import MAX_SUSPECTS
-from fulmarroad_serving._suspect_rows import pack_suspects, read_suspects
-from fulmarroad_serving._suspects import MAX_RECORDS, Suspects, SuspectState
+from fulmarroad_serving._suspect_rows import (
+    SuspectRow,
+    pack_suspect_callers,
+    pack_suspects,
+    read_suspects,
+)
+from fulmarroad_serving._suspects import (
+    MAX_RECORDS,
+    Suspects,
+    SuspectState,
+)
 
 ROUNDS = 2_000
 CRASH_ROUNDS = 50
@@ -54,21 +63,25 @@
     receiver = Suspects()
 
     def transfer() -> None:
-        data = msgpack.packb(pack_suspects(rows))
-        receiver.merge_rows(read_suspects(msgpack.unpackb(data), []), 3.0)
+        received = msgpack.unpackb(_packed(rows))
+        receiver.merge_rows(read_suspects(*received), 3.0)
 
     return SuspectCost(
         fingerprint_us,
         _each_us(lambda: _run_call(receiver)),
         _crash_us(suspects),
         len(rows),
-        len(msgpack.packb(pack_suspects(rows))),
+        len(_packed(rows)),
         _each_us(transfer),
         MAX_RECORDS,
         round(known_kb, 1),
     )
 
 
+def _packed(rows: Sequence[SuspectRow]) -> bytes:
+    return bytes(msgpack.packb([pack_suspects(rows), pack_suspect_callers(rows)]))
+
+
 def _run_call(suspects: Suspects) -> None:
     parts = [f"{number:08x}" for number in range(PARTS)]
     call = CallSuspects.of(
@@ -97,7 +110,7 @@
     for number in range(MAX_RECORDS):
         name = number.to_bytes(FINGERPRINT_BYTES, "big")
         for end in range(SuspectState.BARRED):
-            suspects.note_crash(name, end << 40 | number, 1.0)
+            suspects.note_crash(name, end << 40 | number, 1.0, caller=40_000)
     return suspects
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_call_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_call_suspects.py
@@ -2,20 +2,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from attrs import define, field
 
-from fulmarroad.types import WorkspaceName
+from fulmarroad.types import ServerName, WorkspaceName
+from fulmarroad_serving._culprits import CrashId
 from fulmarroad_serving._fingerprints import Fingerprint, part_fingerprint
-from fulmarroad_serving._suspects import (
-    CallerTag,
-    CrashId,
-    Suspects,
-    SuspectState,
-    Suspicion,
-    caller_tag,
-)
+from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._suspect_records import CallerTag, caller_tag, crash_id
+from fulmarroad_serving._suspects import Suspects, SuspectState, Suspicion
 from fulmarroad_serving.exceptions import BarredError, WithheldError
 
 MAX_SUSPECT_PARTS = 32
@@ -84,6 +80,20 @@
             fingerprint, now
         )
 
+    def trial_servers(
+        self, instances: Iterable[Instance], now: float
+    ) -> set[ServerName]:
+        """Return the servers that the call must avoid if it is isolated.
+
+        Each of them runs an isolated request, and a crash must have a single suspect.
+        """
+        if self.suspicion(now).state < SuspectState.ISOLATED:
+            return set()
+        trials = self._suspects.trial_servers(now)
+        return {
+            row.id for row in instances if crash_id(row.id, row.started_ms) in trials
+        }
+
     def begin(self, server: CrashId, now: float) -> None:
         """Record that the call is about to be sent to a start of a server."""
         self._is_running = True
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -43,11 +43,11 @@
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving._suspect_rows import (
+    SuspectRow,
     pack_suspect_callers,
     pack_suspects,
     read_suspects,
 )
-from fulmarroad_serving._suspects import SuspectRow
 
 FORMAT = 2
 """First field of each digest; reports of single routers have another value there."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -34,7 +34,7 @@
     member_of,
 )
 from fulmarroad_serving._routing import PartId
-from fulmarroad_serving._suspects import SuspectRow
+from fulmarroad_serving._suspect_rows import SuspectRow
 
 MAX_DIRECT_PEERS = 16
 """Maximum number of peers for direct reports: some 100 packets a second."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -40,7 +40,8 @@
     demand_of,
     suspects_of,
 )
-from fulmarroad_serving._suspects import TRIAL_TIMEOUT_S, SuspectState, crash_id
+from fulmarroad_serving._suspect_records import TRIAL_TIMEOUT_S, crash_id
+from fulmarroad_serving._suspects import SuspectState
 from fulmarroad_serving.contracts import CallCodec
 from fulmarroad_serving.exceptions import (
     BarredError,
@@ -276,21 +277,8 @@
             self._owner_client.abandon(placement.grant, outcome)
 
     def _avoided(self, run: ActiveCall) -> set[ServerName]:
-        return run.avoid | self._trial_servers(run)
-
-    def _trial_servers(self, run: ActiveCall) -> set[ServerName]:
-        """Return the servers that the call must avoid if it is isolated.
-
-        Each of them runs an isolated request, and a crash must have a single suspect.
-        """
-        now = self._clock()
-        if run.suspects.suspicion(now).state < SuspectState.ISOLATED:
-            return set()
-        trial_servers = self._dispatcher.suspects.trial_servers(now)
-        rows = [row.instance for row in self._dispatcher.registry.rows()]
-        return {
-            row.id for row in rows if crash_id(row.id, row.started_ms) in trial_servers
-        }
+        rows = (row.instance for row in self._dispatcher.registry.rows())
+        return run.avoid | run.suspects.trial_servers(rows, self._clock())
 
     async def _attempt(self, run: ActiveCall, placement: Placement) -> SendError | None:
         """Send a call once; return the error if it brought no complete answer."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -18,11 +18,11 @@
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving._suspect_rows import (
+    SuspectRow,
     pack_suspect_callers,
     pack_suspects,
     read_suspects,
 )
-from fulmarroad_serving._suspects import SuspectRow
 
 ServerRun = tuple[ServerName, int]
 """A server and the Unix time of its start in milliseconds."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspect_rows.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspect_rows.py
@@ -6,8 +6,22 @@
 from itertools import zip_longest
 from typing import Any
 
+from attrs import frozen
+
+from fulmarroad_serving._culprits import CrashId
 from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, Fingerprint
-from fulmarroad_serving._suspects import SuspectRow
+from fulmarroad_serving._suspect_records import CallerTag
+
+
+@frozen
+class SuspectRow:
+    """Hold the state of one suspect as sent between routers; ages in seconds."""
+
+    fingerprint: Fingerprint
+    ends: tuple[tuple[CrashId, float], ...]
+    success_age_s: float | None = None  # since its last successful run
+    trial: tuple[CrashId, float] | None = None  # server start that runs it now, and age
+    callers: tuple[CallerTag, ...] = ()  # of each crash
 
 
 def pack_suspects(suspects: Iterable[SuspectRow]) -> list[Any]:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspects.py
@@ -16,10 +16,8 @@
 from collections import OrderedDict
 from collections.abc import Callable, Collection, Iterable
 
-import xxhash
-from attrs import define, field, frozen
+from attrs import frozen
 
-from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_serving._culprits import (
     MIN_CRASHES,
     Accused,
@@ -28,37 +26,18 @@
     find_culprits,
 )
 from fulmarroad_serving._fingerprints import Fingerprint
-
-BAR_DURATION_S = 600.0
-"""Time for which a suspect is not sent to servers after its third crash.
-
-Then one router tries it once. Each further crash doubles the time.
-"""
-
-RETRIAL_S = 2.0
-"""The same for a suspect that ran well before: servers may have crashed for another
-reason, while too few were left for a good run."""
-
-RETRIAL_FACTOR = 3.0
-"""Factor by which each further crash of such a suspect prolongs that time."""
+from fulmarroad_serving._suspect_records import (
+    SUCCESS_WINDOW_S,
+    TRIAL_TIMEOUT_S,
+    UNKNOWN_CALLER,
+    CallerTag,
+    SuspectRecord,
+)
+from fulmarroad_serving._suspect_rows import SuspectRow
 
 RETENTION_S = 86_400.0
 """Time after its last crash at which the record of a request is dropped."""
 
-SUCCESS_WINDOW_S = 1.5
-"""Time for which a crash does not count yet that came so soon after a good run began.
-
-Requests with a popular part run on every server that crashes, also on several that
-crash at the same time. Whether a later run is good is known half a second after its
-start, and at the other routers a few packets later.
-"""
-
-TRIAL_TIMEOUT_S = 1.0
-"""Time for which a run of a suspect that a peer reported counts as in progress.
-
-A request that crashes servers waits and runs for less time before the crash.
-"""
-
 MAX_SUSPECT_ANSWERING_S = 0.5
 """Time of answering after which a crash is no longer attributed to a request, and from
 which its run counts as good.
@@ -67,7 +46,7 @@
 """
 
 MAX_RECORDS = 512
-"""Maximum number of suspects kept, about 0.3 MB.
+"""Maximum number of suspects kept, about 0.4 MB.
 
 Those with the fewest crashes are dropped first, then the oldest.
 """
@@ -80,10 +59,6 @@
 """Time after its last crash at which the record of a suspect that has run well is
 dropped."""
 
-MAX_CRASHES_PER_RECORD = 16
-"""Maximum number of crashes kept per suspect, the newest: more than a fleet's servers
-that crash within the time in which good runs would become known."""
-
 MAX_SENT_CRASHES = 8
 """Maximum number of crashes in a row, the newest; peers add them to those they know."""
 
@@ -99,15 +74,9 @@
 MIN_TIME_DIFFERENCE_S = 0.5
 """Time difference up to which two routers' reports count as the same event."""
 
-UNKNOWN_CALLER = 0
-"""Tag of a caller that a router of the previous release did not tell."""
-
 OnSuspect = Callable[[Fingerprint, int, str], None]
 """Be told of a suspect: its fingerprint, its crashes, and its name if it is a part."""
 
-CallerTag = int
-"""Identifies the workspace of a caller in records, in 16 bits."""
-
 
 class SuspectState(enum.IntEnum):
     """State how a request may be run, by the number of servers that it crashed."""
@@ -118,17 +87,6 @@
     BARRED = 3  # not sent
 
 
-@frozen
-class SuspectRow:
-    """Hold the state of one suspect as sent between routers; ages in seconds."""
-
-    fingerprint: Fingerprint
-    ends: tuple[tuple[CrashId, float], ...]
-    success_age_s: float | None = None  # since its last successful run
-    trial: tuple[CrashId, float] | None = None  # server start that runs it now, and age
-    callers: tuple[CallerTag, ...] = ()  # of each crash
-
-
 @frozen
 class Suspicion:
     """Hold how a call may be run, and the suspect for which it is restricted."""
@@ -140,79 +98,6 @@
 NO_SUSPICION = Suspicion(SuspectState.CLEAR)
 
 
-@define
-class _Record:
-    ends: dict[CrashId, float] = field(factory=dict)  # time of each crash
-    callers: dict[CrashId, CallerTag] = field(factory=dict)
-    success_at: float = -math.inf  # start of the last good run
-    trial_started_at: float = -math.inf
-    trial_server: CrashId = 0
-    barred_at: float = math.inf
-    part_name: str = ""  # of a part, if a call with it came here
-
-    @property
-    def last_crash_at(self) -> float:
-        return max(self.ends.values(), default=-math.inf)
-
-    @property
-    def ran_well(self) -> bool:
-        return self.success_at > -math.inf
-
-    def counted(self, now: float = math.inf) -> frozenset[CrashId]:
-        """Return the crashes since the last good run began, as far as they count."""
-        since = self.success_at + SUCCESS_WINDOW_S
-        return frozenset(
-            end
-            for end, at in self.ends.items()
-            if at > self.success_at and (at > since or now >= at + SUCCESS_WINDOW_S)
-        )
-
-    def count(self, now: float = math.inf) -> int:
-        """Return the number of crashes that count."""
-        return len(self.counted(now))
-
-    def barred_until(self) -> float:
-        """Return the time until which a culprit is barred."""
-        trials = sum(at > self.barred_at + TRIAL_TIMEOUT_S for at in self.ends.values())
-        duration_s = (
-            RETRIAL_S * RETRIAL_FACTOR**trials
-            if self.ran_well
-            else BAR_DURATION_S * 2**trials
-        )
-        return max(self.last_crash_at, self.barred_at) + duration_s
-
-    def only_caller(self) -> CallerTag:
-        """Return the caller of all counted crashes, or unknown if they differ."""
-        tags = {self.callers.get(end, UNKNOWN_CALLER) for end in self.counted()}
-        return tags.pop() if len(tags) == 1 else UNKNOWN_CALLER
-
-    def add_crash(
-        self, end: CrashId, at: float, caller: CallerTag = UNKNOWN_CALLER
-    ) -> bool:
-        """Add a crash and return whether it was unknown."""
-        if end in self.ends:
-            return False
-        self.ends[end] = at
-        self.callers[end] = caller
-        if len(self.ends) > MAX_CRASHES_PER_RECORD:
-            oldest = min(self.ends, key=self.ends.__getitem__)
-            del self.ends[oldest], self.callers[oldest]
-            if oldest == end:
-                return False
-        self.trial_started_at = -math.inf
-        return True
-
-
-def crash_id(server: ServerName, started_ms: int) -> CrashId:
-    """Return the id of the crash of a server that was started at `started_ms`."""
-    return xxhash.xxh3_64_intdigest(f"{server}\0{started_ms}".encode())
-
-
-def caller_tag(workspace: WorkspaceName) -> CallerTag:
-    """Return the tag of a caller; two share one in 65,000 cases."""
-    return xxhash.xxh3_64_intdigest(workspace.encode()) & 0xFFFF or 1
-
-
 def _ignore() -> None:
     pass
 
@@ -225,7 +110,7 @@
     """Hold the requests and parts that were on servers as they crashed."""
 
     def __init__(self) -> None:
-        self._records: dict[Fingerprint, _Record] = {}
+        self._records: dict[Fingerprint, SuspectRecord] = {}
         self._known_culprits = Culprits()
         self._stale_since: float | None = None  # when a change mattered for culprits
         self._undecided: dict[Fingerprint, float] = {}  # when all their crashes count
@@ -471,13 +356,13 @@
             and not record.count()
         )
 
-    def _record(self, fingerprint: Fingerprint, now: float) -> _Record:
+    def _record(self, fingerprint: Fingerprint, now: float) -> SuspectRecord:
         record = self._records.get(fingerprint)
         if record is None:
             if len(self._records) >= MAX_RECORDS:
                 self._drop_least_certain()
             success_at = self._successes.get(fingerprint, -math.inf)
-            record = self._records[fingerprint] = _Record(success_at=success_at)
+            record = self._records[fingerprint] = SuspectRecord(success_at=success_at)
         return record
 
     def _note_crash_time(self, end: CrashId, at: float) -> None:
--- a/packages/fulmarroad-serving/tests/test_suspects.py
+++ b/packages/fulmarroad-serving/tests/test_suspects.py
@@ -21,16 +21,18 @@
 from fulmarroad_serving._fingerprints import part_fingerprint
 from fulmarroad_serving._fleet_view import MAX_SUSPECTS
 from fulmarroad_serving._reports import pack_report, read_report, unpack_report
-from fulmarroad_serving._suspects import (
+from fulmarroad_serving._suspect_records import (
     BAR_DURATION_S,
-    MAX_RECORDS,
-    MAX_SUSPECT_ANSWERING_S,
-    RETENTION_S,
     RETRIAL_FACTOR,
     RETRIAL_S,
     SUCCESS_WINDOW_S,
     TRIAL_TIMEOUT_S,
-    SuspectRow,
+)
+from fulmarroad_serving._suspect_rows import SuspectRow
+from fulmarroad_serving._suspects import (
+    MAX_RECORDS,
+    MAX_SUSPECT_ANSWERING_S,
+    RETENTION_S,
     Suspects,
     SuspectState,
 )
