Of two that explain as many crashes, find the one that did so first

Cause: both had three crashes, the order of their fingerprints decided, and the wrong one then explained two crashes of the right one, which was let off.

Change: between suspects with as many crashes the one whose third crash came first goes first. Ruled out: weighing by what else crashed meanwhile (three of four crashes).

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_culprits.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -47,11 +48,6 @@
     crashes: frozenset[CrashId]
     ran_well: bool  # before these crashes
 
-    @property
-    def rank(self) -> tuple[bool, int, Fingerprint]:
-        """Return the sort key: what never ran well first, then what explains most."""
-        return self.ran_well, -len(self.crashes), self.fingerprint
-
     def is_alike(self, other: Accused) -> bool:
         """Return whether another suspect explains nearly the same crashes."""
         common = len(self.crashes & other.crashes)
@@ -102,9 +98,9 @@
     def __init__(
         self, accused: Iterable[Accused], crash_times: Mapping[CrashId, float]
     ) -> None:
-        self._left = sorted(accused, key=lambda row: row.rank)
-        self._culprits = Culprits()
         self._times = crash_times
+        self._left = sorted(accused, key=self._rank)
+        self._culprits = Culprits()
         self._sorted = sorted(crash_times.values())
         self._explained: list[float] = []  # times, sorted
         self._same: dict[frozenset[CrashId], list[Accused]] = {}
@@ -123,6 +119,12 @@
             found = len(self._culprits.explained) > before
         return self._culprits
 
+    def _rank(self, row: Accused) -> tuple[bool, int, float, Fingerprint]:
+        """Return the sort key: what never ran well, explains most, and did so first."""
+        times = sorted(self._times.get(end, math.inf) for end in row.crashes)
+        enough_at = times[MIN_CRASHES - 1] if len(times) >= MIN_CRASHES else math.inf
+        return row.ran_well, -len(row.crashes), enough_at, row.fingerprint
+
     def _try(self, row: Accused) -> bool:
         """Add a suspect if it is a culprit, and return whether it is decided."""
         if row.fingerprint in self._culprits:
--- a/packages/fulmarroad-serving/tests/test_culprits.py
+++ b/packages/fulmarroad-serving/tests/test_culprits.py
@@ -60,6 +60,14 @@
         assert set(culprits.group_of(BAD)) == {BAD, POPULAR}
         assert OTHER not in culprits
 
+    def test_of_two_that_explain_as_many_the_one_that_did_so_first_is_found(self):
+        """Guard against a sound request that replaces the one it ran beside.
+
+        It was at two of its crashes, and at one more that had another cause.
+        """
+        rows = [accused(OTHER, 1, 2, 4), accused(b"z", 1, 2, 3)]
+        assert find_culprits(rows).names == {b"z"}
+
     def test_the_order_of_suspects_makes_no_difference(self):
         """Guard against routers that bar different suspects by the same evidence."""
         rows = [accused(BAD, 1, 2, 3), accused(OTHER, 3, 4, 5, 6)]
