Log whether a request without an answer reached its server, and count how connections end

The hypotheses on the call delivered late can't be told apart: no line says whether the server's kernel acknowledged a request, how long before that it was written, or how its connection was closed.

Nothing decides by them. Where TCP_INFO is not filled in the line says 'unknown'.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -43,7 +43,7 @@
 from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
-from fulmarroad_serving._served_call import CallSummary, ServedCall
+from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
 from fulmarroad_serving._workspace_outcomes import LATE, ON_TIME, WorkspaceOutcomes
 from fulmarroad_serving.contracts import CallCodec, CallHead
 
@@ -275,6 +275,9 @@
             self._metrics.estimate_error.labels(kind).observe(error)
         if record.outcome == "served":
             self._metrics.whole_answer.labels(kind).observe(seconds)
+        last = summary.last_request
+        if last is not None and not last.answered:
+            self._metrics.unanswered.labels(last.delivery.value).inc()
         if record.workspace:
             self.ends.note(record.workspace, _share_outcome(record))
         emit(
@@ -307,6 +310,7 @@
             objective_s=route.objective_s if route else 0.0,
             fingerprint=summary.fingerprint.hex(),
             suspect_part=summary.suspect_part,
+            **request_fields(summary.last_request),
         )
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -18,6 +18,7 @@
 import httptools
 from attrs import frozen
 
+from fulmarroad.delivery import CloseMode, RequestState, unacknowledged_bytes
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -69,7 +70,10 @@
 class BackendConnection(asyncio.Protocol):
     """Send calls over one connection and read their answers."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, on_closed: Callable[[CloseMode], None] = lambda mode: None
+    ) -> None:
+        self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
         self._parts: deque[_Part] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -77,6 +81,8 @@
         self._headers: list[Header] = []
         self._read_head: ReadHead = lambda status, headers: None
         self._awaiting_answer = False  # a call waits for its answer
+        self._answered = True  # the last request has its complete answer
+        self._written_at = 0.0
         self._in_answer = False
         self._skipping = False  # this answer belongs to another call
         self._has_framing = False
@@ -119,6 +125,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending call."""
         self._closed = True
+        self._on_closed(self.close_mode)
         if self._awaiting_answer:
             cause = repr(error) if error else "closed by the server"
             self._add(_ConnectionClosed(cause))
@@ -201,12 +208,28 @@
         """
         return self._ended_by_close
 
+    @property
+    def close_mode(self) -> CloseMode:
+        """Return how the connection ends if it is closed now."""
+        return CloseMode.ORDERLY
+
+    def request_state(self) -> RequestState:
+        """Return what is known of the last request and its delivery."""
+        written_s = asyncio.get_running_loop().time() - self._written_at
+        unacked_bytes = None
+        if not self._answered and self._transport is not None:
+            raw = self._transport.get_extra_info("socket")
+            unacked_bytes = unacknowledged_bytes(raw) if raw is not None else None
+        return RequestState(self._answered, written_s, unacked_bytes, self.close_mode)
+
     def send(self, request: bytes, read_head: ReadHead) -> None:
         """Write a complete request; the transport sends it as the server accepts it."""
         assert self._transport is not None
         self.calls += 1
         self._read_head = read_head
         self._awaiting_answer = True
+        self._answered = False
+        self._written_at = asyncio.get_running_loop().time()
         self._transport.write(request)
 
     async def head(self, timeout_s: float) -> AnswerHead:
@@ -266,6 +289,7 @@
     def _finish(self) -> None:
         self._in_answer = False
         self._awaiting_answer = False
+        self._answered = True
         if not self._has_framing or not self._parser.should_keep_alive():
             self._will_close = True
         self._add(_EndOfAnswer())
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -12,6 +12,7 @@
 import anyio
 from attrs import evolve
 
+from fulmarroad.delivery import RequestState
 from fulmarroad.events import Event, emit
 from fulmarroad.types import Ran, RefusalReason, ServerName
 from fulmarroad_router.exceptions import (
@@ -38,6 +39,7 @@
     Responder,
     ServedCall,
     demand_of,
+    request_fields,
     suspects_of,
 )
 from fulmarroad_serving._suspect_records import TRIAL_TIMEOUT_S, crash_id
@@ -317,7 +319,7 @@
         run.summary.sends = run.progress.sends
         outcome: SendOutcome | None = None
         try:
-            await self._exchanger.exchange(run, connection, instance, ticket)
+            await self._exchange(run, connection, instance, ticket)
             if ticket.begun_at is not None:
                 run.suspects.note_good_run(ticket.begun_at, self._clock())
         except SendError as error:
@@ -332,6 +334,18 @@
             run.suspects.end()
         return None
 
+    async def _exchange(
+        self,
+        run: ActiveCall,
+        connection: BackendConnection,
+        instance: Instance,
+        ticket: Ticket,
+    ) -> None:
+        try:
+            await self._exchanger.exchange(run, connection, instance, ticket)
+        finally:
+            run.summary.last_request = connection.request_state()
+
     async def _acquire(self, instance: Instance, run: ActiveCall) -> BackendConnection:
         service = self._service(run)
         routers = len(self._dispatcher.routers)
@@ -351,7 +365,10 @@
         elif isinstance(error, BrokenAnswerError):
             self._dispatcher.registry.suspect(instance.id, now)
         answered_s = ticket.answered_s(now) if ticket.begun else None
-        self._note_failure(run, instance.id, error, answered_s, crashed=crashed)
+        request = run.summary.last_request
+        self._note_failure(
+            run, instance.id, error, answered_s, request, crashed=crashed
+        )
 
     def _note_crash(
         self, run: ActiveCall, instance: Instance, answered_s: float
@@ -368,6 +385,7 @@
         server: ServerName,
         error: SendError,
         answered_s: float | None = None,
+        request: RequestState | None = None,
         *,
         crashed: bool = False,
     ) -> None:
@@ -388,6 +406,7 @@
             parts=run.call.head.parts[:MAX_LOGGED_PARTS],
             fingerprint=run.call.fingerprint.hex(),
             ends=run.suspects.ends,
+            **request_fields(request),
         )
 
     # final outcomes
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from fulmarroad.delivery import CloseMode
+
 ESTIMATE_ERROR_BUCKETS = (-0.4, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 """Bucket bounds in seconds for estimate errors; above zero the answer came later."""
 
@@ -49,6 +51,18 @@
             ["refusal"],
             registry=self._registry,
         )
+        self.unanswered = Counter(
+            "fulmarroad_unanswered_requests",
+            "Calls whose last request to a server has no answer, by its delivery",
+            ["delivery"],
+            registry=self._registry,
+        )
+        self.closed = Counter(
+            "fulmarroad_server_connections_closed",
+            "Connections to servers that ended, by how",
+            ["how"],
+            registry=self._registry,
+        )
         self.stream_records = Gauge(
             "fulmarroad_stream_records",
             "Streams of which this router remembers where they began",
@@ -83,6 +97,10 @@
             registry=self._registry,
         )
 
+    def note_closed(self, mode: CloseMode) -> None:
+        """Count a connection to a server that ended."""
+        self.closed.labels(mode.value).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -9,6 +9,7 @@
 import anyio
 from attrs import define, field
 
+from fulmarroad.delivery import CloseMode
 from fulmarroad.types import ServerName
 from fulmarroad_serving._budgets import assumed_routers
 from fulmarroad_serving._connection import BackendConnection
@@ -40,8 +41,13 @@
 class ConnectionPool:
     """Manage the connections to all backend servers."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        on_closed: Callable[[CloseMode], None] = lambda mode: None,
+    ) -> None:
         self._clock = clock
+        self._on_closed = on_closed
         self._server_pools: dict[ServerName, _ServerPool] = {}
         self.opened = 0
 
@@ -149,7 +155,9 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    BackendConnection, instance.host, instance.port
+                    lambda: BackendConnection(self._on_closed),
+                    instance.host,
+                    instance.port,
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import Any, Protocol
 
 from attrs import define, evolve, field, frozen
 
+from fulmarroad.delivery import RequestState
 from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_router.asgi import Headers
 from fulmarroad_serving._attempts import CallProgress
@@ -78,6 +79,7 @@
     begun_s: float = 0.0  # the same time as measured
     fingerprint: Fingerprint = b""  # of the suspect for which it was restricted
     suspect_part: str = ""  # its name, if the suspect is a part of the prompt
+    last_request: RequestState | None = None  # of the last send, at its end
 
 
 @define
@@ -103,6 +105,18 @@
         return self.call.deadline - now
 
 
+def request_fields(request: RequestState | None) -> dict[str, Any]:
+    """Return the log fields of a request without an answer, else none."""
+    if request is None or request.answered:
+        return {}
+    return {
+        "delivery": request.delivery.value,
+        "unacked_bytes": request.unacked_bytes,
+        "written_s": round(request.written_s, 3),
+        "closed": request.close_mode.value,
+    }
+
+
 def demand_of(call: ServedCall) -> Demand:
     """Return the inputs for placing a call."""
     head = call.head
--- a/packages/fulmarroad-serving/tests/test_ended_servers.py
+++ b/packages/fulmarroad-serving/tests/test_ended_servers.py
@@ -3,6 +3,7 @@
 import logging
 
 import anyio
+import pytest
 from attrs import evolve
 from serving_bed import CrashingServers, run
 
@@ -172,3 +173,26 @@
     def test_the_boundaries_between_fields_change_the_fingerprint(self):
         first = fingerprint_of("ab", "c", "GET", b"/", b"")
         assert first != fingerprint_of("a", "bc", "GET", b"/", b"")
+
+
+class TestUnansweredRequests:
+    def test_the_log_says_whether_the_server_has_the_request(self, caplog):
+        """Guard against logs that don't tell a cut path from a silent server."""
+
+        async def test(bed):
+            caplog.set_level(logging.INFO, "fulmarroad.serving")
+
+            async def never_answer(arrival, writer):
+                await anyio.sleep(5)
+
+            await bed.serve("s-1", never_answer)
+            headers = {"x-deadline-ms": "200"}
+            await bed.call("/post/1", method="POST", body=b"x", headers=headers)
+            (failed,) = events(caplog, Event.SEND_FAILED)
+            assert failed.delivery == "acknowledged"
+            assert failed.unacked_bytes == 0
+            assert failed.written_s == pytest.approx(0.2, abs=0.15)
+            (ended,) = events(caplog, Event.REQUEST_UNKNOWN)
+            assert ended.delivery == "acknowledged"
+
+        run(test)
--- /dev/null
+++ b/packages/fulmarroad/src/fulmarroad/delivery.py
@@ -0,0 +1,17 @@
+"""Delivery of requests over TCP, and how their connections end."""
+
+from fulmarroad._delivery import (
+    CloseMode,
+    ConnectedSocket,
+    Delivery,
+    RequestState,
+    unacknowledged_bytes,
+)
+
+__all__ = [
+    "CloseMode",
+    "ConnectedSocket",
+    "Delivery",
+    "RequestState",
+    "unacknowledged_bytes",
+]
