Failing tests: requests that were given up arrive later

Callers see a booking that runs after they were told 504, work that runs twice, or work for those who left; servers that have left get requests seconds later.

--- /dev/null
+++ b/packages/fulmarroad-router/tests/test_backend.py
@@ -0,0 +1,108 @@
+"""Tests of calls to backend servers over real sockets and a path that can be cut."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+from held_path import HeldPath
+
+from fulmarroad.tables import BackendServer, Pool
+from fulmarroad_router.backend import (
+    BackendClient,
+    BackendRequest,
+    TimedOutAfterSend,
+)
+
+SETTLE_S = 0.3
+"""Time in which what a healed path delivers has reached the server."""
+
+POOL = Pool("ledger", first_byte_timeout_s=0.3, idle_timeout_s=0.3)
+
+
+class Ledger:
+    """A server that keeps the ids of the requests that reach it."""
+
+    def __init__(self):
+        self.ids = []
+
+    async def connected(self, reader, writer):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.ids.append(head.partition(b"x-id: ")[2].split(b"\r\n")[0].decode())
+                writer.write(b"HTTP/1.1 200 S\r\ncontent-length: 4\r\n\r\ndone")
+                await writer.drain()
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def ledger_behind_path():
+    ledger = Ledger()
+    listener = await asyncio.start_server(ledger.connected, "127.0.0.1", 0)
+    path = HeldPath(listener.sockets[0].getsockname()[1])
+    await path.start()
+    client = BackendClient()
+    try:
+        with anyio.fail_after(10):
+            yield ledger, path, client
+    finally:
+        await client.close()
+        await path.close()
+        listener.close()
+
+
+async def post(client, path, request_id, *, repeatable=True):
+    server = BackendServer("ledger-a", f"127.0.0.1:{path.port}", "fes")
+    headers = [(b"host", b"ledger"), (b"x-id", request_id.encode())]
+    request = BackendRequest(b"POST", b"/reminders", headers, b"")
+    async with client.call(POOL, server, request, repeatable=repeatable) as response:
+        return b"".join([chunk async for chunk in response.chunks()])
+
+
+class TestGivenUpRequests:
+    @pytest.mark.parametrize("repeatable", [True, False])
+    def test_a_request_given_up_at_its_timeout_is_not_delivered(self, repeatable):
+        """Guard against a call that runs after its caller was told that it failed."""
+
+        async def test():
+            async with ledger_behind_path() as (ledger, path, client):
+                await post(client, path, "first", repeatable=repeatable)
+                path.cut()
+                with pytest.raises(TimedOutAfterSend):
+                    await post(client, path, "late", repeatable=repeatable)
+                path.heal()
+                await anyio.sleep(SETTLE_S)
+                assert ledger.ids == ["first"]
+
+        anyio.run(test)
+
+    def test_a_request_whose_caller_left_is_not_delivered(self):
+        """Guard against work at a server for a caller who has left."""
+
+        async def test():
+            async with ledger_behind_path() as (ledger, path, client):
+                await post(client, path, "first")
+                path.cut()
+                with anyio.move_on_after(0.15):
+                    await post(client, path, "left")
+                path.heal()
+                await anyio.sleep(SETTLE_S)
+                assert ledger.ids == ["first"]
+
+        anyio.run(test)
+
+
+class TestAnsweredRequests:
+    @pytest.mark.parametrize("repeatable", [True, False])
+    def test_an_answered_connection_ends_by_fin(self, repeatable):
+        """Guard against resets that a server counts as failures of its callers."""
+
+        async def test():
+            async with ledger_behind_path() as (_, path, client):
+                assert await post(client, path, "c-1", repeatable=repeatable) == b"done"
+                await client.close()
+                await anyio.sleep(SETTLE_S)
+                assert (path.orderly_ends, path.resets) == (1, 0)
+
+        anyio.run(test)
