Withdraw requests that were given up: reset connections unless their answer is complete

Callers saw a booking run 5.3 s after they were told 504, at a server that had left 8 s before; the same for requests repeated elsewhere, left by their callers, or of routers that had ended.

Cause: a call's end closed its connection, and the kernel went on sending the bytes that the server had not acknowledged, with a FIN behind them. The class is a belief that ends with the call while its message lives on.

Change: a connection is reset as its socket or its process ends, from the moment it is made (SO_LINGER 0). Only where the last request's answer is complete it ends by FIN, so a path through the code that forgets about it resets. The library's daemon has the same in the network backend of its connections; answers tell it when they are complete.

--- a/packages/fulmarroad-router/src/fulmarroad_router/backend.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/backend.py
@@ -14,6 +14,7 @@
 import httpcore
 from attrs import frozen
 
+from fulmarroad.delivery import end_orderly, reset_on_close
 from fulmarroad.exceptions import FulmarroadError
 from fulmarroad.tables import BackendServer, Pool
 
@@ -22,6 +23,9 @@
 MAX_CONNECTIONS = 4096
 KEEPALIVE_S = 10.0
 
+_CONNECTION = "fulmarroad_connection"
+"""Name under which httpcore's answers give access to their `_BackendConnection`."""
+
 _SEND_EVENTS = {"http11.send_request_headers.started"}
 """Trace events of httpcore after which bytes of the request may have been sent."""
 
@@ -76,6 +80,7 @@
         try:
             async for chunk in self._response.aiter_stream():
                 yield chunk
+            self._note_answered()
         except httpcore.TimeoutException as error:
             raise TimedOutAfterSend(
                 "The backend server sent no data in time."
@@ -85,12 +90,17 @@
                 "The backend server interrupted its answer."
             ) from error
 
+    def _note_answered(self) -> None:
+        stream = self._response.extensions["network_stream"]
+        stream.get_extra_info(_CONNECTION).note_answered()
+
 
 class BackendCall:
     """Send one request as an async context manager; leaving it closes the answer.
 
     Leaving it before the end of the body cancels the work at the backend server, since
-    httpcore then closes the connection instead of keeping it alive.
+    httpcore then closes the connection instead of keeping it alive, and withdraws the
+    request if it is still under way.
     """
 
     def __init__(
@@ -196,11 +206,46 @@
         await self._single_use_pool.aclose()
 
 
+class _BackendConnection(httpcore.AsyncNetworkStream):
+    """Reset the connection as it ends, unless its last request was answered."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._answered = True
+        reset_on_close(stream.get_extra_info("socket"))
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        return await self._stream.read(max_bytes, timeout)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        self._answered = False
+        await self._stream.write(buffer, timeout)
+
+    def note_answered(self) -> None:
+        """Record that the last request was answered completely."""
+        self._answered = True
+
+    async def aclose(self) -> None:
+        if self._answered:
+            end_orderly(self._stream.get_extra_info("socket"))
+        await self._stream.aclose()
+
+    def get_extra_info(self, info: str) -> Any:
+        return self if info == _CONNECTION else self._stream.get_extra_info(info)
+
+
+class _BackendNetwork(httpcore.AnyIOBackend):
+    """Open connections that withdraw requests without an answer as they end."""
+
+    async def connect_tcp(self, *arguments: Any, **options: Any) -> _BackendConnection:
+        return _BackendConnection(await super().connect_tcp(*arguments, **options))
+
+
 def _make_connection_pool(*, keep_alive: bool) -> httpcore.AsyncConnectionPool:
     return httpcore.AsyncConnectionPool(
         max_connections=MAX_CONNECTIONS,
         max_keepalive_connections=MAX_CONNECTIONS if keep_alive else 0,
         keepalive_expiry=KEEPALIVE_S,
         retries=0,
-        network_backend=httpcore.AnyIOBackend(),
+        network_backend=_BackendNetwork(),
     )
--- a/packages/fulmarroad-router/tests/test_backend.py
+++ b/packages/fulmarroad-router/tests/test_backend.py
@@ -15,7 +15,7 @@
 )
 
 SETTLE_S = 0.3
-"""Time in which what a healed path delivers has reached the server."""
+"""Time in which a reset has reached the path, or the server what the path delivers."""
 
 POOL = Pool("ledger", first_byte_timeout_s=0.3, idle_timeout_s=0.3)
 
@@ -71,6 +71,7 @@
                 path.cut()
                 with pytest.raises(TimedOutAfterSend):
                     await post(client, path, "late", repeatable=repeatable)
+                await anyio.sleep(SETTLE_S)
                 path.heal()
                 await anyio.sleep(SETTLE_S)
                 assert ledger.ids == ["first"]
@@ -86,6 +87,7 @@
                 path.cut()
                 with anyio.move_on_after(0.15):
                     await post(client, path, "left")
+                await anyio.sleep(SETTLE_S)
                 path.heal()
                 await anyio.sleep(SETTLE_S)
                 assert ledger.ids == ["first"]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -18,7 +18,13 @@
 import httptools
 from attrs import frozen
 
-from fulmarroad.delivery import CloseMode, RequestState, unacknowledged_bytes
+from fulmarroad.delivery import (
+    CloseMode,
+    RequestState,
+    end_orderly,
+    reset_on_close,
+    unacknowledged_bytes,
+)
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -75,6 +81,7 @@
     ) -> None:
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
+        self._socket: socket.socket | None = None
         self._parts: deque[_Part] = deque()
         self._waiter: asyncio.Future[None] | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -99,9 +106,12 @@
     # asyncio.Protocol
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and enable TCP keep-alive and the user timeout."""
+        """Store the transport and set the options of its socket."""
         self._transport = cast(asyncio.Transport, transport)
-        enable_dead_peer_detection(transport.get_extra_info("socket"))
+        self._socket = transport.get_extra_info("socket")
+        if self._socket is not None:
+            enable_dead_peer_detection(self._socket)
+            reset_on_close(self._socket)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without a call, mark the connection unusable."""
@@ -123,9 +133,11 @@
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        """Fail the pending call."""
+        """Fail the pending call; the transport closes its socket next."""
         self._closed = True
         self._on_closed(self.close_mode)
+        if self._socket is not None and self.close_mode is CloseMode.ORDERLY:
+            end_orderly(self._socket)
         if self._awaiting_answer:
             cause = repr(error) if error else "closed by the server"
             self._add(_ConnectionClosed(cause))
@@ -195,10 +207,7 @@
             return False
         if self._awaiting_answer or self._will_close or self._parts:
             return False
-        return (
-            not self._transport.is_closing()
-            and self._transport.get_write_buffer_size() == 0
-        )
+        return not self._transport.is_closing() and self._unsent_bytes == 0
 
     @property
     def ended_by_close(self) -> bool:
@@ -211,15 +220,14 @@
     @property
     def close_mode(self) -> CloseMode:
         """Return how the connection ends if it is closed now."""
-        return CloseMode.ORDERLY
+        return CloseMode.ORDERLY if self._answered else CloseMode.RESET
 
     def request_state(self) -> RequestState:
         """Return what is known of the last request and its delivery."""
         written_s = asyncio.get_running_loop().time() - self._written_at
         unacked_bytes = None
-        if not self._answered and self._transport is not None:
-            raw = self._transport.get_extra_info("socket")
-            unacked_bytes = unacknowledged_bytes(raw) if raw is not None else None
+        if not self._answered and self._socket is not None:
+            unacked_bytes = unacknowledged_bytes(self._socket)
         return RequestState(self._answered, written_s, unacked_bytes, self.close_mode)
 
     def send(self, request: bytes, read_head: ReadHead) -> None:
@@ -252,7 +260,7 @@
         raise _answer_error(part)
 
     def close(self) -> None:
-        """Close immediately, which cancels the call at the server."""
+        """Close immediately; a request without an answer is withdrawn by a reset."""
         self._closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -289,11 +297,16 @@
     def _finish(self) -> None:
         self._in_answer = False
         self._awaiting_answer = False
-        self._answered = True
+        # A server may answer a long request before it has read it.
+        self._answered = self._unsent_bytes == 0
         if not self._has_framing or not self._parser.should_keep_alive():
             self._will_close = True
         self._add(_EndOfAnswer())
 
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._transport.get_write_buffer_size() if self._transport else 0
+
     def _mark_unusable(self) -> None:
         self._unusable = True
         self._awaiting_answer = False
@@ -319,14 +332,12 @@
     return kind(f"The answer broke off: {cause}.")
 
 
-def enable_dead_peer_detection(raw: socket.socket | None) -> None:
+def enable_dead_peer_detection(raw: socket.socket) -> None:
     """Make the kernel close a connection whose peer no longer responds.
 
     A network path can fail without a reset, which would otherwise go unnoticed until a
     call's deadline.
     """
-    if raw is None:
-        return
     tcp = socket.IPPROTO_TCP
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -13,7 +13,7 @@
 from fulmarroad_serving.contracts import InstanceFact
 
 SETTLE_S = 0.3
-"""Time in which what a healed path delivers has reached the server."""
+"""Time in which a reset has reached the path, or the server what the path delivers."""
 
 SENDER = """
 import asyncio, sys
@@ -62,6 +62,7 @@
             )
             assert caller.status == 504
             assert path.held_bytes or path.resets
+            await anyio.sleep(SETTLE_S)
             path.heal()
             await anyio.sleep(SETTLE_S)
             assert ids_at(bed, "s-1") == ["first"]
@@ -90,6 +91,7 @@
                         )
                     )
             assert [caller.status for caller in callers] == [200] * 6
+            await anyio.sleep(SETTLE_S)
             paths[0].heal()
             await anyio.sleep(SETTLE_S)
             ran = [row.header("x-id") for row in bed.arrivals[before:]]
@@ -117,6 +119,7 @@
                 await bed.call(
                     "/post/1", request_id="c-1", method="POST", body=b"x", caller=caller
                 )
+            await anyio.sleep(SETTLE_S)
             path.heal()
             await anyio.sleep(SETTLE_S)
             assert ids_at(bed, "s-1") == ["first"]
--- a/packages/fulmarroad/src/fulmarroad/_delivery.py
+++ b/packages/fulmarroad/src/fulmarroad/_delivery.py
@@ -1,7 +1,10 @@
 """Delivery of a request: what the kernel knows of it when its connection closes.
 
 The kernel keeps bytes that the peer has not acknowledged, and goes on sending them
-after the connection was closed. A request that was given up can therefore still arrive.
+after the connection was closed. A request that was given up could therefore still
+arrive. Only a complete answer shows that nothing of a request is under way: a kernel's
+acknowledgement may be that of a proxy. So every connection is reset as it ends, that of
+a killed process too, unless its last request was answered.
 """
 
 from __future__ import annotations
@@ -22,6 +25,10 @@
 """Offset of the retransmission timeout, which is never 0 for a connected socket."""
 
 
+NO_LINGER = struct.pack("ii", 0, 0)
+RESET_AT_ONCE = struct.pack("ii", 1, 0)
+
+
 class CloseMode(enum.StrEnum):
     """State how a connection ends."""
 
@@ -46,6 +53,9 @@
     def getsockopt(self, level: int, name: int, size: int, /) -> bytes:
         """Return the value of a socket option."""
 
+    def setsockopt(self, level: int, name: int, value: bytes, /) -> None:
+        """Set a socket option."""
+
 
 @frozen
 class RequestState:
@@ -71,6 +81,19 @@
         return Delivery.ACKNOWLEDGED
 
 
+def reset_on_close(raw: ConnectedSocket) -> None:
+    """Make the kernel reset a connection when its socket or its process ends."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+
+
+def end_orderly(raw: ConnectedSocket) -> None:
+    """Let a connection end by FIN, which the kernel sends until it is acknowledged.
+
+    A reset is sent once. If it gets lost, the peer keeps the connection open.
+    """
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
 def unacknowledged_bytes(raw: ConnectedSocket) -> int | None:
     """Return the bytes that the peer has not acknowledged, or `None` if unknown.
 
--- a/packages/fulmarroad/src/fulmarroad/delivery.py
+++ b/packages/fulmarroad/src/fulmarroad/delivery.py
@@ -5,6 +5,8 @@
     ConnectedSocket,
     Delivery,
     RequestState,
+    end_orderly,
+    reset_on_close,
     unacknowledged_bytes,
 )
 
@@ -13,5 +15,7 @@
     "ConnectedSocket",
     "Delivery",
     "RequestState",
+    "end_orderly",
+    "reset_on_close",
     "unacknowledged_bytes",
 ]
