Withdraw requests that stay unacknowledged before a leaving server's drain timeout

Callers of long streams saw nothing of it, but a server that had left got their requests up to three seconds after its leaving was known: they were written just before it, on a path that then was cut.

Cause: requests whose calls go on are held by the kernel until TCP_USER_TIMEOUT, 3 s, which is longer than the time in which a leaving server may still get requests (2 s).

Change: the user timeout is the drain timeout less 0.5 s for learning of a leaving, 3 s at most. The kernel applies it, so it holds for a frozen router too. Ruled out: withdrawing when the leaving is learnt, which needs a router that learns in time.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -35,9 +35,10 @@
 PAUSE_READING_BYTES = 256 * 1024
 """Unread bytes of an answer above which reading pauses until the caller catches up."""
 
-USER_TIMEOUT_MS = 3_000
-"""Time without acknowledgement after which the kernel closes a connection. A path that
-drops all packets would otherwise block a call until its deadline."""
+MAX_UNACKED_S = 3.0
+"""Time without acknowledgement after which the kernel drops a connection, and with it
+the request. A path that drops all packets would otherwise block a call until its
+deadline."""
 
 FIRST_FINAL_STATUS = 200
 
@@ -77,9 +78,12 @@
     """Send calls over one connection and read their answers."""
 
     def __init__(
-        self, on_closed: Callable[[CloseMode], None] = lambda mode: None
+        self,
+        on_closed: Callable[[CloseMode], None] = lambda mode: None,
+        max_unacked_s: float = MAX_UNACKED_S,
     ) -> None:
         self._on_closed = on_closed
+        self._max_unacked_s = max_unacked_s
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
         self._parts: deque[_Part] = deque()
@@ -110,7 +114,7 @@
         self._transport = cast(asyncio.Transport, transport)
         self._socket = transport.get_extra_info("socket")
         if self._socket is not None:
-            enable_dead_peer_detection(self._socket)
+            enable_dead_peer_detection(self._socket, self._max_unacked_s)
             reset_on_close(self._socket)
 
     def data_received(self, data: bytes) -> None:
@@ -332,7 +336,7 @@
     return kind(f"The answer broke off: {cause}.")
 
 
-def enable_dead_peer_detection(raw: socket.socket) -> None:
+def enable_dead_peer_detection(raw: socket.socket, max_unacked_s: float) -> None:
     """Make the kernel close a connection whose peer no longer responds.
 
     A network path can fail without a reset, which would otherwise go unnoticed until a
@@ -343,7 +347,7 @@
     raw.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     raw.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
     raw.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, round(1000 * max_unacked_s))
 
 
 def _keep_alive_timeout(value: bytes) -> float | None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -29,6 +29,7 @@
     warmup_factor: float = 1.0
     warmup_tolerance: float = 0.0
     share_window_s: float = 4.0
+    drain_timeout_s: float = 2.0  # in which requests may still reach a leaving server
 
 
 @frozen
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -12,7 +12,8 @@
 from fulmarroad.delivery import CloseMode
 from fulmarroad.types import ServerName
 from fulmarroad_serving._budgets import assumed_routers
-from fulmarroad_serving._connection import BackendConnection
+from fulmarroad_serving._connection import MAX_UNACKED_S, BackendConnection
+from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving.exceptions import (
     ConnectionLimitError,
@@ -31,6 +32,12 @@
 DEFAULT_IDLE_S = 3.0
 """Time for which an idle connection is kept if the server states no timeout."""
 
+LEARNING_S = 0.5
+"""Time in which every router in touch learns that a server leaves."""
+
+MIN_UNACKED_S = 0.5
+"""Shortest time without acknowledgement; a lost packet is sent again sooner."""
+
 
 @define
 class _ServerPool:
@@ -45,9 +52,11 @@
         self,
         clock: Callable[[], float],
         on_closed: Callable[[CloseMode], None] = lambda mode: None,
+        drain_timeout_s: float = FleetBounds().drain_timeout_s,
     ) -> None:
         self._clock = clock
         self._on_closed = on_closed
+        self._max_unacked_s = max_unacked_s(drain_timeout_s)
         self._server_pools: dict[ServerName, _ServerPool] = {}
         self.opened = 0
 
@@ -73,6 +82,10 @@
             pool.open -= 1
             raise
 
+    def new_connection(self) -> BackendConnection:
+        """Return a connection that is not open yet, with the settings of this pool."""
+        return BackendConnection(self._on_closed, self._max_unacked_s)
+
     async def refuses(self, instance: Instance) -> bool:
         """Return whether a server refuses connections.
 
@@ -155,9 +168,7 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 _, connection = await loop.create_connection(
-                    lambda: BackendConnection(self._on_closed),
-                    instance.host,
-                    instance.port,
+                    self.new_connection, instance.host, instance.port
                 )
         except (OSError, TimeoutError) as error:
             refused = isinstance(error, ConnectionRefusedError)
@@ -167,3 +178,12 @@
             ) from error
         self.opened += 1
         return connection
+
+
+def max_unacked_s(drain_timeout_s: float) -> float:
+    """Return the seconds for which a request may wait for its acknowledgement.
+
+    The server may leave just after a request was written. Not acknowledged by the drain
+    timeout, it could only arrive too late.
+    """
+    return min(MAX_UNACKED_S, max(MIN_UNACKED_S, drain_timeout_s - LEARNING_S))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -98,7 +98,9 @@
             self._incarnation,
             placement_named(settings.placement),
         )
-        self._pool = ConnectionPool(clock, self._metrics.note_closed)
+        self._pool = ConnectionPool(
+            clock, self._metrics.note_closed, settings.bounds.drain_timeout_s
+        )
         self._router_state = RouterState(
             store, self._dispatcher, self._pool, self._audit, clock
         )
--- a/packages/fulmarroad-serving/tests/path_fleet.py
+++ b/packages/fulmarroad-serving/tests/path_fleet.py
@@ -15,6 +15,7 @@
 from serving_bed import KEY, ONCE, PLAIN, SHORT, answer, make_catalog
 from stream_fleet import (
     CENTRES,
+    DEADLINE_S,
     LONG_STREAM,
     NETWORK_S,
     STORE_S,
@@ -26,7 +27,9 @@
 from fulmarroad_serving._pool import CONNECT_TIMEOUT_S
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError, NotSentError
 
-FIRST_RETRANSMISSION_S = 0.2
+RETRANSMISSION_S = (0.2, 0.5)
+"""Range of the first retransmission timeout, which grows with the path's jitter."""
+
 PLAIN_WORK_S = 0.03
 DRAIN_TIMEOUT_S = 2.0
 """Time after a router knew that a server leaves in which requests may reach it."""
@@ -38,7 +41,7 @@
     evolve(PLAIN, timeout_s=1.2),
     evolve(ONCE, timeout_s=1.2),
     LONG_STREAM,
-    evolve(SHORT, timeout_s=2.5),
+    evolve(SHORT, timeout_s=DEADLINE_S),
 )
 
 
@@ -72,9 +75,10 @@
 class Lane:
     """Send items over a link in one direction until they have arrived, in order."""
 
-    def __init__(self, group, passes, arrive, timed_out=lambda stalled_s: False):
-        self._group, self._passes, self._arrive = group, passes, arrive
-        self._timed_out = timed_out
+    def __init__(self, fleet, passes, arrive, limit_s=lambda: float("inf"), end=None):
+        self._group, self._passes, self._arrive = fleet.group, passes, arrive
+        self._limit_s, self._end = limit_s, end
+        self._timeout_s = fleet.source.uniform(*fleet.retransmission_s)
         self.items = []
         self._runs = False
 
@@ -85,20 +89,22 @@
             self._group.start_soon(self._run)
 
     async def _run(self):
-        pause_s = FIRST_RETRANSMISSION_S
+        pause_s = self._timeout_s
         stalled_at = anyio.current_time()
         while self.items:
             if self._passes():
                 await anyio.sleep(NETWORK_S)
                 if self.items:
                     self._arrive(self.items.pop(0))
-                pause_s = FIRST_RETRANSMISSION_S
+                pause_s = self._timeout_s
                 stalled_at = anyio.current_time()
                 continue
-            await anyio.sleep(pause_s)
+            end_at = stalled_at + self._limit_s()
+            await anyio.sleep_until(min(anyio.current_time() + pause_s, end_at))
             pause_s *= 2
-            if self._timed_out(anyio.current_time() - stalled_at):
+            if anyio.current_time() >= end_at:
                 self.items.clear()
+                self._end()
         self._runs = False
 
 
@@ -109,11 +115,14 @@
         self.router = router
         self.socket = ModelSocket()
         self.closing = self.socket_closed = False
-        group = fleet.group
-        self.requests = Lane(group, self.passes, self.arrive, self.time_out)
-        self.answers = Lane(group, self.passes, self.deliver)
+        limit_s = self.unacked_limit_s
+        self.requests = Lane(fleet, self.passes, self.arrive, limit_s, self.time_out)
+        self.answers = Lane(fleet, self.passes, self.deliver)
         super().__init__(fleet, engine)
 
+    def make_protocol(self):
+        return self.router.pool.new_connection()
+
     def passes(self):
         return self.fleet.passes(self.router, self.engine)
 
@@ -154,12 +163,12 @@
         else:
             self.requests.put(None)
 
-    def time_out(self, stalled_s):
-        timed_out = stalled_s >= self.socket.user_timeout_s and not self.socket_closed
-        if timed_out:
-            self.socket_closed = True
-            self.protocol.connection_lost(TimeoutError("not acknowledged"))
-        return timed_out
+    def unacked_limit_s(self):
+        return float("inf") if self.socket_closed else self.socket.user_timeout_s
+
+    def time_out(self):
+        self.closing = self.socket_closed = True
+        self.protocol.connection_lost(TimeoutError("not acknowledged"))
 
     def holds(self, request_id):
         mark = f"x-id: {request_id}\r\n".encode()
@@ -261,6 +270,7 @@
     """Routers, links that are cut, and servers of two services."""
 
     router_type = PathRouter
+    retransmission_s = RETRANSMISSION_S
 
     def __init__(self, source, **more):
         super().__init__(**more)
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -122,12 +122,15 @@
 
     def __init__(self, fleet, engine):
         self.fleet, self.engine = fleet, engine
-        self.protocol = BackendConnection()
+        self.protocol = self.make_protocol()
         self.protocol.connection_made(self)
         self.scope = None
         self.received = b""
         engine.connections.append(self)
 
+    def make_protocol(self):
+        return BackendConnection()
+
     # what the router's side calls
 
     def get_extra_info(self, name):
@@ -460,7 +463,8 @@
         router.apply(CatalogFact(self.catalog))
         for engine in self.engines.values():
             if engine.up:
-                router.apply(InstanceFact(engine.instance()))
+                entry = engine.instance(draining=engine.leaving)
+                router.apply(InstanceFact(entry))
         router.dispatcher.registry.note_listed()
         self.group.start_soon(router.run)
         self.update_membership()
--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -1,6 +1,7 @@
 """Tests with real sockets that requests which were given up are not delivered."""
 
 import signal
+import socket
 import subprocess
 import sys
 
@@ -10,6 +11,7 @@
 from serving_bed import Caller, answer, run
 
 from fulmarroad_serving import Instance
+from fulmarroad_serving._pool import max_unacked_s
 from fulmarroad_serving.contracts import InstanceFact
 
 SETTLE_S = 0.3
@@ -154,6 +156,31 @@
         run(test)
 
 
+class TestRequestsUnderWay:
+    @pytest.mark.parametrize(
+        ("drain_timeout_s", "expected_s"),
+        [(2.0, 1.5), (3.0, 2.5), (10.0, 3.0), (0.6, 0.5)],
+    )
+    def test_the_time_without_acknowledgement_ends_before_the_drain_timeout(
+        self, drain_timeout_s, expected_s
+    ):
+        assert max_unacked_s(drain_timeout_s) == expected_s
+
+    def test_the_kernel_drops_requests_that_stay_unacknowledged(self):
+        """Guard against requests to leaving servers that only their deadline ends."""
+
+        async def test(bed):
+            path = await serve_behind_path(bed, "s-1", answer_at_once)
+            server = bed.dispatcher.registry.get("s-1").instance
+            connection = await bed.pool.acquire(server, 10, 1)
+            option = (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            assert connection._socket.getsockopt(*option) == 1500
+            bed.pool.release("s-1", connection)
+            await path.close()
+
+        run(test)
+
+
 class TestAnsweredRequests:
     def test_an_answered_connection_ends_by_fin(self):
         """Guard against resets that a server counts as failures of its callers.
--- a/packages/fulmarroad-serving/tests/test_path_series.py
+++ b/packages/fulmarroad-serving/tests/test_path_series.py
@@ -94,16 +94,46 @@
         self.fleet.crash(engine.name)
 
     async def kill_router(self):
-        router = self.random.choice(self.up_routers())
-        self.fleet.group.start_soon(self.fleet.restart, router.name)
+        await self.lose_router(self.fleet.restart)
 
     async def end_router(self):
-        router = self.random.choice(self.up_routers())
-        if len(self.up_routers()) > 2:
-            self.fleet.group.start_soon(self.fleet.end, router.name)
+        await self.lose_router(self.end_and_start_again)
 
-    def up_routers(self):
-        return [r for r in self.fleet.routers.values() if r.alive and not r.leaving]
+    async def end_and_start_again(self, name):
+        await self.fleet.end(name)
+        self.fleet.start_router(name)
+
+    async def lose_router(self, how):
+        """Let a router go, unless it is one of the last two."""
+        up = [r for r in self.fleet.routers.values() if r.alive and not r.leaving]
+        if len(up) > 2:
+            self.fleet.group.start_soon(how, self.random.choice(up).name)
+
+
+class TestLeavingServers:
+    @pytest.mark.parametrize("timeout_s", [0.2, 0.3, 0.4, 0.75])
+    def test_a_request_under_way_is_withdrawn_before_the_drain_timeout(self, timeout_s):
+        """Guard against requests that reach a server long after it said it leaves.
+
+        Their calls go on, and the server left just after they were written.
+        """
+        fleet = PathFleet(random.Random(1))
+        fleet.retransmission_s = (timeout_s, timeout_s)
+
+        async def test(fleet):
+            engine = fleet.add_engine("e-0")
+            await anyio.sleep(0.4)
+            await fleet.call("/sms/1")
+            for centre in CENTRES:
+                fleet.cut_link(centre, CENTRES[engine.port % len(CENTRES)], 2.3)
+            for _ in range(4):
+                fleet.group.start_soon(fleet.call, "/sms/1")
+            fleet.drain("e-0")
+            await anyio.sleep(10.0)
+
+        run_virtual(fleet.run, test)
+        assert fleet.calls == 5
+        assert fleet.arrivals.at_left_servers == []
 
 
 class TestSeries:
@@ -115,4 +145,5 @@
         fleet = series.fleet
         assert fleet.arrivals.after_their_end == []
         assert fleet.arrivals.while_held_elsewhere == []
+        assert fleet.arrivals.at_left_servers == []
         assert fleet.answered >= MIN_ANSWERED_FRACTION * fleet.calls
--- a/packages/fulmarroad-serving/tests/test_platform_settings.py
+++ b/packages/fulmarroad-serving/tests/test_platform_settings.py
@@ -19,6 +19,7 @@
 [ContractParams]
 GracePeriodS = 8
 ContactWindowMs = 3000
+DrainTimeoutMs = 3000
 RetryBudgetRatio = 0.2
 RetryBurst = 54
 [Platform]
@@ -43,6 +44,7 @@
         assert (serving.peer_port, serving.metrics_port) == (7400, 7410)
         assert serving.seeds == ("10.1.0.33", "10.2.0.18")
         assert serving.bounds.retry_burst == 54
+        assert serving.bounds.drain_timeout_s == 3.0
         assert (settings.store_host, settings.store_port) == ("10.200.1.7", 8781)
 
     @pytest.mark.parametrize(
