--- a/packages/fulmarroad-serving/tests/test_platform_days.py
+++ b/packages/fulmarroad-serving/tests/test_platform_days.py
@@ -79,7 +79,7 @@
     "config_change": "route weights timeout tenant quota topup idle",
     "revoke": "last",
     "evacuate": "warm",
-    "srv_cut": "fronts some one_way reborn",
+    "srv_cut": "fronts some lossy one_way reborn",
     "replace_with_reuse": "drain dark",
     "after_ack_kill": "kill timed",
     "clock_step": "back ahead",
