--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -1,5 +1,6 @@
 """Tests with real sockets that requests which were given up are not delivered."""
 
+import asyncio
 import signal
 import socket
 import subprocess
@@ -8,9 +9,10 @@
 import anyio
 import pytest
 from held_path import HeldPath
-from serving_bed import Caller, answer, run
+from serving_bed import Caller, PlainCodec, answer, run
 
 from fulmarroad_serving import Instance
+from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._pool import max_unacked_s
 from fulmarroad_serving.contracts import InstanceFact
 
@@ -19,13 +21,17 @@
 
 SENDER = """
 import asyncio, sys
-from fulmarroad_serving._connection import BackendConnection
+from fulmarroad_serving._pool import ConnectionPool
 
 async def main(port):
     loop = asyncio.get_running_loop()
-    _, connection = await loop.create_connection(BackendConnection, "127.0.0.1", port)
+    pool = ConnectionPool(loop.time)
+    _, connection = await loop.create_connection(
+        pool.new_connection, "127.0.0.1", port
+    )
     request = b"GET /look/1 HTTP/1.1\\r\\nx-id: c-1\\r\\n\\r\\n"
-    connection.send(request, lambda status, headers: None)
+    body = bytes(20_000_000 if sys.argv[2] == "freeze" else 0)
+    connection.send(request + body, lambda status, headers: None)
     print("sent", flush=True)
     await asyncio.sleep(0.2 if sys.argv[2] == "exit" else 30)
 
@@ -42,6 +48,12 @@
     return path
 
 
+async def start_sender(port, how):
+    """Start a process that sends a request to a port and then ends or stays."""
+    command = [sys.executable, "-c", SENDER, str(port), how]
+    return await anyio.open_process(command, stderr=subprocess.DEVNULL)
+
+
 async def answer_at_once(arrival, writer):
     writer.write(answer(200, b"done", arrival.header("x-id")))
 
@@ -136,10 +148,7 @@
         async def test(bed):
             path = await serve_behind_path(bed, "s-1", answer_at_once)
             path.cut()
-            process = await anyio.open_process(
-                [sys.executable, "-c", SENDER, str(path.port), how],
-                stderr=subprocess.DEVNULL,
-            )
+            process = await start_sender(path.port, how)
             async with process:
                 assert await process.stdout.receive() == b"sent\n"
                 while not path.held_bytes:
@@ -166,6 +175,39 @@
     ):
         assert max_unacked_s(drain_timeout_s) == expected_s
 
+    def test_a_request_of_a_frozen_router_is_withdrawn(self):
+        """Guard against a frozen router whose kernel goes on delivering a request.
+
+        The server has no room for the whole request and makes it only later.
+        """
+
+        async def read_late(listener, process):
+            loop = asyncio.get_running_loop()
+            connection, _ = await loop.sock_accept(listener)
+            process.send_signal(signal.SIGSTOP)
+            await anyio.sleep(2.5)
+            with connection, pytest.raises(ConnectionResetError):
+                while await loop.sock_recv(connection, 65536):
+                    pass
+
+        async def test():
+            with socket.socket() as listener:
+                listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                listener.setblocking(False)
+                port = listener.getsockname()[1]
+                process = await start_sender(port, "freeze")
+                async with process:
+                    try:
+                        assert await process.stdout.receive() == b"sent\n"
+                        with anyio.fail_after(8):
+                            await read_late(listener, process)
+                    finally:
+                        process.kill()
+
+        anyio.run(test)
+
     def test_the_kernel_drops_requests_that_stay_unacknowledged(self):
         """Guard against requests to leaving servers that only their deadline ends."""
 
@@ -182,6 +224,46 @@
 
 
 class TestAnsweredRequests:
+    def test_a_long_request_that_was_answered_early_is_withdrawn(self):
+        """Guard against a server that takes half a body for a whole one.
+
+        It answers before it has read the body and reads on later.
+        """
+        ends = []
+
+        async def connected(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer(413, b"too long"))
+            await asyncio.sleep(SETTLE_S)
+            try:
+                while await reader.read(65536):
+                    pass
+                ends.append("orderly")
+            except ConnectionResetError:
+                ends.append("reset")
+            writer.close()
+
+        async def test():
+            server = await asyncio.start_server(connected, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            loop = asyncio.get_running_loop()
+            opened = loop.create_connection(BackendConnection, "127.0.0.1", port)
+            _, connection = await opened
+            head = b"POST / HTTP/1.1\r\ncontent-length: 20000000\r\n\r\n"
+            connection.send(head + bytes(20_000_000), PlainCodec().read_answer)
+            assert (await connection.head(1.0)).status == 413
+            assert await connection.body(1.0) == b"too long"
+            assert await connection.body(1.0) is None
+            assert not connection.reusable
+            connection.close()
+            with anyio.fail_after(5):
+                while not ends:
+                    await anyio.sleep(0.02)
+            server.close()
+            assert ends == ["reset"]
+
+        anyio.run(test)
+
     def test_an_answered_connection_ends_by_fin(self):
         """Guard against resets that a server counts as failures of its callers.
 
