--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -181,14 +181,17 @@
         The server has no room for the whole request and makes it only later.
         """
 
-        async def read_late(listener, process):
+        async def read_to_the_end(connection):
             loop = asyncio.get_running_loop()
-            connection, _ = await loop.sock_accept(listener)
+            while await loop.sock_recv(connection, 65536):
+                pass
+
+        async def read_late(listener, process):
+            connection, _ = await asyncio.get_running_loop().sock_accept(listener)
             process.send_signal(signal.SIGSTOP)
             await anyio.sleep(2.5)
             with connection, pytest.raises(ConnectionResetError):
-                while await loop.sock_recv(connection, 65536):
-                    pass
+                await read_to_the_end(connection)
 
         async def test():
             with socket.socket() as listener:
