--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -20,7 +20,7 @@
 """Time in which a reset has reached the path, or the server what the path delivers."""
 
 SENDER = """
-import asyncio, sys
+import asyncio, os, sys
 from fulmarroad_serving._pool import ConnectionPool
 
 async def main(port):
@@ -32,7 +32,7 @@
     request = b"GET /look/1 HTTP/1.1\\r\\nx-id: c-1\\r\\n\\r\\n"
     body = bytes(20_000_000 if sys.argv[2] == "freeze" else 0)
     connection.send(request + body, lambda status, headers: None)
-    print("sent", flush=True)
+    os.write(1, b"sent\\n")
     await asyncio.sleep(0.2 if sys.argv[2] == "exit" else 30)
 
 asyncio.run(main(int(sys.argv[1])))
