--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -69,6 +69,7 @@
     incarnation: int  # of the owner
     number: int
     sent: bool = False
+    workspace: WorkspaceName = ""
 
 
 @frozen
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -35,6 +35,7 @@
 from fulmarroad_serving._early_rejection import EngineCapacity, admitted_fraction
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad, SharedPart
+from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
     Choice,
@@ -194,13 +195,15 @@
         use = shares.use_of(demand.workspace, demand.units, now)
         return refuse_above_share(part, use, self._bounds.share_window_s, self._random)
 
-    def accepts_call(self, demand: Demand, server: ServerName, now: float) -> bool:
-        """Return whether this router may send a call to a server now."""
+    def obstacle(
+        self, demand: Demand, server: ServerName, now: float
+    ) -> Obstacle | None:
+        """Return why this router may not send a call to a server, None if it may."""
         row = self.registry.get(server)
         if row is None:
-            return False
+            return Obstacle.GONE
         service = self._service(demand.service)
-        return self.servers.accepts(row, service, now, version=demand.version)
+        return self.servers.obstacle(row, service, now, version=demand.version)
 
     def cold_servers(self, service: ServiceName, now: float) -> list[ServerName]:
         """Return the cold servers to which this router may send a call now."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -199,6 +199,9 @@
             return
         if note.begun:
             self._dispatcher.begin(granted.ticket, now)
+        if note.unused:
+            demand = granted.ticket.demand
+            self._dispatcher.placements.note_given_back(demand.workspace, demand.units)
         if note.ended:
             del self._granted[key]
             self._dispatcher.end(granted.ticket, note.outcome, now)
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -0,0 +1,98 @@
+"""Log each second what became of calls, placements and the servers that they need."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from math import isfinite
+
+from attrs import define
+
+from fulmarroad.events import Event, emit
+from fulmarroad_serving._catalog import Catalog
+from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._obstacles import Obstacle
+from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._workspace_outcomes import REPORT_INTERVAL_S, WorkspaceOutcomes
+
+logger = logging.getLogger("fulmarroad.serving")
+
+MAX_LOGGED_SERVICES = 4
+"""Maximum number of services with a line about their servers in a second."""
+
+
+@define
+class OutcomeLog:
+    """Write the lines that tell which workspaces lack places, and why."""
+
+    _dispatcher: Dispatcher
+    _pool: ConnectionPool
+    _ends: WorkspaceOutcomes
+    _requests: WorkspaceOutcomes
+    _catalog: Callable[[], Catalog]
+    _servers_logged_at: float = 0.0
+
+    def log(self, now: float) -> None:
+        """Write the lines that are due."""
+        self._log_calls(now)
+        self._log_placements(now)
+        self._log_requests(now)
+        if now - self._servers_logged_at >= REPORT_INTERVAL_S:
+            self._servers_logged_at = now
+            self._log_servers(now)
+
+    def _log_calls(self, now: float) -> None:
+        shares = self._dispatcher.shares
+        for row in self._ends.pop_refusals(now):
+            status = shares.share_status(row.workspace, now)
+            emit(
+                logger,
+                Event.WORKSPACE_TURNED_AWAY,
+                workspace=row.workspace,
+                ends=row.ends,
+                asked=round(status.asked),
+                got=round(status.got),
+                share_level=round(status.level) if isfinite(status.level) else None,
+                window_s=shares.window_s,
+            )
+
+    def _log_placements(self, now: float) -> None:
+        for row in self._dispatcher.placements.pop_refusals(now):
+            emit(
+                logger,
+                Event.PLACEMENTS_REFUSED,
+                workspace=row.workspace,
+                units=row.ends,
+            )
+
+    def _log_requests(self, now: float) -> None:
+        for row in self._requests.pop_refusals(now):
+            emit(
+                logger,
+                Event.PLACEMENT_REQUESTS_UNMET,
+                workspace=row.workspace,
+                requests=row.ends,
+            )
+
+    def _log_servers(self, now: float) -> None:
+        services = list(self._catalog().services.values())[:MAX_LOGGED_SERVICES]
+        for service in services:
+            servers = self._dispatcher.servers
+            obstacles = servers.count_obstacles(service, now)
+            rows = self._dispatcher.registry.usable(service.name)
+            full = sum(
+                self._pool.is_full(
+                    row.instance.id, service.max_connections, len(servers.routers)
+                )
+                for row in rows
+            )
+            if full:
+                obstacles[Obstacle.CONNECTIONS] = full
+            if obstacles:
+                emit(
+                    logger,
+                    Event.SERVERS_NOT_USABLE,
+                    service=service.name,
+                    servers=len(rows),
+                    obstacles=dict(obstacles),
+                )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -23,6 +23,7 @@
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._owner_messages import (
     PlacementReply,
     PlacementRequest,
@@ -35,6 +36,12 @@
 from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._registry import Registered
 from fulmarroad_serving._routing import Choice, part_id
+from fulmarroad_serving._workspace_outcomes import (
+    UNMET_REQUESTS,
+    RequestOutcome,
+    WorkspaceOutcomes,
+    given_back,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -84,6 +91,10 @@
     _number: int = 0
     _pending: dict[int, _PendingRequest] = field(factory=dict)
     _silent_until: dict[RouterName, float] = field(factory=dict)
+    requests: WorkspaceOutcomes = field(
+        factory=lambda: WorkspaceOutcomes(refusals=UNMET_REQUESTS)
+    )
+    """What became of the requests, until the node logs it."""
     _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
     _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
 
@@ -136,6 +147,7 @@
             if reply is None and pending.reply is not None:
                 self._return_unused(pending.reply)
         if reply is None:
+            self.requests.note(demand.workspace, RequestOutcome.NO_REPLY)
             if remaining_s > demand.objective_s:
                 self._note_silent(owner)
             return None
@@ -159,6 +171,9 @@
         if ticket.ended:
             tickets.pop(grant.number, None)
         else:
+            if grant.number not in tickets:
+                workspace = ticket.demand.workspace
+                self.requests.note(workspace, RequestOutcome.SENT)
             tickets[grant.number] = ticket
         if ticket.begun or ticket.ended:
             note = ProgressNote(
@@ -172,6 +187,7 @@
         `outcome` is set if the server was the cause, which its owner then knows too.
         """
         if not grant.sent:
+            self.requests.note(grant.workspace, RequestOutcome.UNUSED)
             self._return(grant.owner, grant.number, outcome)
 
     def pop_notes(self) -> list[tuple[RouterName, bytes]]:
@@ -236,15 +252,18 @@
         avoid: Collection[ServerName],
         reply: PlacementReply,
     ) -> Placement | Refusal | None:
-        if reply.reason in LACKING_REASONS:
-            return None  # other owners may have servers that this router can reach
+        if reply.reason in LACKING_REASONS or reply.kind is ReplyKind.NOT_OWNER:
+            # Other owners may have servers that this router can reach.
+            self.requests.note(demand.workspace, RequestOutcome.NOT_OWNER)
+            return None
         if reply.kind is ReplyKind.REFUSED:
+            self.requests.note(demand.workspace, RequestOutcome.REFUSED)
             return Refusal(
                 reply.reason, reply.retry_after_s, reply.wait_s, read_s=reply.read_s
             )
-        if reply.kind is not ReplyKind.GRANTED:
-            return None
-        if not self._usable(demand, reply.server, avoid):
+        obstacle = self._obstacle(demand, reply.server, avoid)
+        if obstacle is not None:
+            self.requests.note(demand.workspace, given_back(obstacle))
             self._return_unused(reply)
             return None
         if reply.read_rate:
@@ -263,21 +282,25 @@
         )
         use = self._dispatcher.use_of(demand, self._clock())
         source = registry.get(reply.source) if reply.source else None
-        grant = Grant(reply.owner, reply.incarnation, reply.number)
+        grant = Grant(
+            reply.owner, reply.incarnation, reply.number, workspace=demand.workspace
+        )
         return Placement(registered, choice, use, 0, source, grant)
 
-    def _usable(
+    def _obstacle(
         self, demand: Demand, server: ServerName, avoid: Collection[ServerName]
-    ) -> bool:
-        """Return whether this router may and can send a call to a server.
+    ) -> Obstacle | None:
+        """Return why this router may not send a call to a server, None if it may.
 
         The owner may not know yet that the server is leaving, or be able to reach a
         server that this router can't reach.
         """
         usable = self._dispatcher.registry.usable(demand.service, demand.version)
-        known = any(row.instance.id == server for row in usable)
-        accepts = self._dispatcher.accepts_call(demand, server, self._clock())
-        return known and accepts and server not in avoid
+        if all(row.instance.id != server for row in usable):
+            return Obstacle.GONE
+        if server in avoid:
+            return Obstacle.AVOIDED
+        return self._dispatcher.obstacle(demand, server, self._clock())
 
     def _return_unused(self, reply: PlacementReply) -> None:
         if reply.kind is ReplyKind.GRANTED:
@@ -286,7 +309,7 @@
     def _return(
         self, owner: RouterName, number: int, outcome: SendOutcome | None = None
     ) -> None:
-        note = ProgressNote(number, False, True, outcome)
+        note = ProgressNote(number, False, True, outcome, unused=True)
         self._add_note(owner, note)
 
     def _add_note(self, owner: RouterName, note: ProgressNote) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -77,6 +77,7 @@
     begun: bool
     ended: bool = False
     outcome: SendOutcome | None = None  # of an ended call that was not answered
+    unused: bool = False  # the call was not sent
 
 
 @frozen
@@ -206,15 +207,24 @@
         for note in report.notes
     ]
     held = None if report.held is None else list(report.held)
-    row = [PROGRESS_FORMAT, report.router, report.incarnation, notes, held]
+    unused = [note.number for note in report.notes if note.unused]
+    row = [PROGRESS_FORMAT, report.router, report.incarnation, notes, held, unused]
     return bytes(msgpack.packb(row))
 
 
 def read_progress(row: Any) -> ProgressReport:
     """Decode a progress report; raise `MessageError` if it is not valid."""
     try:
+        # Routers of the previous release don't say what they didn't send.
+        unused = {int(number) for number in row[5]} if len(row) > 5 else set()
         notes = tuple(
-            ProgressNote(int(number), bool(begun), bool(ended), _OUTCOMES[outcome])
+            ProgressNote(
+                int(number),
+                bool(begun),
+                bool(ended),
+                _OUTCOMES[outcome],
+                number in unused,
+            )
             for number, begun, ended, outcome in row[3]
         )
         held = None if row[4] is None else tuple(int(number) for number in row[4])
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -70,8 +70,7 @@
             if connection.reusable and not self._stale(connection):
                 return connection
             self._drop(pool, connection)
-        share = max(1, math.floor(max_connections / assumed_routers(routers)))
-        if pool.open >= share:
+        if pool.open >= connection_share(max_connections, routers):
             raise ConnectionLimitError(
                 "All connections that this router may open to the server are in use."
             )
@@ -82,6 +81,13 @@
             pool.open -= 1
             raise
 
+    def is_full(self, server: ServerName, max_connections: int, routers: int) -> bool:
+        """Return whether all connections that this router may open are in use."""
+        pool = self._server_pools.get(server)
+        if pool is None or pool.idle:
+            return False
+        return pool.open >= connection_share(max_connections, routers)
+
     def new_connection(self) -> BackendConnection:
         """Return a connection that is not open yet, with the settings of this pool."""
         return BackendConnection(self._on_closed, self._max_unacked_s)
@@ -180,6 +186,11 @@
         return connection
 
 
+def connection_share(max_connections: int, routers: int) -> int:
+    """Return how many of a server's connections one router may open."""
+    return max(1, math.floor(max_connections / assumed_routers(routers)))
+
+
 def max_unacked_s(drain_timeout_s: float) -> float:
     """Return the seconds for which a request may wait for its acknowledgement.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 from attrs import define, field
@@ -13,6 +14,7 @@
 from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import PeerLoad, ServerLoad
+from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._registry import Instance, Registered, Registry, cold_bound
 from fulmarroad_serving._rests import ServerRest
 from fulmarroad_serving._routing import Candidate
@@ -112,7 +114,19 @@
         permitted_cold: Collection[ServerName] | None = None,
         version: str = "",
     ) -> bool:
-        """Return whether a call may go to a server now.
+        """Return whether a call may go to a server now, see `obstacle`."""
+        return not self.obstacle(row, service, now, avoid, permitted_cold, version)
+
+    def obstacle(
+        self,
+        row: Registered,
+        service: Service,
+        now: float,
+        avoid: Collection[ServerName] = (),
+        permitted_cold: Collection[ServerName] | None = None,
+        version: str = "",
+    ) -> Obstacle | None:
+        """Return why a call may not go to a server now, None if it may.
 
         For another router's call, `permitted_cold` replaces this router's own share of
         calls to cold servers. A rest that a server asked of this router doesn't bind
@@ -121,20 +135,32 @@
         """
         server = row.instance.id
         if not row.serves(version, now):
-            return False
-        if server in avoid or not self.registry.accepts_calls(row.instance):
-            return False
+            return Obstacle.VERSION
+        if server in avoid:
+            return Obstacle.AVOIDED
+        if not self.registry.accepts_calls(row.instance):
+            return Obstacle.GONE
         view = self.view(server)
         if view.health.in_backoff(now):
-            return False
+            return Obstacle.BACKOFF
         if permitted_cold is None and view.rest.is_on(now):
-            return False
+            return Obstacle.RESTS
         if service.warmup_rate <= 0 or not row.cold(now):
-            return True
+            return None
         if permitted_cold is not None:
-            return server in permitted_cold
-        share = self._cold_share(view, service)
-        return share.allows(server, self._me, self.routers, now)
+            is_permitted = server in permitted_cold
+        else:
+            share = self._cold_share(view, service)
+            is_permitted = share.allows(server, self._me, self.routers, now)
+        if is_permitted:
+            return None
+        return Obstacle.COLD if now < row.cold_until else Obstacle.SUSPECT
+
+    def count_obstacles(self, service: Service, now: float) -> Counter[str]:
+        """Count the servers of a service that calls of this router may not use."""
+        rows = self.registry.usable(service.name)
+        found = (self.obstacle(row, service, now) for row in rows)
+        return Counter(obstacle.value for obstacle in found if obstacle)
 
     def permitted_cold(self, service: Service, now: float) -> list[ServerName]:
         """Return the cold servers to which this router may send a call now."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_workspace_outcomes.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_workspace_outcomes.py
@@ -18,6 +18,7 @@
 from attrs import define, field, frozen
 
 from fulmarroad.types import RefusalReason, WorkspaceName
+from fulmarroad_serving._obstacles import Obstacle
 
 ON_TIME = "on_time"
 LATE = "late"
@@ -39,6 +40,7 @@
     REFUSED = "refused"
     RETURN_PLACED = "return_placed"
     RETURN_REFUSED = "return_refused"
+    GIVEN_BACK = "given_back"  # placed here, but not sent by its router
     LOST = "lost"  # ended unanswered at its server, before its first part
 
 
@@ -46,10 +48,37 @@
     {
         PlacementOutcome.REFUSED,
         PlacementOutcome.RETURN_REFUSED,
+        PlacementOutcome.GIVEN_BACK,
         PlacementOutcome.LOST,
     }
 )
 
+
+class RequestOutcome(enum.StrEnum):
+    """State what became of a request for a place, at the router that sent it.
+
+    A place that this router may not use counts as given back, with the `Obstacle`.
+    """
+
+    SENT = "sent"
+    REFUSED = "refused"
+    NO_REPLY = "no_reply"
+    NOT_OWNER = "not_owner"  # or the owner lacks a server for the call
+    UNUSED = "unused"  # granted, but the call could not be sent
+
+
+def given_back(obstacle: Obstacle) -> str:
+    """Return the outcome of a place that this router may not use."""
+    return f"given_back_{obstacle}"
+
+
+UNMET_REQUESTS = frozenset(
+    {
+        *(row.value for row in RequestOutcome if row is not RequestOutcome.SENT),
+        *map(given_back, Obstacle),
+    }
+)
+
 REPORT_INTERVAL_S = 1.0
 MAX_REPORTED = 4
 """Maximum number of workspaces in one report, those with the most refusals."""
@@ -112,6 +141,10 @@
             first, later = PlacementOutcome.REFUSED, PlacementOutcome.RETURN_REFUSED
         self.note(workspace, later if is_return else first, round(units))
 
+    def note_given_back(self, workspace: WorkspaceName, units: float) -> None:
+        """Count a place of another router's call that was not used."""
+        self.note(workspace, PlacementOutcome.GIVEN_BACK, round(units))
+
     def note_lost(self, workspace: WorkspaceName, units: float) -> None:
         """Count a call that ended unanswered at its server before its first part."""
         self.note(workspace, PlacementOutcome.LOST, round(units))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -8,7 +8,6 @@
 import signal
 import time
 from collections.abc import Callable
-from math import isfinite
 from typing import Any
 
 import anyio
@@ -27,6 +26,7 @@
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._lateness import LoopLateness
 from fulmarroad_serving._metrics import Metrics
+from fulmarroad_serving._outcome_log import OutcomeLog
 from fulmarroad_serving._peers import Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._positions import era_of, revision_of
@@ -150,6 +150,13 @@
             clock,
             resumption,
         )
+        self._outcome_log = OutcomeLog(
+            self._dispatcher,
+            self._pool,
+            self._app.ends,
+            self._peers.owner_client.requests,
+            lambda: self._router_state.catalog,
+        )
         self._callers = HttpServer(
             self._app,
             settings.host,
@@ -229,8 +236,7 @@
                 emit(logger, Event.CLOCK_PAUSE, seconds=round(now - last, 2))
             late_since = self._log_lateness(late_since, now)
             shedding.log(now, time.process_time())
-            self._log_refused_workspaces(now)
-            self._log_refused_placements(now)
+            self._outcome_log.log(now)
             last = now
 
     def _log_lateness(self, since: float | None, now: float) -> float | None:
@@ -251,32 +257,6 @@
         )
         return None
 
-    def _log_refused_workspaces(self, now: float) -> None:
-        shares = self._dispatcher.shares
-        for row in self._app.ends.pop_refusals(now):
-            share_status = shares.share_status(row.workspace, now)
-            emit(
-                logger,
-                Event.WORKSPACE_TURNED_AWAY,
-                workspace=row.workspace,
-                ends=row.ends,
-                asked=round(share_status.asked),
-                got=round(share_status.got),
-                share_level=round(share_status.level)
-                if isfinite(share_status.level)
-                else None,
-                window_s=shares.window_s,
-            )
-
-    def _log_refused_placements(self, now: float) -> None:
-        for row in self._dispatcher.placements.pop_refusals(now):
-            emit(
-                logger,
-                Event.PLACEMENTS_REFUSED,
-                workspace=row.workspace,
-                units=row.ends,
-            )
-
     async def _sample_lateness(self) -> None:
         await self._lateness.run(self._clock, self._saturation.adapt)
 
--- a/packages/fulmarroad-serving/tests/test_node.py
+++ b/packages/fulmarroad-serving/tests/test_node.py
@@ -152,7 +152,7 @@
         shares.note_got("small", 100.0, 10.0)
         node._app.ends.note("large", "above_share")
         with caplog.at_level("INFO", "fulmarroad.serving"):
-            node._log_refused_workspaces(10.0)
+            node._outcome_log.log(10.0)
         (logged,) = (vars(row) for row in caplog.records)
         assert logged["workspace"] == "large"
         assert logged["ends"] == {"above_share": 1}
--- a/packages/fulmarroad-serving/tests/test_workspace_ends.py
+++ b/packages/fulmarroad-serving/tests/test_workspace_ends.py
@@ -3,6 +3,8 @@
 import json
 import logging
 
+import anyio
+from attrs import evolve
 from owner_bed import CALL, OwnerBed, make_dispatcher
 from serving_bed import run
 
@@ -69,6 +71,21 @@
             "return_refused": self.UNITS,
         }
 
+    def test_a_place_that_was_not_used_is_told_apart_from_calls_that_were_sent(self):
+        """Guard against owners that count places as service which callers never got."""
+
+        async def test():
+            bed = OwnerBed()
+            placement = await bed.place()
+            bed.client.abandon(placement.grant)
+            bed.flush()
+            assert self.decided(bed.b) == {
+                "placed": self.UNITS,
+                "given_back": self.UNITS,
+            }
+
+        anyio.run(test)
+
     def test_a_call_lost_with_its_server_is_counted(self):
         dispatcher = make_dispatcher("a")
         placement = dispatcher.place(CALL, 10.0)
@@ -137,3 +154,38 @@
             assert bed.dispatcher.shares.own_counts(bed.now())["coop"].asked > 0
 
         run(test)
+
+
+class TestRequests:
+    def ended(self, bed):
+        (row,) = bed.client.requests.pop_refusals(REPORT_INTERVAL_S)
+        return dict(row.ends)
+
+    def test_what_became_of_requests_is_counted_by_reason(self):
+        """Guard against lost calls for which no line says that a place was not used."""
+
+        async def test():
+            bed = OwnerBed()
+            bed.a.send(CALL, await bed.place(), bed.now)
+            for row in bed.a.registry.rows():
+                bed.a.registry.put(evolve(row.instance, draining=True), bed.now)
+            await bed.place()
+            bed.cut = True
+            await bed.place()
+            assert self.ended(bed) == {"sent": 1, "given_back_gone": 1, "no_reply": 1}
+
+        anyio.run(test)
+
+
+class TestServers:
+    def test_servers_without_calls_are_counted_by_reason(self):
+        """Guard against a router that closes servers to itself unseen."""
+        dispatcher = make_dispatcher("a", warmup_rate=1.0)
+        dispatcher.registry.suspect("drafting-0", 10.0)
+        dispatcher.registry.mark_cold("drafting-1", 5.0, 10.0)
+        dispatcher.health("drafting-2").unreachable(10.0)
+        service = dispatcher._service("drafting")
+        for server in ("drafting-0", "drafting-1"):
+            dispatcher.servers.note_cold_call(server, service, 10.0)
+        counts = dispatcher.servers.count_obstacles(service, 10.1)
+        assert counts == {"suspect": 1, "cold": 1, "backoff": 1}
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -101,10 +101,14 @@
     SERVER_LEAVES = EventKind(423, _I, "backend server announced its shutdown")
     SERVER_RESTS = EventKind(424, _I, "backend server asked for rest")
     REST_NOT_FOLLOWED = EventKind(425, _W, "rest not followed as stated")
+    SERVERS_NOT_USABLE = EventKind(426, _I, "backend servers without calls from here")
 
     # 430: workspaces
     WORKSPACE_TURNED_AWAY = EventKind(430, _I, "calls of a workspace rejected here")
     PLACEMENTS_REFUSED = EventKind(431, _I, "placements of a workspace refused or lost")
+    PLACEMENT_REQUESTS_UNMET = EventKind(
+        432, _I, "requests for places of a workspace refused or not used"
+    )
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
