--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -68,7 +68,7 @@
     owner: RouterName
     incarnation: int  # of the owner
     number: int
-    sent: bool = False
+    closed: bool = False  # its call was sent, or it was returned
     workspace: WorkspaceName = ""
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -324,7 +324,7 @@
     ) -> Ticket:
         """Record a call whose place another router granted, and counts."""
         choice = placement.choice
-        grant.sent = True
+        grant.closed = True
         if placement.registered.cold(now):
             service = self._service(demand.service)
             self.servers.note_cold_call(choice.server, service, now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -30,6 +30,7 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._exchange import Exchanger, StreamBegun
 from fulmarroad_serving._holding import HeldCalls
+from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._registry import Instance, Registered
@@ -273,10 +274,13 @@
         run.summary.expected_s = choice.wait_s + choice.read_s
 
     def _return_unused(
-        self, placement: Placement, outcome: SendOutcome | None = None
+        self,
+        placement: Placement,
+        outcome: SendOutcome | None = None,
+        obstacle: Obstacle | None = None,
     ) -> None:
         if placement.grant is not None and self._owner_client is not None:
-            self._owner_client.abandon(placement.grant, outcome)
+            self._owner_client.abandon(placement.grant, outcome, obstacle)
 
     def _avoided(self, run: ActiveCall) -> set[ServerName]:
         rows = (row.instance for row in self._dispatcher.registry.rows())
@@ -287,10 +291,13 @@
         instance = placement.registered.instance
         try:
             connection = await self._acquire(instance, run)
+        except ConnectionLimitError as error:
+            self._return_unused(placement, obstacle=Obstacle.CONNECTIONS)
+            self._note_failure(run, instance.id, error)
+            return error
         except NotSentError as error:
-            if not isinstance(error, ConnectionLimitError):
-                self._dispatcher.health(instance.id).unreachable(self._clock())
-                self._return_unused(placement, error.outcome)
+            self._note_unreachable(instance, error)
+            self._return_unused(placement, error.outcome, Obstacle.BACKOFF)
             self._note_failure(run, instance.id, error)
             return error
         if run.remaining_s(self._clock()) <= 0:
@@ -305,6 +312,7 @@
         if not self._dispatcher.servers.may_send(instance, version, now):
             # It announced its shutdown, left, asked for rest or restarted meanwhile.
             self._pool.release(instance.id, connection)
+            self._return_unused(placement, obstacle=Obstacle.GONE)
             withdrawn = WithdrawnServerError("The server takes no more calls.")
             self._note_failure(run, instance.id, withdrawn)
             return withdrawn
@@ -351,6 +359,17 @@
         routers = len(self._dispatcher.routers)
         return await self._pool.acquire(instance, service.max_connections, routers)
 
+    def _note_unreachable(self, instance: Instance, error: NotSentError) -> None:
+        health, now = self._dispatcher.health(instance.id), self._clock()
+        if health.unreachable(now):
+            emit(
+                logger,
+                Event.SERVER_UNREACHABLE,
+                server=instance.id,
+                seconds=round(health.backoff_until - now, 2),
+                cause=error.message,
+            )
+
     async def _on_failure(
         self, run: ActiveCall, ticket: Ticket, instance: Instance, error: SendError
     ) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_health.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_health.py
@@ -58,12 +58,13 @@
         """Record a call that the server failed, cut off or didn't answer."""
         self._update_rate(1.0, now)
 
-    def unreachable(self, now: float) -> None:
-        """Record a failed connection attempt."""
+    def unreachable(self, now: float) -> bool:
+        """Record a failed connection attempt; return whether a backoff begins."""
         if now < self.backoff_until:
-            return
+            return False
         self._backoff_s = min(MAX_BACKOFF_S, 2 * self._backoff_s or MIN_BACKOFF_S)
         self.backoff_until = now + self._backoff_s
+        return True
 
     def in_backoff(self, now: float) -> bool:
         """Return whether the server gets no calls for now."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -181,14 +181,23 @@
             )
             self._add_note(grant.owner, note)
 
-    def abandon(self, grant: Grant, outcome: SendOutcome | None = None) -> None:
-        """Return a place that was not used.
+    def abandon(
+        self,
+        grant: Grant,
+        outcome: SendOutcome | None = None,
+        obstacle: Obstacle | None = None,
+    ) -> None:
+        """Return a place that was not used; do nothing if it was used or returned.
 
         `outcome` is set if the server was the cause, which its owner then knows too.
+        `obstacle` says why the call could not be sent, for the log.
         """
-        if not grant.sent:
-            self.requests.note(grant.workspace, RequestOutcome.UNUSED)
-            self._return(grant.owner, grant.number, outcome)
+        if grant.closed:
+            return
+        grant.closed = True
+        ended = RequestOutcome.UNUSED if obstacle is None else given_back(obstacle)
+        self.requests.note(grant.workspace, ended)
+        self._return(grant.owner, grant.number, outcome)
 
     def pop_notes(self) -> list[tuple[RouterName, bytes]]:
         """Remove and return the packets with unreported progress, by owner."""
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -102,6 +102,7 @@
     SERVER_RESTS = EventKind(424, _I, "backend server asked for rest")
     REST_NOT_FOLLOWED = EventKind(425, _W, "rest not followed as stated")
     SERVERS_NOT_USABLE = EventKind(426, _I, "backend servers without calls from here")
+    SERVER_UNREACHABLE = EventKind(427, _W, "backend server can't be reached from here")
 
     # 430: workspaces
     WORKSPACE_TURNED_AWAY = EventKind(430, _I, "calls of a workspace rejected here")
