--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -48,6 +48,7 @@
     def read_call(self, headers):
         rows = dict(headers)
         number = int(rows.get(b"x-deadline-ms", b"0"))
+        tokens = [int(n) for n in rows.get(b"x-tokens", b"0,0,0").split(b",")]
         return CallHead(
             request_id=rows.get(b"x-id", b"").decode(),
             host=rows.get(b"host", b"").decode(),
@@ -56,8 +57,13 @@
             last_event_id=rows.get(b"last-event-id", b"").decode(),
             resumes=rows.get(b"resumes", b"").decode(),
             parts=tuple(filter(None, rows.get(b"x-part", b"").decode().split(","))),
+            shared_tokens=tokens[0],
+            own_tokens=tokens[1],
+            output_tokens=tokens[2],
             forward=tuple(
-                row for row in headers if row[0] in (b"host", b"x-id", b"x-part")
+                row
+                for row in headers
+                if row[0] in (b"host", b"x-id", b"x-part", b"x-tokens")
             ),
         )
 
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -199,6 +199,8 @@
 class FleetRouter:
     """One router with everything that decides on calls."""
 
+    bounds = FleetBounds(retry_burst=2_000.0)
+
     def __init__(self, fleet, name, centre, incarnation):
         self.fleet, self.name, self.centre = fleet, name, centre
         self.incarnation = incarnation
@@ -207,8 +209,7 @@
         self.list_age_s = 0.1
         self.touched_at = self.cut_at = anyio.current_time()
         clock = anyio.current_time
-        bounds = FleetBounds(retry_burst=2_000.0)
-        self.dispatcher = Dispatcher(name, centre, bounds, incarnation)
+        self.dispatcher = Dispatcher(name, centre, self.bounds, incarnation)
         self.pool = ConnectionPool(clock)
         self.pool._connect = self.connect
         self.state = RouterState(None, self.dispatcher, self.pool, AuditTrail(), clock)
