--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -25,6 +25,7 @@
     reset_on_close,
     unacknowledged_bytes,
 )
+from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -74,6 +75,10 @@
 _Part = AnswerHead | _Body | _EndOfAnswer | _Broken
 
 
+def _loop_time() -> float:
+    return asyncio.get_running_loop().time()
+
+
 class BackendConnection(asyncio.Protocol):
     """Send calls over one connection and read their answers."""
 
@@ -81,8 +86,11 @@
         self,
         on_closed: Callable[[CloseMode], None] = lambda mode: None,
         max_unacked_s: float = MAX_UNACKED_S,
+        clock: Callable[[], float] = _loop_time,
     ) -> None:
         self._on_closed = on_closed
+        self._clock = clock
+        self._opened_at = self._heard_at = float("-inf")
         self._max_unacked_s = max_unacked_s
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
@@ -113,6 +121,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and set the options of its socket."""
         self._transport = cast(asyncio.Transport, transport)
+        self._opened_at = self._heard_at = self._clock()
         self._socket = transport.get_extra_info("socket")
         if self._socket is not None:
             enable_dead_peer_detection(self._socket, self._max_unacked_s)
@@ -120,6 +129,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without a call, mark the connection unusable."""
+        self._heard_at = self._clock()
         if not self._awaiting_answer:
             self._mark_unusable()
             return
@@ -214,6 +224,11 @@
             return False
         return not self._transport.is_closing() and self._unsent_bytes == 0
 
+    @property
+    def contact(self) -> Contact:
+        """Return when one process of the server was heard over this connection."""
+        return Contact(self._opened_at, self._heard_at)
+
     @property
     def ended_by_close(self) -> bool:
         """Return whether nothing but the close of the connection ended the answer.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -94,6 +94,7 @@
 
         connection.send(request, read_head)
         head = await connection.head(self._silence_timeout_s(run))
+        self._dispatcher.registry.note_contact(instance, connection.contact)
         self._check_head(head, instance)
         if run.call.route.kind is CallKind.STREAM and head.status < 300:
             await self._forward_stream(run, connection, head, ticket, instance)
@@ -212,6 +213,7 @@
             chunk = await connection.body(self._silence_timeout_s(run))
             if chunk is None:
                 break
+            self._dispatcher.registry.note_contact(instance, connection.contact)
             whole = events.feed(chunk)
             if whole is not None:
                 await self._forward_events(run, head, whole, ticket, instance)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -34,6 +34,7 @@
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._registry import Instance, Registered
+from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._served_call import (
     ActiveCall,
     CallSummary,
@@ -48,7 +49,6 @@
 from fulmarroad_serving.contracts import CallCodec
 from fulmarroad_serving.exceptions import (
     BarredError,
-    BrokenAnswerError,
     ConnectionBrokenError,
     ConnectionLimitError,
     NotSentError,
@@ -332,7 +332,7 @@
                 run.suspects.note_good_run(ticket.begun_at, self._clock())
         except SendError as error:
             outcome = error.outcome
-            await self._on_failure(run, ticket, instance, error)
+            await self._on_failure(run, ticket, instance, connection.contact, error)
             return error
         finally:
             # Closes the connection if its answer was not read completely, which also
@@ -371,7 +371,12 @@
             )
 
     async def _on_failure(
-        self, run: ActiveCall, ticket: Ticket, instance: Instance, error: SendError
+        self,
+        run: ActiveCall,
+        ticket: Ticket,
+        instance: Instance,
+        contact: Contact,
+        error: SendError,
     ) -> None:
         now = self._clock()
         broken = isinstance(error, ConnectionBrokenError)
@@ -381,8 +386,9 @@
         if isinstance(error, OtherInstanceError):
             # Another server has this address now, so the instance no longer exists.
             self._dispatcher.registry.remove(instance.id, now)
-        elif isinstance(error, BrokenAnswerError):
-            self._dispatcher.registry.suspect(instance.id, now)
+        elif broken:
+            # An answer that is wrong in another way comes from a process that runs.
+            self._dispatcher.registry.suspect(instance.id, contact, now)
         answered_s = ticket.answered_s(now) if ticket.begun else None
         request = run.summary.last_request
         self._note_failure(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -90,7 +90,7 @@
 
     def new_connection(self) -> BackendConnection:
         """Return a connection that is not open yet, with the settings of this pool."""
-        return BackendConnection(self._on_closed, self._max_unacked_s)
+        return BackendConnection(self._on_closed, self._max_unacked_s, self._clock)
 
     async def refuses(self, instance: Instance) -> bool:
         """Return whether a server refuses connections.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -6,6 +6,7 @@
 
 from fulmarroad.types import DataCentreName, ServerName
 from fulmarroad_serving._catalog import Service, ServiceName
+from fulmarroad_serving._restarts import SUSPECT_S, Contact, RestartSuspicion
 
 LAPSE_GRACE_S = 2.0
 """Time in seconds that a server stays in use if its entry expires in a store outage.
@@ -14,12 +15,6 @@
 would leave a router without servers. Running servers write their entries again within
 two seconds."""
 
-SUSPECT_S = 4.0
-"""Time in seconds that a server is treated as cold after it broke a connection, and as
-one of unknown version after its process seemed to end: about
-three intervals at which a server writes its entry (1.2 s), within which the entry shows
-a restart."""
-
 VERSION_MEMORY_S = 60.0
 """Time in seconds for which a version without a server still counts: streams that it
 began may be taken up for as long."""
@@ -55,7 +50,7 @@
     instance: Instance
     started_at: float  # router's clock; -inf if it was running before the router
     cold_until: float = 0.0
-    suspect_until: float = 0.0
+    suspicion: RestartSuspicion | None = None
     lapses_at: float | None = None
     ended_until: float = 0.0  # its process seemed to end: another version may run
 
@@ -71,7 +66,9 @@
 
     def cold(self, now: float) -> bool:
         """Return whether it is warming up, or may have restarted unnoticed."""
-        return now < self.cold_until or now < self.suspect_until
+        suspicion = self.suspicion
+        is_suspect = suspicion is not None and suspicion.is_on(now)
+        return now < self.cold_until or is_suspect
 
 
 class Registry:
@@ -120,7 +117,7 @@
         row.lapses_at = None
         if is_new_run:
             row.ended_until = 0.0
-        row.suspect_until = 0.0
+        row.suspicion = None
         if is_new_run:
             # The first listing after a router's restart shows servers that have cached
             # their prompt parts. Treated as new, each of them would fetch its parts
@@ -193,11 +190,27 @@
         self._excluded_centres.discard(centre)
         self._usable.clear()
 
-    def suspect(self, server: ServerName, now: float) -> None:
-        """Record a broken connection; the server may have restarted and be cold."""
+    def suspect(self, server: ServerName, contact: Contact, now: float) -> None:
+        """Record a broken connection; the server may have restarted and be cold.
+
+        `contact` is that of the connection.
+        """
         row = self._rows.get(server)
-        if row is not None:
-            row.suspect_until = now + SUSPECT_S
+        if row is None:
+            return
+        if row.suspicion is not None and row.suspicion.is_on(now):
+            row.suspicion = row.suspicion.extended(contact, now)
+        else:
+            row.suspicion = RestartSuspicion(contact.heard_at, now)
+
+    def note_contact(self, instance: Instance, contact: Contact) -> None:
+        """Record that a run was heard; if it was running all the while, trust it."""
+        row = self._rows.get(instance.id)
+        if row is None or row.suspicion is None:
+            return
+        is_same_run = row.instance.started_ms == instance.started_ms
+        if is_same_run and row.suspicion.is_refuted_by(contact):
+            row.suspicion = None
 
     def note_ended(self, instance: Instance, now: float) -> None:
         """Record that a run's process ended; the next one may have another version.
--- a/packages/fulmarroad-serving/tests/test_histories.py
+++ b/packages/fulmarroad-serving/tests/test_histories.py
@@ -19,7 +19,8 @@
     digest_key,
 )
 from fulmarroad_serving._pool import ConnectionPool
-from fulmarroad_serving._registry import LAPSE_GRACE_S, SUSPECT_S
+from fulmarroad_serving._registry import LAPSE_GRACE_S
+from fulmarroad_serving._restarts import SUSPECT_S, Contact
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving.contracts import (
     CatalogFact,
@@ -260,7 +261,7 @@
 
     @rule(server=SERVERS)
     def a_connection_breaks(self, server):
-        self.registry.suspect(server, self.now)
+        self.registry.suspect(server, Contact(0.0, self.now), self.now)
         if self.registry.get(server) is not None:
             assert self.registry.get(server).cold(self.now + SUSPECT_S - 0.01)
 
--- a/packages/fulmarroad-serving/tests/test_registry.py
+++ b/packages/fulmarroad-serving/tests/test_registry.py
@@ -1,9 +1,11 @@
 """Backend servers that are usable, cold, restarted or removed."""
 
+import pytest
 from attrs import evolve
 
 from fulmarroad_serving import Instance, Registry, Service
-from fulmarroad_serving._registry import LAPSE_GRACE_S, SUSPECT_S, cold_bound
+from fulmarroad_serving._registry import LAPSE_GRACE_S, cold_bound
+from fulmarroad_serving._restarts import SUSPECT_S, Contact
 
 SERVER = Instance("s-1", "drafting", "127.0.0.1", 9001, "fes", 8)
 
@@ -105,11 +107,49 @@
         """
         registry = Registry()
         registry.put(SERVER, 0.0)
-        registry.suspect("s-1", 10.0)
+        registry.suspect("s-1", Contact(8.0, 9.9), 10.0)
         assert registry.get("s-1").cold(10.0 + SUSPECT_S - 0.1)
         registry.put(SERVER, 11.0)
         assert not registry.get("s-1").cold(11.0)
 
+    def is_cold_after(self, contact, run=SERVER):
+        """Return whether a server that broke a call at 10 s is cold at 11 s."""
+        registry = Registry()
+        registry.put(SERVER, 0.0)
+        registry.suspect("s-1", Contact(8.0, 9.9), 10.0)
+        registry.note_contact(run, contact)
+        return registry.get("s-1").cold(11.0)
+
+    def test_a_server_that_goes_on_with_an_older_connection_is_not_cold(self):
+        """Guard against a sound server without calls for four seconds after a reset."""
+        assert not self.is_cold_after(Contact(9.0, 10.2))
+
+    @pytest.mark.parametrize(
+        "contact",
+        [Contact(10.1, 10.5), Contact(9.85, 10.5), Contact(9.0, 10.05)],
+        ids=["opened after it", "opened at the same moment", "heard from a buffer"],
+    )
+    def test_a_connection_that_a_restarted_process_may_have_stays_no_proof(
+        self, contact
+    ):
+        """Guard against a cold server that gets calls at the usual rate: the bytes may
+        be those of the process before, or of the one that started since."""
+        assert self.is_cold_after(contact)
+
+    def test_an_answer_of_another_run_is_no_proof(self):
+        assert self.is_cold_after(Contact(9.0, 10.5), evolve(SERVER, started_ms=9))
+
+    def test_each_break_has_to_be_refuted(self):
+        """Guard against a break that is forgotten as another one follows."""
+        registry = Registry()
+        registry.put(SERVER, 0.0)
+        registry.suspect("s-1", Contact(5.0, 6.0), 10.0)
+        registry.suspect("s-1", Contact(8.0, 9.9), 10.1)
+        registry.note_contact(SERVER, Contact(7.0, 10.5))
+        assert registry.get("s-1").cold(11.0)
+        registry.note_contact(SERVER, Contact(5.5, 10.5))
+        assert not registry.get("s-1").cold(11.0)
+
     def test_the_call_rate_bound_of_a_cold_server(self):
         service = Service("drafting", warmup_rate=12.0)
         assert cold_bound(service, 1.5, 5.0) == 23.0
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -17,8 +17,9 @@
     read_request,
 )
 from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._registry import SUSPECT_S, UNKNOWN_VERSION
+from fulmarroad_serving._registry import UNKNOWN_VERSION
 from fulmarroad_serving._reports import unpack
+from fulmarroad_serving._restarts import SUSPECT_S
 
 
 def run_fleet(test, **more):
--- a/packages/fulmarroad-serving/tests/test_workspace_ends.py
+++ b/packages/fulmarroad-serving/tests/test_workspace_ends.py
@@ -11,6 +11,7 @@
 from fulmarroad.events import Event, emit
 from fulmarroad_serving import Placement, SendOutcome
 from fulmarroad_serving._owner_messages import PlacementRequest
+from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._saturation import FAR_TOO_LATE_S
 from fulmarroad_serving._workspace_outcomes import (
     MAX_REPORTED,
@@ -181,7 +182,7 @@
     def test_servers_without_calls_are_counted_by_reason(self):
         """Guard against a router that closes servers to itself unseen."""
         dispatcher = make_dispatcher("a", warmup_rate=1.0)
-        dispatcher.registry.suspect("drafting-0", 10.0)
+        dispatcher.registry.suspect("drafting-0", Contact(8.0, 9.9), 10.0)
         dispatcher.registry.mark_cold("drafting-1", 5.0, 10.0)
         dispatcher.health("drafting-2").unreachable(10.0)
         service = dispatcher._service("drafting")
