--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
@@ -208,7 +208,6 @@
             avoid,
             pending.may_wait,
             (),
-            tuple(pending.router.dispatcher.cold_servers(SERVICE, self.now)),
         )
         self.at(
             self.now + NETWORK_DELAY_S, lambda: self.receive_request(owner, request)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -4,7 +4,7 @@
 
 from attrs import define, frozen
 
-from fulmarroad.types import RefusalReason, RouterName, WorkspaceName
+from fulmarroad.types import RefusalReason, RouterName, ServerName, WorkspaceName
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._load import Charge
@@ -61,6 +61,14 @@
         return read + GENERATED_WEIGHT * self.output_tokens or CALL_UNITS
 
 
+@frozen
+class ColdServers:
+    """List the servers that are or may be cold, as one router knows them."""
+
+    permitted: tuple[ServerName, ...] = ()  # may get one call of it now
+    closed: tuple[ServerName, ...] = ()  # may get none
+
+
 @define
 class Grant:
     """Hold a place that the owner of a server granted to a call of this router."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -9,7 +9,7 @@
 
 import logging
 import random
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 
 from attrs import evolve
 
@@ -25,6 +25,7 @@
 from fulmarroad_serving._budgets import RetryShare
 from fulmarroad_serving._catalog import Catalog, Service, ServiceName
 from fulmarroad_serving._demands import (
+    ColdServers,
     Demand,
     FleetBounds,
     Grant,
@@ -205,9 +206,11 @@
         service = self._service(demand.service)
         return self.servers.obstacle(row, service, now, version=demand.version)
 
-    def cold_servers(self, service: ServiceName, now: float) -> list[ServerName]:
-        """Return the cold servers to which this router may send a call now."""
-        return self.servers.permitted_cold(self._service(service), now)
+    def cold_servers(
+        self, rows: Iterable[Registered], service: ServiceName, now: float
+    ) -> ColdServers:
+        """Return which of some servers are cold, and whether they may get a call."""
+        return self.servers.cold_servers(rows, self._service(service), now)
 
     def may_retry(self, service: ServiceName, now: float) -> bool:
         """Return whether the budget has a retry left."""
@@ -231,13 +234,12 @@
         *,
         avoid: Collection[ServerName] = (),
         owned: Sequence[Registered] | None = None,
-        permitted_cold: Collection[ServerName] | None = None,
+        asker: ColdServers | None = None,
     ) -> Placement | Refusal:
         """Choose a server, or return the reason for a refusal.
 
         `owned` limits the choice to servers whose queues this router knows exactly. For
-        another router's call, `permitted_cold` lists the cold servers to which that
-        router may send it.
+        another router's call, `asker` is what that router knows of cold servers.
         """
         service = self._service(demand.service)
         usable = owned
@@ -247,16 +249,14 @@
             demand,
             usable,
             lambda row: self.servers.accepts(
-                row, service, now, avoid, permitted_cold, demand.version
+                row, service, now, avoid, asker, demand.version
             ),
         )
         if not rows and not self._has_origin(demand):
             return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
         if not rows:
             # Another router knows itself which servers rest for it.
-            rest_s = (
-                self.servers.rest_s(usable, now) if permitted_cold is None else None
-            )
+            rest_s = self.servers.rest_s(usable, now) if asker is None else None
             if rest_s is not None:
                 return refuse_for_rest(rest_s)
             return refuse_without_server(self._random)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -132,7 +132,7 @@
             now,
             avoid=request.avoid,
             owned=servers,
-            permitted_cold=request.cold,
+            asker=request.cold,
         )
         if isinstance(placed, Placement):
             self._note_placement(held, placed=True)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -123,19 +123,9 @@
 
         `remaining_s` is the time until the call's deadline.
         """
-        self._number += 1
-        number, now = self._number, self._clock()
+        request = self.new_request(owner, demand, avoid, may_wait=may_wait)
+        number = request.number
         pending = self._pending[number] = _PendingRequest()
-        request = PlacementRequest(
-            self.me,
-            self._incarnation,
-            number,
-            demand,
-            tuple(self._dispatcher.servers.unavailable(now).union(avoid)),
-            may_wait,
-            tuple(self._left_out()),
-            tuple(self._dispatcher.cold_servers(demand.service, now)),
-        )
         reply: PlacementReply | None = None
         try:
             self.send(owner, pack_request(request))
@@ -152,7 +142,31 @@
                 self._note_silent(owner)
             return None
         self._silent_until.pop(owner, None)
-        return self._decision(demand, avoid, reply)
+        return self.decide(demand, avoid, reply)
+
+    def new_request(
+        self,
+        owner: RouterName,
+        demand: Demand,
+        avoid: Collection[ServerName],
+        *,
+        may_wait: bool,
+    ) -> PlacementRequest:
+        """Return a request that says which of the owner's servers can't be used."""
+        self._number += 1
+        now, left_out = self._clock(), self._left_out()
+        rows = self._owners.owners(demand.service, left_out).servers_of(owner)
+        unavailable = self._dispatcher.servers.unavailable(now)
+        return PlacementRequest(
+            self.me,
+            self._incarnation,
+            self._number,
+            demand,
+            tuple(unavailable.union(avoid)),
+            may_wait,
+            tuple(left_out),
+            self._dispatcher.cold_servers(rows, demand.service, now),
+        )
 
     def receive_reply(self, reply: PlacementReply) -> None:
         """Apply an owner's reply; return a place that came too late."""
@@ -255,12 +269,13 @@
             emit(logger, Event.OWNER_SILENT, owner=owner, seconds=SILENCE_S)
         self._silent_until[owner] = self._clock() + SILENCE_S
 
-    def _decision(
+    def decide(
         self,
         demand: Demand,
         avoid: Collection[ServerName],
         reply: PlacementReply,
     ) -> Placement | Refusal | None:
+        """Return what an owner's reply means here; None: decide without it."""
         if reply.reason in LACKING_REASONS or reply.kind is ReplyKind.NOT_OWNER:
             # Other owners may have servers that this router can reach.
             self.requests.note(demand.workspace, RequestOutcome.NOT_OWNER)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -16,7 +16,7 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
-from fulmarroad_serving._demands import Demand
+from fulmarroad_serving._demands import ColdServers, Demand
 
 REQUEST_FORMAT = 3
 REPLY_FORMAT = 4
@@ -37,7 +37,7 @@
     avoid: tuple[ServerName, ...] = ()
     may_wait: bool = True  # until a server has capacity
     left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
-    cold: tuple[ServerName, ...] = ()  # cold servers to which it may send one call now
+    cold: ColdServers = ColdServers()  # as the sender knows the owner's servers
 
 
 class ReplyKind(enum.IntEnum):
@@ -115,8 +115,9 @@
         list(request.avoid),
         request.may_wait,
         list(request.left_out),
-        list(request.cold),
+        list(request.cold.permitted),
         demand.version,
+        list(request.cold.closed),
     ]
     return bytes(msgpack.packb(row))
 
@@ -140,7 +141,9 @@
         )
         avoid = tuple(str(name) for name in row[14])
         left_out = tuple(str(name) for name in row[16])
-        cold = tuple(str(name) for name in row[17])
+        permitted = tuple(str(name) for name in row[17])
+        # Routers of the previous release don't list what they may not use.
+        closed = tuple(str(name) for name in row[19]) if len(row) > 19 else ()
         return PlacementRequest(
             str(row[1]),
             int(row[2]),
@@ -149,7 +152,7 @@
             avoid,
             bool(row[15]),
             left_out,
-            cold,
+            ColdServers(permitted, closed),
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement request is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -4,14 +4,14 @@
 
 import random
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from attrs import define, field
 
 from fulmarroad.types import RouterName, ServerName
 from fulmarroad_serving._budgets import ColdShare
 from fulmarroad_serving._catalog import Service, ServiceName
-from fulmarroad_serving._demands import FleetBounds
+from fulmarroad_serving._demands import ColdServers, FleetBounds
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import PeerLoad, ServerLoad
 from fulmarroad_serving._obstacles import Obstacle
@@ -111,11 +111,11 @@
         service: Service,
         now: float,
         avoid: Collection[ServerName] = (),
-        permitted_cold: Collection[ServerName] | None = None,
+        asker: ColdServers | None = None,
         version: str = "",
     ) -> bool:
         """Return whether a call may go to a server now, see `obstacle`."""
-        return not self.obstacle(row, service, now, avoid, permitted_cold, version)
+        return not self.obstacle(row, service, now, avoid, asker, version)
 
     def obstacle(
         self,
@@ -123,15 +123,16 @@
         service: Service,
         now: float,
         avoid: Collection[ServerName] = (),
-        permitted_cold: Collection[ServerName] | None = None,
+        asker: ColdServers | None = None,
         version: str = "",
     ) -> Obstacle | None:
         """Return why a call may not go to a server now, None if it may.
 
-        For another router's call, `permitted_cold` replaces this router's own share of
-        calls to cold servers. A rest that a server asked of this router doesn't bind
-        the other one, which names the servers that rest for it in `avoid`. `version`
-        is that of the server that began the call's stream, "" before its first event.
+        For another router's call, `asker` is what that router knows of cold servers,
+        and its share of calls to them counts, not this router's. A rest that a server
+        asked of this router doesn't bind the other one, which names the servers that
+        rest for it in `avoid`. `version` is that of the server that began the call's
+        stream, "" before its first event.
         """
         server = row.instance.id
         if not row.serves(version, now):
@@ -143,12 +144,16 @@
         view = self.view(server)
         if view.health.in_backoff(now):
             return Obstacle.BACKOFF
-        if permitted_cold is None and view.rest.is_on(now):
+        if asker is None and view.rest.is_on(now):
             return Obstacle.RESTS
-        if service.warmup_rate <= 0 or not row.cold(now):
+        if service.warmup_rate <= 0:
             return None
-        if permitted_cold is not None:
-            is_permitted = server in permitted_cold
+        if asker is not None and server in asker.closed:
+            return Obstacle.COLD
+        if not row.cold(now):
+            return None
+        if asker is not None:
+            is_permitted = server in asker.permitted
         else:
             share = self._cold_share(view, service)
             is_permitted = share.allows(server, self._me, self.routers, now)
@@ -162,13 +167,16 @@
         found = (self.obstacle(row, service, now) for row in rows)
         return Counter(obstacle.value for obstacle in found if obstacle)
 
-    def permitted_cold(self, service: Service, now: float) -> list[ServerName]:
-        """Return the cold servers to which this router may send a call now."""
-        return [
-            row.instance.id
-            for row in self.registry.usable(service.name)
-            if row.cold(now) and self.accepts(row, service, now)
-        ]
+    def cold_servers(
+        self, rows: Iterable[Registered], service: Service, now: float
+    ) -> ColdServers:
+        """Return which of some servers are cold, and whether they may get a call."""
+        permitted, closed = [], []
+        for row in rows:
+            if service.warmup_rate > 0 and row.cold(now):
+                accepts = self.accepts(row, service, now)
+                (permitted if accepts else closed).append(row.instance.id)
+        return ColdServers(tuple(permitted), tuple(closed))
 
     def may_send(self, instance: Instance, version: str, now: float) -> bool:
         """Return whether a call that was placed earlier may still be sent.
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -9,6 +9,7 @@
 from fulmarroad_serving._granting import UNCONFIRMED_GRANT_S
 from fulmarroad_serving._owner_client import SILENCE_S
 from fulmarroad_serving._owner_messages import PlacementRequest
+from fulmarroad_serving._restarts import Contact
 
 
 def run(test):
@@ -193,17 +194,34 @@
             self.make_cold(bed)
             placed = [await bed.place(may_wait=False) for _ in range(3)]
             assert isinstance(placed[0], Placement)
-            allowed = len(bed.a.cold_servers("drafting", bed.now))
+            rows = bed.a.registry.usable("drafting")
+            allowed = len(bed.a.cold_servers(rows, "drafting", bed.now).permitted)
             for number in range(40):
                 placement = await bed.place(evolve(CALL, part=f"p{number}"))
                 if isinstance(placement, Placement):
                     bed.a.send(CALL, placement, bed.now)
-            after = len(bed.a.cold_servers("drafting", bed.now))
+            after = len(bed.a.cold_servers(rows, "drafting", bed.now).permitted)
             assert allowed == 3
             assert after == 0
 
         run(test)
 
+    def test_a_server_that_only_the_sending_router_holds_for_cold_is_left_out(self):
+        """Guard against grants that are given back: the owner doesn't know that the
+        server may have restarted."""
+
+        async def test():
+            bed = OwnerBed(warmup_rate=19.0)
+            first = (await bed.place()).choice.server
+            service = bed.a._service("drafting")
+            bed.a.registry.suspect(first, Contact(bed.now, bed.now), bed.now)
+            while bed.a.servers.accepts(bed.a.registry.get(first), service, bed.now):
+                bed.a.servers.note_cold_call(first, service, bed.now)
+            placed = [await bed.place() for _ in range(10)]
+            assert first not in [row.choice.server for row in placed]
+
+        run(test)
+
     def test_a_server_that_the_sending_router_cannot_reach_is_avoided(self):
         async def test():
             bed = OwnerBed()
--- a/packages/fulmarroad-serving/tests/test_owner_messages.py
+++ b/packages/fulmarroad-serving/tests/test_owner_messages.py
@@ -8,6 +8,7 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving import Demand, SendOutcome
+from fulmarroad_serving._demands import ColdServers
 from fulmarroad_serving._owner_exchange import is_owner_message
 from fulmarroad_serving._owner_messages import (
     PlacementReply,
@@ -25,7 +26,8 @@
 from fulmarroad_serving._reports import unpack
 
 DEMAND = Demand("c-1", "drafting", "coop", 0.6, "part", 6_000, 2_000, 50, 0.25, 1)
-REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",))
+COLD = ColdServers(("e4",), ("e5", "e6"))
+REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",), COLD)
 REPLY = PlacementReply(
     "r2", 6, 9, ReplyKind.GRANTED, "e2", "e3", 2_000, 0.1, 0.06, True, 2, 70_000.0
 )
@@ -40,7 +42,11 @@
 PROGRESS = ProgressReport(
     "r1",
     5,
-    (ProgressNote(9, True), ProgressNote(8, False, True, SendOutcome.NOT_RUN)),
+    (
+        ProgressNote(9, True),
+        ProgressNote(8, False, True, SendOutcome.NOT_RUN),
+        ProgressNote(7, False, True, unused=True),
+    ),
     (9, 10),
 )
 
@@ -62,6 +68,14 @@
         assert is_owner_message(row)
         assert read(row) == message
 
+    def test_packets_of_the_previous_release_are_read(self):
+        """Guard against a fleet whose routers refuse each other's packets while it is
+        being upgraded."""
+        request = read_request(unpack(pack_request(REQUEST))[:19])
+        assert request.cold == ColdServers(("e4",))
+        report = read_progress(unpack(pack_progress(PROGRESS))[:5])
+        assert not any(note.unused for note in report.notes)
+
     def test_a_report_is_no_owner_message(self):
         assert not is_owner_message([1, "r1"])
         assert not is_owner_message("text")
--- a/packages/fulmarroad-serving/tests/test_workspaces_at_one_router.py
+++ b/packages/fulmarroad-serving/tests/test_workspaces_at_one_router.py
@@ -45,11 +45,13 @@
     return restart
 
 
-class TestResets:
-    @pytest.fixture(scope="class")
-    def fleet(self):
-        return play(ShareFleet(EVEN, seed=1), 7.0, 16, reset_a_tenth)
+@pytest.fixture(scope="module")
+def fleet():
+    """Return the fleet after a run in which engines reset a tenth of their calls."""
+    return play(ShareFleet(EVEN, seed=1), 7.0, 16, reset_a_tenth)
+
 
+class TestResets:
     def test_one_reset_does_not_close_a_server_to_a_router(self, fleet):
         """Guard against a router that refuses its only workspace while engines idle.
 
