--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -115,6 +115,8 @@
         self.keep_alive_s: float | None = None
         self.idle_since = 0.0
         self.calls = 0
+        self.on_lost_idle: Callable[[BackendConnection], None] = lambda lost: None
+        """Called when the server ends the connection while no call uses it."""
 
     # asyncio.Protocol
 
@@ -149,6 +151,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending call; the transport closes its socket next."""
+        is_in_use = self._awaiting_answer or self._parts
+        if not (self._closed or is_in_use or self._will_close or self._unusable):
+            self.on_lost_idle(self)
         self._closed = True
         self._on_closed(self.close_mode)
         if self._socket is not None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -88,6 +88,7 @@
         self._catalog = catalog
         self._clock = clock
         self._held = HeldCalls()
+        pool.on_lost_idle = self._note_lost_idle
         self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
         self._exchanger = Exchanger(
             dispatcher,
@@ -370,6 +371,9 @@
                 cause=error.message,
             )
 
+    def _note_lost_idle(self, instance: Instance, contact: Contact) -> None:
+        self._dispatcher.registry.suspect(instance.id, contact, self._clock())
+
     async def _on_failure(
         self,
         run: ActiveCall,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import math
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 from fulmarroad_serving._connection import MAX_UNACKED_S, BackendConnection
 from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving.exceptions import (
     ConnectionLimitError,
     ConnectionRefusedByHostError,
@@ -58,6 +60,8 @@
         self._on_closed = on_closed
         self._max_unacked_s = max_unacked_s(drain_timeout_s)
         self._server_pools: dict[ServerName, _ServerPool] = {}
+        self.on_lost_idle: Callable[[Instance, Contact], None] = lambda run, last: None
+        """Called when a server ends an idle connection before its idle timeout."""
         self.opened = 0
 
     async def acquire(
@@ -76,10 +80,12 @@
             )
         pool.open += 1
         try:
-            return await self._connect(instance)
+            connection = await self._connect(instance)
         except BaseException:
             pool.open -= 1
             raise
+        connection.on_lost_idle = functools.partial(self._note_lost_idle, instance)
+        return connection
 
     def is_full(self, server: ServerName, max_connections: int, routers: int) -> bool:
         """Return whether all connections that this router may open are in use."""
@@ -156,6 +162,13 @@
         for server in list(self._server_pools):
             self.forget(server)
 
+    def _note_lost_idle(
+        self, instance: Instance, connection: BackendConnection
+    ) -> None:
+        # Without a stated timeout the server may have waited long enough.
+        if connection.keep_alive_s is not None and not self._stale(connection):
+            self.on_lost_idle(instance, connection.contact)
+
     def _stale(self, connection: BackendConnection) -> bool:
         idle_timeout_s = connection.keep_alive_s
         max_idle_s = (
--- a/packages/fulmarroad-serving/tests/share_fleet.py
+++ b/packages/fulmarroad-serving/tests/share_fleet.py
@@ -101,7 +101,8 @@
             self.reset()
             return
         fleet.note_begun(headers["x-id"])
-        self.send(stream_head(headers["x-id"]))
+        head = stream_head(headers["x-id"])
+        self.send(head.removesuffix(b"\r\n") + b"keep-alive: timeout=5\r\n\r\n")
         for number in range(int(headers["last-event-id"] or 0) + 1, EVENTS + 1):
             text = f"id: {number}\ndata: {number}\n\n".encode()
             self.send(b"%x\r\n%s\r\n" % (len(text), text))
--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_restart_suspicions.py
@@ -0,0 +1,100 @@
+"""Tests of what a router takes for an unnoticed restart of a server."""
+
+import anyio
+from serving_bed import answer, chunk, event, run, stream_head
+
+KEEP_ALIVE = b"keep-alive: timeout=5\r\n"
+
+
+def is_suspect(bed, server="e-1"):
+    return bed.dispatcher.registry.get(server).cold(bed.now())
+
+
+class TestIdleConnections:
+    def serve_and_close(self, extra):
+        """Return whether a server is suspect that closed an idle connection."""
+        found = []
+
+        async def test(bed):
+            closing = anyio.Event()
+
+            async def script(arrival, writer):
+                head = stream_head(arrival.header("x-id")).removesuffix(b"\r\n")
+                writer.write(head + extra + b"\r\n" + chunk(event(1)) + b"0\r\n\r\n")
+                await writer.drain()
+                await closing.wait()
+                return False
+
+            await bed.serve("e-1", script, "drafting")
+            assert (await bed.call("/draft/1", method="POST")).status == 200
+            assert not is_suspect(bed)
+            closing.set()
+            await anyio.sleep(0.05)
+            found.append(is_suspect(bed))
+
+        run(test)
+        return found[0]
+
+    def test_a_server_that_closes_idle_connections_early_may_have_restarted(self):
+        """Guard against a cold server that gets calls at the usual rate.
+
+        It restarted while no call of this router was there, so none broke.
+        """
+        assert self.serve_and_close(KEEP_ALIVE)
+
+    def test_a_server_that_stated_no_idle_timeout_may_close_at_any_time(self):
+        """Guard against sound servers without calls as they close idle connections."""
+        assert not self.serve_and_close(b"")
+
+    def test_a_connection_that_the_server_wants_to_close_is_no_sign(self):
+        assert not self.serve_and_close(KEEP_ALIVE + b"connection: close\r\n")
+
+
+class TestBrokenAnswers:
+    def test_a_wrong_answer_is_no_sign_of_a_restart(self):
+        """Guard against a server without calls after an answer without a signature."""
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(answer(request_id=arrival.header("x-id"), signed=False))
+
+            await bed.serve("e-1", script, "drafting")
+            assert (await bed.call("/draft/1", method="POST")).status == 502
+            assert not is_suspect(bed)
+
+        run(test)
+
+    def test_a_reset_is_forgotten_as_an_older_stream_goes_on(self):
+        """Guard against a server without calls for seconds as it reset one call."""
+
+        async def test(bed):
+            reset, goes_on = anyio.Event(), anyio.Event()
+
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+                await writer.drain()
+                if arrival.header("x-id") == "reset":
+                    await reset.wait()
+                    writer.transport.abort()
+                    return False
+                await goes_on.wait()
+                writer.write(chunk(event(2)) + b"0\r\n\r\n")
+                return None
+
+            await bed.serve("e-1", script, "drafting")
+            async with anyio.create_task_group() as group:
+                for name in ("goes on", "reset"):
+                    group.start_soon(
+                        lambda name=name: bed.call(
+                            "/sms/1", request_id=name, method="POST"
+                        )
+                    )
+                    await anyio.sleep(0.15)
+                reset.set()
+                await anyio.sleep(0.15)
+                assert is_suspect(bed)
+                goes_on.set()
+                await anyio.sleep(0.05)
+                assert not is_suspect(bed)
+
+        run(test)
