--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_grants.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_footprint_grants.py
@@ -88,6 +88,6 @@
     for number in range(SERVERS_PER_OWNER):
         instance = Instance(f"e{number}", SERVICE, "10.0.0.1", 1, "fes", 128)
         dispatcher.registry.put(instance, 0.0)
-    owners = OwnerTable(dispatcher.registry.usable)
+    owners = OwnerTable(dispatcher.registry.usable, me=OWNER)
     owners.set_routers({OWNER: "fes"})
     return Granter(OWNER, 1, dispatcher, owners)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -90,7 +90,8 @@
         run.owners = OwnerTable(run.routers[0].dispatcher.registry.usable)
         run.owners.set_routers({row.name: "fes" for row in run.routers})
         for row in run.routers:
-            table = OwnerTable(row.dispatcher.registry.usable, run.owners.routers)
+            table = OwnerTable(row.dispatcher.registry.usable, me=row.name)
+            table.set_routers(run.owners.routers)
             row.granter = Granter(row.name, 1, row.dispatcher, table)
     run.simulate(arrivals(workload, seed))
     return SimulatedDay(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
@@ -4,11 +4,13 @@
 to all routers together. A router that had to ask others first would be wrong in every
 network partition; the symptoms are servers that are overloaded by retries or fail while
 they warm up. So each router uses a fixed share of the limit, computed for a fleet that
-is larger than the one it knows.
+is larger than the one it knows. Of a cold server's limit a part is dealt out by its
+owner.
 """
 
 from __future__ import annotations
 
+import enum
 import math
 from collections import deque
 
@@ -101,37 +103,68 @@
 fifth covers uneven network delays."""
 
 
+OWNER_FRACTION = 0.45
+SHARED_FRACTION = 0.3
+"""Fractions of a cold server's limit that its owner deals out by demand, and that all
+routers share by rank. While routers disagree there are two owners for a moment; both of
+them and the shares together stay within the limit."""
+
+
+class ColdBudget(enum.Enum):
+    """State by which part of a cold server's limit a call is sent."""
+
+    SHARE = 0  # this router's
+    OWNER = 1  # dealt out by this router, as the server's owner
+    GRANTED = 2  # dealt out by another router, its owner
+
+
 @define
-class ColdShare:
-    """Hold one router's share of the calls a second that a cold server can serve."""
+class ColdLimit:
+    """Hold one router's part in the limit on a cold server's calls.
+
+    Load pattern: servers restart cold, and all calls of some workspaces come to one
+    router. If the whole limit were dealt out by router, that one could send a sixtieth
+    of what cold servers bear, whatever it needs. So the owner deals out a part.
+    """
 
     bound: float  # calls of all routers in a second
     _sent: deque[float] = field(factory=deque)
+    _dealt_out: deque[float] = field(factory=deque)  # as the owner
     _ranked: list[RouterName] = field(factory=list)
     _rank: int = 0  # of this router in `_ranked`
 
     def allows(
         self, server: ServerName, me: RouterName, routers: list[RouterName], now: float
     ) -> bool:
-        """Return whether one more call may go to the server now.
+        """Return whether one more call of this router's share may go there now.
 
         If there are more routers than allowed calls, only the first routers in the
         server's hash order may send one call each: a minimum of one call for every
         router would exceed the limit.
         """
-        while self._sent and self._sent[0] <= now - COLD_WINDOW_S:
-            self._sent.popleft()
-        usable = USABLE_FRACTION * self.bound
-        share = int(usable / assumed_routers(len(routers)))
-        if share == 0 and self._rank_of(server, me, routers) < int(
-            usable / FLEET_MARGIN
-        ):
+        shared = SHARED_FRACTION * USABLE_FRACTION * self.bound
+        share = int(shared / assumed_routers(len(routers)))
+        if share == 0 and self._rank_of(server, me, routers) < self._single_calls:
             share = 1
-        return len(self._sent) < share
+        return _count(self._sent, now) < share
+
+    def owner_allows(self, now: float) -> bool:
+        """Return whether the server's owner may deal out one more call now."""
+        usable = USABLE_FRACTION * self.bound
+        return _count(self._dealt_out, now) < int(OWNER_FRACTION * usable)
 
-    def note(self, now: float) -> None:
+    def note(self, budget: ColdBudget, now: float) -> None:
         """Record a call that is sent."""
-        self._sent.append(now)
+        if budget is ColdBudget.SHARE:
+            self._sent.append(now)
+        elif budget is ColdBudget.OWNER:
+            self._dealt_out.append(now)
+
+    @property
+    def _single_calls(self) -> int:
+        """Return how many routers may send one call each if not all may."""
+        usable = USABLE_FRACTION * self.bound
+        return max(int(SHARED_FRACTION * usable / FLEET_MARGIN), min(1, int(usable)))
 
     def _rank_of(
         self, server: ServerName, me: RouterName, routers: list[RouterName]
@@ -142,6 +175,13 @@
         return self._rank
 
 
+def _count(times: deque[float], now: float) -> int:
+    """Drop what is older than the window and return the number of the rest."""
+    while times and times[0] <= now - COLD_WINDOW_S:
+        times.popleft()
+    return len(times)
+
+
 def _rank(server: ServerName, me: RouterName, routers: list[RouterName]) -> int:
     def weight(name: RouterName) -> int:
         return xxhash.xxh3_64_intdigest(f"cold\0{server}\0{name}".encode())
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -6,6 +6,7 @@
 
 from fulmarroad.types import RefusalReason, RouterName, ServerName, WorkspaceName
 from fulmarroad_serving._attempts import SendOutcome
+from fulmarroad_serving._budgets import ColdBudget
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._load import Charge
 from fulmarroad_serving._registry import Instance, Registered
@@ -90,6 +91,7 @@
     candidates: int
     source: Registered | None = None  # another engine that may have the part
     grant: Grant | None = None  # None: this router placed it itself
+    cold_budget: ColdBudget = ColdBudget.SHARE  # if its server is cold
 
     @property
     def wait_s(self) -> float:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -22,7 +22,7 @@
 )
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._baselines import ChooseEngine
-from fulmarroad_serving._budgets import RetryShare
+from fulmarroad_serving._budgets import ColdBudget, RetryShare
 from fulmarroad_serving._catalog import Catalog, Service, ServiceName
 from fulmarroad_serving._demands import (
     ColdServers,
@@ -37,6 +37,7 @@
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad, SharedPart
 from fulmarroad_serving._obstacles import Obstacle
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
     Choice,
@@ -45,7 +46,7 @@
     choose_plain,
     part_id,
 )
-from fulmarroad_serving._servers import ServerBook
+from fulmarroad_serving._servers import PlacementView, ServerBook
 from fulmarroad_serving._shares import NO_USE, ShareBook, ShareUse
 from fulmarroad_serving._shortlist import Shortlist
 from fulmarroad_serving._suspects import Suspects
@@ -204,7 +205,16 @@
         if row is None:
             return Obstacle.GONE
         service = self._service(demand.service)
-        return self.servers.obstacle(row, service, now, version=demand.version)
+        view = PlacementView(version=demand.version)
+        return self.servers.obstacle(row, service, now, view)
+
+    def may_send(self, demand: Demand, placement: Placement, now: float) -> bool:
+        """Return whether a call that was placed earlier may still be sent."""
+        row = placement.registered
+        if not self.servers.may_send(row.instance, demand.version, now):
+            return False
+        service = self._service(demand.service)
+        return self.servers.may_send_cold(row, service, placement.cold_budget, now)
 
     def cold_servers(
         self, rows: Iterable[Registered], service: ServiceName, now: float
@@ -233,7 +243,7 @@
         now: float,
         *,
         avoid: Collection[ServerName] = (),
-        owned: Sequence[Registered] | None = None,
+        owned: OwnedServers | None = None,
         asker: ColdServers | None = None,
     ) -> Placement | Refusal:
         """Choose a server, or return the reason for a refusal.
@@ -242,15 +252,14 @@
         another router's call, `asker` is what that router knows of cold servers.
         """
         service = self._service(demand.service)
-        usable = owned
-        if usable is None:
+        if owned is None:
             usable = self.registry.usable(service.name, demand.version)
+            view = PlacementView(avoid, demand.version, asker)
+        else:
+            usable = owned.rows
+            view = PlacementView(avoid, demand.version, asker, owned.held)
         rows = self._eligible_servers(
-            demand,
-            usable,
-            lambda row: self.servers.accepts(
-                row, service, now, avoid, asker, demand.version
-            ),
+            demand, usable, lambda row: self.servers.accepts(row, service, now, view)
         )
         if not rows and not self._has_origin(demand):
             return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
@@ -288,7 +297,15 @@
         registered = self.registry.get(choice.server)
         assert registered is not None
         supplier = self.registry.get(choice.source) if choice.source else None
-        return Placement(registered, choice, use, len(rows), supplier)
+        budget = self.servers.cold_budget(registered, service, now, view)
+        return Placement(
+            registered,
+            choice,
+            use,
+            len(rows),
+            supplier,
+            cold_budget=budget or ColdBudget.SHARE,
+        )
 
     def send(
         self,
@@ -307,8 +324,7 @@
         expected_s = choice.wait_s + choice.read_s
         charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
         charge = evolve(charge, part=self._shared_part(demand, choice, now))
-        if placement.registered.cold(now) and not for_peer:
-            self.servers.note_cold_call(server, self._service(demand.service), now)
+        self._note_cold_call(demand, placement, now, for_peer=for_peer)
         if choice.tokens >= LARGE_PROMPT_TOKENS and self.on_large_prompt is not None:
             self.on_large_prompt()
         if placement.use is not NO_USE:  # only set for engine services
@@ -325,9 +341,7 @@
         """Record a call whose place another router granted, and counts."""
         choice = placement.choice
         grant.closed = True
-        if placement.registered.cold(now):
-            service = self._service(demand.service)
-            self.servers.note_cold_call(choice.server, service, now)
+        self._note_cold_call(demand, placement, now, for_peer=False)
         if placement.use is not NO_USE:
             self._capacity(demand.service).note_sent(choice.tokens, demand.units)
         if demand.part:
@@ -341,6 +355,18 @@
         self.on_progress(ticket)
         return ticket
 
+    def _note_cold_call(
+        self, demand: Demand, placement: Placement, now: float, *, for_peer: bool
+    ) -> None:
+        """Count a call to a cold server, unless another router counts it."""
+        budget = placement.cold_budget
+        if budget is ColdBudget.SHARE and (
+            for_peer or not placement.registered.cold(now)
+        ):
+            return
+        service = self._service(demand.service)
+        self.servers.note_cold_call(placement.choice.server, service, budget, now)
+
     def adopt(self, ticket: Ticket) -> None:
         """Count a granted call here from now on, as its owner is gone."""
         view = self.servers.view(ticket.charge.server)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import anyio
 from attrs import evolve
@@ -32,8 +32,9 @@
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._owner_client import OwnerClient
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._pool import ConnectionPool
-from fulmarroad_serving._registry import Instance, Registered
+from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._served_call import (
     ActiveCall,
@@ -211,7 +212,7 @@
     async def _place_here(
         self,
         run: ActiveCall,
-        owned: Sequence[Registered] | None,
+        owned: OwnedServers | None,
         *,
         may_wait: bool,
     ) -> Placement | Refusal:
@@ -227,7 +228,7 @@
     async def _place_or_hold(
         self,
         run: ActiveCall,
-        owned: Sequence[Registered] | None,
+        owned: OwnedServers | None,
         *,
         may_wait: bool,
     ) -> Placement | Refusal:
@@ -251,7 +252,7 @@
         return placement
 
     def _place(
-        self, run: ActiveCall, owned: Sequence[Registered] | None
+        self, run: ActiveCall, owned: OwnedServers | None
     ) -> Placement | Refusal:
         demand = run.demand
         if run.summary.held_s:
@@ -309,9 +310,9 @@
             late = NotSentError("The call's time ran out before it could be sent.")
             self._note_failure(run, instance.id, late)
             return late
-        version, now = run.demand.version, self._clock()
-        if not self._dispatcher.servers.may_send(instance, version, now):
-            # It announced its shutdown, left, asked for rest or restarted meanwhile.
+        if not self._dispatcher.may_send(run.demand, placement, self._clock()):
+            # It announced its shutdown, left, asked for rest or restarted meanwhile, or
+            # is cold and got as many calls as it may.
             self._pool.release(instance.id, connection)
             self._return_unused(placement, obstacle=Obstacle.GONE)
             withdrawn = WithdrawnServerError("The server takes no more calls.")
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -15,6 +15,7 @@
 from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import RouterName
+from fulmarroad_serving._budgets import ColdBudget
 from fulmarroad_serving._demands import Demand, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._holding import HeldCalls
@@ -121,9 +122,8 @@
     def _decide(self, held: _HeldRequest, now: float) -> AddressedReply:
         request = held.request
         left_out = frozenset(request.left_out) - {self._me}
-        owners = self._owners.owners(request.demand.service, left_out)
-        servers = owners.servers_of(self._me)
-        if not servers:
+        owned = self._owners.owned(request.demand.service, left_out)
+        if not owned.rows:
             return self._reply(request, ReplyKind.NOT_OWNER)
         held_s = now - held.since
         demand = _after(held.attempt.demand, held_s)
@@ -131,7 +131,7 @@
             demand,
             now,
             avoid=request.avoid,
-            owned=servers,
+            owned=owned,
             asker=request.cold,
         )
         if isinstance(placed, Placement):
@@ -172,6 +172,7 @@
             choice.cached,
             choice.copies,
             self._dispatcher.load(choice.server).read_rate,
+            cold_granted=placed.cold_budget is ColdBudget.OWNER,
         )
         return AddressedReply(request.router, reply)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -21,6 +21,7 @@
 from fulmarroad.events import Event, emit
 from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
+from fulmarroad_serving._budgets import ColdBudget
 from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._obstacles import Obstacle
@@ -33,8 +34,7 @@
     pack_progress,
     pack_request,
 )
-from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._registry import Registered
+from fulmarroad_serving._owners import OwnedServers, OwnerTable
 from fulmarroad_serving._routing import Choice, part_id
 from fulmarroad_serving._workspace_outcomes import (
     UNMET_REQUESTS,
@@ -62,6 +62,9 @@
 """Reasons for which an owner's refusal says nothing about other owners' servers."""
 
 
+COLD_OBSTACLES = (Obstacle.COLD, Obstacle.SUSPECT)
+
+
 @define
 class _PendingRequest:
     replied: anyio.Event = field(factory=anyio.Event)
@@ -105,10 +108,9 @@
         order = owners.order(part, self._random, demand.version)
         return next(iter(order), None)
 
-    def own_servers(self, demand: Demand) -> tuple[Registered, ...]:
+    def own_servers(self, demand: Demand) -> OwnedServers:
         """Return the servers that this router owns for a call."""
-        owners = self._owners.owners(demand.service, self._left_out())
-        return owners.servers_of(self.me)
+        return self._owners.owned(demand.service, self._left_out())
 
     async def request(
         self,
@@ -286,6 +288,8 @@
                 reply.reason, reply.retry_after_s, reply.wait_s, read_s=reply.read_s
             )
         obstacle = self._obstacle(demand, reply.server, avoid)
+        if reply.cold_granted and obstacle in COLD_OBSTACLES:
+            obstacle = None  # the owner counts it against the server's limit
         if obstacle is not None:
             self.requests.note(demand.workspace, given_back(obstacle))
             self._return_unused(reply)
@@ -309,7 +313,8 @@
         grant = Grant(
             reply.owner, reply.incarnation, reply.number, workspace=demand.workspace
         )
-        return Placement(registered, choice, use, 0, source, grant)
+        budget = ColdBudget.GRANTED if reply.cold_granted else ColdBudget.SHARE
+        return Placement(registered, choice, use, 0, source, grant, budget)
 
     def _obstacle(
         self, demand: Demand, server: ServerName, avoid: Collection[ServerName]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -67,6 +67,7 @@
     read_rate: float = 0.0  # tokens a second, as the owner learned it
     reason: RefusalReason = RefusalReason.WAIT_TOO_LONG
     retry_after_s: float = 0.0
+    cold_granted: bool = False  # the owner counts it in the limit of a cold server
 
 
 @frozen
@@ -176,6 +177,7 @@
         round(reply.read_rate),
         _REASONS.index(reply.reason),
         round(reply.retry_after_s, 3),
+        reply.cold_granted,
     ]
     return bytes(msgpack.packb(row))
 
@@ -198,6 +200,8 @@
             float(row[12]),
             _REASONS[row[13]],
             float(row[14]),
+            # Owners of the previous release only grant what the asker permits.
+            bool(row[15]) if len(row) > 15 else False,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement reply is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -17,11 +17,12 @@
 import heapq
 import math
 import random
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from functools import lru_cache
 
 import xxhash
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fulmarroad.ownership import watchers
 from fulmarroad.types import DataCentreName, RouterName, ServerName
@@ -57,17 +58,21 @@
     """
     if not servers or not routers:
         return {}
-    centres = set(servers.values())
-    if len(servers) < SERVERS_PER_OWNER * len(centres):
+    if not has_local_owners(servers):
         return _assign(service, sorted(servers), list(routers))
     owners: dict[ServerName, RouterName] = {}
-    for centre in centres:
+    for centre in set(servers.values()):
         names = sorted(name for name, at in servers.items() if at == centre)
         local = [name for name, at in routers.items() if at == centre]
         owners |= _assign(f"{service}\0{centre}", names, local or list(routers))
     return owners
 
 
+def has_local_owners(servers: Mapping[ServerName, DataCentreName]) -> bool:
+    """Return whether each server's owner is one of its data centre's routers."""
+    return len(servers) >= SERVERS_PER_OWNER * len(set(servers.values()))
+
+
 def _assign(
     subject: str, servers: Sequence[ServerName], routers: Sequence[RouterName]
 ) -> dict[ServerName, RouterName]:
@@ -163,22 +168,65 @@
         ]
 
 
+@frozen
+class OwnedServers:
+    """List the servers for which a router decides as their owner."""
+
+    rows: tuple[Registered, ...] = ()
+    held: frozenset[ServerName] = frozenset()
+    """Those of which it deals out a part of the limit on calls while they are cold."""
+
+
 @define
 class OwnerTable:
     """Hold the owners of every service, as this router computes them."""
 
     _usable: Callable[[ServiceName], tuple[Registered, ...]]
     routers: Routers = field(factory=dict)
+    _me: RouterName = field(default="", kw_only=True)
+    _known: Mapping[DataCentreName, int] = field(factory=dict)
     _tables: dict[tuple[ServiceName, frozenset[RouterName]], ServiceOwners] = field(
         factory=dict
     )
 
-    def set_routers(self, routers: Routers) -> None:
-        """Replace the routers that may own servers."""
+    def set_routers(
+        self, routers: Routers, known: Mapping[DataCentreName, int] | None = None
+    ) -> None:
+        """Replace the routers that may own servers.
+
+        `known` counts the routers of each data centre, with those out of sight.
+        """
+        self._known = Counter(routers.values()) if known is None else known
         if routers != self.routers:
             self.routers = dict(routers)
             self._tables.clear()
 
+    def owned(
+        self, service: ServiceName, left_out: frozenset[RouterName] = frozenset()
+    ) -> OwnedServers:
+        """Return the servers for which this router decides as their owner."""
+        rows = self.owners(service, left_out).servers_of(self._me)
+        if not rows:
+            return OwnedServers()
+        table = self.owners(service)
+        held = (row.instance.id for row in rows if self._holds(table, row))
+        return OwnedServers(rows, frozenset(held))
+
+    def _holds(self, table: ServiceOwners, row: Registered) -> bool:
+        """Return whether this router is a server's owner for most of the routers.
+
+        Cut off from them, it would be one of several. Standing in for a router that
+        doesn't answer, it would be the second.
+        """
+        if table.by_server.get(row.instance.id) != self._me:
+            return False
+        centre = row.instance.data_centre
+        if not has_local_owners(table.centres):
+            return 2 * len(self.routers) > sum(self._known.values())
+        in_sight = sum(at == centre for at in self.routers.values())
+        is_local = self.routers.get(self._me) == centre
+        return is_local and 2 * in_sight > self._known.get(centre, 0)
+
     def all_owners(self) -> frozenset[RouterName]:
         """Return the owners of all servers that calls came for."""
         return frozenset(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+from collections import Counter
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -105,7 +106,7 @@
         self._report_due = anyio.Event()
         source = random.Random(incarnation)
         self._view = FleetView(me, centre, host, dispatcher, source)
-        self.owners = OwnerTable(dispatcher.registry.usable)
+        self.owners = OwnerTable(dispatcher.registry.usable, me=me)
         self._view.owners = self.owners.all_owners
         self.owner_client = OwnerClient(
             me, incarnation, dispatcher, self.owners, source, clock
@@ -290,7 +291,7 @@
         Values derived from the list stay cached for as long as it is the same object,
         so an equal list is not assigned again.
         """
-        self.owners.set_routers(self._possible_owners(now))
+        self.owners.set_routers(self._possible_owners(now), self._known_by_centre())
         self.streams.set_routers(self._possible_keepers(now), now)
         routers = self.book.known_routers(now)
         if routers != self._dispatcher.routers:
@@ -311,6 +312,10 @@
             routers[self._me] = self._centre
         return routers
 
+    def _known_by_centre(self) -> Counter[DataCentreName]:
+        """Count the routers of each data centre, with those that are silent."""
+        return Counter([self._centre, *self.book.data_centres()])
+
     def _possible_keepers(self, now: float) -> list[Keeper]:
         """Return the routers that may keep records of streams."""
         lately = self.book.alive(now, KEEPER_SILENCE_S)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -382,6 +382,10 @@
                 self._hosts.pop(name, None)
         return sorted({self._me, *self._hosts})
 
+    def data_centres(self) -> list[DataCentreName]:
+        """Return the data centre of every known peer."""
+        return [peer.report.data_centre for peer in self._peers.values()]
+
     def hosts(self) -> dict[RouterName, str]:
         """Return the address of every known peer."""
         return dict(self._hosts)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -6,10 +6,10 @@
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from fulmarroad.types import RouterName, ServerName
-from fulmarroad_serving._budgets import ColdShare
+from fulmarroad_serving._budgets import ColdBudget, ColdLimit
 from fulmarroad_serving._catalog import Service, ServiceName
 from fulmarroad_serving._demands import ColdServers, FleetBounds
 from fulmarroad_serving._health import ServerHealth
@@ -39,7 +39,7 @@
     load: ServerLoad = field(factory=ServerLoad)
     health: ServerHealth = field(factory=ServerHealth)
     rest: ServerRest = field(factory=ServerRest)
-    cold: ColdShare | None = None
+    cold: ColdLimit | None = None
     plain_s: float = PLAIN_SERVICE_S
 
     def learn_duration(self, duration_s: float) -> None:
@@ -48,6 +48,23 @@
         self.plain_s += PLAIN_LEARNING_RATE * (duration_s - self.plain_s)
 
 
+@frozen
+class PlacementView:
+    """Hold what decides, besides a server's own state, whether it may get a call."""
+
+    avoid: Collection[ServerName] = ()
+    """Servers that failed the call. For another router's call also those that this
+    router can't reach or that asked it for rest: a rest doesn't bind others."""
+    version: str = ""  # of the server that began the call's stream; "": not begun
+    asker: ColdServers | None = None
+    """For another router's call, what that one knows of cold servers."""
+    held: Collection[ServerName] = ()
+    """Servers of whose limit this router deals out a part, as their owner."""
+
+
+OWN_VIEW = PlacementView()
+
+
 class ServerBook:
     """Hold the registered servers and what this router knows of each."""
 
@@ -110,56 +127,66 @@
         row: Registered,
         service: Service,
         now: float,
-        avoid: Collection[ServerName] = (),
-        asker: ColdServers | None = None,
-        version: str = "",
+        view: PlacementView = OWN_VIEW,
     ) -> bool:
         """Return whether a call may go to a server now, see `obstacle`."""
-        return not self.obstacle(row, service, now, avoid, asker, version)
+        return not self.obstacle(row, service, now, view)
 
     def obstacle(
         self,
         row: Registered,
         service: Service,
         now: float,
-        avoid: Collection[ServerName] = (),
-        asker: ColdServers | None = None,
-        version: str = "",
+        view: PlacementView = OWN_VIEW,
     ) -> Obstacle | None:
-        """Return why a call may not go to a server now, None if it may.
-
-        For another router's call, `asker` is what that router knows of cold servers,
-        and its share of calls to them counts, not this router's. A rest that a server
-        asked of this router doesn't bind the other one, which names the servers that
-        rest for it in `avoid`. `version` is that of the server that began the call's
-        stream, "" before its first event.
-        """
+        """Return why a call may not go to a server now, None if it may."""
         server = row.instance.id
-        if not row.serves(version, now):
+        if not row.serves(view.version, now):
             return Obstacle.VERSION
-        if server in avoid:
+        if server in view.avoid:
             return Obstacle.AVOIDED
         if not self.registry.accepts_calls(row.instance):
             return Obstacle.GONE
-        view = self.view(server)
-        if view.health.in_backoff(now):
+        known = self.view(server)
+        if known.health.in_backoff(now):
             return Obstacle.BACKOFF
-        if asker is None and view.rest.is_on(now):
+        if view.asker is None and known.rest.is_on(now):
             return Obstacle.RESTS
-        if service.warmup_rate <= 0:
-            return None
-        if asker is not None and server in asker.closed:
-            return Obstacle.COLD
-        if not row.cold(now):
+        if self.cold_budget(row, service, now, view) is not None:
             return None
-        if asker is not None:
-            is_permitted = server in asker.permitted
+        return Obstacle.COLD if now < row.cold_until else Obstacle.SUSPECT
+
+    def cold_budget(
+        self, row: Registered, service: Service, now: float, view: PlacementView
+    ) -> ColdBudget | None:
+        """Return by which part of its limit a server may get a call now, if it is cold.
+
+        Return None if it may not get one.
+        """
+        if not self._is_cold(row, service, now, view):
+            return ColdBudget.SHARE
+        server = row.instance.id
+        limit = self._cold_limit(server, service)
+        if view.asker is not None:
+            has_share = server in view.asker.permitted
         else:
-            share = self._cold_share(view, service)
-            is_permitted = share.allows(server, self._me, self.routers, now)
-        if is_permitted:
+            has_share = limit.allows(server, self._me, self.routers, now)
+        if has_share:
+            return ColdBudget.SHARE
+        if server not in view.held or not row.cold(now):
+            # An owner that doesn't know a server to be cold lets others send there
+            # without a limit.
             return None
-        return Obstacle.COLD if now < row.cold_until else Obstacle.SUSPECT
+        return ColdBudget.OWNER if limit.owner_allows(now) else None
+
+    def _is_cold(
+        self, row: Registered, service: Service, now: float, view: PlacementView
+    ) -> bool:
+        if service.warmup_rate <= 0:
+            return False
+        return row.cold(now) or (
+            view.asker is not None and row.instance.id in view.asker.closed
+        )
 
     def count_obstacles(self, service: Service, now: float) -> Counter[str]:
         """Count the servers of a service that calls of this router may not use."""
@@ -171,7 +198,8 @@
         self, rows: Iterable[Registered], service: Service, now: float
     ) -> ColdServers:
         """Return which of some servers are cold, and whether they may get a call."""
-        permitted, closed = [], []
+        permitted: list[ServerName] = []
+        closed: list[ServerName] = []
         for row in rows:
             if service.warmup_rate > 0 and row.cold(now):
                 accepts = self.accepts(row, service, now)
@@ -210,9 +238,27 @@
         rests = [self.view(row.instance.id).rest for row in rows]
         return min((row.until - now for row in rests if row.is_on(now)), default=None)
 
-    def note_cold_call(self, server: ServerName, service: Service, now: float) -> None:
+    def may_send_cold(
+        self, row: Registered, service: Service, budget: ColdBudget, now: float
+    ) -> bool:
+        """Return whether a call may still be sent if its server is cold.
+
+        Another call may have been sent since it was placed, or a connection broken.
+        """
+        if budget is ColdBudget.GRANTED or service.warmup_rate <= 0:
+            return True
+        limit = self._cold_limit(row.instance.id, service)
+        if budget is ColdBudget.OWNER:
+            return limit.owner_allows(now)
+        return not row.cold(now) or limit.allows(
+            row.instance.id, self._me, self.routers, now
+        )
+
+    def note_cold_call(
+        self, server: ServerName, service: Service, budget: ColdBudget, now: float
+    ) -> None:
         """Record a call that is sent to a cold server."""
-        self._cold_share(self.view(server), service).note(now)
+        self._cold_limit(server, service).note(budget, now)
 
     def candidate(self, row: Registered, service: Service, now: float) -> Candidate:
         """Return the estimates for a server that a placement compares."""
@@ -243,10 +289,10 @@
         rate = sum(self.view(row.instance.id).load.read_rate for row in rows)
         return rate * len(usable) / max(1, len(rows))
 
-    def _cold_share(self, view: ServerView, service: Service) -> ColdShare:
-        bounds = self._bounds
+    def _cold_limit(self, server: ServerName, service: Service) -> ColdLimit:
+        bounds, view = self._bounds, self.view(server)
         bound = cold_bound(service, bounds.warmup_factor, bounds.warmup_tolerance)
         if view.cold is None:
-            view.cold = ColdShare(bound)
+            view.cold = ColdLimit(bound)
         view.cold.bound = bound
         return view.cold
--- a/packages/fulmarroad-serving/tests/owner_bed.py
+++ b/packages/fulmarroad-serving/tests/owner_bed.py
@@ -68,7 +68,10 @@
         self.a, self.b = [
             make_dispatcher(name, warmup_rate=self.warmup_rate) for name in "ab"
         ]
-        tables = [OwnerTable(row.registry.usable) for row in (self.a, self.b)]
+        tables = [
+            OwnerTable(row.registry.usable, me=name)
+            for name, row in (("a", self.a), ("b", self.b))
+        ]
         for table in tables:
             table.set_routers({"b": "fes"})
         self.granter = Granter("b", 7, self.b, tables[1])
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -214,7 +214,7 @@
         self.pool._connect = self.connect
         self.state = RouterState(None, self.dispatcher, self.pool, AuditTrail(), clock)
         source = random.Random(incarnation)
-        owners = self.owners = OwnerTable(self.dispatcher.registry.usable)
+        owners = self.owners = OwnerTable(self.dispatcher.registry.usable, me=name)
         self.client = OwnerClient(
             name, incarnation, self.dispatcher, owners, source, clock
         )
--- a/packages/fulmarroad-serving/tests/test_budgets.py
+++ b/packages/fulmarroad-serving/tests/test_budgets.py
@@ -4,7 +4,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from fulmarroad_serving._budgets import ColdShare, RetryShare, assumed_routers
+from fulmarroad_serving._budgets import (
+    ColdBudget,
+    ColdLimit,
+    RetryShare,
+    assumed_routers,
+)
 
 
 class TestRetryShare:
@@ -48,26 +53,43 @@
         assert sum(share.take(0.0, 7) for _ in range(20)) == 3
 
 
-class TestColdShare:
+class TestColdLimit:
+    @pytest.mark.parametrize("rate", [0.5, 2.0, 12.0, 40.0])
+    @pytest.mark.parametrize("owners", [0, 1, 2])
     @pytest.mark.parametrize("count", [1, 7, 12, 74])
-    def test_all_routers_together_stay_within_the_cold_limit(self, count):
+    def test_all_routers_and_two_owners_stay_within_the_cold_limit(
+        self, count, owners, rate
+    ):
         """The servers of a data centre restart cold during a burst. If every router
-        sent its calls there at once, they would fail again.
+        sent its calls there at once, they would fail again. While routers disagree on
+        the owner of a server, two of them deal out a part.
         """
-        bound = 12.0 * 1.5 + 5.0
+        bound = rate * 1.5 + 5.0
         names = [f"router-{n}" for n in range(count)]
-        shares = {name: ColdShare(bound) for name in names}
+        limits = {name: ColdLimit(bound) for name in names}
         sent = []
         for step in range(300):
             now = step * 0.01
-            for name, share in shares.items():
-                if share.allows("server", name, names, now):
-                    share.note(now)
+            for number, (name, limit) in enumerate(limits.items()):
+                if limit.allows("server", name, names, now):
+                    limit.note(ColdBudget.SHARE, now)
+                    sent.append(now)
+                while number < owners and limit.owner_allows(now):
+                    limit.note(ColdBudget.OWNER, now)
                     sent.append(now)
         for start in sent:
             assert sum(start <= at < start + 1.0 for at in sent) <= bound
         assert sent
 
+    def test_an_owner_may_send_as_many_calls_as_a_dozen_routers(self):
+        """Guard against a workspace at one router that gets next to nothing of what
+        cold servers bear."""
+        limit, sent = ColdLimit(23.0), 0
+        while limit.owner_allows(0.0):
+            limit.note(ColdBudget.OWNER, 0.0)
+            sent += 1
+        assert sent >= 8
+
     def test_assumed_fleet_is_larger_than_the_known_one(self):
         assert assumed_routers(8) == 12
         assert assumed_routers(1) == 6
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -6,6 +6,7 @@
 
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving import Placement, Refusal, SendOutcome
+from fulmarroad_serving._budgets import ColdBudget
 from fulmarroad_serving._granting import UNCONFIRMED_GRANT_S
 from fulmarroad_serving._owner_client import SILENCE_S
 from fulmarroad_serving._owner_messages import PlacementRequest
@@ -184,25 +185,43 @@
                 if row.instance.id not in warm:
                     dispatcher.registry.mark_cold(row.instance.id, 9.0, bed.now)
 
-    def test_a_cold_server_gets_what_the_sending_router_may_send(self):
-        """Servers restart cold. Limited by its owner's share alone, one gets one call a
-        second and idles; without the limit of each router it gets too many.
+    def test_cold_servers_get_what_their_owner_deals_out(self):
+        """Servers restart cold. With one call a second for each router, one that has
+        most calls could use next to nothing of them, and too many calls end them.
         """
 
         async def test():
             bed = OwnerBed(warmup_rate=19.0)
             self.make_cold(bed)
-            placed = [await bed.place(may_wait=False) for _ in range(3)]
-            assert isinstance(placed[0], Placement)
-            rows = bed.a.registry.usable("drafting")
-            allowed = len(bed.a.cold_servers(rows, "drafting", bed.now).permitted)
+            bound = bed.warmup_rate * 1.5 + 5.0
+            sent = []
+            for number in range(120):
+                placement = await bed.place(evolve(CALL, part=f"p{number}"))
+                if not isinstance(placement, Placement):
+                    continue
+                bed.a.send(CALL, placement, bed.now)
+                sent.append(placement.choice.server)
+            for server in set(sent):
+                assert 10 <= sent.count(server) <= bound / 2
+            assert len(set(sent)) == 3
+
+        run(test)
+
+    def test_an_owner_out_of_sight_of_most_routers_deals_out_no_cold_calls(self):
+        """Guard against servers that end as each part of a split fleet has an owner for
+        them that deals out what they bear."""
+
+        async def test():
+            bed = OwnerBed(warmup_rate=19.0)
+            bed.granter._owners.set_routers({"b": "fes"}, {"fes": 2})
+            self.make_cold(bed)
+            sent = []
             for number in range(40):
                 placement = await bed.place(evolve(CALL, part=f"p{number}"))
                 if isinstance(placement, Placement):
                     bed.a.send(CALL, placement, bed.now)
-            after = len(bed.a.cold_servers(rows, "drafting", bed.now).permitted)
-            assert allowed == 3
-            assert after == 0
+                    sent.append(placement.choice.server)
+            assert len(sent) == len(set(sent)) == 3
 
         run(test)
 
@@ -216,7 +235,7 @@
             service = bed.a._service("drafting")
             bed.a.registry.suspect(first, Contact(bed.now, bed.now), bed.now)
             while bed.a.servers.accepts(bed.a.registry.get(first), service, bed.now):
-                bed.a.servers.note_cold_call(first, service, bed.now)
+                bed.a.servers.note_cold_call(first, service, ColdBudget.SHARE, bed.now)
             placed = [await bed.place() for _ in range(10)]
             assert first not in [row.choice.server for row in placed]
 
--- a/packages/fulmarroad-serving/tests/test_owner_exchange.py
+++ b/packages/fulmarroad-serving/tests/test_owner_exchange.py
@@ -23,7 +23,7 @@
 
     def __init__(self, name, dispatcher, port):
         self.name, self.dispatcher, self.port = name, dispatcher, port
-        owners = OwnerTable(dispatcher.registry.usable)
+        owners = OwnerTable(dispatcher.registry.usable, me=name)
         owners.set_routers({"b": "fes"})
         number = INCARNATIONS[name]
         self.client = OwnerClient(
@@ -118,7 +118,10 @@
         owner.set_catalog(bed.beliefs.catalog)
         for row in bed.dispatcher.registry.rows():
             owner.registry.put(row.instance, bed.now())
-        owners = [OwnerTable(d.registry.usable) for d in (bed.dispatcher, owner)]
+        owners = [
+            OwnerTable(d.registry.usable, me=name)
+            for d, name in ((bed.dispatcher, "a"), (owner, "b"))
+        ]
         for table in owners:
             table.set_routers({"b": "fes"})
         granter = Granter("b", 7, owner, owners[1])
--- a/packages/fulmarroad-serving/tests/test_owners.py
+++ b/packages/fulmarroad-serving/tests/test_owners.py
@@ -137,3 +137,54 @@
         without = table.owners("drafting", frozenset({owner}))
         assert owner not in without.by_server.values()
         assert table.owners("drafting").by_server["e0"] == owner
+
+
+class TestHeldServers:
+    """Tests of which servers' limits an owner deals out."""
+
+    def table(self, routers, known, me="r-0", centres=("fes",)):
+        rows = tuple(
+            Registered(
+                Instance(f"s{n}", "drafting", "h", n, centres[n % len(centres)], 8), 0.0
+            )
+            for n in range(10)
+        )
+        table = OwnerTable(lambda service: rows, me=me)
+        table.set_routers(routers, known)
+        return table
+
+    def test_an_owner_that_sees_most_routers_holds_its_servers(self):
+        routers = {f"r-{n}": "fes" for n in range(2)}
+        owned = self.table(routers, {"fes": 3}).owned("drafting")
+        assert {row.instance.id for row in owned.rows} == owned.held
+        assert owned.held
+
+    def test_an_owner_that_sees_half_of_the_routers_holds_none(self):
+        """Guard against two owners of a server on the sides of a split fleet."""
+        routers = {f"r-{n}": "fes" for n in range(2)}
+        owned = self.table(routers, {"fes": 4}).owned("drafting")
+        assert owned.rows
+        assert not owned.held
+
+    def test_a_data_centre_that_is_cut_off_holds_its_own_servers_alone(self):
+        """Guard against routers elsewhere that deal out the calls of servers whose own
+        data centre goes on without them."""
+        known = {"fes": 2, "rabat": 2}
+        inside = {"r-0": "fes", "r-1": "fes"}
+        outside = {"r-2": "rabat", "r-3": "rabat"}
+        centres = ("fes", "rabat")
+        held = {
+            name: self.table(routers, known, name, centres).owned("drafting").held
+            for routers in (inside, outside)
+            for name in routers
+        }
+        assert held["r-0"] | held["r-1"] == {f"s{n}" for n in range(0, 10, 2)}
+        assert held["r-2"] | held["r-3"] == {f"s{n}" for n in range(1, 10, 2)}
+
+    def test_a_router_that_stands_in_for_a_silent_owner_holds_none_of_its_servers(self):
+        """Guard against a second owner while the first one is only slow to answer."""
+        routers = {f"r-{n}": "fes" for n in range(2)}
+        table = self.table(routers, None)
+        owned = table.owned("drafting", frozenset({"r-1"}))
+        assert len(owned.rows) == 10
+        assert owned.held == table.owned("drafting").held
--- a/packages/fulmarroad-serving/tests/test_plain_service.py
+++ b/packages/fulmarroad-serving/tests/test_plain_service.py
@@ -6,6 +6,7 @@
 from owner_bed import make_dispatcher
 
 from fulmarroad_serving import Demand, Placement
+from fulmarroad_serving._owners import OwnedServers
 
 SERVERS = 3
 SLOTS = 6
@@ -29,7 +30,7 @@
             dispatcher.end(ticket, None, ended_at)
         asked += 1
         demand = Demand(f"c{asked}", "ledger", "coop", OBJECTIVE_S)
-        placement = dispatcher.place(demand, now, owned=owned)
+        placement = dispatcher.place(demand, now, owned=OwnedServers(owned))
         if not isinstance(placement, Placement):
             continue
         ticket = dispatcher.send(demand, placement, now)
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -23,6 +23,7 @@
 from fulmarroad_serving import Instance, Placement, Refusal, SendOutcome
 from fulmarroad_serving._attempts import CallProgress
 from fulmarroad_serving._exchange import Exchanger
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._rests import MAX_REST_S, ServerRest, read_rest_s
 from fulmarroad_serving.contracts import AnswerHead, InstanceFact
 from fulmarroad_serving.exceptions import SendError
@@ -218,7 +219,7 @@
         one leaves meanwhile.
         """
         dispatcher = make_dispatcher("a", engines=0, plain=2)
-        owned = dispatcher.registry.usable("ledger")
+        owned = OwnedServers(dispatcher.registry.usable("ledger"))
         dispatcher.note_leaving("ledger-0", 0, "answer")
         placed = [dispatcher.place(LOOKUP, 10.0, owned=owned) for _ in range(9)]
         assert {row.choice.server for row in placed} == {"ledger-1"}
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -194,7 +194,7 @@
         """
         dispatcher = make_dispatcher("a", engines=40)
         set_versions(dispatcher, *["v1"] * 39, "v2")
-        owners = OwnerTable(dispatcher.registry.usable)
+        owners = OwnerTable(dispatcher.registry.usable, me="b")
         owners.set_routers({f"r-{number}": "fes" for number in range(8)})
         table = owners.owners("drafting")
         holder = table.by_server["drafting-39"]
@@ -214,7 +214,7 @@
     def test_the_order_of_owners_follows_a_release(self):
         dispatcher = make_dispatcher("a", engines=1)
         set_versions(dispatcher, "v1")
-        owners = OwnerTable(dispatcher.registry.usable)
+        owners = OwnerTable(dispatcher.registry.usable, me="b")
         owners.set_routers({"b": "fes"})
         assert owners.owners("drafting").order(7, random.Random(1), "v2") == ()
         row = dispatcher.registry.get("drafting-0")
--- a/packages/fulmarroad-serving/tests/test_workspace_ends.py
+++ b/packages/fulmarroad-serving/tests/test_workspace_ends.py
@@ -10,6 +10,7 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad_serving import Placement, SendOutcome
+from fulmarroad_serving._budgets import ColdBudget
 from fulmarroad_serving._owner_messages import PlacementRequest
 from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._saturation import FAR_TOO_LATE_S
@@ -187,6 +188,6 @@
         dispatcher.health("drafting-2").unreachable(10.0)
         service = dispatcher._service("drafting")
         for server in ("drafting-0", "drafting-1"):
-            dispatcher.servers.note_cold_call(server, service, 10.0)
+            dispatcher.servers.note_cold_call(server, service, ColdBudget.SHARE, 10.0)
         counts = dispatcher.servers.count_obstacles(service, 10.1)
         assert counts == {"suspect": 1, "cold": 1, "backoff": 1}
