--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import functools
 import math
 from collections.abc import Callable
@@ -27,6 +28,9 @@
 """Limit on opening a connection within a region, which takes a few milliseconds. The
 kernel resends a lost first packet only after a second, so a new attempt is faster."""
 
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
+"""Errors that say nothing about the server to which a connection was to be opened."""
+
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of the server's idle timeout for which an idle connection is kept. A request
 sent while the server closes the connection can't be told from one that ran."""
@@ -190,6 +194,10 @@
                     self.new_connection, instance.host, instance.port
                 )
         except (OSError, TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in OUT_OF_DESCRIPTORS:
+                raise ConnectionLimitError(
+                    "This router has no file descriptor left for a connection."
+                ) from error
             refused = isinstance(error, ConnectionRefusedError)
             kind = ConnectionRefusedByHostError if refused else NotSentError
             raise kind(
--- a/packages/fulmarroad-serving/tests/test_restart_suspicions.py
+++ b/packages/fulmarroad-serving/tests/test_server_beliefs.py
@@ -1,4 +1,7 @@
-"""Tests of what a router takes for an unnoticed restart of a server."""
+"""Tests of what a router takes for a restart or a failure of a server."""
+
+import asyncio
+import errno
 
 import anyio
 from serving_bed import answer, chunk, event, run, stream_head
@@ -98,3 +101,31 @@
                 assert not is_suspect(bed)
 
         run(test)
+
+
+class TestDescriptors:
+    def test_a_router_out_of_descriptors_holds_no_server_for_unreachable(self):
+        """Guard against a router that gives no server a call for seconds, and tells
+        their owners that they fail, as it has no file descriptor left itself.
+        """
+
+        async def test(bed):
+            async def script(arrival, writer):
+                writer.write(answer(request_id=arrival.header("x-id")))
+
+            await bed.serve("s-1", script)
+            loop = asyncio.get_running_loop()
+            connect = loop.create_connection
+
+            async def fail(*args):
+                raise OSError(errno.EMFILE, "Too many open files")
+
+            loop.create_connection = fail
+            caller = await bed.call("/look/1")
+            assert caller.status == 503
+            assert float(caller.headers[b"retry-after"]) > 0
+            loop.create_connection = connect
+            assert not bed.dispatcher.health("s-1").in_backoff(bed.now())
+            assert (await bed.call("/look/1")).status == 200
+
+        run(test)
