--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_budgets.py
@@ -28,6 +28,10 @@
 USABLE_FRACTION = 0.9
 """Fraction of a limit that is used; the rest covers calls delayed in transit."""
 
+OWNED_CONNECTIONS_FRACTION = 0.25
+"""Fraction of a server's connections that its owner deals out with places, beyond the
+shares of all routers. Those of the known routers use two thirds."""
+
 BUCKET_S = 0.5
 """Bucket width of a sliding window: a twentieth of the usual ten seconds."""
 
@@ -37,6 +41,19 @@
     return max(MIN_ASSUMED_ROUTERS, math.ceil(FLEET_MARGIN * known))
 
 
+def connection_share(max_connections: int, routers: int) -> int:
+    """Return how many of a server's connections one router may open by itself."""
+    return max(1, math.floor(max_connections / assumed_routers(routers)))
+
+
+def may_open_more(max_connections: int, running: int) -> bool:
+    """Return whether a call may use a connection beyond its router's share.
+
+    `running` calls are known to the server's owner. Each needs one connection at most.
+    """
+    return running < OWNED_CONNECTIONS_FRACTION * max_connections
+
+
 @define
 class SlidingSum:
     """Sum values over a sliding window, in buckets."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -92,6 +92,7 @@
     source: Registered | None = None  # another engine that may have the part
     grant: Grant | None = None  # None: this router placed it itself
     cold_budget: ColdBudget = ColdBudget.SHARE  # if its server is cold
+    may_open: bool = False  # a connection beyond this router's share
 
     @property
     def wait_s(self) -> float:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -305,6 +305,8 @@
             len(rows),
             supplier,
             cold_budget=budget or ColdBudget.SHARE,
+            may_open=owned is not None
+            and self.servers.may_open_more(registered, service, now),
         )
 
     def send(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -292,7 +292,7 @@
         """Send a call once; return the error if it brought no complete answer."""
         instance = placement.registered.instance
         try:
-            connection = await self._acquire(instance, run)
+            connection = await self._acquire(run, placement)
         except ConnectionLimitError as error:
             self._return_unused(placement, obstacle=Obstacle.CONNECTIONS)
             self._note_failure(run, instance.id, error)
@@ -356,10 +356,15 @@
         finally:
             run.summary.last_request = connection.request_state()
 
-    async def _acquire(self, instance: Instance, run: ActiveCall) -> BackendConnection:
-        service = self._service(run)
-        routers = len(self._dispatcher.routers)
-        return await self._pool.acquire(instance, service.max_connections, routers)
+    async def _acquire(
+        self, run: ActiveCall, placement: Placement
+    ) -> BackendConnection:
+        return await self._pool.acquire(
+            placement.registered.instance,
+            self._service(run).max_connections,
+            len(self._dispatcher.routers),
+            beyond_share=placement.may_open,
+        )
 
     def _note_unreachable(self, instance: Instance, error: NotSentError) -> None:
         health, now = self._dispatcher.health(instance.id), self._clock()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -173,6 +173,7 @@
             choice.copies,
             self._dispatcher.load(choice.server).read_rate,
             cold_granted=placed.cold_budget is ColdBudget.OWNER,
+            may_open=placed.may_open,
         )
         return AddressedReply(request.router, reply)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -314,7 +314,9 @@
             reply.owner, reply.incarnation, reply.number, workspace=demand.workspace
         )
         budget = ColdBudget.GRANTED if reply.cold_granted else ColdBudget.SHARE
-        return Placement(registered, choice, use, 0, source, grant, budget)
+        return Placement(
+            registered, choice, use, 0, source, grant, budget, reply.may_open
+        )
 
     def _obstacle(
         self, demand: Demand, server: ServerName, avoid: Collection[ServerName]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -68,6 +68,7 @@
     reason: RefusalReason = RefusalReason.WAIT_TOO_LONG
     retry_after_s: float = 0.0
     cold_granted: bool = False  # the owner counts it in the limit of a cold server
+    may_open: bool = False  # a connection beyond the asker's share
 
 
 @frozen
@@ -178,6 +179,7 @@
         _REASONS.index(reply.reason),
         round(reply.retry_after_s, 3),
         reply.cold_granted,
+        reply.may_open,
     ]
     return bytes(msgpack.packb(row))
 
@@ -202,6 +204,7 @@
             float(row[14]),
             # Owners of the previous release only grant what the asker permits.
             bool(row[15]) if len(row) > 15 else False,
+            bool(row[16]) if len(row) > 16 else False,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement reply is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 import functools
-import math
 from collections.abc import Callable
 
 import anyio
@@ -13,7 +12,7 @@
 
 from fulmarroad.delivery import CloseMode
 from fulmarroad.types import ServerName
-from fulmarroad_serving._budgets import assumed_routers
+from fulmarroad_serving._budgets import connection_share
 from fulmarroad_serving._connection import MAX_UNACKED_S, BackendConnection
 from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._registry import Instance
@@ -49,6 +48,7 @@
 class _ServerPool:
     idle: list[BackendConnection] = field(factory=list)
     open: int = 0
+    share: int = 1  # connections that this router may open and keep
 
 
 class ConnectionPool:
@@ -69,27 +69,35 @@
         self.opened = 0
 
     async def acquire(
-        self, instance: Instance, max_connections: int, routers: int
+        self,
+        instance: Instance,
+        max_connections: int,
+        routers: int,
+        *,
+        beyond_share: bool = False,
     ) -> BackendConnection:
-        """Return an idle or new connection; raise `NotSentError` if there is none."""
+        """Return an idle or new connection; raise `NotSentError` if there is none.
+
+        With `beyond_share` it may be opened beyond this router's share; it is closed
+        after the call then.
+        """
         pool = self._server_pools.setdefault(instance.id, _ServerPool())
         while pool.idle:
             connection = pool.idle.pop()
             if connection.reusable and not self._stale(connection):
                 return connection
             self._drop(pool, connection)
-        if pool.open >= connection_share(max_connections, routers):
+        pool.share = connection_share(max_connections, routers)
+        if pool.open >= pool.share and not beyond_share:
             raise ConnectionLimitError(
                 "All connections that this router may open to the server are in use."
             )
         pool.open += 1
         try:
-            connection = await self._connect(instance)
+            return await self._open(instance)
         except BaseException:
             pool.open -= 1
             raise
-        connection.on_lost_idle = functools.partial(self._note_lost_idle, instance)
-        return connection
 
     def is_full(self, server: ServerName, max_connections: int, routers: int) -> bool:
         """Return whether all connections that this router may open are in use."""
@@ -110,7 +118,7 @@
         pool = self._server_pools.setdefault(instance.id, _ServerPool())
         pool.open += 1
         try:
-            connection = await self._connect(instance)
+            connection = await self._open(instance)
         except ConnectionRefusedByHostError:
             pool.open -= 1
             self.forget(instance.id)
@@ -129,7 +137,7 @@
         pool = self._server_pools.get(server)
         if pool is None:
             connection.close()
-        elif connection.reusable:
+        elif connection.reusable and pool.open <= pool.share:
             connection.idle_since = self._clock()
             pool.idle.append(connection)
         else:
@@ -186,6 +194,11 @@
         pool.open -= 1
         connection.close()
 
+    async def _open(self, instance: Instance) -> BackendConnection:
+        connection = await self._connect(instance)
+        connection.on_lost_idle = functools.partial(self._note_lost_idle, instance)
+        return connection
+
     async def _connect(self, instance: Instance) -> BackendConnection:
         loop = asyncio.get_running_loop()
         try:
@@ -207,11 +220,6 @@
         return connection
 
 
-def connection_share(max_connections: int, routers: int) -> int:
-    """Return how many of a server's connections one router may open."""
-    return max(1, math.floor(max_connections / assumed_routers(routers)))
-
-
 def max_unacked_s(drain_timeout_s: float) -> float:
     """Return the seconds for which a request may wait for its acknowledgement.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -9,7 +9,7 @@
 from attrs import define, field, frozen
 
 from fulmarroad.types import RouterName, ServerName
-from fulmarroad_serving._budgets import ColdBudget, ColdLimit
+from fulmarroad_serving._budgets import ColdBudget, ColdLimit, may_open_more
 from fulmarroad_serving._catalog import Service, ServiceName
 from fulmarroad_serving._demands import ColdServers, FleetBounds
 from fulmarroad_serving._health import ServerHealth
@@ -238,6 +238,11 @@
         rests = [self.view(row.instance.id).rest for row in rows]
         return min((row.until - now for row in rests if row.is_on(now)), default=None)
 
+    def may_open_more(self, row: Registered, service: Service, now: float) -> bool:
+        """Return whether its owner lets a call open a connection beyond a share."""
+        running = self.view(row.instance.id).load.total_running(now)
+        return may_open_more(service.max_connections, running)
+
     def may_send_cold(
         self, row: Registered, service: Service, budget: ColdBudget, now: float
     ) -> bool:
--- a/packages/fulmarroad-serving/tests/test_budgets.py
+++ b/packages/fulmarroad-serving/tests/test_budgets.py
@@ -9,6 +9,8 @@
     ColdLimit,
     RetryShare,
     assumed_routers,
+    connection_share,
+    may_open_more,
 )
 
 
@@ -93,3 +95,18 @@
     def test_assumed_fleet_is_larger_than_the_known_one(self):
         assert assumed_routers(8) == 12
         assert assumed_routers(1) == 6
+
+
+class TestConnections:
+    @settings(derandomize=True, deadline=None)
+    @given(st.integers(1, 400), st.integers(1, 5_000))
+    def test_shares_and_owned_connections_stay_within_the_limit(self, routers, limit):
+        """Guard against connections beyond what a server accepts, which it resets.
+
+        All known routers use their share, and every granted call opens one more.
+        """
+        limit = max(limit, 4 * assumed_routers(routers))
+        granted = 0
+        while may_open_more(limit, granted):
+            granted += 1
+        assert routers * connection_share(limit, routers) + granted <= limit
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -11,6 +11,7 @@
 
 from fulmarroad_serving import EngineProfile, Service
 from fulmarroad_serving._exchange import MIN_SILENCE_TIMEOUT_S
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._routing import part_id
 from fulmarroad_serving._stream import EventSplitter
 from fulmarroad_serving.contracts import CatalogFact
@@ -73,7 +74,7 @@
     me = "router-a"
 
     def __init__(self, dispatcher, names):
-        self.rows = tuple(map(dispatcher.registry.get, names))
+        self.rows = OwnedServers(tuple(map(dispatcher.registry.get, names)))
 
     def owner_for(self, demand):
         return self.me
@@ -330,8 +331,8 @@
             await bed.serve("s-1", echo())
             acquire = bed.pool.acquire
 
-            async def acquire_slowly(*args):
-                connection = await acquire(*args)
+            async def acquire_slowly(*args, **more):
+                connection = await acquire(*args, **more)
                 bed.skipped_s += 5.0
                 return connection
 
@@ -353,8 +354,8 @@
             await bed.serve("s-1", echo())
             acquire = bed.pool.acquire
 
-            async def acquire_slowly(*args):
-                connection = await acquire(*args)
+            async def acquire_slowly(*args, **more):
+                connection = await acquire(*args, **more)
                 bed.skipped_s += 0.6
                 return connection
 
--- a/packages/fulmarroad-serving/tests/test_owner_messages.py
+++ b/packages/fulmarroad-serving/tests/test_owner_messages.py
@@ -29,7 +29,20 @@
 COLD = ColdServers(("e4",), ("e5", "e6"))
 REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",), COLD)
 REPLY = PlacementReply(
-    "r2", 6, 9, ReplyKind.GRANTED, "e2", "e3", 2_000, 0.1, 0.06, True, 2, 70_000.0
+    "r2",
+    6,
+    9,
+    ReplyKind.GRANTED,
+    "e2",
+    "e3",
+    2_000,
+    0.1,
+    0.06,
+    True,
+    2,
+    70_000.0,
+    cold_granted=True,
+    may_open=True,
 )
 REFUSED = PlacementReply(
     "r2",
@@ -73,6 +86,9 @@
         being upgraded."""
         request = read_request(unpack(pack_request(REQUEST))[:19])
         assert request.cold == ColdServers(("e4",))
+        reply = read_reply(unpack(pack_reply(REPLY))[:15])
+        assert not reply.cold_granted
+        assert not reply.may_open
         report = read_progress(unpack(pack_progress(PROGRESS))[:5])
         assert not any(note.unused for note in report.notes)
 
--- a/packages/fulmarroad-serving/tests/test_suspect_calls.py
+++ b/packages/fulmarroad-serving/tests/test_suspect_calls.py
@@ -143,8 +143,8 @@
             await servers.start("s-1", "s-2")
             acquire = bed.pool.acquire
 
-            async def acquire_after_third_crash(*args):
-                connection = await acquire(*args)
+            async def acquire_after_third_crash(*args, **more):
+                connection = await acquire(*args, **more)
                 for end in range(3):
                     for known in list(asked):
                         bed.dispatcher.suspects.note_crash(known, end, bed.now())
