--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -245,19 +245,21 @@
         avoid: Collection[ServerName] = (),
         owned: OwnedServers | None = None,
         asker: ColdServers | None = None,
+        full: Collection[ServerName] = (),
     ) -> Placement | Refusal:
         """Choose a server, or return the reason for a refusal.
 
         `owned` limits the choice to servers whose queues this router knows exactly. For
-        another router's call, `asker` is what that router knows of cold servers.
+        another router's call, `asker` is what that router knows of cold servers, and
+        `full` are those at which its connections are in use.
         """
         service = self._service(demand.service)
         if owned is None:
             usable = self.registry.usable(service.name, demand.version)
-            view = PlacementView(avoid, demand.version, asker)
+            view = PlacementView(avoid, demand.version, asker, full)
         else:
             usable = owned.rows
-            view = PlacementView(avoid, demand.version, asker, owned.held)
+            view = PlacementView(avoid, demand.version, asker, full, owned.held)
         rows = self._eligible_servers(
             demand, usable, lambda row: self.servers.accepts(row, service, now, view)
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -23,7 +23,7 @@
     TimedOut,
 )
 from fulmarroad_serving._attempts import CallProgress, SendOutcome
-from fulmarroad_serving._catalog import Catalog, Service
+from fulmarroad_serving._catalog import Catalog, Service, ServiceName
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._crash_detector import CrashDetector
 from fulmarroad_serving._demands import Placement, Refusal, Ticket
@@ -90,6 +90,8 @@
         self._clock = clock
         self._held = HeldCalls()
         pool.on_lost_idle = self._note_lost_idle
+        if owner_client is not None:
+            owner_client.is_full = self._is_full
         self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
         self._exchanger = Exchanger(
             dispatcher,
@@ -377,6 +379,11 @@
                 cause=error.message,
             )
 
+    def _is_full(self, service: ServiceName, server: ServerName) -> bool:
+        found = self._catalog().services.get(service) or Service(service)
+        routers = len(self._dispatcher.routers)
+        return self._pool.is_full(server, found.max_connections, routers)
+
     def _note_lost_idle(self, instance: Instance, contact: Contact) -> None:
         self._dispatcher.registry.suspect(instance.id, contact, self._clock())
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -133,6 +133,7 @@
             avoid=request.avoid,
             owned=owned,
             asker=request.cold,
+            full=request.full,
         )
         if isinstance(placed, Placement):
             self._note_placement(held, placed=True)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -22,6 +22,7 @@
 from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._budgets import ColdBudget
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._obstacles import Obstacle
@@ -91,6 +92,8 @@
     _clock: Callable[[], float]
     send: Callable[[RouterName, bytes], None] = lambda owner, data: None
     on_notes: Callable[[], None] = lambda: None
+    is_full: Callable[[ServiceName, ServerName], bool] = lambda service, server: False
+    """Return whether this router has its share of a server's connections in use."""
     _number: int = 0
     _pending: dict[int, _PendingRequest] = field(factory=dict)
     _silent_until: dict[RouterName, float] = field(factory=dict)
@@ -168,6 +171,11 @@
             may_wait,
             tuple(left_out),
             self._dispatcher.cold_servers(rows, demand.service, now),
+            tuple(
+                row.instance.id
+                for row in rows
+                if self.is_full(demand.service, row.instance.id)
+            ),
         )
 
     def receive_reply(self, reply: PlacementReply) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -38,6 +38,7 @@
     may_wait: bool = True  # until a server has capacity
     left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
     cold: ColdServers = ColdServers()  # as the sender knows the owner's servers
+    full: tuple[ServerName, ...] = ()  # the sender has its share of connections in use
 
 
 class ReplyKind(enum.IntEnum):
@@ -120,6 +121,7 @@
         list(request.cold.permitted),
         demand.version,
         list(request.cold.closed),
+        list(request.full),
     ]
     return bytes(msgpack.packb(row))
 
@@ -146,6 +148,7 @@
         permitted = tuple(str(name) for name in row[17])
         # Routers of the previous release don't list what they may not use.
         closed = tuple(str(name) for name in row[19]) if len(row) > 19 else ()
+        full = tuple(str(name) for name in row[20]) if len(row) > 20 else ()
         return PlacementRequest(
             str(row[1]),
             int(row[2]),
@@ -155,6 +158,7 @@
             bool(row[15]),
             left_out,
             ColdServers(permitted, closed),
+            full,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement request is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -58,6 +58,8 @@
     version: str = ""  # of the server that began the call's stream; "": not begun
     asker: ColdServers | None = None
     """For another router's call, what that one knows of cold servers."""
+    full: Collection[ServerName] = ()
+    """For another router's call, servers at which its connections are in use."""
     held: Collection[ServerName] = ()
     """Servers of whose limit this router deals out a part, as their owner."""
 
@@ -152,6 +154,8 @@
             return Obstacle.BACKOFF
         if view.asker is None and known.rest.is_on(now):
             return Obstacle.RESTS
+        if server in view.full and not self.may_open_more(row, service, now):
+            return Obstacle.CONNECTIONS
         if self.cold_budget(row, service, now, view) is not None:
             return None
         return Obstacle.COLD if now < row.cold_until else Obstacle.SUSPECT
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -241,6 +241,26 @@
 
         run(test)
 
+    def test_a_server_without_a_connection_for_the_sending_router_is_left_out(self):
+        """Guard against grants that are given back, as the server's connections are in
+        use; a server with few calls lets the router open one more."""
+
+        async def test():
+            bed = OwnerBed()
+            bed.client.is_full = lambda service, server: server != "drafting-0"
+            placed = [await bed.place(may_wait=False) for _ in range(9)]
+            others = [row for row in placed if row.choice.server != "drafting-0"]
+            assert others
+            assert all(row.may_open for row in others)
+            for server in ("drafting-1", "drafting-2"):
+                for _ in range(20):  # a quarter of the 64 connections and more
+                    bed.b.load(server).send(server, 0, bed.now)
+            placed = [await bed.place(may_wait=False) for _ in range(9)]
+            servers = {r.choice.server for r in placed if isinstance(r, Placement)}
+            assert servers <= {"drafting-0"}
+
+        run(test)
+
     def test_a_server_that_the_sending_router_cannot_reach_is_avoided(self):
         async def test():
             bed = OwnerBed()
--- a/packages/fulmarroad-serving/tests/test_owner_messages.py
+++ b/packages/fulmarroad-serving/tests/test_owner_messages.py
@@ -27,7 +27,7 @@
 
 DEMAND = Demand("c-1", "drafting", "coop", 0.6, "part", 6_000, 2_000, 50, 0.25, 1)
 COLD = ColdServers(("e4",), ("e5", "e6"))
-REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",), COLD)
+REQUEST = PlacementRequest("r1", 5, 9, DEMAND, ("e1",), False, ("r2",), COLD, ("e7",))
 REPLY = PlacementReply(
     "r2",
     6,
