--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -17,6 +17,10 @@
 
 logger = logging.getLogger("fulmarroad.serving")
 
+SERVERS_PER_S = 200
+"""Number of servers looked at in a second, for a thousandth of a core; the lines about
+the servers of larger services come less often."""
+
 MAX_LOGGED_SERVICES = 4
 """Maximum number of services with a line about their servers in a second."""
 
@@ -30,15 +34,16 @@
     _ends: WorkspaceOutcomes
     _requests: WorkspaceOutcomes
     _catalog: Callable[[], Catalog]
-    _servers_logged_at: float = 0.0
+    _servers_due: float = 0.0
 
     def log(self, now: float) -> None:
         """Write the lines that are due."""
         self._log_calls(now)
         self._log_placements(now)
         self._log_requests(now)
-        if now - self._servers_logged_at >= REPORT_INTERVAL_S:
-            self._servers_logged_at = now
+        if now >= self._servers_due:
+            servers = len(self._dispatcher.registry.rows())
+            self._servers_due = now + max(REPORT_INTERVAL_S, servers / SERVERS_PER_S)
             self._log_servers(now)
 
     def _log_calls(self, now: float) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -184,7 +184,12 @@
     _usable: Callable[[ServiceName], tuple[Registered, ...]]
     routers: Routers = field(factory=dict)
     _me: RouterName = field(default="", kw_only=True)
-    _known: Mapping[DataCentreName, int] = field(factory=dict)
+    _sees_most: bool = False  # of all routers
+    _centres_seen: frozenset[DataCentreName] = frozenset()
+    """Data centres of whose routers this router sees most."""
+    _owned: dict[tuple[ServiceName, frozenset[RouterName]], OwnedServers] = field(
+        factory=dict
+    )
     _tables: dict[tuple[ServiceName, frozenset[RouterName]], ServiceOwners] = field(
         factory=dict
     )
@@ -196,7 +201,15 @@
 
         `known` counts the routers of each data centre, with those out of sight.
         """
-        self._known = Counter(routers.values()) if known is None else known
+        in_sight = Counter(routers.values())
+        known = in_sight if known is None else known
+        self._sees_most = 2 * len(routers) > sum(known.values())
+        self._centres_seen = frozenset(
+            centre
+            for centre, count in in_sight.items()
+            if 2 * count > known.get(centre, 0)
+        )
+        self._owned.clear()
         if routers != self.routers:
             self.routers = dict(routers)
             self._tables.clear()
@@ -206,11 +219,15 @@
     ) -> OwnedServers:
         """Return the servers for which this router decides as their owner."""
         rows = self.owners(service, left_out).servers_of(self._me)
-        if not rows:
-            return OwnedServers()
+        known = self._owned.get((service, left_out))
+        if known is not None and known.rows is rows:
+            return known
         table = self.owners(service)
         held = (row.instance.id for row in rows if self._holds(table, row))
-        return OwnedServers(rows, frozenset(held))
+        if len(self._owned) >= MAX_CACHED_TABLES:
+            self._owned.clear()
+        owned = self._owned[service, left_out] = OwnedServers(rows, frozenset(held))
+        return owned
 
     def _holds(self, table: ServiceOwners, row: Registered) -> bool:
         """Return whether this router is a server's owner for most of the routers.
@@ -220,12 +237,10 @@
         """
         if table.by_server.get(row.instance.id) != self._me:
             return False
-        centre = row.instance.data_centre
         if not has_local_owners(table.centres):
-            return 2 * len(self.routers) > sum(self._known.values())
-        in_sight = sum(at == centre for at in self.routers.values())
-        is_local = self.routers.get(self._me) == centre
-        return is_local and 2 * in_sight > self._known.get(centre, 0)
+            return self._sees_most
+        centre = row.instance.data_centre
+        return self.routers.get(self._me) == centre and centre in self._centres_seen
 
     def all_owners(self) -> frozenset[RouterName]:
         """Return the owners of all servers that calls came for."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -156,6 +156,8 @@
             return Obstacle.RESTS
         if server in view.full and not self.may_open_more(row, service, now):
             return Obstacle.CONNECTIONS
+        if service.warmup_rate <= 0:
+            return None
         if self.cold_budget(row, service, now, view) is not None:
             return None
         return Obstacle.COLD if now < row.cold_until else Obstacle.SUSPECT
@@ -188,9 +190,8 @@
     ) -> bool:
         if service.warmup_rate <= 0:
             return False
-        return row.cold(now) or (
-            view.asker is not None and row.instance.id in view.asker.closed
-        )
+        is_cold_there = view.asker is not None and row.instance.id in view.asker.closed
+        return is_cold_there or row.cold(now)
 
     def count_obstacles(self, service: Service, now: float) -> Counter[str]:
         """Count the servers of a service that calls of this router may not use."""
