--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
@@ -13,6 +13,8 @@
 from fulmarroad_serving._granting import Granter
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._load import PeerLoad
+from fulmarroad_serving._owner_client import OwnerClient
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
 
@@ -32,6 +34,7 @@
     name: str
     dispatcher: Dispatcher
     granter: Granter | None = None  # None: each router places its own calls
+    client: OwnerClient | None = None  # set if `granter` is
     held: HeldCalls = field(factory=HeldCalls)
     processor: Processor | None = None  # None: work takes no time
 
@@ -57,6 +60,7 @@
     since: float
     avoid: set[ServerName] = field(factory=set)  # servers that failed it
     may_wait: bool = True
+    owned: OwnedServers | None = None  # those of its router, if it owns the best ones
 
     def asked_again(self, server: ServerName, now: float) -> PendingCall:
         """Return the call to be placed once more, as a server failed it."""
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
@@ -39,15 +39,13 @@
 )
 from fulmarroad_serving._fingerprints import fingerprint_of, hash_fraction_of
 from fulmarroad_serving._granting import AddressedReply
+from fulmarroad_serving._owner_exchange import NOTES_DELAY_S
 from fulmarroad_serving._owner_messages import (
-    PlacementReply,
     PlacementRequest,
-    ProgressNote,
-    ProgressReport,
     ReplyKind,
+    read_progress,
 )
-from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._routing import part_id
+from fulmarroad_serving._reports import unpack
 
 REPORT_S = 0.15
 """Seconds between two exchanges of reports between routers."""
@@ -78,11 +76,9 @@
     routers: list[LabRouter] = field(factory=list)
     engines: dict[str, SimulatedEngine] = field(factory=dict)
     tickets: dict[int, tuple[LabRouter, Ticket]] = field(factory=dict)
-    requests: dict[int, PendingCall] = field(factory=dict)  # sent to owners
+    requests: dict[tuple[str, int], PendingCall] = field(factory=dict)
+    """Calls that wait for an owner's reply, by router and number of the request."""
     pending: dict[int, PendingCall] = field(factory=dict)  # sent to engines
-    grants: dict[int, tuple[LabRouter, str, int]] = field(factory=dict)
-    """The owner of each granted call, its router's name and the request's number."""
-    owners: OwnerTable = field(factory=lambda: OwnerTable(lambda service: ()))
     random: random.Random = field(factory=lambda: random.Random(1))
     stepping_engines: set[str] = field(factory=set)
     known: set[str] = field(factory=set)
@@ -91,6 +87,7 @@
     now: float = 0.0
     _heap: list[tuple[float, int, Callable[[], None]]] = field(factory=list)
     _number: itertools.count[int] = field(factory=itertools.count)
+    _notes_due: set[str] = field(factory=set)  # routers that will send notes
 
     def at(self, when: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._heap, (when, next(self._number), action))
@@ -188,27 +185,23 @@
             self.ask_owner(pending)
 
     def ask_owner(self, pending: PendingCall) -> None:
-        """Send a call's placement request to the owner of the engines that suit it."""
-        order = self.owners.owners(SERVICE).order(
-            part_id(pending.demand.part), self.random
-        )
-        if not order:
+        """Ask the owner of the engines that suit a call, or decide as their owner."""
+        router = pending.router
+        client = router.client
+        assert client is not None
+        owner_name = client.owner_for(pending.demand)
+        if owner_name is None:
+            self.try_to_place(pending)
+            return
+        if owner_name == router.name:
+            pending.owned = client.own_servers(pending.demand)
             self.try_to_place(pending)
             return
-        owner = next(row for row in self.routers if row.name == order[0])
-        number = next(self._number)
-        self.requests[number] = pending
-        servers = pending.router.dispatcher.servers
-        avoid = tuple(servers.unavailable(self.now) | pending.avoid)
-        request = PlacementRequest(
-            pending.router.name,
-            1,
-            number,
-            pending.demand,
-            avoid,
-            pending.may_wait,
-            (),
+        owner = next(row for row in self.routers if row.name == owner_name)
+        request = client.new_request(
+            owner_name, pending.demand, pending.avoid, may_wait=pending.may_wait
         )
+        self.requests[router.name, request.number] = pending
         self.at(
             self.now + NETWORK_DELAY_S, lambda: self.receive_request(owner, request)
         )
@@ -239,48 +232,56 @@
             if row.reply.kind is not ReplyKind.WAITS:
                 self.at(
                     self.now + NETWORK_DELAY_S,
-                    lambda reply=row.reply: self.receive_reply(owner, reply),  # type: ignore[misc]
+                    lambda row=row: self.receive_reply(row),  # type: ignore[misc]
                 )
 
-    def receive_reply(self, owner: LabRouter, reply: PlacementReply) -> None:
-        pending = self.requests.pop(reply.number)
-        call = pending.call
-        self.pending[call.number] = pending
-        no_servers = reply.reason is RefusalReason.NO_SERVERS
-        if reply.kind is ReplyKind.NOT_OWNER or no_servers:
+    def receive_reply(self, addressed: AddressedReply) -> None:
+        """Act upon an owner's reply as the served routers do."""
+        pending = self.requests.pop((addressed.router, addressed.reply.number))
+        client = pending.router.client
+        assert client is not None
+        placed = client.decide(pending.demand, pending.avoid, addressed.reply)
+        if placed is None:
             self.try_to_place(pending)
-            return
-        if reply.kind is not ReplyKind.GRANTED:
-            self.refuse(call, reply.retry_after_s)
-            return
-        self.grants[call.number] = (owner, pending.router.name, reply.number)
-        self.at(
-            pending.router.work(FORWARD_COST_S, self.now) + NETWORK_DELAY_S,
-            lambda: self.reach_engine(call, reply.server),
-        )
-
-    def report_progress(self, call: SimulatedCall, note: ProgressNote) -> None:
-        """Tell the owner how far a call is."""
-        owner, name, number = self.grants[call.number]
-        if note.ended:
-            del self.grants[call.number]
-        report = ProgressReport(name, 1, (evolve(note, number=number),))
-        granter = owner.granter
-        assert granter is not None
-        self.at(
-            self.now + NETWORK_DELAY_S,
-            lambda: granter.receive_progress(report, self.now),
-        )
+        elif isinstance(placed, Placement):
+            self.send(pending, placed)
+        else:
+            self.refuse(pending.call, placed.retry_after_s)
+
+    def schedule_notes(self, router: LabRouter) -> None:
+        """Let a router tell owners of its calls' progress a moment later."""
+        if router.name not in self._notes_due:
+            self._notes_due.add(router.name)
+            self.at(self.now + NOTES_DELAY_S, lambda: self.send_notes(router))
+
+    def send_notes(self, router: LabRouter) -> None:
+        self._notes_due.discard(router.name)
+        assert router.client is not None
+        for owner_name, data in router.client.pop_notes():
+            owner = next(row for row in self.routers if row.name == owner_name)
+            report = read_progress(unpack(data))
+            self.at(
+                self.now + NETWORK_DELAY_S,
+                lambda owner=owner, report=report: (  # type: ignore[misc]
+                    owner.granter.receive_progress(report, self.now)
+                ),
+            )
 
     def try_to_place(self, waiting: PendingCall) -> None:
         """Place a call on an engine; otherwise hold it and retry, or refuse it."""
         router, objective_s = waiting.router, waiting.demand.objective_s
         held_s = self.now - waiting.since
         demand = evolve(waiting.demand, objective_s=max(0.0, objective_s - held_s))
-        placed = router.dispatcher.place(demand, self.now, avoid=waiting.avoid)
+        placed = router.dispatcher.place(
+            demand, self.now, avoid=waiting.avoid, owned=waiting.owned
+        )
         if isinstance(placed, Placement):
             self.send(waiting, placed)
             return
+        if waiting.owned is not None and placed.reason is RefusalReason.NO_SERVERS:
+            waiting.owned = None  # other routers own engines that it may use
+            self.try_to_place(waiting)
+            return
         router.held.count += 1
         pause_s = router.held.next_poll_s(placed, objective_s, held_s)
         if pause_s is None or not waiting.may_wait:
@@ -393,9 +394,7 @@
         self.at(end, lambda: self.step(server))
 
     def begin(self, call: SimulatedCall) -> None:
-        if call.number in self.grants:
-            self.report_progress(call, ProgressNote(0, True))
-        elif call.number in self.tickets:
+        if call.number in self.tickets:
             router, ticket = self.tickets[call.number]
             router.dispatcher.begin(ticket, self.now)
         on_time = self.now - call.arrived <= self.kind(call).objective_s
@@ -406,10 +405,6 @@
         self.end(call, None)
 
     def end(self, call: SimulatedCall, outcome: SendOutcome | None) -> None:
-        if call.number in self.grants:
-            note = ProgressNote(0, outcome is None, True, outcome)
-            self.report_progress(call, note)
-            return
         if call.number in self.tickets:  # else it ended with its engine
             router, ticket = self.tickets.pop(call.number)
             router.dispatcher.end(ticket, outcome, self.now)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/lab.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -36,6 +37,7 @@
 )
 from fulmarroad_serving import EngineProfile as Profile
 from fulmarroad_serving._granting import Granter
+from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._owners import OwnerTable
 
 THROUGHPUT = 455_000.0
@@ -87,12 +89,8 @@
         router = LabRouter(f"r{number}", dispatcher, processor=processor)
         run.routers.append(router)
     if owners:
-        run.owners = OwnerTable(run.routers[0].dispatcher.registry.usable)
-        run.owners.set_routers({row.name: "fes" for row in run.routers})
         for row in run.routers:
-            table = OwnerTable(row.dispatcher.registry.usable, me=row.name)
-            table.set_routers(run.owners.routers)
-            row.granter = Granter(row.name, 1, row.dispatcher, table)
+            _let_own(run, row, seed)
     run.simulate(arrivals(workload, seed))
     return SimulatedDay(
         policy,
@@ -104,6 +102,19 @@
     )
 
 
+def _let_own(run: Simulation, router: LabRouter, seed: int) -> None:
+    """Let a router own engines and ask other owners, with the served code."""
+    table = OwnerTable(router.dispatcher.registry.usable, me=router.name)
+    table.set_routers({row.name: "fes" for row in run.routers})
+    router.granter = Granter(router.name, 1, router.dispatcher, table)
+    source = random.Random(f"{seed} {router.name}")
+    client = router.client = OwnerClient(
+        router.name, 1, router.dispatcher, table, source, lambda: run.now
+    )
+    client.on_notes = lambda: run.schedule_notes(router)
+    router.dispatcher.on_progress = client.note_progress
+
+
 def main(
     seeds: int = 1,
     policies: str = ",".join(PLACEMENTS),
