--- a/packages/fulmarroad-serving/tests/test_dispatch.py
+++ b/packages/fulmarroad-serving/tests/test_dispatch.py
@@ -17,6 +17,9 @@
     SendOutcome,
     Service,
 )
+from fulmarroad_serving._budgets import ColdBudget
+from fulmarroad_serving._demands import ColdServers
+from fulmarroad_serving._owners import OwnedServers
 
 BOUNDS = FleetBounds(warmup_factor=1.5, warmup_tolerance=5.0)
 CALL = Demand("c-1", "drafting", "coop", 0.4, "part", 6_000, 2_000, 50)
@@ -183,3 +186,26 @@
         assert sent.get("drafting-0", 0) <= share
         assert sent.get("drafting-1", 0) <= share
         assert sent["drafting-2"] >= 1
+
+    def test_two_calls_with_the_same_free_share_are_not_both_sent(self):
+        """Guard against a cold server that gets a call too many from each router: both
+        were placed while the router's share was free, and waited for a connection."""
+        dispatcher = make_dispatcher(count=1, warmup_rate=12.0)
+        dispatcher.registry.mark_cold("drafting-0", 3.0, 100.0)
+        first, second = (dispatcher.place(CALL, 100.0) for _ in range(2))
+        assert dispatcher.may_send(CALL, first, 100.0)
+        dispatcher.send(CALL, first, 100.0)
+        assert not dispatcher.may_send(CALL, second, 100.0)
+
+    def test_an_owner_to_whom_a_server_is_warm_deals_out_no_cold_calls(self):
+        """Guard against a server that restarted and gets an owner's part in addition to
+        all calls of routers which don't know it yet."""
+        dispatcher = make_dispatcher(count=1, warmup_rate=12.0)
+        rows = dispatcher.registry.usable("drafting")
+        owned = OwnedServers(rows, frozenset({"drafting-0"}))
+        asker = ColdServers(closed=("drafting-0",))
+        refused = dispatcher.place(CALL, 100.0, owned=owned, asker=asker)
+        assert isinstance(refused, Refusal)
+        dispatcher.registry.mark_cold("drafting-0", 3.0, 100.0)
+        placed = dispatcher.place(CALL, 100.0, owned=owned, asker=asker)
+        assert placed.cold_budget is ColdBudget.OWNER
--- a/packages/fulmarroad-serving/tests/test_server_beliefs.py
+++ b/packages/fulmarroad-serving/tests/test_server_beliefs.py
@@ -2,10 +2,14 @@
 
 import asyncio
 import errno
+import functools
 
 import anyio
+import pytest
 from serving_bed import answer, chunk, event, run, stream_head
 
+from fulmarroad_serving.exceptions import ConnectionLimitError
+
 KEEP_ALIVE = b"keep-alive: timeout=5\r\n"
 
 
@@ -129,3 +133,27 @@
             assert (await bed.call("/look/1")).status == 200
 
         run(test)
+
+
+class TestConnectionShares:
+    def test_a_connection_beyond_the_share_is_closed_after_its_call(self):
+        """Guard against idle connections that pile up at a server, until it resets
+        those of others: no owner counts them."""
+
+        async def test(bed):
+            async def script(arrival, writer):
+                return None
+
+            await bed.serve("s-1", script)
+            instance = bed.dispatcher.registry.get("s-1").instance
+            open_one = functools.partial(bed.pool.acquire, instance, 6, 1)
+            first = await open_one()
+            with pytest.raises(ConnectionLimitError):
+                await open_one()
+            second = await open_one(beyond_share=True)
+            bed.pool.release("s-1", second)
+            assert not second.reusable
+            bed.pool.release("s-1", first)
+            assert await open_one() is first
+
+        run(test)
