--- a/packages/fulmarroad-serving/tests/test_server_beliefs.py
+++ b/packages/fulmarroad-serving/tests/test_server_beliefs.py
@@ -6,8 +6,10 @@
 
 import anyio
 import pytest
-from serving_bed import answer, chunk, event, run, stream_head
+from serving_bed import answer, chunk, event, make_catalog, run, stream_head
 
+from fulmarroad_serving import EngineProfile, Service
+from fulmarroad_serving.contracts import CatalogFact
 from fulmarroad_serving.exceptions import ConnectionLimitError
 
 KEEP_ALIVE = b"keep-alive: timeout=5\r\n"
@@ -157,3 +159,34 @@
             assert await open_one() is first
 
         run(test)
+
+
+class TestColdServers:
+    def test_two_calls_that_wait_for_a_connection_are_not_both_sent(self):
+        """Guard against a cold server that gets more than its limit: both calls were
+        placed while this router's share of one call was free."""
+
+        async def test(bed):
+            service = Service("drafting", engine=EngineProfile(16), warmup_rate=24.0)
+            catalog = make_catalog(2, services={"drafting": service})
+            bed.apply_fact(CatalogFact(catalog))
+
+            async def script(arrival, writer):
+                writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+                writer.write(b"0\r\n\r\n")
+
+            await bed.serve("e-1", script, "drafting")
+            bed.dispatcher.registry.mark_cold("e-1", 5.0, bed.now())
+            statuses = []
+
+            async def call(name):
+                caller = await bed.call("/sms/1", request_id=name, method="POST")
+                statuses.append(caller.status)
+
+            async with anyio.create_task_group() as group:
+                for name in ("first", "second"):
+                    group.start_soon(call, name)
+            assert sorted(statuses) == [200, 503]
+            assert len(bed.arrivals) == 1
+
+        run(test)
