--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -346,8 +346,8 @@
         self._note_parts(report.parts, now)
         self._note_suspects(report.suspects, now)
         self._note_leaving_servers(report.leaving_servers, report.router)
-        if self.uses_collectors and not self.is_collector(now):
-            self._introduce_collectors(report, is_new=is_new)
+        if self.uses_collectors:
+            self._introduce_collectors(report, now, is_new=is_new)
         member = member_id(report.router)
         if not self._is_counted(member, now):
             self._direct_members[member] = report.router
@@ -355,13 +355,25 @@
             self._dispatcher.shares.receive_counts(report.router, report.counts, now)
         return True
 
-    def _introduce_collectors(self, report: PeerReport, *, is_new: bool) -> None:
+    def _introduce_collectors(
+        self, report: PeerReport, now: float, *, is_new: bool
+    ) -> None:
         """Schedule a report with the collectors for a router that does not know them.
 
-        It has just started, or sends reports here as if this router were a collector.
+        It has just started, knows nobody, or sends reports here as if this router were
+        a collector. That it knows nobody is answered as often as it says so: if nobody
+        else is a seed in its data centre, one answer that it missed would leave it
+        alone for good.
         """
-        same_centre = report.data_centre == self._centre
-        if is_new or (same_centre and report.sequence % REPORTS_PER_MEMBER_LIST):
+        lists_members = not report.sequence % REPORTS_PER_MEMBER_LIST
+        knows_nobody = lists_members and not report.known
+        takes_for_collector = (
+            report.data_centre == self._centre
+            and not lists_members
+            and not self.is_collector(now)
+        )
+        starts = is_new and not self.is_collector(now)
+        if starts or knows_nobody or takes_for_collector:
             self._introductions[report.host] = report.data_centre
 
     def receive_digest(self, digest: Digest, now: float) -> None:
--- a/packages/fulmarroad-serving/tests/fleet_bed.py
+++ b/packages/fulmarroad-serving/tests/fleet_bed.py
@@ -42,6 +42,7 @@
     routers: dict = field(factory=dict)
     packets: int = 0
     seeds: tuple = ("h0", "h1", "h2")
+    centres: tuple = CENTRES
     _random: random.Random = field(factory=lambda: random.Random(7))
 
     def __attrs_post_init__(self):
@@ -49,7 +50,7 @@
             self.start(number)
 
     def start(self, number, incarnation=1):
-        name, centre = f"r{number}", CENTRES[number % len(CENTRES)]
+        name, centre = f"r{number}", self.centres[number % len(self.centres)]
         dispatcher = Dispatcher(name, centre, FleetBounds(), number)
         source = random.Random(number)
         view = FleetView(name, centre, f"h{number}", dispatcher, source)
--- a/packages/fulmarroad-serving/tests/test_digests.py
+++ b/packages/fulmarroad-serving/tests/test_digests.py
@@ -25,6 +25,7 @@
 from fulmarroad_serving._load import PeerLoad
 from fulmarroad_serving._reports import (
     Member,
+    PeerBook,
     PeerReport,
     pack_report,
     read_report,
@@ -279,6 +280,29 @@
         bed.run(1.2)
         assert set(bed.errors()) == {0}
 
+    @pytest.mark.parametrize("loss", [0.0, 0.05])
+    @pytest.mark.parametrize("size", [17, 24, 60])
+    def test_every_router_joins_a_data_centre_without_a_seed(self, size, loss):
+        """Guard against routers that nobody knows: alone, they place calls without
+        shares and owners, and their workspaces get more than others.
+
+        All routers start at once. The seeds hear of some before the fleet is large, and
+        report to collectors from then on.
+        """
+        bed = FleetBed(size, loss, centres=(*CENTRES, "agadir"))
+        bed.run(8.0)
+        known = [len(row.view.book.alive(bed.now)) for row in bed.routers.values()]
+        assert min(known) >= (size - 1 if not loss else 0.9 * size)
+
+    def test_a_router_that_was_cut_off_from_all_joins_again(self):
+        """Guard against a router that stays alone after its VM was out of reach."""
+        bed = FleetBed(60, centres=(*CENTRES, "agadir"))
+        bed.run(3.0)
+        router = bed.routers["h7"]
+        router.view.book = PeerBook("r7", "h7")
+        bed.run(3.0)
+        assert len(router.view.book.alive(bed.now)) == 59
+
     def test_a_data_centre_cut_off_uses_its_own_loads_and_then_merges_again(self):
         """Guard against outdated loads while a data centre is cut off.
 
