Resolve optional features of a service from its configuration

Cause: an admission queue, scheduled retries, engine speeds and spillover pay where an engine begins only a few long prompts within an objective. Other deployments have to be served as before.

Change: Features holds one switch per part.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/__init__.py
@@ -26,6 +26,10 @@
 from fulmarroad_serving._demands import Refusal as Refusal
 from fulmarroad_serving._demands import Ticket as Ticket
 from fulmarroad_serving._dispatch import Dispatcher as Dispatcher
+from fulmarroad_serving._features import FeatureMode as FeatureMode
+from fulmarroad_serving._features import Features as Features
+from fulmarroad_serving._features import FeatureSettings as FeatureSettings
+from fulmarroad_serving._features import parse_features as parse_features
 from fulmarroad_serving._positions import Position as Position
 from fulmarroad_serving._positions import era_of as era_of
 from fulmarroad_serving._positions import position as position
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -34,6 +34,7 @@
     Ticket,
 )
 from fulmarroad_serving._early_rejection import EngineCapacity, admitted_fraction
+from fulmarroad_serving._features import FeatureBook, Features, FeatureSettings
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad, SharedPart
 from fulmarroad_serving._obstacles import Obstacle
@@ -84,7 +85,9 @@
         bounds: FleetBounds,
         seed: int = 0,
         choose: ChooseEngine = choose_engine,
+        features: FeatureSettings | None = None,
     ) -> None:
+        self._features = FeatureBook(features)
         self._choose = choose
         self._me = me
         self._centre = centre
@@ -123,6 +126,11 @@
         self._catalog = catalog
         self.shares.units_per_s = catalog.limits.units_per_s
 
+    def features(self, service: ServiceName) -> Features:
+        """Return the optional features in force for a service."""
+        engines = len(self.registry.usable(service))
+        return self._features.features(self._catalog, service, engines)
+
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -292,6 +292,10 @@
             service.engine.fetch_rate if service.engine is not None else 0.0,
         )
 
+    def speed_class(self, server: ServerName) -> int:
+        """Return a server's lasting speed in half octaves from the median."""
+        return 0
+
     def tokens_per_s(self, service: ServiceName, source: random.Random) -> float:
         """Return how many prompt tokens a second all engines of a service read."""
         usable = self.registry.usable(service)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -15,6 +15,7 @@
 from fulmarroad_serving._baselines import DEFAULT_PLACEMENT
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._demands import FleetBounds
+from fulmarroad_serving._features import FeatureSettings
 from fulmarroad_serving._positions import Position
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._replica import ReplicaItem
@@ -174,3 +175,4 @@
     grace_s: float  # seconds from the stop request until the process is killed
     bounds: FleetBounds = field(factory=FleetBounds)
     placement: str = DEFAULT_PLACEMENT  # name of the placement strategy
+    features: FeatureSettings = field(factory=FeatureSettings)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -97,6 +97,7 @@
             settings.bounds,
             self._incarnation,
             placement_named(settings.placement),
+            settings.features,
         )
         self._pool = ConnectionPool(
             clock, self._metrics.note_closed, settings.bounds.drain_timeout_s
