--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_day.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_day.py
@@ -8,6 +8,7 @@
 from attrs import frozen
 
 from fulmarroad_bench._lab_engine import SimulatedCall
+from fulmarroad_bench._lab_estimates import EstimatedCall
 from fulmarroad_bench._lab_traffic import Workload
 
 
@@ -16,7 +17,7 @@
     """Record how one call ended for its caller."""
 
     call: SimulatedCall
-    ended: str  # on time, late or refused
+    ended: str  # on time, late, refused or failed
     at: float
 
 
@@ -30,12 +31,15 @@
     samples: tuple[tuple[float, int, float], ...]  # seconds, calls waiting, memory used
     read_tokens: int
     reread_tokens: int
+    placements: int = 0  # attempts of all routers to find a place
+    reading_fraction: float = 0.0  # of the engines' time, spent reading prompts
+    estimates: tuple[EstimatedCall, ...] = ()
 
 
 def worth(workload: Workload, outcomes: Sequence[CallOutcome]) -> float:
     """Return the worth of answered calls as a fraction of the worth of all calls.
 
-    A late call counts with its class's `late_worth`, a refused one with 0.
+    A late call counts with its class's `late_worth`, others with 0.
     """
     kinds = {row.name: row for row in workload.classes}
     got = sum(
@@ -43,7 +47,7 @@
         if row.ended == "on time"
         else kinds[row.call.kind].late_worth
         for row in outcomes
-        if row.ended != "refused"
+        if row.ended in ("on time", "late")
     )
     possible = sum(kinds[row.call.kind].worth for row in outcomes)
     return got / possible if possible else 0.0
@@ -79,6 +83,7 @@
         "on_time": ended.count("on time"),
         "late": ended.count("late"),
         "refused": ended.count("refused"),
+        "failed": ended.count("failed"),
         "read_again_part": round(day.reread_tokens / max(1, day.read_tokens), 3),
         "by_class": by_class,
         "by_workspace": by_workspace,
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_engine.py
@@ -47,6 +47,16 @@
     retries: int = 0
     unread_tokens: int = 0  # prompt tokens still to be read
     left: int = 0  # answer tokens still to be generated
+    max_output_tokens: int = 0  # as the caller states it; 0: the actual number
+    length_hint: int = 0  # the caller's estimate of output tokens; 0: none
+    centre: int = 0  # index of the caller's data centre
+    deadline_s: float = float("inf")  # after the first attempt
+    begun_at: float | None = None
+    closed: bool = False  # it has an outcome
+
+    def remaining_s(self, now: float) -> float:
+        """Return the time until the deadline."""
+        return self.arrived + self.deadline_s - now
 
 
 @frozen
@@ -54,6 +64,7 @@
     """Hold the result of one step."""
 
     seconds: float
+    reading_s: float  # part of it in which prompts are read
     begun: tuple[SimulatedCall, ...]  # calls whose first token was generated
     done: tuple[SimulatedCall, ...]  # calls whose last token was generated
 
@@ -99,6 +110,15 @@
         self.waiting.append(call)
         return True
 
+    def cancel(self, call: SimulatedCall) -> None:
+        """Drop a call in any state; do nothing if it isn't here."""
+        if call is self._reading:
+            self._reading = None
+        elif call in self.running:
+            self.running.remove(call)
+        elif call in self.waiting:
+            self.waiting.remove(call)
+
     def step(self, known: set[str]) -> StepResult:
         """Run one step; `known`, the parts read by any engine, gains those read now."""
         shape = self.shape
@@ -118,9 +138,10 @@
                 begun.append(call)
         read = shape.chunk_tokens - budget
         self.read_tokens += read
-        seconds = shape.step_s + read / shape.read_per_s
-        seconds += shape.answer_s * len(self.running)
-        return StepResult(seconds / self.speed, tuple(begun), done)
+        reading_s = read / shape.read_per_s
+        seconds = shape.step_s + reading_s + shape.answer_s * len(self.running)
+        speed = self.speed
+        return StepResult(seconds / speed, reading_s / speed, tuple(begun), done)
 
     def _next_to_read(self, known: set[str]) -> SimulatedCall | None:
         if self._reading is None and self.waiting:
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping, Sequence
+from typing import Any
 
 from attrs import define, field, frozen
 
 from fulmarroad.types import ServerName, WorkspaceName
 from fulmarroad_bench._lab_engine import SimulatedCall
 from fulmarroad_bench._lab_processor import Processor
-from fulmarroad_serving import CallKind, Demand, Dispatcher
+from fulmarroad_serving import CallKind, Demand, Dispatcher, Placement, Refusal
 from fulmarroad_serving._granting import Granter
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._load import PeerLoad
@@ -27,12 +28,38 @@
     return (call.number + 3 * call.retries) % routers
 
 
+@frozen
+class PickOfOwnCentre:
+    """Send calls in turn to the routers of the caller's data centre.
+
+    Routers are assigned to data centres in turn, by their index.
+    """
+
+    centres: int
+
+    def __call__(self, call: SimulatedCall, routers: int) -> int:
+        """Return the index of the router for a call."""
+        own = range(call.centre, routers, self.centres)
+        return own[pick_round_robin(call, len(own))]
+
+
+class CountingDispatcher(Dispatcher):
+    """Count the attempts to find a place, which use most of a router's processor."""
+
+    attempts = 0
+
+    def place(self, *args: Any, **kwargs: Any) -> Placement | Refusal:
+        """Choose a server, or return the reason for a refusal."""
+        self.attempts += 1
+        return super().place(*args, **kwargs)
+
+
 @define
 class LabRouter:
     """Hold one router's decisions and its processor."""
 
     name: str
-    dispatcher: Dispatcher
+    dispatcher: CountingDispatcher
     granter: Granter | None = None  # None: each router places its own calls
     client: OwnerClient | None = None  # set if `granter` is
     held: HeldCalls = field(factory=HeldCalls)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_traffic.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_traffic.py
@@ -1,4 +1,8 @@
-"""Generate calls as a data sheet states them, with unequal workspaces and surges."""
+"""Generate calls as a data sheet states them, with unequal workspaces and surges.
+
+Demand may move between data centres with a wave, and the lengths of prompts and answers
+may be log-normal.
+"""
 
 from __future__ import annotations
 
@@ -24,6 +28,34 @@
     worth: float
     late_worth: float
     parts: int = 180
+    deadline_s: float = math.inf  # for the whole answer; inf: never cut
+    own_sigma: float = 0.0  # of the log-normal length; 0: uniform, half to 1.5 times
+    output_sigma: float = 0.0
+    max_length_factor: float = 4.0  # longest log-normal length, over the mean
+    hint_sigma: float = 0.0  # of the hint's error; 0: no hint
+
+    @property
+    def max_output_tokens(self) -> int:
+        """Return the maximum that callers state; 0 if they state the actual number."""
+        if not self.output_sigma:
+            return 0
+        return int(self.max_length_factor * self.output_tokens)
+
+
+@frozen
+class Wave:
+    """Let the demand of data centres rise and fall, each at another time."""
+
+    period_s: float
+    amplitude: float  # of the call rate, as a fraction of its mean
+
+    def factor(self, centre: int, centres: int, at_s: float) -> float:
+        """Return the call rate of a data centre, as a multiple of its mean.
+
+        The phases are evenly spaced, so the rate of all data centres is constant.
+        """
+        phase = at_s / self.period_s + centre / centres
+        return 1.0 + self.amplitude * math.sin(2 * math.pi * phase)
 
 
 @frozen
@@ -46,6 +78,8 @@
     part_skew: float = 0.3
     surges: tuple[Surge, ...] = ()
     seconds: float = 40.0
+    centres: int = 1  # data centres with callers
+    wave: Wave | None = None  # None: their demand is equal
 
 
 REMINDERS = Workload(
@@ -81,16 +115,39 @@
         )[0]
         number += 1
         part = int(kind.parts * source.random() ** (1.0 + workload.part_skew))
-        yield SimulatedCall(
+        call = SimulatedCall(
             number,
             kind.name,
             f"w{workspace:02d}",
             f"{kind.name}-{part}",
             kind.shared_tokens,
-            max(1, int(kind.own_tokens * source.uniform(0.5, 1.5))),
-            max(1, int(kind.output_tokens * source.uniform(0.5, 1.5))),
+            _length(kind.own_tokens, kind.own_sigma, kind, source),
+            _length(kind.output_tokens, kind.output_sigma, kind, source),
             now,
+            max_output_tokens=kind.max_output_tokens,
+            deadline_s=kind.deadline_s,
         )
+        if kind.hint_sigma:
+            error = source.lognormvariate(0.0, kind.hint_sigma)
+            call.length_hint = max(1, round(call.output_tokens * error))
+        if workload.centres > 1:
+            call.centre = _pick_centre(workload, now, source)
+        yield call
+
+
+def _length(mean: int, sigma: float, kind: CallClass, source: random.Random) -> int:
+    if not sigma:
+        return max(1, int(mean * source.uniform(0.5, 1.5)))
+    length = source.lognormvariate(math.log(mean) - sigma**2 / 2, sigma)
+    return max(1, int(min(length, kind.max_length_factor * mean)))
+
+
+def _pick_centre(workload: Workload, now: float, source: random.Random) -> int:
+    centres, wave = workload.centres, workload.wave
+    if wave is None:
+        return source.randrange(centres)
+    weights = [wave.factor(number, centres, now) for number in range(centres)]
+    return source.choices(range(centres), weights)[0]
 
 
 def _surge_factor(workload: Workload, workspace: int, now: float) -> float:
