--- a/packages/fulmarroad-bench/tests/test_hard_load.py
+++ b/packages/fulmarroad-bench/tests/test_hard_load.py
@@ -133,7 +133,7 @@
         """Guard against an answer that runs on after its caller has left."""
         kind = CallClass("letter", 1.0, 0, 500, 100, 0.5, 1.0, 0.1, deadline_s=0.3)
         rows = letters(kind, 2, gap_s=0.31)
-        rows[1].output_tokens = 10
+        rows[0].output_tokens, rows[1].output_tokens = 1_000, 10
         day = simulate_one_engine(kind, rows)
         assert [row.ended for row in day.outcomes] == ["failed", "on time"]
 
