Queue calls without a place at the owner of their servers

Cause: calls without a place polled, each for half of its objective, so that the workspace with most calls found most places, and a call that was sent waited in its engine's own queue, from which it can't be moved.

Change: where the feature admission_queue is on, an owner holds one bounded queue of the calls for its engines, its own callers' included. The workspace that uses least of its share is first, within it the earliest latest start. Requests state the caller's remaining time, progress reports the requests that nobody waits for.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -41,6 +41,7 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
+    Candidate,
     Choice,
     PartMemory,
     choose_engine,
@@ -56,10 +57,12 @@
     refuse_above_share,
     refuse_for_rest,
     refuse_for_wait,
+    refuse_queued,
     refuse_stream,
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
+from fulmarroad_serving.admission import StartBound, choose_within, excess_wait_s
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -131,6 +134,12 @@
         engines = len(self.registry.usable(service))
         return self._features.features(self._catalog, service, engines)
 
+    def queues_calls(self, service: ServiceName) -> bool:
+        """Return whether calls of a service wait in the queue of an owner."""
+        row = self._catalog.services.get(service)
+        has_engines = row is not None and row.engine is not None
+        return has_engines and self.features(service).admission_queue
+
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
@@ -254,12 +263,14 @@
         owned: OwnedServers | None = None,
         asker: ColdServers | None = None,
         full: Collection[ServerName] = (),
+        commit: StartBound | None = None,
     ) -> Placement | Refusal:
         """Choose a server, or return the reason for a refusal.
 
         `owned` limits the choice to servers whose queues this router knows exactly. For
         another router's call, `asker` is what that router knows of cold servers, and
-        `full` are those at which its connections are in use.
+        `full` are those at which its connections are in use. `commit` bounds the wait
+        at an engine in place of the share, as the order of the queue follows shares.
         """
         service = self._service(demand.service)
         if owned is None:
@@ -282,27 +293,22 @@
         candidates = [self.servers.candidate(row, service, now) for row in rows]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose(
-                demand.prompt,
-                candidates,
-                self.parts,
-                self._centre,
-                now,
-                may_read_again=use.may_spread,
-                shortage=use.shortage,
-            )
+            choice = self._choose_engine(demand, candidates, use, now, commit)
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
         assert choice is not None
-        few_servers = self._has_few_servers(demand)
-        excess_wait_s = choice.wait_s - allowed_wait_s(
-            demand, service, choice, use, few_servers=few_servers
-        )
-        if excess_wait_s > 0:
+        if commit is not None:
+            excess_s = excess_wait_s(demand, choice, commit)
+        else:
+            few_servers = self._has_few_servers(demand)
+            excess_s = choice.wait_s - allowed_wait_s(
+                demand, service, choice, use, few_servers=few_servers
+            )
+        if excess_s > 0:
             window_s = self._bounds.share_window_s
             return refuse_for_wait(
-                choice, use, len(rows), excess_wait_s, window_s, self._random
+                choice, use, len(rows), excess_s, window_s, self._random
             )
         registered = self.registry.get(choice.server)
         assert registered is not None
@@ -319,6 +325,13 @@
             and self.servers.may_open_more(registered, service, now),
         )
 
+    def refuse_queued(
+        self, demand: Demand, reason: RefusalReason, now: float
+    ) -> Refusal:
+        """Refuse a call that doesn't wait for a place, or no longer."""
+        use, window_s = self.use_of(demand, now), self._bounds.share_window_s
+        return refuse_queued(reason, use, window_s, self._random)
+
     def send(
         self,
         demand: Demand,
@@ -354,10 +367,11 @@
         choice = placement.choice
         grant.closed = True
         self._note_cold_call(demand, placement, now, for_peer=False)
-        if placement.use is not NO_USE:
-            self._capacity(demand.service).note_sent(choice.tokens, demand.units)
-        if demand.part:
-            self.parts.note(part_id(demand.part), choice.server, now)
+        if grant.owner != self._me:  # as the owner, it counted the call already
+            if placement.use is not NO_USE:
+                self._capacity(demand.service).note_sent(choice.tokens, demand.units)
+            if demand.part:
+                self.parts.note(part_id(demand.part), choice.server, now)
         expected_s = choice.wait_s + choice.read_s
         charge = Charge(
             choice.server, choice.tokens, 0.0, now, expected_s, wait_s=choice.wait_s
@@ -427,6 +441,8 @@
         if ticket.grant is not None:
             ticket.outcome, ticket.ended = outcome, True
             self.on_progress(ticket)
+            if ticket.grant.owner == self._me:
+                return  # as the owner, it learned from the end just now
         else:
             self.release(ticket, now)
             if outcome is not None and not ticket.begun:
@@ -455,6 +471,32 @@
             self.parts.forget(server)
         return removed
 
+    def _choose_engine(
+        self,
+        demand: Demand,
+        candidates: Sequence[Candidate],
+        use: ShareUse,
+        now: float,
+        commit: StartBound | None,
+    ) -> Choice | None:
+        def choose(rows: Sequence[Candidate]) -> Choice | None:
+            return self._choose(
+                demand.prompt,
+                rows,
+                self.parts,
+                self._centre,
+                now,
+                may_read_again=use.may_spread,
+                shortage=use.shortage,
+            )
+
+        choice = choose(candidates)
+        if commit is None or choice is None:
+            return choice
+        return choose_within(
+            choice, commit, candidates, choose, may_read_again=use.may_spread
+        )
+
     def _eligible_servers(
         self,
         demand: Demand,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -190,7 +190,7 @@
         owner = client.owner_for(run.demand) if client is not None else None
         if client is None or owner is None:
             return await self._place_here(run, None, may_wait=may_wait)
-        if owner == client.me:
+        if owner == client.me and not self._queues_own(run.demand.service):
             owned = client.own_servers(run.demand)
             placed = await self._place_here(run, owned, may_wait=may_wait)
             if not _lacks_servers(placed):
@@ -211,6 +211,12 @@
         self._summarize(run, placement)
         return placement
 
+    def _queues_own(self, service: ServiceName) -> bool:
+        """Return whether this router asks itself as the owner, as it asks others."""
+        client = self._owner_client
+        has_queue = self._dispatcher.queues_calls(service)
+        return has_queue and client is not None and client.local is not None
+
     async def _place_here(
         self,
         run: ActiveCall,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -12,12 +12,18 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, field
 
 from fulmarroad.types import RouterName
 from fulmarroad_serving._budgets import ColdBudget
-from fulmarroad_serving._demands import Demand, Placement, Refusal, Ticket
+from fulmarroad_serving._demands import Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._held_requests import (
+    AddressedReply,
+    HeldRequest,
+    after,
+    request_key,
+)
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._owner_messages import (
     PlacementReply,
@@ -26,40 +32,16 @@
     ProgressReport,
     ReplyKind,
 )
-from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._returns import Attempt, RefusedCalls
+from fulmarroad_serving._owners import OwnedServers, OwnerTable
+from fulmarroad_serving._queueing import QueuedRequests
+from fulmarroad_serving._returns import RefusedCalls
 from fulmarroad_serving._routing import part_id
+from fulmarroad_serving.admission import EntryKey
 
 UNCONFIRMED_GRANT_S = 0.4
 """Age at which a grant counts as unused if its router doesn't list it: a grant is used
 within a tenth of a second."""
 
-_Key = tuple[RouterName, int, int]
-"""Router, its incarnation and the number of its request."""
-
-
-@frozen
-class AddressedReply:
-    """Hold a reply and the router to which it is sent."""
-
-    router: RouterName
-    reply: PlacementReply
-
-
-@frozen
-class _HeldRequest:
-    request: PlacementRequest
-    attempt: Attempt
-    since: float
-
-    @property
-    def may_wait(self) -> bool:
-        return self.request.may_wait and not self.attempt.late_anyway
-
-    @property
-    def is_return(self) -> bool:
-        return self.attempt.first_at < self.since
-
 
 @define
 class _Granted:
@@ -77,21 +59,32 @@
     _owners: OwnerTable
     held: HeldCalls = field(factory=HeldCalls)
     _refused: RefusedCalls = field(factory=RefusedCalls)
-    _due: list[tuple[float, int, _HeldRequest]] = field(factory=list)
+    _due: list[tuple[float, int, HeldRequest]] = field(factory=list)
     _numbers: count[int] = field(factory=count)
-    _granted: dict[_Key, _Granted] = field(factory=dict)
+    _granted: dict[EntryKey, _Granted] = field(factory=dict)
+    queued: QueuedRequests = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.queued = QueuedRequests(self._dispatcher, self)
 
     @property
     def next_due(self) -> float | None:
         """Return when a held request looks for a place again; None without any."""
-        return self._due[0][0] if self._due else None
+        times = (self._due[0][0] if self._due else None, self.queued.next_due)
+        return min((at for at in times if at is not None), default=None)
 
     def receive_request(self, request: PlacementRequest, now: float) -> AddressedReply:
         """Decide on a request, or hold it."""
-        if request.demand.part:
+        is_queued = self._dispatcher.queues_calls(request.demand.service)
+        if is_queued and self._is_known(request):
+            return self.reply(request, ReplyKind.WAITS)
+        if request.demand.part and request.router != self._me:
             self._dispatcher.parts.note_asked(part_id(request.demand.part), now)
         attempt = self._refused.attempt(request.demand, now)
-        return self._decide(_HeldRequest(request, attempt, now), now)
+        held = HeldRequest(request, attempt, now)
+        if is_queued:
+            return self.queued.receive(held, now)
+        return self._decide(held, now)
 
     def decide_held(self, now: float) -> list[AddressedReply]:
         """Look for places for the held requests that are due and return the replies."""
@@ -102,10 +95,12 @@
             reply = self._decide(held, now)
             if reply.reply.kind is not ReplyKind.WAITS:
                 replies.append(reply)
-        return replies
+        return replies + self.queued.decide(now)
 
     def receive_progress(self, report: ProgressReport, now: float) -> None:
         """Apply what a router reports of its granted calls."""
+        for number in report.cancelled:
+            self.queued.drop((report.router, report.incarnation, number), now)
         for note in report.notes:
             self._apply(report, note, now)
         if report.held is not None:
@@ -116,39 +111,68 @@
 
         `alive` maps each live router to its incarnation.
         """
+        alive = {**alive, self._me: self._incarnation}
         lost = [key for key in self._granted if alive.get(key[0]) != key[1]]
         self._end_unanswered(lost, now)
+        self.queued.drop_lost(alive, now)
 
-    def _decide(self, held: _HeldRequest, now: float) -> AddressedReply:
+    def _decide(self, held: HeldRequest, now: float) -> AddressedReply:
         request = held.request
-        left_out = frozenset(request.left_out) - {self._me}
-        owned = self._owners.owned(request.demand.service, left_out)
+        owned = self.owned(request)
         if not owned.rows:
-            return self._reply(request, ReplyKind.NOT_OWNER)
+            return self.reply(request, ReplyKind.NOT_OWNER)
         held_s = now - held.since
-        demand = _after(held.attempt.demand, held_s)
-        placed = self._dispatcher.place(
-            demand,
-            now,
-            avoid=request.avoid,
-            owned=owned,
-            asker=request.cold,
-            full=request.full,
-        )
+        placed = self.place(held, owned, now)
         if isinstance(placed, Placement):
-            self._note_placement(held, placed=True)
-            return self._grant(request, placed, now)
+            return self.grant(held, placed, now)
         objective_s = held.attempt.demand.objective_s
         pause_s = self.held.next_poll_s(placed, objective_s, held_s)
         if pause_s is None or not held.may_wait:
-            self._note_placement(held, placed=False)
-            self._refused.note_refused(request.demand, held.attempt.first_at)
-            return self._refuse(request, placed)
+            return self.refuse(held, placed)
         self.held.count += 1
         heappush(self._due, (now + pause_s, next(self._numbers), held))
-        return self._reply(request, ReplyKind.WAITS)
+        return self.reply(request, ReplyKind.WAITS)
 
-    def _note_placement(self, held: _HeldRequest, *, placed: bool) -> None:
+    def owned(self, request: PlacementRequest) -> OwnedServers:
+        """Return the servers for which this router decides on a request."""
+        left_out = frozenset(request.left_out) - {self._me}
+        return self._owners.owned(request.demand.service, left_out)
+
+    def place(
+        self, held: HeldRequest, owned: OwnedServers, now: float
+    ) -> Placement | Refusal:
+        """Choose one of this router's servers for a request."""
+        request, held_s = held.request, now - held.since
+        bound = held.bound
+        if bound is not None:
+            bound = evolve(bound, waited_s=held_s)
+        return self._dispatcher.place(
+            after(held.attempt.demand, held_s),
+            now,
+            avoid=request.avoid,
+            owned=owned,
+            asker=request.cold,
+            full=request.full,
+            commit=bound,
+        )
+
+    def grant(self, held: HeldRequest, placed: Placement, now: float) -> AddressedReply:
+        """Count a call that got a place and return the reply."""
+        self._note_placement(held, placed=True)
+        return self._grant(held.request, placed, now)
+
+    def refuse(self, held: HeldRequest, refusal: Refusal) -> AddressedReply:
+        """Count a call that gets no place and return the reply."""
+        self._note_placement(held, placed=False)
+        self._refused.note_refused(held.request.demand, held.attempt.first_at)
+        return self._refuse(held.request, refusal)
+
+    def _is_known(self, request: PlacementRequest) -> bool:
+        """Return whether a request came before, as its packet was duplicated."""
+        key = request_key(request)
+        return key in self.queued.queue or key in self._granted
+
+    def _note_placement(self, held: HeldRequest, *, placed: bool) -> None:
         demand = held.request.demand
         self._dispatcher.placements.note_decision(
             demand.workspace, demand.units, placed=placed, is_return=held.is_return
@@ -158,7 +182,7 @@
         self, request: PlacementRequest, placed: Placement, now: float
     ) -> AddressedReply:
         ticket = self._dispatcher.send(request.demand, placed, now, for_peer=True)
-        self._granted[_key(request)] = _Granted(ticket, now)
+        self._granted[request_key(request)] = _Granted(ticket, now)
         choice = placed.choice
         reply = PlacementReply(
             self._me,
@@ -191,7 +215,8 @@
         )
         return AddressedReply(request.router, reply)
 
-    def _reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
+    def reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
+        """Return a reply without further fields."""
         reply = PlacementReply(self._me, self._incarnation, request.number, kind)
         return AddressedReply(request.router, reply)
 
@@ -208,6 +233,7 @@
         if note.ended:
             del self._granted[key]
             self._dispatcher.end(granted.ticket, note.outcome, now)
+        self.queued.note_capacity()
 
     def _drop_unlisted(
         self, report: ProgressReport, listed: Collection[int], now: float
@@ -223,17 +249,8 @@
         ]
         self._end_unanswered(lost, now)
 
-    def _end_unanswered(self, keys: Iterable[_Key], now: float) -> None:
+    def _end_unanswered(self, keys: Iterable[EntryKey], now: float) -> None:
         for key in keys:
             granted = self._granted.pop(key)
             self._dispatcher.release(granted.ticket, now)
-
-
-def _key(request: PlacementRequest) -> _Key:
-    return (request.router, request.incarnation, request.number)
-
-
-def _after(demand: Demand, held_s: float) -> Demand:
-    if not held_s:
-        return demand
-    return evolve(demand, objective_s=max(0.0, demand.objective_s - held_s))
+            self.queued.note_capacity()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -6,6 +6,7 @@
 from prometheus_client.exposition import generate_latest
 
 from fulmarroad.delivery import CloseMode
+from fulmarroad_serving._queueing import QueuedRequests
 
 ESTIMATE_ERROR_BUCKETS = (-0.4, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 """Bucket bounds in seconds for estimate errors; above zero the answer came later."""
@@ -57,6 +58,17 @@
             ["delivery"],
             registry=self._registry,
         )
+        self.queue_decisions = Counter(
+            "fulmarroad_admission_queue_decisions",
+            "Calls decided on as the owner of servers, by decision",
+            ["decision"],
+            registry=self._registry,
+        )
+        self.queue_waiting = Gauge(
+            "fulmarroad_admission_queue_waiting",
+            "Calls that wait for a place in this router's queue",
+            registry=self._registry,
+        )
         self.closed = Counter(
             "fulmarroad_server_connections_closed",
             "Connections to servers that ended, by how",
@@ -101,6 +113,12 @@
         """Count a connection to a server that ended."""
         self.closed.labels(mode.value).inc()
 
+    def note_queue(self, queued: QueuedRequests) -> None:
+        """Take the state of the queue for places, and its decisions since last time."""
+        self.queue_waiting.set(len(queued.queue))
+        for decision, number in queued.counts.pop_uncounted().items():
+            self.queue_decisions.labels(decision).inc(number)
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -13,6 +13,7 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._pool import ConnectionPool
+from fulmarroad_serving._queueing import QueuedRequests
 from fulmarroad_serving._workspace_outcomes import REPORT_INTERVAL_S, WorkspaceOutcomes
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -34,6 +35,7 @@
     _ends: WorkspaceOutcomes
     _requests: WorkspaceOutcomes
     _catalog: Callable[[], Catalog]
+    _queued: QueuedRequests | None = None
     _servers_due: float = 0.0
 
     def log(self, now: float) -> None:
@@ -41,6 +43,7 @@
         self._log_calls(now)
         self._log_placements(now)
         self._log_requests(now)
+        self._log_queue(now)
         if now >= self._servers_due:
             servers = len(self._dispatcher.registry.rows())
             self._servers_due = now + max(REPORT_INTERVAL_S, servers / SERVERS_PER_S)
@@ -79,6 +82,19 @@
                 requests=row.ends,
             )
 
+    def _log_queue(self, now: float) -> None:
+        status = self._queued.pop_status(now) if self._queued is not None else None
+        if status is not None:
+            emit(
+                logger,
+                Event.ADMISSION_QUEUE_STATUS,
+                waiting=status.waiting,
+                longest_wait_s=status.longest_wait_s,
+                granted=status.granted,
+                refused=status.refused,
+                dropped=status.dropped,
+            )
+
     def _log_servers(self, now: float) -> None:
         services = list(self._catalog().services.values())[:MAX_LOGGED_SERVICES]
         for service in services:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -12,10 +12,9 @@
 import logging
 import math
 import random
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Mapping
 
-import anyio
 from attrs import define, field
 
 from fulmarroad.events import Event, emit
@@ -36,6 +35,7 @@
     pack_request,
 )
 from fulmarroad_serving._owners import OwnedServers, OwnerTable
+from fulmarroad_serving._pending_requests import LocalOwner, PendingRequest
 from fulmarroad_serving._routing import Choice, part_id
 from fulmarroad_serving._workspace_outcomes import (
     UNMET_REQUESTS,
@@ -66,18 +66,9 @@
 COLD_OBSTACLES = (Obstacle.COLD, Obstacle.SUSPECT)
 
 
-@define
-class _PendingRequest:
-    replied: anyio.Event = field(factory=anyio.Event)
-    reply: PlacementReply | None = None
-
-    async def wait(self, timeout_s: float) -> PlacementReply | None:
-        """Return the next reply, or None if it does not arrive in time."""
-        with anyio.move_on_after(timeout_s):
-            await self.replied.wait()
-        reply, self.reply = self.reply, None
-        self.replied = anyio.Event()
-        return reply
+MAX_ACCEPTED = 512
+"""Maximum number of remembered grants that were accepted: more than a router accepts
+within the time for which the network may delay a packet's duplicate."""
 
 
 @define
@@ -94,8 +85,10 @@
     on_notes: Callable[[], None] = lambda: None
     is_full: Callable[[ServiceName, ServerName], bool] = lambda service, server: False
     """Return whether this router has its share of a server's connections in use."""
+    local: LocalOwner | None = None
+    """This router as an owner; None if it doesn't queue its own calls."""
     _number: int = 0
-    _pending: dict[int, _PendingRequest] = field(factory=dict)
+    _pending: dict[int, PendingRequest] = field(factory=dict)
     _silent_until: dict[RouterName, float] = field(factory=dict)
     requests: WorkspaceOutcomes = field(
         factory=lambda: WorkspaceOutcomes(refusals=UNMET_REQUESTS)
@@ -103,6 +96,9 @@
     """What became of the requests, until the node logs it."""
     _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
     _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
+    _cancelled: dict[RouterName, list[int]] = field(factory=dict)
+    _accepted: OrderedDict[int, None] = field(factory=OrderedDict)
+    """Numbers of requests whose grants were accepted, the oldest first."""
 
     def owner_for(self, demand: Demand) -> RouterName | None:
         """Return the router to ask, which may be this one; None: there is no owner."""
@@ -128,27 +124,59 @@
 
         `remaining_s` is the time until the call's deadline.
         """
-        request = self.new_request(owner, demand, avoid, may_wait=may_wait)
+        request = self.new_request(
+            owner, demand, avoid, may_wait=may_wait, remaining_s=remaining_s
+        )
         number = request.number
-        pending = self._pending[number] = _PendingRequest()
-        reply: PlacementReply | None = None
+        pending = self._pending[number] = PendingRequest()
         try:
-            self.send(owner, pack_request(request))
-            reply = await pending.wait(REPLY_TIMEOUT_S)
-            if reply is not None and reply.kind is ReplyKind.WAITS:
-                reply = await pending.wait(min(demand.objective_s, remaining_s))
+            self._deliver(owner, request)
+            reply = await self._reply(pending, demand, remaining_s)
         finally:
             del self._pending[number]
-            if reply is None and pending.reply is not None:
-                self._return_unused(pending.reply)
+            if not pending.decided:
+                self._withdraw(owner, request, pending.reply)
         if reply is None:
             self.requests.note(demand.workspace, RequestOutcome.NO_REPLY)
+            if owner == self.me:
+                reason, now = RefusalReason.WAIT_TOO_LONG, self._clock()
+                return self._dispatcher.refuse_queued(demand, reason, now)
             if remaining_s > demand.objective_s:
                 self._note_silent(owner)
             return None
         self._silent_until.pop(owner, None)
         return self.decide(demand, avoid, reply)
 
+    async def _reply(
+        self, pending: PendingRequest, demand: Demand, remaining_s: float
+    ) -> PlacementReply | None:
+        """Return the owner's final reply, or None if it does not arrive in time."""
+        reply = await pending.wait(REPLY_TIMEOUT_S)
+        if reply is not None and reply.kind is ReplyKind.WAITS:
+            told_s = reply.wait_s + REPLY_TIMEOUT_S if reply.wait_s > 0 else 0.0
+            reply = await pending.wait(min(told_s or demand.objective_s, remaining_s))
+        pending.decided = reply is not None
+        return reply
+
+    def _deliver(self, owner: RouterName, request: PlacementRequest) -> None:
+        if owner == self.me and self.local is not None:
+            self.local.receive_request(request)
+        else:
+            self.send(owner, pack_request(request))
+
+    def _withdraw(
+        self,
+        owner: RouterName,
+        request: PlacementRequest,
+        reply: PlacementReply | None,
+    ) -> None:
+        """Tell an owner that nobody waits for a request any more."""
+        if reply is not None and reply.kind is ReplyKind.GRANTED:
+            self._return_unused(reply)
+        elif self._dispatcher.queues_calls(request.demand.service):
+            self._cancelled.setdefault(owner, []).append(request.number)
+            self._report(owner)
+
     def new_request(
         self,
         owner: RouterName,
@@ -156,6 +184,7 @@
         avoid: Collection[ServerName],
         *,
         may_wait: bool,
+        remaining_s: float = math.inf,
     ) -> PlacementRequest:
         """Return a request that says which of the owner's servers can't be used."""
         self._number += 1
@@ -176,16 +205,16 @@
                 for row in rows
                 if self.is_full(demand.service, row.instance.id)
             ),
+            remaining_s if math.isfinite(remaining_s) else 0.0,
         )
 
     def receive_reply(self, reply: PlacementReply) -> None:
         """Apply an owner's reply; return a place that came too late."""
         pending = self._pending.get(reply.number)
-        if pending is None:
+        if pending is not None:
+            pending.receive(reply)
+        elif reply.number not in self._accepted:
             self._return_unused(reply)
-            return
-        pending.reply = reply
-        pending.replied.set()
 
     def note_progress(self, ticket: Ticket) -> None:
         """Record that a granted call was sent, began or ended."""
@@ -221,21 +250,30 @@
         grant.closed = True
         ended = RequestOutcome.UNUSED if obstacle is None else given_back(obstacle)
         self.requests.note(grant.workspace, ended)
+        if grant.owner == self.me:
+            outcome = None  # as the owner, it noted the server's failure already
         self._return(grant.owner, grant.number, outcome)
 
     def pop_notes(self) -> list[tuple[RouterName, bytes]]:
         """Remove and return the packets with unreported progress, by owner."""
-        packets = []
-        for owner, notes in self._notes.items():
-            report = ProgressReport(self.me, self._incarnation, tuple(notes))
-            packets.append((owner, pack_progress(report)))
-        self._notes.clear()
-        return packets
+        reports = [(owner, self._pop_report(owner)) for owner in self._reported()]
+        return [(owner, pack_progress(report)) for owner, report in reports]
+
+    def _reported(self) -> list[RouterName]:
+        """Return the owners for which there is unreported progress."""
+        return list(dict.fromkeys([*self._notes, *self._cancelled]))
+
+    def _pop_report(self, owner: RouterName) -> ProgressReport:
+        notes = tuple(self._notes.pop(owner, ()))
+        cancelled = tuple(self._cancelled.pop(owner, ()))
+        return ProgressReport(self.me, self._incarnation, notes, cancelled=cancelled)
 
     def held_lists(self) -> list[tuple[RouterName, bytes]]:
         """Return the packets that list all granted calls, by owner."""
         packets = []
         for owner, tickets in list(self._tickets.items()):
+            if owner == self.me:
+                continue  # nothing is lost on the way
             held = tuple(tickets)
             report = ProgressReport(self.me, self._incarnation, held=held)
             packets.append((owner, pack_progress(report)))
@@ -249,6 +287,8 @@
         `alive` maps each live router to its incarnation.
         """
         for owner, tickets in self._tickets.items():
+            if owner == self.me:
+                continue
             lost = [
                 (number, ticket)
                 for number, ticket in tickets.items()
@@ -302,7 +342,8 @@
             self.requests.note(demand.workspace, given_back(obstacle))
             self._return_unused(reply)
             return None
-        if reply.read_rate:
+        self._note_accepted(reply.number)
+        if reply.read_rate and reply.owner != self.me:
             self._dispatcher.load(reply.server).read_rate = reply.read_rate
         registry = self._dispatcher.registry
         registered = registry.get(reply.server)
@@ -353,4 +394,16 @@
 
     def _add_note(self, owner: RouterName, note: ProgressNote) -> None:
         self._notes.setdefault(owner, []).append(note)
-        self.on_notes()
+        self._report(owner)
+
+    def _report(self, owner: RouterName) -> None:
+        """Report progress, to this router itself at once."""
+        if owner == self.me and self.local is not None:
+            self.local.receive_progress(self._pop_report(owner))
+        else:
+            self.on_notes()
+
+    def _note_accepted(self, number: int) -> None:
+        self._accepted[number] = None
+        if len(self._accepted) > MAX_ACCEPTED:
+            self._accepted.popitem(last=False)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -14,6 +14,8 @@
     PROGRESS_FORMAT,
     REPLY_FORMAT,
     REQUEST_FORMAT,
+    PlacementRequest,
+    ProgressReport,
     pack_reply,
     read_progress,
     read_reply,
@@ -54,8 +56,9 @@
         self._clock = clock
         self._send: Send = lambda data, host: None
         self._notes_due = anyio.Event()
-        self._request_held = anyio.Event()
+        self._due_changed = anyio.Event()
         client.send = self._send_to
+        client.local = self
         client.on_notes = self._trigger_notes
 
     def receive(self, row: Any, host: str) -> None:
@@ -64,13 +67,23 @@
         if row[0] == REQUEST_FORMAT:
             answer = self._granter.receive_request(read_request(row), now)
             self._send(pack_reply(answer.reply), host)
-            if self._granter.next_due is not None:
-                self._request_held.set()
+            self._trigger_decisions()
         elif row[0] == REPLY_FORMAT:
             reply = read_reply(row)
             self._client.receive_reply(reply)
         else:
-            self._granter.receive_progress(read_progress(row), now)
+            self.receive_progress(read_progress(row))
+
+    def receive_request(self, request: PlacementRequest) -> None:
+        """Decide on a request of this router itself."""
+        answer = self._granter.receive_request(request, self._clock())
+        self._client.receive_reply(answer.reply)
+        self._trigger_decisions()
+
+    def receive_progress(self, report: ProgressReport) -> None:
+        """Apply what a router reports, which may be this one."""
+        self._granter.receive_progress(report, self._clock())
+        self._trigger_decisions()
 
     async def run(self, send: Send) -> None:
         """Send what becomes due until cancelled."""
@@ -82,12 +95,16 @@
 
     async def _decide_held(self) -> None:
         while True:
+            self._due_changed = anyio.Event()
             due = self._granter.next_due
             if due is None:
-                self._request_held = anyio.Event()
-                await self._request_held.wait()
+                await self._due_changed.wait()
+                continue
+            delay_s = due - self._clock()
+            if delay_s > 0:
+                with anyio.move_on_after(delay_s):
+                    await self._due_changed.wait()
                 continue
-            await anyio.sleep(max(0.0, due - self._clock()))
             self._send_replies(self._granter.decide_held(self._clock()))
 
     async def _send_notes(self) -> None:
@@ -110,12 +127,20 @@
 
     def _send_replies(self, replies: Iterable[AddressedReply]) -> None:
         for row in replies:
-            self._send_to(row.router, pack_reply(row.reply))
+            if row.router == self._client.me:
+                self._client.receive_reply(row.reply)
+            else:
+                self._send_to(row.router, pack_reply(row.reply))
 
     def _send_to(self, router: RouterName, data: bytes) -> None:
         host = self._hosts().get(router)
         if host is not None:
             self._send(data, host)
 
+    def _trigger_decisions(self) -> None:
+        """Let held requests be decided on as soon as that is due now."""
+        if self._granter.next_due is not None:
+            self._due_changed.set()
+
     def _trigger_notes(self) -> None:
         self._notes_due.set()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -39,6 +39,7 @@
     left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
     cold: ColdServers = ColdServers()  # as the sender knows the owner's servers
     full: tuple[ServerName, ...] = ()  # the sender has its share of connections in use
+    remaining_s: float = 0.0  # until the caller gives up; 0: not known
 
 
 class ReplyKind(enum.IntEnum):
@@ -91,6 +92,7 @@
     incarnation: int
     notes: tuple[ProgressNote, ...] = ()
     held: tuple[int, ...] | None = None  # numbers of all calls that still run
+    cancelled: tuple[int, ...] = ()  # numbers of requests that nobody waits for
 
 
 _OUTCOMES: tuple[SendOutcome | None, ...] = (None, *SendOutcome)
@@ -122,6 +124,7 @@
         demand.version,
         list(request.cold.closed),
         list(request.full),
+        round(request.remaining_s, 4),
     ]
     return bytes(msgpack.packb(row))
 
@@ -149,6 +152,7 @@
         # Routers of the previous release don't list what they may not use.
         closed = tuple(str(name) for name in row[19]) if len(row) > 19 else ()
         full = tuple(str(name) for name in row[20]) if len(row) > 20 else ()
+        remaining_s = float(row[21]) if len(row) > 21 else 0.0
         return PlacementRequest(
             str(row[1]),
             int(row[2]),
@@ -159,6 +163,7 @@
             left_out,
             ColdServers(permitted, closed),
             full,
+            remaining_s,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement request is not valid.") from error
@@ -222,7 +227,15 @@
     ]
     held = None if report.held is None else list(report.held)
     unused = [note.number for note in report.notes if note.unused]
-    row = [PROGRESS_FORMAT, report.router, report.incarnation, notes, held, unused]
+    row = [
+        PROGRESS_FORMAT,
+        report.router,
+        report.incarnation,
+        notes,
+        held,
+        unused,
+        list(report.cancelled),
+    ]
     return bytes(msgpack.packb(row))
 
 
@@ -242,6 +255,8 @@
             for number, begun, ended, outcome in row[3]
         )
         held = None if row[4] is None else tuple(int(number) for number in row[4])
-        return ProgressReport(str(row[1]), int(row[2]), notes, held)
+        # Nor which requests they no longer need.
+        cancelled = tuple(int(n) for n in row[6]) if len(row) > 6 else ()
+        return ProgressReport(str(row[1]), int(row[2]), notes, held, cancelled)
     except DECODE_ERRORS as error:
         raise MessageError("The progress report is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -111,9 +111,10 @@
         self.owner_client = OwnerClient(
             me, incarnation, dispatcher, self.owners, source, clock
         )
+        self.granter = Granter(me, incarnation, dispatcher, self.owners)
         self._owner_exchange = OwnerExchange(
             self.owner_client,
-            Granter(me, incarnation, dispatcher, self.owners),
+            self.granter,
             self.book.hosts,
             self._incarnations,
             clock,
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pending_requests.py
@@ -0,0 +1,52 @@
+"""Hold a request until its owner's reply comes, also if that is this router itself."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import anyio
+from attrs import define, field
+
+from fulmarroad_serving._owner_messages import (
+    PlacementReply,
+    PlacementRequest,
+    ProgressReport,
+    ReplyKind,
+)
+
+
+class LocalOwner(Protocol):
+    """Receive what this router sends to itself as the owner of servers."""
+
+    def receive_request(self, request: PlacementRequest) -> None:
+        """Decide on a request of this router."""
+
+    def receive_progress(self, report: ProgressReport) -> None:
+        """Apply the progress of this router's calls."""
+
+
+@define
+class PendingRequest:
+    """Hold the newest reply to a request until its caller has it."""
+
+    replied: anyio.Event = field(factory=anyio.Event)
+    reply: PlacementReply | None = None
+    waits: bool = False  # the owner said that another reply follows
+    decided: bool = False
+
+    def receive(self, reply: PlacementReply) -> None:
+        """Take a reply, unless it came twice or after the decision."""
+        is_wait = reply.kind is ReplyKind.WAITS
+        if is_wait and (self.waits or self.reply is not None):
+            return
+        self.waits = self.waits or is_wait
+        self.reply = reply
+        self.replied.set()
+
+    async def wait(self, timeout_s: float) -> PlacementReply | None:
+        """Return the next reply, or None if it does not arrive in time."""
+        with anyio.move_on_after(timeout_s):
+            await self.replied.wait()
+        reply, self.reply = self.reply, None
+        self.replied = anyio.Event()
+        return reply
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shares.py
@@ -259,6 +259,11 @@
             shortage=self._shortage,
         )
 
+    def summed_at(self, now: float) -> float:
+        """Return the time of the newest sums over the fleet."""
+        self._refresh(now)
+        return self._summed_at
+
     def granted_units(self, now: float) -> float:
         """Return the units granted to all workspaces in the window."""
         self._refresh(now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -94,6 +94,13 @@
     return Refusal(RefusalReason.ABOVE_SHARE, min(pause, MAX_RETRY_AFTER_S), use=use)
 
 
+def refuse_queued(
+    reason: RefusalReason, use: ShareUse, window_s: float, source: random.Random
+) -> Refusal:
+    """Refuse a call that finds no place in the queue or none through it."""
+    return Refusal(reason, _pause_s(use, window_s, source), use=use)
+
+
 def refuse_for_wait(
     choice: Choice,
     use: ShareUse,
@@ -103,17 +110,22 @@
     source: random.Random,
 ) -> Refusal:
     """Refuse a call that would wait too long at the chosen server."""
-    pause = source.uniform(*RETRY_AFTER_S)
-    over = use.used_fraction - 1.0
-    if over > 0:
-        # Used share becomes free again as the window slides.
-        pause += min(over, 1.0) * window_s / 2
     return Refusal(
         RefusalReason.WAIT_TOO_LONG,
-        min(pause, MAX_RETRY_AFTER_S),
+        _pause_s(use, window_s, source),
         choice.wait_s,
         use,
         candidates,
         choice.read_s,
         excess_wait_s,
     )
+
+
+def _pause_s(use: ShareUse, window_s: float, source: random.Random) -> float:
+    """Return the retry delay after a refusal for load."""
+    pause = source.uniform(*RETRY_AFTER_S)
+    over = use.used_fraction - 1.0
+    if over > 0:
+        # Used share becomes free again as the window slides.
+        pause += min(over, 1.0) * window_s / 2
+    return min(pause, MAX_RETRY_AFTER_S)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_workspace_outcomes.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_workspace_outcomes.py
@@ -26,6 +26,7 @@
 LOAD_REFUSALS = frozenset(
     {
         RefusalReason.ABOVE_SHARE.value,
+        RefusalReason.QUEUE_FULL.value,
         RefusalReason.ROUTER_BUSY.value,
         RefusalReason.WAIT_TOO_LONG.value,
     }
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -157,6 +157,7 @@
             self._app.ends,
             self._peers.owner_client.requests,
             lambda: self._router_state.catalog,
+            self._peers.granter.queued,
         )
         self._callers = HttpServer(
             self._app,
@@ -370,6 +371,7 @@
         self._metrics.store_age.set(min(self._reader.age_s(), 1e6))
         self._metrics.loop_late.set(self._lateness.sustained_s)
         self._metrics.dropped.set(self._log.dropped)
+        self._metrics.note_queue(self._peers.granter.queued)
         return self._metrics.text()
 
 
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -110,6 +110,9 @@
     PLACEMENT_REQUESTS_UNMET = EventKind(
         432, _I, "requests for places of a workspace refused or not used"
     )
+    ADMISSION_QUEUE_STATUS = EventKind(
+        433, _I, "calls waiting for places at the owner of servers"
+    )
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
