--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
@@ -101,7 +101,7 @@
     def push(self, entry: QueueEntry, now: float) -> list[QueueEntry]:
         """Add an entry and return those dropped for it, which may include itself."""
         self._refresh(now)
-        entry.until = min(entry.until, entry.since + self.max_wait_s)
+        entry.until = min(entry.since + self.max_wait_s, entry.until)
         entry.waits, entry.number = True, next(self._numbers)
         self._entries[entry.key] = entry
         self.size += entry.size
