Keep parts where they are while calls wait in the queue

Cause: with a short bound on the wait at an engine, calls went to engines that had to read their parts again, which took the time that was short. A change of the queue also let all paused calls search again.

Change: the bound applies to the engine that the usual choice names. A queued call that found no place pauses for 30 ms, and a scan tries 3 calls.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -41,7 +41,6 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
-    Candidate,
     Choice,
     PartMemory,
     choose_engine,
@@ -62,7 +61,7 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
-from fulmarroad_serving.admission import StartBound, choose_within, excess_wait_s
+from fulmarroad_serving.admission import StartBound, excess_wait_s
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -293,7 +292,15 @@
         candidates = [self.servers.candidate(row, service, now) for row in rows]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose_engine(demand, candidates, use, now, commit)
+            choice = self._choose(
+                demand.prompt,
+                candidates,
+                self.parts,
+                self._centre,
+                now,
+                may_read_again=use.may_spread,
+                shortage=use.shortage,
+            )
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
@@ -471,32 +478,6 @@
             self.parts.forget(server)
         return removed
 
-    def _choose_engine(
-        self,
-        demand: Demand,
-        candidates: Sequence[Candidate],
-        use: ShareUse,
-        now: float,
-        commit: StartBound | None,
-    ) -> Choice | None:
-        def choose(rows: Sequence[Candidate]) -> Choice | None:
-            return self._choose(
-                demand.prompt,
-                rows,
-                self.parts,
-                self._centre,
-                now,
-                may_read_again=use.may_spread,
-                shortage=use.shortage,
-            )
-
-        choice = choose(candidates)
-        if commit is None or choice is None:
-            return choice
-        return choose_within(
-            choice, commit, candidates, choose, may_read_again=use.may_spread
-        )
-
     def _eligible_servers(
         self,
         demand: Demand,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -41,9 +41,9 @@
     start_times,
 )
 
-PAUSE_S = 0.01
-"""Time for which a queued call that found no place lets others have their turns, unless
-a call begins or ends meanwhile: about two engine steps."""
+PAUSE_S = 0.03
+"""Time for which a queued call that found no place lets others have their turns: an
+engine reads a part of a prompt in it, so that another try may find a place."""
 
 HOPELESS_FACTOR = 2.0
 """Multiple of the time that is left for a start on time, in which the engines read the
@@ -153,7 +153,6 @@
     def note_capacity(self) -> None:
         """Let queued calls look for the place that a call left."""
         if len(self.queue):
-            self.queue.resume_all()
             self._scans.note_event()
 
     def _entry(self, held: HeldRequest, owned: OwnedServers, now: float) -> QueueEntry:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
@@ -18,6 +18,5 @@
 from fulmarroad_serving.admission._scans import ScanSchedule as ScanSchedule
 from fulmarroad_serving.admission._start import StartBound as StartBound
 from fulmarroad_serving.admission._start import StartTimes as StartTimes
-from fulmarroad_serving.admission._start import choose_within as choose_within
 from fulmarroad_serving.admission._start import excess_wait_s as excess_wait_s
 from fulmarroad_serving.admission._start import start_times as start_times
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scans.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scans.py
@@ -17,7 +17,7 @@
 MIN_SCAN_INTERVAL_S = 0.002
 """Shortest time between two scans: less than an engine step."""
 
-MAX_TRIES = 6
+MAX_TRIES = 3
 """Calls without success that a scan tries. A try takes about a tenth of a millisecond,
 so that many scans in a row leave most of a small VM's processor to its own calls."""
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
@@ -10,12 +10,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
 
 from attrs import frozen
 
 from fulmarroad_serving._demands import Demand
-from fulmarroad_serving._routing import Candidate, Choice
+from fulmarroad_serving._routing import Choice
 
 COMMIT_FRACTION = 0.15
 """Fraction of the objective within which an engine must begin to read a prompt. It
@@ -45,7 +44,6 @@
 
     wait_s: float  # until the engine begins to read the prompt
     on_time: bool = True  # whether it must also begin within its objective
-    waited_s: float = 0.0  # for a place, until now
     margin_s: float = SEND_MARGIN_S
 
 
@@ -106,26 +104,3 @@
         left_s = demand.objective_s - choice.read_s - bound.margin_s
         allowed_s = min(allowed_s, left_s)
     return choice.wait_s - allowed_s
-
-
-def choose_within(
-    first: Choice,
-    bound: StartBound,
-    candidates: Sequence[Candidate],
-    choose: Callable[[Sequence[Candidate]], Choice | None],
-    *,
-    may_read_again: bool,
-) -> Choice:
-    """Return another engine that begins within the bound if the first one doesn't.
-
-    A call waits for an engine that has its part for as long as another engine would
-    need to read the part; a longer wait would cost more than the reading.
-    """
-    if first.wait_s <= bound.wait_s:
-        return first
-    near = [row for row in candidates if row.wait_s <= bound.wait_s]
-    other = choose(near) if near else None
-    if other is None or (not may_read_again and not other.cached):
-        return first
-    later_s = other.wait_s + other.read_s - first.wait_s - first.read_s
-    return other if later_s <= bound.waited_s else first
