Rank servers for prompt parts by the weight of their speed class

A slow engine was the home of as many parts as a fast one. The order of servers for a part, the shortlist and the order of owners now use weighted rendezvous hashing where the feature weighted_parts is on. Without classes the order is that of the plain hash.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_baselines.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_baselines.py
@@ -20,7 +20,7 @@
     PartMemory,
     Prompt,
     choose_engine,
-    home_order,
+    engine_order,
 )
 
 
@@ -71,7 +71,7 @@
     """Return the home server of the part, or None without candidates."""
     if not candidates:
         return None
-    home = home_order(prompt.part, [row.server for row in candidates])[0]
+    home = engine_order(prompt.part, candidates)[0]
     row = next(row for row in candidates if row.server == home)
     return _choice(row, prompt, memory, now, is_home=True)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -60,6 +60,7 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
+from fulmarroad_serving.placement import NO_CLASSES, ClassSnapshot, SpeedClasses
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -96,6 +97,7 @@
         self._shortlists: dict[tuple[ServiceName, str], Shortlist] = {}
         self._retries: dict[ServiceName, RetryShare] = {}
         self._capacities: dict[ServiceName, EngineCapacity] = {}
+        self._classes: dict[ServiceName, ClassSnapshot] = {}
         self.parts = PartMemory()
         self.suspects = Suspects()
         self._catalog = Catalog(0)
@@ -131,6 +133,19 @@
         engines = len(self.registry.usable(service))
         return self._features.features(self._catalog, service, engines)
 
+    def speed_classes(self, service: ServiceName, now: float) -> SpeedClasses:
+        """Return the classes by which a service's servers are ranked for parts.
+
+        It is the same object until a class changes.
+        """
+        if not self.features(service).weighted_parts:
+            return NO_CLASSES
+        snapshot = self._classes.get(service)
+        if snapshot is None:
+            snapshot = ClassSnapshot(self.servers.speed_class)
+            self._classes[service] = snapshot
+        return snapshot.current(self.registry.usable(service), now)
+
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
@@ -268,8 +283,12 @@
         else:
             usable = owned.rows
             view = PlacementView(avoid, demand.version, asker, full, owned.held)
+        classes = self.speed_classes(service.name, now)
         rows = self._eligible_servers(
-            demand, usable, lambda row: self.servers.accepts(row, service, now, view)
+            demand,
+            usable,
+            lambda row: self.servers.accepts(row, service, now, view),
+            classes,
         )
         if not rows and not self._has_origin(demand):
             return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
@@ -279,7 +298,10 @@
             if rest_s is not None:
                 return refuse_for_rest(rest_s)
             return refuse_without_server(self._random)
-        candidates = [self.servers.candidate(row, service, now) for row in rows]
+        candidates = [
+            self.servers.candidate(row, service, now, classes.get(row.instance.id, 0))
+            for row in rows
+        ]
         use = self.use_of(demand, now)
         if service.engine is not None:
             choice = self._choose(
@@ -460,6 +482,7 @@
         demand: Demand,
         usable: Sequence[Registered],
         accepts: Callable[[Registered], bool],
+        classes: SpeedClasses,
     ) -> list[Registered]:
         """Return the shortlisted servers that accept a call now.
 
@@ -467,7 +490,7 @@
         """
         part = part_id(demand.part)
         picked = self._shortlist(demand.service, demand.version).pick(
-            part, usable, self.parts.holders(part)
+            part, usable, self.parts.holders(part), classes
         )
         rows = [row for row in picked if accepts(row)]
         if not rows and len(picked) < len(usable):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -108,7 +108,8 @@
         """Return the router to ask, which may be this one; None: there is no owner."""
         owners = self._owners.owners(demand.service, self._left_out())
         part = part_id(demand.part)
-        order = owners.order(part, self._random, demand.version)
+        classes = self._dispatcher.speed_classes(demand.service, self._clock())
+        order = owners.order(part, self._random, demand.version, classes)
         return next(iter(order), None)
 
     def own_servers(self, demand: Demand) -> OwnedServers:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -14,7 +14,6 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 import random
 from collections import Counter
@@ -28,7 +27,12 @@
 from fulmarroad.types import DataCentreName, RouterName, ServerName
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._registry import Registered
-from fulmarroad_serving._routing import PartId, hash_weight
+from fulmarroad_serving.placement import (
+    NO_CLASSES,
+    PartId,
+    SpeedClasses,
+    first_servers,
+)
 
 SERVERS_PER_OWNER = 5
 """Number of servers per owner: enough to even out their queues, and few enough that a
@@ -118,6 +122,7 @@
     servers: tuple[Registered, ...] = ()
     _owned: dict[RouterName, tuple[Registered, ...]] = field(factory=dict)
     _orders: dict[tuple[PartId, str], tuple[RouterName, ...]] = field(factory=dict)
+    _classes: SpeedClasses = NO_CLASSES
 
     def set_servers(self, servers: tuple[Registered, ...]) -> None:
         """Replace the entries of the servers."""
@@ -137,25 +142,32 @@
         return owned
 
     def order(
-        self, part: PartId, source: random.Random, version: str = ""
+        self,
+        part: PartId,
+        source: random.Random,
+        version: str = "",
+        classes: SpeedClasses = NO_CLASSES,
     ) -> tuple[RouterName, ...]:
         """Return the owners in order of preference for a call.
 
         For a part it is the order of their best servers for it, the same at every
         router, so that one owner knows all calls for the part. Only owners of servers
-        of a version are in its order.
+        of a version are in its order. `classes` must be the same object for as long as
+        no speed class changes.
         """
         if not part:
             names = self._servers_of_version(version)
             source.shuffle(names)
             return tuple(dict.fromkeys(self.by_server[name] for name in names))
+        if classes is not self._classes:
+            self._classes = classes
+            self._orders.clear()
         known = self._orders.get((part, version))
         if known is None:
             if len(self._orders) >= MAX_CACHED_PARTS:
                 self._orders.clear()
             names = self._servers_of_version(version)
-            weights = {name: hash_weight(part, name) for name in names}
-            ranked = heapq.nlargest(RANKED_SERVERS, weights, key=weights.__getitem__)
+            ranked = first_servers(part, names, RANKED_SERVERS, classes)
             known = tuple(dict.fromkeys(self.by_server[name] for name in ranked))
             self._orders[part, version] = known
         return known
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -23,7 +23,6 @@
 import random
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
-from functools import lru_cache
 
 import xxhash
 from attrs import define, field, frozen
@@ -31,6 +30,9 @@
 from fulmarroad.types import DataCentreName, ServerName
 from fulmarroad_serving._engine_time import reading_price
 from fulmarroad_serving._retention import PartRetention
+from fulmarroad_serving.placement import PartId as PartId
+from fulmarroad_serving.placement import hash_weight as hash_weight
+from fulmarroad_serving.placement import home_order as home_order
 
 PART_REPORT_INTERVAL_S = 6.0
 """Time after which a part that a server is still sent is reported to peers again."""
@@ -73,9 +75,6 @@
 """Cost of a server in another data centre: the round trip and the transfer."""
 
 
-PartId = int
-
-
 @frozen
 class Prompt:
     """Hold the properties of a prompt that the choice of an engine needs."""
@@ -107,6 +106,7 @@
     base_s: float  # until the first token of a cached prompt
     penalty_s: float = 0.0
     fetch_rate: float = 0.0  # tokens a second from another engine; 0: no link
+    speed_class: int = 0  # in the part's order, see `placement`
 
 
 @frozen
@@ -198,19 +198,10 @@
                 self._pairs -= 1
 
 
-@lru_cache(maxsize=4096)
-def _server_seed(server: ServerName) -> int:
-    return xxhash.xxh3_64_intdigest(server.encode())
-
-
-def hash_weight(part: PartId, server: ServerName) -> int:
-    """Return the rendezvous weight of a server for a part, the same at every router."""
-    return xxhash.xxh3_64_intdigest(part.to_bytes(8, "big"), _server_seed(server))
-
-
-def home_order(part: PartId, servers: Sequence[ServerName]) -> list[ServerName]:
-    """Return the servers in the part's order of preference."""
-    return sorted(servers, key=lambda server: hash_weight(part, server), reverse=True)
+def engine_order(part: PartId, candidates: Sequence[Candidate]) -> list[ServerName]:
+    """Return the engines in the part's order of preference."""
+    classes = {row.server: row.speed_class for row in candidates if row.speed_class}
+    return home_order(part, [row.server for row in candidates], classes)
 
 
 Rank = tuple[float, float, float]
@@ -234,9 +225,7 @@
     """
     if not candidates:
         return None
-    order = (
-        home_order(prompt.part, [r.server for r in candidates]) if prompt.part else []
-    )
+    order = engine_order(prompt.part, candidates) if prompt.part else []
     positions = {server: number for number, server in enumerate(order)}
     holders = _holders(prompt, candidates, positions, memory, now)
     # An engine that fails calls or doesn't answer may not supply a part either.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -270,8 +270,13 @@
         """Record a call that is sent to a cold server."""
         self._cold_limit(server, service).note(budget, now)
 
-    def candidate(self, row: Registered, service: Service, now: float) -> Candidate:
-        """Return the estimates for a server that a placement compares."""
+    def candidate(
+        self, row: Registered, service: Service, now: float, speed_class: int = 0
+    ) -> Candidate:
+        """Return the estimates for a server that a placement compares.
+
+        `speed_class` is the one by which the server is ranked for a part.
+        """
         instance = row.instance
         view = self.view(instance.id)
         if service.engine is not None:
@@ -290,6 +295,7 @@
             view.load.base_s if service.engine is not None else view.plain_s,
             view.health.penalty_s(now) + view.load.overdue_s(now),
             service.engine.fetch_rate if service.engine is not None else 0.0,
+            speed_class,
         )
 
     def speed_class(self, server: ServerName) -> int:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
@@ -18,7 +18,12 @@
 
 from fulmarroad.types import ServerName
 from fulmarroad_serving._registry import Registered
-from fulmarroad_serving._routing import PartId, hash_weight
+from fulmarroad_serving.placement import (
+    NO_CLASSES,
+    PartId,
+    SpeedClasses,
+    first_servers,
+)
 
 HOLDER_CANDIDATES = 6
 """Candidates that were most recently sent the part."""
@@ -48,22 +53,28 @@
     _names: tuple[ServerName, ...] = ()
     _cached_orders: dict[PartId, list[ServerName]] = field(factory=dict)
     """The start of each part's order."""
+    _classes: SpeedClasses = NO_CLASSES
 
     def pick(
         self,
         part: PartId,
         servers: Sequence[Registered],
         holders: Mapping[ServerName, float],
+        classes: SpeedClasses = NO_CLASSES,
     ) -> Sequence[Registered]:
         """Return the servers to consider for a call with a part.
 
         `holders` maps each server that was sent the part to the time. `servers` must
-        be the same object for as long as no server is added or removed.
+        be the same object for as long as no server is added or removed, and `classes`
+        for as long as no speed class changes.
         """
         if len(servers) <= MAX_CANDIDATES:
             return servers
         if servers is not self._servers:
             self._set_servers(servers)
+        if classes is not self._classes:
+            self._classes = classes
+            self._cached_orders.clear()
         if not part:
             return self._random.sample(servers, MAX_CANDIDATES)
         names = dict.fromkeys(
@@ -84,7 +95,6 @@
         if first is None:
             if len(self._cached_orders) >= MAX_CACHED_ORDERS:
                 self._cached_orders.clear()
-            weights = {name: hash_weight(part, name) for name in self._names}
-            first = heapq.nlargest(HOME_CANDIDATES, weights, key=weights.__getitem__)
+            first = first_servers(part, self._names, HOME_CANDIDATES, self._classes)
             self._cached_orders[part] = first
         return first
