Send a refused call on to a second owner with spare capacity

A call asked the owner of its part's best servers and was refused if that owner had no place, although engines of other owners idled. Where the feature spillover is on, a router asks the better of two random owners with enough room once, with the rest of the objective; the first owner refuses early if its queue won't be short enough in time and another owner has room. Event 437 and a counter tell the outcomes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -55,11 +55,16 @@
         part = part_id(self.part)
         return Prompt(part, self.shared_tokens, self.own_tokens, self.objective_s)
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens that are read if nothing of the prompt is cached."""
+        return self.shared_tokens + self.own_tokens
+
     @property
     def units(self) -> float:
         """Return the units of service that the call counts for."""
-        read = self.shared_tokens + self.own_tokens
-        return read + GENERATED_WEIGHT * self.output_tokens or CALL_UNITS
+        weighted = self.prompt_tokens + GENERATED_WEIGHT * self.output_tokens
+        return weighted or CALL_UNITS
 
 
 @frozen
@@ -111,6 +116,7 @@
     candidates: int = 0
     read_s: float = 0.0  # from reading to the first token, at the chosen server
     excess_wait_s: float = 0.0  # expected wait there beyond the allowed wait
+    owner: RouterName = ""  # other router that decided
 
 
 @define
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -67,6 +67,14 @@
 
 MemberId = int
 
+MemberRoom = tuple[MemberId, int, float]
+"""An owner, the prompt tokens that its engines can begin soon, and the age in seconds.
+"""
+
+ROOM_UNIT_TOKENS = 100
+ROOM_AGE_UNIT_S = 0.01
+"""Units of rooms in packets, which contain one for each owner of the fleet."""
+
 
 def member_id(router: RouterName) -> MemberId:
     """Return the 32-bit id of a router in sums, where names would take too much space.
@@ -99,6 +107,7 @@
     parts: tuple[tuple[PartId, ServerName], ...] = ()  # recently sent to servers
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    rooms: tuple[MemberRoom, ...] = ()  # what engines of owners can begin soon
 
 
 def collectors(
@@ -205,10 +214,32 @@
         pack_suspects(digest.suspects),
         pack_server_runs(digest.leaving_servers),
         pack_suspect_callers(digest.suspects),
+        [],  # speed classes
+        _pack_rooms(digest.rooms),
     ]
     return bytes(msgpack.packb(row))
 
 
+def _pack_rooms(rooms: Iterable[MemberRoom]) -> list[int]:
+    return [
+        number
+        for member, tokens, age_s in rooms
+        for number in (
+            member,
+            tokens // ROOM_UNIT_TOKENS,
+            round(age_s / ROOM_AGE_UNIT_S),
+        )
+    ]
+
+
+def _read_rooms(numbers: list[Any]) -> tuple[MemberRoom, ...]:
+    rows = zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)
+    return tuple(
+        (int(member), int(units) * ROOM_UNIT_TOKENS, int(age) * ROOM_AGE_UNIT_S)
+        for member, units, age in rows
+    )
+
+
 def read_digest(row: Any, era: int = 0) -> Digest:
     """Decode a digest from an unpacked packet; raise `MessageError` if it is not valid.
 
@@ -232,6 +263,7 @@
             if len(row) > 9
             else (),
             read_server_runs(row[10]) if len(row) > 10 else (),
+            _read_rooms(row[13]) if len(row) > 13 else (),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise MessageError(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -60,7 +60,12 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
-from fulmarroad_serving.placement import NO_CLASSES, ClassSnapshot, SpeedClasses
+from fulmarroad_serving.placement import (
+    NO_CLASSES,
+    ClassSnapshot,
+    SpareCapacity,
+    SpeedClasses,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -105,6 +110,8 @@
         self.servers = ServerBook(me, bounds)
         self.registry = self.servers.registry
         self.shares = ShareBook(window_s=bounds.share_window_s)
+        self.rooms = SpareCapacity()
+        """What the engines of each owner can begin soon."""
         self.placements = PlacementOutcomes()
         """Decisions on placements by workspace, until the node logs them."""
         self.on_large_prompt: Callable[[], None] | None = None
@@ -146,6 +153,24 @@
             self._classes[service] = snapshot
         return snapshot.current(self.registry.usable(service), now)
 
+    def room(self, service: ServiceName, rows: Iterable[Registered], now: float) -> int:
+        """Return the prompt tokens that some engines can begin soon.
+
+        It is 0 where spillover is off.
+        """
+        known = self._service(service)
+        if known.engine is None or not self.features(service).spillover:
+            return 0
+        return self.servers.room(rows, known, now)
+
+    def spilling_services(self) -> list[ServiceName]:
+        """Return the services whose calls may be sent on to a second owner."""
+        return [
+            name
+            for name, service in self._catalog.services.items()
+            if service.engine is not None and self.features(name).spillover
+        ]
+
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -18,6 +18,7 @@
     MAX_REPORT_AGE_S,
     Digest,
     MemberId,
+    MemberRoom,
     OwnReports,
     ReportSum,
     collectors,
@@ -276,6 +277,7 @@
             parts = self._dispatcher.parts.pop_updates(MAX_DIGEST_PARTS)
             suspects = self._dispatcher.suspects.pop_updates(MAX_SUSPECTS, now)
         leaving = self._leaving_servers()
+        rooms, centre_rooms = self._rooms(now)
         me = member_of(self._last_report, 0.0)
         members = self.book.members(now) if with_members else []
         centre_members = [row for row in members if row.data_centre == self._centre]
@@ -289,15 +291,35 @@
                     parts,
                     suspects,
                     leaving,
+                    centre_rooms,
                 ),
                 self._remote_collector_hosts(now),
             ),
             (
-                Digest(self._me, "", fleet, (me, *members), parts, suspects, leaving),
+                Digest(
+                    self._me,
+                    "",
+                    fleet,
+                    (me, *members),
+                    parts,
+                    suspects,
+                    leaving,
+                    rooms,
+                ),
                 self._centre_hosts(now, None if to_all else owners),
             ),
         ]
 
+    def _rooms(self, now: float) -> tuple[tuple[MemberRoom, ...], ...]:
+        """Return the rooms of all owners, and those of this data centre's."""
+        rows = self._dispatcher.rooms.rows(now)
+        if not rows:
+            return (), ()
+        local = {report.router for report, _ in self._centre_reports(now)} | {self._me}
+        rooms = [(member_id(row.owner), row.tokens, row.age_s) for row in rows]
+        pairs = zip(rows, rooms, strict=True)
+        return tuple(rooms), tuple(room for row, room in pairs if row.owner in local)
+
     def _leaving_servers(self) -> tuple[ServerRun, ...]:
         return self._dispatcher.registry.announced()[-MAX_LEAVING_SERVERS:]
 
@@ -346,6 +368,7 @@
         self._note_parts(report.parts, now)
         self._note_suspects(report.suspects, now)
         self._note_leaving_servers(report.leaving_servers, report.router)
+        self._dispatcher.rooms.note(report.router, report.room, now)
         if self.uses_collectors:
             self._introduce_collectors(report, now, is_new=is_new)
         member = member_id(report.router)
@@ -384,6 +407,7 @@
         self._note_parts(digest.parts, now)
         self._note_suspects(digest.suspects, now)
         self._note_leaving_servers(digest.leaving_servers, digest.sender)
+        self._note_rooms(digest.rooms, now)
         if digest.scope == self._centre:
             return
         if digest.scope:
@@ -456,6 +480,14 @@
             relay = self.is_collector(now)
             self._dispatcher.suspects.merge_rows(rows, now, relay=relay)
 
+    def _note_rooms(self, rooms: Iterable[MemberRoom], now: float) -> None:
+        if not rooms:
+            return
+        names = {member_id(name): name for name in self.book.hosts()}
+        for member, tokens, age_s in rooms:
+            if member in names:
+                self._dispatcher.rooms.note(names[member], tokens, now - age_s)
+
     def _note_leaving_servers(self, runs: Iterable[ServerRun], source: str) -> None:
         for server, started_ms in runs:
             self._dispatcher.note_leaving(server, started_ms, source)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -45,6 +45,7 @@
     request_fields,
     suspects_of,
 )
+from fulmarroad_serving._spilling import Spiller, refuses_early
 from fulmarroad_serving._suspect_records import TRIAL_TIMEOUT_S, crash_id
 from fulmarroad_serving._suspects import SuspectState
 from fulmarroad_serving.contracts import CallCodec
@@ -84,6 +85,11 @@
         on_stream_begun: StreamBegun = lambda call, version, now: None,
     ) -> None:
         self._owner_client = owner_client
+        self._spiller = (
+            Spiller(owner_client, dispatcher, clock)
+            if owner_client is not None
+            else None
+        )
         self._dispatcher = dispatcher
         self._pool = pool
         self._catalog = catalog
@@ -143,7 +149,7 @@
             if error is not None and not self._may_retry(run, error):
                 await self._give_up(run, error)
                 return
-            placement = await self._find_place(run, may_wait=error is None)
+            placement = await self._find_or_spill(run, may_wait=error is None)
             if isinstance(placement, Refusal):
                 await self._refuse(run, placement, error)
                 return
@@ -182,6 +188,20 @@
         if run.suspects.suspicion(self._clock()).state >= SuspectState.ISOLATED:
             run.progress.forbid_repeats()
 
+    async def _find_or_spill(
+        self, run: ActiveCall, *, may_wait: bool
+    ) -> Placement | Refusal:
+        """Find a place for a call, at a second owner if the first one refuses it."""
+        placement = await self._find_place(run, may_wait=may_wait)
+        if self._spiller is None or not isinstance(placement, Refusal):
+            return placement
+        placed = await self._spiller.spill(run, placement, self._avoided(run))
+        if placed is None:
+            return placement
+        run.summary.held_s = self._clock() - run.begun_at
+        self._summarize(run, placed)
+        return placed
+
     async def _find_place(
         self, run: ActiveCall, *, may_wait: bool
     ) -> Placement | Refusal:
@@ -246,6 +266,8 @@
                 pause_s = self._held.next_poll_s(placement, objective_s, held_s)
                 if pause_s is None or pause_s >= run.remaining_s(now):
                     break
+                if self._refuses_early(run, placement, owned, held_s):
+                    break
                 await anyio.sleep(pause_s)
                 run.summary.held_s = self._clock() - run.begun_at
                 placement = self._place(run, owned)
@@ -253,6 +275,26 @@
             self._held.count -= 1
         return placement
 
+    def _refuses_early(
+        self,
+        run: ActiveCall,
+        refusal: Refusal,
+        owned: OwnedServers | None,
+        held_s: float,
+    ) -> bool:
+        client = self._owner_client
+        if client is None or owned is None or run.spilled:
+            return False
+        return refuses_early(
+            self._dispatcher,
+            run.demand,
+            refusal,
+            owned,
+            held_s,
+            self._clock(),
+            without={client.me},
+        )
+
     def _place(
         self, run: ActiveCall, owned: OwnedServers | None
     ) -> Placement | Refusal:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -26,9 +26,10 @@
     ProgressReport,
     ReplyKind,
 )
-from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._owners import OwnedServers, OwnerTable
 from fulmarroad_serving._returns import Attempt, RefusedCalls
 from fulmarroad_serving._routing import part_id
+from fulmarroad_serving._spilling import refuses_early
 
 UNCONFIRMED_GRANT_S = 0.4
 """Age at which a grant counts as unused if its router doesn't list it: a grant is used
@@ -140,13 +141,28 @@
             return self._grant(request, placed, now)
         objective_s = held.attempt.demand.objective_s
         pause_s = self.held.next_poll_s(placed, objective_s, held_s)
+        if held.may_wait and self._refuses_early(held, placed, owned, now):
+            pause_s = None
         if pause_s is None or not held.may_wait:
             self._note_placement(held, placed=False)
             self._refused.note_refused(request.demand, held.attempt.first_at)
-            return self._refuse(request, placed)
+            return self._refuse(request, placed, now)
         self.held.count += 1
         heappush(self._due, (now + pause_s, next(self._numbers), held))
-        return self._reply(request, ReplyKind.WAITS)
+        return self._reply(request, ReplyKind.WAITS, self._room(request, now))
+
+    def _refuses_early(
+        self, held: _HeldRequest, refusal: Refusal, owned: OwnedServers, now: float
+    ) -> bool:
+        return refuses_early(
+            self._dispatcher,
+            held.attempt.demand,
+            refusal,
+            owned,
+            now - held.since,
+            now,
+            without={self._me, *held.request.left_out},
+        )
 
     def _note_placement(self, held: _HeldRequest, *, placed: bool) -> None:
         demand = held.request.demand
@@ -175,10 +191,13 @@
             self._dispatcher.load(choice.server).read_rate,
             cold_granted=placed.cold_budget is ColdBudget.OWNER,
             may_open=placed.may_open,
+            room=self._room(request, now),
         )
         return AddressedReply(request.router, reply)
 
-    def _refuse(self, request: PlacementRequest, refusal: Refusal) -> AddressedReply:
+    def _refuse(
+        self, request: PlacementRequest, refusal: Refusal, now: float
+    ) -> AddressedReply:
         reply = PlacementReply(
             self._me,
             self._incarnation,
@@ -188,11 +207,21 @@
             read_s=refusal.read_s,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
+            room=self._room(request, now),
         )
         return AddressedReply(request.router, reply)
 
-    def _reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
-        reply = PlacementReply(self._me, self._incarnation, request.number, kind)
+    def _room(self, request: PlacementRequest, now: float) -> int:
+        service = request.demand.service
+        rows = self._owners.owned(service).rows
+        return self._dispatcher.room(service, rows, now)
+
+    def _reply(
+        self, request: PlacementRequest, kind: ReplyKind, room: int = 0
+    ) -> AddressedReply:
+        reply = PlacementReply(
+            self._me, self._incarnation, request.number, kind, room=room
+        )
         return AddressedReply(request.router, reply)
 
     def _apply(self, report: ProgressReport, note: ProgressNote, now: float) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_holding.py
@@ -63,3 +63,9 @@
             QUEUE_FRACTION * refusal.excess_wait_s, MAX_POLL_INTERVAL_S
         )
         return max(share_interval_s, queue_interval_s, self.count / MAX_POLLS_PER_S)
+
+    @staticmethod
+    def is_futile(refusal: Refusal, objective_s: float, held_s: float) -> bool:
+        """Return whether a queue won't be short enough while its call is held."""
+        left_s = HELD_FRACTION * objective_s - held_s - refusal.read_s - SEND_MARGIN_S
+        return refusal.excess_wait_s > left_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -51,6 +51,12 @@
             ["refusal"],
             registry=self._registry,
         )
+        self.spilled = Counter(
+            "fulmarroad_calls_spilled",
+            "Calls sent on to a second owner of servers, by its decision",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.unanswered = Counter(
             "fulmarroad_unanswered_requests",
             "Calls whose last request to a server has no answer, by its delivery",
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -11,9 +11,12 @@
 from fulmarroad.events import Event, emit
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._metrics import Metrics
 from fulmarroad_serving._obstacles import Obstacle
+from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._workspace_outcomes import REPORT_INTERVAL_S, WorkspaceOutcomes
+from fulmarroad_serving.placement import most_asked
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -32,8 +35,9 @@
     _dispatcher: Dispatcher
     _pool: ConnectionPool
     _ends: WorkspaceOutcomes
-    _requests: WorkspaceOutcomes
+    _owner_client: OwnerClient
     _catalog: Callable[[], Catalog]
+    _metrics: Metrics
     _servers_due: float = 0.0
 
     def log(self, now: float) -> None:
@@ -41,6 +45,7 @@
         self._log_calls(now)
         self._log_placements(now)
         self._log_requests(now)
+        self._log_spilled(now)
         if now >= self._servers_due:
             servers = len(self._dispatcher.registry.rows())
             self._servers_due = now + max(REPORT_INTERVAL_S, servers / SERVERS_PER_S)
@@ -71,7 +76,7 @@
             )
 
     def _log_requests(self, now: float) -> None:
-        for row in self._requests.pop_refusals(now):
+        for row in self._owner_client.requests.pop_refusals(now):
             emit(
                 logger,
                 Event.PLACEMENT_REQUESTS_UNMET,
@@ -79,6 +84,15 @@
                 requests=row.ends,
             )
 
+    def _log_spilled(self, now: float) -> None:
+        counts = self._owner_client.spilled.pop(now)
+        if not counts:
+            return
+        for row in counts.values():
+            for outcome, calls in row.items():
+                self._metrics.spilled.labels(outcome.value).inc(calls)
+        emit(logger, Event.CALLS_SPILLED, calls=most_asked(counts))
+
     def _log_servers(self, now: float) -> None:
         services = list(self._catalog().services.values())[:MAX_LOGGED_SERVICES]
         for service in services:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -43,6 +43,7 @@
     WorkspaceOutcomes,
     given_back,
 )
+from fulmarroad_serving.placement import SpillCounts
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -101,6 +102,8 @@
         factory=lambda: WorkspaceOutcomes(refusals=UNMET_REQUESTS)
     )
     """What became of the requests, until the node logs it."""
+    spilled: SpillCounts = field(factory=SpillCounts)
+    """What became of the calls sent on to a second owner, until the node logs it."""
     _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
     _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
 
@@ -112,6 +115,18 @@
         order = owners.order(part, self._random, demand.version, classes)
         return next(iter(order), None)
 
+    def spare_owner(self, demand: Demand, refused_by: RouterName) -> RouterName | None:
+        """Return another owner with room for a call's whole prompt, or None."""
+        table = self._owners.owners(demand.service, self._left_out())
+        names = set(table.by_server.values()) - {refused_by, self.me}
+        rooms, now = self._dispatcher.rooms, self._clock()
+        return rooms.choose(sorted(names), demand.prompt_tokens, self._random, now)
+
+    def read_s(self, demand: Demand, owner: RouterName) -> float:
+        """Return the mean time in which an owner's engines read a whole prompt."""
+        rows = self._owners.owners(demand.service, self._left_out()).servers_of(owner)
+        return self._dispatcher.servers.mean_read_s(rows, demand.prompt_tokens)
+
     def own_servers(self, demand: Demand) -> OwnedServers:
         """Return the servers that this router owns for a call."""
         return self._owners.owned(demand.service, self._left_out())
@@ -181,6 +196,7 @@
 
     def receive_reply(self, reply: PlacementReply) -> None:
         """Apply an owner's reply; return a place that came too late."""
+        self._dispatcher.rooms.note(reply.owner, reply.room, self._clock())
         pending = self._pending.get(reply.number)
         if pending is None:
             self._return_unused(reply)
@@ -294,7 +310,11 @@
         if reply.kind is ReplyKind.REFUSED:
             self.requests.note(demand.workspace, RequestOutcome.REFUSED)
             return Refusal(
-                reply.reason, reply.retry_after_s, reply.wait_s, read_s=reply.read_s
+                reply.reason,
+                reply.retry_after_s,
+                reply.wait_s,
+                read_s=reply.read_s,
+                owner=reply.owner,
             )
         obstacle = self._obstacle(demand, reply.server, avoid)
         if reply.cold_granted and obstacle in COLD_OBSTACLES:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -70,6 +70,7 @@
     retry_after_s: float = 0.0
     cold_granted: bool = False  # the owner counts it in the limit of a cold server
     may_open: bool = False  # a connection beyond the asker's share
+    room: int = 0  # prompt tokens that the owner's engines can begin soon
 
 
 @frozen
@@ -184,6 +185,7 @@
         round(reply.retry_after_s, 3),
         reply.cold_granted,
         reply.may_open,
+        reply.room,
     ]
     return bytes(msgpack.packb(row))
 
@@ -209,6 +211,7 @@
             # Owners of the previous release only grant what the asker permits.
             bool(row[15]) if len(row) > 15 else False,
             bool(row[16]) if len(row) > 16 else False,
+            int(row[17]) if len(row) > 17 else 0,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement reply is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -252,8 +252,23 @@
             self._dispatcher.own_load(),
             counts,
             owns_servers=self._may_own_servers,
+            room=self._own_room(now),
         )
 
+    def _own_room(self, now: float) -> int:
+        """Return the prompt tokens that this router's engines can begin soon.
+
+        Of several services it is the least room, so that it is not too much for any.
+        """
+        rooms = [
+            self._dispatcher.room(service, rows, now)
+            for service in self._dispatcher.spilling_services()
+            if (rows := self.owners.owned(service).rows)
+        ]
+        room = min(rooms, default=0)
+        self._dispatcher.rooms.note(self._me, room, now)
+        return room
+
     def _on_packet(self, data: bytes, host: str) -> None:
         try:
             self._receive(data, host)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -84,6 +84,7 @@
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     owns_servers: bool = False  # may place the calls of other routers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    room: int = 0  # prompt tokens that engines of this owner can begin soon
 
 
 def pack_report(report: PeerReport) -> bytes:
@@ -108,6 +109,8 @@
         report.owns_servers,
         pack_server_runs(report.leaving_servers),
         pack_suspect_callers(report.suspects),
+        [],  # speed classes
+        report.room,
     ]
     return bytes(msgpack.packb(row))
 
@@ -271,8 +274,9 @@
                 else ()
             ),
             owns_servers=len(row) > 16 and bool(row[16]),
-            # Routers of the previous release don't read such announcements.
+            # Routers of the previous release state neither of these.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
+            room=int(row[20]) if len(row) > 20 else 0,
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise MessageError(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -95,6 +95,7 @@
     begun_at: float
     avoid: set[ServerName] = field(factory=set)
     failed_answer: tuple[AnswerHead, bytes] | None = None
+    spilled: bool = False  # a second owner was asked
 
     def bind(self, version: str) -> None:
         """Let the call go on only at servers of the version that began its stream."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._registry import Instance, Registered, Registry, cold_bound
 from fulmarroad_serving._rests import ServerRest
 from fulmarroad_serving._routing import Candidate
+from fulmarroad_serving.placement import engine_room
 
 PLAIN_SERVICE_S = 0.05
 """Assumed duration of a call to a plain service before any was measured."""
@@ -298,6 +299,32 @@
             speed_class,
         )
 
+    def room(self, rows: Iterable[Registered], service: Service, now: float) -> int:
+        """Return the prompt tokens that some engines can begin soon, see `placement`.
+
+        A cold engine has none: its calls are limited in another way.
+        """
+        return sum(
+            self._engine_room(row, now)
+            for row in rows
+            if not row.cold(now) and self.accepts(row, service, now)
+        )
+
+    def mean_read_s(self, rows: Collection[Registered], tokens: int) -> float:
+        """Return the mean time in which some engines read a prompt; infinite for none.
+
+        It includes the generation of the first token.
+        """
+        times = [self.view(row.instance.id).load.read_s(tokens) for row in rows]
+        return sum(times) / len(times) if times else float("inf")
+
+    def _engine_room(self, row: Registered, now: float) -> int:
+        view, slots = self.view(row.instance.id), row.instance.slots
+        load, health = view.load, view.health
+        wait_s = load.wait_s(slots, now) + health.penalty_s(now) + load.overdue_s(now)
+        is_full = bool(slots) and load.total_running(now) >= slots
+        return engine_room(wait_s, load.read_rate, is_full=is_full)
+
     def speed_class(self, server: ServerName) -> int:
         """Return a server's lasting speed in half octaves from the median."""
         return 0
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -155,8 +155,9 @@
             self._dispatcher,
             self._pool,
             self._app.ends,
-            self._peers.owner_client.requests,
+            self._peers.owner_client,
             lambda: self._router_state.catalog,
+            self._metrics,
         )
         self._callers = HttpServer(
             self._app,
@@ -384,13 +385,8 @@
 
 
 def _log_cleared(fingerprint: Fingerprint, ends: int, part: str) -> None:
-    emit(
-        logger,
-        Event.SUSPECT_CLEARED,
-        fingerprint=fingerprint.hex(),
-        ends=ends,
-        part=part,
-    )
+    name = fingerprint.hex()
+    emit(logger, Event.SUSPECT_CLEARED, fingerprint=name, ends=ends, part=part)
 
 
 def _log_audit(record: AuditRecord) -> None:
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -110,6 +110,7 @@
     PLACEMENT_REQUESTS_UNMET = EventKind(
         432, _I, "requests for places of a workspace refused or not used"
     )
+    CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
