--- a/packages/fulmarroad-serving/src/fulmarroad_serving/placement/_spillover.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/placement/_spillover.py
@@ -57,7 +57,7 @@
     """
     if is_full:
         return 0
-    return int(max(0.0, BEGIN_WITHIN_S - wait_s) * read_rate)
+    return round(max(0.0, BEGIN_WITHIN_S - wait_s) * read_rate)
 
 
 def can_begin_on_time(left_s: float, read_s: float) -> bool:
@@ -65,26 +65,30 @@
     return left_s >= read_s + SEND_MARGIN_S
 
 
+@frozen
+class _Heard:
+    tokens: int
+    at: float
+    has_engines: bool  # ever had room
+
+
 @define
 class SpareCapacity:
     """Keep the newest room of each owner, less what this router sent there since."""
 
-    _rooms: dict[RouterName, tuple[int, float]] = field(factory=dict)
-    """Tokens and time of the newest room."""
+    _rooms: dict[RouterName, _Heard] = field(factory=dict)
     _sent: dict[RouterName, deque[tuple[float, int]]] = field(factory=dict)
     """Times and tokens of calls that may not be in the newest room."""
 
     def note(self, owner: RouterName, tokens: int, at: float) -> None:
-        """Record an owner's room as of a time, unless a newer one is known.
-
-        Routers that own no engine state no room and are not kept.
-        """
+        """Record an owner's room as of a time, unless a newer one is known."""
         known = self._rooms.get(owner)
-        if known is None and (tokens <= 0 or len(self._rooms) >= MAX_OWNERS):
+        if known is None and len(self._rooms) >= MAX_OWNERS:
             return
-        if known is not None and known[1] > at:
+        if known is not None and known.at > at:
             return
-        self._rooms[owner] = (max(0, tokens), at)
+        has_engines = tokens > 0 or (known is not None and known.has_engines)
+        self._rooms[owner] = _Heard(max(0, tokens), at, has_engines)
         sent = self._sent.get(owner)
         while sent and sent[0][0] <= at - IN_FLIGHT_S:
             sent.popleft()
@@ -96,10 +100,11 @@
 
     def room(self, owner: RouterName, now: float) -> int:
         """Return the tokens that an owner's engines can likely still begin soon."""
-        tokens, at = self._rooms.get(owner, (0, now))
-        if now - at >= ROOM_MAX_AGE_S:
+        heard = self._rooms.get(owner)
+        if heard is None or now - heard.at >= ROOM_MAX_AGE_S:
             return 0
-        return max(0, tokens - sum(sent for _, sent in self._sent.get(owner, ())))
+        sent = sum(tokens for _, tokens in self._sent.get(owner, ()))
+        return max(0, heard.tokens - sent)
 
     def has_room(
         self, tokens: int, now: float, without: Collection[RouterName] = ()
@@ -125,12 +130,16 @@
         return max(enough, key=rooms.__getitem__, default=None)
 
     def rows(self, now: float) -> list[OwnerRoom]:
-        """Return the rooms that count, as heard, and drop the others."""
-        for owner, (_, at) in list(self._rooms.items()):
-            if now - at >= ROOM_MAX_AGE_S:
+        """Return the rooms that count, as heard, and drop the others.
+
+        Routers that own no engine state no room and are not in it.
+        """
+        for owner, heard in list(self._rooms.items()):
+            if now - heard.at >= ROOM_MAX_AGE_S:
                 del self._rooms[owner]
                 self._sent.pop(owner, None)
         return [
-            OwnerRoom(owner, tokens, max(0.0, now - at))
-            for owner, (tokens, at) in self._rooms.items()
+            OwnerRoom(owner, heard.tokens, max(0.0, now - heard.at))
+            for owner, heard in self._rooms.items()
+            if heard.has_engines
         ]
--- a/packages/fulmarroad-serving/tests/test_placement_weights.py
+++ b/packages/fulmarroad-serving/tests/test_placement_weights.py
@@ -118,9 +118,7 @@
                 shortlist.pick(part, usable, {}, current)[0].instance.id
                 for part in range(1, 400)
             ]
-            ranked = [
-                owners.order(part, source, "", current) for part in range(1, 400)
-            ]
+            ranked = [owners.order(part, source, "", current) for part in range(1, 400)]
             return homes, ranked
 
         before = orders(100.0)
