--- a/packages/fulmarroad-serving/tests/spill_fleet.py
+++ b/packages/fulmarroad-serving/tests/spill_fleet.py
@@ -65,6 +65,7 @@
         self.cut = set()
         self.replies_lost = set()
         self.asked = []
+        self.objectives = []
         self.late = []
         self.a = self._dispatcher("a", engines)
         table = OwnerTable(self.a.registry.usable, me="a")
@@ -99,7 +100,9 @@
             granter.receive_progress(read_progress(row), self.now)
             return
         self.asked.append(owner)
-        reply = granter.receive_request(read_request(row), self.now).reply
+        request = read_request(row)
+        self.objectives.append(request.demand.objective_s)
+        reply = granter.receive_request(request, self.now).reply
         if owner in self.replies_lost:
             self.late.append(reply)
         else:
