Send no calls of plain services on, whatever the override says

A test of a router's own queue that is left early, and one of a plain service under the override spillover=on: the latter failed before this change.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -158,18 +158,21 @@
 
         It is 0 where spillover is off.
         """
-        known = self._service(service)
-        if known.engine is None or not self.features(service).spillover:
+        if not self.may_spill(service):
             return 0
-        return self.servers.room(rows, known, now)
+        return self.servers.room(rows, self._service(service), now)
+
+    def may_spill(self, service: ServiceName) -> bool:
+        """Return whether calls of a service may be sent on to a second owner.
+
+        Only engines have a room, so it is never so for a plain service.
+        """
+        has_engines = self._service(service).engine is not None
+        return has_engines and self.features(service).spillover
 
     def spilling_services(self) -> list[ServiceName]:
         """Return the services whose calls may be sent on to a second owner."""
-        return [
-            name
-            for name, service in self._catalog.services.items()
-            if service.engine is not None and self.features(name).spillover
-        ]
+        return [name for name in self._catalog.services if self.may_spill(name)]
 
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
@@ -72,7 +72,7 @@
     """
     if refusal.reason is not RefusalReason.WAIT_TOO_LONG or demand.version:
         return False
-    return dispatcher.features(demand.service).spillover
+    return dispatcher.may_spill(demand.service)
 
 
 def refuses_early(
--- a/packages/fulmarroad-serving/tests/spill_fleet.py
+++ b/packages/fulmarroad-serving/tests/spill_fleet.py
@@ -135,6 +135,8 @@
         """Ask the first owner, and a second one if it refuses."""
         run = ScriptedRun(demand, self.now - held_s, self.now + 4.0)
         first = self.client.owner_for(demand)
+        if first is None:
+            return None
         placed = await self.client.request(first, demand, (), may_wait=may_wait)
         if placed is None or isinstance(placed, Placement):
             return placed
--- a/packages/fulmarroad-serving/tests/test_spilling.py
+++ b/packages/fulmarroad-serving/tests/test_spilling.py
@@ -6,12 +6,13 @@
 from hypothesis import strategies as st
 from serving_bed import answer, chunk, event, stream_head
 from serving_bed import run as run_bed
-from spill_fleet import REFUSING, SPILLING, ScriptedRun, SpillFleet, numbered, run
+from spill_fleet import REFUSING, ScriptedRun, SpillFleet, numbered, run
 
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving import Demand, Placement, Refusal, parse_features
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._features import FeatureBook
+from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._spilling import Spiller
 from fulmarroad_serving.placement import SpillCounts, SpillOutcome
 from fulmarroad_serving.placement._spillover import ROOM_MAX_AGE_S
@@ -267,6 +268,17 @@
         run(test)
 
 
+TOKENS = {"x-tokens": "100,100,10"}
+
+
+def spill_with(bed, client):
+    """Let a router send refused calls on as a client decides; return the client."""
+    bed.dispatcher._features = FeatureBook(parse_features("spillover=on"))
+    bed.forwarder._owner_client = client
+    bed.forwarder._spiller = Spiller(client, bed.dispatcher, bed.now)
+    return client
+
+
 class TwoOwners:
     """Client of a router whose first owner refuses and whose second one grants."""
 
@@ -275,6 +287,7 @@
     def __init__(self, bed):
         self.bed = bed
         self.asked = []
+        self.objectives = []
         self.spilled = SpillCounts()
 
     def owner_for(self, demand):
@@ -291,28 +304,56 @@
 
     async def request(self, owner, demand, avoid, *, may_wait, remaining_s):
         self.asked.append(owner)
+        self.objectives.append(demand.objective_s)
         if owner == "o1":
             return Refusal(RefusalReason.WAIT_TOO_LONG, 0.5, owner="o1")
-        return self.bed.dispatcher.place(demand, self.bed.now(), avoid=avoid)
+        return self.bed.dispatcher.place(demand, self.bed.now(), avoid={"s-1", *avoid})
+
+
+class OwnFirst(TwoOwners):
+    """Client of a router that owns the call's first servers itself."""
+
+    def owner_for(self, demand):
+        return self.me
+
+    def own_servers(self, demand):
+        return OwnedServers((self.bed.dispatcher.registry.get("s-1"),))
+
+
+async def stream(arrival, writer):
+    writer.write(stream_head(arrival.header("x-id")))
+    writer.write(chunk(event(1)) + b"0\r\n\r\n")
 
 
 class TestForwarder:
+    def test_an_own_queue_that_is_too_long_is_left_early(self):
+        """Guard against a call that waits for its router's own engines until no time is
+        left for those of another owner.
+        """
+
+        async def test(bed):
+            await bed.serve("s-1", stream, "drafting")
+            await bed.serve("s-2", stream, "drafting")
+            load = bed.dispatcher.load("s-1")
+            load.send("s-1", int(3 * load.read_rate), bed.now())
+            client = spill_with(bed, OwnFirst(bed))
+            bed.dispatcher.rooms.note("o2", 1_000_000, bed.now())
+            caller = await bed.call("/draft/1", method="POST", headers=TOKENS)
+            assert caller.status == 200
+            assert client.asked == ["o2"]
+            assert client.objectives[0] > 0.15
+            assert [row.server for row in bed.arrivals] == ["s-2"]
+
+        run_bed(test)
+
     def test_a_spilled_call_takes_no_retry_of_the_budget(self):
         """Guard against a retry budget that is used up by calls which were not sent."""
 
         async def test(bed):
-            async def script(arrival, writer):
-                writer.write(stream_head(arrival.header("x-id")))
-                writer.write(chunk(event(1)) + b"0\r\n\r\n")
-
-            await bed.serve("s-1", script, "drafting")
-            client = TwoOwners(bed)
-            bed.dispatcher._features = FeatureBook(parse_features(SPILLING))
-            bed.forwarder._owner_client = client
-            bed.forwarder._spiller = Spiller(client, bed.dispatcher, bed.now)
+            await bed.serve("s-2", stream, "drafting")
+            client = spill_with(bed, TwoOwners(bed))
             bed.dispatcher.take_retry = None  # fails a call that takes a retry
-            headers = {"x-tokens": "100,100,10"}
-            caller = await bed.call("/draft/1", method="POST", headers=headers)
+            caller = await bed.call("/draft/1", method="POST", headers=TOKENS)
             assert caller.status == 200
             assert client.asked == ["o1", "o2"]
             assert len(bed.arrivals) == 1
@@ -327,9 +368,7 @@
                 writer.write(answer(200, b"done", arrival.header("x-id")))
 
             await bed.serve("s-1", script)
-            client = TwoOwners(bed)
-            bed.forwarder._owner_client = client
-            bed.forwarder._spiller = Spiller(client, bed.dispatcher, bed.now)
+            client = spill_with(bed, TwoOwners(bed))
             assert (await bed.call()).status != 200
             assert client.asked == ["o1"]
 
