--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -45,7 +45,7 @@
     request_fields,
     suspects_of,
 )
-from fulmarroad_serving._spilling import Spiller, refuses_early
+from fulmarroad_serving._spilling import Spiller
 from fulmarroad_serving._suspect_records import TRIAL_TIMEOUT_S, crash_id
 from fulmarroad_serving._suspects import SuspectState
 from fulmarroad_serving.contracts import CallCodec
@@ -266,7 +266,8 @@
                 pause_s = self._held.next_poll_s(placement, objective_s, held_s)
                 if pause_s is None or pause_s >= run.remaining_s(now):
                     break
-                if self._refuses_early(run, placement, owned, held_s):
+                spiller = self._spiller
+                if spiller and spiller.leaves_early(run, placement, owned, held_s):
                     break
                 await anyio.sleep(pause_s)
                 run.summary.held_s = self._clock() - run.begun_at
@@ -275,26 +276,6 @@
             self._held.count -= 1
         return placement
 
-    def _refuses_early(
-        self,
-        run: ActiveCall,
-        refusal: Refusal,
-        owned: OwnedServers | None,
-        held_s: float,
-    ) -> bool:
-        client = self._owner_client
-        if client is None or owned is None or run.spilled:
-            return False
-        return refuses_early(
-            self._dispatcher,
-            run.demand,
-            refusal,
-            owned,
-            held_s,
-            self._clock(),
-            without={client.me},
-        )
-
     def _place(
         self, run: ActiveCall, owned: OwnedServers | None
     ) -> Placement | Refusal:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -1,7 +1,4 @@
-"""Encode the reports that routers exchange over UDP several times a second.
-
-`PeerBook` keeps the newest report of each peer.
-"""
+"""Encode the reports that routers exchange over UDP, and keep the newest of each."""
 
 from __future__ import annotations
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
@@ -50,6 +50,24 @@
         self._client.spilled.note(owner, outcome_of(placed))
         return placed if isinstance(placed, Placement) else None
 
+    def leaves_early(
+        self,
+        run: ActiveCall,
+        refusal: Refusal,
+        owned: OwnedServers | None,
+        held_s: float,
+    ) -> bool:
+        """Return whether a call should leave this router's own queue.
+
+        `owned` is None if all servers were looked at.
+        """
+        if owned is None or run.spilled:
+            return False
+        now, without = self._clock(), {self._client.me}
+        return refuses_early(
+            self._dispatcher, run.demand, refusal, owned, held_s, now, without
+        )
+
     def second_owner(
         self, demand: Demand, first: RouterName, now: float
     ) -> RouterName | None:
--- a/packages/fulmarroad-serving/tests/test_spilling.py
+++ b/packages/fulmarroad-serving/tests/test_spilling.py
@@ -8,12 +8,16 @@
 from serving_bed import run as run_bed
 from spill_fleet import REFUSING, ScriptedRun, SpillFleet, numbered, run
 
+from fulmarroad.events import Event
 from fulmarroad.types import RefusalReason
-from fulmarroad_serving import Demand, Placement, Refusal, parse_features
+from fulmarroad_serving import Catalog, Demand, Placement, Refusal, parse_features
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._features import FeatureBook
+from fulmarroad_serving._metrics import Metrics
+from fulmarroad_serving._outcome_log import OutcomeLog
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._spilling import Spiller
+from fulmarroad_serving._workspace_outcomes import WorkspaceOutcomes
 from fulmarroad_serving.placement import SpillCounts, SpillOutcome
 from fulmarroad_serving.placement._spillover import ROOM_MAX_AGE_S
 
@@ -218,6 +222,30 @@
         run(test)
 
 
+class TestLog:
+    def test_spilled_calls_are_logged_and_counted_each_second(self, caplog):
+        """Guard against calls sent on that neither the log nor the metrics show."""
+        client, metrics = SpillFleet().client, Metrics()
+        client.spilled.note("o1", SpillOutcome.GRANTED)
+        client.spilled.note("o1", SpillOutcome.GRANTED)
+        log = OutcomeLog(
+            client._dispatcher,
+            None,
+            WorkspaceOutcomes(),
+            client,
+            lambda: Catalog(1),
+            metrics,
+        )
+        with caplog.at_level("INFO"):
+            log.log(100.0)
+            log.log(101.0)
+        events = [row.event for row in caplog.records if hasattr(row, "event")]
+        assert events.count(Event.CALLS_SPILLED.value.number) == 1
+        assert (
+            b'fulmarroad_calls_spilled_total{outcome="granted"} 2.0' in metrics.text()
+        )
+
+
 class TestSeries:
     @given(
         st.lists(
