--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -62,6 +62,12 @@
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
 from fulmarroad_serving.admission import StartBound, excess_wait_s
+from fulmarroad_serving.placement import (
+    NO_CLASSES,
+    ClassSnapshot,
+    SpareCapacity,
+    SpeedClasses,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -98,6 +104,7 @@
         self._shortlists: dict[tuple[ServiceName, str], Shortlist] = {}
         self._retries: dict[ServiceName, RetryShare] = {}
         self._capacities: dict[ServiceName, EngineCapacity] = {}
+        self._classes: dict[ServiceName, ClassSnapshot] = {}
         self.parts = PartMemory()
         self.suspects = Suspects()
         self._catalog = Catalog(0)
@@ -105,6 +112,8 @@
         self.servers = ServerBook(me, bounds)
         self.registry = self.servers.registry
         self.shares = ShareBook(window_s=bounds.share_window_s)
+        self.rooms = SpareCapacity()
+        """What the engines of each owner can begin soon."""
         self.placements = PlacementOutcomes()
         """Decisions on placements by workspace, until the node logs them."""
         self.on_large_prompt: Callable[[], None] | None = None
@@ -139,6 +148,40 @@
         has_engines = row is not None and row.engine is not None
         return has_engines and self.features(service).admission_queue
 
+    def speed_classes(self, service: ServiceName, now: float) -> SpeedClasses:
+        """Return the classes by which a service's servers are ranked for parts.
+
+        It is the same object until a class changes.
+        """
+        if not self.features(service).weighted_parts:
+            return NO_CLASSES
+        snapshot = self._classes.get(service)
+        if snapshot is None:
+            snapshot = ClassSnapshot(self.servers.speed_class)
+            self._classes[service] = snapshot
+        return snapshot.current(self.registry.usable(service), now)
+
+    def room(self, service: ServiceName, rows: Iterable[Registered], now: float) -> int:
+        """Return the prompt tokens that some engines can begin soon.
+
+        It is 0 where spillover is off.
+        """
+        if not self.may_spill(service):
+            return 0
+        return self.servers.room(rows, self._service(service), now)
+
+    def may_spill(self, service: ServiceName) -> bool:
+        """Return whether calls of a service may be sent on to a second owner.
+
+        Only engines have a room, so it is never so for a plain service.
+        """
+        has_engines = self._service(service).engine is not None
+        return has_engines and self.features(service).spillover
+
+    def spilling_services(self) -> list[ServiceName]:
+        """Return the services whose calls may be sent on to a second owner."""
+        return [name for name in self._catalog.services if self.may_spill(name)]
+
     def restarted(self, server: ServerName) -> None:
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
@@ -278,8 +321,12 @@
         else:
             usable = owned.rows
             view = PlacementView(avoid, demand.version, asker, full, owned.held)
+        classes = self.speed_classes(service.name, now)
         rows = self._eligible_servers(
-            demand, usable, lambda row: self.servers.accepts(row, service, now, view)
+            demand,
+            usable,
+            lambda row: self.servers.accepts(row, service, now, view),
+            classes,
         )
         if not rows and not self._has_origin(demand):
             return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
@@ -289,7 +336,10 @@
             if rest_s is not None:
                 return refuse_for_rest(rest_s)
             return refuse_without_server(self._random)
-        candidates = [self.servers.candidate(row, service, now) for row in rows]
+        candidates = [
+            self.servers.candidate(row, service, now, classes.get(row.instance.id, 0))
+            for row in rows
+        ]
         use = self.use_of(demand, now)
         if service.engine is not None:
             choice = self._choose(
@@ -483,6 +533,7 @@
         demand: Demand,
         usable: Sequence[Registered],
         accepts: Callable[[Registered], bool],
+        classes: SpeedClasses,
     ) -> list[Registered]:
         """Return the shortlisted servers that accept a call now.
 
@@ -490,7 +541,7 @@
         """
         part = part_id(demand.part)
         picked = self._shortlist(demand.service, demand.version).pick(
-            part, usable, self.parts.holders(part)
+            part, usable, self.parts.holders(part), classes
         )
         rows = [row for row in picked if accepts(row)]
         if not rows and len(picked) < len(usable):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -36,6 +36,7 @@
 from fulmarroad_serving._queueing import QueuedRequests
 from fulmarroad_serving._returns import RefusedCalls
 from fulmarroad_serving._routing import part_id
+from fulmarroad_serving._spilling import refuses_early
 from fulmarroad_serving.admission import EntryKey
 
 UNCONFIRMED_GRANT_S = 0.4
@@ -127,11 +128,13 @@
             return self.grant(held, placed, now)
         objective_s = held.attempt.demand.objective_s
         pause_s = self.held.next_poll_s(placed, objective_s, held_s)
+        if held.may_wait and self._refuses_early(held, placed, owned, now):
+            pause_s = None
         if pause_s is None or not held.may_wait:
-            return self.refuse(held, placed)
+            return self.refuse(held, placed, now)
         self.held.count += 1
         heappush(self._due, (now + pause_s, next(self._numbers), held))
-        return self.reply(request, ReplyKind.WAITS)
+        return self.reply(request, ReplyKind.WAITS, self._room(request, now))
 
     def owned(self, request: PlacementRequest) -> OwnedServers:
         """Return the servers for which this router decides on a request."""
@@ -153,16 +156,29 @@
             commit=held.bound,
         )
 
+    def _refuses_early(
+        self, held: HeldRequest, refusal: Refusal, owned: OwnedServers, now: float
+    ) -> bool:
+        return refuses_early(
+            self._dispatcher,
+            held.attempt.demand,
+            refusal,
+            owned,
+            now - held.since,
+            now,
+            without={self._me, *held.request.left_out},
+        )
+
     def grant(self, held: HeldRequest, placed: Placement, now: float) -> AddressedReply:
         """Count a call that got a place and return the reply."""
         self._note_placement(held, placed=True)
         return self._grant(held.request, placed, now)
 
-    def refuse(self, held: HeldRequest, refusal: Refusal) -> AddressedReply:
+    def refuse(self, held: HeldRequest, refusal: Refusal, now: float) -> AddressedReply:
         """Count a call that gets no place and return the reply."""
         self._note_placement(held, placed=False)
         self._refused.note_refused(held.request.demand, held.attempt.first_at)
-        return self._refuse(held.request, refusal)
+        return self._refuse(held.request, refusal, now)
 
     def _is_known(self, request: PlacementRequest) -> bool:
         """Return whether a request came before, as its packet was duplicated."""
@@ -196,10 +212,13 @@
             self._dispatcher.load(choice.server).read_rate,
             cold_granted=placed.cold_budget is ColdBudget.OWNER,
             may_open=placed.may_open,
+            room=self._room(request, now),
         )
         return AddressedReply(request.router, reply)
 
-    def _refuse(self, request: PlacementRequest, refusal: Refusal) -> AddressedReply:
+    def _refuse(
+        self, request: PlacementRequest, refusal: Refusal, now: float
+    ) -> AddressedReply:
         reply = PlacementReply(
             self._me,
             self._incarnation,
@@ -209,14 +228,24 @@
             read_s=refusal.read_s,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
+            room=self._room(request, now),
         )
         return AddressedReply(request.router, reply)
 
-    def reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
-        """Return a reply without further fields."""
-        reply = PlacementReply(self._me, self._incarnation, request.number, kind)
+    def reply(
+        self, request: PlacementRequest, kind: ReplyKind, room: int = 0
+    ) -> AddressedReply:
+        """Return a reply without further fields but the spare capacity."""
+        reply = PlacementReply(
+            self._me, self._incarnation, request.number, kind, room=room
+        )
         return AddressedReply(request.router, reply)
 
+    def _room(self, request: PlacementRequest, now: float) -> int:
+        service = request.demand.service
+        rows = self._owners.owned(service).rows
+        return self._dispatcher.room(service, rows, now)
+
     def _apply(self, report: ProgressReport, note: ProgressNote, now: float) -> None:
         key = (report.router, report.incarnation, note.number)
         granted = self._granted.get(key)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -68,7 +68,7 @@
     def grant(self, held: HeldRequest, placed: Placement, now: float) -> AddressedReply:
         """Count a call that got a place and return the reply."""
 
-    def refuse(self, held: HeldRequest, refusal: Refusal) -> AddressedReply:
+    def refuse(self, held: HeldRequest, refusal: Refusal, now: float) -> AddressedReply:
         """Count a call that gets no place and return the reply."""
 
     def reply(self, request: PlacementRequest, kind: ReplyKind) -> AddressedReply:
@@ -235,7 +235,7 @@
             return self._owner.grant(held, placed, now)
         if placed.reason is not RefusalReason.WAIT_TOO_LONG:
             self.counts.note(REFUSED, now - entry.since)
-            return self._owner.refuse(held, placed)
+            return self._owner.refuse(held, placed, now)
         entry.tries += 1
         return None
 
@@ -245,7 +245,7 @@
         held: HeldRequest = entry.request
         self.counts.note(REFUSED, now - entry.since)
         refusal = self._dispatcher.refuse_queued(held.request.demand, reason, now)
-        return self._owner.refuse(held, refusal)
+        return self._owner.refuse(held, refusal, now)
 
 
 def _size(request: PlacementRequest) -> int:
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -113,6 +113,7 @@
     ADMISSION_QUEUE_STATUS = EventKind(
         433, _I, "calls waiting for places at the owner of servers"
     )
+    CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
