Learn the lengths of answers and when slots become free

Cause: a slot of a full engine was assumed to become free after a fixed second, and the hint of callers was forwarded unread. Calls waited behind long answers, and calls that could not end before their deadline took slots until it passed.

Change: the ratio of actual to hinted output tokens is learned by service and objective from answers that were read from their first event to their end. With the usual time per token it gives the time until a slot becomes free, in place of the fixed second. A call whose shortest learned length takes longer than it has left is refused at once (cannot_finish), except for one of eight, so that wrong hints are noticed. The hint and the caller's remaining time travel in the placement request (fields 22 and 21). All of it applies where the feature answer_lengths is on.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
@@ -62,6 +62,7 @@
     slots: int
     token_bytes: int = 0  # cache memory of one prompt token, in bytes
     link_mbps: float = 0.0  # link between engines, in Mbit/s
+    step_tokens: int = 0  # output tokens of one event of an answer; 0: not stated
 
     @property
     def fetch_rate(self) -> float:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -12,6 +12,7 @@
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import Choice, Prompt, part_id
 from fulmarroad_serving._shares import NO_USE, ShareUse
+from fulmarroad_serving.engines import AnswerKind, OutputLimits
 
 CALL_UNITS = 1.0
 """Units of service that a call to a plain service counts for."""
@@ -48,6 +49,7 @@
     hash_fraction: float = 0.0  # 0 to 1, the same for each attempt of a request
     rank: int = 0  # ranks below the most urgent call of its service
     version: str = ""  # of the software that began its stream; "": not begun
+    length_hint: int = 0  # output tokens that its caller expects; 0: not stated
 
     @property
     def prompt(self) -> Prompt:
@@ -55,6 +57,16 @@
         part = part_id(self.part)
         return Prompt(part, self.shared_tokens, self.own_tokens, self.objective_s)
 
+    @property
+    def answer_kind(self) -> AnswerKind:
+        """Return the kind of calls whose answers are as long; for whole objectives."""
+        return (self.service, self.objective_s)
+
+    @property
+    def output_limits(self) -> OutputLimits:
+        """Return what the call states about the length of its answer."""
+        return OutputLimits(self.length_hint, self.output_tokens)
+
     @property
     def units(self) -> float:
         """Return the units of service that the call counts for."""
@@ -124,6 +136,8 @@
     grant: Grant | None = None  # set while the owner of the server counts the call
     ended: bool = False
     outcome: SendOutcome | None = None  # of an ended call that was not answered
+    events: int = 0  # of the answer, as far as it was read
+    complete: bool = False  # the answer was read from its first event to its end
 
     @property
     def begun(self) -> bool:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -20,6 +20,7 @@
     RouterName,
     ServerName,
 )
+from fulmarroad_serving._answer_estimates import AnswerEstimates
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._baselines import ChooseEngine
 from fulmarroad_serving._budgets import ColdBudget, RetryShare
@@ -57,6 +58,7 @@
     refuse_for_rest,
     refuse_for_wait,
     refuse_stream,
+    refuse_unfinishable,
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
@@ -103,6 +105,7 @@
         self.servers = ServerBook(me, bounds)
         self.registry = self.servers.registry
         self.shares = ShareBook(window_s=bounds.share_window_s)
+        self.answers = AnswerEstimates()
         self.placements = PlacementOutcomes()
         """Decisions on placements by workspace, until the node logs them."""
         self.on_large_prompt: Callable[[], None] | None = None
@@ -205,6 +208,19 @@
         use = shares.use_of(demand.workspace, demand.units, now)
         return refuse_above_share(part, use, self._bounds.share_window_s, self._random)
 
+    def reject_unfinishable(
+        self, demand: Demand, remaining_s: float, now: float
+    ) -> Refusal | None:
+        """Refuse a call whose answer can't end within `remaining_s`, its time left.
+
+        A stream that has begun isn't refused, as a part of it was delivered.
+        """
+        if demand.version or not self.features(demand.service).answer_lengths:
+            return None
+        if not self.answers.cannot_finish(demand, remaining_s, now):
+            return None
+        return refuse_unfinishable(self._random)
+
     def obstacle(
         self, demand: Demand, server: ServerName, now: float
     ) -> Obstacle | None:
@@ -345,7 +361,10 @@
             self.parts.send(part_id(demand.part), server, now)
         self.shares.note_got(demand.workspace, demand.units, now)
         source = placement.source
-        return Ticket(demand, charge, source.instance if source is not None else None)
+        ticket = Ticket(demand, charge, source.instance if source is not None else None)
+        if self.features(demand.service).answer_lengths:
+            self.answers.expect_end(ticket, view.load, now)
+        return ticket
 
     def _send_granted(
         self, demand: Demand, placement: Placement, grant: Grant, now: float
@@ -379,11 +398,13 @@
         service = self._service(demand.service)
         self.servers.note_cold_call(placement.choice.server, service, budget, now)
 
-    def adopt(self, ticket: Ticket) -> None:
+    def adopt(self, ticket: Ticket, now: float) -> None:
         """Count a granted call here from now on, as its owner is gone."""
         view = self.servers.view(ticket.charge.server)
         ticket.charge = view.load.adopt(ticket.charge, begun=ticket.begun)
         ticket.grant = None
+        if self.features(ticket.demand.service).answer_lengths:
+            self.answers.expect_end(ticket, view.load, now)
 
     def begin(self, ticket: Ticket, now: float) -> None:
         """Record the first part of an answer."""
@@ -432,6 +453,8 @@
             if outcome is not None and not ticket.begun:
                 self.placements.note_lost(ticket.demand.workspace, ticket.demand.units)
         if outcome is None:
+            if ticket.complete and self.features(ticket.demand.service).answer_lengths:
+                self.answers.note_end(ticket, self._service(ticket.demand.service), now)
             if ticket.begun:
                 view.health.record_success(now)
                 # With its wait, a queue would seem to slow the server down further.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -209,6 +209,7 @@
         instance: Instance,
     ) -> None:
         events = EventSplitter()
+        from_start = not (run.progress.last_event_id or run.call.head.last_event_id)
         while True:
             chunk = await connection.body(self._silence_timeout_s(run))
             if chunk is None:
@@ -226,6 +227,7 @@
         if not run.responder.begun and not run.call.head.last_event_id:
             raise error_type("The stream ended before its first event.")
         await self._check_end(connection, instance)
+        ticket.complete = from_start
         if not run.responder.begun:
             # Its caller has every event and lacks only the end.
             run.summary.first_s = self._clock() - run.begun_at
@@ -250,6 +252,7 @@
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
+        ticket.events += whole.count
         await run.responder.send(whole.raw)
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -106,6 +106,9 @@
         now, demand = self._clock(), demand_of(call)
         self._dispatcher.note_asked(demand, now)
         refusal = self._dispatcher.reject_early(demand, now)
+        if refusal is None and not call.takes_up_stream:
+            left_s = call.deadline - now
+            refusal = self._dispatcher.reject_unfinishable(demand, left_s, now)
         if refusal is not None:
             summary.use = refusal.use
             raise Refused(refusal.reason, refusal.retry_after_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -17,6 +17,7 @@
 from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import RouterName, ServerName
+from fulmarroad_serving.engines import ExpectedLength, SlotTimes
 
 READ_RATE = 60_000.0
 """Initial estimate of prompt tokens a second. Engines that read 112 to 157 tokens a
@@ -65,8 +66,8 @@
 after a burst none."""
 
 FULL_PENALTY_S = 1.0
-"""Time added to the wait if every slot is taken: a slot is only freed when an answer
-ends."""
+"""Time added to the wait if every slot is taken and the lengths of answers aren't
+known: a slot is only freed when an answer ends."""
 
 
 @frozen
@@ -109,6 +110,8 @@
     read_rate: float = READ_RATE
     base_s: float = BASE_S
     peers: dict[RouterName, tuple[float, PeerLoad]] = field(factory=dict)
+    token_s: float = 0.0  # usual time per generated token; 0: not known
+    _slots: SlotTimes = field(factory=lambda: SlotTimes(FULL_PENALTY_S))
     _unbegun: dict[int, Charge] = field(factory=dict)  # in the order of sending
     _counted: set[int] = field(factory=set)  # numbers of the running calls
     _summed_at: float = NEVER
@@ -134,6 +137,14 @@
         self._unbegun[charge.number] = charge
         return charge
 
+    def expect_end(
+        self, charge: Charge, length: ExpectedLength, begun_at: float | None = None
+    ) -> None:
+        """Record how long the answer to a call will take its slot."""
+        if begun_at is None:
+            begun_at = charge.sent_at + charge.expected_s
+        self._slots.add(charge.number, length, begun_at)
+
     def adopt(self, charge: Charge, *, begun: bool) -> Charge:
         """Count a call that another router counted until now."""
         charge = evolve(charge, number=next(_charge_numbers))
@@ -163,6 +174,7 @@
         """
         if self._unbegun.pop(charge.number, None) is not None:
             self.waiting_tokens -= charge.tokens
+            self._slots.begin(charge.number, now)
         if not learn:
             return
         duration_s = now - charge.sent_at
@@ -187,6 +199,7 @@
         if charge.number not in self._counted:
             return
         self._counted.remove(charge.number)
+        self._slots.end(charge.number)
         self.running -= 1
         if self._unbegun.pop(charge.number, None) is not None:
             self.waiting_tokens -= charge.tokens
@@ -218,10 +231,16 @@
     def wait_s(self, slots: int, now: float) -> float:
         """Return how long a new prompt waits before it is read."""
         wait = self.total_waiting(now) / self.read_rate
-        if slots and self.total_running(now) >= slots:
-            wait += FULL_PENALTY_S
+        if slots and (running := self.total_running(now)) >= slots:
+            wait += self._slot_wait_s(running + 1 - slots, running, now)
         return wait
 
+    def _slot_wait_s(self, ends: int, running: int, now: float) -> float:
+        """Return the time until a number of the running answers has ended."""
+        if not self.token_s:
+            return FULL_PENALTY_S
+        return self._slots.wait_s(ends, running, self.token_s, now)
+
     def read_s(self, tokens: int) -> float:
         """Return the time to read a prompt and generate the first token."""
         return self.base_s + tokens / self.read_rate
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -128,7 +128,9 @@
 
         `remaining_s` is the time until the call's deadline.
         """
-        request = self.new_request(owner, demand, avoid, may_wait=may_wait)
+        request = self.new_request(
+            owner, demand, avoid, may_wait=may_wait, remaining_s=remaining_s
+        )
         number = request.number
         pending = self._pending[number] = _PendingRequest()
         reply: PlacementReply | None = None
@@ -156,6 +158,7 @@
         avoid: Collection[ServerName],
         *,
         may_wait: bool,
+        remaining_s: float = math.inf,
     ) -> PlacementRequest:
         """Return a request that says which of the owner's servers can't be used."""
         self._number += 1
@@ -176,6 +179,7 @@
                 for row in rows
                 if self.is_full(demand.service, row.instance.id)
             ),
+            max(0.0, remaining_s) if math.isfinite(remaining_s) else 0.0,
         )
 
     def receive_reply(self, reply: PlacementReply) -> None:
@@ -256,7 +260,7 @@
             ]
             for number, ticket in lost:
                 del tickets[number]
-                self._dispatcher.adopt(ticket)
+                self._dispatcher.adopt(ticket, self._clock())
             if lost:
                 emit(logger, Event.OWNER_LOST, owner=owner, calls=len(lost))
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -39,6 +39,7 @@
     left_out: tuple[RouterName, ...] = ()  # routers that the sender can't reach
     cold: ColdServers = ColdServers()  # as the sender knows the owner's servers
     full: tuple[ServerName, ...] = ()  # the sender has its share of connections in use
+    remaining_s: float = 0.0  # until the caller's deadline; 0: not known
 
 
 class ReplyKind(enum.IntEnum):
@@ -122,6 +123,8 @@
         demand.version,
         list(request.cold.closed),
         list(request.full),
+        round(request.remaining_s, 3),
+        demand.length_hint,
     ]
     return bytes(msgpack.packb(row))
 
@@ -142,6 +145,7 @@
             int(row[12]),
             # Routers of the previous release know no versions.
             str(row[18]) if len(row) > 18 else "",
+            int(row[22]) if len(row) > 22 else 0,
         )
         avoid = tuple(str(name) for name in row[14])
         left_out = tuple(str(name) for name in row[16])
@@ -159,6 +163,7 @@
             left_out,
             ColdServers(permitted, closed),
             full,
+            float(row[21]) if len(row) > 21 else 0.0,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement request is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -132,6 +132,7 @@
         hash_fraction_of(call.fingerprint),
         call.rank,
         call.version,
+        head.length_hint,
     )
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream.py
@@ -17,6 +17,11 @@
     raw: bytes
     last_id: str
 
+    @property
+    def count(self) -> int:
+        """Return the number of events."""
+        return self.raw.count(b"\n\n") or self.raw.count(b"\r\n\r\n")
+
 
 class EventSplitter:
     """Split a stream into complete events and buffer an incomplete one.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -81,6 +81,11 @@
     return Refusal(reason, source.uniform(*BROKEN_STREAM_RETRY_AFTER_S))
 
 
+def refuse_unfinishable(source: random.Random) -> Refusal:
+    """Refuse a call whose answer can't end before its deadline."""
+    return Refusal(RefusalReason.CANNOT_FINISH, source.uniform(*RETRY_AFTER_S))
+
+
 def refuse_for_rest(rest_s: float) -> Refusal:
     """Refuse a call while all servers that could take it asked for rest."""
     return Refusal(RefusalReason.SERVERS_REST, rest_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -38,6 +38,7 @@
     shared_tokens: int = 0
     own_tokens: int = 0
     output_tokens: int = 0
+    length_hint: int = 0  # output tokens that the caller expects; 0: not stated
     forward: tuple[Header, ...] = ()
 
     @property
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/__init__.py
@@ -0,0 +1,7 @@
+"""Estimate what engines do: the length of their answers and when slots become free."""
+
+from fulmarroad_serving.engines._answer_lengths import AnswerKind as AnswerKind
+from fulmarroad_serving.engines._answer_lengths import AnswerLengths as AnswerLengths
+from fulmarroad_serving.engines._answer_lengths import ExpectedLength as ExpectedLength
+from fulmarroad_serving.engines._answer_lengths import OutputLimits as OutputLimits
+from fulmarroad_serving.engines._slot_times import SlotTimes as SlotTimes
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -94,6 +94,7 @@
     SERVERS_REST = "servers_rest"
     STREAM_ORIGIN_GONE = "stream_origin_gone"
     STREAM_UNKNOWN = "stream_unknown"
+    CANNOT_FINISH = "cannot_finish"
 
 
 class MemberState(enum.StrEnum):
