Tell refused callers when their turn comes

Cause: Retry-After was drawn from 0.3 to 0.9 s, so refused callers came back into the same surge, and their calls counted as late in any case.

Change: an owner forecasts the turn of a call that it refuses for lack of capacity, from the units that wait and the rate at which its engines begin calls, and reserves a moment for it. Reservations are spread over a third of the capacity, at most 2,048 are open, and none is made beyond a third of the caller's remaining time. Those of workspaces beyond their share or an equal part give way to others. A call that returns in its window may wait as a first attempt does (Attempt.reserved); one that is early, twice or late is treated like any other. Event 434 and fulmarroad_scheduled_retries_total tell what became of the returns. All of it applies where scheduled_retries is on.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -14,8 +14,9 @@
 
 from attrs import define, evolve, field, frozen
 
-from fulmarroad.types import RouterName
+from fulmarroad.types import RefusalReason, RouterName
 from fulmarroad_serving._budgets import ColdBudget
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._demands import Demand, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._holding import HeldCalls
@@ -29,6 +30,7 @@
 from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._returns import Attempt, RefusedCalls
 from fulmarroad_serving._routing import part_id
+from fulmarroad_serving.admission import OwnerBacklog, ScheduledRetries
 
 UNCONFIRMED_GRANT_S = 0.4
 """Age at which a grant counts as unused if its router doesn't list it: a grant is used
@@ -76,6 +78,7 @@
     _dispatcher: Dispatcher
     _owners: OwnerTable
     held: HeldCalls = field(factory=HeldCalls)
+    retries: ScheduledRetries = field(factory=ScheduledRetries)
     _refused: RefusedCalls = field(factory=RefusedCalls)
     _due: list[tuple[float, int, _HeldRequest]] = field(factory=list)
     _numbers: count[int] = field(factory=count)
@@ -91,6 +94,7 @@
         if request.demand.part:
             self._dispatcher.parts.note_asked(part_id(request.demand.part), now)
         attempt = self._refused.attempt(request.demand, now)
+        attempt = self._claim_reservation(request, attempt, now)
         return self._decide(_HeldRequest(request, attempt, now), now)
 
     def decide_held(self, now: float) -> list[AddressedReply]:
@@ -143,11 +147,58 @@
         if pause_s is None or not held.may_wait:
             self._note_placement(held, placed=False)
             self._refused.note_refused(request.demand, held.attempt.first_at)
-            return self._refuse(request, placed)
+            return self._refuse(request, self._schedule_return(held, placed, now))
         self.held.count += 1
         heappush(self._due, (now + pause_s, next(self._numbers), held))
         return self._reply(request, ReplyKind.WAITS)
 
+    def _claim_reservation(
+        self, request: PlacementRequest, attempt: Attempt, now: float
+    ) -> Attempt:
+        """Return the attempt of a call, with its reservation if it has one."""
+        demand = request.demand
+        if not self._dispatcher.features(demand.service).scheduled_retries:
+            return attempt
+        return self.retries.claim(attempt, demand, now)
+
+    def _schedule_return(
+        self, held: _HeldRequest, refusal: Refusal, now: float
+    ) -> Refusal:
+        """Return a refusal for lack of capacity that says when its call's turn comes.
+
+        The remaining time of a router of the previous release isn't known: its calls
+        get no reservation.
+        """
+        demand = held.request.demand
+        if refusal.reason is not RefusalReason.WAIT_TOO_LONG:
+            return refusal
+        if not self._dispatcher.features(demand.service).scheduled_retries:
+            return refusal
+        retry_after_s = self.retries.schedule(
+            demand,
+            refusal,
+            max(0.0, held.request.remaining_s - (now - held.since)),
+            self._backlog(demand.service),
+            now,
+            is_return=held.is_return,
+        )
+        if retry_after_s is None:
+            return refusal
+        return evolve(refusal, retry_after_s=retry_after_s)
+
+    def _backlog(self, service: ServiceName) -> OwnerBacklog:
+        """Return what waits here for the engines of a service."""
+        demands = (row[2].request.demand for row in self._due)
+        units = sum(demand.units for demand in demands if demand.service == service)
+        rows = self._owners.owned(service, frozenset()).rows
+        speeds = (self._dispatcher.load(row.instance.id).read_rate for row in rows)
+        return OwnerBacklog(units, sum(speeds))
+
+    def _note_begun(self, granted: _Granted, now: float) -> None:
+        demand = granted.ticket.demand
+        if self._dispatcher.features(demand.service).scheduled_retries:
+            self.retries.note_begun(demand, now)
+
     def _note_placement(self, held: _HeldRequest, *, placed: bool) -> None:
         demand = held.request.demand
         self._dispatcher.placements.note_decision(
@@ -200,7 +251,8 @@
         granted = self._granted.get(key)
         if granted is None:
             return
-        if note.begun:
+        if note.begun and not granted.ticket.begun:
+            self._note_begun(granted, now)
             self._dispatcher.begin(granted.ticket, now)
         if note.unused:
             demand = granted.ticket.demand
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -63,6 +63,12 @@
             ["how"],
             registry=self._registry,
         )
+        self.retries = Counter(
+            "fulmarroad_scheduled_retries",
+            "Returns of refused calls that this owner scheduled, by what became of it",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.stream_records = Gauge(
             "fulmarroad_stream_records",
             "Streams of which this router remembers where they began",
@@ -101,6 +107,10 @@
         """Count a connection to a server that ended."""
         self.closed.labels(mode.value).inc()
 
+    def note_retry(self, outcome: str) -> None:
+        """Count a scheduled return, or what became of it."""
+        self.retries.labels(outcome).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -14,6 +14,7 @@
 from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._workspace_outcomes import REPORT_INTERVAL_S, WorkspaceOutcomes
+from fulmarroad_serving.admission import RetryOutcome, ScheduledRetries
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -34,6 +35,7 @@
     _ends: WorkspaceOutcomes
     _requests: WorkspaceOutcomes
     _catalog: Callable[[], Catalog]
+    _retries: ScheduledRetries
     _servers_due: float = 0.0
 
     def log(self, now: float) -> None:
@@ -41,6 +43,7 @@
         self._log_calls(now)
         self._log_placements(now)
         self._log_requests(now)
+        self._log_retries(now)
         if now >= self._servers_due:
             servers = len(self._dispatcher.registry.rows())
             self._servers_due = now + max(REPORT_INTERVAL_S, servers / SERVERS_PER_S)
@@ -79,6 +82,12 @@
                 requests=row.ends,
             )
 
+    def _log_retries(self, now: float) -> None:
+        self._retries.drop_missed(now)
+        for row in self._retries.outcomes.pop_refusals(now):
+            counts = {name.value: row.ends.get(name, 0) for name in RetryOutcome}
+            emit(logger, Event.RETRIES_SCHEDULED, workspace=row.workspace, **counts)
+
     def _log_servers(self, now: float) -> None:
         services = list(self._catalog().services.values())[:MAX_LOGGED_SERVICES]
         for service in services:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -111,9 +111,11 @@
         self.owner_client = OwnerClient(
             me, incarnation, dispatcher, self.owners, source, clock
         )
+        granter = Granter(me, incarnation, dispatcher, self.owners)
+        self.retries = granter.retries
         self._owner_exchange = OwnerExchange(
             self.owner_client,
-            Granter(me, incarnation, dispatcher, self.owners),
+            granter,
             self.book.hosts,
             self._incarnations,
             clock,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -157,7 +157,9 @@
             self._app.ends,
             self._peers.owner_client.requests,
             lambda: self._router_state.catalog,
+            self._peers.retries,
         )
+        self._peers.retries.on_outcome = self._metrics.note_retry
         self._callers = HttpServer(
             self._app,
             settings.host,
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -110,6 +110,7 @@
     PLACEMENT_REQUESTS_UNMET = EventKind(
         432, _I, "requests for places of a workspace refused or not used"
     )
+    RETRIES_SCHEDULED = EventKind(434, _I, "returns of refused calls scheduled")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
