--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -376,23 +376,13 @@
 
 
 def _log_barred(fingerprint: Fingerprint, ends: int, part: str) -> None:
-    emit(
-        logger,
-        Event.REQUEST_BARRED_NOW,
-        fingerprint=fingerprint.hex(),
-        ends=ends,
-        part=part,
-    )
+    suspect = fingerprint.hex()
+    emit(logger, Event.REQUEST_BARRED_NOW, fingerprint=suspect, ends=ends, part=part)
 
 
 def _log_cleared(fingerprint: Fingerprint, ends: int, part: str) -> None:
-    emit(
-        logger,
-        Event.SUSPECT_CLEARED,
-        fingerprint=fingerprint.hex(),
-        ends=ends,
-        part=part,
-    )
+    suspect = fingerprint.hex()
+    emit(logger, Event.SUSPECT_CLEARED, fingerprint=suspect, ends=ends, part=part)
 
 
 def _log_audit(record: AuditRecord) -> None:
