--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -12,10 +12,11 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from attrs import define, field
+from attrs import define, evolve, field
 
-from fulmarroad.types import RouterName
+from fulmarroad.types import RefusalReason, RouterName
 from fulmarroad_serving._budgets import ColdBudget
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._demands import Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._held_requests import (
@@ -34,10 +35,10 @@
 )
 from fulmarroad_serving._owners import OwnedServers, OwnerTable
 from fulmarroad_serving._queueing import QueuedRequests
-from fulmarroad_serving._returns import RefusedCalls
+from fulmarroad_serving._returns import Attempt, RefusedCalls
 from fulmarroad_serving._routing import part_id
 from fulmarroad_serving._spilling import refuses_early
-from fulmarroad_serving.admission import EntryKey
+from fulmarroad_serving.admission import EntryKey, OwnerBacklog, ScheduledRetries
 
 UNCONFIRMED_GRANT_S = 0.4
 """Age at which a grant counts as unused if its router doesn't list it: a grant is used
@@ -59,6 +60,7 @@
     _dispatcher: Dispatcher
     _owners: OwnerTable
     held: HeldCalls = field(factory=HeldCalls)
+    retries: ScheduledRetries = field(factory=ScheduledRetries)
     _refused: RefusedCalls = field(factory=RefusedCalls)
     _due: list[tuple[float, int, HeldRequest]] = field(factory=list)
     _numbers: count[int] = field(factory=count)
@@ -82,6 +84,7 @@
         if request.demand.part and request.router != self._me:
             self._dispatcher.parts.note_asked(part_id(request.demand.part), now)
         attempt = self._refused.attempt(request.demand, now)
+        attempt = self._claim_reservation(request, attempt, now)
         held = HeldRequest(request, attempt, now)
         if is_queued:
             return self.queued.receive(held, now)
@@ -178,6 +181,7 @@
         """Count a call that gets no place and return the reply."""
         self._note_placement(held, placed=False)
         self._refused.note_refused(held.request.demand, held.attempt.first_at)
+        refusal = self._schedule_return(held, refusal, now)
         return self._refuse(held.request, refusal, now)
 
     def _is_known(self, request: PlacementRequest) -> bool:
@@ -185,6 +189,53 @@
         key = request_key(request)
         return key in self.queued.queue or key in self._granted
 
+    def _claim_reservation(
+        self, request: PlacementRequest, attempt: Attempt, now: float
+    ) -> Attempt:
+        """Return the attempt of a call, with its reservation if it has one."""
+        demand = request.demand
+        if not self._dispatcher.features(demand.service).scheduled_retries:
+            return attempt
+        return self.retries.claim(attempt, demand, now)
+
+    def _schedule_return(
+        self, held: HeldRequest, refusal: Refusal, now: float
+    ) -> Refusal:
+        """Return a refusal for lack of capacity that says when its call's turn comes.
+
+        The remaining time of a router of the previous release isn't known: its calls
+        get no reservation.
+        """
+        demand = held.request.demand
+        if refusal.reason is not RefusalReason.WAIT_TOO_LONG:
+            return refusal
+        if not self._dispatcher.features(demand.service).scheduled_retries:
+            return refusal
+        retry_after_s = self.retries.schedule(
+            demand,
+            refusal,
+            max(0.0, held.request.remaining_s - (now - held.since)),
+            self._backlog(demand.service),
+            now,
+            is_return=held.is_return,
+        )
+        if retry_after_s is None:
+            return refusal
+        return evolve(refusal, retry_after_s=retry_after_s)
+
+    def _backlog(self, service: ServiceName) -> OwnerBacklog:
+        """Return what waits here for the engines of a service."""
+        demands = (row[2].request.demand for row in self._due)
+        units = sum(demand.units for demand in demands if demand.service == service)
+        rows = self._owners.owned(service, frozenset()).rows
+        speeds = (self._dispatcher.load(row.instance.id).read_rate for row in rows)
+        return OwnerBacklog(units + self.queued.queue.units, sum(speeds))
+
+    def _note_begun(self, granted: _Granted, now: float) -> None:
+        demand = granted.ticket.demand
+        if self._dispatcher.features(demand.service).scheduled_retries:
+            self.retries.note_begun(demand, now)
+
     def _note_placement(self, held: HeldRequest, *, placed: bool) -> None:
         demand = held.request.demand
         self._dispatcher.placements.note_decision(
@@ -251,7 +302,8 @@
         granted = self._granted.get(key)
         if granted is None:
             return
-        if note.begun:
+        if note.begun and not granted.ticket.begun:
+            self._note_begun(granted, now)
             self._dispatcher.begin(granted.ticket, now)
         if note.unused:
             demand = granted.ticket.demand
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -81,6 +81,12 @@
             ["how"],
             registry=self._registry,
         )
+        self.retries = Counter(
+            "fulmarroad_scheduled_retries",
+            "Returns of refused calls that this owner scheduled, by what became of it",
+            ["outcome"],
+            registry=self._registry,
+        )
         self.stream_records = Gauge(
             "fulmarroad_stream_records",
             "Streams of which this router remembers where they began",
@@ -125,6 +131,10 @@
         for decision, number in queued.counts.pop_uncounted().items():
             self.queue_decisions.labels(decision).inc(number)
 
+    def note_retry(self, outcome: str) -> None:
+        """Count a scheduled return, or what became of it."""
+        self.retries.labels(outcome).inc()
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_outcome_log.py
@@ -17,6 +17,7 @@
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._queueing import QueuedRequests
 from fulmarroad_serving._workspace_outcomes import REPORT_INTERVAL_S, WorkspaceOutcomes
+from fulmarroad_serving.admission import RetryOutcome, ScheduledRetries
 from fulmarroad_serving.placement import most_asked
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -39,6 +40,7 @@
     _owner_client: OwnerClient
     _catalog: Callable[[], Catalog]
     _metrics: Metrics
+    _retries: ScheduledRetries
     _queued: QueuedRequests | None = None
     _servers_due: float = 0.0
 
@@ -49,6 +51,7 @@
         self._log_requests(now)
         self._log_queue(now)
         self._log_spilled(now)
+        self._log_retries(now)
         if now >= self._servers_due:
             servers = len(self._dispatcher.registry.rows())
             self._servers_due = now + max(REPORT_INTERVAL_S, servers / SERVERS_PER_S)
@@ -109,6 +112,12 @@
                 self._metrics.spilled.labels(outcome.value).inc(calls)
         emit(logger, Event.CALLS_SPILLED, calls=most_asked(counts))
 
+    def _log_retries(self, now: float) -> None:
+        self._retries.drop_missed(now)
+        for row in self._retries.outcomes.pop_refusals(now):
+            counts = {name.value: row.ends.get(name, 0) for name in RetryOutcome}
+            emit(logger, Event.RETRIES_SCHEDULED, workspace=row.workspace, **counts)
+
     def _log_servers(self, now: float) -> None:
         services = list(self._catalog().services.values())[:MAX_LOGGED_SERVICES]
         for service in services:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -221,7 +221,7 @@
                 for row in rows
                 if self.is_full(demand.service, row.instance.id)
             ),
-            remaining_s if math.isfinite(remaining_s) else 0.0,
+            max(0.0, remaining_s) if math.isfinite(remaining_s) else 0.0,
         )
 
     def receive_reply(self, reply: PlacementReply) -> None:
@@ -313,7 +313,7 @@
             ]
             for number, ticket in lost:
                 del tickets[number]
-                self._dispatcher.adopt(ticket)
+                self._dispatcher.adopt(ticket, self._clock())
             if lost:
                 emit(logger, Event.OWNER_LOST, owner=owner, calls=len(lost))
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -112,6 +112,7 @@
             me, incarnation, dispatcher, self.owners, source, clock
         )
         self.granter = Granter(me, incarnation, dispatcher, self.owners)
+        self.retries = self.granter.retries
         self._owner_exchange = OwnerExchange(
             self.owner_client,
             self.granter,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -133,6 +133,7 @@
         hash_fraction_of(call.fingerprint),
         call.rank,
         call.version,
+        head.length_hint,
     )
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
@@ -85,6 +85,11 @@
         """Return the number of waiting calls of each workspace."""
         return dict(Counter(entry.workspace for entry in self._entries.values()))
 
+    @property
+    def units(self) -> float:
+        """Return the units of all waiting calls."""
+        return sum(group.units for group in self._groups.values())
+
     @property
     def next_end(self) -> float | None:
         """Return when the next wait ends; None if nothing waits."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -158,8 +158,10 @@
             self._peers.owner_client,
             lambda: self._router_state.catalog,
             self._metrics,
+            self._peers.retries,
             self._peers.granter.queued,
         )
+        self._peers.retries.on_outcome = self._metrics.note_retry
         self._callers = HttpServer(
             self._app,
             settings.host,
@@ -377,13 +379,8 @@
 
 
 def _log_barred(fingerprint: Fingerprint, ends: int, part: str) -> None:
-    emit(
-        logger,
-        Event.REQUEST_BARRED_NOW,
-        fingerprint=fingerprint.hex(),
-        ends=ends,
-        part=part,
-    )
+    suspect = fingerprint.hex()
+    emit(logger, Event.REQUEST_BARRED_NOW, fingerprint=suspect, ends=ends, part=part)
 
 
 def _log_cleared(fingerprint: Fingerprint, ends: int, part: str) -> None:
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -114,6 +114,7 @@
         433, _I, "calls waiting for places at the owner of servers"
     )
     CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
+    RETRIES_SCHEDULED = EventKind(434, _I, "returns of refused calls scheduled")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
