Model the reading speed of engines and note short slow-downs

The estimate of a first token starts at 60,000 tokens/s for every engine, takes the whole time of a first token for reading, and so learns another speed for each queue length. Where engine speeds are on, each engine now has a model of the time per prompt token and per running answer, learned from the time between first tokens of queued prompts. Gaps between events of running answers are watched by every router and reported to the server's owner, whose estimate follows for as long as they last. Owners report the class of each engine's lasting speed.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -39,6 +39,7 @@
     read_loads,
     read_member,
     read_server_runs,
+    read_speed_classes,
 )
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
@@ -48,6 +49,7 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.engines._book import SpeedClass
 
 FORMAT = 2
 """First field of each digest; reports of single routers have another value there."""
@@ -99,6 +101,7 @@
     parts: tuple[tuple[PartId, ServerName], ...] = ()  # recently sent to servers
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    speed_classes: tuple[SpeedClass, ...] = ()  # as the servers' owners reported
 
 
 def collectors(
@@ -205,6 +208,7 @@
         pack_suspects(digest.suspects),
         pack_server_runs(digest.leaving_servers),
         pack_suspect_callers(digest.suspects),
+        [list(row) for row in digest.speed_classes],
     ]
     return bytes(msgpack.packb(row))
 
@@ -232,6 +236,7 @@
             if len(row) > 9
             else (),
             read_server_runs(row[10]) if len(row) > 10 else (),
+            read_speed_classes(row[12]) if len(row) > 12 else (),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise MessageError(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -240,6 +240,12 @@
         ticket: Ticket,
         instance: Instance,
     ) -> None:
+        arrived_at, server = self._clock(), instance.id
+        pace = self._dispatcher.pace
+        if ticket.begun:
+            pace.note_event(server, id(ticket), arrived_at)
+        else:
+            self._dispatcher.watch_answer(ticket, arrived_at)
         self._note_begun(run, ticket)
         self._note_good_run(run, ticket)
         if not run.responder.begun:
@@ -251,6 +257,7 @@
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
         await run.responder.send(whole.raw)
+        pace.await_next(server, id(ticket), arrived_at, self._clock())
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -35,6 +35,7 @@
 )
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._suspect_rows import SuspectRow
+from fulmarroad_serving.engines._book import SpeedClass
 
 MAX_DIRECT_PEERS = 16
 """Maximum number of peers for direct reports: some 100 packets a second."""
@@ -81,6 +82,10 @@
 the store is down.
 """
 
+MAX_CLASSES_AGE_S = 6.0
+"""Age of another data centre's list of speed classes up to which it is passed on: its
+collectors send it with each list of members, and some are lost."""
+
 COLLECTOR_CACHE_S = 0.2
 """Time for which the collectors of a data centre are cached.
 
@@ -147,6 +152,10 @@
         self._collector_seen_at: dict[RouterName, float] = {}
         """Time of each local collector's last packet, or of its selection."""
         self._digest_count = 0
+        self._remote_classes: dict[
+            DataCentreName, tuple[float, tuple[SpeedClass, ...]]
+        ] = {}
+        """Time and content of each data centre's newest list of speed classes."""
         self.book = PeerBook(me, host)
         self.owners: Callable[[], Collection[RouterName]] = frozenset
         """Returns the routers that place the calls of others; empty: all decide."""
@@ -272,6 +281,7 @@
         fleet = merge([(centre_sum, 0.0), *remote_sums])
         parts: tuple[tuple[PartId, ServerName], ...] = ()
         suspects: tuple[SuspectRow, ...] = ()
+        classes = self._centre_speed_classes(now) if with_members else ()
         if to_all:  # each of them is sent once
             parts = self._dispatcher.parts.pop_updates(MAX_DIGEST_PARTS)
             suspects = self._dispatcher.suspects.pop_updates(MAX_SUSPECTS, now)
@@ -289,11 +299,23 @@
                     parts,
                     suspects,
                     leaving,
+                    classes,
                 ),
                 self._remote_collector_hosts(now),
             ),
             (
-                Digest(self._me, "", fleet, (me, *members), parts, suspects, leaving),
+                Digest(
+                    self._me,
+                    "",
+                    fleet,
+                    (me, *members),
+                    parts,
+                    suspects,
+                    leaving,
+                    (*classes, *self._remote_speed_classes(now))
+                    if with_members
+                    else (),
+                ),
                 self._centre_hosts(now, None if to_all else owners),
             ),
         ]
@@ -301,6 +323,22 @@
     def _leaving_servers(self) -> tuple[ServerRun, ...]:
         return self._dispatcher.registry.announced()[-MAX_LEAVING_SERVERS:]
 
+    def _centre_speed_classes(self, now: float) -> tuple[SpeedClass, ...]:
+        """Return the classes that the owners of this data centre reported."""
+        own = self._last_report.speed_classes if self._last_report is not None else ()
+        reports = (report for report, _ in self._centre_reports(now))
+        return (*own, *(row for report in reports for row in report.speed_classes))
+
+    def _remote_speed_classes(self, now: float) -> tuple[SpeedClass, ...]:
+        """Return the classes that the collectors of other data centres sent lately."""
+        received = self._remote_classes.values()
+        return tuple(
+            row
+            for at, classes in received
+            if now - at < MAX_CLASSES_AGE_S
+            for row in classes
+        )
+
     def _centre_reports(self, now: float) -> list[tuple[PeerReport, float]]:
         return [
             (report, age_s)
@@ -346,6 +384,7 @@
         self._note_parts(report.parts, now)
         self._note_suspects(report.suspects, now)
         self._note_leaving_servers(report.leaving_servers, report.router)
+        self._dispatcher.receive_speed_classes(report.speed_classes, now)
         if self.uses_collectors:
             self._introduce_collectors(report, now, is_new=is_new)
         member = member_id(report.router)
@@ -384,6 +423,9 @@
         self._note_parts(digest.parts, now)
         self._note_suspects(digest.suspects, now)
         self._note_leaving_servers(digest.leaving_servers, digest.sender)
+        self._dispatcher.receive_speed_classes(digest.speed_classes, now)
+        if digest.scope and digest.speed_classes:
+            self._remote_classes[digest.scope] = (now, digest.speed_classes)
         if digest.scope == self._centre:
             return
         if digest.scope:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -116,6 +116,11 @@
     _peers_waiting: int = 0
     _peers_reported_at: float = 0.0  # on average, by waiting tokens
 
+    @property
+    def oldest(self) -> Charge | None:
+        """Return the oldest of this router's calls that have not begun."""
+        return next(iter(self._unbegun.values()), None)
+
     def send(
         self,
         server: ServerName,
@@ -150,7 +155,7 @@
         A server that accepts calls and never answers causes no failures until the
         callers' deadlines, and meanwhile looks like the least loaded one.
         """
-        oldest = next(iter(self._unbegun.values()), None)
+        oldest = self.oldest
         if oldest is None:
             return 0.0
         due = OVERDUE_ESTIMATES * oldest.expected_s + OVERDUE_S
@@ -206,6 +211,13 @@
         self._sum_peers(now)
         return self.running + self._peers_running
 
+    def answering(self, now: float) -> float:
+        """Return how many answers run on average until a new prompt is read.
+
+        The calls that have not begun do so one after the other.
+        """
+        return max(0.0, self.total_running(now) - len(self._unbegun) / 2)
+
     def total_waiting(self, now: float) -> float:
         """Return the number of prompt tokens of all routers that wait to be read."""
         self._sum_peers(now)
@@ -218,9 +230,12 @@
     def wait_s(self, slots: int, now: float) -> float:
         """Return how long a new prompt waits before it is read."""
         wait = self.total_waiting(now) / self.read_rate
-        if slots and self.total_running(now) >= slots:
-            wait += FULL_PENALTY_S
-        return wait
+        return wait + self.slot_wait_s(slots, now)
+
+    def slot_wait_s(self, slots: int, now: float) -> float:
+        """Return the part of a new prompt's wait that is for a free slot."""
+        is_full = slots and self.total_running(now) >= slots
+        return FULL_PENALTY_S if is_full else 0.0
 
     def read_s(self, tokens: int) -> float:
         """Return the time to read a prompt and generate the first token."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_metrics.py
@@ -6,6 +6,8 @@
 from prometheus_client.exposition import generate_latest
 
 from fulmarroad.delivery import CloseMode
+from fulmarroad_serving.engines._book import SlowChange
+from fulmarroad_serving.engines._slow_down import FIRST_TOKENS, OVERDUE
 
 ESTIMATE_ERROR_BUCKETS = (-0.4, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6)
 """Bucket bounds in seconds for estimate errors; above zero the answer came later."""
@@ -63,6 +65,18 @@
             ["how"],
             registry=self._registry,
         )
+        self.engines_slow = Counter(
+            "fulmarroad_engines_slow",
+            "Slow-downs of engines that this router owns, by what showed them",
+            ["source"],
+            registry=self._registry,
+        )
+        self.engines_recovered = Counter(
+            "fulmarroad_engines_recovered",
+            "Slow-downs that ended, by what had shown them",
+            ["source"],
+            registry=self._registry,
+        )
         self.stream_records = Gauge(
             "fulmarroad_stream_records",
             "Streams of which this router remembers where they began",
@@ -97,6 +111,14 @@
             registry=self._registry,
         )
 
+    def note_slow_change(self, change: SlowChange) -> None:
+        """Count a server that became slow, or is no longer."""
+        counter = self.engines_recovered if change.ended else self.engines_slow
+        source = change.state.source
+        if source not in (FIRST_TOKENS, OVERDUE):
+            source = "gaps"  # a label for each router would be too many
+        counter.labels(source).inc()
+
     def note_closed(self, mode: CloseMode) -> None:
         """Count a connection to a server that ended."""
         self.closed.labels(mode.value).inc()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -43,6 +43,8 @@
     WorkspaceOutcomes,
     given_back,
 )
+from fulmarroad_serving.engines._pace import PaceBook
+from fulmarroad_serving.engines._pace_messages import PaceReport, pack_pace
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -104,6 +106,11 @@
     _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
     _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
 
+    @property
+    def pace(self) -> PaceBook:
+        """Return the answers of which this router watches the gaps."""
+        return self._dispatcher.pace
+
     def owner_for(self, demand: Demand) -> RouterName | None:
         """Return the router to ask, which may be this one; None: there is no owner."""
         owners = self._owners.owners(demand.service, self._left_out())
@@ -243,6 +250,46 @@
                 del self._tickets[owner]
         return packets
 
+    def receive_pace(self, report: PaceReport, now: float) -> None:
+        """Apply another router's report on the gaps of a server's answers.
+
+        A router that stands in for a silent owner places calls as well, so it applies
+        reports on servers that it doesn't own by its own view of the fleet.
+        """
+        self._dispatcher.receive_pace(report, now)
+
+    def tell_slow_changes(self, now: float) -> None:
+        """Log the slow-downs that ended without a further report."""
+        self._dispatcher.tell_slow_changes(now)
+
+    def pace_reports(self) -> list[tuple[RouterName, bytes]]:
+        """Return the packets on servers whose answers pause here, by owner.
+
+        Reports on servers of this router are applied at once.
+        """
+        now, packets = self._clock(), []
+        for server, finding in self._dispatcher.pace.scan(now):
+            row = self._dispatcher.registry.get(server)
+            if row is None:
+                continue
+            table = self._owners.owners(row.instance.service, self._left_out())
+            owner = table.by_server.get(server)
+            self._number += 1
+            report = PaceReport(
+                self.me,
+                self._incarnation,
+                self._number,
+                server,
+                row.instance.started_ms,
+                finding.factor,
+                finding.answers,
+            )
+            if owner == self.me:
+                self._dispatcher.receive_pace(report, now)
+            elif owner is not None:
+                packets.append((owner, pack_pace(report)))
+        return packets
+
     def adopt_from_lost(self, alive: Mapping[RouterName, int]) -> None:
         """Count the calls of owners that are gone or have restarted.
 
@@ -303,7 +350,9 @@
             self._return_unused(reply)
             return None
         if reply.read_rate:
-            self._dispatcher.load(reply.server).read_rate = reply.read_rate
+            self._dispatcher.note_read_rate(
+                demand.service, reply.server, reply.read_rate, self._clock()
+            )
         registry = self._dispatcher.registry
         registered = registry.get(reply.server)
         assert registered is not None
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -19,6 +19,8 @@
     read_reply,
     read_request,
 )
+from fulmarroad_serving.engines._pace import SCAN_S
+from fulmarroad_serving.engines._pace_messages import PACE_FORMAT, read_pace
 
 NOTES_DELAY_S = 0.003
 """Time for which progress is collected into one packet: less than an engine step."""
@@ -32,7 +34,7 @@
 
 def is_owner_message(row: object) -> bool:
     """Return whether an unpacked packet is about placements."""
-    formats = (REQUEST_FORMAT, REPLY_FORMAT, PROGRESS_FORMAT)
+    formats = (REQUEST_FORMAT, REPLY_FORMAT, PROGRESS_FORMAT, PACE_FORMAT)
     return isinstance(row, list) and bool(row) and row[0] in formats
 
 
@@ -55,6 +57,8 @@
         self._send: Send = lambda data, host: None
         self._notes_due = anyio.Event()
         self._request_held = anyio.Event()
+        self._answer_begun = anyio.Event()
+        client.pace.on_begin = self._trigger_pace
         client.send = self._send_to
         client.on_notes = self._trigger_notes
 
@@ -69,6 +73,8 @@
         elif row[0] == REPLY_FORMAT:
             reply = read_reply(row)
             self._client.receive_reply(reply)
+        elif row[0] == PACE_FORMAT:
+            self._client.receive_pace(read_pace(row), now)
         else:
             self._granter.receive_progress(read_progress(row), now)
 
@@ -79,6 +85,7 @@
             group.start_soon(self._decide_held)
             group.start_soon(self._send_notes)
             group.start_soon(self._keep_in_step)
+            group.start_soon(self._report_pace)
 
     async def _decide_held(self) -> None:
         while True:
@@ -107,6 +114,18 @@
             incarnations = self._incarnations()
             self._client.adopt_from_lost(incarnations)
             self._granter.forget_routers(incarnations, self._clock())
+            self._client.tell_slow_changes(self._clock())
+
+    async def _report_pace(self) -> None:
+        """Report servers whose answers pause, while any answer runs here."""
+        pace = self._client.pace
+        while True:
+            if not pace.has_answers:
+                self._answer_begun = anyio.Event()
+                await self._answer_begun.wait()
+            await anyio.sleep(SCAN_S)
+            for owner, data in self._client.pace_reports():
+                self._send_to(owner, data)
 
     def _send_replies(self, replies: Iterable[AddressedReply]) -> None:
         for row in replies:
@@ -119,3 +138,6 @@
 
     def _trigger_notes(self) -> None:
         self._notes_due.set()
+
+    def _trigger_pace(self) -> None:
+        self._answer_begun.set()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -37,6 +37,7 @@
     StreamKeepers,
     is_stream_message,
 )
+from fulmarroad_serving.engines._book import SpeedClass
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -252,6 +253,16 @@
             self._dispatcher.own_load(),
             counts,
             owns_servers=self._may_own_servers,
+            speed_classes=self._speed_classes(),
+        )
+
+    def _speed_classes(self) -> tuple[SpeedClass, ...]:
+        if not self._may_own_servers:
+            return ()
+        return tuple(
+            row
+            for service in self._dispatcher.services_with_speeds()
+            for row in self._dispatcher.speed_classes(self.owners.owned(service).rows)
         )
 
     def _on_packet(self, data: bytes, host: str) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -23,6 +23,7 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.engines._book import SpeedClass
 
 ServerRun = tuple[ServerName, int]
 """A server and the Unix time of its start in milliseconds."""
@@ -84,6 +85,7 @@
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     owns_servers: bool = False  # may place the calls of other routers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    speed_classes: tuple[SpeedClass, ...] = ()  # of owned servers
 
 
 def pack_report(report: PeerReport) -> bytes:
@@ -108,6 +110,7 @@
         report.owns_servers,
         pack_server_runs(report.leaving_servers),
         pack_suspect_callers(report.suspects),
+        [list(row) for row in report.speed_classes],
     ]
     return bytes(msgpack.packb(row))
 
@@ -125,6 +128,14 @@
     return tuple((str(server), int(started_ms)) for server, started_ms in rows)
 
 
+def read_speed_classes(rows: list[Any]) -> tuple[SpeedClass, ...]:
+    """Decode classes of servers' speeds from rows.
+
+    Raises `ValueError` or `TypeError` for rows that are not valid.
+    """
+    return tuple((str(name), int(at), int(number)) for name, at, number in rows)
+
+
 def pack_loads(loads: Mapping[ServerName, PeerLoad]) -> list[Any]:
     """Encode loads as rows."""
     return [[name, load.running, load.waiting_tokens] for name, load in loads.items()]
@@ -273,6 +284,8 @@
             owns_servers=len(row) > 16 and bool(row[16]),
             # Routers of the previous release don't read such announcements.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
+            # Routers of the previous release don't know the speed of engines.
+            speed_classes=read_speed_classes(row[19]) if len(row) > 19 else (),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
         raise MessageError(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._registry import Instance, Registered, Registry, cold_bound
 from fulmarroad_serving._rests import ServerRest
 from fulmarroad_serving._routing import Candidate
+from fulmarroad_serving.engines._book import EngineBook
 
 PLAIN_SERVICE_S = 0.05
 """Assumed duration of a call to a plain service before any was measured."""
@@ -75,6 +76,7 @@
         self._bounds = bounds
         self._views: dict[ServerName, ServerView] = {}
         self.registry = Registry()
+        self.engines = EngineBook()
         self.routers: list[RouterName] = [me]
         """Routers that may exist, including this one."""
 
@@ -88,6 +90,7 @@
     def forget(self, server: ServerName) -> None:
         """Drop what is known of a server."""
         self._views.pop(server, None)
+        self.engines.forget(server)
 
     def own_load(self) -> dict[ServerName, PeerLoad]:
         """Return this router's own load at each server, for its peers."""
@@ -122,6 +125,7 @@
         ]
         for server in dropped:
             del self._views[server]
+            self.engines.forget(server)
         return dropped
 
     def accepts(
@@ -270,10 +274,17 @@
         """Record a call that is sent to a cold server."""
         self._cold_limit(server, service).note(budget, now)
 
-    def candidate(self, row: Registered, service: Service, now: float) -> Candidate:
-        """Return the estimates for a server that a placement compares."""
+    def candidate(
+        self, row: Registered, service: Service, now: float, *, speeds: bool = False
+    ) -> Candidate:
+        """Return the estimates for a server that a placement compares.
+
+        With `speeds`, those for an engine follow the model of its speed.
+        """
         instance = row.instance
         view = self.view(instance.id)
+        if speeds and service.engine is not None:
+            return self._engine_candidate(row, service, view, now)
         if service.engine is not None:
             wait = view.load.wait_s(instance.slots, now)
         else:
@@ -292,15 +303,41 @@
             service.engine.fetch_rate if service.engine is not None else 0.0,
         )
 
+    def _engine_candidate(
+        self, row: Registered, service: Service, view: ServerView, now: float
+    ) -> Candidate:
+        instance, load = row.instance, view.load
+        estimate = self.engines.estimate(service.name, instance.id, load, now)
+        assert service.engine is not None
+        return Candidate(
+            instance.id,
+            instance.data_centre,
+            now - row.started_at,
+            estimate.wait_s + load.slot_wait_s(instance.slots, now),
+            1.0 / estimate.token_s,
+            estimate.base_s,
+            view.health.penalty_s(now) + load.overdue_s(now),
+            service.engine.fetch_rate,
+        )
+
     def speed_class(self, server: ServerName) -> int:
-        """Return a server's lasting speed in half octaves from the median."""
-        return 0
+        """Return a server's lasting speed in half octaves from the median.
 
-    def tokens_per_s(self, service: ServiceName, source: random.Random) -> float:
+        It is 0 if nothing is known of the speed.
+        """
+        return self.engines.speed_class(server) or 0
+
+    def tokens_per_s(
+        self, service: ServiceName, source: random.Random, *, speeds: bool = False
+    ) -> float:
         """Return how many prompt tokens a second all engines of a service read."""
         usable = self.registry.usable(service)
         rows = source.sample(usable, min(MAX_SAMPLED_ENGINES, len(usable)))
-        rate = sum(self.view(row.instance.id).load.read_rate for row in rows)
+        names = [row.instance.id for row in rows]
+        if speeds:
+            rate = sum(self.engines.read_rate(service, name) for name in names)
+        else:
+            rate = sum(self.view(name).load.read_rate for name in names)
         return rate * len(usable) / max(1, len(rows))
 
     def _cold_limit(self, server: ServerName, service: Service) -> ColdLimit:
--- /dev/null
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Models of the inference engines behind a service."""
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -110,6 +110,8 @@
     PLACEMENT_REQUESTS_UNMET = EventKind(
         432, _I, "requests for places of a workspace refused or not used"
     )
+    ENGINE_SLOW = EventKind(435, _I, "engine is slow for the moment")
+    ENGINE_RECOVERED = EventKind(436, _I, "engine has its usual speed again")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
