--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace.py
@@ -34,31 +34,20 @@
 USUAL_MEMORY_S = 4.0
 """Running time in which the usual gap adapts."""
 
-MIN_LEARNED_S = 0.5
+MIN_LEARNED_S = 3.0
 """Running time of answers before which no gap counts as long."""
 
 LONG_RATIO = 1.8
 """Multiple of the usual gap from which a gap is long: a step is at most twice as long
 beside a prompt, and the quantile includes most of these."""
 
-SILENT_RATIO = 1.25
-SILENCE_RATIO = 2.2
-"""If all answers of a server are silent for this multiple of the usual silence, and at
-least two of them for this multiple of their usual gap, the gaps count as long already.
-"""
-
-USUAL_RATIO = 1.4
-"""Multiple of the usual gap up to which a gap counts as usual again."""
-
-MAX_GROUP = 8
-"""Number of running answers above which silences are learned together."""
+USUAL_RATIO = 1.25
+"""Multiple of the usual gap up to which a gap is usual. Gaps between the two multiples
+are weak evidence, of which an owner needs more."""
 
 REPEAT_S = 0.1
 """Time between two reports of a slow-down, so that a lost one does little harm."""
 
-LONG_LIFE_S = 0.3
-"""Time for which a long gap that has ended is evidence."""
-
 MAX_FACTOR = 4.0
 
 MIN_GAP_S = 0.001
@@ -66,6 +55,7 @@
 delayed together."""
 
 NOT_WAITING = float("inf")
+NEVER = float("-inf")
 
 _Answer = Hashable
 
@@ -84,17 +74,20 @@
 
     def note(self, gap_s: float, answers: int = 1) -> None:
         """Learn from a gap of one of a number of answers that run side by side."""
-        if not self.seconds:
-            self.seconds = gap_s
-        weight_s = min(gap_s, MAX_FACTOR * self.seconds) / answers
-        memory_s = min(USUAL_MEMORY_S, self._learned_s + MIN_LEARNED_S)
+        weight_s = gap_s / answers
+        self._learned_s += weight_s
+        if not self.known:
+            self.seconds = max(self.seconds, gap_s)
+            return
         if gap_s > self.seconds:
-            step = weight_s / memory_s * USUAL_QUANTILE
-            step = min(step, math.log(gap_s / self.seconds))
+            step = min(gap_s, LONG_RATIO * self.seconds) / answers * USUAL_QUANTILE
+            step = min(step / USUAL_MEMORY_S, math.log(gap_s / self.seconds))
         else:
-            step = -weight_s / memory_s * (1.0 - USUAL_QUANTILE)
+            # Gaps without prompts are short and many: beside those with prompts, they
+            # count by their length once more.
+            weight_s *= gap_s / self.seconds
+            step = -weight_s * (1.0 - USUAL_QUANTILE) / USUAL_MEMORY_S
         self.seconds *= math.exp(step)
-        self._learned_s += gap_s / answers
 
 
 @frozen
@@ -104,13 +97,17 @@
     factor: float
     answers: int
 
+    @property
+    def is_weak(self) -> bool:
+        """Return whether the gaps are only somewhat longer than usual."""
+        return self.factor < LONG_RATIO
+
 
 @define
 class _Progress:
     last_at: float = NOT_WAITING  # time of its last event, once the caller took it
-    long_in_row: int = 0
-    ratio: float = 1.0  # of the last long gap
-    long_at: float = float("-inf")
+    longer: int = 0  # gaps in a row
+    ratio: float = 0.0  # of the longest of them to the usual gap
 
 
 @define
@@ -118,23 +115,20 @@
     """Watch the answers of one server that run through this router."""
 
     usual: UsualGap = field(factory=UsualGap)
-    is_slow: bool = False
-    _silences: dict[int, UsualGap] = field(factory=dict)
     _answers: dict[_Answer, _Progress] = field(factory=dict)
-    _last_event_at: float = 0.0
-    _slow_since: float = 0.0
-    _usual_gaps: int = 0  # since the last long one
-    _reported_at: float = float("-inf")
+    _reported: PaceFinding | None = None  # last, while the server seems to be slow
+    _reported_at: float = NEVER
+    _slow_since: float = NEVER
+    _usual_gaps: int = 0  # since a longer one
 
     @property
     def running(self) -> int:
         """Return the number of answers that are watched."""
         return len(self._answers)
 
-    def begin(self, answer: _Answer, now: float) -> None:
+    def begin(self, answer: _Answer) -> None:
         """Watch an answer from its first event."""
         self._answers[answer] = _Progress()
-        self._last_event_at = now
 
     def await_next(self, answer: _Answer, since: float) -> None:
         """Begin a gap, once the caller took the last event."""
@@ -146,105 +140,86 @@
         """Stop watching an answer."""
         self._answers.pop(answer, None)
         if not self._answers:
-            self.is_slow = False
+            self._reported = None
 
     def note_event(self, answer: _Answer, now: float) -> None:
         """Record an event of an answer that is watched, and end its gap."""
         row = self._answers.get(answer)
         if row is None:
             return
-        self._learn_silence(now)
         gap_s, since = now - row.last_at, row.last_at
         row.last_at = NOT_WAITING
         if gap_s < MIN_GAP_S:
             return
-        usual = self.usual
-        if usual.known and gap_s > LONG_RATIO * usual.seconds:
-            row.long_in_row += 1
-            row.ratio, row.long_at = gap_s / usual.seconds, now
+        if self.usual.known and gap_s > USUAL_RATIO * self.usual.seconds:
+            row.longer += 1
+            row.ratio = max(row.ratio, gap_s / self.usual.seconds)
             self._usual_gaps = 0
-        else:
-            row.long_in_row = 0
-            self._note_usual(gap_s, since)
-        usual.note(gap_s, len(self._answers))
+        elif since >= self._slow_since:
+            self._note_usual()
+        self.usual.note(gap_s, len(self._answers))
 
     def restart_gaps(self, now: float) -> None:
         """Forget the gaps that are under way, as this router was late itself."""
         for row in self._answers.values():
-            row.long_in_row, row.long_at = 0, float("-inf")
+            row.longer, row.ratio = 0, 0.0
             if row.last_at < now:
                 row.last_at = now
-        self._last_event_at = now
-        self.is_slow = False
+        self._reported = None
 
     def look(self, now: float) -> PaceFinding | None:
         """Return what is to be reported now, None if nothing is."""
-        found = self._long_gaps(now) or self._silence(now)
+        found, last = self._longer_gaps(now), self._reported
         if found is None:
-            if self.is_slow and self._usual_gaps >= min(2, len(self._answers)):
-                self.is_slow = False
-                return PaceFinding(1.0, 0)
+            self._reported = None
+            is_over = last is not None and self._usual_gaps > 0
+            return PaceFinding(1.0, 0) if is_over else None
+        if last is None:
+            self._slow_since = now
+        elif now - self._reported_at < REPEAT_S and (
+            found.is_weak or (not last.is_weak and last.answers > 1)
+        ):
             return None
-        if not self.is_slow:
-            self.is_slow, self._slow_since = True, now
-        elif now - self._reported_at < REPEAT_S:
-            return None
-        self._usual_gaps = 0
-        self._reported_at = now
+        self._reported, self._reported_at = found, now
         return found
 
-    def _note_usual(self, gap_s: float, since: float) -> None:
-        """Count a usual gap; gaps that began before a slow-down was noticed don't."""
-        if gap_s > USUAL_RATIO * self.usual.seconds or since < self._slow_since:
-            return
+    def _note_usual(self) -> None:
+        """Count a usual gap that began after a slow-down was noticed.
+
+        Two of them end it, as gaps may end together after a pause of the network.
+        """
         self._usual_gaps += 1
         if self._usual_gaps >= min(2, len(self._answers)):
             for row in self._answers.values():
-                row.long_at = float("-inf")
+                row.longer, row.ratio = 0, 0.0
 
-    def _long_gaps(self, now: float) -> PaceFinding | None:
-        """Return the answers with long gaps; two long gaps in a row count as two.
+    def _longer_gaps(self, now: float) -> PaceFinding | None:
+        """Return the answers whose gaps are longer than usual.
 
-        One answer alone is reported as well: another router may see a second one.
+        Two gaps in a row count as two answers. One answer alone is reported if no
+        other one runs here: another router may see a second one.
         """
         if not self.usual.known:
             return None
-        usual_s = self.usual.seconds
         ratios: list[float] = []
         gaps = 0
         for row in self._answers.values():
-            ratio = (now - row.last_at) / usual_s
-            waits = ratio > LONG_RATIO
-            ended = now - row.long_at < LONG_LIFE_S
-            if waits or ended:
-                ratios.append(max(ratio if waits else 0.0, row.ratio if ended else 0.0))
-                gaps = max(gaps, waits + row.long_in_row)
+            waits = (now - row.last_at) / self.usual.seconds
+            longer = row.longer + (waits > USUAL_RATIO)
+            if longer:
+                ratios.append(max(row.ratio, waits))
+                gaps = max(gaps, longer)
         if not ratios or (len(ratios) == 1 and len(self._answers) > 1):
-            return None  # the other answers go on as usual
-        ratios.sort()
-        factor = min(ratios[len(ratios) // 2], MAX_FACTOR)
-        return PaceFinding(factor, max(len(ratios), min(gaps, 2)))
-
-    def _silence(self, now: float) -> PaceFinding | None:
-        """Return a silence of all answers that is longer than any usual one."""
-        group = self._silences.get(min(len(self._answers), MAX_GROUP))
-        if group is None or not group.known or not self.usual.known:
             return None
-        ratio = (now - self._last_event_at) / group.seconds
-        if ratio < SILENCE_RATIO:
-            return None
-        silent_s = SILENT_RATIO * self.usual.seconds
-        silent = sum(now - row.last_at > silent_s for row in self._answers.values())
-        if silent < 2:
-            return None
-        return PaceFinding(min(ratio, MAX_FACTOR), silent)
+        return _summary(ratios, extra=1 if len(ratios) == 1 and gaps > 1 else 0)
 
-    def _learn_silence(self, now: float) -> None:
-        silence_s, self._last_event_at = now - self._last_event_at, now
-        if len(self._answers) < 2 or silence_s <= 0:
-            return
-        group = min(len(self._answers), MAX_GROUP)
-        self._silences.setdefault(group, UsualGap()).note(silence_s)
+
+def _summary(ratios: list[float], extra: int) -> PaceFinding:
+    """Return the finding from the answers with long gaps if two are, else from all."""
+    long = [ratio for ratio in ratios if ratio > LONG_RATIO]
+    rows = sorted(long if len(long) + extra > 1 else ratios)
+    factor = min(rows[len(rows) // 2], MAX_FACTOR)
+    return PaceFinding(factor, len(rows) + extra)
 
 
 class PaceBook:
@@ -269,7 +244,7 @@
         monitor = self._monitors.get(server)
         if monitor is None:
             monitor = self._monitors[server] = PaceMonitor()
-        monitor.begin(answer, now)
+        monitor.begin(answer)
 
     def note_event(self, server: ServerName, answer: _Answer, now: float) -> None:
         """Record an event; do nothing for an answer that is not watched."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_slow_down.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_slow_down.py
@@ -17,10 +17,16 @@
 
 from attrs import define, evolve, field, frozen
 
-MIN_ANSWERS = 2
+from fulmarroad_serving.engines._pace import LONG_RATIO
+
+MIN_ANSWERS = 2.0
 """Number of answers that a slow-down needs: one may be a wrong guess of what was cached
 or a delay in the network."""
 
+WEAK_ANSWER = 0.5
+"""Weight of an answer whose gaps are longer than usual, but less than `LONG_RATIO`
+times: the load of an engine varies as well."""
+
 EVIDENCE_LIFE_S = 0.6
 """Time after which evidence that is not repeated expires."""
 
@@ -49,6 +55,11 @@
     answers: int
     at: float
 
+    @property
+    def weight(self) -> float:
+        """Return the number of answers, of which weak ones count less."""
+        return self.answers * (1.0 if self.factor >= LONG_RATIO else WEAK_ANSWER)
+
 
 @frozen
 class SlowState:
@@ -99,7 +110,7 @@
 
     def note_usual_first_token(self, reading_since: float, now: float) -> None:
         """End the slow-down if a prompt was read at usual speed after it began."""
-        if reading_since >= self._since:
+        if self._evidence and reading_since >= self._since:
             self._evidence.clear()
             self._contradicted_at = now
 
@@ -113,7 +124,7 @@
         rows = dict(self._evidence)
         if overdue > FACTOR_BOUNDS[0]:
             rows[OVERDUE] = Evidence(min(overdue, FACTOR_BOUNDS[1]), 1, now)
-        if sum(row.answers for row in rows.values()) < MIN_ANSWERS:
+        if sum(row.weight for row in rows.values()) < MIN_ANSWERS:
             return USUAL
         if self._evidence and now - self._since > MAX_SLOW_DOWN_S:
             return USUAL
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_speed.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_speed.py
@@ -29,8 +29,12 @@
 arrives at the end of a step."""
 
 MIN_SINGLE_TOKENS = 3_000
-"""Minimum number of tokens in a sample from a prompt that did not queue: it contains
-the network and the rest of a step as well."""
+"""Minimum number of tokens of a prompt that did not queue to tell anything of the
+speed: its time contains the network and the rest of a step as well."""
+
+SINGLE_SAMPLE_TOKENS = 12_000
+"""Minimum number of tokens of such a prompt for a sample, once there are samples from
+queued prompts: the rest of a step is a tenth of its time."""
 
 QUEUED_MARGIN_S = 0.01
 """Time before the first token of its predecessor at which a prompt has to be sent to be
@@ -70,11 +74,15 @@
 guess of what was cached, or from a paused router."""
 
 BASE_LEARNING_RATE = 0.1
-MAX_BASE_STEP_S = 0.1
-BASE_BOUNDS_S = (0.005, 0.2)
+MAX_BASE_STEP_S = 0.05
+BASE_BOUNDS_S = (0.005, 0.08)
 """Weight and limits of one first token in the time that does not depend on the prompt:
 up to one full step and a network round trip."""
 
+MAX_BASE_READING_S = 0.2
+"""Longest reading from which that time is learned: in a longer one, an error of the
+speed has a larger effect."""
+
 _MIN_TOKEN_S = 1.0 / READ_RATE_BOUNDS[1]
 _MAX_TOKEN_S = 1.0 / READ_RATE_BOUNDS[0]
 
@@ -156,6 +164,7 @@
     _stretch: _Stretch = field(factory=_Stretch)
     _recent: _Stretch = field(factory=_Stretch)
     _skipped: int = 0  # first tokens in a row
+    _queued_samples: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.refresh()
@@ -211,13 +220,14 @@
             total = ahead_tokens + tokens
             return self._note_single(sent_at, total, answers, now, is_slow=is_slow)
         total_s = (ahead_tokens + tokens) * self.token_s(answers)
-        if not is_slow:
+        if not is_slow and total_s < MAX_BASE_READING_S:
             self._learn_base(now - sent_at - total_s)
         for stretch in (self._stretch, self._recent):
             stretch.add(tokens, now - previous, answers)
         if self._stretch.tokens >= SAMPLE_TOKENS:
             row, self._stretch = self._stretch, _Stretch()
             if not is_slow:
+                self._queued_samples += 1
                 self._add_sample(row.token_s, row.answers)
         return self._recent_reading(now)
 
@@ -265,7 +275,8 @@
                 self._learn_base(now - sent_at - expected_s)
             return None
         reading_s = max(now - sent_at - self.base_s, MIN_READING_S)
-        if not is_slow:
+        is_precise = tokens >= SINGLE_SAMPLE_TOKENS
+        if not is_slow and (is_precise or self._queued_samples < KEPT_SAMPLES):
             self._add_sample(reading_s / tokens, answers)
         return Reading(reading_s / expected_s, sent_at)
 
