--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -39,7 +39,6 @@
     read_loads,
     read_member,
     read_server_runs,
-    read_speed_classes,
 )
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
@@ -49,7 +48,7 @@
     pack_suspects,
     read_suspects,
 )
-from fulmarroad_serving.engines._book import SpeedClass
+from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 FORMAT = 2
 """First field of each digest; reports of single routers have another value there."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -60,9 +60,7 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
-from fulmarroad_serving.engines._book import SlowChange, SpeedClass
-from fulmarroad_serving.engines._pace import PaceBook
-from fulmarroad_serving.engines._pace_messages import PaceReport
+from fulmarroad_serving.engines._speeds import EngineSpeeds
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -114,9 +112,7 @@
         """Called when a server announced its shutdown, to tell peers at once."""
         self.on_progress: Callable[[Ticket], None] = lambda ticket: None
         """Called when a granted call is sent, begins or ends, to tell its owner."""
-        self.pace = PaceBook()
-        self.on_slow_change: Callable[[SlowChange], None] = lambda change: None
-        """Called when a server of this router became slow, or is no longer."""
+        self.speeds = EngineSpeeds(self.servers, self.learns_speeds)
 
     @property
     def routers(self) -> list[RouterName]:
@@ -141,7 +137,7 @@
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
         self.parts.forget(server)
-        self.pace.forget(server)
+        self.speeds.pace.forget(server)
 
     def note_leaving(self, server: ServerName, started_ms: int, source: str) -> None:
         """Give no more calls to a run of a server that announced its shutdown.
@@ -345,7 +341,7 @@
         view = self.servers.view(server)
         choice = placement.choice
         expected_s = choice.wait_s + choice.read_s
-        ahead = self._unread_tokens(demand.service, server, now)
+        ahead = self.speeds.unread_tokens(demand.service, server, now)
         charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
         charge = evolve(charge, part=self._shared_part(demand, choice, now))
         if ahead is not None:
@@ -396,6 +392,10 @@
     def adopt(self, ticket: Ticket) -> None:
         """Count a granted call here from now on, as its owner is gone."""
         view = self.servers.view(ticket.charge.server)
+        if self.learns_speeds(ticket.demand.service):
+            # The owner knew the queue; this router only knows the expected wait.
+            ahead = ticket.charge.wait_s * view.load.read_rate
+            ticket.charge = evolve(ticket.charge, ahead_tokens=ahead)
         ticket.charge = view.load.adopt(ticket.charge, begun=ticket.begun)
         ticket.grant = None
 
@@ -410,12 +410,16 @@
             as_assumed = self._part_was_as_assumed(charge, load, now)
             if self.learns_speeds(ticket.demand.service):
                 load.begin(charge, now, learn=False)
-                self._learn_speed(ticket, load, now, as_assumed=as_assumed)
+                self.speeds.note_begun(ticket, load, now, as_assumed=as_assumed)
             else:
                 load.begin(charge, now, learn=as_assumed)
         else:
             self.on_progress(ticket)
 
+    def services_with_speeds(self) -> list[ServiceName]:
+        """Return the services whose engines' speeds are modelled."""
+        return [name for name in self._catalog.services if self.learns_speeds(name)]
+
     def learns_speeds(self, service: ServiceName) -> bool:
         """Return whether the speed of a service's engines is modelled."""
         row = self._catalog.services.get(service)
@@ -423,96 +427,6 @@
             return False
         return self.features(service).engine_speeds
 
-    def services_with_speeds(self) -> list[ServiceName]:
-        """Return the services whose engines' speeds are modelled."""
-        return [name for name in self._catalog.services if self.learns_speeds(name)]
-
-    def _learn_speed(
-        self, ticket: Ticket, load: ServerLoad, now: float, *, as_assumed: bool
-    ) -> None:
-        charge = ticket.charge
-        if ticket.source is None:  # a fetched part takes time that is not reading
-            self.servers.engines.note_begun(
-                ticket.demand.service, charge, load, now, as_assumed=as_assumed
-            )
-        self._tell_slow_change(charge.server, now)
-
-    def _unread_tokens(
-        self, service: ServiceName, server: ServerName, now: float
-    ) -> float | None:
-        """Return the tokens before a new prompt; None where speeds aren't modelled."""
-        if not self.learns_speeds(service):
-            return None
-        load = self.servers.view(server).load
-        return self.servers.engines.unread_tokens(service, server, load, now)
-
-    def watch_answer(self, ticket: Ticket, now: float) -> None:
-        """Watch the gaps of an answer that begins, where speeds are modelled."""
-        if self.learns_speeds(ticket.demand.service):
-            self.pace.begin(ticket.charge.server, id(ticket), now)
-
-    def receive_pace(self, report: PaceReport, now: float) -> None:
-        """Apply a report on the gaps of the answers of a server of this router.
-
-        A report on another run of the server is dropped.
-        """
-        row = self.registry.get(report.server)
-        if row is None or row.instance.started_ms != report.started_ms:
-            return
-        service = row.instance.service
-        if self.learns_speeds(service):
-            self.servers.engines.receive_pace(service, report, now)
-            self._tell_slow_change(report.server, now)
-
-    def note_read_rate(
-        self, service: ServiceName, server: ServerName, rate: float, now: float
-    ) -> None:
-        """Store the speed of an engine as its owner learned it."""
-        self.load(server).read_rate = rate
-        if self.learns_speeds(service):
-            self.servers.engines.note_reported_rate(service, server, rate, now)
-
-    def tell_slow_changes(self, now: float) -> None:
-        """Log the slow-downs that ended without a further report or first token."""
-        for server in self.servers.engines.slow_servers():
-            self._tell_slow_change(server, now)
-
-    def _tell_slow_change(self, server: ServerName, now: float) -> None:
-        load = self.servers.view(server).load
-        change = self.servers.engines.poll(server, load, now)
-        if change is None:
-            return
-        emit(
-            logger,
-            Event.ENGINE_RECOVERED if change.ended else Event.ENGINE_SLOW,
-            server=server,
-            factor=round(change.state.factor, 1),
-            source=change.state.source,
-        )
-        self.on_slow_change(change)
-
-    def speed_classes(self, rows: Iterable[Registered]) -> tuple[SpeedClass, ...]:
-        """Return the known classes of servers, for a report."""
-        known = (
-            (row.instance, self.servers.engines.speed_class(row.instance.id))
-            for row in rows
-        )
-        return tuple(
-            (instance.id, instance.started_ms, number)
-            for instance, number in known
-            if number is not None
-        )
-
-    def receive_speed_classes(self, rows: Iterable[SpeedClass], now: float) -> None:
-        """Store the classes of servers that their owners reported."""
-        for server, started_ms, number in rows:
-            row = self.registry.get(server)
-            if row is None or row.instance.started_ms != started_ms:
-                continue
-            service = row.instance.service
-            if self.learns_speeds(service):
-                self.servers.engines.note_reported_class(service, server, number, now)
-
     def _shared_part(
         self, demand: Demand, choice: Choice, now: float
     ) -> SharedPart | None:
@@ -540,7 +454,7 @@
         `outcome` is None if the call was answered or its caller disconnected.
         """
         view = self.servers.view(ticket.charge.server)
-        self.pace.end(ticket.charge.server, id(ticket))
+        self.speeds.pace.end(ticket.charge.server, id(ticket))
         if ticket.grant is not None:
             ticket.outcome, ticket.ended = outcome, True
             self.on_progress(ticket)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -241,11 +241,11 @@
         instance: Instance,
     ) -> None:
         arrived_at, server = self._clock(), instance.id
-        pace = self._dispatcher.pace
+        pace = self._dispatcher.speeds.pace
         if ticket.begun:
             pace.note_event(server, id(ticket), arrived_at)
         else:
-            self._dispatcher.watch_answer(ticket, arrived_at)
+            self._dispatcher.speeds.watch_answer(ticket, arrived_at)
         self._note_begun(run, ticket)
         self._note_good_run(run, ticket)
         if not run.responder.begun:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -384,7 +384,7 @@
         self._note_parts(report.parts, now)
         self._note_suspects(report.suspects, now)
         self._note_leaving_servers(report.leaving_servers, report.router)
-        self._dispatcher.receive_speed_classes(report.speed_classes, now)
+        self._dispatcher.speeds.receive_classes(report.speed_classes, now)
         if self.uses_collectors:
             self._introduce_collectors(report, now, is_new=is_new)
         member = member_id(report.router)
@@ -423,7 +423,7 @@
         self._note_parts(digest.parts, now)
         self._note_suspects(digest.suspects, now)
         self._note_leaving_servers(digest.leaving_servers, digest.sender)
-        self._dispatcher.receive_speed_classes(digest.speed_classes, now)
+        self._dispatcher.speeds.receive_classes(digest.speed_classes, now)
         if digest.scope and digest.speed_classes:
             self._remote_classes[digest.scope] = (now, digest.speed_classes)
         if digest.scope == self._centre:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -109,7 +109,7 @@
     @property
     def pace(self) -> PaceBook:
         """Return the answers of which this router watches the gaps."""
-        return self._dispatcher.pace
+        return self._dispatcher.speeds.pace
 
     def owner_for(self, demand: Demand) -> RouterName | None:
         """Return the router to ask, which may be this one; None: there is no owner."""
@@ -256,11 +256,11 @@
         A router that stands in for a silent owner places calls as well, so it applies
         reports on servers that it doesn't own by its own view of the fleet.
         """
-        self._dispatcher.receive_pace(report, now)
+        self._dispatcher.speeds.receive_pace(report, now)
 
     def tell_slow_changes(self, now: float) -> None:
         """Log the slow-downs that ended without a further report."""
-        self._dispatcher.tell_slow_changes(now)
+        self._dispatcher.speeds.tell_slow_changes(now)
 
     def pace_reports(self) -> list[tuple[RouterName, bytes]]:
         """Return the packets on servers whose answers pause here, by owner.
@@ -268,7 +268,7 @@
         Reports on servers of this router are applied at once.
         """
         now, packets = self._clock(), []
-        for server, finding in self._dispatcher.pace.scan(now):
+        for server, finding in self._dispatcher.speeds.pace.scan(now):
             row = self._dispatcher.registry.get(server)
             if row is None:
                 continue
@@ -285,7 +285,7 @@
                 finding.answers,
             )
             if owner == self.me:
-                self._dispatcher.receive_pace(report, now)
+                self._dispatcher.speeds.receive_pace(report, now)
             elif owner is not None:
                 packets.append((owner, pack_pace(report)))
         return packets
@@ -350,7 +350,7 @@
             self._return_unused(reply)
             return None
         if reply.read_rate:
-            self._dispatcher.note_read_rate(
+            self._dispatcher.speeds.note_read_rate(
                 demand.service, reply.server, reply.read_rate, self._clock()
             )
         registry = self._dispatcher.registry
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -262,7 +262,7 @@
         return tuple(
             row
             for service in self._dispatcher.services_with_speeds()
-            for row in self._dispatcher.speed_classes(self.owners.owned(service).rows)
+            for row in self._dispatcher.speeds.classes(self.owners.owned(service).rows)
         )
 
     def _on_packet(self, data: bytes, host: str) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -23,7 +23,7 @@
     pack_suspects,
     read_suspects,
 )
-from fulmarroad_serving.engines._book import SpeedClass
+from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 ServerRun = tuple[ServerName, int]
 """A server and the Unix time of its start in milliseconds."""
@@ -128,14 +128,6 @@
     return tuple((str(server), int(started_ms)) for server, started_ms in rows)
 
 
-def read_speed_classes(rows: list[Any]) -> tuple[SpeedClass, ...]:
-    """Decode classes of servers' speeds from rows.
-
-    Raises `ValueError` or `TypeError` for rows that are not valid.
-    """
-    return tuple((str(name), int(at), int(number)) for name, at, number in rows)
-
-
 def pack_loads(loads: Mapping[ServerName, PeerLoad]) -> list[Any]:
     """Encode loads as rows."""
     return [[name, load.running, load.waiting_tokens] for name, load in loads.items()]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
@@ -10,6 +10,7 @@
 
 import math
 from collections.abc import Mapping
+from typing import Any
 
 from attrs import define, field, frozen
 
@@ -137,6 +138,7 @@
             now=now,
             as_assumed=as_assumed,
             is_slow=engine.slow.state(now).is_slow,
+            alone=load.total_running(now) == load.running,
         )
         if reading is None:
             return
@@ -277,3 +279,11 @@
             if present is None or abs(exact - present) > CLASS_HYSTERESIS:
                 present = min(max(round(exact), -MAX_CLASS), MAX_CLASS)
             row.own_class = present
+
+
+def read_speed_classes(rows: list[Any]) -> tuple[SpeedClass, ...]:
+    """Decode classes of servers' speeds from rows.
+
+    Raises `ValueError` or `TypeError` for rows that are not valid.
+    """
+    return tuple((str(name), int(at), int(number)) for name, at, number in rows)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_speed.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_speed.py
@@ -204,21 +204,24 @@
         now: float,
         as_assumed: bool = True,
         is_slow: bool = False,
+        alone: bool = True,
     ) -> Reading | None:
         """Learn from a first token and return how long the reading took.
 
         `as_assumed` is false if the shared part was cached and seemed not to be, or the
-        reverse. `is_slow` is true during a slow-down, which is not learned. Return None
-        if the first token tells nothing of the reading speed.
+        reverse. `is_slow` is true during a slow-down, which is not learned. Without
+        `alone`, prompts of other routers are read between those of this one. Return
+        None if the first token tells nothing of the reading speed.
         """
         previous, self._last_begun_at = self._last_begun_at, now
         if not self._may_learn(as_assumed=as_assumed):
             self._stretch, self._recent = _Stretch(), _Stretch()
             return None
-        if sent_at > previous - QUEUED_MARGIN_S:
+        if not alone or sent_at > previous - QUEUED_MARGIN_S:
             self._stretch, self._recent = _Stretch(), _Stretch()
             total = ahead_tokens + tokens
-            return self._note_single(sent_at, total, answers, now, is_slow=is_slow)
+            single = self._note_single(sent_at, total, answers, now, is_slow=is_slow)
+            return single if alone else None
         total_s = (ahead_tokens + tokens) * self.token_s(answers)
         if not is_slow and total_s < MAX_BASE_READING_S:
             self._learn_base(now - sent_at - total_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -124,7 +124,7 @@
         self._dispatcher.on_large_prompt = self._peers.trigger_load_report
         self._dispatcher.suspects.on_change = self._peers.trigger_report
         self._dispatcher.on_leaving = self._peers.trigger_report
-        self._dispatcher.on_slow_change = self._metrics.note_slow_change
+        self._dispatcher.speeds.on_slow_change = self._metrics.note_slow_change
         self._dispatcher.suspects.on_barred = _log_barred
         self._dispatcher.suspects.on_cleared = _log_cleared
         self._resumption = resumption = StreamResumption(
--- a/packages/fulmarroad-serving/tests/test_engine_speed.py
+++ b/packages/fulmarroad-serving/tests/test_engine_speed.py
@@ -7,7 +7,7 @@
 import pytest
 from engine_bed import DEPLOYMENT_A, DEPLOYMENT_B, SERVER, SERVICE, EngineBed
 
-from fulmarroad_serving._load import READ_RATE, Charge, ServerLoad
+from fulmarroad_serving._load import READ_RATE, Charge, PeerLoad, ServerLoad
 from fulmarroad_serving.engines._book import EngineBook
 from fulmarroad_serving.engines._speed import EngineSpeed, ServiceSpeed
 
@@ -133,6 +133,17 @@
             begin(speed, 8_000, now, is_slow=True)
         assert 1 / speed.lasting_token_s == pytest.approx(30_000)
 
+    def test_prompts_of_other_routers_do_not_make_an_engine_slow(self):
+        """A router without the engine's owner sees only its own first tokens."""
+        book, load, now = EngineBook(), ServerLoad(), 10.0
+        for _ in range(30):
+            load.receive_load("peer", PeerLoad(4, 24_000), now)
+            ahead = book.unread_tokens(SERVICE, SERVER, load, now)
+            charge = Charge(SERVER, 8_000, ahead, now)
+            now += 0.035 + 32_000 / 30_000
+            book.note_begun(SERVICE, charge, load, now, as_assumed=True)
+        assert book.read_rate(SERVICE, SERVER) == pytest.approx(30_000, rel=0.1)
+
     def test_running_answers_are_learned_for_all_engines_of_a_service(self):
         """A new engine would otherwise have to see few and many answers itself."""
         service, source = ServiceSpeed(), random.Random(3)
