--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -483,6 +483,7 @@
         """Drop expired entries and return the servers that were removed."""
         removed = self.registry.expire(now)
         for server in self.servers.drop_removed():
+            self.speeds.pace.forget(server)
             self.parts.forget(server)
         return removed
 
