Learn the usual gap from a first gap of any length

A first gap longer than the learning time was compared with a usual gap of zero, which ended the forwarding of the answer with a ZeroDivisionError.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace.py
@@ -74,19 +74,20 @@
 
     def note(self, gap_s: float, answers: int = 1) -> None:
         """Learn from a gap of one of a number of answers that run side by side."""
-        weight_s = gap_s / answers
+        weight_s, was_known = gap_s / answers, self.known
         self._learned_s += weight_s
-        if not self.known:
+        if not was_known:
             self.seconds = max(self.seconds, gap_s)
             return
+        most = math.log(gap_s / self.seconds)
         if gap_s > self.seconds:
             step = min(gap_s, LONG_RATIO * self.seconds) / answers * USUAL_QUANTILE
-            step = min(step / USUAL_MEMORY_S, math.log(gap_s / self.seconds))
+            step = min(step / USUAL_MEMORY_S, most)
         else:
             # Gaps without prompts are short and many: beside those with prompts, they
             # count by their length once more.
             weight_s *= gap_s / self.seconds
-            step = -weight_s * (1.0 - USUAL_QUANTILE) / USUAL_MEMORY_S
+            step = max(-weight_s * (1.0 - USUAL_QUANTILE) / USUAL_MEMORY_S, most)
         self.seconds *= math.exp(step)
 
 
--- a/packages/fulmarroad-serving/tests/test_slow_engines.py
+++ b/packages/fulmarroad-serving/tests/test_slow_engines.py
@@ -10,7 +10,13 @@
 from fulmarroad_serving._load import ServerLoad
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving.engines._book import EngineBook
-from fulmarroad_serving.engines._pace import SCAN_S, PaceBook, PaceFinding
+from fulmarroad_serving.engines._pace import (
+    MIN_GAP_S,
+    SCAN_S,
+    PaceBook,
+    PaceFinding,
+    UsualGap,
+)
 from fulmarroad_serving.engines._pace_messages import PaceReport, pack_pace, read_pace
 from fulmarroad_serving.engines._slow_down import SlowDown
 
@@ -259,6 +265,15 @@
         router.usual(2)
         assert router.found == []
 
+    @settings(deadline=None)
+    @given(st.lists(st.floats(MIN_GAP_S, 1e4), max_size=30), st.integers(1, 9))
+    def test_any_gaps_give_a_usual_gap_among_them(self, gaps, answers):
+        """Guard against a first gap of seconds, which ended the call with an error."""
+        usual = UsualGap()
+        for gap_s in gaps:
+            usual.note(gap_s, answers)
+            assert min(gaps) * 0.999 < usual.seconds < max(gaps) * 1.001
+
     def test_nothing_is_reported_before_gaps_are_known(self):
         router = Watched(2)
         router.usual(3)
