--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
@@ -16,7 +16,7 @@
 
 from fulmarroad.types import ServerName
 from fulmarroad_serving._catalog import ServiceName
-from fulmarroad_serving._load import Charge, ServerLoad
+from fulmarroad_serving._load import READ_RATE_BOUNDS, Charge, ServerLoad
 from fulmarroad_serving.engines._pace import LONG_RATIO, USUAL_RATIO
 from fulmarroad_serving.engines._pace_messages import PaceReport
 from fulmarroad_serving.engines._slow_down import USUAL, SlowDown, SlowState
@@ -169,7 +169,8 @@
     ) -> None:
         """Store the speed that an engine's owner learned, in tokens a second."""
         engine = self._engine(service, server)
-        engine.speed.reported_token_s = 1.0 / rate
+        low, high = READ_RATE_BOUNDS
+        engine.speed.reported_token_s = 1.0 / min(max(low, rate), high)
         engine.speed.refresh()
         self._update(service, now)
 
--- a/packages/fulmarroad-serving/tests/test_engine_speed.py
+++ b/packages/fulmarroad-serving/tests/test_engine_speed.py
@@ -7,7 +7,13 @@
 import pytest
 from engine_bed import DEPLOYMENT_A, DEPLOYMENT_B, SERVER, SERVICE, EngineBed
 
-from fulmarroad_serving._load import READ_RATE, Charge, PeerLoad, ServerLoad
+from fulmarroad_serving._load import (
+    READ_RATE,
+    READ_RATE_BOUNDS,
+    Charge,
+    PeerLoad,
+    ServerLoad,
+)
 from fulmarroad_serving.engines._book import EngineBook
 from fulmarroad_serving.engines._speed import EngineSpeed, ServiceSpeed
 
@@ -211,5 +217,13 @@
         rate = book.read_rate(SERVICE, "mine")
         assert rate == pytest.approx(54_000, rel=0.1)
 
+    @pytest.mark.parametrize("rate", [-1.0, 1e-300, math.inf, math.nan])
+    def test_rate_from_a_faulty_owner_stays_within_bounds(self, rate):
+        book = make_book(self.RATES)
+        book.note_reported_rate(SERVICE, "bad", rate, 99.0)
+        book.note_reported_class(SERVICE, "bad", 1, 99.0)
+        low, high = READ_RATE_BOUNDS
+        assert low <= book.read_rate(SERVICE, "bad") <= high
+
     def test_engine_of_an_unknown_service_starts_at_the_default(self):
         assert math.isclose(EngineBook().read_rate("other", "e-9"), READ_RATE)
