--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -48,6 +48,7 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 FORMAT = 2
 """First field of each digest; reports of single routers have another value there."""
@@ -107,6 +108,7 @@
     parts: tuple[tuple[PartId, ServerName], ...] = ()  # recently sent to servers
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    speed_classes: tuple[SpeedClass, ...] = ()  # as the servers' owners reported
     rooms: tuple[MemberRoom, ...] = ()  # what engines of owners can begin soon
 
 
@@ -214,7 +216,7 @@
         pack_suspects(digest.suspects),
         pack_server_runs(digest.leaving_servers),
         pack_suspect_callers(digest.suspects),
-        [],  # speed classes
+        [list(row) for row in digest.speed_classes],
         _pack_rooms(digest.rooms),
     ]
     return bytes(msgpack.packb(row))
@@ -263,6 +265,7 @@
             if len(row) > 9
             else (),
             read_server_runs(row[10]) if len(row) > 10 else (),
+            read_speed_classes(row[12]) if len(row) > 12 else (),
             _read_rooms(row[13]) if len(row) > 13 else (),
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -64,6 +64,7 @@
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
 from fulmarroad_serving.admission import StartBound, excess_wait_s
+from fulmarroad_serving.engines._speeds import EngineSpeeds
 from fulmarroad_serving.placement import (
     NO_CLASSES,
     ClassSnapshot,
@@ -125,6 +126,7 @@
         """Called when a server announced its shutdown, to tell peers at once."""
         self.on_progress: Callable[[Ticket], None] = lambda ticket: None
         """Called when a granted call is sent, begins or ends, to tell its owner."""
+        self.speeds = EngineSpeeds(self.servers, self.learns_speeds)
 
     @property
     def routers(self) -> list[RouterName]:
@@ -189,6 +191,7 @@
         """Drop the state of a server that restarted."""
         self.servers.forget(server)
         self.parts.forget(server)
+        self.speeds.pace.forget(server)
 
     def note_leaving(self, server: ServerName, started_ms: int, source: str) -> None:
         """Give no more calls to a run of a server that announced its shutdown.
@@ -247,7 +250,8 @@
             return None
         engines = self._capacity(service.name)
         if engines.is_outdated(now):
-            speed = self.servers.tokens_per_s(service.name, self._random)
+            speeds = self.learns_speeds(service.name)
+            speed = self.servers.tokens_per_s(service.name, self._random, speeds=speeds)
             engines.note_speed(speed, now)
         if not engines.tokens_per_s:
             return None  # no engine at all; `place` refuses with that reason
@@ -352,8 +356,11 @@
             if rest_s is not None:
                 return refuse_for_rest(rest_s)
             return refuse_without_server(self._random)
+        speeds = self.learns_speeds(service.name)
         candidates = [
-            self.servers.candidate(row, service, now, classes.get(row.instance.id, 0))
+            self.servers.candidate(
+                row, service, now, classes.get(row.instance.id, 0), speeds=speeds
+            )
             for row in rows
         ]
         use = self.use_of(demand, now)
@@ -420,8 +427,11 @@
         view = self.servers.view(server)
         choice = placement.choice
         expected_s = choice.wait_s + choice.read_s
+        ahead = self.speeds.unread_tokens(demand.service, server, now)
         charge = view.load.send(server, choice.tokens, now, expected_s, choice.wait_s)
         charge = evolve(charge, part=self._shared_part(demand, choice, now))
+        if ahead is not None:
+            charge = evolve(charge, ahead_tokens=ahead)
         self._note_cold_call(demand, placement, now, for_peer=for_peer)
         if choice.tokens >= LARGE_PROMPT_TOKENS and self.on_large_prompt is not None:
             self.on_large_prompt()
@@ -472,6 +482,10 @@
     def adopt(self, ticket: Ticket, now: float) -> None:
         """Count a granted call here from now on, as its owner is gone."""
         view = self.servers.view(ticket.charge.server)
+        if self.learns_speeds(ticket.demand.service):
+            # The owner knew the queue; this router only knows the expected wait.
+            ahead = ticket.charge.wait_s * view.load.read_rate
+            ticket.charge = evolve(ticket.charge, ahead_tokens=ahead)
         ticket.charge = view.load.adopt(ticket.charge, begun=ticket.begun)
         ticket.grant = None
         if self.features(ticket.demand.service).answer_lengths:
@@ -485,10 +499,26 @@
         if ticket.grant is None:
             charge = ticket.charge
             load = self.servers.view(charge.server).load
-            load.begin(charge, now, learn=self._part_was_as_assumed(charge, load, now))
+            as_assumed = self._part_was_as_assumed(charge, load, now)
+            if self.learns_speeds(ticket.demand.service):
+                load.begin(charge, now, learn=False)
+                self.speeds.note_begun(ticket, load, now, as_assumed=as_assumed)
+            else:
+                load.begin(charge, now, learn=as_assumed)
         else:
             self.on_progress(ticket)
 
+    def services_with_speeds(self) -> list[ServiceName]:
+        """Return the services whose engines' speeds are modelled."""
+        return [name for name in self._catalog.services if self.learns_speeds(name)]
+
+    def learns_speeds(self, service: ServiceName) -> bool:
+        """Return whether the speed of a service's engines is modelled."""
+        row = self._catalog.services.get(service)
+        if row is None or row.engine is None:
+            return False
+        return self.features(service).engine_speeds
+
     def _shared_part(
         self, demand: Demand, choice: Choice, now: float
     ) -> SharedPart | None:
@@ -516,6 +546,7 @@
         `outcome` is None if the call was answered or its caller disconnected.
         """
         view = self.servers.view(ticket.charge.server)
+        self.speeds.pace.end(ticket.charge.server, id(ticket))
         if ticket.grant is not None:
             ticket.outcome, ticket.ended = outcome, True
             self.on_progress(ticket)
@@ -548,6 +579,7 @@
         """Drop expired entries and return the servers that were removed."""
         removed = self.registry.expire(now)
         for server in self.servers.drop_removed():
+            self.speeds.pace.forget(server)
             self.parts.forget(server)
         return removed
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -242,6 +242,12 @@
         ticket: Ticket,
         instance: Instance,
     ) -> None:
+        arrived_at, server = self._clock(), instance.id
+        pace = self._dispatcher.speeds.pace
+        if ticket.begun:
+            pace.note_event(server, id(ticket), arrived_at)
+        else:
+            self._dispatcher.speeds.watch_answer(ticket, arrived_at)
         self._note_begun(run, ticket)
         self._note_good_run(run, ticket)
         if not run.responder.begun:
@@ -254,6 +260,7 @@
             await run.responder.begin(head.status, list(head.forward))
         ticket.events += whole.count
         await run.responder.send(whole.raw)
+        pace.await_next(server, id(ticket), arrived_at, self._clock())
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_load.py
@@ -119,6 +119,11 @@
     _peers_waiting: int = 0
     _peers_reported_at: float = 0.0  # on average, by waiting tokens
 
+    @property
+    def oldest(self) -> Charge | None:
+        """Return the oldest of this router's calls that have not begun."""
+        return next(iter(self._unbegun.values()), None)
+
     def send(
         self,
         server: ServerName,
@@ -161,7 +166,7 @@
         A server that accepts calls and never answers causes no failures until the
         callers' deadlines, and meanwhile looks like the least loaded one.
         """
-        oldest = next(iter(self._unbegun.values()), None)
+        oldest = self.oldest
         if oldest is None:
             return 0.0
         due = OVERDUE_ESTIMATES * oldest.expected_s + OVERDUE_S
@@ -219,6 +224,13 @@
         self._sum_peers(now)
         return self.running + self._peers_running
 
+    def answering(self, now: float) -> float:
+        """Return how many answers run on average until a new prompt is read.
+
+        The calls that have not begun do so one after the other.
+        """
+        return max(0.0, self.total_running(now) - len(self._unbegun) / 2)
+
     def total_waiting(self, now: float) -> float:
         """Return the number of prompt tokens of all routers that wait to be read."""
         self._sum_peers(now)
@@ -231,9 +243,13 @@
     def wait_s(self, slots: int, now: float) -> float:
         """Return how long a new prompt waits before it is read."""
         wait = self.total_waiting(now) / self.read_rate
-        if slots and (running := self.total_running(now)) >= slots:
-            wait += self._slot_wait_s(running + 1 - slots, running, now)
-        return wait
+        return wait + self.slot_wait_s(slots, now)
+
+    def slot_wait_s(self, slots: int, now: float) -> float:
+        """Return the part of a new prompt's wait that is for a free slot."""
+        if not slots or (running := self.total_running(now)) < slots:
+            return 0.0
+        return self._slot_wait_s(running + 1 - slots, running, now)
 
     def _slot_wait_s(self, ends: int, running: int, now: float) -> float:
         """Return the time until a number of the running answers has ended."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -20,6 +20,7 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 ServerRun = tuple[ServerName, int]
 """A server and the Unix time of its start in milliseconds."""
@@ -81,6 +82,7 @@
     suspects: tuple[SuspectRow, ...] = ()  # requests that may have crashed servers
     owns_servers: bool = False  # may place the calls of other routers
     leaving_servers: tuple[ServerRun, ...] = ()  # announced it, no entry says so
+    speed_classes: tuple[SpeedClass, ...] = ()  # of owned servers
     room: int = 0  # prompt tokens that engines of this owner can begin soon
 
 
@@ -106,7 +108,7 @@
         report.owns_servers,
         pack_server_runs(report.leaving_servers),
         pack_suspect_callers(report.suspects),
-        [],  # speed classes
+        [list(row) for row in report.speed_classes],
         report.room,
     ]
     return bytes(msgpack.packb(row))
@@ -273,6 +275,8 @@
             owns_servers=len(row) > 16 and bool(row[16]),
             # Routers of the previous release state neither of these.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
+            # Routers of the previous release don't know the speed of engines.
+            speed_classes=read_speed_classes(row[19]) if len(row) > 19 else (),
             room=int(row[20]) if len(row) > 20 else 0,
         )
     except (ValueError, TypeError, IndexError, OverflowError) as error:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/__init__.py
@@ -1,4 +1,4 @@
-"""Estimate what engines do: the length of their answers and when slots become free."""
+"""Estimate how fast engines are, how long their answers get and when slots free."""
 
 from fulmarroad_serving.engines._answer_lengths import AnswerKind as AnswerKind
 from fulmarroad_serving.engines._answer_lengths import AnswerLengths as AnswerLengths
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -115,6 +115,8 @@
     )
     CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
     RETRIES_SCHEDULED = EventKind(434, _I, "returns of refused calls scheduled")
+    ENGINE_SLOW = EventKind(435, _I, "engine is slow for the moment")
+    ENGINE_RECOVERED = EventKind(436, _I, "engine has its usual speed again")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
