Count calls that wait for a part as the queue of its holders

Cause: with short queues at the engines, calls for a hot part all waited for its holder, and calls of workspaces above their share ended their wait while engines idled.

Change: tokens that wait for a part count as its holders' queue when an engine is chosen; a call that waited for half of its time may use an idle engine, whatever the reading of its part costs.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -62,7 +62,12 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
-from fulmarroad_serving.admission import StartBound, choose_within, excess_wait_s
+from fulmarroad_serving.admission import (
+    StartBound,
+    excess_wait_s,
+    idle_engines,
+    with_backlog,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -293,7 +298,10 @@
         candidates = [self.servers.candidate(row, service, now) for row in rows]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose_engine(demand, candidates, use, now, commit)
+            if commit is None:
+                choice = self._choose_engine(demand, candidates, use, now)
+            else:
+                choice = self._choose_queued(demand, candidates, use, now, commit)
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
@@ -472,30 +480,41 @@
         return removed
 
     def _choose_engine(
+        self, demand: Demand, candidates: Sequence[Candidate], use: ShareUse, now: float
+    ) -> Choice | None:
+        return self._choose(
+            demand.prompt,
+            candidates,
+            self.parts,
+            self._centre,
+            now,
+            may_read_again=use.may_spread,
+            shortage=use.shortage,
+        )
+
+    def _choose_queued(
         self,
         demand: Demand,
         candidates: Sequence[Candidate],
         use: ShareUse,
         now: float,
-        commit: StartBound | None,
+        commit: StartBound,
     ) -> Choice | None:
-        def choose(rows: Sequence[Candidate]) -> Choice | None:
-            return self._choose(
-                demand.prompt,
-                rows,
-                self.parts,
-                self._centre,
-                now,
-                may_read_again=use.may_spread,
-                shortage=use.shortage,
-            )
-
-        choice = choose(candidates)
-        if commit is None or choice is None:
-            return choice
-        return choose_within(
-            choice, commit, candidates, choose, may_read_again=use.may_spread
-        )
+        """Choose an engine for a call that may wait in the queue."""
+        part = part_id(demand.part)
+        holders = {
+            row.server for row in candidates if self.parts.has(part, row.server, now)
+        }
+        rows = with_backlog(candidates, holders, commit.backlog)
+        choice = self._choose_engine(demand, rows, use, now)
+        if choice is None:
+            return None
+        # The calls that wait for the part are not before it.
+        row = next(row for row in candidates if row.server == choice.server)
+        choice = evolve(choice, wait_s=row.wait_s)
+        idle = idle_engines(candidates, choice, commit)
+        other = self._choose_engine(demand, idle, NO_USE, now) if idle else None
+        return other or choice
 
     def _eligible_servers(
         self,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -12,7 +12,7 @@
 from heapq import heappop, heappush
 from itertools import count
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from fulmarroad.types import RouterName
 from fulmarroad_serving._budgets import ColdBudget
@@ -143,9 +143,6 @@
     ) -> Placement | Refusal:
         """Choose one of this router's servers for a request."""
         request, held_s = held.request, now - held.since
-        bound = held.bound
-        if bound is not None:
-            bound = evolve(bound, waited_s=held_s)
         return self._dispatcher.place(
             after(held.attempt.demand, held_s),
             now,
@@ -153,7 +150,7 @@
             owned=owned,
             asker=request.cold,
             full=request.full,
-            commit=bound,
+            commit=held.bound,
         )
 
     def grant(self, held: HeldRequest, placed: Placement, now: float) -> AddressedReply:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -178,6 +178,7 @@
             times.latest_start,
             times.until,
             _urgency(demand, times),
+            demand.part,
             evolve(held, bound=times.bound),
         )
 
@@ -229,11 +230,19 @@
     ) -> AddressedReply | None:
         """Return the final reply to a call if it gets a place now or never."""
         held: HeldRequest = entry.request
+        if held.bound is not None:
+            bound = evolve(
+                held.bound,
+                backlog=self.queue.part_backlog(entry),
+                any_idle=entry.protected_at <= now,
+            )
+            held = evolve(held, bound=bound)
         placed = self._owner.place(held, owned, now)
         if isinstance(placed, Placement):
             self.counts.note(GRANTED, now - entry.since)
+            reply = self._owner.grant(held, placed, now)
             self.queue.note_granted(entry.workspace, entry.units, now)
-            return self._owner.grant(held, placed, now)
+            return reply
         if placed.reason is not RefusalReason.WAIT_TOO_LONG:
             self.counts.note(REFUSED, now - entry.since)
             return self._owner.refuse(held, placed)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_entries.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_entries.py
@@ -45,6 +45,7 @@
     latest_start: float  # at which it can still begin on time
     until: float  # end of its wait
     urgency: Urgency = Urgency.ON_TIME
+    part: str = ""  # the shared part of its prompt
     request: Any = None
     """What the owner needs to place the call."""
     tries: int = 0
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
@@ -69,6 +69,7 @@
     _turns: list[_Turn] = field(factory=list, init=False)
     _ends: list[tuple[float, int, QueueEntry]] = field(factory=list, init=False)
     _paused: list[tuple[float, int, QueueEntry]] = field(factory=list, init=False)
+    _part_tokens: Counter[str] = field(factory=Counter, init=False)
     _granted_units: dict[WorkspaceName, float] = field(factory=dict, init=False)
     """Units granted since the newest sums of the shares."""
     _summed_at: float = field(default=-math.inf, init=False)
@@ -105,6 +106,8 @@
         entry.waits, entry.number = True, next(self._numbers)
         self._entries[entry.key] = entry
         self.size += entry.size
+        if entry.part:
+            self._part_tokens[entry.part] += entry.tokens
         group = self._group(entry)
         group.count(entry)
         group.arrange(entry)
@@ -195,6 +198,11 @@
         """Return the prompt tokens of the entries before a call, see `units_ahead`."""
         return self._ahead(workspace, latest_start, now)[1]
 
+    def part_backlog(self, entry: QueueEntry) -> int:
+        """Return the tokens of other calls that wait for the part of an entry."""
+        own = entry.tokens if entry.waits else 0
+        return self._part_tokens[entry.part] - own if entry.part else 0
+
     def _ahead(
         self, workspace: WorkspaceName, latest_start: float, now: float
     ) -> tuple[float, float]:
@@ -216,6 +224,10 @@
         entry.waits = False
         del self._entries[entry.key]
         self.size -= entry.size
+        if entry.part:
+            self._part_tokens[entry.part] -= entry.tokens
+            if not self._part_tokens[entry.part]:
+                del self._part_tokens[entry.part]
         group = self._group(entry)
         group.remove(entry)
         if not group.entries:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
@@ -10,10 +10,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Collection, Sequence
 
-from attrs import frozen
+from attrs import evolve, frozen
 
+from fulmarroad.types import ServerName
 from fulmarroad_serving._demands import Demand
 from fulmarroad_serving._routing import Candidate, Choice
 
@@ -45,7 +46,8 @@
 
     wait_s: float  # until the engine begins to read the prompt
     on_time: bool = True  # whether it must also begin within its objective
-    waited_s: float = 0.0  # for a place, until now
+    backlog: int = 0  # tokens of the calls that wait for the same part
+    any_idle: bool = False  # an idle engine may read its part, whatever that costs
     margin_s: float = SEND_MARGIN_S
 
 
@@ -108,24 +110,32 @@
     return choice.wait_s - allowed_s
 
 
-def choose_within(
-    first: Choice,
-    bound: StartBound,
-    candidates: Sequence[Candidate],
-    choose: Callable[[Sequence[Candidate]], Choice | None],
-    *,
-    may_read_again: bool,
-) -> Choice:
-    """Return another engine that begins within the bound if the first one doesn't.
+def idle_engines(
+    candidates: Sequence[Candidate], first: Choice, bound: StartBound
+) -> list[Candidate]:
+    """Return the engines that a call may use as its first choice is busy.
+
+    Nobody who comes before it can use them, so its reading takes nothing from others.
+    """
+    if not bound.any_idle or first.wait_s <= bound.wait_s:
+        return []
+    return [row for row in candidates if row.wait_s <= IDLE_WAIT_S]
+
+
+def with_backlog(
+    candidates: Sequence[Candidate], holders: Collection[ServerName], backlog: int
+) -> list[Candidate]:
+    """Return the candidates with the calls that wait for those that have their part.
 
-    A call waits for an engine that has its part for as long as another engine would
-    need to read the part; a longer wait would cost more than the reading.
+    Engines' own queues stay short, so they don't show that calls for a part wait. With
+    those calls, another engine reads the part when its holders can't begin them all on
+    time, and as seldom as if the calls waited at the engines.
     """
-    if first.wait_s <= bound.wait_s:
-        return first
-    near = [row for row in candidates if row.wait_s <= bound.wait_s]
-    other = choose(near) if near else None
-    if other is None or (not may_read_again and not other.cached):
-        return first
-    later_s = other.wait_s + other.read_s - first.wait_s - first.read_s
-    return other if later_s <= bound.waited_s else first
+    rate = sum(row.read_rate for row in candidates if row.server in holders)
+    if not rate:
+        return list(candidates)
+    wait_s = backlog / rate
+    return [
+        evolve(row, wait_s=row.wait_s + wait_s) if row.server in holders else row
+        for row in candidates
+    ]
