Let calls within their share read their part anywhere after half of their wait

Cause: calls of small workspaces ended their wait for the engine that has their part, while calls of large ones took the other engines.

Change: from half of its wait on, a call within its workspace's share may go to any engine that begins it at once. A fleet in virtual time with slow engines, lost routers and leaving callers tests the queue.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -65,7 +65,7 @@
 from fulmarroad_serving.admission import (
     StartBound,
     excess_wait_s,
-    idle_engines,
+    other_engines,
     with_backlog,
 )
 
@@ -512,8 +512,8 @@
         # The calls that wait for the part are not before it.
         row = next(row for row in candidates if row.server == choice.server)
         choice = evolve(choice, wait_s=row.wait_s)
-        idle = idle_engines(candidates, choice, commit)
-        other = self._choose_engine(demand, idle, NO_USE, now) if idle else None
+        others = other_engines(candidates, choice, commit, within_share=use.may_spread)
+        other = self._choose_engine(demand, others, NO_USE, now) if others else None
         return other or choice
 
     def _eligible_servers(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -234,7 +234,7 @@
             bound = evolve(
                 held.bound,
                 backlog=self.queue.part_backlog(entry),
-                any_idle=entry.protected_at <= now,
+                any_engine=entry.protected_at <= now,
             )
             held = evolve(held, bound=bound)
         placed = self._owner.place(held, owned, now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
@@ -19,6 +19,6 @@
 from fulmarroad_serving.admission._start import StartBound as StartBound
 from fulmarroad_serving.admission._start import StartTimes as StartTimes
 from fulmarroad_serving.admission._start import excess_wait_s as excess_wait_s
-from fulmarroad_serving.admission._start import idle_engines as idle_engines
+from fulmarroad_serving.admission._start import other_engines as other_engines
 from fulmarroad_serving.admission._start import start_times as start_times
 from fulmarroad_serving.admission._start import with_backlog as with_backlog
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
@@ -47,7 +47,7 @@
     wait_s: float  # until the engine begins to read the prompt
     on_time: bool = True  # whether it must also begin within its objective
     backlog: int = 0  # tokens of the calls that wait for the same part
-    any_idle: bool = False  # an idle engine may read its part, whatever that costs
+    any_engine: bool = False  # another engine may read its part, whatever that costs
     margin_s: float = SEND_MARGIN_S
 
 
@@ -110,16 +110,22 @@
     return choice.wait_s - allowed_s
 
 
-def idle_engines(
-    candidates: Sequence[Candidate], first: Choice, bound: StartBound
+def other_engines(
+    candidates: Sequence[Candidate],
+    first: Choice,
+    bound: StartBound,
+    *,
+    within_share: bool,
 ) -> list[Candidate]:
     """Return the engines that a call may use as its first choice is busy.
 
-    Nobody who comes before it can use them, so its reading takes nothing from others.
+    A workspace beyond its share only gets idle ones, where its reading takes nothing
+    from others.
     """
-    if not bound.any_idle or first.wait_s <= bound.wait_s:
+    if not bound.any_engine or first.wait_s <= bound.wait_s:
         return []
-    return [row for row in candidates if row.wait_s <= IDLE_WAIT_S]
+    wait_s = bound.wait_s if within_share else min(bound.wait_s, IDLE_WAIT_S)
+    return [row for row in candidates if row.wait_s <= wait_s]
 
 
 def with_backlog(
--- a/packages/fulmarroad-serving/tests/queue_fleet.py
+++ b/packages/fulmarroad-serving/tests/queue_fleet.py
@@ -28,6 +28,9 @@
 MAX_ENTRIES = 40
 OWN_TOKENS = (500, 6_000)
 PARTS = 12
+SETTLE_S = 2.5
+"""Time after which routers have dropped what lost routers left."""
+
 UNKNOWN = 0
 """Status of a call whose answer broke off or whose caller left."""
 
@@ -153,6 +156,13 @@
         route = evolve(LONG_STREAM, objective_s=OBJECTIVE_S, resumable=False)
         self.catalog = evolve(self.catalog, routes=(route,))
 
+    async def run(self, test):
+        async def test_and_settle(fleet):
+            await test(fleet)
+            await anyio.sleep(SETTLE_S)
+
+        await super().run(test_and_settle)
+
     def add_engine(self, name, **more):
         port = len(self.engines) + 1
         engine = SlowEngine(name, "drafting", "v1", port, slots=64, **more)
@@ -198,7 +208,9 @@
                 (b"x-deadline-ms", b"5000"),
             ]
             with anyio.move_on_after(patience_s) as scope:
-                row.status, retry_after_s = await self.attempt(router, headers)
+                row.status, retry_after_s = await self.attempt(
+                    router, headers, str(number).encode()
+                )
             if scope.cancelled_caught:
                 row.left_at = now + patience_s
                 return
--- a/packages/fulmarroad-serving/tests/share_fleet.py
+++ b/packages/fulmarroad-serving/tests/share_fleet.py
@@ -294,7 +294,7 @@
             row.refused = True
             await anyio.sleep(max(0.05, min(1.6, retry_after_s)))
 
-    async def attempt(self, router, headers):
+    async def attempt(self, router, headers, body=b"p"):
         status, retry_after_s = 0, 0.0
         scope = {
             "type": "http",
@@ -304,7 +304,7 @@
             "query_string": b"",
             "headers": headers,
         }
-        messages = [{"type": "http.request", "body": b"p", "more_body": False}]
+        messages = [{"type": "http.request", "body": body, "more_body": False}]
 
         async def receive():
             if messages:
