Return places whose reply was lost, and repeat the last list of calls

Cause: an owner went on counting calls whose end was reported in a packet that was lost, if their router had no other call of that owner, as the list without calls was sent once; likewise places whose grant was lost. With and without the queue, 1 to 15 calls stayed counted at an owner after series of cuts and losses.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -100,7 +100,10 @@
     def receive_progress(self, report: ProgressReport, now: float) -> None:
         """Apply what a router reports of its granted calls."""
         for number in report.cancelled:
-            self.queued.drop((report.router, report.incarnation, number), now)
+            key = (report.router, report.incarnation, number)
+            self.queued.drop(key, now)
+            if key in self._granted:  # the reply was lost
+                self._end_unanswered([key], now)
         for note in report.notes:
             self._apply(report, note, now)
         if report.held is not None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -59,6 +59,10 @@
 data centre is cut off, and each of them would be tried in turn."""
 
 
+EMPTY_LISTS = 6
+"""Lists without a call that an owner gets after the last one. If all of them are lost,
+for three seconds, the membership has noticed it and the owner drops what it counted."""
+
 LACKING_REASONS = (RefusalReason.NO_SERVERS, RefusalReason.STREAM_ORIGIN_GONE)
 """Reasons for which an owner's refusal says nothing about other owners' servers."""
 
@@ -97,6 +101,7 @@
     _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
     _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
     _cancelled: dict[RouterName, list[int]] = field(factory=dict)
+    _empty_lists: Counter[RouterName] = field(factory=Counter)
     _accepted: OrderedDict[int, None] = field(factory=OrderedDict)
     """Numbers of requests whose grants were accepted, the oldest first."""
 
@@ -175,6 +180,7 @@
             self._return_unused(reply)
         elif self._dispatcher.queues_calls(request.demand.service):
             self._cancelled.setdefault(owner, []).append(request.number)
+            self._tickets.setdefault(owner, {})  # lists follow, if this is lost
             self._report(owner)
 
     def new_request(
@@ -277,8 +283,12 @@
             held = tuple(tickets)
             report = ProgressReport(self.me, self._incarnation, held=held)
             packets.append((owner, pack_progress(report)))
-            if not tickets:
-                del self._tickets[owner]
+            if tickets:
+                self._empty_lists.pop(owner, None)
+                continue
+            self._empty_lists[owner] += 1
+            if self._empty_lists[owner] >= EMPTY_LISTS:
+                del self._tickets[owner], self._empty_lists[owner]
         return packets
 
     def adopt_from_lost(self, alive: Mapping[RouterName, int]) -> None:
