Test that a failure of an own call counts once, and the line on the queue

Cause: the router and the owner are one for its own calls, so that both record the end of a call at the same server.

Change: two tests.

Result: tests/test_queued_requests.py passes.

--- a/packages/fulmarroad-serving/tests/test_queued_requests.py
+++ b/packages/fulmarroad-serving/tests/test_queued_requests.py
@@ -1,5 +1,6 @@
 """Tests of an owner that queues calls, its own ones included, and of its routers."""
 
+import logging
 import random
 
 import anyio
@@ -7,9 +8,17 @@
 from owner_bed import CALL, OwnerBed, make_dispatcher
 
 from fulmarroad.types import RefusalReason
-from fulmarroad_serving import FeatureMode, FeatureSettings, Placement, Refusal
+from fulmarroad_serving import (
+    Catalog,
+    FeatureMode,
+    FeatureSettings,
+    Placement,
+    Refusal,
+    SendOutcome,
+)
 from fulmarroad_serving._features import FeatureBook
 from fulmarroad_serving._granting import Granter
+from fulmarroad_serving._outcome_log import OutcomeLog
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._owner_exchange import OwnerExchange
 from fulmarroad_serving._owner_messages import (
@@ -22,6 +31,7 @@
 )
 from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._reports import unpack
+from fulmarroad_serving._workspace_outcomes import WorkspaceOutcomes
 
 DEMAND = evolve(CALL, objective_s=1.0)
 
@@ -145,6 +155,20 @@
         ]
         assert bed.running() == 1
 
+    def test_the_queue_is_logged_each_second(self, caplog):
+        caplog.set_level(logging.INFO)
+        bed = QueueBed()
+        bed.fill()
+        bed.receive()
+        log = OutcomeLog(
+            bed.b, None, WorkspaceOutcomes(), WorkspaceOutcomes(), lambda: Catalog(1)
+        )
+        log._queued = bed.granter.queued
+        for at in (0.0, 0.5, 1.0):
+            log._log_queue(bed.now + at)
+        rows = [row for row in caplog.records if "waiting for places" in row.message]
+        assert len(rows) == 2
+
     def test_without_the_feature_nothing_is_queued(self):
         bed = OwnerBed()
         QueueBed.fill(bed, 0.9)
@@ -258,6 +282,22 @@
 
         run(test)
 
+    def test_a_failure_of_an_own_call_counts_once(self):
+        """Guard against servers that leave service after half as many failures."""
+
+        async def test():
+            dispatcher, client, _, _ = self.make()
+            placement = await client.request("b", DEMAND, (), may_wait=True)
+            now = anyio.current_time()
+            ticket = dispatcher.send(DEMAND, placement, now)
+            dispatcher.end(ticket, SendOutcome.FAILED, now)
+            server = placement.choice.server
+            once = make_dispatcher("once").health(server)
+            once.record_failure(now)
+            assert dispatcher.health(server).rate == once.rate
+
+        run(test)
+
     def test_an_own_call_waits_behind_those_of_others(self):
         """Guard against callers of an owner that get past all others."""
 
