Let simulated routers use admission queues and spillover

The simulated routers placed calls at their own servers without the queue, never withdrew a request, and ignored the room of other owners. They now follow Forwarder, OwnerClient and OwnerExchange: own calls go through the own Granter, requests state the remaining time, progress triggers decisions, a cut call is withdrawn (OwnerClient.cancel), and a refused call goes to a second owner once. Peer reports carry the room of owners. They carry no speed classes, as Dispatcher takes none.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_messages.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_messages.py
@@ -11,13 +11,13 @@
 from fulmarroad_bench._lab_events import EventQueue
 from fulmarroad_bench._lab_processor import PLACEMENT_COST_S
 from fulmarroad_bench._lab_router import LabRouter, RouterReport
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._granting import AddressedReply
 from fulmarroad_serving._owner_exchange import NOTES_DELAY_S
 from fulmarroad_serving._owner_messages import (
     PlacementReply,
     PlacementRequest,
     ProgressReport,
-    ReplyKind,
     pack_reply,
     pack_request,
     read_progress,
@@ -44,6 +44,7 @@
     routers: Mapping[str, LabRouter]
     receive_reply: Callable[[LabRouter, PlacementReply], None]
     on_exchange: Callable[[], None]
+    service: ServiceName
     report_delay_s: float = 0.0
     seconds: float = 0.0  # of the day
     _notes_due: set[str] = field(factory=set)  # routers that will send notes
@@ -57,6 +58,7 @@
                 sender.dispatcher.own_load(),
                 sender.dispatcher.shares.own_counts(now),
                 sender.dispatcher.parts.pop_updates(REPORTED_PARTS),
+                sender.own_room(self.service, now),
             )
             for sender in self.routers.values()
         ]
@@ -72,6 +74,9 @@
     def send_request(self, owner: str, request: PlacementRequest) -> None:
         """Send a request for a place to an owner."""
         receiver = self.routers[owner]
+        if owner == request.router:
+            self._receive_request(receiver, request)
+            return
         read = read_request(unpack(pack_request(request)))
         receive = partial(self._receive_request, receiver, read)
         self.events.at(self.events.now + NETWORK_DELAY_S, receive)
@@ -94,6 +99,7 @@
                     continue
                 other.dispatcher.receive_load(name, row.loads, written_at)
                 other.dispatcher.shares.receive_counts(name, row.counts, written_at)
+                other.dispatcher.rooms.note(name, row.room, written_at)
                 for part, server in row.parts:
                     other.dispatcher.parts.note(part, server, self.events.now)
 
@@ -121,7 +127,8 @@
 
     def _send_replies(self, replies: Sequence[AddressedReply]) -> None:
         for row in replies:
-            if row.reply.kind is ReplyKind.WAITS:
+            if row.router == row.reply.owner:
+                self.receive_reply(self.routers[row.router], row.reply)
                 continue
             reply = read_reply(unpack(pack_reply(row.reply)))
             receive = partial(self.receive_reply, self.routers[row.router], reply)
@@ -132,9 +139,27 @@
         assert router.client is not None
         for owner, data in router.client.pop_notes():
             report = read_progress(unpack(data))
-            receive = partial(self._receive_progress, self.routers[owner], report)
+            receive = partial(self.receive_progress, self.routers[owner], report)
             self.events.at(self.events.now + NETWORK_DELAY_S, receive)
 
-    def _receive_progress(self, owner: LabRouter, report: ProgressReport) -> None:
+    def receive_progress(self, owner: LabRouter, report: ProgressReport) -> None:
+        """Apply what a router reports to an owner, which may be itself."""
         assert owner.granter is not None
         owner.granter.receive_progress(report, self.events.now)
+        self._schedule_held(owner)
+
+
+@define
+class LocalDelivery:
+    """Deliver a router's messages to itself as the owner of servers at once."""
+
+    _messages: MessageSide
+    _router: LabRouter
+
+    def receive_request(self, request: PlacementRequest) -> None:
+        """Decide on a request of this router."""
+        self._messages.send_request(self._router.name, request)
+
+    def receive_progress(self, report: ProgressReport) -> None:
+        """Apply the progress of this router's calls."""
+        self._messages.receive_progress(self._router, report)
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router.py
@@ -7,17 +7,20 @@
 
 from attrs import define, field, frozen
 
-from fulmarroad.types import ServerName, WorkspaceName
+from fulmarroad.types import RouterName, ServerName, WorkspaceName
 from fulmarroad_bench._lab_engine import SimulatedCall
 from fulmarroad_bench._lab_processor import Processor
 from fulmarroad_serving import CallKind, Demand, Dispatcher, Placement, Refusal
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._granting import Granter
 from fulmarroad_serving._holding import HeldCalls
 from fulmarroad_serving._load import PeerLoad
 from fulmarroad_serving._owner_client import OwnerClient
-from fulmarroad_serving._owners import OwnedServers
+from fulmarroad_serving._owner_messages import PlacementRequest
+from fulmarroad_serving._owners import OwnedServers, OwnerTable
 from fulmarroad_serving._routing import PartId
 from fulmarroad_serving._shares import WorkspaceCount
+from fulmarroad_serving._spilling import Spiller
 
 PickRouter = Callable[[SimulatedCall, int], int]
 """Return the index of the router for a call, given the number of routers."""
@@ -62,6 +65,8 @@
     dispatcher: CountingDispatcher
     granter: Granter | None = None  # None: each router places its own calls
     client: OwnerClient | None = None  # set if `granter` is
+    owners: OwnerTable | None = None  # set if `granter` is
+    spiller: Spiller | None = None  # set if `granter` is
     held: HeldCalls = field(factory=HeldCalls)
     processor: Processor | None = None  # None: work takes no time
 
@@ -69,6 +74,14 @@
         """Add seconds of work for one core; return the time at which it is done."""
         return self.processor.work(seconds, now) if self.processor else now
 
+    def own_room(self, service: ServiceName, now: float) -> int:
+        """Return the prompt tokens that engines of this owner can begin soon."""
+        if self.owners is None:
+            return 0
+        room = self.dispatcher.room(service, self.owners.owned(service).rows, now)
+        self.dispatcher.rooms.note(self.name, room, now)
+        return room
+
     def is_busy(self, demand: Demand, now: float) -> bool:
         """Return whether the overload guard refuses a stream."""
         if self.processor is None:
@@ -88,11 +101,20 @@
     avoid: set[ServerName] = field(factory=set)  # servers that failed it
     may_wait: bool = True
     owned: OwnedServers | None = None  # those of its router, if it owns the best ones
+    asked: tuple[RouterName, PlacementRequest] | None = None  # while no reply came
+    first_refusal: Refusal | None = None  # set once a second owner was asked
+    is_spilling: bool = False  # while the second owner's reply is awaited
 
     def asked_again(self, server: ServerName, now: float) -> PendingCall:
         """Return the call to be placed once more, as a server failed it."""
         return PendingCall(
-            self.call, self.demand, self.router, now, self.avoid | {server}, False
+            self.call,
+            self.demand,
+            self.router,
+            now,
+            self.avoid | {server},
+            False,
+            first_refusal=self.first_refusal,
         )
 
 
@@ -104,3 +126,4 @@
     loads: Mapping[ServerName, PeerLoad]
     counts: Mapping[WorkspaceName, WorkspaceCount]
     parts: Sequence[tuple[PartId, ServerName]]
+    room: int = 0  # prompt tokens that engines of this owner can begin soon
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router_side.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_router_side.py
@@ -8,7 +8,7 @@
 
 from attrs import define, evolve, field, fields_dict
 
-from fulmarroad.types import RefusalReason
+from fulmarroad.types import RefusalReason, RouterName
 from fulmarroad_bench._lab_day import CallOutcome
 from fulmarroad_bench._lab_engine import EngineShape, SimulatedCall
 from fulmarroad_bench._lab_engine_side import NETWORK_DELAY_S, EngineSide
@@ -22,9 +22,17 @@
 )
 from fulmarroad_bench._lab_router import LabRouter, PendingCall, PickRouter
 from fulmarroad_bench._lab_traffic import CallClass, Workload
-from fulmarroad_serving import Demand, Instance, Placement, SendOutcome, Ticket
+from fulmarroad_serving import (
+    Demand,
+    Instance,
+    Placement,
+    Refusal,
+    SendOutcome,
+    Ticket,
+)
 from fulmarroad_serving._fingerprints import fingerprint_of, hash_fraction_of
-from fulmarroad_serving._owner_messages import PlacementReply
+from fulmarroad_serving._owner_messages import PlacementReply, ReplyKind
+from fulmarroad_serving._spilling import may_spill, outcome_of, refuses_early
 
 MAX_RETRIES = 1
 """Number of times that a caller retries after a refusal."""
@@ -53,6 +61,8 @@
     _tickets: dict[int, tuple[LabRouter, Ticket]] = field(factory=dict)
     _requests: dict[tuple[str, int], PendingCall] = field(factory=dict)
     """Calls that wait for an owner's reply, by router and number of the request."""
+    _waiting: dict[int, PendingCall] = field(factory=dict)
+    """The same calls by their number."""
     _sent: dict[int, PendingCall] = field(factory=dict)
 
     def schedule(self, calls: Iterable[SimulatedCall]) -> None:
@@ -129,15 +139,28 @@
 
     def receive_reply(self, router: LabRouter, reply: PlacementReply) -> None:
         """Act upon an owner's reply as the served routers do."""
-        pending = self._requests.pop((router.name, reply.number))
         assert router.client is not None
+        pending = self._requests.get((router.name, reply.number))
+        if pending is None:
+            router.client.receive_reply(reply)  # returns a place that is not needed
+            return
+        router.dispatcher.rooms.note(reply.owner, reply.room, self.events.now)
+        if reply.kind is ReplyKind.WAITS:
+            return
+        self._forget_request(pending)
         placed = router.client.decide(pending.demand, pending.avoid, reply)
+        if pending.is_spilling and pending.first_refusal is not None:
+            pending.is_spilling = False
+            router.client.spilled.note(reply.owner, outcome_of(placed))
+            if not isinstance(placed, Placement):
+                self._refuse(pending.call, pending.first_refusal.retry_after_s)
+                return
         if placed is None:
             self._try_to_place(pending)
         elif isinstance(placed, Placement):
             self._send(pending, placed)
         else:
-            self._refuse(pending.call, placed.retry_after_s)
+            self._spill_or_refuse(pending, placed)
 
     def _kind(self, call: SimulatedCall) -> CallClass:
         return next(row for row in self.workload.classes if row.name == call.kind)
@@ -156,6 +179,9 @@
         if call.closed:
             return
         self._close(call, "failed")
+        waiting = self._waiting.get(call.number)
+        if waiting is not None:
+            self._withdraw(waiting)
         if call.number in self._tickets:
             server = self._tickets[call.number][1].charge.server
             self.end(call, None)
@@ -197,17 +223,86 @@
         client = router.client
         assert client is not None
         owner = client.owner_for(pending.demand)
-        if owner is None or owner == router.name:
+        queues_own = router.dispatcher.queues_calls(SERVICE)
+        if owner is None or (owner == router.name and not queues_own):
             if owner is not None:
                 pending.owned = client.own_servers(pending.demand)
             self._try_to_place(pending)
             return
+        self._request(pending, owner, pending.demand, may_wait=pending.may_wait)
+
+    def _request(
+        self, pending: PendingCall, owner: RouterName, demand: Demand, *, may_wait: bool
+    ) -> None:
+        """Request a place from an owner, which may be the call's own router."""
+        router, client = pending.router, pending.router.client
+        assert client is not None
         request = client.new_request(
-            owner, pending.demand, pending.avoid, may_wait=pending.may_wait
+            owner,
+            demand,
+            pending.avoid,
+            may_wait=may_wait,
+            remaining_s=pending.call.remaining_s(self.events.now),
         )
+        pending.asked = (owner, request)
         self._requests[router.name, request.number] = pending
+        self._waiting[pending.call.number] = pending
         self.messages.send_request(owner, request)
 
+    def _forget_request(self, pending: PendingCall) -> None:
+        assert pending.asked is not None
+        _, request = pending.asked
+        pending.asked = None
+        del self._requests[request.router, request.number]
+        del self._waiting[pending.call.number]
+
+    def _withdraw(self, pending: PendingCall) -> None:
+        """Tell the owner that a waiting call's caller has left."""
+        assert pending.asked is not None
+        assert pending.router.client is not None
+        owner, request = pending.asked
+        self._forget_request(pending)
+        pending.router.client.cancel(owner, request)
+
+    def _spill_or_refuse(self, pending: PendingCall, refusal: Refusal) -> None:
+        """Ask a second owner for a call, as the served routers do, or refuse it."""
+        owner = self._second_owner(pending, refusal)
+        if owner is None:
+            self._refuse(pending.call, refusal.retry_after_s)
+            return
+        pending.first_refusal, pending.is_spilling = refusal, True
+        now, dispatcher = self.events.now, pending.router.dispatcher
+        dispatcher.rooms.note_sent(owner, pending.demand.prompt_tokens, now)
+        self._request(pending, owner, _rest_of(pending, now), may_wait=False)
+
+    def _second_owner(
+        self, pending: PendingCall, refusal: Refusal
+    ) -> RouterName | None:
+        router, now = pending.router, self.events.now
+        if pending.call.closed or router.spiller is None:
+            return None
+        if pending.first_refusal is not None:
+            return None
+        if not may_spill(router.dispatcher, pending.demand, refusal):
+            return None
+        first = refusal.owner or router.name
+        return router.spiller.second_owner(_rest_of(pending, now), first, now)
+
+    def _leaves_early(self, waiting: PendingCall, refusal: Refusal) -> bool:
+        """Return whether a call should leave its router's own queue."""
+        if waiting.owned is None or waiting.first_refusal is not None:
+            return False
+        router, now = waiting.router, self.events.now
+        return refuses_early(
+            router.dispatcher,
+            waiting.demand,
+            refusal,
+            waiting.owned,
+            now - waiting.since,
+            now,
+            {router.name},
+        )
+
     def _try_to_place(self, waiting: PendingCall) -> None:
         """Place a call on an engine; otherwise hold it and retry, or refuse it."""
         if waiting.call.closed:
@@ -228,9 +323,13 @@
             return
         router.held.count += 1
         pause_s = router.held.next_poll_s(placed, objective_s, held_s)
-        if pause_s is None or not waiting.may_wait:
+        if (
+            pause_s is None
+            or not waiting.may_wait
+            or self._leaves_early(waiting, placed)
+        ):
             router.held.count -= 1
-            self._refuse(waiting.call, placed.retry_after_s)
+            self._spill_or_refuse(waiting, placed)
             return
         due = max(now + pause_s, router.work(PLACEMENT_COST_S, now))
         self.events.at(due, partial(self._retry_placement, waiting))
@@ -266,6 +365,12 @@
         self.events.at(now + pause_s, partial(self._arrive, call))
 
 
+def _rest_of(pending: PendingCall, now: float) -> Demand:
+    """Return a call's demand with the objective that is left."""
+    left_s = pending.demand.objective_s - (now - pending.since)
+    return evolve(pending.demand, objective_s=max(0.0, left_s))
+
+
 def _demand(call: SimulatedCall, kind: CallClass) -> Demand:
     demand = Demand(
         f"c{call.number}",
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_lab_simulation.py
@@ -16,7 +16,7 @@
 )
 from fulmarroad_bench._lab_engine_side import EngineSide
 from fulmarroad_bench._lab_events import EventQueue
-from fulmarroad_bench._lab_messages import MessageSide
+from fulmarroad_bench._lab_messages import LocalDelivery, MessageSide
 from fulmarroad_bench._lab_processor import Processor
 from fulmarroad_bench._lab_router import (
     CountingDispatcher,
@@ -42,6 +42,7 @@
 from fulmarroad_serving._granting import Granter
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._owners import OwnerTable
+from fulmarroad_serving._spilling import Spiller
 
 ENGINES_STARTED_AT_S = -60.0
 """Start time of the engines, in seconds: well before the first call at 0."""
@@ -91,6 +92,7 @@
         {row.name: row for row in routers},
         router_side.receive_reply,
         engine_side.sample,
+        SERVICE,
         fleet.report_delay_s,
         workload.seconds,
     )
@@ -181,10 +183,13 @@
     table.set_routers(
         {row.name: fleet.centre(number) for number, row in enumerate(routers)}
     )
+    router.owners = table
     router.granter = Granter(router.name, 1, router.dispatcher, table)
     source = random.Random(f"{seed} {router.name}")
     client = router.client = OwnerClient(
         router.name, 1, router.dispatcher, table, source, lambda: messages.events.now
     )
+    client.local = LocalDelivery(messages, router)
+    router.spiller = Spiller(client, router.dispatcher, lambda: messages.events.now)
     client.on_notes = lambda: messages.schedule_notes(router)
     router.dispatcher.on_progress = client.note_progress
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -189,7 +189,12 @@
         """Tell an owner that nobody waits for a request any more."""
         if reply is not None and reply.kind is ReplyKind.GRANTED:
             self._return_unused(reply)
-        elif self._dispatcher.queues_calls(request.demand.service):
+        else:
+            self.cancel(owner, request)
+
+    def cancel(self, owner: RouterName, request: PlacementRequest) -> None:
+        """Let an owner drop an undecided request from its queue, if it has one."""
+        if self._dispatcher.queues_calls(request.demand.service):
             self._cancelled.setdefault(owner, []).append(request.number)
             self._report(owner)
 
