Leave parts where they are for queued calls, and late calls where they were refused

Change: a queued call waits for the engine that the usual choice names. A reservation names the moment of a return and leaves its call late. An owner says in its reply that a refused call is late, and such a call isn't sent on. Of the features, the configuration turns on the queue, the retries and the lengths.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -128,6 +128,7 @@
     candidates: int = 0
     read_s: float = 0.0  # from reading to the first token, at the chosen server
     excess_wait_s: float = 0.0  # expected wait there beyond the allowed wait
+    is_late: bool = False  # its call is late in any case
     owner: RouterName = ""  # other router that decided
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -42,7 +42,6 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
-    Candidate,
     Choice,
     PartMemory,
     choose_engine,
@@ -64,7 +63,7 @@
     refuse_without_server,
 )
 from fulmarroad_serving._workspace_outcomes import PlacementOutcomes
-from fulmarroad_serving.admission import StartBound, excess_wait_s, other_engines
+from fulmarroad_serving.admission import StartBound, excess_wait_s
 from fulmarroad_serving.engines._speeds import EngineSpeeds
 from fulmarroad_serving.placement import (
     NO_CLASSES,
@@ -366,11 +365,15 @@
         ]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose_engine(demand, candidates, use, now)
-            if commit is not None and choice is not None:
-                choice = self._choose_other(
-                    demand, candidates, choice, use, now, commit
-                )
+            choice = self._choose(
+                demand.prompt,
+                candidates,
+                self.parts,
+                self._centre,
+                now,
+                may_read_again=use.may_spread,
+                shortage=use.shortage,
+            )
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
@@ -580,33 +583,6 @@
             self.parts.forget(server)
         return removed
 
-    def _choose_engine(
-        self, demand: Demand, candidates: Sequence[Candidate], use: ShareUse, now: float
-    ) -> Choice | None:
-        return self._choose(
-            demand.prompt,
-            candidates,
-            self.parts,
-            self._centre,
-            now,
-            may_read_again=use.may_spread,
-            shortage=use.shortage,
-        )
-
-    def _choose_other(
-        self,
-        demand: Demand,
-        candidates: Sequence[Candidate],
-        choice: Choice,
-        use: ShareUse,
-        now: float,
-        commit: StartBound,
-    ) -> Choice:
-        """Choose another engine for a call that waited long for the usual choice."""
-        others = other_engines(candidates, choice, commit, within_share=use.may_spread)
-        other = self._choose_engine(demand, others, NO_USE, now) if others else None
-        return other or choice
-
     def _eligible_servers(
         self,
         demand: Demand,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_features.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_features.py
@@ -11,7 +11,7 @@
 import enum
 from collections.abc import Mapping
 
-from attrs import evolve, field, fields, frozen
+from attrs import field, fields, frozen
 
 from fulmarroad.exceptions import ConfigurationError
 from fulmarroad_serving._catalog import CallKind, Catalog, ServiceName
@@ -28,10 +28,15 @@
 and the exchange with the owner of the servers."""
 
 
+AUTO_FEATURES = frozenset({"admission_queue", "scheduled_retries", "answer_lengths"})
+"""Features that the configuration turns on. The others have to be turned on by name
+until their gain is shown."""
+
+
 class FeatureMode(enum.StrEnum):
     """Define whether a feature follows the configuration."""
 
-    AUTO = "auto"  # on where engines are scarce
+    AUTO = "auto"  # on where engines are scarce, if it is one of `AUTO_FEATURES`
     ON = "on"
     OFF = "off"
 
@@ -61,13 +66,13 @@
         """Return the features in force for a service with or without scarce engines."""
         names = [row.name for row in fields(Features)]
         modes = {name: self.modes.get(name, FeatureMode.AUTO) for name in names}
-        return evolve(
-            NO_FEATURES,
-            **{
-                name: mode is FeatureMode.ON or (mode is FeatureMode.AUTO and scarce)
-                for name, mode in modes.items()
-            },
-        )
+        on = {
+            name
+            for name, mode in modes.items()
+            if mode is FeatureMode.ON
+            or (mode is FeatureMode.AUTO and scarce and name in AUTO_FEATURES)
+        }
+        return Features(**{name: name in on for name in names})
 
 
 def parse_features(text: str) -> FeatureSettings:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_granting.py
@@ -184,6 +184,8 @@
         """Count a call that gets no place and return the reply."""
         self._note_placement(held, placed=False)
         self._refused.note_refused(held.request.demand, held.attempt.first_at)
+        if held.attempt.late_anyway:
+            refusal = evolve(refusal, is_late=True)
         refusal = self._schedule_return(held, refusal, now)
         return self._refuse(held.request, refusal, now)
 
@@ -283,6 +285,7 @@
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
             room=self._room(request, now),
+            is_late=refusal.is_late,
         )
         return AddressedReply(request.router, reply)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -417,6 +417,7 @@
                 reply.wait_s,
                 read_s=reply.read_s,
                 owner=reply.owner,
+                is_late=reply.is_late,
             )
         obstacle = self._obstacle(demand, reply.server, avoid)
         if reply.cold_granted and obstacle in COLD_OBSTACLES:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -72,6 +72,7 @@
     cold_granted: bool = False  # the owner counts it in the limit of a cold server
     may_open: bool = False  # a connection beyond the asker's share
     room: int = 0  # prompt tokens that the owner's engines can begin soon
+    is_late: bool = False  # a refused call is late in any case
 
 
 @frozen
@@ -193,6 +194,7 @@
         reply.cold_granted,
         reply.may_open,
         reply.room,
+        reply.is_late,
     ]
     return bytes(msgpack.packb(row))
 
@@ -219,6 +221,7 @@
             bool(row[15]) if len(row) > 15 else False,
             bool(row[16]) if len(row) > 16 else False,
             int(row[17]) if len(row) > 17 else 0,
+            bool(row[18]) if len(row) > 18 else False,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The placement reply is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -231,8 +231,6 @@
         if not self._has_room(held, owned, now):
             entry.tries += 1
             return None
-        if held.bound is not None and entry.protected_at <= now:
-            held = evolve(held, bound=evolve(held.bound, any_engine=True))
         placed = self._owner.place(held, owned, now)
         if isinstance(placed, Placement):
             self.counts.note(GRANTED, now - entry.since)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
@@ -86,10 +86,12 @@
     """Return whether a refused call may be sent on to a second owner.
 
     A stream that has begun only goes on at servers of its version, whose room is not
-    reported.
+    reported. A call that is late in any case would take the room of others.
     """
     if refusal.reason is not RefusalReason.WAIT_TOO_LONG or demand.version:
         return False
+    if refusal.is_late:
+        return False
     return dispatcher.may_spill(demand.service)
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/__init__.py
@@ -34,5 +34,4 @@
 from fulmarroad_serving.admission._start import StartBound as StartBound
 from fulmarroad_serving.admission._start import StartTimes as StartTimes
 from fulmarroad_serving.admission._start import excess_wait_s as excess_wait_s
-from fulmarroad_serving.admission._start import other_engines as other_engines
 from fulmarroad_serving.admission._start import start_times as start_times
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scheduled_retries.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scheduled_retries.py
@@ -60,11 +60,7 @@
         self._forecast(demand.service).note_begun(demand.units, now)
 
     def claim(self, attempt: Attempt, demand: Demand, now: float) -> Attempt:
-        """Return the attempt of a call, with its reservation if it has one.
-
-        `demand` has the call's whole objective: in its window it may wait for as long
-        as a first attempt.
-        """
+        """Return the attempt of a call, with its reservation if it has one."""
         self.drop_missed(now)
         claim, row = self._book.claim(demand.hash_fraction, now)
         if row is None:
@@ -73,7 +69,7 @@
             self._note(row.workspace, RetryOutcome.EARLY)
             return attempt
         self._note(row.workspace, RetryOutcome.CLAIMED)
-        return evolve(attempt, demand=demand, late_anyway=False, reserved=True)
+        return evolve(attempt, reserved=True)
 
     def schedule(
         self,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_start.py
@@ -10,12 +10,11 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
 
 from attrs import frozen
 
 from fulmarroad_serving._demands import Demand
-from fulmarroad_serving._routing import Candidate, Choice
+from fulmarroad_serving._routing import Choice
 
 COMMIT_FRACTION = 0.15
 """Fraction of the objective within which an engine must begin to read a prompt. It
@@ -45,7 +44,6 @@
 
     wait_s: float  # until the engine begins to read the prompt
     on_time: bool = True  # whether it must also begin within its objective
-    any_engine: bool = False  # another engine may read its part, whatever that costs
     margin_s: float = SEND_MARGIN_S
 
 
@@ -106,21 +104,3 @@
         left_s = demand.objective_s - choice.read_s - bound.margin_s
         allowed_s = min(allowed_s, left_s)
     return choice.wait_s - allowed_s
-
-
-def other_engines(
-    candidates: Sequence[Candidate],
-    first: Choice,
-    bound: StartBound,
-    *,
-    within_share: bool,
-) -> list[Candidate]:
-    """Return the engines that a call may use as its first choice is busy.
-
-    A workspace beyond its share only gets idle ones, where its reading takes nothing
-    from others.
-    """
-    if not bound.any_engine or first.wait_s <= bound.wait_s:
-        return []
-    wait_s = bound.wait_s if within_share else min(bound.wait_s, IDLE_WAIT_S)
-    return [row for row in candidates if row.wait_s <= wait_s]
