Try all queued calls again when a call begins or ends

Cause: a call that had found no place paused, and another one, of a workspace with many calls, took the place that became free in that time.

Change: a begin or an end of a call ends all pauses, as capacity may be free. The test states its bound as the share that workspaces are promised. The tests of the merged parts follow the constructors and the late returns.

Result: test_queue_series, test_admission_queue, test_queued_requests: 46 passed.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_held_requests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_held_requests.py
@@ -31,7 +31,8 @@
     @property
     def may_wait(self) -> bool:
         """Return whether the call may wait for a place without the queue."""
-        return self.request.may_wait and not self.attempt.late_anyway
+        is_late = self.attempt.late_anyway and not self.attempt.reserved
+        return self.request.may_wait and not is_late
 
     @property
     def is_return(self) -> bool:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -153,6 +153,7 @@
     def note_capacity(self) -> None:
         """Let queued calls look for the place that a call left."""
         if len(self.queue):
+            self.queue.resume_all()
             self._scans.note_event()
 
     def _entry(self, held: HeldRequest, owned: OwnedServers, now: float) -> QueueEntry:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
@@ -167,6 +167,11 @@
         heappush(self._paused, (until, entry.number, entry))
         self._arrange(self._group(entry))
 
+    def resume_all(self) -> None:
+        """End all pauses, as capacity may have become free."""
+        while self._paused:
+            self._end_pause()
+
     def grant(self, entry: QueueEntry, now: float) -> None:
         """Remove an entry that got a place and count it for its workspace."""
         self._drop(entry)
--- a/packages/fulmarroad-serving/tests/test_queue_series.py
+++ b/packages/fulmarroad-serving/tests/test_queue_series.py
@@ -114,6 +114,10 @@
 
 SURGE_S, SLOW_S = 5.0, 0.6
 
+FAIR_FRACTION = 0.5
+"""Fraction of what it asks, or of what the best served workspace gets if that is less,
+that a workspace is promised."""
+
 LATE_PER_SLOW_DOWN = 3
 """Calls that an engine has when it slows down: the one that it reads, and those that
 wait for it within the bound. They can't be moved; all later ones are on time."""
--- a/packages/fulmarroad-serving/tests/test_spilling.py
+++ b/packages/fulmarroad-serving/tests/test_spilling.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._spilling import Spiller
 from fulmarroad_serving._workspace_outcomes import WorkspaceOutcomes
+from fulmarroad_serving.admission import ScheduledRetries
 from fulmarroad_serving.placement import SpillCounts, SpillOutcome
 from fulmarroad_serving.placement._spillover import ROOM_MAX_AGE_S
 
@@ -235,6 +236,7 @@
             client,
             lambda: Catalog(1),
             metrics,
+            ScheduledRetries(),
         )
         with caplog.at_level("INFO"):
             log.log(100.0)
