--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -113,10 +113,10 @@
     ADMISSION_QUEUE_STATUS = EventKind(
         433, _I, "calls waiting for places at the owner of servers"
     )
-    CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
     RETRIES_SCHEDULED = EventKind(434, _I, "returns of refused calls scheduled")
     ENGINE_SLOW = EventKind(435, _I, "engine is slow for the moment")
     ENGINE_RECOVERED = EventKind(436, _I, "engine has its usual speed again")
+    CALLS_SPILLED = EventKind(437, _I, "calls sent on to a second owner of servers")
 
     # 500: requests
     REQUEST_DONE = EventKind(500, _I, "request done")
