Let engines read a hot part again for queued calls, and split off silent owners

Cause: calls that wait at the owner keep the queue of the engine with their part short, so calls for a hot part waited for one engine while others idled.

Change: a queued call whose engine is busy may go to one with time for the reading: within its price, or at any price if the part's calls need more engines than have it. _silent_owners.py holds what _owner_client.py knew of owners that don't answer. Docstrings follow the code.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/hard_load.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/hard_load.py
@@ -114,7 +114,9 @@
         ablation: Compare the days with each feature switched off in turn.
         estimates: Also print the error of the expected time to the first token.
     """
-    chosen = FORMS[form]
+    chosen = FORMS.get(form)
+    if chosen is None:
+        raise SystemExit(f"Unknown form {form!r}. Use one of {', '.join(FORMS)}.")
     settings = ablations() if ablation else {"": features}
     rows: dict[str, list[dict[str, Any]]] = {}
     for name, text in settings.items():
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -42,10 +42,12 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
+    Candidate,
     Choice,
     PartMemory,
     choose_engine,
     choose_plain,
+    engines_with_time,
     part_id,
 )
 from fulmarroad_serving._servers import PlacementView, ServerBook
@@ -365,15 +367,11 @@
         ]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose(
-                demand.prompt,
-                candidates,
-                self.parts,
-                self._centre,
-                now,
-                may_read_again=use.may_spread,
-                shortage=use.shortage,
-            )
+            choice = self._choose_engine(demand, candidates, use, now)
+            if commit is not None and choice is not None:
+                choice = self._choose_other(
+                    demand, candidates, choice, use, now, commit
+                )
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
@@ -583,6 +581,41 @@
             self.parts.forget(server)
         return removed
 
+    def _choose_engine(
+        self, demand: Demand, candidates: Sequence[Candidate], use: ShareUse, now: float
+    ) -> Choice | None:
+        return self._choose(
+            demand.prompt,
+            candidates,
+            self.parts,
+            self._centre,
+            now,
+            may_read_again=use.may_spread,
+            shortage=use.shortage,
+        )
+
+    def _choose_other(
+        self,
+        demand: Demand,
+        candidates: Sequence[Candidate],
+        choice: Choice,
+        use: ShareUse,
+        now: float,
+        commit: StartBound,
+    ) -> Choice:
+        """Return an engine with time for a queued call if the usual choice is busy."""
+        if choice.wait_s <= commit.wait_s or not use.may_spread:
+            return choice
+        rows = engines_with_time(
+            demand.prompt,
+            candidates,
+            self.parts,
+            now,
+            longest_wait_s=commit.wait_s,
+            shortage=use.shortage,
+        )
+        return (self._choose_engine(demand, rows, use, now) if rows else None) or choice
+
     def _eligible_servers(
         self,
         demand: Demand,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_features.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_features.py
@@ -29,8 +29,8 @@
 
 
 AUTO_FEATURES = frozenset({"admission_queue", "scheduled_retries", "answer_lengths"})
-"""Features that the configuration turns on. The others have to be turned on by name
-until their gain is shown."""
+"""Features that `auto` turns on where engines are scarce; the others have to be set to
+`on`."""
 
 
 class FeatureMode(enum.StrEnum):
@@ -49,13 +49,10 @@
     scheduled_retries: bool = False
     answer_lengths: bool = False
     engine_speeds: bool = False
-    weighted_parts: bool = False
+    weighted_parts: bool = False  # needs engine_speeds
     spillover: bool = False
 
 
-NO_FEATURES = Features()
-
-
 @frozen
 class FeatureSettings:
     """Hold the mode of each feature, by its name in `Features`."""
@@ -135,7 +132,8 @@
     ) -> Features:
         """Return the features in force for a service.
 
-        The largest number of engines seen counts: a crash of some changes nothing.
+        The largest number of engines seen since the start counts, so a crash of some
+        changes nothing.
         """
         known = self._resolved.get(service)
         most = known.engines if known is not None else 0
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_held_requests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_held_requests.py
@@ -30,7 +30,10 @@
 
     @property
     def may_wait(self) -> bool:
-        """Return whether the call may wait for a place without the queue."""
+        """Return whether the call may wait for a place without the queue.
+
+        A late one only may in its reserved window.
+        """
         is_late = self.attempt.late_anyway and not self.attempt.reserved
         return self.request.may_wait and not is_late
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -37,6 +37,7 @@
 from fulmarroad_serving._owners import OwnedServers, OwnerTable
 from fulmarroad_serving._pending_requests import LocalOwner, PendingRequest
 from fulmarroad_serving._routing import Choice, part_id
+from fulmarroad_serving._silent_owners import SILENCE_S, SilentOwners
 from fulmarroad_serving._workspace_outcomes import (
     UNMET_REQUESTS,
     RequestOutcome,
@@ -53,15 +54,6 @@
 """Time for the first answer of an owner: a round trip between data centres and two
 iterations of busy event loops."""
 
-SILENCE_S = 1.0
-"""Time for which an owner that did not answer is left out. The membership notices a
-lost router in two seconds, and a lost packet is no reason to avoid one for longer."""
-
-MAX_SILENT_PER_CENTRE = 1
-"""Silent routers of one data centre above which all of its routers are left out: the
-data centre is cut off, and each of them would be tried in turn."""
-
-
 EMPTY_LISTS = 6
 """Lists without a call that an owner gets after the last one. If all of them are lost,
 for three seconds, the membership has noticed it and the owner drops what it counted."""
@@ -69,10 +61,8 @@
 LACKING_REASONS = (RefusalReason.NO_SERVERS, RefusalReason.STREAM_ORIGIN_GONE)
 """Reasons for which an owner's refusal says nothing about other owners' servers."""
 
-
 COLD_OBSTACLES = (Obstacle.COLD, Obstacle.SUSPECT)
 
-
 MAX_ACCEPTED = 512
 """Maximum number of remembered grants that were accepted: more than a router accepts
 within the time for which the network may delay a packet's duplicate."""
@@ -93,10 +83,10 @@
     is_full: Callable[[ServiceName, ServerName], bool] = lambda service, server: False
     """Return whether this router has its share of a server's connections in use."""
     local: LocalOwner | None = None
-    """This router as an owner; None if it doesn't queue its own calls."""
+    """Deliver messages to this router as an owner; set by the exchange."""
     _number: int = 0
     _pending: dict[int, PendingRequest] = field(factory=dict)
-    _silent_until: dict[RouterName, float] = field(factory=dict)
+    _silent: SilentOwners = field(factory=SilentOwners)
     requests: WorkspaceOutcomes = field(
         factory=lambda: WorkspaceOutcomes(refusals=UNMET_REQUESTS)
     )
@@ -172,7 +162,7 @@
             if remaining_s > demand.objective_s:
                 self._note_silent(owner)
             return None
-        self._silent_until.pop(owner, None)
+        self._silent.forget(owner)
         return self.decide(demand, avoid, reply)
 
     async def _reply(
@@ -381,22 +371,12 @@
 
     def _left_out(self) -> frozenset[RouterName]:
         """Return the routers that are not asked now."""
-        if not self._silent_until:
-            return frozenset()
-        now = self._clock()
-        for name, until in list(self._silent_until.items()):
-            if now >= until:
-                del self._silent_until[name]
-        routers = self._owners.routers
-        silent = Counter(routers.get(name, "") for name in self._silent_until)
-        cut = {at for at, number in silent.items() if number > MAX_SILENT_PER_CENTRE}
-        left_out = {name for name, at in routers.items() if at in cut}
-        return frozenset(left_out | self._silent_until.keys()) - {self.me}
+        left_out = self._silent.left_out(self._owners.routers, self._clock())
+        return left_out - {self.me}
 
     def _note_silent(self, owner: RouterName) -> None:
-        if owner not in self._silent_until:
+        if self._silent.note(owner, self._clock()):
             emit(logger, Event.OWNER_SILENT, owner=owner, seconds=SILENCE_S)
-        self._silent_until[owner] = self._clock() + SILENCE_S
 
     def decide(
         self,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -42,8 +42,8 @@
 )
 
 PAUSE_S = 0.03
-"""Time for which a queued call that found no place lets others have their turns: an
-engine reads a part of a prompt in it, so that another try may find a place."""
+"""Longest time for which a queued call that found no place is skipped. A call that
+begins or ends makes all of them eligible again."""
 
 HOPELESS_FACTOR = 2.0
 """Multiple of the time that is left for a start on time, in which the engines read the
@@ -151,7 +151,7 @@
             self.counts.note(DROPPED, now - entry.since)
 
     def note_capacity(self) -> None:
-        """Let queued calls look for the place that a call left."""
+        """Make all queued calls eligible again, as a call began or ended."""
         if len(self.queue):
             self.queue.resume_all()
             self._scans.note_event()
@@ -186,7 +186,7 @@
         parts, part = self._dispatcher.parts, part_id(demand.part)
         if part and any(parts.has(part, row.instance.id, now) for row in owned.rows):
             return demand.own_tokens
-        return demand.shared_tokens + demand.own_tokens
+        return demand.prompt_tokens
 
     def _is_hopeless(self, entry: QueueEntry, owned: OwnedServers, now: float) -> bool:
         """Return whether a new call certainly can't begin on time."""
@@ -249,8 +249,7 @@
 
         In a surge mostly none does, and this costs a fraction of the choice of one.
         """
-        if held.bound is None:
-            return True
+        assert held.bound is not None
         wait_s, servers = held.bound.wait_s, self._dispatcher.servers
         return any(servers.engine_wait_s(row, now) <= wait_s for row in owned.rows)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -273,9 +273,8 @@
                 else ()
             ),
             owns_servers=len(row) > 16 and bool(row[16]),
-            # Routers of the previous release state neither of these.
+            # Routers of earlier releases send shorter rows.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
-            # Routers of the previous release don't know the speed of engines.
             speed_classes=read_speed_classes(row[19]) if len(row) > 19 else (),
             room=int(row[20]) if len(row) > 20 else 0,
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_returns.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_returns.py
@@ -41,7 +41,7 @@
     demand: Demand  # with the objective that is left
     first_at: float  # time of the first attempt
     late_anyway: bool = False
-    reserved: bool = False  # it returns when it was told to
+    reserved: bool = False  # returned in its window; only read without the queue
 
 
 @define
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -256,6 +256,30 @@
     return _choice(prompt, best[1], holders, _source(best[1], sources))
 
 
+def engines_with_time(
+    prompt: Prompt,
+    candidates: Sequence[Candidate],
+    memory: PartMemory,
+    now: float,
+    *,
+    longest_wait_s: float,
+    shortage: float,
+) -> list[Candidate]:
+    """Return the engines that have time to read a prompt's part again.
+
+    Calls that wait elsewhere for the engine with the part don't show in its queue, so
+    its wait doesn't tell that another engine should read the part. An engine may then
+    wait for `longest_wait_s`, or for less if the price of the reading says so. A part
+    whose calls need more engines than have it is worth its reading at any price.
+    """
+    needed = _engines_needed(prompt, candidates, memory, now)
+    holders = sum(memory.has(prompt.part, row.server, now) for row in candidates)
+    limit_s = longest_wait_s
+    if needed <= holders:
+        limit_s = min(limit_s, reading_price(shortage, needed).spread_wait_s)
+    return [row for row in candidates if row.wait_s <= limit_s]
+
+
 def _engines_needed(
     prompt: Prompt, candidates: Sequence[Candidate], memory: PartMemory, now: float
 ) -> float:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_queue.py
@@ -162,13 +162,13 @@
         return None
 
     def pause(self, entry: QueueEntry, until: float) -> None:
-        """Let others have their turns before an entry that found no place."""
+        """Skip an entry that found no place, until a time or the next `resume_all`."""
         entry.paused = True
         heappush(self._paused, (until, entry.number, entry))
         self._arrange(self._group(entry))
 
     def resume_all(self) -> None:
-        """End all pauses, as capacity may have become free."""
+        """End all pauses."""
         while self._paused:
             self._end_pause()
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scheduled_retries.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/admission/_scheduled_retries.py
@@ -1,8 +1,9 @@
-"""Tell refused callers when to return, and let those go first that do.
+"""Tell refused callers when to return, and recognise those that do.
 
 Load pattern: a surge beyond capacity, after which each refused caller returns once. At
-a random time it meets the same surge, and its call is late by then in any case. At the
-forecast moment there is capacity for it, so it may wait as a first attempt does.
+a random time it meets the same surge, so the stated delay is when its turn is expected.
+Its answer is late by then: without the admission queue it may wait all the same, in the
+queue it counts as any late call.
 """
 
 from __future__ import annotations
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
@@ -79,7 +79,10 @@
                 parts.append(chunk)
                 size += len(chunk)
                 if size > MAX_REPLY_BYTES:
-                    raise StoreError(f"The reply of {self._host} is too long.")
+                    raise StoreError(
+                        f"The reply of {self._host} has more than {MAX_REPLY_BYTES} "
+                        "bytes; check that the address is that of the store."
+                    )
             complete = True
             return Reply(head.status, b"".join(parts), head.forward)
         finally:
