Refuse a call at once if the calls ahead need longer than is left

Cause: a call was only refused on arrival if the engines needed twice the time that it had left.

Change: the calls ahead count as they are.

Tests of the queue: 49 passed.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_queueing.py
@@ -45,10 +45,6 @@
 """Longest time for which a queued call that found no place is skipped. A call that
 begins or ends makes all of them eligible again."""
 
-HOPELESS_FACTOR = 2.0
-"""Multiple of the time that is left for a start on time, in which the engines read the
-calls that come first, from which a call certainly can't begin on time: of the calls
-ahead of it, some leave, end their wait or go to engines that have their prompts."""
 
 ENTRY_BYTES = 1_000
 """Memory of a queued request without its texts, about."""
@@ -189,13 +185,16 @@
         return demand.prompt_tokens
 
     def _is_hopeless(self, entry: QueueEntry, owned: OwnedServers, now: float) -> bool:
-        """Return whether a new call certainly can't begin on time."""
+        """Return whether the calls ahead need longer than is left to begin on time.
+
+        Its caller is told at once then, and has the time for another attempt.
+        """
         if entry.urgency is not Urgency.ON_TIME:
             return False
         loads = (self._dispatcher.load(row.instance.id) for row in owned.rows)
         rate = sum(load.read_rate for load in loads)
         ahead = self.queue.tokens_ahead(entry.workspace, entry.latest_start, now)
-        return ahead / rate > HOPELESS_FACTOR * (entry.latest_start - now)
+        return ahead / rate > entry.latest_start - now
 
     def _enqueue(self, entry: QueueEntry, now: float) -> AddressedReply:
         held: HeldRequest = entry.request
