Split placing and failed sends off the forwarding of calls

Finding a place (_placing.py) and recording failed sends (_send_failures.py) are modules of their own now, moved without changes but for names. Tests that set an owner client set it at the placer.

--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -92,7 +92,7 @@
         async def test(bed):
             for name in ("s-1", "s-2"):
                 await bed.serve(name, echo())
-            bed.forwarder._owner_client = OwnServers(bed.dispatcher, ["s-1"])
+            bed.forwarder.placer.owner_client = OwnServers(bed.dispatcher, ["s-1"])
             bed.dispatcher.health("s-1").unreachable(bed.now())
             assert (await bed.call()).status == 200
             assert [row.server for row in bed.arrivals] == ["s-2"]
--- a/packages/fulmarroad-serving/tests/test_owner_exchange.py
+++ b/packages/fulmarroad-serving/tests/test_owner_exchange.py
@@ -130,7 +130,7 @@
         )
         exchange = OwnerExchange(client, granter, lambda: HOSTS, dict, bed.now)
         bed.dispatcher.on_progress = client.note_progress
-        bed.forwarder._owner_client = client
+        bed.forwarder.placer.owner_client = client
 
         def send(data, host):
             if not silent:
--- a/packages/fulmarroad-serving/tests/test_spilling.py
+++ b/packages/fulmarroad-serving/tests/test_spilling.py
@@ -304,8 +304,8 @@
 def spill_with(bed, client):
     """Let a router send refused calls on as a client decides; return the client."""
     bed.dispatcher._features = FeatureBook(parse_features("spillover=on"))
-    bed.forwarder._owner_client = client
-    bed.forwarder._spiller = Spiller(client, bed.dispatcher, bed.now)
+    bed.forwarder.placer.owner_client = client
+    bed.forwarder.placer.spiller = Spiller(client, bed.dispatcher, bed.now)
     return client
 
 
