Log what else a server did as a call left it, and what refused the next place

It couldn't be told whether the server was silent to all calls, as in a pause or after its end, or to this one only, nor what became of the next place: a call that left for a refusal looked like one whose server was lost.

Each server has a record now of when it last sent a byte over any connection and which calls wait for it (_silence.py). No decision has changed.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -296,6 +296,7 @@
             resumes=record.head.resumes if record.head else "",
             after_event=record.head.last_event_id if record.head else "",
             sends=summary.sends,
+            next_place=summary.next_place,
             cached=summary.cached,
             copies=summary.copies,
             wait_s=round(summary.wait_s, 4),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -26,6 +26,7 @@
     unacknowledged_bytes,
 )
 from fulmarroad_serving._restarts import Contact
+from fulmarroad_serving._silence import ServerVoice
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -136,6 +137,8 @@
         self.keep_alive_s: float | None = None
         self.idle_since = 0.0
         self.calls = 0
+        self.voice = ServerVoice()
+        """What is heard of the server over all connections to it."""
         self.on_lost_idle: Callable[[BackendConnection], None] = lambda lost: None
         """Called when the server ends the connection while no call uses it."""
 
@@ -153,6 +156,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without a call, mark the connection unusable."""
         self._heard_at = self._clock()
+        self.voice.note_heard(self._heard_at)
         if not self._awaiting_answer:
             self._mark_unusable()
             return
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -79,6 +79,7 @@
         self._catalog = catalog
         self._clock = clock
         pool.on_lost_idle = self._note_lost_idle
+        pool.voice_of = dispatcher.voice
         if owner_client is not None:
             owner_client.is_full = self._is_full
         crash_detector = CrashDetector(pool, dispatcher.registry, clock)
@@ -138,6 +139,8 @@
                 return
             placement = await self.placer.find(run, may_wait=error is None)
             if isinstance(placement, Refusal):
+                if error is not None:
+                    run.summary.next_place = placement.reason.value
                 await self._refuse(run, placement, error)
                 return
             try:
@@ -149,13 +152,17 @@
 
     def _may_retry(self, run: ActiveCall, error: SendError) -> bool:
         if isinstance(error, WithheldError):
+            run.summary.next_place = "withheld"
             return False
         self._limit_repeats(run)
         if not run.progress.may_send or run.remaining_s(self._clock()) <= 0:
+            run.summary.next_place = "may_not_send"
             return False
         if not run.progress.is_repeat:
             return True
-        return self._dispatcher.take_retry(run.demand.service, self._clock())
+        has_retry = self._dispatcher.take_retry(run.demand.service, self._clock())
+        run.summary.next_place = "" if has_retry else "no_retry_left"
+        return has_retry
 
     def _withheld_error(self, run: ActiveCall) -> WithheldError | None:
         """Return an error if the call is a suspect that may not be sent now."""
@@ -215,6 +222,9 @@
         run.progress.note_send(instance.id)
         run.summary.sends = run.progress.sends
         outcome: SendOutcome | None = None
+        voice = self._dispatcher.voice(instance.id)
+        due_at = ticket.charge.sent_at + ticket.charge.expected_s
+        voice.expect(id(ticket), due_at, run.call.route.pause_objective_s)
         try:
             await self._exchange(run, connection, instance, ticket)
             if ticket.begun_at is not None:
@@ -230,6 +240,7 @@
             # cancels the work at the server when the caller has disconnected.
             self._pool.release(instance.id, connection)
             self._dispatcher.end(ticket, outcome, self._clock())
+            voice.settle(id(ticket))
             run.suspects.end()
         return None
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -5,7 +5,8 @@
 import logging
 from collections.abc import Callable
 
-from fulmarroad.delivery import RequestState
+from attrs import asdict, frozen
+
 from fulmarroad.events import Event, emit
 from fulmarroad.types import ServerName
 from fulmarroad_serving._crash_detector import CrashDetector
@@ -28,6 +29,17 @@
 """Maximum number of a prompt's parts in a log line."""
 
 
+@frozen
+class _AnswerState:
+    """Hold what is known of an answer that ended before it was complete."""
+
+    answered_s: float | None  # since its first part
+    crashed: bool  # its server
+    silent_s: float  # since the last byte of this answer, or since the send
+    server_silent_s: float  # since any byte of its server, if one is due
+    other_calls: int  # of this router that wait for the server
+
+
 class SendFailures:
     """Record the failed sends of calls."""
 
@@ -49,6 +61,7 @@
         contact: Contact,
         error: SendError,
     ) -> None:
+        """Record a send that brought no complete answer."""
         now = self._clock()
         broken = isinstance(error, ConnectionBrokenError)
         crashed = broken and await self._crash_detector.has_crashed(instance, now)
@@ -60,9 +73,16 @@
         elif broken:
             # An answer that is wrong in another way comes from a process that runs.
             self._dispatcher.registry.suspect(instance.id, contact, now)
-        answered_s = ticket.answered_s(now) if ticket.begun else None
-        request = run.summary.last_request
-        self.note(run, instance.id, error, answered_s, request, crashed=crashed)
+        voice = self._dispatcher.voice(instance.id)
+        last_byte_at = max(ticket.charge.sent_at, contact.heard_at)
+        state = _AnswerState(
+            answered_s=round(ticket.answered_s(now), 3) if ticket.begun else None,
+            crashed=crashed,
+            silent_s=round(now - last_byte_at, 3),
+            server_silent_s=round(voice.silent_s(now), 3),
+            other_calls=voice.waiting - 1,
+        )
+        self.note(run, instance.id, error, state)
 
     def _note_crash(
         self, run: ActiveCall, instance: Instance, answered_s: float
@@ -78,11 +98,14 @@
         run: ActiveCall,
         server: ServerName,
         error: SendError,
-        answered_s: float | None = None,
-        request: RequestState | None = None,
-        *,
-        crashed: bool = False,
+        state: _AnswerState | None = None,
     ) -> None:
+        """Record a failed send in its call, and log it.
+
+        `state` is None if nothing was sent.
+        """
+        details = {} if state is None else asdict(state)
+        request = None if state is None else run.summary.last_request
         run.progress.note_outcome(error.outcome, server)
         run.avoid.add(server)
         emit(
@@ -95,15 +118,15 @@
             cause=error.message,
             sends=run.progress.sends,
             event_id=run.progress.last_event_id,
-            answered_s=None if answered_s is None else round(answered_s, 3),
-            crashed=crashed,
             parts=run.call.head.parts[:MAX_LOGGED_PARTS],
             fingerprint=run.call.fingerprint.hex(),
             ends=run.suspects.ends,
+            **details,
             **request_fields(request),
         )
 
     def note_unreachable(self, instance: Instance, error: NotSentError) -> None:
+        """Record a server to which no connection could be opened."""
         health, now = self._dispatcher.health(instance.id), self._clock()
         if health.unreachable(now):
             emit(
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -80,6 +80,7 @@
     fingerprint: Fingerprint = b""  # of the suspect for which it was restricted
     suspect_part: str = ""  # its name, if the suspect is a part of the prompt
     last_request: RequestState | None = None  # of the last send, at its end
+    next_place: str = ""  # what became of the last search after a failed send
 
 
 @define
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._registry import Instance, Registered, Registry, cold_bound
 from fulmarroad_serving._rests import ServerRest
 from fulmarroad_serving._routing import Candidate
+from fulmarroad_serving._silence import ServerVoice
 from fulmarroad_serving.engines._book import EngineBook
 from fulmarroad_serving.placement import engine_room
 
@@ -41,6 +42,7 @@
     load: ServerLoad = field(factory=ServerLoad)
     health: ServerHealth = field(factory=ServerHealth)
     rest: ServerRest = field(factory=ServerRest)
+    voice: ServerVoice = field(factory=ServerVoice)
     cold: ColdLimit | None = None
     plain_s: float = PLAIN_SERVICE_S
 
