Let fleets in virtual time state their engines and callers' patience

A fleet of engines that pause needs its own type of engine and callers that stay longer. Tries also say whether their caller gave them up, so that tests can tell a router's close from a caller's.

--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -310,6 +310,7 @@
     code: str = ""  # of a refusal
     retry_after_s: float = 0.0
     in_touch: bool = True  # the router had reached the others for a while
+    left: bool = False  # its caller gave it up
     servers: int = 0  # of its stream's version, at its begin
 
 
@@ -391,8 +392,9 @@
                 self.whole = not message.get("more_body", False)
 
         async def watch():
-            while anyio.current_time() - heard_at < PATIENCE_S:
+            while anyio.current_time() - heard_at < self.fleet.patience_s:
                 await anyio.sleep(0.1)
+            row.left = True
             left.set()
 
         with contextlib.suppress(Exception), router.scope():
@@ -428,7 +430,9 @@
     """Routers, engines and the store between them."""
 
     router_type = FleetRouter
+    engine_type = Engine
     connection_type = EngineConnection
+    patience_s = PATIENCE_S
 
     def __init__(self, size=4, seed=1, loss=0.0):
         self.seed = seed
@@ -570,7 +574,8 @@
 
     def add_engine(self, name, version="v1", service="drafting", **more):
         port = len(self.engines) + 1
-        engine = self.engines[name] = Engine(name, service, version, port, **more)
+        engine = self.engine_type(name, service, version, port, **more)
+        self.engines[name] = engine
         engine.started_at = anyio.current_time()
         self.publish(InstanceFact(engine.instance()))
         return engine
