Take a call from a silent server only when its next place is granted

Callers of streams that may be resumed, and of idempotent calls, lost answers: some got neither an answer nor a refusal, some a 504 with seconds left, while their server had only paused for a second or two and gone on.

Cause: a time-out ended something before its replacement was there, and took a sound server's pause for its end. A call left its server after 0.8 s of silence (four times the pause objective; 1.0 s before the first event). Its connection was reset first, so the work at the server was gone; then the retry budget and a place were asked for, and a refusal there ended the answer.

Change: a call looks for a place, a connection and a retry while it stays where it is, and leaves only with all three; otherwise it stays until its deadline and looks again each 0.2 s. If its server sends something meanwhile, all is given back. How long it waits before it looks depends on what its server does for others (_silence.py): one that is silent to all calls may have paused and is waited for up to 2.4 s, unless it refuses a connection; one that answers others has passed the call over, which leaves after 0.6 of its caller's patience, counted anew from the end of a pause. A call whose deadline is near looks while another server can still answer it. New calls go to servers that are not silent where there are any, and a server that calls gave up is avoided for 3 s.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_attempts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_attempts.py
@@ -75,6 +75,14 @@
         # A partly sent answer can only be resumed after a known event.
         return not self.answer_begun or (self.repeatable and bool(self.last_event_id))
 
+    @property
+    def may_move(self) -> bool:
+        """Return whether the call may be sent elsewhere although it was not answered.
+
+        That is so for a call that may run twice, and has attempts left.
+        """
+        return self.repeatable and self.may_send
+
     @property
     def is_repeat(self) -> bool:
         """Return whether the next send counts against the retry budget."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -264,6 +264,11 @@
         """Return when one process of the server was heard over this connection."""
         return Contact(self._opened_at, self._heard_at)
 
+    @property
+    def has_part(self) -> bool:
+        """Return whether a part of an answer came that was not read yet."""
+        return bool(self._parts)
+
     @property
     def ended_by_close(self) -> bool:
         """Return whether nothing but the close of the connection ended the answer.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -353,6 +353,7 @@
             demand,
             usable,
             lambda row: self.servers.accepts(row, service, now, view),
+            lambda row: self.servers.is_silent(row.instance.id, now),
             classes,
         )
         if not rows and not self._has_origin(demand):
@@ -626,20 +627,24 @@
         demand: Demand,
         usable: Sequence[Registered],
         accepts: Callable[[Registered], bool],
+        is_silent: Callable[[Registered], bool],
         classes: SpeedClasses,
     ) -> list[Registered]:
         """Return the shortlisted servers that accept a call now.
 
-        Fall back to all usable servers if none of the shortlist accepts one.
+        Fall back to all usable servers if none of the shortlist accepts one, and to
+        silent ones if there are no others.
         """
         part = part_id(demand.part)
         picked = self._shortlist(demand.service, demand.version).pick(
             part, usable, self.parts.holders(part), classes
         )
-        rows = [row for row in picked if accepts(row)]
+        accepting = [row for row in picked if accepts(row)]
+        rows = [row for row in accepting if not is_silent(row)]
         if not rows and len(picked) < len(usable):
-            rows = [row for row in usable if accepts(row)]
-        return rows
+            accepting = [row for row in usable if accepts(row)]
+            rows = [row for row in accepting if not is_silent(row)]
+        return rows or accepting
 
     def _has_origin(self, demand: Demand) -> bool:
         """Return whether a server is left that may go on with a call's stream."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 from fulmarroad_serving._catalog import CallKind
 from fulmarroad_serving._connection import BackendConnection
@@ -11,6 +12,7 @@
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._rests import read_rest_s
 from fulmarroad_serving._served_call import ActiveCall, ServedCall
+from fulmarroad_serving._silence import MIN_WAIT_S, SilentCall, leave_at
 from fulmarroad_serving._stream import EventSplitter, StreamEvents
 from fulmarroad_serving._suspects import MAX_SUSPECT_ANSWERING_S
 from fulmarroad_serving.contracts import AnswerHead, CallCodec
@@ -21,6 +23,7 @@
     NotRunError,
     OtherInstanceError,
     RestingServerError,
+    SilentServerError,
 )
 
 MAX_BUFFERED_BYTES = 256 * 1024
@@ -28,16 +31,8 @@
 a call whose answer breaks off can be retried or reported as failed instead of ending in
 a truncated answer."""
 
-FIRST_EVENT_TIMEOUT_FACTOR = 2.5
-"""Multiple of the objective after which a call leaves a silent server, if it may be
-retried elsewhere. The answer is late by then, and callers give up after about four
-times the objective."""
-
-MIN_SILENCE_TIMEOUT_S = 0.7
-"""Shortest silence that counts as a failure; TCP retransmits a lost packet sooner."""
-
-STREAM_PAUSE_TIMEOUT_FACTOR = 4.0
-"""Multiple of the pause objective after which a stream is resumed elsewhere."""
+LOOK_INTERVAL_S = 0.2
+"""Time between two looks whether a call may leave a silent server."""
 
 REFUSING_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that callers read as a promise that the call has not run."""
@@ -55,6 +50,14 @@
 HasCrashed = Callable[[Instance, float], Awaitable[bool]]
 """Find out whether a server crashed at a time."""
 
+Part = TypeVar("Part")
+
+Read = Callable[[float], Awaitable[Part]]
+"""Return what comes next of an answer; raise `SilentServerError` after a timeout."""
+
+ReserveNext = Callable[[ActiveCall, Ticket, BackendConnection], Awaitable[bool]]
+"""Get all that a call needs to go on at another server; return whether it has it."""
+
 
 class Exchanger:
     """Perform one exchange for each send of a call."""
@@ -66,7 +69,9 @@
         clock: Callable[[], float],
         on_stream_begun: StreamBegun,
         has_crashed: HasCrashed,
+        reserve_next: ReserveNext,
     ) -> None:
+        self._reserve_next = reserve_next
         self._has_crashed = has_crashed
         self._dispatcher = dispatcher
         self._codec = codec
@@ -93,7 +98,7 @@
             return head if matches else None
 
         connection.send(request, read_head)
-        head = await connection.head(self._silence_timeout_s(run))
+        head = await self._read(run, connection, ticket, instance, connection.head)
         self._dispatcher.registry.note_contact(instance, connection.contact)
         self._check_head(head, instance)
         if run.call.route.kind is CallKind.STREAM and head.status < 300:
@@ -211,7 +216,7 @@
         events = EventSplitter()
         from_start = not (run.progress.last_event_id or run.call.head.last_event_id)
         while True:
-            chunk = await connection.body(self._silence_timeout_s(run))
+            chunk = await self._read(run, connection, ticket, instance, connection.body)
             if chunk is None:
                 break
             self._dispatcher.registry.note_contact(instance, connection.contact)
@@ -280,6 +285,9 @@
     def _note_begun(self, run: ActiveCall, ticket: Ticket) -> None:
         if not ticket.begun:
             now = self._clock()
+            self._dispatcher.voice(ticket.charge.server).note_begun(
+                ticket.charge.sent_at
+            )
             run.summary.begun_s = now - ticket.charge.sent_at
             self._dispatcher.begin(ticket, now)
 
@@ -291,23 +299,51 @@
         if ticket.answered_s(now) >= MAX_SUSPECT_ANSWERING_S:
             run.suspects.note_good_run(ticket.begun_at, now)
 
-    def _silence_timeout_s(self, run: ActiveCall) -> float:
-        """Return how many seconds the server may be silent now.
-
-        It is negative after the deadline.
+    async def _read(
+        self,
+        run: ActiveCall,
+        connection: BackendConnection,
+        ticket: Ticket,
+        instance: Instance,
+        read: Read[Part],
+    ) -> Part:
+        """Return the next part of an answer.
 
-        A call that can't be retried elsewhere waits until its deadline: giving up
-        sooner would lose an answer that may still come.
+        Raise `SilentServerError` at the deadline, or as soon as a call that may leave
+        its silent server has a place at another one. Until then it stays: its answer
+        may still come, and a refusal elsewhere would lose it.
         """
-        now = self._clock()
-        left = run.remaining_s(now)
-        route, progress = run.call.route, run.progress
-        if not progress.repeatable or progress.sends >= progress.max_attempts:
-            return left
-        if not self._dispatcher.may_retry(run.demand.service, now):
-            return left
-        if progress.answer_begun:
-            limit = STREAM_PAUSE_TIMEOUT_FACTOR * route.pause_objective_s
-        else:
-            limit = FIRST_EVENT_TIMEOUT_FACTOR * route.objective_s
-        return min(left, max(MIN_SILENCE_TIMEOUT_S, limit))
+        pause_s = MIN_WAIT_S
+        while True:
+            remaining_s = run.remaining_s(self._clock())
+            if remaining_s <= pause_s or not run.progress.may_move:
+                return await read(remaining_s)
+            try:
+                return await read(pause_s)
+            except SilentServerError:
+                if await self._leaves(run, connection, ticket, instance):
+                    raise
+            pause_s = LOOK_INTERVAL_S
+
+    async def _leaves(
+        self,
+        run: ActiveCall,
+        connection: BackendConnection,
+        ticket: Ticket,
+        instance: Instance,
+    ) -> bool:
+        """Return whether a call whose server sends nothing leaves it now."""
+        now, route = self._clock(), run.call.route
+        voice = self._dispatcher.voice(instance.id)
+        call = SilentCall(
+            ticket.charge.sent_at,
+            max(ticket.charge.sent_at, connection.contact.heard_at),
+            ticket.begun,
+            run.call.deadline,
+            route.objective_s,
+            route.pause_objective_s,
+        )
+        may_leave = now >= leave_at(call, voice, now)
+        if not may_leave and voice.is_silent(now):
+            may_leave = await self._has_crashed(instance, call.last_byte_at)
+        return may_leave and await self._reserve_next(run, ticket, connection)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -33,6 +33,7 @@
 from fulmarroad_serving._served_call import (
     ActiveCall,
     CallSummary,
+    PreparedAttempt,
     Responder,
     ServedCall,
     demand_of,
@@ -59,6 +60,10 @@
 """Maximum number of a prompt's parts in a log line."""
 
 
+NO_RETRY_LEFT = "no_retry_left"
+"""Why a call did not go on elsewhere: the retry budget was used up."""
+
+
 class Forwarder:
     """Forward calls to backend servers."""
 
@@ -90,6 +95,7 @@
             clock,
             on_stream_begun,
             crash_detector.has_crashed,
+            self._reserve_next,
         )
 
     def admit(self, call: ServedCall, summary: CallSummary) -> None:
@@ -132,21 +138,31 @@
             summary,
             now,
         )
+        try:
+            await self._run(run)
+        finally:
+            self._give_back(run.take_next_attempt())
+
+    async def _run(self, run: ActiveCall) -> None:
         error: SendError | None = self._withheld_error(run)
         while True:
-            if error is not None and not self._may_retry(run, error):
-                await self._give_up(run, error)
-                return
-            placement = await self.placer.find(run, may_wait=error is None)
-            if isinstance(placement, Refusal):
-                if error is not None:
-                    run.summary.next_place = placement.reason.value
-                await self._refuse(run, placement, error)
-                return
-            try:
-                error = await self._attempt(run, placement)
-            finally:
-                self.placer.return_unused(placement)
+            attempt: PreparedAttempt | SendError | None = run.take_next_attempt()
+            if attempt is None:
+                if error is not None and not self._may_retry(run, error):
+                    await self._give_up(run, error)
+                    return
+                placement = await self.placer.find(run, may_wait=error is None)
+                if isinstance(placement, Refusal):
+                    if error is not None:
+                        run.summary.next_place = placement.reason.value
+                    await self._refuse(run, placement, error)
+                    return
+                run.summary.note_place(placement)
+                attempt = await self._prepare(run, placement)
+            if isinstance(attempt, SendError):
+                error = attempt
+            else:
+                error = await self._attempt(run, attempt)
             if error is None:
                 return
 
@@ -161,7 +177,7 @@
         if not run.progress.is_repeat:
             return True
         has_retry = self._dispatcher.take_retry(run.demand.service, self._clock())
-        run.summary.next_place = "" if has_retry else "no_retry_left"
+        run.summary.next_place = "" if has_retry else NO_RETRY_LEFT
         return has_retry
 
     def _withheld_error(self, run: ActiveCall) -> WithheldError | None:
@@ -182,8 +198,72 @@
         if run.suspects.suspicion(self._clock()).state >= SuspectState.ISOLATED:
             run.progress.forbid_repeats()
 
-    async def _attempt(self, run: ActiveCall, placement: Placement) -> SendError | None:
-        """Send a call once; return the error if it brought no complete answer."""
+    async def _reserve_next(
+        self, run: ActiveCall, ticket: Ticket, connection: BackendConnection
+    ) -> bool:
+        """Get a place, a connection and a retry for a call whose server is silent.
+
+        Return False and give all back if one of them is missing, or if the server has
+        sent something meanwhile.
+        """
+        self._limit_repeats(run)
+        if not run.progress.may_move:
+            return False
+        service = run.demand.service
+        if not self._dispatcher.may_retry(service, self._clock()):
+            run.summary.next_place = NO_RETRY_LEFT
+            return False
+        attempt = await self._prepare_elsewhere(run, ticket.charge.server)
+        if attempt is None:
+            return False
+        is_silent = not connection.has_part
+        if not is_silent or not self._dispatcher.take_retry(service, self._clock()):
+            self._give_back(attempt)
+            return False
+        run.next_attempt = attempt
+        return True
+
+    async def _prepare_elsewhere(
+        self, run: ActiveCall, server: ServerName
+    ) -> PreparedAttempt | None:
+        """Get a place and a connection at another server that isn't silent."""
+        run.moving = True
+        run.avoid.add(server)
+        held_s = run.summary.held_s
+        try:
+            placement = await self.placer.find(run, may_wait=False)
+            if isinstance(placement, Refusal):
+                run.summary.next_place = placement.reason.value
+                return None
+            attempt = await self._prepare(run, placement)
+        finally:
+            run.moving = False
+            run.avoid.discard(server)
+            run.summary.held_s = held_s
+        return attempt if isinstance(attempt, PreparedAttempt) else None
+
+    def _give_back(self, attempt: PreparedAttempt | None) -> None:
+        """Return the place and the connection of an attempt that is not made."""
+        if attempt is not None:
+            self._pool.release(attempt.instance.id, attempt.connection)
+            self.placer.return_unused(attempt.placement)
+
+    async def _prepare(
+        self, run: ActiveCall, placement: Placement
+    ) -> PreparedAttempt | SendError:
+        """Get a connection for a place; return the error if the call can't be sent."""
+        try:
+            attempt = await self._connect(run, placement)
+        except BaseException:
+            self.placer.return_unused(placement)
+            raise
+        if isinstance(attempt, SendError):
+            self.placer.return_unused(placement)
+        return attempt
+
+    async def _connect(
+        self, run: ActiveCall, placement: Placement
+    ) -> PreparedAttempt | SendError:
         instance = placement.registered.instance
         try:
             connection = await self._acquire(run, placement)
@@ -216,6 +296,15 @@
         if withheld is not None:
             self._pool.release(instance.id, connection)
             return withheld
+        return PreparedAttempt(placement, connection)
+
+    async def _attempt(
+        self, run: ActiveCall, attempt: PreparedAttempt
+    ) -> SendError | None:
+        """Send a call once; return the error if it brought no complete answer."""
+        placement, connection = attempt.placement, attempt.connection
+        instance = attempt.instance
+        run.summary.note_place(placement)
         self._limit_repeats(run)
         run.suspects.begin(crash_id(instance.id, instance.started_ms), self._clock())
         ticket = self._dispatcher.send(run.demand, placement, self._clock())
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -214,7 +214,8 @@
         self._number += 1
         now, left_out = self._clock(), self._left_out()
         rows = self._owners.owners(demand.service, left_out).servers_of(owner)
-        unavailable = self._dispatcher.servers.unavailable(now)
+        servers = self._dispatcher.servers
+        unavailable = servers.unavailable(now) | servers.silent(rows, now)
         return PlacementRequest(
             self.me,
             self._incarnation,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_placing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_placing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -48,7 +49,6 @@
         if placed is None:
             return placement
         run.summary.held_s = self._clock() - run.begun_at
-        self._summarize(run, placed)
         return placed
 
     async def _find_place(
@@ -67,17 +67,19 @@
             # Other routers own servers that this call may use.
             return await self._place_here(run, None, may_wait=may_wait)
         asked_at = self._clock()
+        # Of a call that stays where it is if it is refused, no return is scheduled.
+        remaining_s = math.inf if run.moving else run.remaining_s(asked_at)
         placement = await client.request(
             owner,
             run.demand,
             self._avoided(run),
             may_wait=may_wait,
-            remaining_s=run.remaining_s(asked_at),
+            remaining_s=remaining_s,
         )
         if placement is None:
             return await self._place_here(run, None, may_wait=may_wait)
         run.summary.held_s = self._clock() - asked_at
-        self._summarize(run, placement)
+        run.summary.wait_s, run.summary.use = placement.wait_s, placement.use
         return placement
 
     def _queues_own(self, service: ServiceName) -> bool:
@@ -141,19 +143,8 @@
         placement = self._dispatcher.place(
             demand, self._clock(), avoid=self._avoided(run), owned=owned
         )
-        self._summarize(run, placement)
-        return placement
-
-    def _summarize(self, run: ActiveCall, placement: Placement | Refusal) -> None:
         run.summary.wait_s, run.summary.use = placement.wait_s, placement.use
-        if isinstance(placement, Refusal):
-            return
-        choice = placement.choice
-        run.summary.server, run.summary.cached = choice.server, choice.cached
-        run.summary.server_version = placement.registered.instance.version
-        run.summary.read_tokens = choice.tokens
-        run.summary.copies = choice.copies
-        run.summary.expected_s = choice.wait_s + choice.read_s
+        return placement
 
     def return_unused(
         self,
@@ -165,8 +156,14 @@
             self.owner_client.abandon(placement.grant, outcome, obstacle)
 
     def _avoided(self, run: ActiveCall) -> set[ServerName]:
-        rows = (row.instance for row in self._dispatcher.registry.rows())
-        return run.avoid | run.suspects.trial_servers(rows, self._clock())
+        now = self._clock()
+        registry = self._dispatcher.registry
+        instances = (row.instance for row in registry.rows())
+        avoided = run.avoid | run.suspects.trial_servers(instances, now)
+        if run.moving:
+            rows = registry.usable(run.demand.service)
+            avoided |= self._dispatcher.servers.silent(rows, now)
+        return avoided
 
 
 def _lacks_servers(placement: Placement | Refusal) -> bool:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -21,6 +21,7 @@
     NotSentError,
     OtherInstanceError,
     SendError,
+    SilentServerError,
 )
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -74,6 +75,8 @@
             # An answer that is wrong in another way comes from a process that runs.
             self._dispatcher.registry.suspect(instance.id, contact, now)
         voice = self._dispatcher.voice(instance.id)
+        if isinstance(error, SilentServerError):
+            voice.note_left(now)
         last_byte_at = max(ticket.charge.sent_at, contact.heard_at)
         state = _AnswerState(
             answered_s=round(ticket.answered_s(now), 3) if ticket.begun else None,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -12,8 +12,10 @@
 from fulmarroad_serving._attempts import CallProgress
 from fulmarroad_serving._call_suspects import CallSuspects
 from fulmarroad_serving._catalog import ServedRoute
-from fulmarroad_serving._demands import Demand
+from fulmarroad_serving._connection import BackendConnection
+from fulmarroad_serving._demands import Demand, Placement
 from fulmarroad_serving._fingerprints import Fingerprint, hash_fraction_of
+from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._shares import NO_USE, ShareUse
 from fulmarroad_serving._suspects import Suspects
 from fulmarroad_serving.contracts import AnswerHead, CallHead
@@ -82,6 +84,29 @@
     last_request: RequestState | None = None  # of the last send, at its end
     next_place: str = ""  # what became of the last search after a failed send
 
+    def note_place(self, placement: Placement) -> None:
+        """Record the place at which the call is sent."""
+        choice = placement.choice
+        self.wait_s, self.use = placement.wait_s, placement.use
+        self.server, self.cached = choice.server, choice.cached
+        self.server_version = placement.registered.instance.version
+        self.read_tokens = choice.tokens
+        self.copies = choice.copies
+        self.expected_s = choice.wait_s + choice.read_s
+
+
+@frozen
+class PreparedAttempt:
+    """Hold a place and a connection for a call that is to be sent next."""
+
+    placement: Placement
+    connection: BackendConnection
+
+    @property
+    def instance(self) -> Instance:
+        """Return the server."""
+        return self.placement.registered.instance
+
 
 @define
 class ActiveCall:
@@ -97,6 +122,13 @@
     avoid: set[ServerName] = field(factory=set)
     failed_answer: tuple[AnswerHead, bytes] | None = None
     spilled: bool = False  # a second owner was asked
+    moving: bool = False  # it looks for a place while its server is silent
+    next_attempt: PreparedAttempt | None = None  # to be sent as it leaves its server
+
+    def take_next_attempt(self) -> PreparedAttempt | None:
+        """Remove and return the attempt that was prepared, if any."""
+        attempt, self.next_attempt = self.next_attempt, None
+        return attempt
 
     def bind(self, version: str) -> None:
         """Let the call go on only at servers of the version that began its stream."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -242,6 +242,16 @@
             if view.health.in_backoff(now) or view.rest.is_on(now)
         }
 
+    def is_silent(self, server: ServerName, now: float) -> bool:
+        """Return whether a server sends nothing to calls of this router."""
+        view = self._views.get(server)
+        return view is not None and view.voice.is_silent(now)
+
+    def silent(self, rows: Iterable[Registered], now: float) -> set[ServerName]:
+        """Return those of some servers that send nothing to calls of this router."""
+        names = (row.instance.id for row in rows)
+        return {name for name in names if self.is_silent(name, now)}
+
     def rest_s(self, rows: Collection[Registered], now: float) -> float | None:
         """Return the time until the first of the resting servers wakes.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
@@ -1,14 +1,17 @@
-"""Track which servers send nothing although calls wait for them.
+"""Judge how long a call waits for a server that sends nothing.
 
 Load pattern: a sound server stops for a second, in a long step or with its process
 paused, loses nothing and goes on. All of its answers pause at once. A server that has
-ended without closing its connections looks the same; one whose other answers go on has
-lost a single answer or connection. What is known here tells the last case apart.
+ended without closing its connections looks the same, so a silent server is waited for
+as long as a sound one may pause. One whose other answers go on has lost a single answer
+or connection, and the call may leave it sooner.
 """
 
 from __future__ import annotations
 
-from attrs import define, field
+import math
+
+from attrs import define, field, frozen
 
 SILENT_S = 0.5
 """Time without a byte after which a server counts as silent if one is due. The gaps of
@@ -17,6 +20,27 @@
 PAUSE_FACTOR = 2.5
 """Multiple of a stream's pause objective below which a gap is no silence."""
 
+MAX_PAUSE_S = 2.4
+"""Time without a byte to any call after which a server counts as ended. Sound servers
+pause for up to two seconds."""
+
+AVOIDED_S = 3.0
+"""Time for which a server counts as silent after calls left it and no byte came since.
+The next call tries it again."""
+
+MIN_WAIT_S = 0.7
+"""Time without a byte before which no call leaves; TCP resends a lost packet sooner."""
+
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_PAUSES = 8.0
+"""Callers leave after the longest of this time, this multiple of their objective and
+this multiple of their pause objective without a byte."""
+
+PASSED_OVER_FRACTION = 0.6
+"""Fraction of callers' patience after which a call leaves a server that answers others.
+The rest is for the first byte of the next one."""
+
 
 @define
 class ServerVoice:
@@ -24,6 +48,8 @@
 
     heard_at: float = float("-inf")
     resumed_at: float = float("-inf")  # first byte after the last gap of a silence
+    left_at: float = float("-inf")  # last time at which a call gave it up as silent
+    begun_until: float = float("-inf")  # last send time of a call that it began
     _silent_s: float = SILENT_S
     _due: dict[int, float] = field(factory=dict)  # by call: when a byte is due
 
@@ -47,6 +73,15 @@
             self.resumed_at = now
         self.heard_at = now
 
+    def note_begun(self, sent_at: float) -> None:
+        """Record the first part of the answer to a call."""
+        self.begun_until = max(self.begun_until, sent_at)
+
+    def note_left(self, now: float) -> None:
+        """Record that a call gave up waiting; only a silent server counts as left."""
+        if self.is_silent(now):
+            self.left_at = now
+
     def silent_s(self, now: float) -> float:
         """Return for how many seconds the server has owed bytes; 0 if it owes none."""
         if not self._due:
@@ -57,4 +92,53 @@
         """Return whether the server sends nothing to any call that waits for it."""
         if now - self.heard_at <= self._silent_s:
             return False
+        if self.heard_at < self.left_at and now - self.left_at < AVOIDED_S:
+            return True
         return self.silent_s(now) > self._silent_s
+
+
+@frozen
+class SilentCall:
+    """Describe a call whose next bytes have not come."""
+
+    sent_at: float
+    last_byte_at: float  # of its answer; its send before that
+    begun: bool  # a part of its answer came
+    deadline: float
+    objective_s: float
+    pause_objective_s: float = 0.0  # 0 unless it is a stream
+
+    @property
+    def patience_s(self) -> float:
+        """Return the time without a byte after which its caller leaves."""
+        return max(
+            MIN_PATIENCE_S,
+            PATIENCE_OBJECTIVES * self.objective_s,
+            PATIENCE_PAUSES * self.pause_objective_s,
+        )
+
+    @property
+    def last_chance(self) -> float:
+        """Return the latest time at which another server can still answer it."""
+        answers_s = self.objective_s * (2.0 if self.pause_objective_s else 1.0)
+        return self.deadline - answers_s
+
+
+def leave_at(call: SilentCall, voice: ServerVoice, now: float) -> float:
+    """Return when a call may leave its server if no byte comes; `inf`: it stays.
+
+    A server that talks to others has passed the call over if it stopped an answer, or
+    began that of a call sent later. It counts anew after each pause of the server.
+    """
+    limit_s = MAX_PAUSE_S
+    since = call.last_byte_at
+    if not voice.is_silent(now):
+        since = max(since, voice.resumed_at)
+        if call.begun or voice.begun_until > call.sent_at:
+            limit_s = PASSED_OVER_FRACTION * call.patience_s
+    at = max(since + limit_s, call.last_byte_at + MIN_WAIT_S)
+    if at <= call.last_chance:
+        return at
+    if call.last_chance - call.last_byte_at >= MIN_WAIT_S:
+        return call.last_chance
+    return math.inf
--- a/packages/fulmarroad-serving/tests/test_silence.py
+++ b/packages/fulmarroad-serving/tests/test_silence.py
@@ -1,8 +1,20 @@
 """Which servers send nothing although calls wait for them."""
 
+import math
+
 import pytest
+from attrs import evolve
 
-from fulmarroad_serving._silence import SILENT_S, ServerVoice
+from fulmarroad_serving._silence import (
+    AVOIDED_S,
+    MAX_PAUSE_S,
+    MIN_WAIT_S,
+    PASSED_OVER_FRACTION,
+    SILENT_S,
+    ServerVoice,
+    SilentCall,
+    leave_at,
+)
 
 BEGIN = 100.0
 
@@ -44,3 +56,72 @@
         voice = voice_of(BEGIN)
         voice.settle(0)
         assert not voice.is_silent(BEGIN + 9.0)
+
+    def test_a_server_that_calls_gave_up_is_avoided_for_a_while(self):
+        """Guard against a dead server that gets new calls as soon as it is left."""
+        voice = voice_of(BEGIN)
+        left_at = BEGIN + MAX_PAUSE_S
+        voice.note_left(left_at)
+        voice.settle(0)
+        assert voice.is_silent(left_at + AVOIDED_S - 0.1)
+        assert not voice.is_silent(left_at + AVOIDED_S)
+        voice.note_heard(left_at + 0.1)
+        assert not voice.is_silent(left_at + 0.2)
+
+
+STREAM = SilentCall(
+    sent_at=BEGIN - 1.0,
+    last_byte_at=BEGIN,
+    begun=True,
+    deadline=BEGIN + 8.0,
+    objective_s=0.4,
+    pause_objective_s=0.2,
+)
+PASSED_OVER_S = PASSED_OVER_FRACTION * STREAM.patience_s
+NOW = BEGIN + MAX_PAUSE_S - 0.1
+
+
+class TestLeaveAt:
+    @pytest.mark.parametrize(
+        ("heard_at", "changes", "after_s"),
+        [
+            # Silent to all calls: it may have paused.
+            (BEGIN, {}, MAX_PAUSE_S),
+            (BEGIN, {"begun": False}, MAX_PAUSE_S),
+            (BEGIN, {"objective_s": 2.0}, MAX_PAUSE_S),
+            # It answers others, and stopped this answer.
+            (NOW, {}, NOW - BEGIN + PASSED_OVER_S),
+            # It answers others after a pause, and this call waits in its queue.
+            (NOW, {"begun": False}, NOW - BEGIN + MAX_PAUSE_S),
+            # The last moment at which another server can still answer.
+            (BEGIN, {"deadline": BEGIN + 2.0}, 2.0 - 2 * 0.4),
+            (BEGIN, {"deadline": BEGIN + 2.0, "pause_objective_s": 0.0}, 2.0 - 0.4),
+            # Too late to be answered elsewhere.
+            (BEGIN, {"deadline": BEGIN + 0.8 + MIN_WAIT_S - 0.01}, math.inf),
+        ],
+    )
+    def test_bounds(self, heard_at, changes, after_s):
+        voice = voice_of(BEGIN, heard_at=BEGIN)
+        voice.note_heard(heard_at)
+        found = leave_at(evolve(STREAM, **changes), voice, NOW)
+        assert found == pytest.approx(BEGIN + after_s)
+
+    @pytest.mark.parametrize(
+        ("begun", "later_call_begun", "after_s"),
+        [
+            (True, False, PASSED_OVER_S),
+            (False, True, PASSED_OVER_S),
+            (False, False, MAX_PAUSE_S),
+        ],
+    )
+    def test_a_call_that_was_passed_over_leaves_sooner(
+        self, begun, later_call_begun, after_s
+    ):
+        """Guard against calls that wait out a pause of a server that goes on."""
+        voice = voice_of(BEGIN, heard_at=BEGIN)
+        for step in range(1, 10):
+            voice.note_heard(BEGIN + step * SILENT_S / 2)
+        if later_call_begun:
+            voice.note_begun(BEGIN)
+        found = leave_at(evolve(STREAM, begun=begun), voice, BEGIN + 9 * SILENT_S / 2)
+        assert found == pytest.approx(BEGIN + after_s)
