Keep one timer over the parts of an answer

Each part of a stream set a timer for the silence of its server and cancelled it. The timer that is set serves the next waits now and is moved when it fires too early. A part of a body costs 5.3 to 5.9 us in place of 6.4 to 7.4 us (three runs of each, 100,000 parts of 16 bytes through one connection, processor time).

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -116,6 +116,8 @@
         self._socket: socket.socket | None = None
         self._parts: deque[_Part] = deque()
         self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._wake_at = 0.0  # of the waiter
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._read_head: ReadHead = lambda status, headers: None
@@ -178,6 +180,7 @@
         if not (self._closed or is_in_use or self._will_close or self._unusable):
             self.on_lost_idle(self)
         self._closed = True
+        self._cancel_timer()
         self._on_closed(self.close_mode)
         if self._socket is not None:
             self._prepare_close(self._socket)
@@ -344,17 +347,44 @@
             raise ConnectionBrokenError("The connection is closed.")
         loop = asyncio.get_running_loop()
         self._waiter = loop.create_future()
-        timer = loop.call_later(max(0.0, timeout_s), self._wake)
+        self._set_timer(loop, loop.time() + max(0.0, timeout_s))
         try:
             await self._waiter
         finally:
             self._waiter = None
-            timer.cancel()
         if not self._parts:
             if self._closed:
                 raise ConnectionBrokenError("The connection is closed.")
             raise SilentServerError(f"No byte came for {timeout_s:.2f} s.")
 
+    def _set_timer(self, loop: asyncio.AbstractEventLoop, wake_at: float) -> None:
+        """Wake the waiter at a time.
+
+        A timer that is set already serves the next waits too, if it is not too late for
+        them: parts of a stream come faster than timers need to be exact.
+        """
+        self._wake_at = wake_at
+        if self._timer is not None:
+            if self._timer.when() <= wake_at:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(wake_at, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._waiter is None or self._waiter.done():
+            return
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._wake_at:
+            self._wake()
+        else:
+            self._timer = loop.call_at(self._wake_at, self._on_timer)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     def _add(self, part: _Part) -> None:
         self._parts.append(part)
         self._wake()
@@ -366,6 +396,7 @@
     def _finish(self) -> None:
         self._in_answer = False
         self._awaiting_answer = False
+        self._cancel_timer()
         # A server may answer a long request before it has read it.
         self._answered = self._unsent_bytes == 0
         if not self._has_framing or not self._parser.should_keep_alive():
