Log who ended the connection of a call without a complete answer

What callers saw: a whole request that ended with a closed connection. The log had the outcome but not whether caller or router closed, and for which reason; pipelined requests that were dropped with their connection had no line at all.

Change: the HTTP server tells the application, in an extension of the ASGI scope, why a connection ended. Lines 500 to 506 and 511 have `closed_by`; the new event 516 names requests of which no call was begun.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -17,6 +17,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from fulmarroad.events import Event, emit
+from fulmarroad_router.connection_ends import EXTENSION, ClosedBy, ConnectionEnd
 
 logger = logging.getLogger("fulmarroad.router")
 
@@ -50,6 +51,7 @@
         super().__init__(*args, **named)
         self._headers_started = False
         self._header_timer: TimerHandle | None = None
+        self._end = ConnectionEnd()
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Apply the idle timeout also before the first request of a connection."""
@@ -59,11 +61,34 @@
         )
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Cancel the timers."""
+        """Cancel the timers, and log requests that get no answer."""
+        # A caller's own close was noted at its FIN.
+        self._end.note(ClosedBy.ROUTER if exc is None else ClosedBy.CALLER_RESET)
         self._cancel_header_timer()
         self._unset_keepalive_if_required()
+        self._log_unanswered()
         super().connection_lost(exc)
 
+    def eof_received(self) -> None:
+        """Record that the caller has closed its connection."""
+        self._end.note(ClosedBy.CALLER)
+
+    def shutdown(self) -> None:
+        """Record that an idle connection ends by a drain."""
+        if self.cycle is None or self.cycle.response_complete:
+            self._end.note(ClosedBy.DRAIN)
+        super().shutdown()
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Record that the connection ends by the idle timeout."""
+        self._end.note(ClosedBy.IDLE_TIMEOUT)
+        super().timeout_keep_alive_handler()
+
+    def send_400_response(self, msg: str) -> None:
+        """Record that the router closes the connection for an unreadable request."""
+        self._end.note(ClosedBy.ROUTER)
+        super().send_400_response(msg)
+
     def data_received(self, data: bytes) -> None:
         """Start the header timer if headers have started but are incomplete."""
         super().data_received(data)
@@ -76,6 +101,7 @@
         """Record that headers have started."""
         self._headers_started = True
         super().on_message_begin()
+        self.scope["extensions"] = {EXTENSION: {"end": self._end}}
 
     def on_headers_complete(self) -> None:
         """Cancel the header timer."""
@@ -88,6 +114,19 @@
             self._header_timer.cancel()
             self._header_timer = None
 
+    def _log_unanswered(self) -> None:
+        """Log requests for which no call was begun; calls log their own end."""
+        if not self.pipeline and not self._headers_started:
+            return
+        emit(
+            logger,
+            Event.CALLER_REQUESTS_DROPPED,
+            caller=self.client[0] if self.client else "",
+            pipelined=len(self.pipeline),
+            incomplete=self._headers_started,
+            closed_by=self._end.cause.value,
+        )
+
     def _schedule_close(self) -> None:
         self._header_timer = self.loop.call_later(
             CLOSE_GRACE_S, self._close_unless_responding
@@ -106,5 +145,6 @@
             caller=self.client[0] if self.client else "",
             seconds=self.config.header_timeout_s,
         )
+        self._end.note(ClosedBy.HEADER_TIMEOUT)
         self.transport.write(HEADER_TIMEOUT_RESPONSE)
         self.transport.close()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -19,6 +19,7 @@
     read_body,
     run_until_disconnect,
 )
+from fulmarroad_router.connection_ends import ClosedBy, connection_end
 from fulmarroad_router.exceptions import (
     AnswerBroken,
     BadRequest,
@@ -128,7 +129,7 @@
             await self._send_error(failure, responder, record, extra_headers)
         finally:
             self._gate.leave()
-            self._record_end(responder, record)
+            self._record_end(responder, record, _closed_by(scope, responder, record))
 
     async def _serve(
         self,
@@ -263,7 +264,9 @@
             headers.append((b"retry-after", b"%.2f" % error.retry_after_s))
         await responder.error(error, headers)
 
-    def _record_end(self, responder: AsgiResponder, record: _CallRecord) -> None:
+    def _record_end(
+        self, responder: AsgiResponder, record: _CallRecord, closed_by: ClosedBy
+    ) -> None:
         seconds = self._clock() - record.arrived_at
         summary, route = record.summary, record.route
         kind = route.kind.value if route else "none"
@@ -288,6 +291,7 @@
             route=route.name if route else "",
             version=record.version,
             outcome=record.outcome,
+            closed_by=closed_by.value,
             status=responder.status,
             seconds=round(seconds, 4),
             first_s=round(summary.first_s, 4),
@@ -333,6 +337,16 @@
     return ON_TIME if record.summary.first_s <= record.route.objective_s else LATE
 
 
+def _closed_by(scope: Scope, responder: AsgiResponder, record: _CallRecord) -> ClosedBy:
+    """Return who ended the connection of a call that has no complete answer."""
+    if responder.finished:
+        return ClosedBy.NOBODY
+    if record.outcome == "caller_left":
+        return connection_end(scope).cause or ClosedBy.CALLER
+    # A call without an outcome was cancelled, which only the end of the process does.
+    return ClosedBy.ROUTER if record.outcome else ClosedBy.DRAIN
+
+
 def _end_event(outcome: str, responder: AsgiResponder) -> Event:
     if outcome == "served":
         return Event.REQUEST_DONE
--- a/packages/fulmarroad-serving/tests/test_callers.py
+++ b/packages/fulmarroad-serving/tests/test_callers.py
@@ -1,9 +1,12 @@
 """Checks of calls against the current configuration."""
 
+import anyio
+import pytest
 from attrs import evolve
 from serving_bed import (
     KEY,
     Bed,
+    Caller,
     answer,
     chunk,
     event,
@@ -13,6 +16,7 @@
 )
 
 from fulmarroad.events import Event
+from fulmarroad_router.connection_ends import ClosedBy
 from fulmarroad_serving import CatalogIndex, KeyHolder, digest_key
 from fulmarroad_serving.contracts import CatalogFact
 
@@ -149,3 +153,64 @@
             "c-1",
             "4",
         )
+
+
+class TestClosedBy:
+    """Log lines say who ended the connection of a call without a complete answer."""
+
+    @staticmethod
+    async def _answers(arrival, writer):
+        head = stream_head(arrival.header("x-id"))
+        writer.write(head + chunk(event(1)) + b"0\r\n\r\n")
+
+    @staticmethod
+    async def _ends_early(arrival, writer):
+        writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+        return False
+
+    @staticmethod
+    async def _hangs(arrival, writer):
+        writer.write(stream_head(arrival.header("x-id")) + chunk(event(1)))
+        await anyio.sleep(5)
+
+    async def _leave(self, bed, caller):
+        await anyio.sleep(0.2)
+        caller.left.set()
+
+    async def _be_cancelled(self, bed, caller):
+        await anyio.sleep(0.2)
+        bed.scope.cancel()
+
+    async def _wait(self, bed, caller):
+        await anyio.sleep(0.1)
+
+    @pytest.mark.parametrize(
+        ("script", "happen", "kind", "closed_by"),
+        [
+            ("_answers", "_wait", Event.REQUEST_DONE, ClosedBy.NOBODY),
+            (None, "_wait", Event.REQUEST_REFUSED, ClosedBy.NOBODY),
+            ("_ends_early", "_wait", Event.STREAM_BROKEN, ClosedBy.ROUTER),
+            ("_hangs", "_leave", Event.CALLER_LEFT, ClosedBy.CALLER),
+            ("_hangs", "_be_cancelled", Event.STREAM_BROKEN, ClosedBy.DRAIN),
+        ],
+    )
+    def test_lines_name_who_ended_the_connection(
+        self, caplog, script, happen, kind, closed_by
+    ):
+        """Guard against requests without an answer of which the log doesn't say
+        whether the caller or the router ended the connection.
+        """
+
+        async def test(bed):
+            if script is not None:
+                await bed.serve("s-1", getattr(self, script), "drafting")
+            caller = Caller()
+            async with anyio.create_task_group() as group:
+                group.start_soon(getattr(self, happen), bed, caller)
+                with anyio.CancelScope() as bed.scope:
+                    await bed.call("/sms/1", method="POST", body=b"p", caller=caller)
+
+        with caplog.at_level("INFO", "fulmarroad.serving"):
+            run(test)
+        (line,) = [row for row in caplog.records if row.msg == kind.value.text]
+        assert line.closed_by == closed_by
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -136,6 +136,9 @@
     STREAM_TAKEN_UP = EventKind(513, _I, "caller takes up a stream")
     STREAM_LOST = EventKind(514, _W, "stream can't go on, its caller is refused")
     SUSPECT_CLEARED = EventKind(515, _I, "a good run cleared a suspect of crashes")
+    CALLER_REQUESTS_DROPPED = EventKind(
+        516, _I, "connection to caller ended before its requests began"
+    )
 
     # 600: keys
     KEY_FENCED = EventKind(600, _I, "key fenced for a repeat")
