Stop the work of a pipelined request whose caller has left

What callers saw: nothing; servers worked on for a caller that had pipelined a second request and then closed its connection.

Cause: uvicorn reports a closed connection to the last request of a pipeline only, which has not begun.

Evidence: test_a_pipelining_caller_that_leaves_ends_the_running_work failed before.

Change: the connection remembers the request that is running, and reports to it.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -14,7 +14,10 @@
 from typing import Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+from uvicorn.protocols.http.httptools_impl import (
+    HttpToolsProtocol,
+    RequestResponseCycle,
+)
 
 from fulmarroad.events import Event, emit
 from fulmarroad_router.connection_ends import EXTENSION, ClosedBy, ConnectionEnd
@@ -52,6 +55,7 @@
         self._headers_started = False
         self._header_timer: TimerHandle | None = None
         self._end = ConnectionEnd()
+        self._running: RequestResponseCycle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Apply the idle timeout also before the first request of a connection."""
@@ -67,6 +71,10 @@
         self._cancel_header_timer()
         self._unset_keepalive_if_required()
         self._log_unanswered()
+        if (running := self._unanswered_cycle()) is not None:
+            # uvicorn tells only the last one of pipelined requests.
+            running.disconnected = True
+            running.message_event.set()
         super().connection_lost(exc)
 
     def eof_received(self) -> None:
@@ -75,7 +83,7 @@
 
     def shutdown(self) -> None:
         """Record that an idle connection ends by a drain."""
-        if self.cycle is None or self.cycle.response_complete:
+        if self._unanswered_cycle() is None:
             self._end.note(ClosedBy.DRAIN)
         super().shutdown()
 
@@ -109,6 +117,17 @@
         self._cancel_header_timer()
         super().on_headers_complete()
 
+    def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
+        """Record which of several pipelined requests is running."""
+        self._running = cycle
+        super()._start_asgi_task(cycle, app)
+
+    def _unanswered_cycle(self) -> RequestResponseCycle | None:
+        """Return the request that is running, if its answer is incomplete."""
+        if self._running is None or self._running.response_complete:
+            return None
+        return self._running
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
@@ -135,7 +154,7 @@
     def _close_unless_responding(self) -> None:
         if self.transport.is_closing():
             return
-        if self.cycle is not None and not self.cycle.response_complete:
+        if self._unanswered_cycle() is not None:
             # Closing now would truncate the response to the previous request.
             self._schedule_close()
             return
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -57,3 +57,19 @@
         ]
         assert (line.pipelined, line.incomplete) == (1, False)
         assert line.closed_by == ClosedBy.ROUTER
+
+    def test_a_pipelining_caller_that_leaves_ends_the_running_work(self):
+        """Guard against the notice of a closed connection that reaches the last
+        pipelined request only, which hasn't begun, while the first one runs on.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("wait", "second")
+            await anyio.sleep(0.1)
+            close(caller)
+            await anyio.sleep(GONE_S)
+            assert bed.app.abandoned == {"wait": ClosedBy.CALLER}
+            assert bed.app.begun == ["wait"]
+
+        run(test, delay_s=2.0)
