Refuse an unreadable request behind the answer to the one before it

What callers saw: a caller that sent bytes which are no request while its call ran got 400 as the answer to that call, or 400 in the middle of its stream, and the call was cancelled.

Cause: uvicorn writes 400 and closes as soon as the parser fails.

Evidence: test_an_unreadable_request_leaves_the_answer_before_it_whole and test_an_unreadable_request_within_a_stream_leaves_it_whole failed before.

Change: the answers to requests that were read whole are completed first, then the connection is closed.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -54,6 +54,7 @@
         super().__init__(*args, **named)
         self._headers_started = False
         self._header_timer: TimerHandle | None = None
+        self._unreadable = False
         self._end = ConnectionEnd()
         self._running: RequestResponseCycle | None = None
 
@@ -93,12 +94,28 @@
         super().timeout_keep_alive_handler()
 
     def send_400_response(self, msg: str) -> None:
-        """Record that the router closes the connection for an unreadable request."""
-        self._end.note(ClosedBy.ROUTER)
-        super().send_400_response(msg)
+        """Refuse an unreadable request, behind the answer to the one before it.
+
+        The caller would take an earlier refusal for the answer that it waits for.
+        """
+        running = self._unanswered_cycle()
+        if running is None or (running is self.cycle and running.more_body):
+            self._end.note(ClosedBy.ROUTER)
+            if running is not None and running.response_started:
+                self.transport.close()
+            else:
+                super().send_400_response(msg)
+            return
+        self._unreadable = True
+        if self.pipeline and self.cycle.more_body:
+            self.pipeline.popleft()
+        last = self.pipeline[0][0] if self.pipeline else running
+        last.keep_alive = False
 
     def data_received(self, data: bytes) -> None:
         """Start the header timer if headers have started but are incomplete."""
+        if self._unreadable:
+            return
         super().data_received(data)
         if self._headers_started and self._header_timer is None:
             self._header_timer = self.loop.call_later(
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -1,5 +1,7 @@
 """Tests of connections to callers that end while requests are under way."""
 
+import time
+
 import anyio
 import pytest
 from caller_sockets import run
@@ -73,3 +75,68 @@
             assert bed.app.begun == ["wait"]
 
         run(test, delay_s=2.0)
+
+
+class TestCrossingCloses:
+    def test_a_drain_closes_idle_connections_soon(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("first")
+            await caller.read_for(0.2)
+            await bed.server.stop()
+            begun = time.monotonic()
+            await caller.read_for(1.0)
+            assert time.monotonic() - begun < 0.5
+
+        run(test, delay_s=0.02)
+
+    def test_pipelined_requests_are_answered_during_a_drain(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("first", "second")
+            await anyio.sleep(0.05)
+            await bed.server.stop()
+            received = await caller.read_for(2.0)
+            assert caller.bodies == ["first", "second"]
+            assert received.count(b"connection: close") == 1
+
+        run(test, delay_s=0.2)
+
+    def test_a_request_behind_an_answer_that_says_close_is_not_run(self):
+        """Guard against running a request whose answer can't be given any more."""
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("close", "second")
+            await caller.read_for(1.0)
+            assert caller.bodies == ["close"]
+            assert bed.app.begun == ["close"]
+
+        run(test, delay_s=0.1)
+
+    def test_an_unreadable_request_leaves_the_answer_before_it_whole(self):
+        """Guard against the refusal of an unreadable request that its caller takes for
+        the answer to the request before it.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("wait")
+            await anyio.sleep(0.1)
+            caller.raw.sendall(b"\0\1\2 no request\r\n\r\n")
+            await caller.read_for(1.0)
+            assert caller.bodies == ["wait"]
+
+        run(test, delay_s=0.3)
+
+    def test_an_unreadable_request_within_a_stream_leaves_it_whole(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("stream")
+            await anyio.sleep(0.1)
+            caller.raw.sendall(b"\0\1\2 no request\r\n\r\n")
+            received = await caller.read_for(3.0)
+            assert received.count(b"HTTP/1.1") == 1
+            assert received.endswith(b"0\r\n\r\n")
+
+        run(test, delay_s=0.02)
