Read what has arrived before an idle connection is closed

What callers saw: a reset in place of an answer, for a whole request that had arrived just before the idle timeout at a router whose event loop was late.

Cause: timers fire before sockets are polled, so the idle timer closed the connection with the request unread in the kernel's buffer.

Change: the close follows 50 ms after the timer, and bytes that are read meanwhile cancel it, as the header timeout does already.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -32,6 +32,10 @@
 """Time between the header timeout and the close. After a pause of the process the timer
 fires before the bytes that arrived during the pause are read."""
 
+READ_GRACE_S = 0.05
+"""Time in which bytes that have arrived are read before an idle connection is closed.
+One iteration of the event loop suffices."""
+
 HEADER_TIMEOUT_RESPONSE = (
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 )
@@ -89,9 +93,10 @@
         super().shutdown()
 
     def timeout_keep_alive_handler(self) -> None:
-        """Record that the connection ends by the idle timeout."""
-        self._end.note(ClosedBy.IDLE_TIMEOUT)
-        super().timeout_keep_alive_handler()
+        """Close an idle connection unless its next request has already arrived."""
+        self.timeout_keep_alive_task = self.loop.call_later(
+            READ_GRACE_S, self._close_idle
+        )
 
     def send_400_response(self, msg: str) -> None:
         """Refuse an unreadable request, behind the answer to the one before it.
@@ -150,6 +155,10 @@
             self._header_timer.cancel()
             self._header_timer = None
 
+    def _close_idle(self) -> None:
+        self._end.note(ClosedBy.IDLE_TIMEOUT)
+        super().timeout_keep_alive_handler()
+
     def _log_unanswered(self) -> None:
         """Log requests for which no call was begun; calls log their own end."""
         if not self.pipeline and not self._headers_started:
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -1,10 +1,12 @@
 """Tests of connections to callers that end while requests are under way."""
 
+import asyncio
+import socket
 import time
 
 import anyio
 import pytest
-from caller_sockets import run
+from caller_sockets import IDLE_TIMEOUT_S, run
 
 from fulmarroad.events import Event
 from fulmarroad_router.connection_ends import ClosedBy
@@ -21,6 +23,23 @@
     caller.reset()
 
 
+async def happen_while_late(happen, seconds):
+    """Let something happen while the event loop is held up between poll and timers."""
+    loop = asyncio.get_running_loop()
+    ours, other = socket.socketpair()
+
+    def hold_up():
+        loop.remove_reader(ours)
+        happen()
+        time.sleep(seconds)
+
+    loop.add_reader(ours, hold_up)
+    other.send(b"x")
+    await anyio.sleep(0.05)
+    ours.close()
+    other.close()
+
+
 class TestCallersThatLeave:
     @pytest.mark.parametrize(
         ("leave", "cause"),
@@ -78,6 +97,24 @@
 
 
 class TestCrossingCloses:
+    def test_a_request_at_the_idle_timeout_is_answered(self):
+        """Guard against a close of an idle connection whose next request has arrived.
+
+        The event loop is late, the timer fires before the request is read, and the
+        caller gets a reset for a whole request.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("first")
+            await caller.read_for(IDLE_TIMEOUT_S - 0.1)
+            assert caller.bodies == ["first"]
+            await happen_while_late(lambda: caller.send("second"), 0.3)
+            await caller.read_for(0.3)
+            assert caller.bodies == ["first", "second"]
+
+        run(test, delay_s=0.02)
+
     def test_a_drain_closes_idle_connections_soon(self):
         async def test(bed):
             caller = bed.caller()
