Answer requests that arrive on an idle connection as the drain ends

What callers saw: a reset for a whole request that was sent on a kept connection at the moment at which a stopping router closed its idle connections.

Cause: the server closed them without reading what had arrived.

Evidence: test_a_request_at_the_end_of_a_drain_is_answered failed before.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -58,6 +58,7 @@
         super().__init__(*args, **named)
         self._headers_started = False
         self._header_timer: TimerHandle | None = None
+        self._draining = False
         self._unreadable = False
         self._end = ConnectionEnd()
         self._running: RequestResponseCycle | None = None
@@ -87,10 +88,12 @@
         self._end.note(ClosedBy.CALLER)
 
     def shutdown(self) -> None:
-        """Record that an idle connection ends by a drain."""
+        """Close the connection after the answers to all requests that have arrived."""
+        self._draining = True
         if self._unanswered_cycle() is None:
-            self._end.note(ClosedBy.DRAIN)
-        super().shutdown()
+            self.loop.call_later(READ_GRACE_S, self._close_drained)
+        else:
+            super().shutdown()
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection unless its next request has already arrived."""
@@ -138,6 +141,8 @@
         self._headers_started = False
         self._cancel_header_timer()
         super().on_headers_complete()
+        if self._draining:
+            self.cycle.keep_alive = False
 
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         """Record which of several pipelined requests is running."""
@@ -159,6 +164,11 @@
         self._end.note(ClosedBy.IDLE_TIMEOUT)
         super().timeout_keep_alive_handler()
 
+    def _close_drained(self) -> None:
+        if self._unanswered_cycle() is None and not self.transport.is_closing():
+            self._end.note(ClosedBy.DRAIN)
+            self.transport.close()
+
     def _log_unanswered(self) -> None:
         """Log requests for which no call was begun; calls log their own end."""
         if not self.pipeline and not self._headers_started:
--- a/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -12,7 +12,11 @@
 import uvicorn
 
 from fulmarroad.exceptions import TransportError
-from fulmarroad_router._header_guard import HEADER_TIMEOUT_S, HeaderGuardConfig
+from fulmarroad_router._header_guard import (
+    HEADER_TIMEOUT_S,
+    READ_GRACE_S,
+    HeaderGuardConfig,
+)
 
 if TYPE_CHECKING:
     from fulmarroad_router.settings import TlsSettings
@@ -25,6 +29,9 @@
 IDLE_TIMEOUT_S = 5.0
 """Default time after which an idle connection is closed."""
 
+STOP_S = 2 * READ_GRACE_S
+"""Time in which a stopped server has closed its idle connections."""
+
 
 class _Server(uvicorn.Server):
     """Run uvicorn without its signal handlers and its periodic timer."""
@@ -116,10 +123,10 @@
                 sock.close()
 
     async def stop(self) -> None:
-        """Close the listener and let running requests finish."""
+        """Close the listener, read requests that have arrived, and let them finish."""
         if self._server is not None:
             self._server.stop()
-        await anyio.lowlevel.checkpoint()
+        await anyio.sleep(STOP_S)
 
     def set_timeouts(self, idle_s: float, header_s: float) -> None:
         """Set the timeouts.
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -115,6 +115,23 @@
 
         run(test, delay_s=0.02)
 
+    def test_a_request_at_the_end_of_a_drain_is_answered(self):
+        """Guard against requests that arrive on an idle connection as the server
+        stops, and that are reset without a word.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("first")
+            await caller.read_for(0.2)
+            asyncio.get_running_loop().call_soon(caller.send, "second")
+            await bed.server.stop()
+            received = await caller.read_for(1.0)
+            assert caller.bodies == ["first", "second"]
+            assert received.count(b"connection: close") == 1
+
+        run(test, delay_s=0.02)
+
     def test_a_drain_closes_idle_connections_soon(self):
         async def test(bed):
             caller = bed.caller()
