Answer callers that close their sending half behind a whole request

What callers saw: 0 bytes. A caller, or a proxy on its path, that shut down its sending half after a whole request got no answer and no refusal; without the shutdown it got 200.

Cause: uvicorn closes the connection at its end of file. A FIN alone doesn't tell such a caller from one that has left, for which work has to end within half a second.

Evidence: TestHalfClosedCallers failed before on real sockets.

Result: half-closed callers get whole answers and streams, directly and behind a proxy.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -20,6 +20,7 @@
 )
 
 from fulmarroad.events import Event, emit
+from fulmarroad_router._half_close import HalfClosedCaller, can_probe
 from fulmarroad_router.connection_ends import EXTENSION, ClosedBy, ConnectionEnd
 
 logger = logging.getLogger("fulmarroad.router")
@@ -58,6 +59,7 @@
         super().__init__(*args, **named)
         self._headers_started = False
         self._header_timer: TimerHandle | None = None
+        self._half_closed: HalfClosedCaller | None = None
         self._draining = False
         self._unreadable = False
         self._end = ConnectionEnd()
@@ -83,9 +85,37 @@
             running.message_event.set()
         super().connection_lost(exc)
 
-    def eof_received(self) -> None:
-        """Record that the caller has closed its connection."""
+    def eof_received(self) -> bool:  # type: ignore[override]
+        """Keep the connection open if the caller may still wait for an answer."""
+        if self._half_closed is not None:
+            return True
+        if not self._may_be_half_closed():
+            self._end.note(ClosedBy.CALLER)
+            return False
+        self.cycle.keep_alive = False
+        self._half_closed = HalfClosedCaller(
+            self.transport,
+            self.loop,
+            has_begun=lambda: self.cycle.response_started,
+            on_left=self._abort_left,
+        )
+        return True
+
+    def _may_be_half_closed(self) -> bool:
+        """Return whether a whole request waits for an answer that hasn't begun."""
+        return (
+            self._unanswered_cycle() is self.cycle
+            and self.cycle is not None
+            and not self.cycle.more_body
+            and not self.cycle.response_started
+            and not self._headers_started
+            and self.scope["http_version"] == "1.1"
+            and can_probe(self.transport)
+        )
+
+    def _abort_left(self) -> None:
         self._end.note(ClosedBy.CALLER)
+        self.transport.abort()
 
     def shutdown(self) -> None:
         """Close the connection after the answers to all requests that have arrived."""
--- a/packages/fulmarroad-router/tests/caller_sockets.py
+++ b/packages/fulmarroad-router/tests/caller_sockets.py
@@ -52,8 +52,8 @@
         headers = [(b"connection", b"close")] if path.startswith("close") else []
         body = path.encode()
         parts = [body] * 30 if path.startswith("stream") else [body]
+        await anyio.sleep(self.delay_s)
         if len(parts) == 1:
-            await anyio.sleep(self.delay_s)
             headers.append((b"content-length", b"%d" % len(body)))
         start = {"type": "http.response.start", "status": 200, "headers": headers}
         await send(start)
@@ -110,6 +110,28 @@
         return found
 
 
+async def relay(listener, port, group):
+    """Relay one connection as a proxy does, with half-closes in both directions."""
+
+    async def pass_on(source, target):
+        with contextlib.suppress(anyio.EndOfStream, OSError):
+            async for data in source:
+                await target.send(data)
+        with contextlib.suppress(OSError):
+            await target.send_eof()
+
+    async def connected(caller):
+        async with caller, await anyio.connect_tcp(HOST, port) as server:
+            try:
+                async with anyio.create_task_group() as both:
+                    both.start_soon(pass_on, caller, server)
+                    both.start_soon(pass_on, server, caller)
+            except* anyio.BrokenResourceError:
+                pass
+
+    group.start_soon(listener.serve, connected)
+
+
 @define
 class Bed:
     """A server with its app."""
@@ -121,6 +143,11 @@
     def caller(self):
         return CallerSocket(self.port)
 
+    async def caller_behind_proxy(self, group):
+        listener = await anyio.create_tcp_listener(local_host=HOST)
+        await relay(listener, self.port, group)
+        return CallerSocket(listener.extra(anyio.abc.SocketAttribute.local_port))
+
 
 def run(test, **options):
     """Run a test on uvloop, as in production."""
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -6,7 +6,7 @@
 
 import anyio
 import pytest
-from caller_sockets import IDLE_TIMEOUT_S, run
+from caller_sockets import IDLE_TIMEOUT_S, REQUEST, run
 
 from fulmarroad.events import Event
 from fulmarroad_router.connection_ends import ClosedBy
@@ -96,6 +96,86 @@
         run(test, delay_s=2.0)
 
 
+class TestHalfClosedCallers:
+    @pytest.mark.parametrize("after_s", [0.0, 0.1])
+    def test_a_request_is_answered_after_its_caller_ended_sending(self, after_s):
+        """Guard against callers and proxies that shut down their sending half behind a
+        whole request and get nothing at all.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("wait")
+            await anyio.sleep(after_s)
+            caller.end_sending()
+            received = await caller.read_for(3.0)
+            assert caller.bodies == ["wait"]
+            assert b"connection: close" in received
+
+        run(test, delay_s=0.7)
+
+    def test_a_stream_goes_on_to_its_end(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("stream")
+            caller.end_sending()
+            received = await caller.read_for(4.0)
+            assert received.endswith(b"0\r\n\r\n")
+            assert received.count(b"stream") == 30
+
+        run(test, delay_s=0.02)
+
+    @pytest.mark.parametrize("path", ["wait", "stream"])
+    def test_work_ends_when_such_a_caller_resets(self, path):
+        """Guard against streams that run to their end for a caller that half-closed
+        its connection first and left later.
+        """
+
+        async def test(bed):
+            caller = bed.caller()
+            caller.send(path)
+            caller.end_sending()
+            await caller.read_for(0.6)
+            caller.reset()
+            await anyio.sleep(GONE_S)
+            assert list(bed.app.abandoned) == [path]
+
+        run(test, delay_s=3.0 if path == "wait" else 0.1)
+
+    @pytest.mark.parametrize("leaves", [True, False])
+    def test_a_proxy_passes_a_half_close_on(self, leaves):
+        """Guard against work that goes on behind a proxy which turns the close of its
+        caller into a half-close, and notices only at the second write that it is gone.
+        """
+
+        async def test(bed):
+            async with anyio.create_task_group() as group:
+                caller = await bed.caller_behind_proxy(group)
+                caller.send("wait")
+                await anyio.sleep(0.1)
+                if leaves:
+                    close(caller)
+                    await anyio.sleep(GONE_S)
+                    assert bed.app.abandoned == {"wait": ClosedBy.CALLER}
+                else:
+                    caller.end_sending()
+                    await caller.read_for(2.0)
+                    assert caller.bodies == ["wait"]
+                group.cancel_scope.cancel()
+
+        run(test, delay_s=0.9)
+
+    def test_an_incomplete_request_ends_at_once(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.raw.sendall((REQUEST % b"wait")[:-1])
+            caller.end_sending()
+            await caller.read_for(0.3)
+            assert bed.app.abandoned == {"wait": ClosedBy.CALLER}
+
+        run(test)
+
+
 class TestCrossingCloses:
     def test_a_request_at_the_idle_timeout_is_answered(self):
         """Guard against a close of an idle connection whose next request has arrived.
