Keep the idle timeout after bytes that begin no request

What operators saw: nothing; a connection whose caller sent a line break behind a body, or the rest of a refused body, and then nothing more stayed open for ever and held a file descriptor.

Cause: uvicorn stops the idle timer at any byte and starts it after an answer only.

Evidence: test_bytes_that_begin_no_request_do_not_stop_the_timeout failed before.

Change: the timer is started again if no request has begun.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
@@ -68,9 +68,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Apply the idle timeout also before the first request of a connection."""
         super().connection_made(transport)
-        self.timeout_keep_alive_task = self.loop.call_later(
-            self.timeout_keep_alive, self.timeout_keep_alive_handler
-        )
+        self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the timers, and log requests that get no answer."""
@@ -159,6 +157,9 @@
             self._header_timer = self.loop.call_later(
                 self.config.header_timeout_s, self._schedule_close
             )
+        elif self._is_idle():
+            # uvicorn stops the timer at any byte, also if it begins no request.
+            self._start_idle_timer()
 
     def on_message_begin(self) -> None:
         """Record that headers have started."""
@@ -185,6 +186,19 @@
             return None
         return self._running
 
+    def _is_idle(self) -> bool:
+        return (
+            not self._headers_started
+            and self._unanswered_cycle() is None
+            and self.timeout_keep_alive_task is None
+            and not self.transport.is_closing()
+        )
+
+    def _start_idle_timer(self) -> None:
+        self.timeout_keep_alive_task = self.loop.call_later(
+            self.timeout_keep_alive, self.timeout_keep_alive_handler
+        )
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
--- a/packages/fulmarroad-router/tests/test_header_guard.py
+++ b/packages/fulmarroad-router/tests/test_header_guard.py
@@ -7,6 +7,7 @@
 from fulmarroad_router._header_guard import (
     CLOSE_GRACE_S,
     HEADER_TIMEOUT_RESPONSE,
+    READ_GRACE_S,
     HeaderGuard,
     HeaderGuardConfig,
 )
@@ -213,6 +214,21 @@
         loop.wait(0.2)
         assert transport.closed
 
+    @pytest.mark.parametrize("first", [b"", REQUEST])
+    def test_bytes_that_begin_no_request_do_not_stop_the_timeout(
+        self, connection, loop, transport, first
+    ):
+        """Guard against connections that stay open for ever after line breaks behind a
+        body, which some callers send, or after the rest of a refused body.
+        """
+        if first:
+            connection.data_received(first)
+            connection.cycle.response_complete = True
+            connection.on_response_complete()
+        connection.data_received(b"\r\n")
+        loop.wait(IDLE_TIMEOUT_S + READ_GRACE_S)
+        assert transport.closed
+
     def test_lost_connection_cancels_all_timers(self, connection, loop, transport):
         connection.data_received(REQUEST[:20])
         connection.connection_lost(ConnectionResetError())
