--- a/packages/fulmarroad-router/src/fulmarroad_router/_header_guard.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_http_connection.py
@@ -1,9 +1,12 @@
-"""HTTP protocol that closes connections whose request headers never complete.
+"""HTTP on one connection: timeouts, and closes that lose no whole request.
 
 uvicorn limits how long a connection may idle between two requests, but waits without a
 limit for the first byte of a new connection and for the rest of incomplete headers. A
 caller that stops there, after a crash or on purpose, holds a file descriptor. A router
 that runs out of descriptors accepts no new connections although it is otherwise idle.
+
+uvicorn also closes connections on which a whole request has arrived: at FIN, at the
+idle timeout, at a stop, and if the bytes behind the request are unreadable.
 """
 
 from __future__ import annotations
@@ -42,18 +45,18 @@
 )
 
 
-class HeaderGuardConfig(uvicorn.Config):
+class HttpConnectionConfig(uvicorn.Config):
     """Extend uvicorn's configuration with the header timeout."""
 
     def __init__(self, app: Any, *, header_timeout_s: float, **named: Any) -> None:
-        super().__init__(app, http=HeaderGuard, **named)
+        super().__init__(app, http=HttpConnection, **named)
         self.header_timeout_s = header_timeout_s
 
 
-class HeaderGuard(HttpToolsProtocol):
-    """Handle HTTP on one connection with a timeout for request headers."""
+class HttpConnection(HttpToolsProtocol):
+    """Handle HTTP on one connection, and record why it ends."""
 
-    config: HeaderGuardConfig
+    config: HttpConnectionConfig
 
     def __init__(self, *args: Any, **named: Any) -> None:
         super().__init__(*args, **named)
@@ -99,22 +102,6 @@
         )
         return True
 
-    def _may_be_half_closed(self) -> bool:
-        """Return whether a whole request waits for an answer that hasn't begun."""
-        return (
-            self._unanswered_cycle() is self.cycle
-            and self.cycle is not None
-            and not self.cycle.more_body
-            and not self.cycle.response_started
-            and not self._headers_started
-            and self.scope["http_version"] == "1.1"
-            and can_probe(self.transport)
-        )
-
-    def _abort_left(self) -> None:
-        self._end.note(ClosedBy.CALLER)
-        self.transport.abort()
-
     def shutdown(self) -> None:
         """Close the connection after the answers to all requests that have arrived."""
         self._draining = True
@@ -199,6 +186,22 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
+    def _may_be_half_closed(self) -> bool:
+        """Return whether a whole request waits for an answer that hasn't begun."""
+        return (
+            self._unanswered_cycle() is self.cycle
+            and self.cycle is not None
+            and not self.cycle.more_body
+            and not self.cycle.response_started
+            and not self._headers_started
+            and self.scope["http_version"] == "1.1"
+            and can_probe(self.transport)
+        )
+
+    def _abort_left(self) -> None:
+        self._end.note(ClosedBy.CALLER)
+        self.transport.abort()
+
     def _cancel_header_timer(self) -> None:
         if self._header_timer is not None:
             self._header_timer.cancel()
--- a/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/http_server.py
@@ -12,10 +12,10 @@
 import uvicorn
 
 from fulmarroad.exceptions import TransportError
-from fulmarroad_router._header_guard import (
+from fulmarroad_router._http_connection import (
     HEADER_TIMEOUT_S,
     READ_GRACE_S,
-    HeaderGuardConfig,
+    HttpConnectionConfig,
 )
 
 if TYPE_CHECKING:
@@ -36,9 +36,9 @@
 class _Server(uvicorn.Server):
     """Run uvicorn without its signal handlers and its periodic timer."""
 
-    config: HeaderGuardConfig
+    config: HttpConnectionConfig
 
-    def __init__(self, config: HeaderGuardConfig) -> None:
+    def __init__(self, config: HttpConnectionConfig) -> None:
         super().__init__(config)
         self._stopped = anyio.Event()
 
@@ -94,7 +94,7 @@
 
         Raise `TransportError` if the port can't be bound.
         """
-        config = HeaderGuardConfig(
+        config = HttpConnectionConfig(
             self._app,
             loop="none",
             header_timeout_s=self._header_timeout_s,
--- a/packages/fulmarroad-router/tests/test_header_guard.py
+++ b/packages/fulmarroad-router/tests/test_http_connection.py
@@ -4,12 +4,12 @@
 from attrs import define, field
 from uvicorn.server import ServerState
 
-from fulmarroad_router._header_guard import (
+from fulmarroad_router._http_connection import (
     CLOSE_GRACE_S,
     HEADER_TIMEOUT_RESPONSE,
     READ_GRACE_S,
-    HeaderGuard,
-    HeaderGuardConfig,
+    HttpConnection,
+    HttpConnectionConfig,
 )
 
 IDLE_TIMEOUT_S = 15
@@ -106,15 +106,15 @@
     async def app(scope, receive, send):
         """Send no response."""
 
-    config = HeaderGuardConfig(
+    config = HttpConnectionConfig(
         app,
         header_timeout_s=HEADER_TIMEOUT_S,
         timeout_keep_alive=IDLE_TIMEOUT_S,
         log_config=None,
     )
-    guard = HeaderGuard(config, ServerState(), {}, _loop=loop)
-    guard.connection_made(transport)
-    return guard
+    connection = HttpConnection(config, ServerState(), {}, _loop=loop)
+    connection.connection_made(transport)
+    return connection
 
 
 class TestHeaderTimeout:
