--- a/packages/fulmarroad-router/tests/test_header_guard.py
+++ b/packages/fulmarroad-router/tests/test_http_connection.py
@@ -4,11 +4,12 @@
 from attrs import define, field
 from uvicorn.server import ServerState
 
-from fulmarroad_router._header_guard import (
+from fulmarroad_router._http_connection import (
     CLOSE_GRACE_S,
     HEADER_TIMEOUT_RESPONSE,
-    HeaderGuard,
-    HeaderGuardConfig,
+    READ_GRACE_S,
+    HttpConnection,
+    HttpConnectionConfig,
 )
 
 IDLE_TIMEOUT_S = 15
@@ -105,15 +106,15 @@
     async def app(scope, receive, send):
         """Send no response."""
 
-    config = HeaderGuardConfig(
+    config = HttpConnectionConfig(
         app,
         header_timeout_s=HEADER_TIMEOUT_S,
         timeout_keep_alive=IDLE_TIMEOUT_S,
         log_config=None,
     )
-    guard = HeaderGuard(config, ServerState(), {}, _loop=loop)
-    guard.connection_made(transport)
-    return guard
+    connection = HttpConnection(config, ServerState(), {}, _loop=loop)
+    connection.connection_made(transport)
+    return connection
 
 
 class TestHeaderTimeout:
@@ -213,6 +214,21 @@
         loop.wait(0.2)
         assert transport.closed
 
+    @pytest.mark.parametrize("first", [b"", REQUEST])
+    def test_bytes_that_begin_no_request_do_not_stop_the_timeout(
+        self, connection, loop, transport, first
+    ):
+        """Guard against connections that stay open for ever after line breaks behind a
+        body, which some callers send, or after the rest of a refused body.
+        """
+        if first:
+            connection.data_received(first)
+            connection.cycle.response_complete = True
+            connection.on_response_complete()
+        connection.data_received(b"\r\n")
+        loop.wait(IDLE_TIMEOUT_S + READ_GRACE_S)
+        assert transport.closed
+
     def test_lost_connection_cancels_all_timers(self, connection, loop, transport):
         connection.data_received(REQUEST[:20])
         connection.connection_lost(ConnectionResetError())
