Go on using plain servers that paused

Callers of a plain service got nothing but refusals, for good, after one of its servers had done nothing for a second and then gone on. Cause: the calls of the pause were learned as the server's duration, 0.05 s became 0.7 s with 25 calls under way. That is longer than the objective, so each call placed there was refused; a refusal teaches nothing, and the choice among servers looks at queues only, so the idle server was chosen before sound ones with calls.

A call now goes to a plain server with a free slot whatever its duration seems to be, and a server in use that is twice as slow as the fastest one ranks behind it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_routing.py
@@ -74,6 +74,10 @@
 OTHER_CENTRE_S = 0.003
 """Cost of a server in another data centre: the round trip and the transfer."""
 
+SLOW_SERVER_FACTOR = 2.0
+"""Ratio to the fastest server's mean duration above which a plain server in use counts
+as slow: durations of sound servers vary by less."""
+
 
 @frozen
 class Prompt:
@@ -365,11 +369,13 @@
     pair = candidates
     if source is not None and len(candidates) > 2:
         pair = source.sample(candidates, 2)
+    usual_s = SLOW_SERVER_FACTOR * min(row.base_s for row in pair)
     row = min(
         pair,
         key=lambda row: (
             row.wait_s
             + row.penalty_s
+            + (max(0.0, row.base_s - usual_s) if row.wait_s > 0 else 0.0)
             + (OTHER_CENTRE_S if row.data_centre != centre else 0.0)
         ),
     )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -26,6 +26,10 @@
 """Fraction of the objective that is kept free when a call waits for a slot of a plain
 service, besides its own duration."""
 
+FREE_SLOT_WAIT_S = 0.02
+"""Estimated wait up to which a call goes to a plain server that seems too slow for its
+objective: without calls it would be excluded for good. A queue has a longer wait."""
+
 RETRY_AFTER_S = (0.3, 0.9)
 """Range of the retry delay after a refusal for load: an engine works off its queue
 within a fraction of a second, and the range keeps retries from arriving together."""
@@ -53,7 +57,7 @@
     """
     if service.engine is None:
         slack_s = (1.0 - PLAIN_MARGIN_FRACTION) * demand.objective_s - choice.read_s
-        return slack_s * WAIT_FACTOR_PER_RANK**demand.rank
+        return max(FREE_SLOT_WAIT_S, slack_s * WAIT_FACTOR_PER_RANK**demand.rank)
     if few_servers:
         # Its share is one of all servers, which it can't use.
         return demand.objective_s
--- a/packages/fulmarroad-serving/tests/test_plain_service.py
+++ b/packages/fulmarroad-serving/tests/test_plain_service.py
@@ -1,8 +1,10 @@
 """Test of a plain service near its capacity, in virtual time."""
 
 import heapq
+import itertools
 import random
 
+import pytest
 from owner_bed import make_dispatcher
 
 from fulmarroad_serving import Demand, Placement
@@ -14,13 +16,17 @@
 OBJECTIVE_S = 0.34
 
 
-def simulate(calls_per_s, seconds, seed):
-    """Return how many calls came, and how many ended within their objective."""
+def simulate(calls_per_s, seconds, seed, servers=SERVERS, pause_s=0.0, counted_from=0):
+    """Return how many calls came, and how many ended within their objective.
+
+    The first server does nothing in the first `pause_s` seconds and then goes on.
+    """
     source = random.Random(seed)
-    dispatcher = make_dispatcher("owner", plain=SERVERS)
+    dispatcher = make_dispatcher("owner", plain=servers)
     owned = dispatcher.registry.usable("ledger")
     free_at = {row.instance.id: [0.0] * SLOTS for row in owned}
-    ends, asked, on_time = [], 0, 0
+    free_at["ledger-0"] = [100.0 + pause_s] * SLOTS
+    ends, calls, asked, on_time = [], itertools.count(), 0, 0
     now = 100.0
     while now < 100.0 + seconds:
         now += source.expovariate(calls_per_s)
@@ -28,8 +34,10 @@
             ended_at, _, ticket = heapq.heappop(ends)
             dispatcher.begin(ticket, ended_at)
             dispatcher.end(ticket, None, ended_at)
-        asked += 1
-        demand = Demand(f"c{asked}", "ledger", "coop", OBJECTIVE_S)
+        number = next(calls)
+        is_counted = now >= 100.0 + counted_from
+        asked += is_counted
+        demand = Demand(f"c{number}", "ledger", "coop", OBJECTIVE_S)
         placement = dispatcher.place(demand, now, owned=OwnedServers(owned))
         if not isinstance(placement, Placement):
             continue
@@ -38,8 +46,8 @@
         start = max(now, heapq.heappop(slots))
         ended_at = start + WORK_S * source.uniform(0.5, 1.5)
         heapq.heappush(slots, ended_at)
-        heapq.heappush(ends, (ended_at, asked, ticket))
-        on_time += ended_at - now <= OBJECTIVE_S
+        heapq.heappush(ends, (ended_at, number, ticket))
+        on_time += is_counted and ended_at - now <= OBJECTIVE_S
     return asked, on_time
 
 
@@ -56,3 +64,16 @@
         capacity = SERVERS * SLOTS / WORK_S
         asked, on_time = simulate(1.5 * capacity, 20.0, 1)
         assert on_time > 0.9 * capacity * 20.0
+
+
+class TestPause:
+    @pytest.mark.parametrize("servers", [1, 2, 3])
+    @pytest.mark.parametrize("pause_s", [1.0, 2.0])
+    def test_a_server_that_paused_gets_calls_again(self, servers, pause_s):
+        """Guard against a service that refuses all calls for good after one server did
+        nothing for a second: the calls of that second were learned as its speed, no
+        objective could be met by it, and without calls it learned no other.
+        """
+        load = 0.5 * servers * SLOTS / WORK_S
+        asked, on_time = simulate(load, 9.0, 1, servers, pause_s, counted_from=5.0)
+        assert on_time > 0.97 * asked
