Keep counting the calls of a server whose entry lapsed and came back

A server that had not written its entry for some seconds, as it or the store was silent, was taken for a restarted one once its entry returned: the calls that still ran there were no longer counted, so its owner placed more than its slots, and its prompt parts counted as lost. Cause: a removed entry forgot the start of its run.

The registry now remembers the runs that it dropped; an entry with the same start continues it. One that left after its drain stays without calls, as before its removal.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -78,6 +78,7 @@
         self._rows: dict[ServerName, Registered] = {}
         self._excluded_centres: set[DataCentreName] = set()
         self._removed_servers: dict[ServerName, int] = {}  # their `started_ms`
+        self._dropped: dict[ServerName, Registered] = {}
         self._listed = False
         self._usable: dict[tuple[ServiceName, str], tuple[Registered, ...]] = {}
         """By service and version; "" stands for all versions."""
@@ -101,7 +102,7 @@
 
     def put(self, instance: Instance, now: float) -> bool:
         """Add or update an entry; return whether the server has (re)started."""
-        row = self._rows.get(instance.id)
+        row = self._rows.get(instance.id) or self._take_back(instance)
         is_new_run = row is None or row.instance.started_ms != instance.started_ms
         if row is None:
             row = self._rows[instance.id] = Registered(instance, now)
@@ -127,6 +128,20 @@
         row.cold_until = now + max(0.0, instance.warmup_left_s)
         return is_new_run
 
+    def _take_back(self, instance: Instance) -> Registered | None:
+        """Return the row of a run that was dropped while it went on, None if it wasn't.
+
+        Its entry lapsed, as it or the store was silent for some seconds. Taken for a
+        restart, its running calls would no longer be counted.
+        """
+        row = self._dropped.pop(instance.id, None)
+        if row is None or not instance.started_ms:
+            return None
+        if row.instance.started_ms != instance.started_ms:
+            return None
+        self._rows[instance.id] = row
+        return row
+
     def note_listed(self) -> None:
         """Record the first listing; servers that are added later have just started."""
         self._listed = True
@@ -176,7 +191,10 @@
         return expired
 
     def _drop(self, server: ServerName, now: float) -> None:
-        self._note_former(self._rows.pop(server).instance, now)
+        row = self._dropped[server] = self._rows.pop(server)
+        if len(self._dropped) > MAX_REMOVED_SERVERS:
+            del self._dropped[next(iter(self._dropped))]
+        self._note_former(row.instance, now)
         self._announced.pop(server, None)
         self._usable.clear()
 
--- a/packages/fulmarroad-serving/tests/test_registry.py
+++ b/packages/fulmarroad-serving/tests/test_registry.py
@@ -93,6 +93,45 @@
         assert registry.remove("s-1", 10.0, store_failure_age_s=0.0)
 
 
+class TestReturns:
+    def returned(self, **changes):
+        """Remove a server and put its entry again; return whether it has restarted."""
+        registry = Registry()
+        run = evolve(SERVER, started_ms=5)
+        registry.put(run, 0.0)
+        registry.note_listed()
+        registry.remove("s-1", 10.0)
+        return registry.put(evolve(run, **changes), 12.5), registry
+
+    def test_a_run_whose_entry_returns_has_not_restarted(self):
+        """Guard against a server that gets more calls than it has slots for: it didn't
+        write its entry for some seconds, and its running calls were forgotten.
+        """
+        restarted, registry = self.returned()
+        assert not restarted
+        assert registry.get("s-1").started_at < 0.0
+        assert usable(registry) == ["s-1"]
+
+    def test_another_run_under_the_id_has_just_started(self):
+        restarted, registry = self.returned(started_ms=6)
+        assert restarted
+        assert registry.get("s-1").started_at == 12.5
+
+    def test_a_run_without_a_known_start_has_just_started(self):
+        registry = Registry()
+        registry.put(SERVER, 0.0)
+        registry.remove("s-1", 10.0)
+        assert registry.put(SERVER, 12.5)
+
+    def test_a_run_that_left_after_its_drain_takes_no_calls(self):
+        registry = Registry()
+        run = evolve(SERVER, started_ms=5)
+        registry.put(evolve(run, draining=True), 0.0)
+        registry.remove("s-1", 10.0)
+        registry.put(run, 12.5)
+        assert usable(registry) == []
+
+
 class TestColdServers:
     def test_a_server_restarted_under_its_id_is_cold(self):
         registry = Registry()
