--- a/packages/fulmarroad-router/tests/test_backend.py
+++ b/packages/fulmarroad-router/tests/test_backend.py
@@ -19,6 +19,8 @@
 SETTLE_S = 0.3
 """Time in which a reset has reached the path, or the server what the path delivers."""
 
+PAUSE_S = 2.0
+
 CALLS_WITHOUT_END = 20
 MAX_GROWTH_BYTES = 16 * 1024 * 1024
 
@@ -57,11 +59,11 @@
         listener.close()
 
 
-async def post(client, port, request_id, *, repeatable=True):
+async def post(client, port, request_id, *, repeatable=True, pool=POOL):
     server = BackendServer("ledger-a", f"127.0.0.1:{port}", "fes")
     headers = [(b"host", b"ledger"), (b"x-id", request_id.encode())]
     request = BackendRequest(b"POST", b"/reminders", headers, b"")
-    async with client.call(POOL, server, request, repeatable=repeatable) as response:
+    async with client.call(pool, server, request, repeatable=repeatable) as response:
         return b"".join([chunk async for chunk in response.chunks()])
 
 
@@ -118,6 +120,32 @@
         anyio.run(test)
 
 
+class TestPauses:
+    @pytest.mark.parametrize("before", ["its first byte", "the rest of its answer"])
+    def test_a_server_that_pauses_keeps_its_call(self, before):
+        """Guard against default time-outs that take a pause for the server's end."""
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for part in (b"HTTP/1.1 200 S\r\ncontent-length: 4\r\n\r\ndo", b"ne"):
+                if (part == b"ne") == (before == "the rest of its answer"):
+                    await asyncio.sleep(PAUSE_S)
+                writer.write(part)
+            writer.close()
+
+        async def test():
+            listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+            client = BackendClient()
+            try:
+                port = listener.sockets[0].getsockname()[1]
+                assert await post(client, port, "r-1", pool=Pool("ledger")) == b"done"
+            finally:
+                await client.close()
+                listener.close()
+
+        anyio.run(test)
+
+
 class TestEndlessAnswers:
     @pytest.mark.parametrize(
         "form", ["header-lines", "one-header-line", "chunk-extension", "trailers"]
