Answer pipelined requests of half-closed callers, and look for resets sooner

What callers saw: 0 bytes for both of two pipelined requests behind which the sending half was shut down (TestHalfClosedCallers::test_pipelined_requests_are_answered failed before).

Change: the caller is probed until the first answer begins, and its connection closes after the last one. A reset is looked for every 20 ms.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_half_close.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_half_close.py
@@ -23,7 +23,7 @@
 """Time after FIN at which all interim responses must have been acknowledged. Otherwise
 the path is cut, and a reset would not arrive either."""
 
-CHECK_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.02
 
 
 class HalfClosedCaller:
--- a/packages/fulmarroad-router/src/fulmarroad_router/_http_connection.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_http_connection.py
@@ -90,14 +90,15 @@
         """Keep the connection open if the caller may still wait for an answer."""
         if self._half_closed is not None:
             return True
-        if not self._may_be_half_closed():
+        running = self._unanswered_cycle()
+        if running is None or not self._may_be_half_closed(running):
             self._end.note(ClosedBy.CALLER)
             return False
         self.cycle.keep_alive = False
         self._half_closed = HalfClosedCaller(
             self.transport,
             self.loop,
-            has_begun=lambda: self.cycle.response_started,
+            has_begun=lambda: running.response_started,
             on_left=self._abort_left,
         )
         return True
@@ -186,13 +187,11 @@
             self.timeout_keep_alive, self.timeout_keep_alive_handler
         )
 
-    def _may_be_half_closed(self) -> bool:
-        """Return whether a whole request waits for an answer that hasn't begun."""
+    def _may_be_half_closed(self, running: RequestResponseCycle) -> bool:
+        """Return whether whole requests wait for answers that haven't begun."""
         return (
-            self._unanswered_cycle() is self.cycle
-            and self.cycle is not None
+            not running.response_started
             and not self.cycle.more_body
-            and not self.cycle.response_started
             and not self._headers_started
             and self.scope["http_version"] == "1.1"
             and can_probe(self.transport)
--- a/packages/fulmarroad-router/tests/test_connection_ends.py
+++ b/packages/fulmarroad-router/tests/test_connection_ends.py
@@ -114,6 +114,17 @@
 
         run(test, delay_s=0.7)
 
+    def test_pipelined_requests_are_answered(self):
+        async def test(bed):
+            caller = bed.caller()
+            caller.send("first", "second")
+            caller.end_sending()
+            received = await caller.read_for(3.0)
+            assert caller.bodies == ["first", "second"]
+            assert received.count(b"connection: close") == 1
+
+        run(test, delay_s=0.5)
+
     def test_a_stream_goes_on_to_its_end(self):
         async def test(bed):
             caller = bed.caller()
