Play series of silent servers, stuck answers and plain calls

Streams and plain calls were judged beside one kind of trouble at a time. Series draw pauses, ends without a close, crashes, drains, stuck answers, cut and killed routers, callers that leave, scarce places and scarce retries, and judge calls from their callers, runs from the engines, and what routers still hold when all is quiet.

--- a/packages/fulmarroad-serving/tests/silence_fleet.py
+++ b/packages/fulmarroad-serving/tests/silence_fleet.py
@@ -12,7 +12,7 @@
 
 import anyio
 from attrs import Factory, define, evolve, field
-from serving_bed import SHORT, STREAM, make_catalog, stream_head
+from serving_bed import PLAIN, SHORT, STREAM, answer, make_catalog, stream_head
 from stream_fleet import (
     DEADLINE_S,
     EVENT_S,
@@ -21,21 +21,27 @@
     Engine,
     EngineConnection,
     FleetRouter,
+    StreamCaller,
     StreamFleet,
 )
 
 from fulmarroad_serving import FleetBounds
 from fulmarroad_serving._connection import PROBE_COUNT, PROBE_IDLE_S, PROBE_INTERVAL_S
 from fulmarroad_serving._pool import CONNECT_TIMEOUT_S
+from fulmarroad_serving.contracts import InstanceRemovedFact
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError, NotSentError
 
 PATIENCE_S = 3.0
 """Time without a byte after which a caller leaves."""
 
+COME_BACK_S = 0.05
+MIN_LEFT_S = 0.1
+
 PAUSE_CYCLE_S = 3.0
 """Time from one pause of an engine to its next."""
 
 CONFIG_CHANGE_S = 1.0
+DEADLINE_RESOLUTION_S = 0.002  # calls state whole milliseconds
 DEAD_HOST_S = PROBE_IDLE_S + PROBE_INTERVAL_S * PROBE_COUNT
 """Time after which the kernel closes the connections to a host that is gone."""
 
@@ -43,6 +49,12 @@
     STREAM, timeout_s=DEADLINE_S, objective_s=0.4, pause_objective_s=0.2
 )
 
+PAUSING_PLAIN = evolve(PLAIN, timeout_s=2.5, objective_s=0.2)
+PLAIN_S = 0.05
+"""Time in which a plain server answers."""
+
+DEADLINES_S = {"drafting": DEADLINE_S, "ledger": PAUSING_PLAIN.timeout_s}
+
 END_OF_STREAM = b"0\r\n\r\n"
 REFUSALS = frozenset({429, 503})
 TIMEOUT_STATUS = 504
@@ -75,7 +87,17 @@
     at: float
     stuck_after: float = math.inf  # events
     whole: bool = False
+    has_slot: bool = False
     ended_at: float = math.inf
+    lost_at: float = math.inf  # its engine ended
+
+    @property
+    def works_until(self):
+        return min(self.ended_at, self.lost_at)
+
+    @property
+    def is_sound(self):
+        return math.isinf(self.lost_at) and math.isinf(self.stuck_after)
 
 
 @define(eq=False)
@@ -89,17 +111,42 @@
     places: anyio.Semaphore = Factory(
         lambda self: anyio.Semaphore(self.slots), takes_self=True
     )
+    runs: list = field(factory=list)
+    history: list = field(factory=list)  # of pauses and ends, for messages
 
     def pause(self, for_s):
+        self.note(f"pauses for {for_s:.2f}")
         self.silent_until = max(self.silent_until, anyio.current_time() + for_s)
 
     def pause_begins(self, for_s):
         """Begin no answer for a while, as in a long prefill; the others go on."""
+        self.note(f"begins nothing for {for_s:.2f}")
         self.begins_at = max(self.begins_at, anyio.current_time() + for_s)
 
     def die_silently(self, reach=Reach.ACCEPTED):
         """End without closing a connection."""
         self.dead, self.silent_until, self.reach = True, math.inf, reach
+        self.note(f"ends silently, {reach.name}")
+        self.lose_runs()
+
+    def crash(self):
+        self.note("ends")
+        self.lose_runs()
+        super().crash()
+
+    def lose_runs(self):
+        now = anyio.current_time()
+        for run in self.runs:
+            if math.isinf(run.works_until):
+                run.lost_at = now
+        self.runs.clear()
+
+    def note(self, what):
+        self.history.append(f"{anyio.current_time():.2f} {what}")
+
+    def revive(self):
+        self.note("starts again")
+        self.dead, self.silent_until, self.reach = False, -math.inf, Reach.ACCEPTED
 
     async def work(self, seconds, *, begun):
         """Work on an answer; what falls due in a pause is done at its end."""
@@ -122,10 +169,21 @@
         self.run = self.fleet.note_run(headers["x-id"], self.engine)
         try:
             async with self.engine.places:
-                await self.generate(headers)
+                self.run.has_slot = True
+                if self.engine.service == "ledger":
+                    await self.answer_plain(headers)
+                else:
+                    await self.generate(headers)
         finally:
             self.run.ended_at = anyio.current_time()
 
+    async def answer_plain(self, headers):
+        await self.engine.work(PLAIN_S, begun=False)
+        if math.isfinite(self.run.stuck_after):
+            await anyio.sleep_forever()
+        self.run.whole = True
+        self.send(answer(request_id=headers["x-id"]))
+
     async def generate(self, headers):
         engine, run = self.engine, self.run
         first = int(headers["last-event-id"] or 0) + 1
@@ -159,7 +217,9 @@
 class SilenceRouter(FleetRouter):
     """A router with the retry budget of a small deployment."""
 
-    bounds = FleetBounds(retry_ratio=0.2, retry_window_s=10.0, retry_burst=54.0)
+    @property
+    def bounds(self):
+        return self.fleet.bounds
 
     async def connect(self, instance):
         engine = self.fleet.at_port(instance.port)
@@ -171,6 +231,46 @@
         return await super().connect(instance)
 
 
+@define(eq=False)
+class SilenceCaller(StreamCaller):
+    """A caller who comes back only after its router was killed."""
+
+    leaves_after_s: float = math.inf
+    left_early: bool = False
+    lost_router: bool = False
+
+    @property
+    def service(self):
+        return "ledger" if self.path.startswith(PLAIN.path_prefix) else "drafting"
+
+    @property
+    def body(self):
+        # Equal ones would be suspects of every crash.
+        return b"p-%d" % self.number
+
+    @property
+    def deadline(self):
+        return self.tries[0].at + DEADLINES_S[self.service]
+
+    async def run(self, router=None, tries=4):
+        left_s = DEADLINES_S[self.service]
+        for attempt in range(tries):
+            router = self.fleet.pick(self.number, attempt)
+            await self.attempt(router, f"c-{self.number}-{attempt}", left_s)
+            if router.alive or self.whole or self.tries[-1].status not in (0, 200):
+                return
+            self.lost_router = True
+            await anyio.sleep(COME_BACK_S)
+            left_s = self.deadline - anyio.current_time()
+            if left_s <= MIN_LEFT_S:
+                return
+
+    def stays(self, heard_at):
+        leaves_at = self.tries[0].at + self.leaves_after_s
+        self.left_early = anyio.current_time() >= leaves_at
+        return not self.left_early and super().stays(heard_at)
+
+
 class FailureLog(logging.Handler):
     """Keep what routers log about each failed request."""
 
@@ -208,12 +308,15 @@
     router_type = SilenceRouter
     engine_type = SilentEngine
     connection_type = SilentConnection
+    caller_type = SilenceCaller
     patience_s = PATIENCE_S
+    bounds = FleetBounds(retry_ratio=0.2, retry_window_s=10.0, retry_burst=54.0)
 
     def __init__(self, size=4, seed=1, loss=0.0):
         super().__init__(size, seed, loss)
         self.random = random.Random(seed)
-        self.catalog = make_catalog(routes=(PAUSING_STREAM, SHORT))
+        self.catalog = make_catalog(routes=(PAUSING_STREAM, PAUSING_PLAIN, SHORT))
+        self.has_ample_places = True  # and retries
         self.stuck_one_in = 0  # runs; 0: none gets stuck
         self.runs = {}  # by request
         self.cut_runs = []
@@ -232,10 +335,11 @@
     def die_silently(self, name, reach=Reach.ACCEPTED):
         engine = self.engines[name]
         engine.die_silently(reach)
+        connections = list(engine.connections)
 
         async def lose_connections():
             await anyio.sleep(DEAD_HOST_S)
-            for connection in list(engine.connections):
+            for connection in connections:
                 connection.lose()
 
         if reach is Reach.UNANSWERED:
@@ -250,6 +354,9 @@
 
     def note_run(self, request_id, engine):
         run = EngineRun(request_id, engine, anyio.current_time())
+        if engine.dead:
+            run.lost_at = run.at
+        engine.runs.append(run)
         self.runs.setdefault(request_id, []).append(run)
         run_count = sum(map(len, self.runs.values()))
         if self.stuck_one_in and run_count % self.stuck_one_in == 0:
@@ -260,11 +367,18 @@
         """Note a router's close of a connection, unless its run or call was over."""
         if run.whole or run.engine.dead or run.stuck_after < math.inf:
             return
-        caller, attempt = self._call_of(run.request_id)
-        is_due = anyio.current_time() < caller.tries[0].at + DEADLINE_S
+        caller, attempt = self.call_of(run.request_id)
+        is_due = anyio.current_time() < caller.deadline - DEADLINE_RESOLUTION_S
         if self.routers[attempt.router].alive and is_due and not attempt.left:
             self.cut_runs.append(run)
 
+    def remove_entry(self, name):
+        self.publish(InstanceRemovedFact(name))
+
+    def start_again(self, name, version):
+        self.engines[name].revive()
+        super().start_again(name, version)
+
     # configuration
 
     async def change_config(self):
@@ -283,7 +397,7 @@
                 evolve(SHORT, name=f"other-{number}", path_prefix=f"/other-{number}/")
                 for number in self.random.sample(range(20), 8)
             ]
-            self.set_catalog(routes=(stream, SHORT, *others))
+            self.set_catalog(routes=(stream, PAUSING_PLAIN, SHORT, *others))
 
     # callers
 
@@ -293,7 +407,7 @@
             self.begin(number, tries=1)
             await anyio.sleep(self.random.expovariate(per_s))
 
-    def _call_of(self, request_id):
+    def call_of(self, request_id):
         """Return the caller of a request and its try."""
         _, number, attempt = request_id.split("-")
         caller = self.callers[int(number)]
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -219,9 +219,10 @@
             name, incarnation, self.dispatcher, owners, source, clock
         )
         self.dispatcher.on_progress = self.client.note_progress
+        self.granter = Granter(name, incarnation, self.dispatcher, owners)
         self.exchange = OwnerExchange(
             self.client,
-            Granter(name, incarnation, self.dispatcher, owners),
+            self.granter,
             lambda: {name: name for name in fleet.routers},
             fleet.incarnations,
             clock,
@@ -311,6 +312,7 @@
     retry_after_s: float = 0.0
     in_touch: bool = True  # the router had reached the others for a while
     left: bool = False  # its caller gave it up
+    answered_at: float = 0.0  # when its head came
     servers: int = 0  # of its stream's version, at its begin
 
 
@@ -374,7 +376,7 @@
             nonlocal sent
             if not sent:
                 sent = True
-                return {"type": "http.request", "body": b"p", "more_body": False}
+                return {"type": "http.request", "body": self.body, "more_body": False}
             await left.wait()
             return {"type": "http.disconnect"}
 
@@ -382,7 +384,7 @@
             nonlocal retry_after_s, heard_at
             heard_at = anyio.current_time()
             if message["type"] == "http.response.start":
-                row.status = message["status"]
+                row.status, row.answered_at = message["status"], heard_at
                 after = dict(message["headers"]).get(b"retry-after", b"0")
                 row.retry_after_s = retry_after_s = float(after)
             elif row.status != 200:
@@ -392,7 +394,7 @@
                 self.whole = not message.get("more_body", False)
 
         async def watch():
-            while anyio.current_time() - heard_at < self.fleet.patience_s:
+            while self.stays(heard_at):
                 await anyio.sleep(0.1)
             row.left = True
             left.set()
@@ -406,6 +408,10 @@
                     group.cancel_scope.cancel()
         return max(retry_after_s, 0.02)
 
+    def stays(self, heard_at):
+        """Return whether the caller waits on, with its last byte at a time."""
+        return anyio.current_time() - heard_at < self.fleet.patience_s
+
     def hold(self, body, attempt_id, row):
         for text in body.decode().split("\n\n"):
             if "data: " not in text:
@@ -415,6 +421,10 @@
             self.resumes = self.resumes or attempt_id
             row.got += 1
 
+    @property
+    def body(self):
+        return b"p"
+
     @property
     def makers(self):
         """Return the services and versions whose events the caller holds."""
@@ -432,6 +442,7 @@
     router_type = FleetRouter
     engine_type = Engine
     connection_type = EngineConnection
+    caller_type = StreamCaller
     patience_s = PATIENCE_S
 
     def __init__(self, size=4, seed=1, loss=0.0):
@@ -634,7 +645,7 @@
     def begin(self, number, **more):
         """Begin a stream and return its caller, without waiting for the end."""
         router, tries = more.pop("router", None), more.pop("tries", 4)
-        caller = StreamCaller(self, number, **more)
+        caller = self.caller_type(self, number, **more)
         self.callers.append(caller)
         self.group.start_soon(caller.run, router, tries)
         return caller
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -99,6 +99,69 @@
         assert counts.whole_fraction >= 0.95, counts
 
 
+PLAIN_SERVERS = 4
+PLAIN_CALLS_PER_S = 12.0
+PLAIN_CALLS = 120
+PLAIN_PAUSE_S = 1.0
+CONNECT_S = 0.05
+PLAIN_PATH = "/look/1"
+
+
+class TestPlainServers:
+    def test_servers_get_calls_again_after_a_pause(self):
+        """Guard against sound servers that are refused for good after a pause, as the
+        pause counts as the usual duration of their calls.
+        """
+
+        async def test(fleet):
+            for number in range(PLAIN_SERVERS):
+                fleet.add_engine(f"l-{number}", service="ledger", slots=AMPLE_SLOTS)
+            await anyio.sleep(0.4)
+            for number in range(PLAIN_CALLS):
+                if number == PLAIN_CALLS_PER_S:
+                    for engine in fleet.engines.values():
+                        engine.pause(PLAIN_PAUSE_S)
+                fleet.begin(number, path=PLAIN_PATH)
+                await anyio.sleep(1 / PLAIN_CALLS_PER_S)
+            await anyio.sleep(SETTLE_S)
+
+        fleet = SilenceFleet()
+        run_virtual(fleet.run, test)
+        counts = fleet.count()
+        assert counts.whole_fraction == 1.0, counts
+
+    def test_calls_leave_silent_servers_while_another_can_answer(self):
+        """Guard against calls that look for another server so seldom that their time
+        is nearly over when they leave a dead one.
+        """
+
+        async def test(fleet):
+            for router in fleet.routers.values():
+                router.pool._connect = connect_slowly(router)
+            for name in ("l-0", "l-1"):
+                fleet.add_engine(name, service="ledger", slots=AMPLE_SLOTS)
+            await anyio.sleep(0.4)
+            fleet.die_silently("l-0")
+            for number in range(len(fleet.routers)):
+                fleet.begin(number, path=PLAIN_PATH)
+            await anyio.sleep(SETTLE_S)
+
+        fleet = SilenceFleet()
+        run_virtual(fleet.run, test)
+        counts = fleet.count()
+        assert counts.whole_fraction == 1.0, (counts, fleet.failures())
+
+
+def connect_slowly(router):
+    """Return how a router far from its servers opens connections."""
+
+    async def connect(instance):
+        await anyio.sleep(CONNECT_S)
+        return await router.connect(instance)
+
+    return connect
+
+
 class TestStuckAnswers:
     def test_streams_leave_answers_that_are_stuck(self):
         """Guard against calls that wait for an answer which its engine has dropped."""
