--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_processes.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import IO, Any, TypeVar
@@ -97,14 +97,29 @@
 
     async def start(self, name: str, module: str, *arguments: str) -> Child:
         """Start `python -m MODULE ARGUMENTS`."""
+        return await self.start_program(
+            name, [sys.executable, "-m", module, *arguments]
+        )
+
+    async def start_program(
+        self,
+        name: str,
+        command: Sequence[str],
+        *,
+        directory: Path | None = None,
+        environment: Mapping[str, str] | None = None,
+    ) -> Child:
+        """Start a program; it inherits this process's environment unless given one."""
         log = self.directory / f"{name}.log"
         output = log.open("ab")
         self._files.append(output)
         process = await anyio.open_process(
-            [sys.executable, "-m", module, *arguments],
+            command,
             stdin=None,
             stdout=output,
             stderr=output,
+            cwd=directory,
+            env=environment,
         )
         child = Child(name, process, log, time.monotonic())
         self.children.append(child)
