--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_counts.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_counts.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from typing import Any
 
 from fulmarroad_bench._silence_callers import NOTHING_ENDS, End, ReceivedStream
-from fulmarroad_bench._silence_engine import EVENTS, Run
-
-CLOSE_TRANSIT_S = 0.2
-"""Seconds by which a router's close may follow the end of its caller's connection."""
+from fulmarroad_bench._silence_engine import Run
 
 
 def count_streams(
@@ -37,13 +35,16 @@
 
 
 def _cuts(received: Sequence[ReceivedStream], runs: Iterable[Run]) -> int:
-    """Count sound answers that a router broke off while its caller waited."""
-    ended_at = {stream.id: stream.ended_at for stream in received}
+    """Count sound answers that a router broke off before their caller left."""
+    left_at = {
+        stream.id: stream.ended_at
+        for stream in received
+        if stream.end in (End.LEFT, End.DEADLINE)
+    }
     return sum(
         run.closed_at is not None
-        and run.engine_lives
-        and run.stuck_after >= EVENTS
-        and run.closed_at < ended_at.get(run.request_id, 0.0) - CLOSE_TRANSIT_S
+        and run.sound
+        and run.closed_at < left_at.get(run.request_id, math.inf)
         for run in runs
     )
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_engine.py
@@ -10,6 +10,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 from anyio.streams.buffered import BufferedByteReceiveStream
+from anyio.streams.stapled import MultiListener
 from attrs import define, field
 
 from fulmarroad_bench._silence_forms import Form
@@ -50,6 +51,11 @@
     closed_at: float | None = None  # the router closed the connection before the end
     engine_lives: bool = True
 
+    @property
+    def sound(self) -> bool:
+        """Return whether the answer goes on after any silence."""
+        return self.engine_lives and self.stuck_after >= EVENTS
+
 
 @define(eq=False)
 class SilentEngine:
@@ -65,7 +71,7 @@
     _running: int = 0
     _silent_until: float = 0.0
     _accepting: anyio.CancelScope = field(factory=anyio.CancelScope)
-    _listening_socket: socket.socket | None = None
+    _listener: MultiListener[SocketStream] | None = None
     _fillers: list[socket.socket] = field(factory=list)
 
     async def serve(self, group: TaskGroup) -> None:
@@ -73,10 +79,10 @@
         listener = await anyio.create_tcp_listener(
             local_host=self.host, local_port=self.port
         )
-        raw = listener.extra(SocketAttribute.raw_socket)
-        self._listening_socket = raw
+        self._listener = listener
 
         async def accept() -> None:
+            # An engine that died goes on listening but accepts nothing.
             with self._accepting:
                 await listener.serve(self._serve_connection, group)
 
@@ -100,18 +106,20 @@
 
     def _fill_backlog(self) -> None:
         """Make the kernel drop new connections, which then hang."""
-        assert self._listening_socket is not None
-        self._listening_socket.listen(0)
+        assert self._listener is not None
+        self._listener.extra(SocketAttribute.raw_socket).listen(0)
         for _ in range(2):
             filler = socket.socket()
             filler.setblocking(False)
             filler.connect_ex((self.host, self.port))
             self._fillers.append(filler)
 
-    def close(self) -> None:
-        """Close the sockets that fill the backlog."""
+    async def close(self) -> None:
+        """Close the sockets that listen or fill the backlog."""
         for filler in self._fillers:
             filler.close()
+        if self._listener is not None:
+            await self._listener.aclose()
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         reader = BufferedByteReceiveStream(stream)
@@ -180,20 +188,19 @@
         self, stream: SocketStream, request: StreamRequest, run: Run
     ) -> None:
         await anyio.sleep(FIRST_EVENT_S)
+        pending = stream_head(request.id)
         numbers = range(request.last_event + 1, EVENTS + 1)
         try:
             for sent, number in enumerate(numbers):
                 if sent >= run.stuck_after:
                     await anyio.sleep_forever()
                 await self._wait_out_silence(begun=sent > 0)
-                chunk = event_chunk(request.id, number)
-                if not sent:
-                    chunk = stream_head(request.id) + chunk
-                await stream.send(chunk)
+                await stream.send(pending + event_chunk(request.id, number))
+                pending = b""
                 await anyio.sleep(EVENT_INTERVAL_S)
-            await self._wait_out_silence(begun=True)
+            await self._wait_out_silence(begun=not pending)
             run.whole = True
-            await stream.send(LAST_CHUNK)
+            await stream.send(pending + LAST_CHUNK)
         except _CLOSED:
             run.whole = False
             run.closed_at = time.monotonic()
