--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(addprefix $(CURDIR)/,$(SRC)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup check format test demo bench lab hard-load capacity
+.PHONY: setup check format test demo bench lab hard-load silences capacity
 
 setup: $(VENV)/.ready
 
@@ -52,5 +52,11 @@
 	$(PY) -m fulmarroad_bench.hard_load --form $(FORM) --seeds $(SEEDS) \
 		--features "$(FEATURES)"
 
+FORMS ?=
+TREE ?=
+silences: setup
+	$(PY) -m fulmarroad_bench.silences --form "$(FORMS)" --seeds $(SEEDS) \
+		--tree "$(TREE)"
+
 capacity: setup
 	$(PY) -m fulmarroad_bench.capacity
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
@@ -4,6 +4,7 @@
 
 import os
 import random
+import signal
 import sys
 import time
 from pathlib import Path
@@ -13,7 +14,13 @@
 from anyio.abc import TaskGroup
 from attrs import define, field, frozen
 
-from fulmarroad_bench._processes import Child, Processes, processes, wait_ready
+from fulmarroad_bench._processes import (
+    Child,
+    ProcessError,
+    Processes,
+    processes,
+    wait_ready,
+)
 from fulmarroad_bench._silence_callers import (
     DEADLINE_S,
     WORKSPACES,
@@ -91,9 +98,22 @@
 
 
 async def run_load(plan: RunPlan) -> dict[str, Any]:
-    """Run the load with its own routers and return its figures."""
-    async with processes(plan.logs) as starter:
-        return await SilenceRun(plan, starter).run()
+    """Run the load with its own routers and return its figures.
+
+    Raises `ProcessError` if this process is asked to terminate.
+    """
+    async with processes(plan.logs) as starter, anyio.create_task_group() as group:
+        group.start_soon(_fail_on_termination)
+        figures = await SilenceRun(plan, starter).run()
+        group.cancel_scope.cancel()
+    return figures
+
+
+async def _fail_on_termination() -> None:
+    """Raise `ProcessError` on SIGTERM, so that the routers are stopped too."""
+    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise ProcessError("The run was terminated.")
 
 
 @define(eq=False)
