--- a/packages/fulmarroad-bench/tests/test_silences.py
+++ b/packages/fulmarroad-bench/tests/test_silences.py
@@ -63,7 +63,7 @@
     def test_only_a_routers_own_close_at_a_sound_engine_counts_as_cut(
         self, end, changes, cut
     ):
-        """Guard against blaming a router for a caller that left or an engine that ended."""
+        """Guard against counting cuts by callers that left, or at ended engines."""
         figures = count_streams([received(end)], [Run("s", **changes)])
         assert figures["cut_at_sound_engines"] == cut
 
