--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_engine.py
@@ -65,7 +65,7 @@
     form: Form
     random: random.Random
     runs: list[Run] = field(factory=list)
-    _running: int = 0
+    running: int = 0
     _silent_until: float = 0.0
     _accepting: anyio.CancelScope = field(factory=anyio.CancelScope)
     _listener: MultiListener[SocketStream] | None = None
@@ -139,7 +139,7 @@
         request: StreamRequest,
     ) -> bool:
         """Answer one request; return whether the connection may be used again."""
-        if request.instance != self.name or self._running >= self._slots:
+        if request.instance != self.name or self.running >= self._slots:
             await self._wait_out_silence(begun=False)
             other = request.instance != self.name
             status = MISDIRECTED_STATUS if other else BUSY_STATUS
@@ -148,7 +148,7 @@
         run = Run(request.id, self._choose_end(EVENTS - request.last_event))
         run.engine_lives = self._silent_until != math.inf
         self.runs.append(run)
-        self._running += 1
+        self.running += 1
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._watch_close, reader, run, group.cancel_scope)
@@ -156,7 +156,7 @@
                     await self._send_events(stream, request, run)
                 group.cancel_scope.cancel()
         finally:
-            self._running -= 1
+            self.running -= 1
         return run.whole
 
     @property
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
@@ -245,13 +245,14 @@
 
     async def _end_engines(self) -> None:
         form = self._plan.form
-        ended = self._engines[: form.dead + form.hung]
         await anyio.sleep(ENDS_AT_S)
-        for number, engine in enumerate(ended):
-            if number < form.dead:
-                engine.die()
-            else:
-                engine.hang()
+        # Routers may leave some engines unused; their end would show nothing.
+        busiest = sorted(self._engines, key=lambda row: row.running, reverse=True)
+        ended = busiest[: form.dead + form.hung]
+        for engine in ended[: form.dead]:
+            engine.die()
+        for engine in ended[form.dead :]:
+            engine.hang()
         await anyio.sleep(EXPIRY_S)
         for engine in ended:
             self._store.remove_server(engine.name)
