--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
@@ -42,7 +42,9 @@
 from fulmarroad_platform.standin_store import StandInStore
 
 ROUTERS = 4
-SEEDS = 3
+SEED_ROUTERS = 3
+"""Routers that a starting router contacts first."""
+
 LOAD_S = 9.0
 SETTLE_S = 2.0
 """Seconds from readiness to the load, in which the routers find each other."""
@@ -175,7 +177,7 @@
     async def _start_routers(self) -> None:
         hosts = [self._plan.host(FIRST_ROUTER_HOST + n) for n in range(ROUTERS)]
         for number, host in enumerate(hosts):
-            await self._start_router(f"router-{number + 1}", host, hosts[:SEEDS])
+            await self._start_router(f"router-{number + 1}", host, hosts[:SEED_ROUTERS])
         for child, host in zip(self._routers, hosts, strict=True):
             await wait_ready(child, f"{host}:{ROUTER_PORTS[1]}")
 
