Look for another server just as a call may leave a silent one

Callers of idempotent calls got 504 beside a server that could answer: a call may leave a silent server until another one can no longer answer in time, and looked each 0.2 s only, so that its last moment had passed. It looks at the moment itself now.

test_calls_leave_silent_servers_while_another_can_answer failed before: 3 of 4 calls timed out; all are answered now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -313,26 +313,27 @@
         its silent server has a place at another one. Until then it stays: its answer
         may still come, and a refusal elsewhere would lose it.
         """
-        pause_s = MIN_WAIT_S
+        look_s = MIN_WAIT_S
         while True:
             remaining_s = run.remaining_s(self._clock())
-            if remaining_s <= pause_s or not run.progress.may_move:
+            if remaining_s <= look_s or not run.progress.may_move:
                 return await read(remaining_s)
             try:
-                return await read(pause_s)
+                return await read(look_s)
             except SilentServerError:
-                if await self._leaves(run, connection, ticket, instance):
+                left_s = await self._until_leaving_s(run, connection, ticket, instance)
+                if left_s <= 0 and await self._reserve_next(run, ticket, connection):
                     raise
-            pause_s = LOOK_INTERVAL_S
+            look_s = min(left_s, LOOK_INTERVAL_S) if left_s > 0 else LOOK_INTERVAL_S
 
-    async def _leaves(
+    async def _until_leaving_s(
         self,
         run: ActiveCall,
         connection: BackendConnection,
         ticket: Ticket,
         instance: Instance,
-    ) -> bool:
-        """Return whether a call whose server sends nothing leaves it now."""
+    ) -> float:
+        """Return in how many seconds a call may leave its server; 0 or less: now."""
         now, route = self._clock(), run.call.route
         voice = self._dispatcher.voice(instance.id)
         call = SilentCall(
@@ -343,7 +344,8 @@
             route.objective_s,
             route.pause_objective_s,
         )
-        may_leave = now >= leave_at(call, voice, now)
-        if not may_leave and voice.is_silent(now):
-            may_leave = await self._has_crashed(instance, call.last_byte_at)
-        return may_leave and await self._reserve_next(run, ticket, connection)
+        left_s = leave_at(call, voice, now) - now
+        if left_s > 0 and voice.is_silent(now):
+            has_ended = await self._has_crashed(instance, call.last_byte_at)
+            return 0.0 if has_ended else left_s
+        return left_s
