Let a timer of an answer run early by its resolution

The event loop of the served processes rounds timers to milliseconds, so that the timer of an answer could run early, was set again for less than a millisecond and ran over and over until its time had come: for waits of 50.4, 50.3, 50.1 and 123.4 ms 57, 554, 568 and 315 times. It runs once now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -63,6 +63,10 @@
 
 FIRST_FINAL_STATUS = 200
 
+TIMER_RESOLUTION_S = 0.001
+"""Time by which an event loop may run a timer early. Set again for less than that, it
+would run over and over until its time has come."""
+
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
@@ -375,7 +379,7 @@
         if self._waiter is None or self._waiter.done():
             return
         loop = asyncio.get_running_loop()
-        if loop.time() >= self._wake_at:
+        if loop.time() >= self._wake_at - TIMER_RESOLUTION_S:
             self._wake()
         else:
             self._timer = loop.call_at(self._wake_at, self._on_timer)
