Read what has arrived before a call leaves its server

The event loop of the served processes runs timers before it polls sockets. After it was held up for as long as a call waits for a silent server, the call left a sound server whose bytes waited in the socket. It looks once more after 10 ms now.

test_an_event_that_came_as_the_call_would_leave_keeps_it fails without the look.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import anyio
+
 from fulmarroad_serving._catalog import CallKind
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._demands import Ticket
@@ -31,6 +33,9 @@
 a call whose answer breaks off can be retried or reported as failed instead of ending in
 a truncated answer."""
 
+READ_GRACE_S = 0.01
+"""Time in which bytes that have arrived are read before a call leaves its server."""
+
 LOOK_INTERVAL_S = 0.2
 """Time between two looks whether a call may leave a silent server."""
 
@@ -322,10 +327,20 @@
                 return await read(look_s)
             except SilentServerError:
                 left_s = await self._until_leaving_s(run, connection, ticket, instance)
-                if left_s <= 0 and await self._reserve_next(run, ticket, connection):
+                if left_s <= 0 and await self._leaves(run, connection, ticket):
                     raise
             look_s = min(left_s, LOOK_INTERVAL_S) if left_s > 0 else LOOK_INTERVAL_S
 
+    async def _leaves(
+        self, run: ActiveCall, connection: BackendConnection, ticket: Ticket
+    ) -> bool:
+        """Return whether a call whose server seems silent goes on elsewhere."""
+        # The event loop may run timers before it reads what came while it was held up.
+        await anyio.sleep(READ_GRACE_S)
+        if connection.has_part:
+            return False
+        return await self._reserve_next(run, ticket, connection)
+
     async def _until_leaving_s(
         self,
         run: ActiveCall,
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -8,6 +8,8 @@
 from silence_fleet import Outcome, Reach, SilenceFleet, SilentEngine
 
 from fulmarroad.testing import run_virtual
+from fulmarroad_serving._exchange import READ_GRACE_S
+from fulmarroad_serving._silence import MAX_PAUSE_S
 
 STREAMS_PER_S = 40.0
 STREAMS = 360
@@ -83,6 +85,31 @@
         assert counts.whole_fraction >= form.min_whole, counts
 
 
+class TestReadGrace:
+    def test_an_event_that_came_as_the_call_would_leave_keeps_it(self):
+        """Guard against calls that leave since the router's event loop was held up, and
+        looked at its timers before it read what their server had sent.
+        """
+
+        async def test(fleet):
+            for name in ("e-0", "e-1"):
+                fleet.add_engine(name)
+            await anyio.sleep(0.4)
+            caller = fleet.begin(0, tries=1)
+            while len(caller.events) < 3:
+                await anyio.sleep(0.001)
+            until = anyio.current_time() + MAX_PAUSE_S + READ_GRACE_S / 2
+            for engine in fleet.engines.values():
+                if engine.running:
+                    engine.silent_until = until
+            await anyio.sleep(SETTLE_S)
+
+        fleet = SilenceFleet()
+        run_virtual(fleet.run, test)
+        counts = fleet.count()
+        assert (counts.whole_fraction, counts.run_twice) == (1.0, 0)
+
+
 class TestDeadEngines:
     @pytest.mark.parametrize("reach", Reach)
     def test_streams_leave_engines_that_end_without_a_close(self, reach):
