Wait for reports and replies with one timer each

A router sends its reports, and looks at held calls, after waits of a fraction of a millisecond more than whole ones. Under the event loop of the served processes, which rounds timers, the cancel scopes of these waits ran early and looked at their deadline over and over until it had come: 88 expiries caused 6,525 looks in one run of four routers.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -27,6 +27,7 @@
 )
 from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._silence import ServerVoice
+from fulmarroad_serving._timers import TIMER_RESOLUTION_S
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -63,10 +64,6 @@
 
 FIRST_FINAL_STATUS = 200
 
-TIMER_RESOLUTION_S = 0.001
-"""Time by which an event loop may run a timer early. Set again for less than that, it
-would run over and over until its time has come."""
-
 PROBE_IDLE_S = 2
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -21,6 +21,7 @@
     read_reply,
     read_request,
 )
+from fulmarroad_serving._timers import wait_at_most
 from fulmarroad_serving.engines._pace import SCAN_S
 from fulmarroad_serving.engines._pace_messages import PACE_FORMAT, read_pace
 
@@ -109,8 +110,7 @@
                 continue
             delay_s = due - self._clock()
             if delay_s > 0:
-                with anyio.move_on_after(delay_s):
-                    await self._due_changed.wait()
+                await wait_at_most(self._due_changed, delay_s)
                 continue
             self._send_replies(self._granter.decide_held(self._clock()))
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -37,6 +37,7 @@
     StreamKeepers,
     is_stream_message,
 )
+from fulmarroad_serving._timers import wait_at_most
 from fulmarroad_serving.engines._book import SpeedClass
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -222,8 +223,8 @@
             for digest, receivers in self._view.digests(now):
                 self._send(packets, pack_digest(digest), receivers)
             await anyio.sleep(MIN_REPORT_INTERVAL_S)
-            with anyio.move_on_after(self._report_s - MIN_REPORT_INTERVAL_S):
-                await self._report_due.wait()
+            pause_s = self._report_s - MIN_REPORT_INTERVAL_S
+            await wait_at_most(self._report_due, pause_s)
 
     def _sender(self, packets: PacketSocket) -> Send:
         return lambda data, host: self._send(packets, data, (host,))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pending_requests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pending_requests.py
@@ -13,6 +13,7 @@
     ProgressReport,
     ReplyKind,
 )
+from fulmarroad_serving._timers import wait_at_most
 
 
 class LocalOwner(Protocol):
@@ -45,8 +46,7 @@
 
     async def wait(self, timeout_s: float) -> PlacementReply | None:
         """Return the next reply, or None if it does not arrive in time."""
-        with anyio.move_on_after(timeout_s):
-            await self.replied.wait()
+        await wait_at_most(self.replied, timeout_s)
         reply, self.reply = self.reply, None
         self.replied = anyio.Event()
         return reply
