--- a/packages/fulmarroad-router/tests/caller_sockets.py
+++ b/packages/fulmarroad-router/tests/caller_sockets.py
@@ -7,7 +7,7 @@
 import anyio
 from attrs import define, field
 
-from fulmarroad_router.connection_ends import ClosedBy, connection_end
+from fulmarroad_router.connection_ends import connection_end
 from fulmarroad_router.http_server import HttpServer
 
 HOST = "127.0.0.1"
@@ -173,6 +173,3 @@
             group.cancel_scope.cancel()
 
     anyio.run(run_test, backend_options={"use_uvloop": True})
-
-
-__all__ = ["IDLE_TIMEOUT_S", "ClosedBy", "run"]
