Split the choice of collectors and the sums of loads from the fleet view

Nothing it does was changed: _collectors.py chooses the collectors of a data centre, _load_sums.py holds received sums and counts no router twice.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_fleet_view.py
@@ -11,22 +11,21 @@
 import random
 from collections.abc import Callable, Collection, Iterable
 
-from attrs import define, evolve, field
+from attrs import evolve
 
 from fulmarroad.types import DataCentreName, RouterName, ServerName
+from fulmarroad_serving._collectors import Collectors
 from fulmarroad_serving._digests import (
     MAX_REPORT_AGE_S,
     Digest,
-    MemberId,
     MemberRoom,
-    OwnReports,
     ReportSum,
-    collectors,
     member_id,
     merge,
     sum_reports,
 )
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._load_sums import LoadSums
 from fulmarroad_serving._reports import (
     Member,
     PeerBook,
@@ -87,43 +86,6 @@
 """Age of another data centre's list of speed classes up to which it is passed on: its
 collectors send it with each list of members, and some are lost."""
 
-COLLECTOR_CACHE_S = 0.2
-"""Time for which the collectors of a data centre are cached.
-
-Each packet needs them, and they change as routers start and stop.
-"""
-
-COLLECTOR_SILENCE_S = 0.75
-"""Time without a packet after which a collector is replaced.
-
-Ten missed digests, so that packet loss alone hardly ever replaces it.
-"""
-
-COLLECTOR_CANDIDATE_S = 6.0
-"""Age of a router's newest report up to which it may be chosen as a collector.
-
-It is longer than the time for which a router counts as alive: if the collectors fail,
-all others seem silent at once, and replacements have to be chosen among them.
-"""
-
-FLEET_SOURCE = "*"
-"""Source name of the loads of the whole fleet.
-
-For those of one data centre, its name is appended. No router's name starts with "*".
-"""
-
-
-@define
-class _ReceivedSum:
-    """Hold a sum that a collector sent and the time of its receipt."""
-
-    total: ReportSum
-    at: float
-    senders: dict[RouterName, float] = field(factory=dict)
-
-    def is_fresh(self, now: float) -> bool:
-        return now - self.at < MAX_REPORT_AGE_S
-
 
 class FleetView:
     """Hold the state of one router in the exchange of reports."""
@@ -141,23 +103,16 @@
         self._host = host
         self._dispatcher = dispatcher
         self._random = source
-        self._own_reports = OwnReports()
         self._last_report: PeerReport | None = None
-        self._centre_sums: dict[DataCentreName, _ReceivedSum] = {}
-        self._fleet_sum: _ReceivedSum | None = None
-        self._direct_members: dict[MemberId, RouterName] = {}
+        self._sums = LoadSums(me, dispatcher)
         self._introductions: dict[str, DataCentreName] = {}
-        self._collector_cache: dict[
-            DataCentreName, tuple[float, tuple[RouterName, ...]]
-        ] = {}
-        self._collector_seen_at: dict[RouterName, float] = {}
-        """Time of each local collector's last packet, or of its selection."""
         self._digest_count = 0
         self._remote_classes: dict[
             DataCentreName, tuple[float, tuple[SpeedClass, ...]]
         ] = {}
         """Time and content of each data centre's newest list of speed classes."""
         self.book = PeerBook(me, host)
+        self._collectors = Collectors(me, centre, self.book)
         self.owners: Callable[[], Collection[RouterName]] = frozenset
         """Returns the routers that place the calls of others; empty: all decide."""
 
@@ -170,49 +125,7 @@
         self, centre: DataCentreName, now: float
     ) -> tuple[RouterName, ...]:
         """Return the collectors of a data centre."""
-        known = self._collector_cache.get(centre)
-        if known is not None and now - known[0] < COLLECTOR_CACHE_S:
-            return known[1]
-        routers = {
-            peer.router
-            for peer in self.book.alive(now, COLLECTOR_CANDIDATE_S)
-            if peer.data_centre == centre and not peer.leaving
-        }
-        if centre == self._centre:
-            names = self._active_collectors(routers, now)
-        else:
-            names = collectors(routers, centre)
-        self._collector_cache[centre] = (now, names)
-        return names
-
-    def _active_collectors(
-        self, routers: set[RouterName], now: float
-    ) -> tuple[RouterName, ...]:
-        """Return the collectors of this data centre, with silent ones replaced."""
-        names: tuple[RouterName, ...] = ()
-        routers.add(self._me)
-        candidates = frozenset(routers)
-        while routers:
-            names = collectors(routers, self._centre)
-            for name in names:
-                self._collector_seen_at.setdefault(name, now)
-            lost = [name for name in names if self._is_lost(name, now)]
-            if not lost:
-                break
-            routers.difference_update(lost)
-        for name in self._collector_seen_at.keys() - set(names):
-            if name not in candidates or not self._is_lost(name, now):
-                del self._collector_seen_at[name]
-        return names
-
-    def _is_lost(self, router: RouterName, now: float) -> bool:
-        at = self._collector_seen_at.get(router)
-        silent = at is not None and now - at >= COLLECTOR_SILENCE_S
-        return silent and router != self._me
-
-    def _note_packet(self, router: RouterName, now: float) -> None:
-        if router in self._collector_seen_at:
-            self._collector_seen_at[router] = now
+        return self._collectors.of(centre, now)
 
     def is_collector(self, now: float) -> bool:
         """Return whether this router is a collector of its data centre."""
@@ -245,7 +158,7 @@
         report = evolve(
             report, known=tuple(known), leaving_servers=self._leaving_servers()
         )
-        self._own_reports.note(report)
+        self._sums.note_own(report)
         self._last_report = report
         return report
 
@@ -276,9 +189,7 @@
         to_all = not owners or not self._digest_count % DIGESTS_PER_FOLLOWER
         self._digest_count += 1
         centre_sum = sum_reports([(self._last_report, 0.0), *self._centre_reports(now)])
-        remote_sums = [
-            (row.total, now - row.at) for row in self._fresh_centre_sums(now)
-        ]
+        remote_sums = [(row.total, now - row.at) for row in self._sums.of_centres(now)]
         fleet = merge([(centre_sum, 0.0), *remote_sums])
         parts: tuple[tuple[PartId, ServerName], ...] = ()
         suspects: tuple[SuspectRow, ...] = ()
@@ -360,9 +271,6 @@
             if report.data_centre == self._centre
         ]
 
-    def _fresh_centre_sums(self, now: float) -> list[_ReceivedSum]:
-        return [row for row in self._centre_sums.values() if row.is_fresh(now)]
-
     def _remote_collector_hosts(self, now: float) -> list[str]:
         centres = {peer.data_centre for peer in self.book.alive(now)}
         hosts = self.book.hosts()
@@ -370,9 +278,7 @@
         for centre in centres - {self._centre}:
             # The senders of recent digests are its collectors, even if the peer book
             # already counts them as lost.
-            received = self._centre_sums.get(centre)
-            if received is not None and received.is_fresh(now):
-                names |= received.senders.keys()
+            names |= self._sums.senders(centre, now)
             names |= set(self.collectors_of(centre, now))
         return sorted(hosts[name] for name in names if name in hosts)
 
@@ -394,7 +300,7 @@
         is_new = not self.book.knows(report.router)
         if not self.book.receive_report(report, now):
             return False
-        self._note_packet(report.router, now)
+        self._collectors.note_packet(report.router, now)
         self._note_parts(report.parts, now)
         self._note_suspects(report.suspects, now)
         self._note_leaving_servers(report.leaving_servers, report.router)
@@ -402,11 +308,7 @@
         self._dispatcher.speeds.receive_classes(report.speed_classes, now)
         if self.uses_collectors:
             self._introduce_collectors(report, now, is_new=is_new)
-        member = member_id(report.router)
-        if not self._is_counted(member, now):
-            self._direct_members[member] = report.router
-            self._dispatcher.receive_load(report.router, report.loads, now)
-            self._dispatcher.shares.receive_counts(report.router, report.counts, now)
+        self._sums.apply_report(report, now)
         return True
 
     def _introduce_collectors(
@@ -434,7 +336,7 @@
         """Apply a digest of a collector."""
         for member in digest.members:
             self.book.merge_member(member, now)
-        self._note_packet(digest.sender, now)
+        self._collectors.note_packet(digest.sender, now)
         self._note_parts(digest.parts, now)
         self._note_suspects(digest.suspects, now)
         self._note_leaving_servers(digest.leaving_servers, digest.sender)
@@ -446,9 +348,9 @@
             return
         if digest.scope:
             if self.is_collector(now):
-                self._apply_centre_digest(digest, now)
+                self._sums.apply_centre(digest, now)
         elif not self.is_collector(now) or self._is_more_complete(digest.total, now):
-            self._apply_fleet_digest(digest, now)
+            self._sums.apply_fleet(digest, now)
 
     def _is_more_complete(self, total: ReportSum, now: float) -> bool:
         """Return whether a sum has more routers than this collector knows of.
@@ -456,51 +358,9 @@
         That is so for a router that has just become a collector.
         """
         known = 1 + len(self._centre_reports(now))
-        known += sum(len(row.total.sequences) for row in self._fresh_centre_sums(now))
+        known += sum(len(row.total.sequences) for row in self._sums.of_centres(now))
         return len(total.sequences) > known
 
-    def _apply_centre_digest(self, digest: Digest, now: float) -> None:
-        before = self._centre_sums.get(digest.scope)
-        senders = {
-            name: at
-            for name, at in (before.senders.items() if before is not None else ())
-            if now - at < MAX_REPORT_AGE_S
-        }
-        senders[digest.sender] = now
-        self._centre_sums[digest.scope] = _ReceivedSum(digest.total, now, senders)
-        if self._fleet_sum is not None:
-            self._fleet_sum = None
-            self._dispatcher.forget_peers({FLEET_SOURCE})
-        self._apply_sum(FLEET_SOURCE + digest.scope, digest.total, now)
-
-    def _apply_fleet_digest(self, digest: Digest, now: float) -> None:
-        self._fleet_sum = _ReceivedSum(digest.total, now)
-        if self._centre_sums:
-            self._dispatcher.forget_peers(
-                {FLEET_SOURCE + scope for scope in self._centre_sums}
-            )
-            self._centre_sums.clear()
-        self._apply_sum(
-            FLEET_SOURCE, self._own_reports.subtract_own(digest.total, self._me), now
-        )
-
-    def _apply_sum(self, source: str, total: ReportSum, now: float) -> None:
-        counted_twice = self._direct_members.keys() & total.sequences.keys()
-        if counted_twice:
-            self._dispatcher.forget_peers(
-                {self._direct_members.pop(row) for row in counted_twice}
-            )
-        self._dispatcher.receive_load(source, total.loads, now - total.age_s)
-        self._dispatcher.shares.receive_counts(source, total.counts, now)
-
-    def _is_counted(self, member: MemberId, now: float) -> bool:
-        """Return whether a recent sum contains a report of the router."""
-        rows = [
-            *self._centre_sums.values(),
-            *([self._fleet_sum] if self._fleet_sum else []),
-        ]
-        return any(row.is_fresh(now) and member in row.total.sequences for row in rows)
-
     def _note_parts(self, parts: Iterable[tuple[PartId, str]], now: float) -> None:
         relay = self.is_collector(now)
         for part, server in parts:
