Send lists of granted calls anew after each cancelled or short call

A place stayed taken at its owner for good, so that callers were refused beside a free one, if packets were lost. Lists of a router's granted calls tell an owner what it may drop, six empty ones after the last call. They weren't begun again for a call that began and ended between two lists, nor for a request whose reply was lost where owners have no queue.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -195,12 +195,20 @@
             self.cancel(owner, request)
 
     def cancel(self, owner: RouterName, request: PlacementRequest) -> None:
-        """Let an owner drop an undecided request from its queue, if it has one."""
+        """Let an owner drop an undecided request, or a grant whose reply was lost."""
+        self._begin_lists(owner)
         if self._dispatcher.queues_calls(request.demand.service):
             self._cancelled.setdefault(owner, []).append(request.number)
-            self._tickets.setdefault(owner, {})  # lists follow, if this is lost
             self._report(owner)
 
+    def _begin_lists(self, owner: RouterName) -> dict[int, Ticket]:
+        """Return the calls that lists to an owner name, and send some lists anew.
+
+        They replace notes that are lost: an owner drops what no list names.
+        """
+        self._empty_lists.pop(owner, None)
+        return self._tickets.setdefault(owner, {})
+
     def new_request(
         self,
         owner: RouterName,
@@ -246,7 +254,7 @@
         """Record that a granted call was sent, began or ended."""
         grant = ticket.grant
         assert grant is not None
-        tickets = self._tickets.setdefault(grant.owner, {})
+        tickets = self._begin_lists(grant.owner)
         if ticket.ended:
             tickets.pop(grant.number, None)
         else:
