Look again whether a silent server refuses connections

Callers waited the whole 2.4 s at a server that had accepted a connection at the start of its silence and ended in it: one look counted for the whole silence. It is looked at each second now, for all calls together.

test_calls_leave_a_paused_engine_once_it_refuses_connections failed before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -33,6 +33,9 @@
 a call whose answer breaks off can be retried or reported as failed instead of ending in
 a truncated answer."""
 
+END_CHECK_INTERVAL_S = 1.0
+"""Time between two looks whether a silent server refuses connections by now."""
+
 READ_GRACE_S = 0.01
 """Time in which bytes that have arrived are read before a call leaves its server."""
 
@@ -361,6 +364,7 @@
         )
         left_s = leave_at(call, voice, now) - now
         if left_s > 0 and voice.is_silent(now):
-            has_ended = await self._has_crashed(instance, call.last_byte_at)
+            since = max(call.last_byte_at, now - END_CHECK_INTERVAL_S)
+            has_ended = await self._has_crashed(instance, since)
             return 0.0 if has_ended else left_s
         return left_s
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 from attrs import frozen
-from silence_fleet import Outcome, Reach, SilenceFleet, SilentEngine
+from silence_fleet import PATIENCE_S, Outcome, Reach, SilenceFleet, SilentEngine
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving._exchange import READ_GRACE_S
@@ -18,6 +18,9 @@
 
 ENGINES = 6
 DEATH_AFTER_S = 4.0
+REFUSES_AFTER_S = 0.9
+"""Later than the first look at a silent server."""
+
 AMPLE_SLOTS = 64
 SCARCE_SLOTS = 16
 """Engines that pause for 1.2 s need nearly all of them."""
@@ -110,6 +113,32 @@
         assert (counts.whole_fraction, counts.run_twice) == (1.0, 0)
 
 
+class TestEndedEngines:
+    def test_calls_leave_a_paused_engine_once_it_refuses_connections(self):
+        """Guard against calls that wait for an engine that accepted a connection in its
+        pause and has ended since.
+        """
+
+        async def test(fleet):
+            for name in ("e-0", "e-1"):
+                fleet.add_engine(name)
+            await anyio.sleep(0.4)
+            caller = fleet.begin(0, tries=1)
+            while len(caller.events) < 3:
+                await anyio.sleep(0.001)
+            paused_at = anyio.current_time()
+            engine = next(row for row in fleet.engines.values() if row.running)
+            engine.pause(PATIENCE_S)
+            await anyio.sleep(REFUSES_AFTER_S)
+            engine.die_silently(Reach.REFUSED)
+            while len(caller.events) == 3:
+                await anyio.sleep(0.01)
+            resumed_s = anyio.current_time() - paused_at
+            assert resumed_s < MAX_PAUSE_S - 0.3
+
+        run_virtual(SilenceFleet().run, test)
+
+
 class TestDeadEngines:
     @pytest.mark.parametrize("reach", Reach)
     def test_streams_leave_engines_that_end_without_a_close(self, reach):
