Let calls wait for bytes that aren't due yet

Callers of routes with long objectives had streams cut at sound engines and run twice, and 504 where an answer was coming: a call left a silent server after 2.4 s, or at the last moment for another one, although its first event may take 2.5 times its objective, or as long as estimated, and its next one four times its pause objective.

A call stays until its bytes are due, and to its deadline if another server could no longer answer by then. A call sent later that began first counts as a sign only at engines, which begin calls in order.

TestLongObjectives and four rows of TestLeaveAt fail without it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -361,6 +361,7 @@
             run.call.deadline,
             route.objective_s,
             route.pause_objective_s,
+            ticket.charge.expected_s,
         )
         left_s = leave_at(call, voice, now) - now
         if left_s > 0 and voice.is_silent(now):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
@@ -31,6 +31,12 @@
 MIN_WAIT_S = 0.7
 """Time without a byte before which no call leaves; TCP resends a lost packet sooner."""
 
+USUAL_OBJECTIVES = 2.5
+"""Multiple of its objective within which the first byte of a call may come."""
+
+USUAL_PAUSES = 4.0
+"""Multiple of its pause objective within which the next bytes of a stream may come."""
+
 MIN_PATIENCE_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSES = 8.0
@@ -107,6 +113,15 @@
     deadline: float
     objective_s: float
     pause_objective_s: float = 0.0  # 0 unless it is a stream
+    expected_s: float = 0.0  # estimated time from its send to the first byte
+
+    @property
+    def bytes_due_at(self) -> float:
+        """Return the time before which a sound server may send nothing to the call."""
+        if self.begun:
+            return self.last_byte_at + USUAL_PAUSES * self.pause_objective_s
+        first_s = max(USUAL_OBJECTIVES * self.objective_s, self.expected_s)
+        return self.sent_at + first_s
 
     @property
     def patience_s(self) -> float:
@@ -134,11 +149,11 @@
     since = call.last_byte_at
     if not voice.is_silent(now):
         since = max(since, voice.resumed_at)
-        if call.begun or voice.begun_until > call.sent_at:
+        # Plain servers answer many calls at a time, in any order.
+        is_next = call.pause_objective_s > 0 and voice.begun_until > call.sent_at
+        if call.begun or is_next:
             limit_s = PASSED_OVER_FRACTION * call.patience_s
-    at = max(since + limit_s, call.last_byte_at + MIN_WAIT_S)
-    if at <= call.last_chance:
-        return at
-    if call.last_chance - call.last_byte_at >= MIN_WAIT_S:
-        return call.last_chance
-    return math.inf
+    earliest = max(call.bytes_due_at, call.last_byte_at + MIN_WAIT_S)
+    if call.last_chance < earliest:
+        return math.inf
+    return min(max(since + limit_s, earliest), call.last_chance)
--- a/packages/fulmarroad-serving/tests/test_silence.py
+++ b/packages/fulmarroad-serving/tests/test_silence.py
@@ -89,6 +89,11 @@
             (BEGIN, {}, MAX_PAUSE_S),
             (BEGIN, {"begun": False}, MAX_PAUSE_S),
             (BEGIN, {"objective_s": 2.0}, MAX_PAUSE_S),
+            # Bytes aren't due yet.
+            (BEGIN, {"begun": False, "objective_s": 1.5}, 1.5 * 2.5 - 1.0),
+            (BEGIN, {"begun": False, "expected_s": 4.0}, 3.0),
+            (BEGIN, {"pause_objective_s": 0.8}, 4 * 0.8),
+            (BEGIN, {"deadline": BEGIN + 3.0, "objective_s": 2.0}, math.inf),
             # It answers others, and stopped this answer.
             (NOW, {}, NOW - BEGIN + PASSED_OVER_S),
             # It answers others after a pause, and this call waits in its queue.
@@ -125,3 +130,10 @@
             voice.note_begun(BEGIN)
         found = leave_at(evolve(STREAM, begun=begun), voice, BEGIN + 9 * SILENT_S / 2)
         assert found == pytest.approx(BEGIN + after_s)
+
+    def test_a_plain_server_passes_no_call_over(self):
+        """Guard against calls that are slow beside short ones and run twice."""
+        voice = voice_of(BEGIN, heard_at=NOW)
+        voice.note_begun(BEGIN)
+        plain = evolve(STREAM, begun=False, pause_objective_s=0.0)
+        assert leave_at(plain, voice, NOW) >= BEGIN + MAX_PAUSE_S
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -4,8 +4,17 @@
 
 import anyio
 import pytest
-from attrs import frozen
-from silence_fleet import PATIENCE_S, Outcome, Reach, SilenceFleet, SilentEngine
+import silence_fleet
+from attrs import evolve, frozen
+from serving_bed import SHORT, make_catalog
+from silence_fleet import (
+    PATIENCE_S,
+    PAUSING_STREAM,
+    Outcome,
+    Reach,
+    SilenceFleet,
+    SilentEngine,
+)
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving._exchange import READ_GRACE_S
@@ -113,6 +122,37 @@
         assert (counts.whole_fraction, counts.run_twice) == (1.0, 0)
 
 
+class TestLongObjectives:
+    @pytest.mark.parametrize(
+        ("objective_s", "first_s", "timeout_s"),
+        [(3.0, 2.6, 12.0), (2.0, 2.2, 6.0), (1.0, 2.3, 4.0), (1.5, 1.4, 4.0)],
+    )
+    def test_streams_wait_for_first_events_that_come_in_time(
+        self, monkeypatch, objective_s, first_s, timeout_s
+    ):
+        """Guard against streams that leave a sound engine whose first events take long,
+        as their objective allows.
+        """
+        monkeypatch.setattr(silence_fleet, "FIRST_S", first_s)
+        route = evolve(PAUSING_STREAM, objective_s=objective_s, timeout_s=timeout_s)
+
+        async def test(fleet):
+            for number in range(3):
+                fleet.add_engine(f"e-{number}")
+            await anyio.sleep(0.4)
+            for number in range(8):
+                fleet.begin(number, tries=1)
+                await anyio.sleep(0.3)
+            await anyio.sleep(SETTLE_S)
+
+        fleet = SilenceFleet()
+        fleet.patience_s = SETTLE_S
+        fleet.catalog = make_catalog(routes=(route, SHORT))
+        run_virtual(fleet.run, test)
+        counts = fleet.count()
+        assert (counts.whole_fraction, counts.run_twice) == (1.0, 0), counts
+
+
 class TestEndedEngines:
     def test_calls_leave_a_paused_engine_once_it_refuses_connections(self):
         """Guard against calls that wait for an engine that accepted a connection in its
