Leave a call as it was after a failed search for another server

Callers got nothing from a dead server although sound ones were there: each search that found no connection counted as one of the call's own unsuccessful sends and barred the server, so that after three of them, or one with a single other server, none was made again. Searches also took the call's one spill to a second owner, and overwrote what its log line says.

A search that fails restores the call's record; what its servers' backoffs learn stays. test_a_search_that_fails_does_not_end_the_next_ones failed before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -56,9 +56,6 @@
 """Retry delay after every server that was tried refused a call. Server queues advance
 within this time."""
 
-MAX_LOGGED_PARTS = 10
-"""Maximum number of a prompt's parts in a log line."""
-
 
 NO_RETRY_LEFT = "no_retry_left"
 """Why a call did not go on elsewhere: the retry budget was used up."""
@@ -221,15 +218,19 @@
             self._give_back(attempt)
             return False
         run.next_attempt = attempt
+        run.summary.next_place = ""
         return True
 
     async def _prepare_elsewhere(
         self, run: ActiveCall, server: ServerName
     ) -> PreparedAttempt | None:
         """Get a place and a connection at another server that isn't silent."""
+        # A search that fails leaves the call as it was, for the next one.
+        avoid, unsent = set(run.avoid), run.progress.unsent
+        summary = run.summary
+        held_s, wait_s, use = summary.held_s, summary.wait_s, summary.use
         run.moving = True
         run.avoid.add(server)
-        held_s = run.summary.held_s
         try:
             placement = await self.placer.find(run, may_wait=False)
             if isinstance(placement, Refusal):
@@ -238,8 +239,8 @@
             attempt = await self._prepare(run, placement)
         finally:
             run.moving = False
-            run.avoid.discard(server)
-            run.summary.held_s = held_s
+            run.avoid, run.progress.unsent = avoid, unsent
+            summary.held_s, summary.wait_s, summary.use = held_s, wait_s, use
         return attempt if isinstance(attempt, PreparedAttempt) else None
 
     def _give_back(self, attempt: PreparedAttempt | None) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_placing.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_placing.py
@@ -43,7 +43,7 @@
     async def find(self, run: ActiveCall, *, may_wait: bool) -> Placement | Refusal:
         """Find a place for a call, at a second owner if the first one refuses it."""
         placement = await self._find_place(run, may_wait=may_wait)
-        if self.spiller is None or not isinstance(placement, Refusal):
+        if self.spiller is None or run.moving or not isinstance(placement, Refusal):
             return placement
         placed = await self.spiller.spill(run, placement, self._avoided(run))
         if placed is None:
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -153,6 +153,38 @@
         assert (counts.whole_fraction, counts.run_twice) == (1.0, 0), counts
 
 
+class TestSearches:
+    @pytest.mark.parametrize("others", [1, 3])
+    def test_a_search_that_fails_does_not_end_the_next_ones(self, others):
+        """Guard against calls that stay at a dead server for good, since the other
+        servers accepted no connection for a moment.
+        """
+
+        async def test(fleet):
+            for number in range(others + 1):
+                fleet.add_engine(f"e-{number}")
+            await anyio.sleep(0.4)
+            caller = fleet.begin(0, tries=1)
+            while len(caller.events) < 3:
+                await anyio.sleep(0.001)
+            for engine in fleet.engines.values():
+                if engine.running:
+                    engine.die_silently(Reach.ACCEPTED)
+                else:
+                    engine.reach = Reach.UNANSWERED
+            await anyio.sleep(MAX_PAUSE_S + 1.0)
+            for engine in fleet.engines.values():
+                if not engine.dead:
+                    engine.reach = Reach.ACCEPTED
+            await anyio.sleep(SETTLE_S)
+
+        fleet = SilenceFleet()
+        fleet.patience_s = SETTLE_S
+        run_virtual(fleet.run, test)
+        counts = fleet.count()
+        assert counts.whole_fraction == 1.0, (counts, fleet.failures())
+
+
 class TestEndedEngines:
     def test_calls_leave_a_paused_engine_once_it_refuses_connections(self):
         """Guard against calls that wait for an engine that accepted a connection in its
