Keep one record of a server's bytes after its entry lapsed

A sound server got no new calls while an older connection to it was in use: as its entry lapsed and came back, its record was made anew, and the kept connection told the old one that bytes came, so that the server seemed silent.

A connection gets the server's record each time it is taken from the pool. test_a_server_whose_entry_lapsed_counts_as_heard_again fails without it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -90,6 +90,8 @@
         while pool.idle:
             connection = pool.idle.pop()
             if connection.reusable and not self._stale(connection):
+                # The record is a new one after the server's entry lapsed.
+                connection.voice = self.voice_of(instance.id)
                 return connection
             self._drop(pool, connection)
         pool.share = connection_share(max_connections, routers)
--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -19,6 +19,7 @@
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving._exchange import READ_GRACE_S
 from fulmarroad_serving._silence import MAX_PAUSE_S
+from fulmarroad_serving.contracts import InstanceFact
 
 STREAMS_PER_S = 40.0
 STREAMS = 360
@@ -153,6 +154,32 @@
         assert (counts.whole_fraction, counts.run_twice) == (1.0, 0), counts
 
 
+class TestReturnedEntries:
+    def test_a_server_whose_entry_lapsed_counts_as_heard_again(self):
+        """Guard against a sound server that gets no calls, as the connections kept from
+        before its entry lapsed tell nobody that it sends.
+        """
+
+        async def test(fleet):
+            engine = fleet.add_engine("e-0", started_ms=1)
+            await anyio.sleep(0.4)
+            fleet.begin(0, tries=1)
+            await anyio.sleep(0.5)
+            fleet.remove_entry("e-0")
+            await anyio.sleep(1.4)
+            for router in fleet.routers.values():
+                router.dispatcher.expire(anyio.current_time())
+            fleet.publish(InstanceFact(engine.instance()))
+            await anyio.sleep(0.3)
+            fleet.begin(len(fleet.routers), tries=1)
+            await anyio.sleep(0.9)
+            now = anyio.current_time()
+            for router in fleet.routers.values():
+                assert not router.dispatcher.servers.is_silent("e-0", now)
+
+        run_virtual(SilenceFleet().run, test)
+
+
 class TestSearches:
     @pytest.mark.parametrize("others", [1, 3])
     def test_a_search_that_fails_does_not_end_the_next_ones(self, others):
