Judge a server's silence by the calls that wait now

A stream could leave a sound server that paused after 1.2 s, as if others were answered: its first event had come before it was expected and nothing counted as due, or an earlier call with longer pauses had raised the limit of the server for good.

A byte is due from the first event on, and the limit is that of the calls that wait. Two new tests of TestServerVoice fail without it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -293,9 +293,8 @@
     def _note_begun(self, run: ActiveCall, ticket: Ticket) -> None:
         if not ticket.begun:
             now = self._clock()
-            self._dispatcher.voice(ticket.charge.server).note_begun(
-                ticket.charge.sent_at
-            )
+            voice = self._dispatcher.voice(ticket.charge.server)
+            voice.note_begun(id(ticket), ticket.charge.sent_at, now)
             run.summary.begun_s = now - ticket.charge.sent_at
             self._dispatcher.begin(ticket, now)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
@@ -48,6 +48,12 @@
 The rest is for the first byte of the next one."""
 
 
+@frozen
+class _Due:
+    at: float  # time from which the server owes bytes to a call
+    silent_s: float  # time without a byte that is a silence for it
+
+
 @define
 class ServerVoice:
     """Record when a server sent anything to this router, over any connection."""
@@ -56,8 +62,8 @@
     resumed_at: float = float("-inf")  # first byte after the last gap of a silence
     left_at: float = float("-inf")  # last time at which a call gave it up as silent
     begun_until: float = float("-inf")  # last send time of a call that it began
-    _silent_s: float = SILENT_S
-    _due: dict[int, float] = field(factory=dict)  # by call: when a byte is due
+    _due: dict[int, _Due] = field(factory=dict)  # by call
+    _silent_s: float = SILENT_S  # the longest silence of all that wait
 
     @property
     def waiting(self) -> int:
@@ -66,12 +72,16 @@
 
     def expect(self, call: int, due_at: float, pause_objective_s: float) -> None:
         """Record a call from which bytes are due from a time on."""
-        self._silent_s = max(self._silent_s, PAUSE_FACTOR * pause_objective_s)
-        self._due[call] = due_at
+        silent_s = max(SILENT_S, PAUSE_FACTOR * pause_objective_s)
+        self._due[call] = _Due(due_at, silent_s)
+        self._silent_s = max(self._silent_s, silent_s)
 
     def settle(self, call: int) -> None:
         """Record the end of a call."""
-        self._due.pop(call, None)
+        due = self._due.pop(call, None)
+        if due is not None and due.silent_s >= self._silent_s > SILENT_S:
+            rest = (row.silent_s for row in self._due.values())
+            self._silent_s = max(rest, default=SILENT_S)
 
     def note_heard(self, now: float) -> None:
         """Record that a byte came."""
@@ -79,9 +89,12 @@
             self.resumed_at = now
         self.heard_at = now
 
-    def note_begun(self, sent_at: float) -> None:
-        """Record the first part of the answer to a call."""
+    def note_begun(self, call: int, sent_at: float, now: float) -> None:
+        """Record the first part of the answer to a call; more is due from now on."""
         self.begun_until = max(self.begun_until, sent_at)
+        due = self._due.get(call)
+        if due is not None:
+            self._due[call] = _Due(min(due.at, now), due.silent_s)
 
     def note_left(self, now: float) -> None:
         """Record that a call gave up waiting; only a silent server counts as left."""
@@ -92,7 +105,8 @@
         """Return for how many seconds the server has owed bytes; 0 if it owes none."""
         if not self._due:
             return 0.0
-        return max(0.0, now - max(self.heard_at, min(self._due.values())))
+        first_due_at = min(due.at for due in self._due.values())
+        return max(0.0, now - max(self.heard_at, first_due_at))
 
     def is_silent(self, now: float) -> bool:
         """Return whether the server sends nothing to any call that waits for it."""
--- a/packages/fulmarroad-serving/tests/test_silence.py
+++ b/packages/fulmarroad-serving/tests/test_silence.py
@@ -52,6 +52,21 @@
     def test_streams_with_long_pauses_are_waited_for_longer(self):
         assert not voice_of(BEGIN, pause_objective_s=1.0).is_silent(BEGIN + 2.4)
 
+    def test_a_stream_that_began_early_owes_its_next_event(self):
+        """Guard against streams that leave at a pause, as their first event was
+        expected later than it came and nothing seemed to be due.
+        """
+        voice = voice_of(BEGIN + 5.0)
+        voice.note_begun(0, BEGIN - 1.0, BEGIN)
+        assert voice.is_silent(BEGIN + SILENT_S + 0.01)
+
+    def test_a_stream_with_long_pauses_counts_only_while_it_waits(self):
+        voice = voice_of(BEGIN, pause_objective_s=2.0)
+        voice.expect(1, BEGIN, 0.2)
+        assert not voice.is_silent(BEGIN + SILENT_S + 0.01)
+        voice.settle(0)
+        assert voice.is_silent(BEGIN + SILENT_S + 0.01)
+
     def test_a_server_is_not_silent_after_the_last_call_ended(self):
         voice = voice_of(BEGIN)
         voice.settle(0)
@@ -127,13 +142,13 @@
         for step in range(1, 10):
             voice.note_heard(BEGIN + step * SILENT_S / 2)
         if later_call_begun:
-            voice.note_begun(BEGIN)
+            voice.note_begun(1, BEGIN, BEGIN)
         found = leave_at(evolve(STREAM, begun=begun), voice, BEGIN + 9 * SILENT_S / 2)
         assert found == pytest.approx(BEGIN + after_s)
 
     def test_a_plain_server_passes_no_call_over(self):
         """Guard against calls that are slow beside short ones and run twice."""
         voice = voice_of(BEGIN, heard_at=NOW)
-        voice.note_begun(BEGIN)
+        voice.note_begun(1, BEGIN, BEGIN)
         plain = evolve(STREAM, begun=False, pause_objective_s=0.0)
         assert leave_at(plain, voice, NOW) >= BEGIN + MAX_PAUSE_S
