Look for resets of half-closed callers less often after their confirmation

Each caller that had closed its sending half cost a look every 20 ms until its answer's end: 300 of them took 0.085 of a core.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_half_close.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_half_close.py
@@ -24,6 +24,8 @@
 the path is cut, and a reset would not arrive either."""
 
 CHECK_INTERVAL_S = 0.02
+LATER_CHECK_INTERVAL_S = 0.1
+"""Times between two looks for a reset: until `CONFIRM_S`, and after it."""
 
 
 class HalfClosedCaller:
@@ -59,7 +61,9 @@
         if self._to_send and elapsed_s >= self._to_send[0] and not self._has_begun():
             del self._to_send[0]
             self._transport.write(INTERIM_RESPONSE)
-        self._loop.call_later(CHECK_INTERVAL_S, self._check)
+        is_early = elapsed_s <= CONFIRM_S
+        interval_s = CHECK_INTERVAL_S if is_early else LATER_CHECK_INTERVAL_S
+        self._loop.call_later(interval_s, self._check)
 
     def _has_left(self, elapsed_s: float) -> bool:
         raw = self._transport.get_extra_info("socket")
