Look at silent servers within the router's share of connections

Servers reset connections beyond their limit, and each look whether a silent server refuses connections opened one more for each router, as all others are in use then. A router whose share is used up doesn't look now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -77,8 +77,10 @@
         clock: Callable[[], float],
         on_stream_begun: StreamBegun,
         has_crashed: HasCrashed,
+        refuses: HasCrashed,
         reserve_next: ReserveNext,
     ) -> None:
+        self._refuses = refuses
         self._reserve_next = reserve_next
         self._has_crashed = has_crashed
         self._dispatcher = dispatcher
@@ -330,7 +332,9 @@
             except SilentServerError:
                 left_s = await self._until_leaving_s(run, connection, ticket, instance)
                 if left_s <= 0 and await self._leaves(run, connection, ticket):
-                    raise
+                    raise SilentServerError(
+                        "The server sends nothing, and another one has a place."
+                    ) from None
             look_s = min(left_s, LOOK_INTERVAL_S) if left_s > 0 else LOOK_INTERVAL_S
 
     async def _leaves(
@@ -365,6 +369,5 @@
         left_s = leave_at(call, voice, now) - now
         if left_s > 0 and voice.is_silent(now):
             since = max(call.last_byte_at, now - END_CHECK_INTERVAL_S)
-            has_ended = await self._has_crashed(instance, since)
-            return 0.0 if has_ended else left_s
+            return 0.0 if await self._refuses(instance, since) else left_s
         return left_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -84,14 +84,15 @@
         pool.voice_of = dispatcher.voice
         if owner_client is not None:
             owner_client.is_full = self._is_full
-        crash_detector = CrashDetector(pool, dispatcher.registry, clock)
-        self._failures = SendFailures(dispatcher, crash_detector, clock)
+        self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
+        self._failures = SendFailures(dispatcher, self._crash_detector, clock)
         self._exchanger = Exchanger(
             dispatcher,
             codec,
             clock,
             on_stream_begun,
-            crash_detector.has_crashed,
+            self._crash_detector.has_crashed,
+            self._refuses,
             self._reserve_next,
         )
 
@@ -361,6 +362,15 @@
         routers = len(self._dispatcher.routers)
         return self._pool.is_full(server, found.max_connections, routers)
 
+    async def _refuses(self, instance: Instance, since: float) -> bool:
+        """Return whether a silent server refuses connections, as far as it is known.
+
+        No connection is opened for it beyond this router's share.
+        """
+        if self._is_full(instance.service, instance.id):
+            return False
+        return await self._crash_detector.has_crashed(instance, since)
+
     def _note_lost_idle(self, instance: Instance, contact: Contact) -> None:
         self._dispatcher.registry.suspect(instance.id, contact, self._clock())
 
--- a/packages/fulmarroad-serving/tests/test_server_signals.py
+++ b/packages/fulmarroad-serving/tests/test_server_signals.py
@@ -467,6 +467,7 @@
             lambda: bed.now,
             lambda call, version, now: None,
             lambda instance, at: None,
+            lambda instance, at: None,
             lambda run, ticket, connection: None,
         )
         try:
