--- a/packages/fulmarroad-serving/tests/silence_fleet.py
+++ b/packages/fulmarroad-serving/tests/silence_fleet.py
@@ -108,6 +108,8 @@
     begins_at: float = -math.inf  # no answer begins before
     dead: bool = False
     reach: Reach = Reach.ACCEPTED
+    connect_s: float = 0.0
+    connects: int = 0  # begun by routers
     places: anyio.Semaphore = Factory(
         lambda self: anyio.Semaphore(self.slots), takes_self=True
     )
@@ -223,6 +225,10 @@
 
     async def connect(self, instance):
         engine = self.fleet.at_port(instance.port)
+        if engine is not None:
+            engine.connects += 1
+        if engine is not None and engine.connect_s:
+            await anyio.sleep(engine.connect_s)
         if engine is not None and engine.reach is Reach.UNANSWERED:
             await anyio.sleep(CONNECT_TIMEOUT_S)
             raise NotSentError("no answer to the first packet")
