Use the fleet's slow connections in the test of plain servers

The test had its own way to open connections slowly; the simulated engines have one now. The same time at the same engines, and the same assertion.

--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -192,10 +192,10 @@
         """
 
         async def test(fleet):
-            for router in fleet.routers.values():
-                router.pool._connect = connect_slowly(router)
             for name in ("l-0", "l-1"):
-                fleet.add_engine(name, service="ledger", slots=AMPLE_SLOTS)
+                fleet.add_engine(
+                    name, service="ledger", slots=AMPLE_SLOTS, connect_s=CONNECT_S
+                )
             await anyio.sleep(0.4)
             fleet.die_silently("l-0")
             for number in range(len(fleet.routers)):
@@ -208,16 +208,6 @@
         assert counts.whole_fraction == 1.0, (counts, fleet.failures())
 
 
-def connect_slowly(router):
-    """Return how a router far from its servers opens connections."""
-
-    async def connect(instance):
-        await anyio.sleep(CONNECT_S)
-        return await router.connect(instance)
-
-    return connect
-
-
 class TestStuckAnswers:
     def test_streams_leave_answers_that_are_stuck(self):
         """Guard against calls that wait for an answer which its engine has dropped."""
