Test that new calls avoid silent servers, and early give back of places

With the choice of servers blind to silence no test failed: neither where the owner decides for itself nor in the requests of others. Calls could wait at a silent engine, or one that all calls have left, beside one that answers.

--- a/packages/fulmarroad-serving/tests/test_silent_calls.py
+++ b/packages/fulmarroad-serving/tests/test_silent_calls.py
@@ -6,11 +6,12 @@
 import pytest
 from silence_checks import left_behind
 from silence_fleet import PATIENCE_S, Outcome, SilenceFleet
+from stream_fleet import FIRST_S, STORE_S
 
 from fulmarroad.events import Event
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving import FleetBounds
-from fulmarroad_serving._silence import MAX_PAUSE_S, MIN_WAIT_S, SILENT_S
+from fulmarroad_serving._silence import AVOIDED_S, MAX_PAUSE_S, MIN_WAIT_S, SILENT_S
 
 FIRST_EVENTS = 3
 CONNECT_S = 0.2
@@ -22,6 +23,11 @@
 LONG_PAUSE_S = MAX_PAUSE_S + 0.4
 """A pause that ends after the time to leave, and before callers leave."""
 
+PAUSE_S = 1.6
+NEW_CALLS = 8
+"""More than there are at the silent engine, so that its load alone attracts some."""
+
+GIVE_BACK_S = CONNECT_S + 0.2
 SLOTS = 64
 LATER_CALLS = 8
 LATER_CALL_S = 0.2
@@ -33,12 +39,17 @@
 
 
 class StreamsAtOneEngine:
-    """Streams of all routers at one engine, to which a second one is added."""
+    """Streams at one engine, to which a second one is added.
+
+    They come over all routers, or over the named one.
+    """
 
-    def __init__(self, trouble, bounds=RETRIES):
+    def __init__(self, trouble, bounds=RETRIES, router=""):
         self.trouble = trouble
         self.fleet = SilenceFleet()
         self.fleet.bounds = bounds
+        if router:
+            self.fleet.pick = lambda client, attempt: self.fleet.routers[router]
         run_virtual(self.fleet.run, self.run)
 
     async def run(self, fleet):
@@ -60,6 +71,25 @@
             while self.next.connects < len(self.fleet.routers):
                 await anyio.sleep(0.01)
 
+    async def wait_for_give_back(self):
+        """Wait until what was not used must be back at its owner."""
+        await anyio.sleep(GIVE_BACK_S)
+        assert not self.grants_at_next
+
+    def begin_calls(self):
+        for _ in range(NEW_CALLS):
+            self.fleet.begin(len(self.fleet.callers), tries=1)
+
+    @property
+    def grants_at_next(self):
+        """Return the places at the next engine that its owner has granted."""
+        return [
+            granted
+            for router in self.fleet.routers.values()
+            for granted in router.granter._granted.values()
+            if granted.ticket.charge.server == self.next.name
+        ]
+
     @property
     def sent_to_next(self):
         runs = sum(self.fleet.runs.values(), [])
@@ -81,6 +111,7 @@
         async def pause(streams):
             streams.first.pause(LATE_PAUSE_S)
             await streams.wait_for_connects()
+            await streams.wait_for_give_back()
 
         streams = StreamsAtOneEngine(pause)
         assert streams.fleet.count().whole_fraction == 1.0
@@ -97,7 +128,7 @@
 
         streams = StreamsAtOneEngine(pause, NO_RETRIES)
         assert streams.fleet.count().whole_fraction == 1.0
-        assert streams.sent_to_next == 0
+        assert streams.next.connects == 0
         assert not streams.left_behind
 
     def test_each_call_that_leaves_takes_a_retry(self):
@@ -121,6 +152,7 @@
             await streams.wait_for_connects()
             for caller in streams.fleet.callers:
                 caller.leaves_after_s = 0.0
+            await streams.wait_for_give_back()
 
         streams = StreamsAtOneEngine(die_and_leave)
         assert streams.fleet.count()[Outcome.NOTHING] == len(streams.fleet.routers)
@@ -128,6 +160,57 @@
         assert not streams.left_behind
 
 
+async def pause_first(streams):
+    streams.first.pause(PAUSE_S)
+    await anyio.sleep(2 * SILENT_S)
+
+
+async def leave_dead_first(streams):
+    streams.first.die_silently()
+    await anyio.sleep(MAX_PAUSE_S + AVOIDED_S / 2)
+    assert streams.sent_to_next == len(streams.fleet.routers)
+
+
+ROUTERS = [f"router-{number}" for number in range(4)]
+"""One of them is the owner of the engines."""
+
+
+class TestNewCalls:
+    @pytest.mark.parametrize("router", ROUTERS)
+    @pytest.mark.parametrize("trouble", [pause_first, leave_dead_first])
+    def test_calls_avoid_a_silent_engine(self, trouble, router):
+        """Guard against calls that wait at an engine which is silent, or which all
+        calls have left, beside one that answers.
+        """
+
+        async def begin_beside(streams):
+            await trouble(streams)
+            sent = streams.sent_to_next
+            streams.begin_calls()
+            await anyio.sleep(SETTLE_S)
+            assert streams.sent_to_next == sent + NEW_CALLS
+
+        streams = StreamsAtOneEngine(begin_beside, router=router)
+        assert streams.fleet.count().whole_fraction == 1.0
+
+
+class TestNextEngineSilent:
+    @pytest.mark.parametrize("router", ROUTERS)
+    def test_calls_stay_if_all_engines_are_silent(self, router):
+        """Guard against calls that leave a paused engine for another one."""
+
+        async def pause_both(streams):
+            await anyio.sleep(STORE_S)
+            streams.begin_calls()
+            await anyio.sleep(CONNECT_S + 3 * FIRST_S)
+            assert streams.next.running
+            streams.first.pause(LONG_PAUSE_S)
+            streams.next.pause(LONG_PAUSE_S)
+
+        counts = StreamsAtOneEngine(pause_both, router=router).fleet.count()
+        assert (counts.whole_fraction, counts.run_twice) == (1.0, 0)
+
+
 async def fall_silent(streams):
     streams.first.die_silently()
 
