Count what new calls run at the silent engine, not at the next one

A call that began at the silent engine and left it ran at the next one as well, so with the record of left engines dropped the test passed. It now counts the runs at the silent engine. One call goes over each router first, so that the failure penalty of several does not keep later ones away.

--- a/packages/fulmarroad-serving/tests/test_silent_calls.py
+++ b/packages/fulmarroad-serving/tests/test_silent_calls.py
@@ -25,7 +25,7 @@
 
 PAUSE_S = 1.6
 NEW_CALLS = 8
-"""More than there are at the silent engine, so that its load alone attracts some."""
+"""More than there are at the silent engine, so that by load some would go there."""
 
 GIVE_BACK_S = CONNECT_S + 0.2
 SLOTS = 64
@@ -41,11 +41,11 @@
 class StreamsAtOneEngine:
     """Streams at one engine, to which a second one is added.
 
-    They come over all routers, or over the named one.
+    One comes over each router, or a single one over the named router.
     """
 
     def __init__(self, trouble, bounds=RETRIES, router=""):
-        self.trouble = trouble
+        self.trouble, self.router = trouble, router
         self.fleet = SilenceFleet()
         self.fleet.bounds = bounds
         if router:
@@ -55,7 +55,7 @@
     async def run(self, fleet):
         self.first = fleet.add_engine("e-0", slots=SLOTS)
         await anyio.sleep(0.4)
-        for number in range(len(fleet.routers)):
+        for number in range(1 if self.router else len(fleet.routers)):
             fleet.begin(number, tries=1)
         while min(len(row.events) for row in fleet.callers) < FIRST_EVENTS:
             await anyio.sleep(0.01)
@@ -90,10 +90,17 @@
             if granted.ticket.charge.server == self.next.name
         ]
 
+    @property
+    def sent_to_first(self):
+        return self.sent_to(self.first)
+
     @property
     def sent_to_next(self):
+        return self.sent_to(self.next)
+
+    def sent_to(self, engine):
         runs = sum(self.fleet.runs.values(), [])
-        return sum(run.engine is self.next for run in runs)
+        return sum(run.engine is engine for run in runs)
 
 
 def retries_of(router):
@@ -168,7 +175,7 @@
 async def leave_dead_first(streams):
     streams.first.die_silently()
     await anyio.sleep(MAX_PAUSE_S + AVOIDED_S / 2)
-    assert streams.sent_to_next == len(streams.fleet.routers)
+    assert streams.sent_to_next == 1  # too few failures for a penalty
 
 
 ROUTERS = [f"router-{number}" for number in range(4)]
@@ -179,19 +186,17 @@
     @pytest.mark.parametrize("router", ROUTERS)
     @pytest.mark.parametrize("trouble", [pause_first, leave_dead_first])
     def test_calls_avoid_a_silent_engine(self, trouble, router):
-        """Guard against calls that wait at an engine which is silent, or which all
-        calls have left, beside one that answers.
+        """Guard against calls that wait at an engine which is silent, or which a
+        call has left as silent, beside one that answers.
         """
 
         async def begin_beside(streams):
             await trouble(streams)
-            sent = streams.sent_to_next
             streams.begin_calls()
-            await anyio.sleep(SETTLE_S)
-            assert streams.sent_to_next == sent + NEW_CALLS
 
         streams = StreamsAtOneEngine(begin_beside, router=router)
         assert streams.fleet.count().whole_fraction == 1.0
+        assert streams.sent_to_first == 1
 
 
 class TestNextEngineSilent:
