Name the record of a server's bytes, and what is judged by it, in plain terms

A reader stopped at the voice of a server, calls that are passed over and last chances: ServerActivity, skipped calls and the latest time to move. No change of behaviour.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -26,7 +26,7 @@
     unacknowledged_bytes,
 )
 from fulmarroad_serving._restarts import Contact
-from fulmarroad_serving._silence import ServerVoice
+from fulmarroad_serving._silence import ServerActivity
 from fulmarroad_serving._timers import TIMER_RESOLUTION_S
 from fulmarroad_serving.contracts import AnswerHead, Header
 from fulmarroad_serving.exceptions import (
@@ -140,7 +140,7 @@
         self.keep_alive_s: float | None = None
         self.idle_since = 0.0
         self.calls = 0
-        self.voice = ServerVoice()
+        self.activity = ServerActivity()
         """What is heard of the server over all connections to it."""
         self.on_lost_idle: Callable[[BackendConnection], None] = lambda lost: None
         """Called when the server ends the connection while no call uses it."""
@@ -159,7 +159,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; without a call, mark the connection unusable."""
         self._heard_at = self._clock()
-        self.voice.note_heard(self._heard_at)
+        self.activity.note_heard(self._heard_at)
         if not self._awaiting_answer:
             self._mark_unusable()
             return
@@ -269,7 +269,7 @@
         return Contact(self._opened_at, self._heard_at)
 
     @property
-    def has_part(self) -> bool:
+    def has_unread_part(self) -> bool:
         """Return whether a part of an answer came that was not read yet."""
         return bool(self._parts)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -53,7 +53,7 @@
 from fulmarroad_serving._servers import PlacementView, ServerBook
 from fulmarroad_serving._shares import NO_USE, ShareBook, ShareUse
 from fulmarroad_serving._shortlist import Shortlist
-from fulmarroad_serving._silence import ServerVoice
+from fulmarroad_serving._silence import ServerActivity
 from fulmarroad_serving._suspects import Suspects
 from fulmarroad_serving._waits import (
     allowed_wait_s,
@@ -220,9 +220,9 @@
         """Return the load estimate of a server."""
         return self.servers.view(server).load
 
-    def voice(self, server: ServerName) -> ServerVoice:
+    def activity(self, server: ServerName) -> ServerActivity:
         """Return when a server was heard, over any connection."""
-        return self.servers.view(server).voice
+        return self.servers.view(server).activity
 
     def own_load(self) -> dict[ServerName, PeerLoad]:
         """Return this router's own load at each server, for its peers."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -295,8 +295,8 @@
     def _note_begun(self, run: ActiveCall, ticket: Ticket) -> None:
         if not ticket.begun:
             now = self._clock()
-            voice = self._dispatcher.voice(ticket.charge.server)
-            voice.note_begun(id(ticket), ticket.charge.sent_at, now)
+            activity = self._dispatcher.activity(ticket.charge.server)
+            activity.note_begun(id(ticket), ticket.charge.sent_at, now)
             run.summary.begun_s = now - ticket.charge.sent_at
             self._dispatcher.begin(ticket, now)
 
@@ -343,7 +343,7 @@
         """Return whether a call whose server seems silent goes on elsewhere."""
         # The event loop may run timers before it reads what came while it was held up.
         await anyio.sleep(READ_GRACE_S)
-        if connection.has_part:
+        if connection.has_unread_part:
             return False
         return await self._reserve_next(run, ticket, connection)
 
@@ -356,7 +356,7 @@
     ) -> float:
         """Return in how many seconds a call may leave its server; 0 or less: now."""
         now, route = self._clock(), run.call.route
-        voice = self._dispatcher.voice(instance.id)
+        activity = self._dispatcher.activity(instance.id)
         call = SilentCall(
             ticket.charge.sent_at,
             max(ticket.charge.sent_at, connection.contact.heard_at),
@@ -366,8 +366,8 @@
             route.pause_objective_s,
             ticket.charge.expected_s,
         )
-        left_s = leave_at(call, voice, now) - now
-        if left_s > 0 and voice.is_silent(now):
+        left_s = leave_at(call, activity, now) - now
+        if left_s > 0 and activity.is_silent(now):
             since = max(call.last_byte_at, now - END_CHECK_INTERVAL_S)
             return 0.0 if await self._refuses(instance, since) else left_s
         return left_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -81,7 +81,7 @@
         self._catalog = catalog
         self._clock = clock
         pool.on_lost_idle = self._note_lost_idle
-        pool.voice_of = dispatcher.voice
+        pool.activity_of = dispatcher.activity
         if owner_client is not None:
             owner_client.is_full = self._is_full
         self._crash_detector = CrashDetector(pool, dispatcher.registry, clock)
@@ -214,7 +214,7 @@
         attempt = await self._prepare_elsewhere(run, ticket.charge.server)
         if attempt is None:
             return False
-        is_silent = not connection.has_part
+        is_silent = not connection.has_unread_part
         if not is_silent or not self._dispatcher.take_retry(service, self._clock()):
             self._give_back(attempt)
             return False
@@ -313,9 +313,9 @@
         run.progress.note_send(instance.id)
         run.summary.sends = run.progress.sends
         outcome: SendOutcome | None = None
-        voice = self._dispatcher.voice(instance.id)
+        activity = self._dispatcher.activity(instance.id)
         due_at = ticket.charge.sent_at + ticket.charge.expected_s
-        voice.expect(id(ticket), due_at, run.call.route.pause_objective_s)
+        activity.expect(id(ticket), due_at, run.call.route.pause_objective_s)
         try:
             await self._exchange(run, connection, instance, ticket)
             if ticket.begun_at is not None:
@@ -331,7 +331,7 @@
             # cancels the work at the server when the caller has disconnected.
             self._pool.release(instance.id, connection)
             self._dispatcher.end(ticket, outcome, self._clock())
-            voice.settle(id(ticket))
+            activity.settle(id(ticket))
             run.suspects.end()
         return None
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -17,7 +17,7 @@
 from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._restarts import Contact
-from fulmarroad_serving._silence import ServerVoice
+from fulmarroad_serving._silence import ServerActivity
 from fulmarroad_serving.exceptions import (
     ConnectionLimitError,
     ConnectionRefusedByHostError,
@@ -67,8 +67,8 @@
         self._server_pools: dict[ServerName, _ServerPool] = {}
         self.on_lost_idle: Callable[[Instance, Contact], None] = lambda run, last: None
         """Called when a server ends an idle connection before its idle timeout."""
-        self.voice_of: Callable[[ServerName], ServerVoice] = lambda server: (
-            ServerVoice()
+        self.activity_of: Callable[[ServerName], ServerActivity] = lambda server: (
+            ServerActivity()
         )
         """Return the record that the connections to a server share."""
         self.opened = 0
@@ -91,7 +91,7 @@
             connection = pool.idle.pop()
             if connection.reusable and not self._stale(connection):
                 # The record is a new one after the server's entry lapsed.
-                connection.voice = self.voice_of(instance.id)
+                connection.activity = self.activity_of(instance.id)
                 return connection
             self._drop(pool, connection)
         pool.share = connection_share(max_connections, routers)
@@ -203,7 +203,7 @@
 
     async def _open(self, instance: Instance) -> BackendConnection:
         connection = await self._connect(instance)
-        connection.voice = self.voice_of(instance.id)
+        connection.activity = self.activity_of(instance.id)
         connection.on_lost_idle = functools.partial(self._note_lost_idle, instance)
         return connection
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -74,16 +74,16 @@
         elif broken:
             # An answer that is wrong in another way comes from a process that runs.
             self._dispatcher.registry.suspect(instance.id, contact, now)
-        voice = self._dispatcher.voice(instance.id)
+        activity = self._dispatcher.activity(instance.id)
         if isinstance(error, SilentServerError):
-            voice.note_left(now)
+            activity.note_given_up(now)
         last_byte_at = max(ticket.charge.sent_at, contact.heard_at)
         state = _AnswerState(
             answered_s=round(ticket.answered_s(now), 3) if ticket.begun else None,
             crashed=crashed,
             silent_s=round(now - last_byte_at, 3),
-            server_silent_s=round(voice.silent_s(now), 3),
-            other_calls=voice.waiting - 1,
+            server_silent_s=round(activity.silent_s(now), 3),
+            other_calls=activity.waiting - 1,
         )
         self.note(run, instance.id, error, state)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_servers.py
@@ -18,7 +18,7 @@
 from fulmarroad_serving._registry import Instance, Registered, Registry, cold_bound
 from fulmarroad_serving._rests import ServerRest
 from fulmarroad_serving._routing import Candidate
-from fulmarroad_serving._silence import ServerVoice
+from fulmarroad_serving._silence import ServerActivity
 from fulmarroad_serving.engines._book import EngineBook
 from fulmarroad_serving.placement import engine_room
 
@@ -42,7 +42,7 @@
     load: ServerLoad = field(factory=ServerLoad)
     health: ServerHealth = field(factory=ServerHealth)
     rest: ServerRest = field(factory=ServerRest)
-    voice: ServerVoice = field(factory=ServerVoice)
+    activity: ServerActivity = field(factory=ServerActivity)
     cold: ColdLimit | None = None
     plain_s: float = PLAIN_SERVICE_S
 
@@ -245,7 +245,7 @@
     def is_silent(self, server: ServerName, now: float) -> bool:
         """Return whether a server sends nothing to calls of this router."""
         view = self._views.get(server)
-        return view is not None and view.voice.is_silent(now)
+        return view is not None and view.activity.is_silent(now)
 
     def silent(self, rows: Iterable[Registered], now: float) -> set[ServerName]:
         """Return those of some servers that send nothing to calls of this router."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_silence.py
@@ -43,7 +43,7 @@
 """Callers leave after the longest of this time, this multiple of their objective and
 this multiple of their pause objective without a byte."""
 
-PASSED_OVER_FRACTION = 0.6
+SKIPPED_FRACTION = 0.6
 """Fraction of callers' patience after which a call leaves a server that answers others.
 The rest is for the first byte of the next one."""
 
@@ -55,12 +55,12 @@
 
 
 @define
-class ServerVoice:
+class ServerActivity:
     """Record when a server sent anything to this router, over any connection."""
 
     heard_at: float = float("-inf")
     resumed_at: float = float("-inf")  # first byte after the last gap of a silence
-    left_at: float = float("-inf")  # last time at which a call gave it up as silent
+    given_up_at: float = float("-inf")  # last time at which a call gave it up as silent
     begun_until: float = float("-inf")  # last send time of a call that it began
     _due: dict[int, _Due] = field(factory=dict)  # by call
     _silent_s: float = SILENT_S  # the longest silence of all that wait
@@ -96,10 +96,10 @@
         if due is not None:
             self._due[call] = _Due(min(due.at, now), due.silent_s)
 
-    def note_left(self, now: float) -> None:
-        """Record that a call gave up waiting; only a silent server counts as left."""
+    def note_given_up(self, now: float) -> None:
+        """Record that a call gave up waiting, if the server is silent to all."""
         if self.is_silent(now):
-            self.left_at = now
+            self.given_up_at = now
 
     def silent_s(self, now: float) -> float:
         """Return for how many seconds the server has owed bytes; 0 if it owes none."""
@@ -112,7 +112,7 @@
         """Return whether the server sends nothing to any call that waits for it."""
         if now - self.heard_at <= self._silent_s:
             return False
-        if self.heard_at < self.left_at and now - self.left_at < AVOIDED_S:
+        if self.heard_at < self.given_up_at and now - self.given_up_at < AVOIDED_S:
             return True
         return self.silent_s(now) > self._silent_s
 
@@ -147,27 +147,27 @@
         )
 
     @property
-    def last_chance(self) -> float:
+    def latest_move_at(self) -> float:
         """Return the latest time at which another server can still answer it."""
         answers_s = self.objective_s * (2.0 if self.pause_objective_s else 1.0)
         return self.deadline - answers_s
 
 
-def leave_at(call: SilentCall, voice: ServerVoice, now: float) -> float:
+def leave_at(call: SilentCall, activity: ServerActivity, now: float) -> float:
     """Return when a call may leave its server if no byte comes; `inf`: it stays.
 
-    A server that talks to others has passed the call over if it stopped an answer, or
-    began that of a call sent later. It counts anew after each pause of the server.
+    A server that answers others has skipped the call if it stopped its answer, or began
+    that of a call sent later. The time counts anew after each pause of the server.
     """
     limit_s = MAX_PAUSE_S
     since = call.last_byte_at
-    if not voice.is_silent(now):
-        since = max(since, voice.resumed_at)
+    if not activity.is_silent(now):
+        since = max(since, activity.resumed_at)
         # Plain servers answer many calls at a time, in any order.
-        is_next = call.pause_objective_s > 0 and voice.begun_until > call.sent_at
-        if call.begun or is_next:
-            limit_s = PASSED_OVER_FRACTION * call.patience_s
+        in_order = call.pause_objective_s > 0
+        if call.begun or (in_order and activity.begun_until > call.sent_at):
+            limit_s = SKIPPED_FRACTION * call.patience_s
     earliest = max(call.bytes_due_at, call.last_byte_at + MIN_WAIT_S)
-    if call.last_chance < earliest:
+    if call.latest_move_at < earliest:
         return math.inf
-    return min(max(since + limit_s, earliest), call.last_chance)
+    return min(max(since + limit_s, earliest), call.latest_move_at)
--- a/packages/fulmarroad-serving/tests/silence_checks.py
+++ b/packages/fulmarroad-serving/tests/silence_checks.py
@@ -136,7 +136,8 @@
                 for pool in router.pool._server_pools.values()
             ),
             "waiting": sum(
-                view.voice.waiting for view in router.dispatcher.servers._views.values()
+                view.activity.waiting
+                for view in router.dispatcher.servers._views.values()
             ),
             "load": sum(
                 view.load.running for view in router.dispatcher.servers._views.values()
--- a/packages/fulmarroad-serving/tests/test_silence.py
+++ b/packages/fulmarroad-serving/tests/test_silence.py
@@ -9,9 +9,9 @@
     AVOIDED_S,
     MAX_PAUSE_S,
     MIN_WAIT_S,
-    PASSED_OVER_FRACTION,
     SILENT_S,
-    ServerVoice,
+    SKIPPED_FRACTION,
+    ServerActivity,
     SilentCall,
     leave_at,
 )
@@ -19,16 +19,16 @@
 BEGIN = 100.0
 
 
-def voice_of(*calls, heard_at=BEGIN, pause_objective_s=0.2):
+def activity_of(*calls, heard_at=BEGIN, pause_objective_s=0.2):
     """Return the record of a server; `calls` are the times from which bytes are due."""
-    voice = ServerVoice()
+    activity = ServerActivity()
     for number, due_at in enumerate(calls):
-        voice.expect(number, due_at, pause_objective_s)
-    voice.note_heard(heard_at)
-    return voice
+        activity.expect(number, due_at, pause_objective_s)
+    activity.note_heard(heard_at)
+    return activity
 
 
-class TestServerVoice:
+class TestServerActivity:
     @pytest.mark.parametrize(
         ("calls", "after_s", "silent"),
         [
@@ -41,47 +41,47 @@
         ],
     )
     def test_is_silent_while_it_owes_bytes(self, calls, after_s, silent):
-        assert voice_of(*calls).is_silent(BEGIN + after_s) is silent
+        assert activity_of(*calls).is_silent(BEGIN + after_s) is silent
 
     def test_a_byte_to_any_call_ends_the_silence(self):
-        voice = voice_of(BEGIN, BEGIN)
-        voice.note_heard(BEGIN + 1.2)
-        assert not voice.is_silent(BEGIN + 1.3)
-        assert voice.resumed_at == BEGIN + 1.2
+        activity = activity_of(BEGIN, BEGIN)
+        activity.note_heard(BEGIN + 1.2)
+        assert not activity.is_silent(BEGIN + 1.3)
+        assert activity.resumed_at == BEGIN + 1.2
 
     def test_streams_with_long_pauses_are_waited_for_longer(self):
-        assert not voice_of(BEGIN, pause_objective_s=1.0).is_silent(BEGIN + 2.4)
+        assert not activity_of(BEGIN, pause_objective_s=1.0).is_silent(BEGIN + 2.4)
 
     def test_a_stream_that_began_early_owes_its_next_event(self):
         """Guard against streams that leave at a pause, as their first event was
         expected later than it came and nothing seemed to be due.
         """
-        voice = voice_of(BEGIN + 5.0)
-        voice.note_begun(0, BEGIN - 1.0, BEGIN)
-        assert voice.is_silent(BEGIN + SILENT_S + 0.01)
+        activity = activity_of(BEGIN + 5.0)
+        activity.note_begun(0, BEGIN - 1.0, BEGIN)
+        assert activity.is_silent(BEGIN + SILENT_S + 0.01)
 
     def test_a_stream_with_long_pauses_counts_only_while_it_waits(self):
-        voice = voice_of(BEGIN, pause_objective_s=2.0)
-        voice.expect(1, BEGIN, 0.2)
-        assert not voice.is_silent(BEGIN + SILENT_S + 0.01)
-        voice.settle(0)
-        assert voice.is_silent(BEGIN + SILENT_S + 0.01)
+        activity = activity_of(BEGIN, pause_objective_s=2.0)
+        activity.expect(1, BEGIN, 0.2)
+        assert not activity.is_silent(BEGIN + SILENT_S + 0.01)
+        activity.settle(0)
+        assert activity.is_silent(BEGIN + SILENT_S + 0.01)
 
     def test_a_server_is_not_silent_after_the_last_call_ended(self):
-        voice = voice_of(BEGIN)
-        voice.settle(0)
-        assert not voice.is_silent(BEGIN + 9.0)
+        activity = activity_of(BEGIN)
+        activity.settle(0)
+        assert not activity.is_silent(BEGIN + 9.0)
 
     def test_a_server_that_calls_gave_up_is_avoided_for_a_while(self):
         """Guard against a dead server that gets new calls as soon as it is left."""
-        voice = voice_of(BEGIN)
+        activity = activity_of(BEGIN)
         left_at = BEGIN + MAX_PAUSE_S
-        voice.note_left(left_at)
-        voice.settle(0)
-        assert voice.is_silent(left_at + AVOIDED_S - 0.1)
-        assert not voice.is_silent(left_at + AVOIDED_S)
-        voice.note_heard(left_at + 0.1)
-        assert not voice.is_silent(left_at + 0.2)
+        activity.note_given_up(left_at)
+        activity.settle(0)
+        assert activity.is_silent(left_at + AVOIDED_S - 0.1)
+        assert not activity.is_silent(left_at + AVOIDED_S)
+        activity.note_heard(left_at + 0.1)
+        assert not activity.is_silent(left_at + 0.2)
 
 
 STREAM = SilentCall(
@@ -92,7 +92,7 @@
     objective_s=0.4,
     pause_objective_s=0.2,
 )
-PASSED_OVER_S = PASSED_OVER_FRACTION * STREAM.patience_s
+SKIPPED_S = SKIPPED_FRACTION * STREAM.patience_s
 NOW = BEGIN + MAX_PAUSE_S - 0.1
 
 
@@ -110,7 +110,7 @@
             (BEGIN, {"pause_objective_s": 0.8}, 4 * 0.8),
             (BEGIN, {"deadline": BEGIN + 3.0, "objective_s": 2.0}, math.inf),
             # It answers others, and stopped this answer.
-            (NOW, {}, NOW - BEGIN + PASSED_OVER_S),
+            (NOW, {}, NOW - BEGIN + SKIPPED_S),
             # It answers others after a pause, and this call waits in its queue.
             (NOW, {"begun": False}, NOW - BEGIN + MAX_PAUSE_S),
             # The last moment at which another server can still answer.
@@ -121,34 +121,34 @@
         ],
     )
     def test_bounds(self, heard_at, changes, after_s):
-        voice = voice_of(BEGIN, heard_at=BEGIN)
-        voice.note_heard(heard_at)
-        found = leave_at(evolve(STREAM, **changes), voice, NOW)
+        activity = activity_of(BEGIN, heard_at=BEGIN)
+        activity.note_heard(heard_at)
+        found = leave_at(evolve(STREAM, **changes), activity, NOW)
         assert found == pytest.approx(BEGIN + after_s)
 
     @pytest.mark.parametrize(
         ("begun", "later_call_begun", "after_s"),
         [
-            (True, False, PASSED_OVER_S),
-            (False, True, PASSED_OVER_S),
+            (True, False, SKIPPED_S),
+            (False, True, SKIPPED_S),
             (False, False, MAX_PAUSE_S),
         ],
     )
-    def test_a_call_that_was_passed_over_leaves_sooner(
-        self, begun, later_call_begun, after_s
-    ):
+    def test_a_skipped_call_leaves_sooner(self, begun, later_call_begun, after_s):
         """Guard against calls that wait out a pause of a server that goes on."""
-        voice = voice_of(BEGIN, heard_at=BEGIN)
+        activity = activity_of(BEGIN, heard_at=BEGIN)
         for step in range(1, 10):
-            voice.note_heard(BEGIN + step * SILENT_S / 2)
+            activity.note_heard(BEGIN + step * SILENT_S / 2)
         if later_call_begun:
-            voice.note_begun(1, BEGIN, BEGIN)
-        found = leave_at(evolve(STREAM, begun=begun), voice, BEGIN + 9 * SILENT_S / 2)
+            activity.note_begun(1, BEGIN, BEGIN)
+        found = leave_at(
+            evolve(STREAM, begun=begun), activity, BEGIN + 9 * SILENT_S / 2
+        )
         assert found == pytest.approx(BEGIN + after_s)
 
-    def test_a_plain_server_passes_no_call_over(self):
+    def test_a_plain_server_skips_no_call(self):
         """Guard against calls that are slow beside short ones and run twice."""
-        voice = voice_of(BEGIN, heard_at=NOW)
-        voice.note_begun(1, BEGIN, BEGIN)
+        activity = activity_of(BEGIN, heard_at=NOW)
+        activity.note_begun(1, BEGIN, BEGIN)
         plain = evolve(STREAM, begun=False, pause_objective_s=0.0)
-        assert leave_at(plain, voice, NOW) >= BEGIN + MAX_PAUSE_S
+        assert leave_at(plain, activity, NOW) >= BEGIN + MAX_PAUSE_S
