--- a/packages/fulmarroad-serving/tests/test_silent_servers.py
+++ b/packages/fulmarroad-serving/tests/test_silent_servers.py
@@ -286,8 +286,8 @@
         assert counts.whole_fraction == 1.0, counts
 
     def test_calls_leave_silent_servers_while_another_can_answer(self):
-        """Guard against calls that look for another server so seldom that their time
-        is nearly over when they leave a dead one.
+        """Guard against calls that look for another server only after the last moment
+        at which it can answer them.
         """
 
         async def test(fleet):
