--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Kill all routers while the store holds an entry that can't be read."""
+"""Let a client send requests that are larger than a server's memory."""
 
 from __future__ import annotations
 
@@ -8,47 +8,46 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from lab import BROKEN, CANNOT_RUN, HELD, Lab, run_case  # noqa: E402
+from lab import BROKEN, CANNOT_RUN, HELD, STREAM_PATH, Lab, run_case  # noqa: E402
 
 ROUTERS = 7
-SERVERS = 3
-RATE_PER_S = 16.0
-BEFORE_S = 6.0
-DOWN_S = 1.6
-RECOVERY_S = 12.0
-AFTER_S = 10.0
-DEPTH = 4000
-UNREADABLE = b"[" * DEPTH + b"]" * DEPTH
+ENGINES = 3
+RATE_PER_S = 20.0
+BEFORE_S = 5.0
+DURING_S = 65.0
+LARGE_INTERVAL_S = 0.5
+LARGE = f"1460,{2**63 - 1}"
+USUAL = "1460,80"
+ENDS, MACHINES = 3, 2
+
+
+async def send_large(lab: Lab) -> None:
+    usage = LARGE if lab.trouble else USUAL
+    while True:
+        await asyncio.sleep(LARGE_INTERVAL_S)
+        await lab.send(lab.pick_router(), STREAM_PATH, "tenant-b", Token_Usage=usage)
 
 
 async def case(lab: Lab) -> int:
-    await lab.start_platform(SERVERS, 0.045)
+    await lab.start_platform(0, ENGINES)
     await lab.start_routers(ROUTERS)
     begin = lab.now
-    await lab.send_load(RATE_PER_S, BEFORE_S)
+    await lab.send_load(RATE_PER_S, BEFORE_S, STREAM_PATH, "tenant-a")
     served, sent = lab.share_served(begin, lab.now)
     print(f"before: {served} of {sent} served")
     if served < sent / 2:
         return CANNOT_RUN
-    if lab.trouble:
-        lab.record("entry", key="servers/batch-import", bytes=len(UNREADABLE))
-        lab.store.put("servers/batch-import", UNREADABLE)
+    lab.start(send_large(lab))
     begin = lab.now
-    await lab.send_load(RATE_PER_S, BEFORE_S)
-    served, sent = lab.share_served(begin, lab.now)
-    print(f"after the entry: {served} of {sent} served")
-    for router in lab.routers:
-        router.kill(DOWN_S)
-    lab.record("kill_all")
-    await asyncio.sleep(DOWN_S)
-    back_at = lab.now
-    await lab.send_load(RATE_PER_S, RECOVERY_S + AFTER_S)
-    served, sent = lab.share_served(back_at + RECOVERY_S, lab.now)
-    ends = sum(len(router.ends) for router in lab.routers)
-    line = f"later than {RECOVERY_S:.0f} s after the return: {served} of {sent} served"
-    print(f"{line}; processes that ended by themselves: {ends}")
+    await lab.send_load(RATE_PER_S, DURING_S, STREAM_PATH, "tenant-a")
+    served, sent = lab.share_served(begin, lab.now, "tenant-a")
+    ends = [len(router.ends) for router in lab.routers]
+    print(
+        f"tenant-a, beside the large requests of tenant-b: {served} of {sent} served; "
+        f"processes that ended by themselves, by machine: {ends}"
+    )
     lab.record("result", served=served, sent=sent, ends=ends)
-    return BROKEN if served < sent / 4 else HELD
+    return BROKEN if sum(count >= ENDS for count in ends) >= MACHINES else HELD
 
 
 if __name__ == "__main__":
--- a/review/lab.py
+++ b/review/lab.py
@@ -31,6 +31,10 @@
 ZONES = ("ma-centre-a", "ma-centre-b", "ma-centre-c")
 HOST = "ledger.example"
 KEYS = {"tenant-a": "key-of-tenant-a", "tenant-b": "key-of-tenant-b"}
+STREAM_PATH, POST_PATH = "/draft/", "/post/"
+KV_CAPACITY_TOKENS = 1_026_424
+EVENTS = 10
+EVENT_INTERVAL_S = 0.02
 PAGE_ITEMS = 50
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.3
@@ -250,25 +254,74 @@
             "born": self.born,
         }
 
+    def refusal(self, request: Request) -> int:
+        """Return the status with which a request is refused, 0 if it is accepted."""
+        if request.headers.get("expect-instance", self.name) != self.name:
+            return 421
+        return 503 if self.running >= 4 * self.slots else 0
+
+    async def run(
+        self, request: Request, own: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Run an accepted request and answer it."""
+        await asyncio.sleep(self.work_s)
+        body = f"{self.name} ran {own['Attempt-Id']}\n".encode() * 20
+        writer.write(response(200, own | {"Server-Signature": "s1"}, body))
+
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers.get("attempt-id", "")
         own = {"Attempt-Id": request_id, "Keep-Alive": "timeout=15"}
-        expected = request.headers.get("expect-instance", self.name)
-        if expected != self.name:
-            writer.write(response(421, own | {"Not-Executed": "1"}, b""))
-            return
-        if self.running >= 4 * self.slots:
-            writer.write(response(503, own | {"Not-Executed": "1"}, b""))
+        status = self.refusal(request)
+        if status:
+            self.record("refused", id=request_id, server=self.name, status=status)
+            writer.write(response(status, own | {"Not-Executed": "1"}, b""))
             return
         self.running += 1
         self.runs.append(request_id)
         self.record("run", id=request_id, server=self.name)
         try:
-            await asyncio.sleep(self.work_s)
+            await self.run(request, own, writer)
         finally:
             self.running -= 1
-        body = f"{self.name} ran {request_id}\n".encode() * 20
-        writer.write(response(200, own | {"Server-Signature": "s1"}, body))
+
+
+@dataclass
+class Engine(PlainServer):
+    """Stand-in for a model server; it answers with a stream of events."""
+
+    service: str = "redaction-llm"
+    slots: int = 128
+    weights: int = 1
+
+    def refusal(self, request: Request) -> int:
+        """Return the status with which a request is refused, 0 if it is accepted."""
+        pinned = request.headers.get("expect-version", str(self.weights))
+        if pinned != str(self.weights):
+            return 421
+        usage = request.headers.get("token-usage", "0,0").split(",")
+        if sum(int(tokens) for tokens in usage) > KV_CAPACITY_TOKENS:
+            return 503
+        return super().refusal(request)
+
+    async def run(
+        self, request: Request, own: dict[str, str], writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer with `EVENTS` events after the prompt was read."""
+        head = own | {
+            "Server-Signature": "s1",
+            "Weight-Versions": str(self.weights),
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {row}" for name, row in head.items())]
+        await asyncio.sleep(self.work_s)
+        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        for number in range(1, EVENTS + 1):
+            event = f"id: {number}\ndata: {own['Attempt-Id']}\n\n".encode()
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        writer.write(b"0\r\n\r\n")
 
 
 class Router:
@@ -429,7 +482,6 @@
         self.routers: list[Router] = []
         self.sent: list[Sent] = []
         self.version = 1
-        self.path = "/post/"
         self._record: TextIO = (folder / "record.txt").open("w")
         self._started = time.monotonic()
         self._network = self._free_network()
@@ -548,29 +600,62 @@
 MinExpiryMs = 1000
 """
 
-    def config(self, **route: Any) -> dict[str, Any]:
-        """Return a configuration of one route; `route` changes its fields."""
-        row = {
+    def config(self) -> dict[str, Any]:
+        """Return a configuration with a route to each service."""
+        stream = {
+            "Name": "dossier-letter",
+            "Hostname": HOST,
+            "PathPrefix": STREAM_PATH,
+            "RouteType": "streaming",
+            "ServiceName": "redaction-llm",
+            "TimeoutMs": 8000,
+            "TargetLatencyMs": 400,
+            "MaxAttempts": 2,
+            "PriorityClass": 1,
+            "Anonymous": False,
+            "SessionAffinity": True,
+            "StreamResume": True,
+            "ItlTargetMs": 200,
+        }
+        post = {
             "Name": "post-reminder",
             "Hostname": HOST,
-            "PathPrefix": self.path,
-            "RouteType": "idempotent",
+            "PathPrefix": POST_PATH,
+            "RouteType": "non_idempotent",
             "ServiceName": "ledger-app",
             "TimeoutMs": 2500,
             "TargetLatencyMs": 200,
             "MaxAttempts": 2,
             "PriorityClass": 2,
+            "Anonymous": False,
         }
         return {
             "Version": self.version,
-            "Routes": [row | route],
+            "Routes": [stream, post],
             "Services": [
+                {
+                    "Name": "redaction-llm",
+                    "HealthPath": "/healthz",
+                    "MaxConnections": 620,
+                    "Protocol": "h1",
+                    "TlsEnabled": False,
+                    "WarmupS": 3.0,
+                    "WarmupPerS": 19.0,
+                    "InferenceEngine": {
+                        "Capacity": 128,
+                        "KvCapacityTokens": KV_CAPACITY_TOKENS,
+                        "KvTokenBytes": 18432,
+                        "BandwidthMbps": 88000.0,
+                        "StepSize": 5,
+                    },
+                },
                 {
                     "Name": "ledger-app",
-                    "MaxConnections": 100,
-                    "WarmupPerS": 0.0,
                     "HealthPath": "/healthz",
-                }
+                    "MaxConnections": 100,
+                    "Protocol": "h1",
+                    "TlsEnabled": False,
+                },
             ],
             "Tenants": [
                 {"Name": name, "ApiKeys": [key], "PriorityClass": 1}
@@ -581,16 +666,17 @@
                 "MaxBodyBytes": 4194304,
                 "HeaderTimeoutMs": 4000,
                 "IdleTimeoutMs": 15000,
-                "ThroughputPerS": 60000,
+                "ThroughputPerS": 720000,
             },
         }
 
-    async def start_platform(self, servers: int, work_s: float) -> None:
+    async def start_platform(self, servers: int = 3, engines: int = 0) -> None:
         """Start the store with a configuration, and servers with their entries."""
         await self.store.start(self.host(1))
         self.store.put_json("op/config", self.config())
-        for number in range(servers):
-            server = PlainServer(
+        for number in range(servers + engines):
+            kind, work_s = (PlainServer, 0.045) if number < servers else (Engine, 0.06)
+            server = kind(
                 f"i-{self.random.randrange(1 << 32):08x}",
                 self.host(101 + number),
                 ZONES[number % len(ZONES)],
@@ -623,42 +709,99 @@
         self._numbers += 1
         return f"{self.random.randrange(1 << 44):011x}{self._numbers:05x}"
 
-    async def send(self, router: Router, method: str = "POST") -> Sent:
-        """Send one request to a router as a client, and record it."""
-        tenant = self.random.choice(list(KEYS))
+    async def send(
+        self,
+        router: Router,
+        path: str = POST_PATH,
+        tenant: str = "",
+        **headers: str,
+    ) -> Sent:
+        """Send one request to a router as a client, and record it.
+
+        `headers` are added; underscores in their names stand for hyphens.
+        """
+        tenant = tenant or self.random.choice(list(KEYS))
         sent = Sent(self.new_id(), self.now, router.name, tenant, Answer())
-        headers = {
+        is_stream = path == STREAM_PATH
+        rows = {
             "Host": HOST,
             "Attempt-Id": sent.id,
-            "Deadline-Ms": "2500",
+            "Deadline-Ms": "8000" if is_stream else "2500",
             "Authorization": f"Token {KEYS[tenant]}",
         }
-        body = b'{"reminder": "' + 200 * b"a" + b'"}' if method == "POST" else b""
-        self.record("sent", id=sent.id, router=router.name, tenant=tenant)
-        target = f"{self.path}{sent.id}"
+        if is_stream:
+            own = f"{self._numbers:x}:1110"
+            rows["Model-Id"] = "m"
+            rows["Token-Usage"] = "1460,80"
+            rows["Prefix-Hash"] = f"5c1e07a2:350,{own}"
+        rows |= {name.replace("_", "-"): row for name, row in headers.items()}
+        body = b'{"text": "' + 200 * b"a" + b'"}'
+        self.record("sent", id=sent.id, router=router.name, tenant=tenant, path=path)
         sent.answer = await call(
-            router.host, FRONTEND_PORT, method, target, headers, body, 3.0
+            router.host, FRONTEND_PORT, "POST", f"{path}{sent.id}", rows, body, 8.5
         )
         self.sent.append(sent)
         self.record("answered", id=sent.id, status=sent.answer.status)
         return sent
 
-    async def send_load(self, rate_per_s: float, seconds: float) -> None:
+    def pick_router(self) -> Router:
+        """Return one of the routers in rotation, or of all if none is."""
+        ready = [row for row in self.routers if row.in_rotation]
+        return self.random.choice(ready or self.routers)
+
+    async def send_load(
+        self, rate_per_s: float, seconds: float, path: str = POST_PATH, tenant: str = ""
+    ) -> None:
         """Send requests at random times to the routers that are in rotation."""
         ends_at = self.now + seconds
         at = self.now
         async with asyncio.TaskGroup() as group:
             while (at := at + self.random.expovariate(rate_per_s)) < ends_at:
                 await asyncio.sleep(max(0.0, at - self.now))
-                ready = [row for row in self.routers if row.in_rotation]
-                router = self.random.choice(ready or self.routers)
-                group.create_task(self.send(router))
+                group.create_task(self.send(self.pick_router(), path, tenant))
 
-    def share_served(self, begin: float, end: float) -> tuple[int, int]:
+    def share_served(
+        self, begin: float, end: float, tenant: str = ""
+    ) -> tuple[int, int]:
         """Return how many of the requests sent in a time were served, and all."""
-        rows = [row for row in self.sent if begin <= row.sent_at < end]
+        rows = [
+            row
+            for row in self.sent
+            if begin <= row.sent_at < end and tenant in ("", row.tenant)
+        ]
         return sum(row.served for row in rows), len(rows)
 
+    def set_weights(self, version: int) -> None:
+        """Load another version of the model's weights into all model servers."""
+        for server in self.servers:
+            if isinstance(server, Engine):
+                server.weights = version
+
+    async def recovers(
+        self,
+        rate_per_s: float,
+        down_s: float,
+        recovery_s: float,
+        after_s: float,
+        path: str = POST_PATH,
+        tenant: str = "",
+    ) -> int:
+        """Kill all routers, and judge what is served after `RecoveryTimeS`."""
+        for router in self.routers:
+            router.kill(down_s)
+        self.record("kill_all")
+        await asyncio.sleep(down_s)
+        back_at = self.now
+        await self.send_load(rate_per_s, recovery_s + after_s, path, tenant)
+        served, sent = self.share_served(back_at + recovery_s, self.now)
+        ends = [len(router.ends) for router in self.routers]
+        print(
+            f"later than {recovery_s:.0f} s after the return: {served} of {sent} "
+            f"served; processes that ended by themselves: {ends}"
+        )
+        self.record("result", served=served, sent=sent, ends=ends)
+        return BROKEN if served < sent / 4 else HELD
+
 
 def run_case(case: Callable[[Lab], Awaitable[int]], folder: Path) -> None:
     """Run a case and exit with its result."""
