--- a/review/1/case.py
+++ b/review/1/case.py
@@ -22,6 +22,7 @@
 
 
 async def send_large(lab: Lab) -> None:
+    """Send requests of one client, large ones with trouble."""
     usage = LARGE if lab.trouble else USUAL
     while True:
         await asyncio.sleep(LARGE_INTERVAL_S)
@@ -29,6 +30,7 @@
 
 
 async def case(lab: Lab) -> int:
+    """Run the case and return its result."""
     await lab.start_platform(0, ENGINES)
     await lab.start_routers(ROUTERS)
     begin = lab.now
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,6 +30,7 @@
 
 
 async def case(lab: Lab) -> int:
+    """Run the case and return its result."""
     await lab.start_platform(SERVERS)
     await lab.start_routers(ROUTERS)
     begin = lab.now
@@ -51,6 +52,8 @@
 
 
 async def beat_case(lab: Lab) -> int:
+    """Write the entry again and again, and judge how often processes end."""
+
     async def beat() -> None:
         number = 0
         while True:
