--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,10 +11,11 @@
 from lab import BROKEN, CANNOT_RUN, HELD, STREAM_PATH, Lab, run_case  # noqa: E402
 
 ROUTERS = 7
-ENGINES = 3
-RATE_PER_S = 20.0
+ENGINES = 5
+CLIENTS = 28
+PAUSE_S = 0.5
 BEFORE_S = 5.0
-DURING_S = 65.0
+DURING_S = 60.0
 LARGE_INTERVAL_S = 0.5
 LARGE = f"1460,{2**63 - 1}"
 USUAL = "1460,80"
@@ -34,18 +35,20 @@
     await lab.start_platform(0, ENGINES)
     await lab.start_routers(ROUTERS)
     begin = lab.now
-    await lab.send_load(RATE_PER_S, BEFORE_S, STREAM_PATH, "tenant-a")
+    for _ in range(CLIENTS):
+        lab.start(lab.keep_sending(PAUSE_S, STREAM_PATH, "tenant-a"))
+    await asyncio.sleep(BEFORE_S)
     served, sent = lab.share_served(begin, lab.now)
     print(f"before: {served} of {sent} served")
     if served < sent / 2:
         return CANNOT_RUN
     lab.start(send_large(lab))
     begin = lab.now
-    await lab.send_load(RATE_PER_S, DURING_S, STREAM_PATH, "tenant-a")
+    await asyncio.sleep(DURING_S)
     served, sent = lab.share_served(begin, lab.now, "tenant-a")
     ends = [len(router.ends) for router in lab.routers]
     print(
-        f"tenant-a, beside the large requests of tenant-b: {served} of {sent} served; "
+        f"tenant-a: {served} of {sent} served, {lab.cut('tenant-a')} streams cut off; "
         f"processes that ended by themselves, by machine: {ends}"
     )
     lab.record("result", served=served, sent=sent, ends=ends)
--- a/review/lab.py
+++ b/review/lab.py
@@ -76,6 +76,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     complete: bool = False
+    closed: bool = False  # by the other side, before its end
 
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
@@ -420,6 +421,52 @@
             await asyncio.sleep(1.0)
 
 
+class Connection:
+    """Hold a client's connection, which carries one request after the other."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader, self._writer = reader, writer
+
+    @classmethod
+    async def open(cls, host: str, port: int) -> Connection:
+        """Connect within the second that clients allow."""
+        async with asyncio.timeout(1.0):
+            return cls(*await asyncio.open_connection(host, port))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def exchange(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> Answer:
+        """Send one request and return what came."""
+        answer = Answer()
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        try:
+            async with asyncio.timeout(timeout_s):
+                self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+                first, answer.headers = await read_head(self._reader)
+                answer.status = int(first.split(" ")[1])
+                answer.body = await read_body(self._reader, answer.headers)
+                answer.complete = True
+        except TimeoutError:
+            pass
+        except CONNECTION_ERRORS:
+            answer.closed = True
+        return answer
+
+
 async def call(
     host: str,
     port: int,
@@ -430,26 +477,14 @@
     timeout_s: float,
 ) -> Answer:
     """Send one request on a new connection and return what came."""
-    answer = Answer()
-    writer: asyncio.StreamWriter | None = None
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, port)
-            lines = [f"{method} {target} HTTP/1.1"]
-            lines += [f"{name}: {value}" for name, value in headers.items()]
-            if body:
-                lines.append(f"Content-Length: {len(body)}")
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-            first, answer.headers = await read_head(reader)
-            answer.status = int(first.split(" ")[1])
-            answer.body = await read_body(reader, answer.headers)
-            answer.complete = True
+        connection = await Connection.open(host, port)
     except (TimeoutError, *CONNECTION_ERRORS):
-        pass
+        return Answer()
+    try:
+        return await connection.exchange(method, target, headers, body, timeout_s)
     finally:
-        if writer is not None:
-            writer.close()
-    return answer
+        connection.close()
 
 
 @dataclass
@@ -714,35 +749,66 @@
         router: Router,
         path: str = POST_PATH,
         tenant: str = "",
+        connection: Connection | None = None,
         **headers: str,
     ) -> Sent:
         """Send one request to a router as a client, and record it.
 
-        `headers` are added; underscores in their names stand for hyphens.
+        Without a connection it opens a new one. `headers` are added; underscores in
+        their names stand for hyphens.
         """
         tenant = tenant or self.random.choice(list(KEYS))
         sent = Sent(self.new_id(), self.now, router.name, tenant, Answer())
-        is_stream = path == STREAM_PATH
+        rows = self._headers(sent, is_stream=path == STREAM_PATH)
+        rows |= {name.replace("_", "-"): row for name, row in headers.items()}
+        body = b'{"text": "' + 200 * b"a" + b'"}'
+        self.record("sent", id=sent.id, router=router.name, tenant=tenant, path=path)
+        what = ("POST", f"{path}{sent.id}", rows, body, 8.5)
+        if connection is None:
+            sent.answer = await call(router.host, FRONTEND_PORT, *what)
+        else:
+            sent.answer = await connection.exchange(*what)
+        self.sent.append(sent)
+        answer = sent.answer
+        self.record(
+            "answered", id=sent.id, status=answer.status, complete=answer.complete
+        )
+        return sent
+
+    def _headers(self, sent: Sent, *, is_stream: bool) -> dict[str, str]:
         rows = {
             "Host": HOST,
             "Attempt-Id": sent.id,
             "Deadline-Ms": "8000" if is_stream else "2500",
-            "Authorization": f"Token {KEYS[tenant]}",
+            "Authorization": f"Token {KEYS[sent.tenant]}",
         }
         if is_stream:
-            own = f"{self._numbers:x}:1110"
             rows["Model-Id"] = "m"
             rows["Token-Usage"] = "1460,80"
-            rows["Prefix-Hash"] = f"5c1e07a2:350,{own}"
-        rows |= {name.replace("_", "-"): row for name, row in headers.items()}
-        body = b'{"text": "' + 200 * b"a" + b'"}'
-        self.record("sent", id=sent.id, router=router.name, tenant=tenant, path=path)
-        sent.answer = await call(
-            router.host, FRONTEND_PORT, "POST", f"{path}{sent.id}", rows, body, 8.5
-        )
-        self.sent.append(sent)
-        self.record("answered", id=sent.id, status=sent.answer.status)
-        return sent
+            rows["Prefix-Hash"] = f"5c1e07a2:350,{self._numbers:x}:1110"
+        return rows
+
+    async def keep_sending(self, pause_s: float, path: str, tenant: str) -> None:
+        """Send one request after the other on kept connections, until cancelled."""
+        while True:
+            router = self.pick_router()
+            try:
+                connection = await Connection.open(router.host, FRONTEND_PORT)
+            except (TimeoutError, *CONNECTION_ERRORS):
+                await asyncio.sleep(0.1)
+                continue
+            is_open = True
+            while is_open:
+                sent = await self.send(router, path, tenant, connection)
+                asks_close = sent.answer.headers.get("connection") == "close"
+                is_open = sent.answer.complete and not asks_close
+                await asyncio.sleep(self.random.expovariate(1 / pause_s))
+            connection.close()
+
+    def cut(self, tenant: str) -> int:
+        """Return how many answers to a tenant's requests began and were cut off."""
+        rows = (row for row in self.sent if row.tenant == tenant and row.answer.closed)
+        return sum(row.answer.status == 200 for row in rows)
 
     def pick_router(self) -> Router:
         """Return one of the routers in rotation, or of all if none is."""
