--- a/review/lab.py
+++ b/review/lab.py
@@ -874,6 +874,11 @@
 
     async def main() -> int:
         lab = Lab(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        # The routers must not outlive a script that is ended.
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             return await case(lab)
         except LabError as error:
