--- a/review/lab.py
+++ b/review/lab.py
@@ -274,6 +274,7 @@
         own = {"Attempt-Id": request_id, "Keep-Alive": "timeout=15"}
         status = self.refusal(request)
         if status:
+            own["Instance-Id"] = self.name
             self.record("refused", id=request_id, server=self.name, status=status)
             writer.write(response(status, own | {"Not-Executed": "1"}, b""))
             return
