--- a/review/lab.py
+++ b/review/lab.py
@@ -15,10 +15,11 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, TextIO
@@ -33,13 +34,13 @@
 KEYS = {"tenant-a": "key-of-tenant-a", "tenant-b": "key-of-tenant-b"}
 STREAM_PATH, POST_PATH = "/draft/", "/post/"
 KV_CAPACITY_TOKENS = 1_026_424
-EVENTS = 10
-EVENT_INTERVAL_S = 0.02
 PAGE_ITEMS = 50
 HEARTBEAT_S = 1.2
 RESTART_DELAY_S = 0.3
 READY_TIMEOUT_S = 20.0
 
+RESET_AT_ONCE = struct.pack("ii", 1, 0)
+
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
 
 
@@ -87,16 +88,22 @@
     return first, {name.strip().lower(): value.strip() for name, _, value in pairs}
 
 
-async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
-    """Return a body with a length or in chunks; without either it is empty."""
+async def read_chunks(
+    reader: asyncio.StreamReader, headers: dict[str, str]
+) -> AsyncIterator[bytes]:
+    """Yield the parts of a body with a length or in chunks; else it is empty."""
     if headers.get("transfer-encoding", "").lower() == "chunked":
-        body = b""
         while size := int((await reader.readline()).split(b";")[0], 16):
-            body += await reader.readexactly(size)
+            yield await reader.readexactly(size)
             await reader.readexactly(2)
         await reader.readuntil(b"\r\n")
-        return body
-    return await reader.readexactly(int(headers.get("content-length", "0")))
+    elif length := int(headers.get("content-length", "0")):
+        yield await reader.readexactly(length)
+
+
+async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    """Return a whole body."""
+    return b"".join([chunk async for chunk in read_chunks(reader, headers)])
 
 
 async def read_request(reader: asyncio.StreamReader) -> Request:
@@ -118,16 +125,27 @@
 Handler = Callable[[Request, asyncio.StreamWriter], Awaitable[None]]
 
 
-async def serve(host: str, port: int, handle: Handler) -> asyncio.Server:
-    """Serve kept connections, one request at a time on each."""
+async def serve(
+    host: str,
+    port: int,
+    handle: Handler,
+    writers: set[asyncio.StreamWriter] | None = None,
+) -> asyncio.Server:
+    """Serve kept connections, one request at a time on each.
+
+    `writers` collects those of the open connections.
+    """
+    opened = set() if writers is None else writers
 
     async def connected(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        opened.add(writer)
         with contextlib.suppress(*CONNECTION_ERRORS, asyncio.CancelledError):
             while True:
                 await handle(await read_request(reader), writer)
                 await writer.drain()
+        opened.discard(writer)
         writer.close()
 
     return await asyncio.start_server(connected, host, port)
@@ -235,11 +253,30 @@
     runs: list[str] = field(default_factory=list)
     running: int = 0
     born: int = field(default_factory=lambda: int(time.time() * 1000))
+    version: str = "v1"  # of its software
+    keep_alive_s: int = 15
     server: asyncio.Server | None = None
+    _open: set[asyncio.StreamWriter] = field(default_factory=set)
 
     async def start(self) -> None:
         """Listen for requests."""
-        self.server = await serve(self.host, SERVER_PORT, self._handle)
+        self.server = await serve(self.host, SERVER_PORT, self._handle, self._open)
+
+    def crash(self) -> None:
+        """Stop listening and reset all connections."""
+        assert self.server is not None
+        self.server.close()
+        for writer in self._open:
+            raw = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_ONCE)
+            writer.transport.abort()
+        self.record("crash", server=self.name)
+
+    async def start_again(self, version: str) -> None:
+        """Start under the same id, which holds and knows nothing of before."""
+        self.version, self.born = version, int(time.time() * 1000)
+        await self.start()
+        self.record("start_again", server=self.name, version=version)
 
     def entry(self) -> dict[str, Any]:
         """Return the entry that the server writes into the store."""
@@ -247,7 +284,7 @@
             "ServiceName": self.service,
             "Address": f"{self.host}:{SERVER_PORT}",
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.version,
             "Capacity": self.slots,
             "LifecycleState": "draining" if self.draining else "healthy",
             "WarmupLeftMs": 0,
@@ -271,7 +308,7 @@
 
     async def _handle(self, request: Request, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers.get("attempt-id", "")
-        own = {"Attempt-Id": request_id, "Keep-Alive": "timeout=15"}
+        own = {"Attempt-Id": request_id, "Keep-Alive": f"timeout={self.keep_alive_s}"}
         status = self.refusal(request)
         if status:
             own["Instance-Id"] = self.name
@@ -294,6 +331,8 @@
     service: str = "redaction-llm"
     slots: int = 128
     weights: int = 1
+    events: int = 10
+    event_interval_s: float = 0.02
 
     def refusal(self, request: Request) -> int:
         """Return the status with which a request is refused, 0 if it is accepted."""
@@ -308,7 +347,7 @@
     async def run(
         self, request: Request, own: dict[str, str], writer: asyncio.StreamWriter
     ) -> None:
-        """Answer with `EVENTS` events after the prompt was read."""
+        """Answer with a stream of events after the prompt was read."""
         head = own | {
             "Server-Signature": "s1",
             "Weight-Versions": str(self.weights),
@@ -318,11 +357,13 @@
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {row}" for name, row in head.items())]
         await asyncio.sleep(self.work_s)
         writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        for number in range(1, EVENTS + 1):
-            event = f"id: {number}\ndata: {own['Attempt-Id']}\n\n".encode()
+        first = int(request.headers.get("last-event-id", "0")) + 1
+        for number in range(first, self.events + 1):
+            text = f"{own['Attempt-Id']}-{number} {self.version}"
+            event = f"id: {number}\ndata: {text}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
         writer.write(b"0\r\n\r\n")
 
 
@@ -459,7 +500,8 @@
                 self._writer.write(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
                 first, answer.headers = await read_head(self._reader)
                 answer.status = int(first.split(" ")[1])
-                answer.body = await read_body(self._reader, answer.headers)
+                async for chunk in read_chunks(self._reader, answer.headers):
+                    answer.body += chunk
                 answer.complete = True
         except TimeoutError:
             pass
@@ -518,6 +560,7 @@
         self.routers: list[Router] = []
         self.sent: list[Sent] = []
         self.version = 1
+        self.engine_options: dict[str, Any] = {}
         self._record: TextIO = (folder / "record.txt").open("w")
         self._started = time.monotonic()
         self._network = self._free_network()
@@ -711,13 +754,12 @@
         await self.store.start(self.host(1))
         self.store.put_json("op/config", self.config())
         for number in range(servers + engines):
-            kind, work_s = (PlainServer, 0.045) if number < servers else (Engine, 0.06)
-            server = kind(
-                f"i-{self.random.randrange(1 << 32):08x}",
-                self.host(101 + number),
-                ZONES[number % len(ZONES)],
-                work_s,
-                self.record,
+            name = f"i-{self.random.randrange(1 << 32):08x}"
+            host, zone = self.host(101 + number), ZONES[number % len(ZONES)]
+            server = (
+                PlainServer(name, host, zone, 0.045, self.record)
+                if number < servers
+                else Engine(name, host, zone, 0.06, self.record, **self.engine_options)
             )
             await server.start()
             self.servers.append(server)
