--- a/review/lab.py
+++ b/review/lab.py
@@ -561,6 +561,7 @@
         self.sent: list[Sent] = []
         self.version = 1
         self.engine_options: dict[str, Any] = {}
+        self.shared_parts = 1  # of which the prompts begin with one each
         self._record: TextIO = (folder / "record.txt").open("w")
         self._started = time.monotonic()
         self._network = self._free_network()
@@ -828,7 +829,8 @@
         if is_stream:
             rows["Model-Id"] = "m"
             rows["Token-Usage"] = "1460,80"
-            rows["Prefix-Hash"] = f"5c1e07a2:350,{self._numbers:x}:1110"
+            part = 0x5C1E07A2 + self._numbers % self.shared_parts
+            rows["Prefix-Hash"] = f"{part:x}:350,{self._numbers:x}:1110"
         return rows
 
     async def keep_sending(self, pause_s: float, path: str, tenant: str) -> None:
