Close the connections of scripted servers before their event loop ends

What was seen: on Python 3.11.6 the suite ends at test_answer_lengths.py with pytest's INTERNALERROR "AST constructor recursion depth mismatch" and 1225 passed; `--tb=native` shows PytestUnraisableExceptionWarning behind it, from StreamWriter.__del__, "Event loop is closed".

Cause: in that release the finalizer of a StreamWriter closes a writer that is still open, also after its loop is closed. Handlers of the scripted servers left theirs open when the loop cancelled them, or when they were cancelled before their first step. The warning hits whichever test runs at the next garbage collection.

Change: one listener, `StreamListener`, registers each writer when the connection is made, closes it when its handler ends in any way, and aborts what is left in `aclose`. All scripted servers of the tests use it. The filter of warnings and all checks are as they were.

--- a/packages/fulmarroad-router/tests/test_backend.py
+++ b/packages/fulmarroad-router/tests/test_backend.py
@@ -7,6 +7,7 @@
 import pytest
 from endless_server import endless_server, resident_bytes
 from held_path import HeldPath
+from stream_listener import start_listener
 
 from fulmarroad.tables import BackendServer, Pool
 from fulmarroad_router.backend import (
@@ -40,14 +41,13 @@
                 self.ids.append(head.partition(b"x-id: ")[2].split(b"\r\n")[0].decode())
                 writer.write(b"HTTP/1.1 200 S\r\ncontent-length: 4\r\n\r\ndone")
                 await writer.drain()
-        writer.close()
 
 
 @contextlib.asynccontextmanager
 async def ledger_behind_path():
     ledger = Ledger()
-    listener = await asyncio.start_server(ledger.connected, "127.0.0.1", 0)
-    path = HeldPath(listener.sockets[0].getsockname()[1])
+    listener = await start_listener(ledger.connected)
+    path = HeldPath(listener.port)
     await path.start()
     client = BackendClient()
     try:
@@ -56,7 +56,7 @@
     finally:
         await client.close()
         await path.close()
-        listener.close()
+        await listener.aclose()
 
 
 async def post(client, port, request_id, *, repeatable=True, pool=POOL):
@@ -131,17 +131,16 @@
                 if (part == b"ne") == (before == "the rest of its answer"):
                     await asyncio.sleep(PAUSE_S)
                 writer.write(part)
-            writer.close()
 
         async def test():
-            listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+            listener = await start_listener(answer)
             client = BackendClient()
             try:
-                port = listener.sockets[0].getsockname()[1]
-                assert await post(client, port, "r-1", pool=Pool("ledger")) == b"done"
+                answered = await post(client, listener.port, "r-1", pool=Pool("ledger"))
+                assert answered == b"done"
             finally:
                 await client.close()
-                listener.close()
+                await listener.aclose()
 
         anyio.run(test)
 
--- a/packages/fulmarroad-serving/tests/endless_server.py
+++ b/packages/fulmarroad-serving/tests/endless_server.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from serving_bed import answer, chunk, event, stream_head
+from stream_listener import start_listener
 
 BLOCK = 64 * 1024
 
@@ -38,11 +39,10 @@
 def endless_server(form):
     """Run the server in a process of its own, so that it leaves routers their time."""
     tests = Path(__file__).parent
-    paths = [str(tests), os.environ.get("PYTHONPATH", "")]
     process = subprocess.Popen(
         [sys.executable, str(tests / "endless_server.py"), form],
         stdout=subprocess.PIPE,
-        env=os.environ | {"PYTHONPATH": os.pathsep.join(paths)},
+        env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)},
     )
     try:
         yield int(process.stdout.readline())
@@ -63,11 +63,10 @@
             while not writer.is_closing():
                 writer.write(repeated)
                 await writer.drain()
-        writer.close()
 
-    server = await asyncio.start_server(connected, "127.0.0.1", 0, backlog=512)
-    print(server.sockets[0].getsockname()[1], flush=True)
-    await server.serve_forever()
+    server = await start_listener(connected, backlog=512)
+    print(server.port, flush=True)
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
--- a/packages/fulmarroad-serving/tests/platform_store.py
+++ b/packages/fulmarroad-serving/tests/platform_store.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 from attrs import define, field
+from stream_listener import StreamListener, start_listener
 
 
 @define
@@ -31,8 +32,7 @@
     _items: dict = field(factory=dict)
     _oldest_revision: int = 0  # watches from an earlier revision get 410
     _changed: asyncio.Event = field(factory=asyncio.Event)
-    _server: asyncio.Server | None = None
-    _connections: list = field(factory=list)
+    _server: StreamListener | None = None
 
     def put(self, key, value):
         """Write an item as operators and servers do."""
@@ -56,22 +56,18 @@
         self._wake()
 
     async def start(self):
-        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        self._server = await start_listener(self._connected)
+        self.port = self._server.port
 
     async def stop(self):
         """Close, and let open responses end before the event loop does."""
-        self._server.close()
-        for writer in self._connections:
-            writer.transport.abort()
-        await asyncio.sleep(0)
+        await self._server.aclose()
 
     def _wake(self):
         self._changed.set()
         self._changed = asyncio.Event()
 
     async def _connected(self, reader, writer):
-        self._connections.append(writer)
         ends = (OSError, asyncio.IncompleteReadError, asyncio.CancelledError)
         with contextlib.suppress(*ends):
             while True:
@@ -85,7 +81,6 @@
                     break
                 writer.write(self._bytes(status, body))
                 await writer.drain()
-        writer.close()
 
     async def _answer(self, path, query):
         if path == "/api/kv-range":
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -8,6 +8,7 @@
 
 import anyio
 from attrs import define, evolve, field
+from stream_listener import start_listener
 
 from fulmarroad.audit import AuditTrail
 from fulmarroad_router.gate import CallGate
@@ -246,11 +247,10 @@
                     if await script(arrival, writer) is False:
                         break
                     await writer.drain()
-            writer.close()
 
-        server = await asyncio.start_server(connected, "127.0.0.1", 0)
+        server = await start_listener(connected)
         self._servers.append(server)
-        port = server.sockets[0].getsockname()[1]
+        port = server.port
         instance = Instance(
             name, service, "127.0.0.1", port, "fes", slots, version=version
         )
@@ -305,7 +305,7 @@
     async def close(self):
         self.pool.close()
         for server in self._servers:
-            server.close()
+            await server.aclose()
 
 
 async def never_reached(arrival, writer):
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from serving_bed import PLAIN, answer, chunk, event, make_catalog, run, stream_head
+from stream_listener import start_listener
 
 from fulmarroad_serving import EngineProfile, Service
 from fulmarroad_serving._owners import OwnedServers
@@ -209,19 +210,16 @@
         """
 
         async def test(bed):
-            import asyncio
-
             async def connected(reader, writer):
                 await reader.readuntil(b"\r\n\r\n")
                 bed.arrivals.append(writer)
                 writer.write(answer(413, b"no", "c-1"))
                 await writer.drain()
-                await asyncio.sleep(1)
+                await anyio.sleep(1)
 
             port = await bed.serve("s-1", echo())
             bed._servers.pop().close()
-            early = await asyncio.start_server(connected, "127.0.0.1", port)
-            bed._servers.append(early)
+            bed._servers.append(await start_listener(connected, port))
             body = b"x" * 4_000_000
             caller = await bed.call("/post/1", method="POST", body=body)
             assert caller.status == 413
--- a/packages/fulmarroad-serving/tests/test_given_up_requests.py
+++ b/packages/fulmarroad-serving/tests/test_given_up_requests.py
@@ -10,6 +10,7 @@
 import pytest
 from held_path import HeldPath
 from serving_bed import Caller, PlainCodec, answer, run
+from stream_listener import start_listener
 
 from fulmarroad_serving import Instance
 from fulmarroad_serving._connection import BackendConnection
@@ -244,13 +245,11 @@
                 ends.append("orderly")
             except ConnectionResetError:
                 ends.append("reset")
-            writer.close()
 
         async def test():
-            server = await asyncio.start_server(connected, "127.0.0.1", 0)
-            port = server.sockets[0].getsockname()[1]
+            server = await start_listener(connected)
             loop = asyncio.get_running_loop()
-            opened = loop.create_connection(BackendConnection, "127.0.0.1", port)
+            opened = loop.create_connection(BackendConnection, "127.0.0.1", server.port)
             _, connection = await opened
             head = b"POST / HTTP/1.1\r\ncontent-length: 20000000\r\n\r\n"
             connection.send(head + bytes(20_000_000), PlainCodec().read_answer)
@@ -262,7 +261,7 @@
             with anyio.fail_after(5):
                 while not ends:
                     await anyio.sleep(0.02)
-            server.close()
+            await server.aclose()
             assert ends == ["reset"]
 
         anyio.run(test)
--- a/packages/fulmarroad/tests/held_path.py
+++ b/packages/fulmarroad/tests/held_path.py
@@ -8,6 +8,8 @@
 import asyncio
 import contextlib
 
+from stream_listener import start_listener
+
 
 class HeldPath:
     """Forward connections to a server's port; hold what goes there during a cut."""
@@ -23,8 +25,8 @@
         self.orderly_ends = 0
 
     async def start(self):
-        self._listener = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.port = self._listener.sockets[0].getsockname()[1]
+        self._listener = await start_listener(self._accept)
+        self.port = self._listener.port
 
     def cut(self):
         self._open.clear()
@@ -37,6 +39,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._listener.aclose()
 
     async def _accept(self, reader, writer):
         task = asyncio.current_task()
