Log where a failed task or request raised its error

The lines 110, 111 and 508 gave an error's text only. Several hypotheses on routers that end by themselves share one type of error, OverflowError: a report, a digest, a message to an owner or a copy of the store that can't be encoded; and a task group's error is an ExceptionGroup that names none.

Now `cause` is the first error itself, cut to 300 characters as it may quote what a caller sent, `where` names its two innermost frames, and 508 names the workspace. The test failed before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -7,7 +7,7 @@
 
 from attrs import define, evolve, field
 
-from fulmarroad.events import Event, emit
+from fulmarroad.events import Event, emit, error_fields
 from fulmarroad.types import RefusalReason
 from fulmarroad_router.asgi import (
     AsgiResponder,
@@ -123,7 +123,8 @@
                 logger,
                 Event.REQUEST_FAILED,
                 request_id=record.head.request_id if record.head else "",
-                cause=repr(error),
+                workspace=record.workspace,
+                **error_fields(error),
             )
             failure = CallError("The router failed. The call may have run.")
             await self._send_error(failure, responder, record, extra_headers)
--- a/packages/fulmarroad/src/fulmarroad/_supervisor.py
+++ b/packages/fulmarroad/src/fulmarroad/_supervisor.py
@@ -9,7 +9,7 @@
 import anyio
 from attrs import define, field, frozen
 
-from fulmarroad.events import Event, emit
+from fulmarroad.events import Event, emit, error_fields
 from fulmarroad.exceptions import SupervisionError
 
 logger = logging.getLogger("fulmarroad.supervision")
@@ -73,15 +73,19 @@
         child.failures = [at for at in child.failures if now - at < RESTART_WINDOW_S]
         child.failures.append(now)
         count = len(child.failures)
-        fields = {"supervisor": self._name, "task": child.spec.name}
+        fields = {
+            "supervisor": self._name,
+            "task": child.spec.name,
+            **error_fields(error),
+        }
         if not child.spec.restart or count > MAX_RESTARTS:
-            emit(logger, Event.TASK_GIVEN_UP, **fields, cause=repr(error))
+            emit(logger, Event.TASK_GIVEN_UP, **fields)
             raise SupervisionError(
                 f"Task {child.spec.name} failed {count} times.",
                 hint="The causes of the failures are logged as events 110 and 111.",
             ) from error
         logger.debug("task failed", exc_info=error)
-        emit(logger, Event.TASK_FAILED, **fields, cause=repr(error), failures=count)
+        emit(logger, Event.TASK_FAILED, **fields, failures=count)
         await anyio.sleep(self._restart_delay(count))
 
     def _restart_delay(self, count: int) -> float:
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -4,6 +4,8 @@
 
 import enum
 import logging
+import traceback
+from pathlib import PurePath
 from typing import Any
 
 from attrs import frozen
@@ -151,6 +153,24 @@
     DRAIN_ASKED = EventKind(701, _I, "drain requested by an operator")
 
 
+MAX_CAUSE_CHARS = 300
+"""Maximum length of an error's text in a log line: it may quote what a caller sent."""
+
+
+def error_fields(error: BaseException) -> dict[str, str]:
+    """Return the log fields of an unexpected error: its cause and where it was raised.
+
+    Of an error group, the first error counts.
+    """
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frames = traceback.extract_tb(error.__traceback__)
+    places = [
+        f"{PurePath(row.filename).name}:{row.lineno} {row.name}" for row in frames[-2:]
+    ]
+    return {"cause": repr(error)[:MAX_CAUSE_CHARS], "where": ", ".join(places)}
+
+
 def emit(logger: logging.Logger, event: Event, **fields: Any) -> None:
     """Log an event with its number and fields, if its level is enabled."""
     kind = event.value
--- a/packages/fulmarroad/tests/test_supervision.py
+++ b/packages/fulmarroad/tests/test_supervision.py
@@ -1,5 +1,7 @@
 """Failed tasks are restarted; a task that keeps failing ends the process."""
 
+import logging
+
 import anyio
 import pytest
 
@@ -61,3 +63,23 @@
         with pytest.raises(ExceptionGroup):
             await Supervisor("test", [ChildSpec("b", broken, restart=False)]).run()
         assert runs == [1]
+
+    async def test_the_log_line_of_a_failed_task_says_where_it_failed(self, caplog):
+        """Guard against a cause that can't be told from others of the same type."""
+        caplog.set_level(logging.INFO)
+        runs = []
+
+        def decode_entry():
+            raise OverflowError("9" * 5000)
+
+        async def broken():
+            runs.append(1)
+            if len(runs) == 1:
+                async with anyio.create_task_group():
+                    decode_entry()
+
+        await Supervisor("test", [ChildSpec("broken", broken)]).run()
+        record = next(row for row in caplog.records if row.event == 110)
+        assert record.cause.startswith("OverflowError")
+        assert len(record.cause) < 400
+        assert record.where.endswith("decode_entry")
