Name the router's own frames in the log line of a failed task

The two innermost frames of the OverflowErrors that a case showed were those of the MessagePack library, which don't tell which message could not be encoded. The test, whose error is now raised in a library, failed before.

--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -165,8 +165,10 @@
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
     frames = traceback.extract_tb(error.__traceback__)
+    # The frames of libraries don't tell which message could not be handled.
+    own = [row for row in frames if "fulmarroad" in row.filename] or frames
     places = [
-        f"{PurePath(row.filename).name}:{row.lineno} {row.name}" for row in frames[-2:]
+        f"{PurePath(row.filename).name}:{row.lineno} {row.name}" for row in own[-2:]
     ]
     return {"cause": repr(error)[:MAX_CAUSE_CHARS], "where": ", ".join(places)}
 
--- a/packages/fulmarroad/tests/test_supervision.py
+++ b/packages/fulmarroad/tests/test_supervision.py
@@ -1,5 +1,6 @@
 """Failed tasks are restarted; a task that keeps failing ends the process."""
 
+import json
 import logging
 
 import anyio
@@ -70,7 +71,7 @@
         runs = []
 
         def decode_entry():
-            raise OverflowError("9" * 5000)
+            json.loads("9" * 5000)
 
         async def broken():
             runs.append(1)
@@ -80,6 +81,6 @@
 
         await Supervisor("test", [ChildSpec("broken", broken)]).run()
         record = next(row for row in caplog.records if row.event == 110)
-        assert record.cause.startswith("OverflowError")
+        assert record.cause.startswith("ValueError")
         assert len(record.cause) < 400
         assert record.where.endswith("decode_entry")
