Bound the numbers that callers state, and refuse calls that no engine can hold

Hypotheses: (1) the report to the peers, (2) a digest, (3) a request to an owner, (4) a record of a stream can't be encoded.

Cause: `Token-Usage` and `Prefix-Hash` became integers without a range. The call's units went into its workspace's counts, and MessagePack encodes no integer above 64 bits, so each report of the next four seconds ended the task `peers`. Negative numbers did the same, and took units away from the counts before. Numbers of some thousand digits, which Python doesn't convert, were answered 500.

--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -170,6 +170,9 @@
     RefusalReason.CANNOT_FINISH: (
         "The answer can't end before the deadline. Allow more time or fewer tokens."
     ),
+    RefusalReason.CALL_TOO_LARGE: (
+        "No backend server has memory for this call. Send fewer tokens."
+    ),
     RefusalReason.SHUTTING_DOWN: "This router is shutting down. Try again at once.",
     RefusalReason.ABOVE_SHARE: ("Your workspace uses its share. Come back later."),
     RefusalReason.ROUTER_BUSY: "This router is busy. Try another one at once.",
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -36,6 +36,7 @@
     CatalogIndex,
     KeyHolder,
     ServedRoute,
+    Service,
     pick_target,
 )
 from fulmarroad_serving._fingerprints import fingerprint_of
@@ -47,6 +48,7 @@
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
 from fulmarroad_serving._workspace_outcomes import LATE, ON_TIME, WorkspaceOutcomes
 from fulmarroad_serving.contracts import CallCodec, CallHead
+from fulmarroad_serving.numbers import MAX_CALL_TOKENS
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -54,6 +56,9 @@
 """Retry delay sent by a router that has no configuration yet; it loads one within this
 time after a start."""
 
+TOO_LARGE_RETRY_S = 60.0
+"""Retry delay of a call that no server can hold in its memory, today or later."""
+
 MIN_DEADLINE_S = 0.005
 """Shortest remaining time with which a call is forwarded. With less, its deadline would
 pass before it reached a server."""
@@ -193,6 +198,7 @@
         deadline = record.arrived_at + timeout_s
         if deadline - self._clock() < MIN_DEADLINE_S:
             raise Refused(RefusalReason.DEADLINE_PASSED, NOT_READY_RETRY_S)
+        head = _check_size(head, index.catalog.services.get(service))
         query = scope.get("query_string", b"")
         target = path + (b"?" + query if query else b"")
         names = {name for name, _ in scope["headers"]}
@@ -320,6 +326,21 @@
         )
 
 
+def _check_size(head: CallHead, service: Service | None) -> CallHead:
+    """Return the call as it counts; raise `Refused` if no server can hold it.
+
+    Refused by each of its servers as full, it would also use up retries, and it would
+    count in the shares of all workspaces by numbers that its caller made up.
+    """
+    engine = service.engine if service is not None else None
+    if engine is None:
+        # Plain servers have no memory for tokens.
+        return head if head.tokens < MAX_CALL_TOKENS else head.without_tokens()
+    if not engine.holds(head.tokens):
+        raise Refused(RefusalReason.CALL_TOO_LARGE, TOO_LARGE_RETRY_S)
+    return head
+
+
 _REFUSED_OUTCOMES = {reason.value for reason in RefusalReason} | {
     error.code
     for error in (
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
@@ -10,6 +10,7 @@
 from attrs import field, frozen
 
 from fulmarroad.types import WorkspaceName
+from fulmarroad_serving.numbers import MAX_CALL_TOKENS
 
 ServiceName = str
 
@@ -63,6 +64,7 @@
     token_bytes: int = 0  # cache memory of one prompt token, in bytes
     link_mbps: float = 0.0  # link between engines, in Mbit/s
     step_tokens: int = 0  # output tokens of one event of an answer; 0: not stated
+    memory_tokens: int = 0  # largest call that fits into memory; 0: not stated
 
     @property
     def fetch_rate(self) -> float:
@@ -71,6 +73,10 @@
             return 0.0
         return self.link_mbps * 1e6 / (8 * self.token_bytes)
 
+    def holds(self, tokens: int) -> bool:
+        """Return whether an idle engine has memory for a call of that size."""
+        return tokens < MAX_CALL_TOKENS and tokens <= (self.memory_tokens or tokens)
+
 
 @frozen
 class Service:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -9,7 +9,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
-from attrs import field, frozen
+from attrs import evolve, field, frozen
 
 from fulmarroad.types import DataCentreName, RouterName, ServerName, WorkspaceName
 from fulmarroad_serving._baselines import DEFAULT_PLACEMENT
@@ -46,6 +46,15 @@
         """Return the name of the shared parts as one, which servers cache together."""
         return ",".join(self.parts)
 
+    @property
+    def tokens(self) -> int:
+        """Return the tokens of its prompt and of the longest answer that it allows."""
+        return self.shared_tokens + self.own_tokens + self.output_tokens
+
+    def without_tokens(self) -> CallHead:
+        """Return the same call as one that states no numbers of tokens."""
+        return evolve(self, shared_tokens=0, own_tokens=0, output_tokens=0)
+
 
 @frozen
 class AnswerHead:
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -95,6 +95,7 @@
     STREAM_ORIGIN_GONE = "stream_origin_gone"
     STREAM_UNKNOWN = "stream_unknown"
     CANNOT_FINISH = "cannot_finish"
+    CALL_TOO_LARGE = "call_too_large"
 
 
 class MemberState(enum.StrEnum):
