Leave out a step of a task that fails, instead of the task and the process

After ten such failures in 30 s the process ends, and as each router gets its share of the requests, all of them in the same seconds.

Cause: the supervisor takes any error for a stuck state that a restart clears. An input that comes again isn't one.

Change: `continue_on_error` logs the error of one step (116, with the step, cause and frame), and the task goes on: reports, digests, each packet, copies of the store in both ways, decisions of owners, records of streams, lapsed servers, reading of the store, the periodic lines. A send on a closed socket fails like a lost network, so that a call is placed without the owner. A log record that can't be written is counted as dropped. The supervisor's bound on restarts stays as it was.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import RouterName
 from fulmarroad_serving._granting import AddressedReply, Granter
 from fulmarroad_serving._owner_client import OwnerClient
@@ -28,6 +29,9 @@
 NOTES_DELAY_S = 0.003
 """Time for which progress is collected into one packet: less than an engine step."""
 
+RETRY_S = 0.05
+"""Pause after decisions that failed; they are due again at once."""
+
 HELD_LIST_INTERVAL_S = 0.5
 """Time between two lists of granted calls, which replace progress that was lost."""
 
@@ -112,26 +116,33 @@
             if delay_s > 0:
                 await wait_at_most(self._due_changed, delay_s)
                 continue
-            self._send_replies(self._granter.decide_held(self._clock()))
+            with continue_on_error("held requests"):
+                self._send_replies(self._granter.decide_held(self._clock()))
+                continue
+            await anyio.sleep(RETRY_S)
 
     async def _send_notes(self) -> None:
         while True:
             await self._notes_due.wait()
             await anyio.sleep(NOTES_DELAY_S)
             self._notes_due = anyio.Event()
-            for owner, data in self._client.pop_notes():
-                self._send_to(owner, data)
+            with continue_on_error("progress"):
+                for owner, data in self._client.pop_notes():
+                    self._send_to(owner, data)
 
     async def _keep_in_step(self) -> None:
         """Replace progress that was lost, and drop the calls of lost routers."""
         while True:
             await anyio.sleep(HELD_LIST_INTERVAL_S)
-            for owner, data in self._client.held_lists():
-                self._send_to(owner, data)
-            incarnations = self._incarnations()
-            self._client.adopt_from_lost(incarnations)
-            self._granter.forget_routers(incarnations, self._clock())
-            self._client.tell_slow_changes(self._clock())
+            with continue_on_error("granted calls"):
+                for owner, data in self._client.held_lists():
+                    self._send_to(owner, data)
+            with continue_on_error("lost routers"):
+                incarnations = self._incarnations()
+                self._client.adopt_from_lost(incarnations)
+                self._granter.forget_routers(incarnations, self._clock())
+            with continue_on_error("slow servers"):
+                self._client.tell_slow_changes(self._clock())
 
     async def _report_pace(self) -> None:
         """Report servers whose answers pause, while any answer runs here."""
@@ -141,8 +152,9 @@
                 self._answer_begun = anyio.Event()
                 await self._answer_begun.wait()
             await anyio.sleep(SCAN_S)
-            for owner, data in self._client.pace_reports():
-                self._send_to(owner, data)
+            with continue_on_error("pauses"):
+                for owner, data in self._client.pace_reports():
+                    self._send_to(owner, data)
 
     def _send_replies(self, replies: Iterable[AddressedReply]) -> None:
         for row in replies:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -13,6 +13,7 @@
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import MessageError
 from fulmarroad.ownership import watchers
+from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._digests import is_digest, pack_digest, read_digest
 from fulmarroad_serving._dispatch import Dispatcher
@@ -216,16 +217,24 @@
         while True:
             self._report_due = anyio.Event()
             now = self._clock()
-            self._sequence += 1
-            report = self._view.complete_report(self._report(now), now)
-            hosts = self._view.receivers(self.seeds, self._sequence, now)
-            self._send(packets, pack_report(report), hosts)
-            for digest, receivers in self._view.digests(now):
-                self._send(packets, pack_digest(digest), receivers)
+            with continue_on_error("report"):
+                self._send_report(packets, now)
+            with continue_on_error("digests"):
+                self._send_digests(packets, now)
             await anyio.sleep(MIN_REPORT_INTERVAL_S)
             pause_s = self._report_s - MIN_REPORT_INTERVAL_S
             await wait_at_most(self._report_due, pause_s)
 
+    def _send_report(self, packets: PacketSocket, now: float) -> None:
+        self._sequence += 1
+        report = self._view.complete_report(self._report(now), now)
+        hosts = self._view.receivers(self.seeds, self._sequence, now)
+        self._send(packets, pack_report(report), hosts)
+
+    def _send_digests(self, packets: PacketSocket, now: float) -> None:
+        for digest, receivers in self._view.digests(now):
+            self._send(packets, pack_digest(digest), receivers)
+
     def _sender(self, packets: PacketSocket) -> Send:
         return lambda data, host: self._send(packets, data, (host,))
 
@@ -233,7 +242,7 @@
         for host in hosts:
             try:
                 packets.send(data, host, self._port)
-            except OSError as error:
+            except (OSError, OverflowError) as error:
                 # The next report replaces the one that was not sent.
                 emit(logger, Event.REPORT_UNSENT, peer=host, cause=repr(error))
 
@@ -284,10 +293,11 @@
         return room
 
     def _on_packet(self, data: bytes, host: str) -> None:
-        try:
-            self._receive(data, host)
-        except MessageError as error:
-            emit(logger, Event.REPORT_REJECTED, peer=host, cause=error.message)
+        with continue_on_error("packet", peer=host):
+            try:
+                self._receive(data, host)
+            except MessageError as error:
+                emit(logger, Event.REPORT_REJECTED, peer=host, cause=error.message)
 
     def _receive(self, data: bytes, host: str) -> None:
         row = unpack(data)
@@ -378,10 +388,14 @@
         while True:
             await anyio.sleep(EXPIRY_INTERVAL_S)
             now = self._clock()
-            self._router_state.expire()
-            self._update_routers(now)
-            self.streams.expire()
-            alive = self._log_changes(alive, now)
+            with continue_on_error("lapsed servers"):
+                self._router_state.expire()
+            with continue_on_error("known routers"):
+                self._update_routers(now)
+            with continue_on_error("lapsed streams"):
+                self.streams.expire()
+            with continue_on_error("silent peers"):
+                alive = self._log_changes(alive, now)
 
     def _log_changes(self, before: set[RouterName], now: float) -> set[RouterName]:
         """Log the peers that became alive or silent and return those alive now."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -15,6 +15,7 @@
 import anyio
 
 from fulmarroad.events import Event, emit
+from fulmarroad.supervision import continue_on_error
 from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving.contracts import StateStore
@@ -77,17 +78,24 @@
                 )
                 await anyio.sleep(IDLE_CHECK_S)
                 continue
-            try:
-                await self._read()
-            except HistoryLostError as error:
-                self._needs_listing = True
-                emit(logger, Event.STORE_HISTORY_LOST, cause=error.message)
-                # Without a pause, a store that refuses every watch would be listed in a
-                # tight loop.
-                await anyio.sleep(BATCH_S)
-            except StoreError as error:
-                self._note_failure(error)
-                await anyio.sleep(self._random.uniform(*RETRY_S))
+            with continue_on_error("reading the store"):
+                await self._try_read()
+                continue
+            self._needs_listing = True
+            await anyio.sleep(self._random.uniform(*RETRY_S))
+
+    async def _try_read(self) -> None:
+        try:
+            await self._read()
+        except HistoryLostError as error:
+            self._needs_listing = True
+            emit(logger, Event.STORE_HISTORY_LOST, cause=error.message)
+            # Without a pause, a store that refuses every watch would be listed in a
+            # tight loop.
+            await anyio.sleep(BATCH_S)
+        except StoreError as error:
+            self._note_failure(error)
+            await anyio.sleep(self._random.uniform(*RETRY_S))
 
     async def _read(self) -> None:
         if self._needs_listing or not self._router_state.replica.known:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
@@ -13,6 +13,7 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad.exceptions import MessageError, TransportError
+from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import RouterName
 from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem
@@ -102,20 +103,32 @@
 
     async def _pull(self, peer: PeerReport, ended: anyio.Event) -> None:
         self._pulling_from.add(peer.router)
+        try:
+            with continue_on_error("copy of a peer", peer=peer.router):
+                await self._pull_from(peer)
+        finally:
+            self._pulling_from.discard(peer.router)
+            ended.set()
+
+    async def _pull_from(self, peer: PeerReport) -> None:
         try:
             with anyio.fail_after(PULL_TIMEOUT_S):
                 delta = await self._request_delta(peer.host)
-            self._router_state.apply_delta(delta, peer.store_failure_age_s, peer.router)
-        except (OSError, TimeoutError, MessageError, anyio.EndOfStream) as error:
+        except (
+            OSError,
+            TimeoutError,
+            MessageError,
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+        ) as error:
             emit(
                 logger,
                 Event.REPLICA_PULL_FAILED,
                 peer=peer.router,
                 cause=repr(error),
             )
-        finally:
-            self._pulling_from.discard(peer.router)
-            ended.set()
+            return
+        self._router_state.apply_delta(delta, peer.store_failure_age_s, peer.router)
 
     def _choose_newest_peer(self) -> PeerReport | None:
         ahead = [
@@ -137,16 +150,24 @@
 
     async def _serve_peer(self, stream: SocketStream) -> None:
         async with stream:
-            try:
-                with anyio.fail_after(PULL_TIMEOUT_S):
-                    asked = _decode_request(await _read_all(stream), self._era)
-                    delta = self._router_state.replica.since(asked)
-                    await stream.send(_encode_delta(delta))
-                    await stream.send_eof()
-            except (OSError, TimeoutError, MessageError) as error:
-                emit(logger, Event.REPLICA_GIVE_FAILED, cause=repr(error))
-            except (anyio.BrokenResourceError, TransportError) as error:
-                emit(logger, Event.REPLICA_GIVE_FAILED, cause=repr(error))
+            with continue_on_error("copy for a peer"):
+                await self._give_copy(stream)
+
+    async def _give_copy(self, stream: SocketStream) -> None:
+        try:
+            with anyio.fail_after(PULL_TIMEOUT_S):
+                asked = _decode_request(await _read_all(stream), self._era)
+                delta = self._router_state.replica.since(asked)
+                await stream.send(_encode_delta(delta))
+                await stream.send_eof()
+        except (
+            OSError,
+            TimeoutError,
+            MessageError,
+            TransportError,
+            anyio.BrokenResourceError,
+        ) as error:
+            emit(logger, Event.REPLICA_GIVE_FAILED, cause=repr(error))
 
 
 async def _read_all(stream: SocketStream) -> bytes:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -19,6 +19,7 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad.ownership import watchers
+from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._stream_messages import (
@@ -337,8 +338,9 @@
         self._due = anyio.Event()
         for router, streams in outbox.items():
             for start in range(0, len(streams), MAX_RECORDS_PER_PACKET):
-                packet = pack_kept(streams[start : start + MAX_RECORDS_PER_PACKET])
-                self._send_to(router, packet)
+                with continue_on_error("records of streams"):
+                    packet = pack_kept(streams[start : start + MAX_RECORDS_PER_PACKET])
+                    self._send_to(router, packet)
 
     def _send_to(self, router: RouterName, data: bytes) -> None:
         host = self._hosts().get(router)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/bounded_log.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/bounded_log.py
@@ -87,7 +87,12 @@
                 break
             lines -= 1
             record = records.popleft()
-            self._unwritten = self.format(record).encode() + b"\n"
+            try:
+                self._unwritten = self.format(record).encode() + b"\n"
+            except Exception:
+                # A record that can't be written must not stop the log.
+                self.dropped += 1
+                continue
             self._write_pending()
         self._write_pending()
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -15,7 +15,7 @@
 
 from fulmarroad.audit import AuditRecord, AuditTrail, Subject
 from fulmarroad.events import Event, emit
-from fulmarroad.supervision import ChildSpec, Supervisor
+from fulmarroad.supervision import ChildSpec, Supervisor, continue_on_error
 from fulmarroad_router.gate import CallGate, GateState
 from fulmarroad_router.http_server import HttpServer
 from fulmarroad_serving._baselines import placement_named
@@ -241,8 +241,9 @@
             if now - last > TICK_S + PAUSE_S:
                 emit(logger, Event.CLOCK_PAUSE, seconds=round(now - last, 2))
             late_since = self._log_lateness(late_since, now)
-            shedding.log(now, time.process_time())
-            self._outcome_log.log(now)
+            with continue_on_error("periodic log lines"):
+                shedding.log(now, time.process_time())
+                self._outcome_log.log(now)
             last = now
 
     def _log_lateness(self, since: float | None, now: float) -> float | None:
@@ -284,7 +285,13 @@
     def _reload(self) -> None:
         try:
             self._peers.seeds = self._read_seeds()
-        except (OSError, ValueError) as error:
+        except (
+            OSError,
+            ValueError,
+            TypeError,
+            AttributeError,
+            RecursionError,
+        ) as error:
             emit(logger, Event.SETTINGS_REJECTED, cause=repr(error))
             return
         emit(logger, Event.SETTINGS_RELOADED, seeds=list(self._peers.seeds))
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -229,6 +229,59 @@
         await anyio.sleep(0.02)
 
 
+STEPS = {
+    "a report": lambda peers: (peers, "_report"),
+    "a packet": lambda peers: (peers, "_receive"),
+    "digests": lambda peers: (peers._view, "digests"),
+    "lapsed servers": lambda peers: (peers._router_state, "expire"),
+    "lapsed streams": lambda peers: (peers.streams, "expire"),
+    "known routers": lambda peers: (peers, "_update_routers"),
+    "a copy of a peer": lambda peers: (peers._router_state, "apply_delta"),
+    "granted calls": lambda peers: (peers.owner_client, "held_lists"),
+    "lost routers": lambda peers: (peers.granter, "forget_routers"),
+    "held requests": lambda peers: (peers.granter, "decide_held"),
+}
+"""Steps of the tasks of `Peers`, with the method that each calls."""
+
+
+class TestFailingSteps:
+    @pytest.mark.parametrize("step", STEPS)
+    def test_a_step_that_fails_again_and_again_ends_nothing(self, step, monkeypatch):
+        """Guard against one input that comes again and ends the processes of all."""
+        fleet = Fleet(["a", "b"])
+        peers = fleet.nodes["a"][2]
+        owner, name = STEPS[step](peers)
+        works = getattr(type(owner), name)
+        failures = []
+
+        def fail(*arguments, **more):
+            if len(failures) < 12:
+                failures.append(RecursionError("not today"))
+                raise failures[-1]
+            return works(*arguments, **more)
+
+        async def test():
+            monkeypatch.setattr(type(owner), name, fail)
+            informed, learning = fleet.nodes["b"][1], fleet.nodes["a"][1]
+            informed.apply_listing(
+                [ReplicaItem("op/config", 2, b"7")], 2, 60.0, "store"
+            )
+            if step == "held requests":
+                monkeypatch.setattr(type(peers.granter), "next_due", 0.0)
+                peers._owner_exchange._trigger_decisions()
+                await until(lambda: len(failures) == 12)
+                monkeypatch.undo()
+            elif step == "a copy of a peer":
+                await until(lambda: failures)
+                failures.extend([RecursionError()] * 12)
+            else:
+                await until(lambda: len(failures) == 12)
+            await until(lambda: learning.catalog.version == 7)
+            await until(lambda: fleet.nodes["b"][0].routers == ["a", "b"])
+
+        fleet.run(test)
+
+
 class TestPeers:
     def test_routers_find_each_other_by_one_seed(self):
         fleet = Fleet(["a", "b", "c"])
--- a/packages/fulmarroad/src/fulmarroad/_datagrams.py
+++ b/packages/fulmarroad/src/fulmarroad/_datagrams.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 
@@ -73,8 +74,12 @@
             self._socket = None
 
     def send(self, data: bytes, host: str, port: int) -> None:
-        """Send a packet; raise `OSError` or `OverflowError` if that fails."""
-        assert self._socket is not None
+        """Send a packet; raise `OSError` or `OverflowError` if that fails.
+
+        A socket that is closed, as its task restarts, fails like a lost network.
+        """
+        if self._socket is None:
+            raise OSError(errno.ENOTCONN, "The UDP socket is closed.")
         self._socket.sendto(data, (host, port))
 
     def _read(self) -> None:
--- a/packages/fulmarroad/src/fulmarroad/_supervisor.py
+++ b/packages/fulmarroad/src/fulmarroad/_supervisor.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
 
 import anyio
 from attrs import define, field, frozen
@@ -26,6 +28,20 @@
 RESTART_WINDOW_S = 30.0
 
 
+@contextlib.contextmanager
+def continue_on_error(step: str, **fields: Any) -> Iterator[None]:
+    """Log an unexpected error of one step of a task, and go on behind the step.
+
+    An input that fails whenever it comes would otherwise use up the restarts of its
+    task and end the process; one that reaches all routers would end all of them.
+    """
+    try:
+        yield
+    except Exception as error:
+        logger.debug("step failed", exc_info=error)
+        emit(logger, Event.STEP_FAILED, step=step, **fields, **error_fields(error))
+
+
 @frozen
 class ChildSpec:
     """Describe one supervised task."""
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -43,6 +43,7 @@
     LOOP_LATE = EventKind(113, _W, "event loop runs late")
     LOOP_ON_TIME = EventKind(114, _I, "event loop runs on time again")
     CALLS_SHED = EventKind(115, _W, "calls are rejected as the event loop runs late")
+    STEP_FAILED = EventKind(116, _E, "step of a task failed and was left out")
 
     # 200: configuration
     TABLES_ACCEPTED = EventKind(200, _I, "tables accepted")
--- a/packages/fulmarroad/src/fulmarroad/supervision.py
+++ b/packages/fulmarroad/src/fulmarroad/supervision.py
@@ -1,5 +1,5 @@
 """Supervision of tasks in anyio task groups."""
 
-from fulmarroad._supervisor import ChildSpec, Supervisor
+from fulmarroad._supervisor import ChildSpec, Supervisor, continue_on_error
 
-__all__ = ["ChildSpec", "Supervisor"]
+__all__ = ["ChildSpec", "Supervisor", "continue_on_error"]
--- a/packages/fulmarroad/tests/test_datagrams.py
+++ b/packages/fulmarroad/tests/test_datagrams.py
@@ -36,6 +36,20 @@
 
 
 class TestPacketSocket:
+    def test_a_send_while_the_socket_is_closed_fails_like_a_lost_network(self):
+        """Guard against calls that fail while the task of the socket restarts."""
+
+        async def test():
+            packets = open_socket()
+            with pytest.raises(OSError, match="closed"):
+                packets.send(b"early", HOST, 1)
+            with packets:
+                pass
+            with pytest.raises(OSError, match="closed"):
+                packets.send(b"late", HOST, 1)
+
+        anyio.run(test)
+
     def test_packets_arrive_unchanged_with_the_sender_host(self):
         got = []
 
