Bound the numbers of peers and of the store's entries, and their sums

An entry whose `born` is 1e300 becomes a start time of 300 digits that no report holds once that server leaves; one whose `Version` is half a character, as JSON allows, ends the task that tells records of streams; two peers that report 2^64 - 1 waiting tokens each end the digests of a collector; a text of digits in a peer's packet became a number of any size.

Cause: `int()` and `float()` on decoded values accept texts, infinities and any size, and nothing looked at the sums.

Change: `read_int`, `read_float` and `read_id` take numbers only, up to 2^53 (hashes: 64 bits); a sum that is sent saturates there. One list of the errors of decoding in place of five.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -48,7 +48,7 @@
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
 from fulmarroad_serving._workspace_outcomes import LATE, ON_TIME, WorkspaceOutcomes
 from fulmarroad_serving.contracts import CallCodec, CallHead
-from fulmarroad_serving.numbers import MAX_CALL_TOKENS
+from fulmarroad_serving.decoding import MAX_CALL_TOKENS
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_catalog.py
@@ -10,7 +10,7 @@
 from attrs import field, frozen
 
 from fulmarroad.types import WorkspaceName
-from fulmarroad_serving.numbers import MAX_CALL_TOKENS
+from fulmarroad_serving.decoding import MAX_CALL_TOKENS
 
 ServiceName = str
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_digests.py
@@ -48,6 +48,7 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_id, read_int
 from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 FORMAT = 2
@@ -237,7 +238,11 @@
 def _read_rooms(numbers: list[Any]) -> tuple[MemberRoom, ...]:
     rows = zip(numbers[::3], numbers[1::3], numbers[2::3], strict=True)
     return tuple(
-        (int(member), int(units) * ROOM_UNIT_TOKENS, int(age) * ROOM_AGE_UNIT_S)
+        (
+            read_id(member),
+            read_int(units) * ROOM_UNIT_TOKENS,
+            read_int(age) * ROOM_AGE_UNIT_S,
+        )
         for member, units, age in rows
     )
 
@@ -249,8 +254,8 @@
     """
     try:
         total = ReportSum(
-            {int(member): int(number) for member, number in row[3]},
-            float(row[4]),
+            {read_id(member): read_int(number) for member, number in row[3]},
+            read_float(row[4]),
             read_loads(row[5]),
             read_counts(row[6]),
         )
@@ -259,7 +264,7 @@
             str(row[2]),
             total,
             tuple(read_member(member, era) for member in row[7]),
-            tuple((int(part), str(server)) for part, server in row[8]),
+            tuple((read_id(part), str(server)) for part, server in row[8]),
             # Collectors of the previous release send no suspects.
             read_suspects(row[9], row[11] if len(row) > 11 else [])
             if len(row) > 9
@@ -268,7 +273,7 @@
             read_speed_classes(row[12]) if len(row) > 12 else (),
             _read_rooms(row[13]) if len(row) > 13 else (),
         )
-    except (ValueError, TypeError, IndexError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(
             "The digest has a field that is missing or not valid."
         ) from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -17,14 +17,13 @@
 from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._demands import ColdServers, Demand
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 
 REQUEST_FORMAT = 3
 REPLY_FORMAT = 4
 PROGRESS_FORMAT = 5
 """First fields of the packets; reports and digests have other values there."""
 
-DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError, KeyError)
-
 
 @frozen
 class PlacementRequest:
@@ -139,16 +138,16 @@
             str(row[4]),
             str(row[5]),
             str(row[6]),
-            float(row[7]),
+            read_float(row[7]),
             str(row[8]),
-            int(row[9]),
-            int(row[10]),
-            int(row[11]),
-            float(row[13]),
-            int(row[12]),
+            read_int(row[9]),
+            read_int(row[10]),
+            read_int(row[11]),
+            read_float(row[13]),
+            read_int(row[12]),
             # Routers of the previous release know no versions.
             str(row[18]) if len(row) > 18 else "",
-            int(row[22]) if len(row) > 22 else 0,
+            read_int(row[22]) if len(row) > 22 else 0,
         )
         avoid = tuple(str(name) for name in row[14])
         left_out = tuple(str(name) for name in row[16])
@@ -156,11 +155,11 @@
         # Routers of the previous release don't list what they may not use.
         closed = tuple(str(name) for name in row[19]) if len(row) > 19 else ()
         full = tuple(str(name) for name in row[20]) if len(row) > 20 else ()
-        remaining_s = float(row[21]) if len(row) > 21 else 0.0
+        remaining_s = read_float(row[21]) if len(row) > 21 else 0.0
         return PlacementRequest(
             str(row[1]),
-            int(row[2]),
-            int(row[3]),
+            read_int(row[2]),
+            read_int(row[3]),
             demand,
             avoid,
             bool(row[15]),
@@ -204,23 +203,23 @@
     try:
         return PlacementReply(
             str(row[1]),
-            int(row[2]),
-            int(row[3]),
+            read_int(row[2]),
+            read_int(row[3]),
             ReplyKind(row[4]),
             str(row[5]),
             str(row[6]),
-            int(row[7]),
-            float(row[8]),
-            float(row[9]),
+            read_int(row[7]),
+            read_float(row[8]),
+            read_float(row[9]),
             bool(row[10]),
-            int(row[11]),
-            float(row[12]),
+            read_int(row[11]),
+            read_float(row[12]),
             _REASONS[row[13]],
-            float(row[14]),
+            read_float(row[14]),
             # Owners of the previous release only grant what the asker permits.
             bool(row[15]) if len(row) > 15 else False,
             bool(row[16]) if len(row) > 16 else False,
-            int(row[17]) if len(row) > 17 else 0,
+            read_int(row[17]) if len(row) > 17 else 0,
             bool(row[18]) if len(row) > 18 else False,
         )
     except DECODE_ERRORS as error:
@@ -251,10 +250,10 @@
     """Decode a progress report; raise `MessageError` if it is not valid."""
     try:
         # Routers of the previous release don't say what they didn't send.
-        unused = {int(number) for number in row[5]} if len(row) > 5 else set()
+        unused = {read_int(number) for number in row[5]} if len(row) > 5 else set()
         notes = tuple(
             ProgressNote(
-                int(number),
+                read_int(number),
                 bool(begun),
                 bool(ended),
                 _OUTCOMES[outcome],
@@ -262,9 +261,9 @@
             )
             for number, begun, ended, outcome in row[3]
         )
-        held = None if row[4] is None else tuple(int(number) for number in row[4])
+        held = None if row[4] is None else tuple(read_int(number) for number in row[4])
         # Nor which requests they no longer need.
-        cancelled = tuple(int(n) for n in row[6]) if len(row) > 6 else ()
-        return ProgressReport(str(row[1]), int(row[2]), notes, held, cancelled)
+        cancelled = tuple(read_int(n) for n in row[6]) if len(row) > 6 else ()
+        return ProgressReport(str(row[1]), read_int(row[2]), notes, held, cancelled)
     except DECODE_ERRORS as error:
         raise MessageError("The progress report is not valid.") from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
@@ -19,6 +19,7 @@
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem
 from fulmarroad_serving._reports import PeerBook, PeerReport
 from fulmarroad_serving._router_state import RouterState
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_int
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -36,18 +37,6 @@
 
 MAX_PULL_BYTES = 8 * 1024 * 1024
 
-DECODE_ERRORS = (
-    ValueError,
-    TypeError,
-    LookupError,
-    OverflowError,
-    msgpack.UnpackException,
-)
-"""Errors raised while decoding data of another format.
-
-Any other error would end the task that reads.
-"""
-
 
 class ReplicaSync:
     """Serve this router's copy of the store to peers, and pull changes from theirs."""
@@ -190,7 +179,7 @@
 def _decode_request(data: bytes, era: int = 0) -> Position:
     try:
         row: list[Any] = msgpack.unpackb(data)
-        return position(int(row[1]) if len(row) > 1 else era, int(row[0]))
+        return position(read_int(row[1]) if len(row) > 1 else era, read_int(row[0]))
     except DECODE_ERRORS as error:
         raise MessageError("The request of the peer cannot be decoded.") from error
 
@@ -210,14 +199,14 @@
 def _read_delta(data: bytes, era: int = 0) -> ReplicaDelta:
     try:
         row: list[Any] = msgpack.unpackb(data)
-        era = int(row[3]) if len(row) > 3 else era
+        era = read_int(row[3]) if len(row) > 3 else era
         items = tuple(_read_item(item, era) for item in row[2])
-        return ReplicaDelta(position(era, int(row[0])), bool(row[1]), items)
+        return ReplicaDelta(position(era, read_int(row[0])), bool(row[1]), items)
     except DECODE_ERRORS as error:
         raise MessageError("The copy sent by the peer cannot be decoded.") from error
 
 
 def _read_item(row: list[Any], era: int) -> ReplicaItem:
     key, revision, data, *item_era = row
-    at = position(int(item_era[0]) if item_era else era, int(revision))
+    at = position(read_int(item_era[0]) if item_era else era, read_int(revision))
     return ReplicaItem(str(key), at, data)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -20,6 +20,13 @@
     pack_suspects,
     read_suspects,
 )
+from fulmarroad_serving.decoding import (
+    DECODE_ERRORS,
+    read_float,
+    read_id,
+    read_int,
+    saturated,
+)
 from fulmarroad_serving.engines._book import SpeedClass, read_speed_classes
 
 ServerRun = tuple[ServerName, int]
@@ -124,17 +131,22 @@
 
     Raises `ValueError` or `TypeError` for rows that are not valid.
     """
-    return tuple((str(server), int(started_ms)) for server, started_ms in rows)
+    return tuple((str(server), read_int(started_ms)) for server, started_ms in rows)
 
 
 def pack_loads(loads: Mapping[ServerName, PeerLoad]) -> list[Any]:
     """Encode loads as rows."""
-    return [[name, load.running, load.waiting_tokens] for name, load in loads.items()]
+    return [
+        [name, saturated(load.running), saturated(load.waiting_tokens)]
+        for name, load in loads.items()
+    ]
 
 
 def pack_counts(counts: Mapping[WorkspaceName, WorkspaceCount]) -> list[Any]:
     """Encode the counts of workspaces as rows."""
-    return [[name, int(row.asked), int(row.got)] for name, row in counts.items()]
+    return [
+        [name, saturated(row.asked), saturated(row.got)] for name, row in counts.items()
+    ]
 
 
 def read_loads(rows: list[Any]) -> dict[ServerName, PeerLoad]:
@@ -142,7 +154,7 @@
 
     Raises `ValueError` or `TypeError` for rows that are not valid.
     """
-    return {str(n): PeerLoad(int(r), int(w)) for n, r, w in rows}
+    return {str(n): PeerLoad(read_int(r), read_int(w)) for n, r, w in rows}
 
 
 def read_counts(rows: list[Any]) -> dict[WorkspaceName, WorkspaceCount]:
@@ -150,7 +162,7 @@
 
     Raises `ValueError` or `TypeError` for rows that are not valid.
     """
-    return {str(n): WorkspaceCount(float(a), float(g)) for n, a, g in rows}
+    return {str(n): WorkspaceCount(read_float(a), read_float(g)) for n, a, g in rows}
 
 
 def member_of(report: PeerReport, age_s: float) -> Member:
@@ -206,7 +218,9 @@
 
 def _read_position(revision: Any, row: list[Any], place: int, era: int) -> Position:
     """Decode a position; the previous release sends no era, so `era` replaces it."""
-    return position(int(row[place]) if len(row) > place else era, int(revision))
+    return position(
+        read_int(row[place]) if len(row) > place else era, read_int(revision)
+    )
 
 
 def read_member(row: list[Any], era: int = 0) -> Member:
@@ -217,15 +231,15 @@
     """
     return Member(
         router=str(row[0]),
-        incarnation=int(row[1]),
-        sequence=int(row[2]),
+        incarnation=read_int(row[1]),
+        sequence=read_int(row[2]),
         data_centre=str(row[3]),
         host=str(row[4]),
         leaving=bool(row[5]),
         news_at=_read_position(row[6], row, 10, era),
-        store_age_s=float(row[7]),
-        store_failure_age_s=float(row[8]),
-        age_s=float(row[9]),
+        store_age_s=read_float(row[7]),
+        store_failure_age_s=read_float(row[8]),
+        age_s=read_float(row[9]),
         # Routers of the previous release neither own servers nor say so.
         owns_servers=len(row) > 11 and bool(row[11]),
     )
@@ -235,7 +249,7 @@
     """Decode a packet from MessagePack; raise `MessageError` if it is not valid."""
     try:
         return msgpack.unpackb(data)
-    except (ValueError, TypeError, msgpack.UnpackException) as error:
+    except DECODE_ERRORS as error:
         raise MessageError("The packet is not valid MessagePack.") from error
 
 
@@ -254,18 +268,18 @@
     try:
         return PeerReport(
             router=str(row[1]),
-            incarnation=int(row[2]),
-            sequence=int(row[3]),
+            incarnation=read_int(row[2]),
+            sequence=read_int(row[3]),
             data_centre=str(row[4]),
             host=str(row[5]),
             leaving=bool(row[6]),
             news_at=_read_position(row[7], row, 15, era),
-            store_age_s=float(row[8]),
-            store_failure_age_s=float(row[9]),
+            store_age_s=read_float(row[8]),
+            store_failure_age_s=read_float(row[9]),
             loads=read_loads(row[10]),
             counts=read_counts(row[11]),
             known=tuple(read_member(member, era) for member in row[12]),
-            parts=tuple((int(part), str(server)) for part, server in row[13]),
+            parts=tuple((read_id(part), str(server)) for part, server in row[13]),
             # Routers of the previous release send no suspects.
             suspects=(
                 read_suspects(row[14], row[18] if len(row) > 18 else [])
@@ -276,9 +290,9 @@
             # Routers of earlier releases send shorter rows.
             leaving_servers=read_server_runs(row[17]) if len(row) > 17 else (),
             speed_classes=read_speed_classes(row[19]) if len(row) > 19 else (),
-            room=int(row[20]) if len(row) > 20 else 0,
+            room=read_int(row[20]) if len(row) > 20 else 0,
         )
-    except (ValueError, TypeError, IndexError, OverflowError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(
             "The report has a field that is missing or not valid."
         ) from error
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
@@ -21,6 +21,7 @@
     StreamKey,
     StreamOrigin,
 )
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 
 RECORDS_FORMAT = 6
 LOOKUP_FORMAT = 7
@@ -33,8 +34,6 @@
 MAX_NAME_CHARS = 200
 """Maximum length of a service's name or a version in a message."""
 
-DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError)
-
 
 @frozen
 class KeptStream:
@@ -97,7 +96,7 @@
     """Decode a lookup; raise `MessageError` if it is not valid."""
     try:
         services = tuple(_name(service) for service in row[4])
-        return StreamLookup(_name(row[1]), int(row[2]), _key(row[3]), services)
+        return StreamLookup(_name(row[1]), read_int(row[2]), _key(row[3]), services)
     except DECODE_ERRORS as error:
         raise MessageError("The lookup of a stream is not valid.") from error
 
@@ -121,7 +120,7 @@
     try:
         return StreamFinding(
             _name(row[1]),
-            int(row[2]),
+            read_int(row[2]),
             _key(row[3]),
             None if row[4] is None else _origin(*row[4]),
             tuple(_origin(*origin) for origin in row[5]),
@@ -147,7 +146,7 @@
 
 
 def _life_s(value: Any) -> float:
-    life_s = float(value)
+    life_s = read_float(value)
     if not 0 <= life_s <= MAX_LIFE_S:
         raise ValueError(f"The life of {life_s} s is out of range.")
     return life_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_suspect_rows.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_suspect_rows.py
@@ -11,6 +11,7 @@
 from fulmarroad_serving._culprits import CrashId
 from fulmarroad_serving._fingerprints import FINGERPRINT_BYTES, Fingerprint
 from fulmarroad_serving._suspect_records import CallerTag
+from fulmarroad_serving.decoding import read_float, read_id
 
 
 @frozen
@@ -50,10 +51,10 @@
     return tuple(
         SuspectRow(
             _read_fingerprint(name),
-            tuple((int(end), _read_age(age)) for end, age in ends),
+            tuple((read_id(end), _read_age(age)) for end, age in ends),
             None if success_age is None else _read_age(success_age),
             None if trial is None else _read_trial(trial),
-            tuple(int(tag) for tag in tags or ()),
+            tuple(read_id(tag) for tag in tags or ()),
         )
         for (name, ends, success_age, trial), tags in zip_longest(
             rows, callers[: len(rows)]
@@ -63,7 +64,7 @@
 
 def _read_trial(value: Any) -> tuple[int, float]:
     server, age_s = value
-    return int(server), _read_age(age_s)
+    return read_id(server), _read_age(age_s)
 
 
 def _read_fingerprint(value: Any) -> Fingerprint:
@@ -77,7 +78,7 @@
 
 
 def _read_age(value: Any) -> float:
-    age_s = float(value)
-    if not 0 <= age_s < float("inf"):
-        raise ValueError(f"The age {age_s} is negative or not finite.")
+    age_s = read_float(value)
+    if age_s < 0:
+        raise ValueError(f"The age {age_s} is negative.")
     return age_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_book.py
@@ -17,6 +17,7 @@
 from fulmarroad.types import ServerName
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._load import READ_RATE_BOUNDS, Charge, ServerLoad
+from fulmarroad_serving.decoding import read_int
 from fulmarroad_serving.engines._pace import LONG_RATIO, USUAL_RATIO
 from fulmarroad_serving.engines._pace_messages import PaceReport
 from fulmarroad_serving.engines._slow_down import USUAL, SlowDown, SlowState
@@ -287,4 +288,6 @@
 
     Raises `ValueError` or `TypeError` for rows that are not valid.
     """
-    return tuple((str(name), int(at), int(number)) for name, at, number in rows)
+    return tuple(
+        (str(name), read_int(at), read_int(number)) for name, at, number in rows
+    )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/engines/_pace_messages.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 import msgpack
@@ -13,6 +12,7 @@
 
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import RouterName, ServerName
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 
 PACE_FORMAT = 9
 """First field of the packet; the other packets have other values there."""
@@ -23,8 +23,6 @@
 MAX_ANSWERS = 10_000
 """Largest values that a valid report has."""
 
-DECODE_ERRORS = (ValueError, TypeError, IndexError, OverflowError)
-
 
 @frozen
 class PaceReport:
@@ -57,17 +55,15 @@
 def read_pace(row: Any) -> PaceReport:
     """Decode a report; raise `MessageError` if it is not valid."""
     try:
-        tenths, answers = float(row[6]), int(row[7])
-        if not math.isfinite(tenths):
-            raise ValueError
+        tenths, answers = read_float(row[6]), read_int(row[7])
         if not 0 <= tenths <= MAX_TENTHS or not 0 <= answers <= MAX_ANSWERS:
             raise ValueError
         return PaceReport(
             str(row[1]),
-            int(row[2]),
-            int(row[3]),
+            read_int(row[2]),
+            read_int(row[3]),
             str(row[4]),
-            int(row[5]),
+            read_int(row[5]),
             tenths / TENTHS,
             answers,
         )
