Apply all other items of the store when one can't be read or applied

Hypotheses: (1) the listing is refused as a whole, (2) it is taken, and applying it stops at the entry, (3) the entry takes the place of others. The lines 110 name `_router_state.py`, `_apply`, so (2): `json.loads` raises RecursionError, which the adapter's list of errors lacked, and the replica has merged the batch before. What stands behind the entry is never news again.

Change: the class is "merged before applied, and one item stops the rest". `RouterState` isolates each item, whatever it raises while it is decoded or applied, and a configuration whose consumer fails leaves the one before in force. A row without key or revision is left out, data that can't be decoded names nothing to use.

--- a/packages/fulmarroad-router/src/fulmarroad_router/admin.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/admin.py
@@ -147,7 +147,7 @@
     async def _cut(self, query: Query, body: bytes) -> Any:
         try:
             peers = json.loads(body)["peers"]
-        except (ValueError, KeyError, TypeError) as error:
+        except (ValueError, KeyError, TypeError, RecursionError) as error:
             raise AdminError(400, 'Send {"peers": [names]}.') from error
         if not isinstance(peers, list):
             raise AdminError(400, 'Send {"peers": [names]}.')
--- a/packages/fulmarroad-router/src/fulmarroad_router/sse.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/sse.py
@@ -66,7 +66,7 @@
         return None
     try:
         usage = json.loads(data).get("usage")
-    except (ValueError, AttributeError):
+    except (ValueError, AttributeError, RecursionError):
         return None
     return usage if isinstance(usage, dict) else None
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica_sync.py
@@ -11,7 +11,7 @@
 import msgpack
 from anyio.abc import SocketStream
 
-from fulmarroad.events import Event, emit
+from fulmarroad.events import MAX_CAUSE_CHARS, Event, emit
 from fulmarroad.exceptions import MessageError, TransportError
 from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import RouterName
@@ -200,13 +200,30 @@
     try:
         row: list[Any] = msgpack.unpackb(data)
         era = read_int(row[3]) if len(row) > 3 else era
-        items = tuple(_read_item(item, era) for item in row[2])
+        items = tuple(
+            item
+            for item in (_read_item(raw, era) for raw in row[2])
+            if item is not None
+        )
         return ReplicaDelta(position(era, read_int(row[0])), bool(row[1]), items)
     except DECODE_ERRORS as error:
         raise MessageError("The copy sent by the peer cannot be decoded.") from error
 
 
-def _read_item(row: list[Any], era: int) -> ReplicaItem:
-    key, revision, data, *item_era = row
-    at = position(read_int(item_era[0]) if item_era else era, read_int(revision))
-    return ReplicaItem(str(key), at, data)
+def _read_item(row: Any, era: int) -> ReplicaItem | None:
+    """Return an item of a copy, or None, with a log line, if it can't be read."""
+    try:
+        key, revision, data, *item_era = row
+        at = position(read_int(item_era[0]) if item_era else era, read_int(revision))
+        if not isinstance(key, str) or not isinstance(data, bytes | None):
+            raise ValueError("An item has a key or data of another type.")
+    except DECODE_ERRORS as error:
+        emit(
+            logger,
+            Event.STORE_ITEM_UNUSABLE,
+            key="",
+            cause=repr(error)[:MAX_CAUSE_CHARS],
+            source="peer",
+        )
+        return None
+    return ReplicaItem(key, at, data)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from attrs import frozen
 
 from fulmarroad.audit import AuditTrail, Subject
-from fulmarroad.events import Event, emit
+from fulmarroad.events import Event, emit, error_fields
 from fulmarroad_serving._catalog import Catalog, CatalogIndex
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._pool import ConnectionPool
@@ -117,7 +118,10 @@
         for key, row in list(self._deferred.items()):
             if now >= row.due:
                 del self._deferred[key]
-                self._apply_fact(row.fact, row.revision, row.failure_age_s, row.source)
+                with self._isolate_item(key, row.revision, row.source):
+                    self._apply_fact(
+                        row.fact, row.revision, row.failure_age_s, row.source
+                    )
 
     def _apply(
         self,
@@ -130,24 +134,44 @@
         # A restore of the store counts as an outage even if no access failed.
         failure_age_s = min(failure_age_s, self._clock() - self._restored_at)
         for item in items:
-            fact = self._store.decode(item)
-            self._deferred.pop(item.key, None)
-            if fact is None:
-                continue
-            if self._may_be_outdated(fact):
-                due = self._restored_at + RESTORE_GRACE_S
-                revision = revision_of(item.revision)
-                self._deferred[item.key] = _DeferredFact(
-                    fact, revision, failure_age_s, source, due
-                )
-            else:
-                self._apply_fact(
-                    fact, revision_of(item.revision), failure_age_s, source
-                )
+            with self._isolate_item(item.key, revision_of(item.revision), source):
+                self._apply_item(item, failure_age_s, source)
         if items:
             self._dispatcher.registry.note_listed()
             self.on_change()
 
+    def _apply_item(self, item: ReplicaItem, failure_age_s: float, source: str) -> None:
+        self._deferred.pop(item.key, None)
+        fact = self._store.decode(item)
+        if fact is None:
+            return
+        revision = revision_of(item.revision)
+        if self._may_be_outdated(fact):
+            due = self._restored_at + RESTORE_GRACE_S
+            self._deferred[item.key] = _DeferredFact(
+                fact, revision, failure_age_s, source, due
+            )
+        else:
+            self._apply_fact(fact, revision, failure_age_s, source)
+
+    @contextlib.contextmanager
+    def _isolate_item(self, key: str, revision: int, source: str) -> Iterator[None]:
+        """Log an error of one item, and go on with the others.
+
+        The copy of the store has merged all of them already, so none would come again.
+        """
+        try:
+            yield
+        except Exception as error:
+            emit(
+                logger,
+                Event.STORE_ITEM_UNUSABLE,
+                key=key,
+                revision=revision,
+                source=source,
+                **error_fields(error),
+            )
+
     def _check_era(self, before: Position, source: str) -> None:
         """Record and log that the store was restored from an older copy."""
         era = era_of(self.replica.at)
@@ -205,8 +229,9 @@
         if catalog.version <= before:
             emit(logger, Event.TABLES_LOWER, version=catalog.version, current=before)
             return
-        self.index = CatalogIndex(catalog)
+        index = CatalogIndex(catalog)
         self._dispatcher.set_catalog(catalog)
+        self.index = index
         emit(
             logger,
             Event.CATALOG_IN_FORCE,
