Let an unknown stream go on only where its versions have been watched

Hypotheses: (1) records of streams are lost, and the router that gets the take-up guesses; (2) records are kept and name another version; (3) servers start again under their ids.

Cause: all records of streams and the memory of former versions are in processes. Killed at once, nobody has them; `decide_take_up` asked how old the list is, not for how long anybody has watched it, and took the one version of now for the one of then. `decide_unnamed` likewise.

Change: `ListWatch` tells since when a router has seen every server come and go; answers to lookups carry it. A stream without a record goes on only if a router that answers has watched for as long as the stream can be old. A caller that doesn't name its stream is treated alike; a router that has just started asks the others, so that rolling restarts cost nothing.

This can't be told apart from a release by anything that outlives the routers (docs/design).

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -234,6 +234,7 @@
             versions=sorted({row.version for row in finding.versions}),
             asked=finding.asked,
             answered=finding.answered,
+            watched_s=round(finding.watched_s, 1),
             seconds=round(self._clock() - started, 4),
             reason=reason,
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -130,7 +130,9 @@
             lambda service: dispatcher.registry.versions(service, clock()),
             self.book.hosts,
             clock,
+            self.list_age_s,
         )
+        beliefs.on_copy = self.streams.note_copy
         self._replica_sync = ReplicaSync(host, port, beliefs, self.book, source, clock)
         self._started_at = float("-inf")
         self.seeds: tuple[str, ...] = ()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
@@ -3,8 +3,10 @@
 Load pattern: after a router or a server ended, its streams are taken up within a tenth
 of a second. Going on at another software version gives callers a text of which the
 halves don't fit together; refusing all of them makes callers ask for everything again.
-So a stream goes on where it began. If nobody knows that, it goes on only while a single
-version serves, by a list of servers that is not out of date.
+So a stream goes on where it began. If nobody knows that, it goes on only if a single
+version has served for as long as the stream can be old, as seen by a router that has
+watched the servers for that time. Routers that were all lost at once have seen nothing:
+the version that serves now may have come, or the other one gone, just before.
 """
 
 from __future__ import annotations
@@ -16,16 +18,17 @@
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving._catalog import Catalog, ServedRoute, ServiceName
 from fulmarroad_serving._served_call import ServedCall
-from fulmarroad_serving._stream_keepers import Finding, StreamKeepers
+from fulmarroad_serving._stream_keepers import (
+    MAX_LIST_AGE_S,
+    Finding,
+    StreamKeepers,
+)
 from fulmarroad_serving._stream_records import (
     MAX_LIFE_S,
     StreamOrigin,
     stream_key,
 )
 
-MAX_LIST_AGE_S = 3.0
-"""Age in seconds of the list of servers from which on an unknown version may serve."""
-
 RECORD_MARGIN_S = 1.0
 """Time in seconds for which a stream is remembered beyond its caller's deadline."""
 
@@ -78,26 +81,28 @@
     recent: frozenset[ServiceName],
     *,
     list_is_current: bool,
+    life_s: float,
 ) -> TakeUp:
     """Return where a stream goes on that its caller names.
 
     `services` are those to which its route leads now, `recent` also those to which it
-    led lately.
+    led lately; `life_s` is the age in seconds that the stream has at most.
     """
     origin = finding.origin
     if origin is not None:
         if origin.service not in services:
             return TakeUp(refusal=RefusalReason.STREAM_ORIGIN_GONE)
         return TakeUp(origin)
-    if len(recent) == 1 and len(finding.versions) <= 1 and list_is_current:
+    is_watched = list_is_current and finding.watched_s >= life_s
+    if len(recent) == 1 and len(finding.versions) <= 1 and is_watched:
         return TakeUp(next(iter(finding.versions), None))
     return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
 
 
-def decide_unnamed(versions: frozenset[StreamOrigin]) -> TakeUp:
+def decide_unnamed(finding: Finding, life_s: float) -> TakeUp:
     """Return where a stream goes on whose caller doesn't name it."""
-    services = {row.service for row in versions}
-    if len(versions) > len(services):
+    services = {row.service for row in finding.versions}
+    if len(finding.versions) > len(services) or finding.watched_s < life_s:
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
     return TakeUp()
 
@@ -124,13 +129,16 @@
         """Return where the stream of a call goes on that takes one up."""
         services = services_of(call.route)
         recent = self._routes.recent(call.route, self._clock())
-        if not call.head.resumes:
-            finding = self._keepers.known(services)
-            return decide_unnamed(finding.versions), finding
+        life_s = min(MAX_LIFE_S, call.route.timeout_s + RECORD_MARGIN_S)
         key = stream_key(call.workspace, call.route, call.head.resumes)
+        if not call.head.resumes:
+            finding = await self._keepers.find_versions(key, services, life_s)
+            return decide_unnamed(finding, life_s), finding
         finding = await self._keepers.find(key, recent)
         current = self._list_age_s() <= MAX_LIST_AGE_S
-        take_up = decide_take_up(finding, services, recent, list_is_current=current)
+        take_up = decide_take_up(
+            finding, services, recent, list_is_current=current, life_s=life_s
+        )
         return take_up, finding
 
     def note_begun(self, call: ServedCall, version: str, now: float) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -72,6 +72,8 @@
         self.index: CatalogIndex | None = None
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
         self.on_change: Callable[[], None] = lambda: None
+        self.on_copy: Callable[[], None] = lambda: None
+        """Called before a listing, or what a peer's copy has more, is applied."""
 
     @property
     def catalog(self) -> Catalog:
@@ -86,6 +88,7 @@
         source: str,
     ) -> int:
         """Apply a full listing of the store and return the number of changed items."""
+        self.on_copy()
         before = self.replica.at
         changed = self.replica.replace(items, at)
         self._apply(before, changed, failure_age_s, source)
@@ -106,6 +109,7 @@
         self, delta: ReplicaDelta, failure_age_s: float, source: str
     ) -> None:
         """Apply a delta from a peer."""
+        self.on_copy()
         before = self.replica.at
         self._apply(before, self.replica.apply_delta(delta), failure_age_s, source)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -82,6 +82,9 @@
 LOOKUP_ATTEMPTS = 2
 """Number of times that a lookup is sent to routers that don't answer."""
 
+MAX_LIST_AGE_S = 3.0
+"""Age in seconds of the list of servers from which on an unknown version may serve."""
+
 MAX_LOOKUPS = 500
 """Maximum number of lookups at once, several times the streams of a lost router; each
 costs some ten packets, and a caller may name any call."""
@@ -167,6 +170,34 @@
         return (*near, *rest)
 
 
+@define
+class ListWatch:
+    """Track since when this router has seen every server come and go."""
+
+    _since: float | None = None
+    _current_at: float = float("-inf")
+
+    def note_age(self, list_age_s: float, now: float) -> None:
+        """Record the age of the list of servers."""
+        if list_age_s > MAX_LIST_AGE_S:
+            return
+        self._current_at = now
+        if self._since is None:
+            self._since = now
+
+    def note_copy(self, now: float) -> None:
+        """Record that the list was replaced by a copy without the changes between.
+
+        A version that served meanwhile may be in neither of them.
+        """
+        if self._since is not None and now - self._current_at > MAX_LIST_AGE_S:
+            self._since = now
+
+    def seconds(self, now: float) -> float:
+        """Return for how long there was no gap."""
+        return now - self._since if self._since is not None else 0.0
+
+
 @frozen
 class Finding:
     """Hold what is known of a stream that a caller takes up."""
@@ -175,14 +206,17 @@
     versions: frozenset[StreamOrigin]  # that routers know in the services concerned
     asked: int = 0
     answered: int = 0
+    watched_s: float = 0.0  # for how long one of them has known all versions
 
 
 @define
 class _PendingLookup:
     key: StreamKey
     waiting: set[RouterName]
+    enough_s: float = float("inf")  # a router that has watched for so long is enough
     origin: StreamOrigin | None = None
     versions: set[StreamOrigin] = field(factory=set)
+    watched_s: float = 0.0
     done: anyio.Event = field(factory=anyio.Event)
 
     def note(self, finding: StreamFinding) -> None:
@@ -191,9 +225,14 @@
             return
         self.waiting.discard(finding.router)
         self.versions.update(finding.versions)
+        self.watched_s = max(self.watched_s, finding.watched_s)
         if self.origin is None:
             self.origin = finding.origin
-        if self.origin is not None or not self.waiting:
+        if (
+            self.origin is not None
+            or not self.waiting
+            or self.watched_s >= self.enough_s
+        ):
             self.done.set()
 
 
@@ -207,8 +246,11 @@
         versions: Callable[[ServiceName], Collection[str]],
         hosts: Callable[[], Mapping[RouterName, str]],
         clock: Callable[[], float],
+        list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._me = me
+        self._list_age_s = list_age_s
+        self.watch = ListWatch()
         self._versions = versions
         self._hosts = hosts
         self._clock = clock
@@ -245,32 +287,62 @@
             self._tell(record, now)
         self._flush()
 
-    def known(self, services: Collection[ServiceName]) -> Finding:
-        """Return the versions of services that this router knows by itself."""
-        return Finding(None, frozenset(self._known_versions(services)))
-
-    async def find(self, key: StreamKey, services: Collection[ServiceName]) -> Finding:
-        """Return where a stream began, from memory or from other routers."""
+    def note_list_age(self) -> float:
+        """Record the age of the list of servers; return for how long it had no gap."""
+        now = self._clock()
+        self.watch.note_age(self._list_age_s(), now)
+        return self.watch.seconds(now)
+
+    def note_copy(self) -> None:
+        """Record that the list of servers was replaced by a copy."""
+        self.watch.note_copy(self._clock())
+
+    async def find_versions(
+        self, key: StreamKey, services: Collection[ServiceName], life_s: float
+    ) -> Finding:
+        """Return the versions that may have begun a stream which nobody has named.
+
+        Other routers are asked only if this one hasn't watched for the time `life_s`.
+        """
+        watched_s = self.note_list_age()
+        if watched_s >= life_s:
+            known = frozenset(self._known_versions(services))
+            return Finding(None, known, watched_s=watched_s)
+        return await self.find(key, services, enough_s=life_s)
+
+    async def find(
+        self,
+        key: StreamKey,
+        services: Collection[ServiceName],
+        enough_s: float = float("inf"),
+    ) -> Finding:
+        """Return where a stream began, from memory or from other routers.
+
+        A router that has watched for the time `enough_s` ends the search, if nobody
+        can know the stream.
+        """
+        watched_s = self.note_list_age()
         known = self._known_versions(services)
         origin = self.records.find(key, self._clock())
-        if origin is not None:
-            return Finding(origin, frozenset(known))
-        if len(self._lookups) >= MAX_LOOKUPS:
-            return Finding(None, frozenset(known))
+        if origin is not None or len(self._lookups) >= MAX_LOOKUPS:
+            return Finding(origin, frozenset(known), watched_s=watched_s)
         asked = self._table.asked(key)
         self._number += 1
         lookup = StreamLookup(self._me, self._number, key, tuple(services))
-        pending = self._lookups[lookup.number] = _PendingLookup(key, set(asked))
+        pending = _PendingLookup(key, set(asked), enough_s)
+        self._lookups[lookup.number] = pending
         try:
             await self._ask(lookup, pending)
         finally:
             del self._lookups[lookup.number]
         answered = len(asked) - len(pending.waiting)
         versions = frozenset(pending.versions.union(known))
-        return Finding(pending.origin, versions, len(asked), answered)
+        watched_s = max(watched_s, pending.watched_s)
+        return Finding(pending.origin, versions, len(asked), answered, watched_s)
 
     def expire(self) -> None:
         """Drop records whose time is over, and log those that were dropped early."""
+        self.note_list_age()
         self.records.current(self._clock())
         for key in [key for key in self._told if key not in self.records]:
             del self._told[key]
@@ -313,8 +385,11 @@
 
     def _answer(self, lookup: StreamLookup) -> StreamFinding:
         origin = self.records.find(lookup.key, self._clock())
+        watched_s = self.note_list_age()
         versions = tuple(self._known_versions(lookup.services))
-        return StreamFinding(self._me, lookup.number, lookup.key, origin, versions)
+        return StreamFinding(
+            self._me, lookup.number, lookup.key, origin, versions, watched_s
+        )
 
     def _known_versions(self, services: Iterable[ServiceName]) -> set[StreamOrigin]:
         return {
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
@@ -63,6 +63,7 @@
     key: StreamKey
     origin: StreamOrigin | None
     versions: tuple[StreamOrigin, ...] = ()  # of these services that it knows
+    watched_s: float = 0.0  # since when it has seen every server come and go
 
 
 def pack_kept(streams: Sequence[KeptStream]) -> bytes:
@@ -111,6 +112,7 @@
         finding.key,
         None if origin is None else [origin.service, origin.version],
         [[row.service, row.version] for row in finding.versions],
+        round(min(finding.watched_s, MAX_LIFE_S), 1),
     ]
     return bytes(msgpack.packb(row))
 
@@ -124,6 +126,8 @@
             _key(row[3]),
             None if row[4] is None else _origin(*row[4]),
             tuple(_origin(*origin) for origin in row[5]),
+            # Routers of the previous release don't say so.
+            read_float(row[6]) if len(row) > 6 else 0.0,
         )
     except DECODE_ERRORS as error:
         raise MessageError("The answer to a lookup is not valid.") from error
