--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -214,7 +214,8 @@
                 _, connection = await loop.create_connection(
                     self.new_connection, instance.host, instance.port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError) as error:
+            # Addresses that can't be encoded raise `UnicodeError`, a `ValueError`.
             if isinstance(error, OSError) and error.errno in OUT_OF_DESCRIPTORS:
                 raise ConnectionLimitError(
                     "This router has no file descriptor left for a connection."
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -364,7 +364,7 @@
                 return port
 
 
-def run(test):
+def run(test, *, use_uvloop=False):
     """Run an async test with its own harness."""
 
     async def run_test():
@@ -375,4 +375,4 @@
         finally:
             await bed.close()
 
-    anyio.run(run_test)
+    anyio.run(run_test, backend_options={"use_uvloop": use_uvloop})
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -7,7 +7,16 @@
 from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from serving_bed import PLAIN, answer, chunk, event, make_catalog, run, stream_head
+from serving_bed import (
+    PLAIN,
+    answer,
+    chunk,
+    event,
+    make_catalog,
+    never_reached,
+    run,
+    stream_head,
+)
 from stream_listener import start_listener
 
 from fulmarroad_serving import EngineProfile, Service
@@ -15,7 +24,11 @@
 from fulmarroad_serving._routing import part_id
 from fulmarroad_serving._silence import MAX_PAUSE_S
 from fulmarroad_serving._stream import EventSplitter
-from fulmarroad_serving.contracts import CatalogFact
+from fulmarroad_serving.contracts import (
+    CatalogFact,
+    InstanceFact,
+    InstanceRemovedFact,
+)
 
 
 def respond_with(*parts):
@@ -289,6 +302,20 @@
 
         run(test)
 
+    @pytest.mark.parametrize("host", ["127.0.0.9..1", "a" * 300, "\ud800"])
+    def test_a_call_to_an_address_that_is_none_counts_as_not_sent(self, host):
+        """Guard against one entry that lets nearly all calls of its service fail."""
+
+        async def test(bed):
+            await bed.serve("s-1", never_reached)
+            good = bed.dispatcher.registry.get("s-1").instance
+            bed.apply_fact(InstanceRemovedFact("s-1"))
+            bed.apply_fact(InstanceFact(evolve(good, id="s-0", host=host)))
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 503
+
+        run(test, use_uvloop=True)
+
 
 class TestConnections:
     def test_the_connection_limit_does_not_mark_a_server_unreachable(self):
