--- a/packages/fulmarroad-serving/tests/test_unreadable_items.py
+++ b/packages/fulmarroad-serving/tests/test_unreadable_items.py
@@ -14,7 +14,11 @@
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
 from fulmarroad_serving._replica import ReplicaDelta
-from fulmarroad_serving._replica_sync import _encode_delta, _read_delta
+from fulmarroad_serving._replica_sync import (
+    MAX_PULL_BYTES,
+    _encode_delta,
+    _read_delta,
+)
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving.exceptions import StoreError
 from fulmarroad_serving.http_client import Reply
@@ -253,6 +257,36 @@
 
         anyio.run(test)
 
+    @pytest.mark.parametrize("key", ["servers/b-{}", "other/{}", "op/evacuate/z-{}"])
+    def test_large_data_of_other_writers_is_not_passed_on(self, key):
+        """Guard against copies that are too large for a transfer between routers, so
+        that no later change reaches those which don't read the store.
+        """
+
+        async def test():
+            store = FakePlatformStore()
+            store.put("op/config", CONFIG)
+            for name in SOUND:
+                store.put(name, ENTRY)
+            for number in range(10):
+                store.put(key.format(number), "x" * 1_000_000)
+            await store.start()
+            router = Router(store.port)
+            listing = await router.store.list_all()
+            router.list(listing.items)
+            after = Router()
+            delta = router.state.replica.since(0)
+            assert len(_encode_delta(delta)) < MAX_PULL_BYTES / 100
+            after.state.apply_delta(_read_delta(_encode_delta(delta)), 60.0, "test")
+            for start in (router, after):
+                assert start.serves
+                centres = start.dispatcher.registry.centres_left
+                assert len(centres) == (10 if "evacuate" in key else 0)
+            router.store._client.close()
+            await store.stop()
+
+        anyio.run(test)
+
     @pytest.mark.parametrize(
         ("headers", "body"),
         [
