Keep servers in use that refuse what a caller asks for

Cause: every 421 counted as that of another server which has the address now.

Change: a 421 with the `Instance-Id` of the server that was meant is that server's own refusal: not run, tried elsewhere where allowed.

Measured: the new test failed before, as both servers were dropped.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -135,6 +135,10 @@
         return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
 
     def _check_head(self, head: AnswerHead, instance: Instance) -> None:
+        if head.status == STATUS_MISDIRECTED and head.instance == instance.id:
+            # The call asked for something that this server doesn't have, such as
+            # another version of its weights.
+            raise NotRunError("The server doesn't have what the call asks for.")
         if head.status == STATUS_MISDIRECTED:
             # Whatever else it says is about the server that has the address now.
             raise OtherInstanceError("Another backend server has the address.")
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -68,6 +68,7 @@
     warmup_left_s: float = 0.0
     leaving: bool = False  # the server is shutting down and takes no new calls
     rest: str = ""  # seconds for which a refusing server wants no calls, as stated
+    instance: str = ""  # id of the server that answers, where it states one
     forward: tuple[Header, ...] = ()
 
 
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -90,6 +90,7 @@
             encoded=b"content-encoding" in rows,
             leaving=rows.get(b"x-leaving") == b"1",
             rest=rows.get(b"retry-after", b"").decode(),
+            instance=rows.get(b"x-answered-by", b"").decode(),
             forward=((b"x-signed", rows.get(b"x-signed", b"")),),
         )
 
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from serving_bed import (
+    ONCE,
     PLAIN,
     answer,
     chunk,
@@ -289,6 +290,22 @@
 
         run(test)
 
+    def test_a_server_that_refuses_what_a_caller_asks_for_stays_in_use(self):
+        """Guard against one caller whose conditions, which no server meets, take all
+        servers away from the others.
+        """
+
+        async def test(bed):
+            for name in ("s-1", "s-2"):
+                extra = f"x-not-run: 1\r\nx-answered-by: {name}\r\n"
+                await bed.serve(name, echo(421, extra=extra))
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 503
+            assert len(bed.arrivals) == ONCE.max_attempts
+            assert len(bed.dispatcher.registry.usable("ledger")) == 2
+
+        run(test)
+
     def test_a_call_to_an_unreachable_server_is_sent_elsewhere(self):
         async def test(bed):
             await bed.serve("s-1", echo())
