Ignore reloads until a starting process can handle them

Change: the launcher ignores the signal before it imports anything, and the settings are read once more as the handler is set, so that no change is missed.

Measured: a test sends the signal in the middle of the imports; the process ended by it before, and goes on now.

--- a/deploy/router.py
+++ b/deploy/router.py
@@ -1,8 +1,12 @@
 """Start a router from the source tree."""
 
+import signal
 import sys
 from pathlib import Path
 
+# The imports below take most of a second, in which a reload would end the process.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 PACKAGES = ("fulmarroad", "fulmarroad-router", "fulmarroad-serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -271,6 +271,8 @@
         handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
         with anyio.open_signal_receiver(*handled) as signals:
             task_status.started()
+            # The settings may have changed while reloads were still ignored.
+            self._reload()
             async for number in signals:
                 if number == signal.SIGHUP:
                     self._reload()
--- a/packages/fulmarroad-serving/tests/test_platform_deploy.py
+++ b/packages/fulmarroad-serving/tests/test_platform_deploy.py
@@ -6,6 +6,20 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parents[3]
+RELOAD_DURING_IMPORTS = """
+import os, signal, sys
+
+class Reloading:
+    def find_spec(self, name, path=None, target=None):
+        if name == "fulmarroad_platform":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.path.insert(0, "deploy")
+sys.meta_path.insert(0, Reloading())
+import router
+print("alive")
+"""
+
 UNNEEDED_MODULES = (
     "grpc",
     "cattrs",
@@ -58,6 +72,11 @@
         done = run("-c", code)
         assert done.stdout.strip() == "[]", done.stderr
 
+    def test_a_reload_during_the_start_does_not_end_the_process(self):
+        """Guard against a router that ends as its settings change while it starts."""
+        done = run("-c", RELOAD_DURING_IMPORTS)
+        assert done.stdout.strip() == "alive", done.returncode
+
     def test_an_invalid_settings_file_reports_the_missing_field(self, tmp_path):
         path = tmp_path / "local.toml"
         path.write_text('NodeName = "a"\n')
