Move the choice of engines and the shortlists out of the dispatcher

`EngineChooser` holds the placement strategy, `ShortlistBook` the shortlists by service and version with the rule of what is considered, and a refusal without a server has a method of its own.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -35,6 +35,7 @@
     Ticket,
 )
 from fulmarroad_serving._early_rejection import EngineCapacity, admitted_fraction
+from fulmarroad_serving._engine_choice import EngineChooser
 from fulmarroad_serving._features import FeatureBook, Features, FeatureSettings
 from fulmarroad_serving._health import ServerHealth
 from fulmarroad_serving._load import Charge, PeerLoad, ServerLoad, SharedPart
@@ -42,17 +43,15 @@
 from fulmarroad_serving._owners import OwnedServers
 from fulmarroad_serving._registry import Instance, Registered
 from fulmarroad_serving._routing import (
-    Candidate,
     Choice,
     PartMemory,
     choose_engine,
     choose_plain,
-    engines_with_time,
     part_id,
 )
 from fulmarroad_serving._servers import PlacementView, ServerBook
 from fulmarroad_serving._shares import NO_USE, ShareBook, ShareUse
-from fulmarroad_serving._shortlist import Shortlist
+from fulmarroad_serving._shortlist import ShortlistBook
 from fulmarroad_serving._silence import ServerActivity
 from fulmarroad_serving._suspects import Suspects
 from fulmarroad_serving._waits import (
@@ -81,9 +80,6 @@
 """Uncached prompt tokens from which a prompt is reported to peers at once: it occupies
 an engine for longer than workspaces above their share may wait."""
 
-MAX_SHORTLISTS = 64
-"""Maximum number of shortlists kept; each release of a service adds one."""
-
 MIN_TELLING_TOKENS = 4_000
 """Size of a shared part from which the time to the first token tells whether it was
 cached: smaller ones are read in the time that the estimate is off."""
@@ -102,16 +98,16 @@
         features: FeatureSettings | None = None,
     ) -> None:
         self._features = FeatureBook(features)
-        self._choose = choose
         self._me = me
         self._centre = centre
         self._bounds = bounds
         self._random = random.Random(seed)
-        self._shortlists: dict[tuple[ServiceName, str], Shortlist] = {}
+        self._shortlists = ShortlistBook(self._random)
         self._retries: dict[ServiceName, RetryShare] = {}
         self._capacities: dict[ServiceName, EngineCapacity] = {}
         self._classes: dict[ServiceName, ClassSnapshot] = {}
         self.parts = PartMemory()
+        self._chooser = EngineChooser(choose, self.parts, centre)
         self.suspects = Suspects()
         self._catalog = Catalog(0)
         self._peers: dict[RouterName, float] = {}
@@ -349,21 +345,20 @@
             usable = owned.rows
             view = PlacementView(avoid, demand.version, asker, full, owned.held)
         classes = self.speed_classes(service.name, now)
-        rows = self._eligible_servers(
-            demand,
+        part = part_id(demand.part)
+        rows = self._shortlists.of(demand.service, demand.version).pick_accepting(
+            part,
             usable,
+            self.parts.holders(part),
+            classes,
             lambda row: self.servers.accepts(row, service, now, view),
             lambda row: self.servers.is_silent(row.instance.id, now),
-            classes,
         )
-        if not rows and not self._has_origin(demand):
-            return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
         if not rows:
             # Another router knows itself which servers rest for it.
-            rest_s = self.servers.rest_s(usable, now) if asker is None else None
-            if rest_s is not None:
-                return refuse_for_rest(rest_s)
-            return refuse_without_server(self._random)
+            return self._refuse_without_server(
+                demand, usable if asker is None else (), now
+            )
         speeds = self.learns_speeds(service.name)
         candidates = [
             self.servers.candidate(
@@ -373,11 +368,7 @@
         ]
         use = self.use_of(demand, now)
         if service.engine is not None:
-            choice = self._choose_engine(demand, candidates, use, now)
-            if commit is not None and choice is not None:
-                choice = self._choose_other(
-                    demand, candidates, choice, use, now, commit
-                )
+            choice = self._chooser.choose(demand, candidates, use, now, commit)
         else:
             source = self._random if owned is None else None
             choice = choose_plain(candidates, self._centre, source)
@@ -409,6 +400,17 @@
             and self.servers.may_open_more(registered, service, now),
         )
 
+    def _refuse_without_server(
+        self, demand: Demand, resting: Sequence[Registered], now: float
+    ) -> Refusal:
+        """Refuse a call that no server accepts now; some of `resting` may rest."""
+        if not self._has_origin(demand):
+            return refuse_stream(RefusalReason.STREAM_ORIGIN_GONE, self._random)
+        rest_s = self.servers.rest_s(resting, now) if resting else None
+        if rest_s is not None:
+            return refuse_for_rest(rest_s)
+        return refuse_without_server(self._random)
+
     def refuse_queued(
         self, demand: Demand, reason: RefusalReason, now: float
     ) -> Refusal:
@@ -587,65 +589,6 @@
             self.parts.forget(server)
         return removed
 
-    def _choose_engine(
-        self, demand: Demand, candidates: Sequence[Candidate], use: ShareUse, now: float
-    ) -> Choice | None:
-        return self._choose(
-            demand.prompt,
-            candidates,
-            self.parts,
-            self._centre,
-            now,
-            may_read_again=use.may_spread,
-            shortage=use.shortage,
-        )
-
-    def _choose_other(
-        self,
-        demand: Demand,
-        candidates: Sequence[Candidate],
-        choice: Choice,
-        use: ShareUse,
-        now: float,
-        commit: StartBound,
-    ) -> Choice:
-        """Return an engine with time for a queued call if the usual choice is busy."""
-        if choice.wait_s <= commit.wait_s or not use.may_spread:
-            return choice
-        rows = engines_with_time(
-            demand.prompt,
-            candidates,
-            self.parts,
-            now,
-            longest_wait_s=commit.wait_s,
-            shortage=use.shortage,
-        )
-        return (self._choose_engine(demand, rows, use, now) if rows else None) or choice
-
-    def _eligible_servers(
-        self,
-        demand: Demand,
-        usable: Sequence[Registered],
-        accepts: Callable[[Registered], bool],
-        is_silent: Callable[[Registered], bool],
-        classes: SpeedClasses,
-    ) -> list[Registered]:
-        """Return the shortlisted servers that accept a call now.
-
-        Fall back to all usable servers if none of the shortlist accepts one, and to
-        silent ones if there are no others.
-        """
-        part = part_id(demand.part)
-        picked = self._shortlist(demand.service, demand.version).pick(
-            part, usable, self.parts.holders(part), classes
-        )
-        accepting = [row for row in picked if accepts(row)]
-        rows = [row for row in accepting if not is_silent(row)]
-        if not rows and len(picked) < len(usable):
-            accepting = [row for row in usable if accepts(row)]
-            rows = [row for row in accepting if not is_silent(row)]
-        return rows or accepting
-
     def _has_origin(self, demand: Demand) -> bool:
         """Return whether a server is left that may go on with a call's stream."""
         if not demand.version:
@@ -669,14 +612,6 @@
             capacity = self._capacities[service] = EngineCapacity()
         return capacity
 
-    def _shortlist(self, service: ServiceName, version: str) -> Shortlist:
-        shortlist = self._shortlists.get((service, version))
-        if shortlist is None:
-            if len(self._shortlists) >= MAX_SHORTLISTS:
-                self._shortlists.clear()
-            shortlist = self._shortlists[service, version] = Shortlist(self._random)
-        return shortlist
-
     def _service(self, name: ServiceName) -> Service:
         return self._catalog.services.get(name) or Service(name)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_shortlist.py
@@ -12,11 +12,12 @@
 
 import heapq
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from attrs import define, field
 
 from fulmarroad.types import ServerName
+from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._registry import Registered
 from fulmarroad_serving.placement import (
     NO_CLASSES,
@@ -38,6 +39,9 @@
 MAX_CANDIDATES = HOLDER_CANDIDATES + HOME_CANDIDATES + RANDOM_CANDIDATES
 """Number of servers up to which every call considers the whole service."""
 
+MAX_SHORTLISTS = 64
+"""Maximum number of shortlists kept; each release of a service adds one."""
+
 MAX_CACHED_ORDERS = 4_096
 """Maximum number of parts whose order is cached: computing one takes as long as placing
 a call."""
@@ -84,6 +88,28 @@
         names.update(dict.fromkeys(self._random.sample(self._names, RANDOM_CANDIDATES)))
         return [self._rows[name] for name in names if name in self._rows]
 
+    def pick_accepting(
+        self,
+        part: PartId,
+        servers: Sequence[Registered],
+        holders: Mapping[ServerName, float],
+        classes: SpeedClasses,
+        accepts: Callable[[Registered], bool],
+        is_silent: Callable[[Registered], bool],
+    ) -> list[Registered]:
+        """Return the servers of `pick` that accept a call now.
+
+        Fall back to all servers if none of the shortlist accepts one, and to silent
+        ones if there are no others.
+        """
+        picked = self.pick(part, servers, holders, classes)
+        accepting = [row for row in picked if accepts(row)]
+        rows = [row for row in accepting if not is_silent(row)]
+        if not rows and len(picked) < len(servers):
+            accepting = [row for row in servers if accepts(row)]
+            rows = [row for row in accepting if not is_silent(row)]
+        return rows or accepting
+
     def _set_servers(self, servers: Sequence[Registered]) -> None:
         self._servers = servers
         self._rows = {row.instance.id: row for row in servers}
@@ -98,3 +124,20 @@
             first = first_servers(part, self._names, HOME_CANDIDATES, self._classes)
             self._cached_orders[part] = first
         return first
+
+
+@define
+class ShortlistBook:
+    """Keep a shortlist for each service and version."""
+
+    _random: random.Random
+    _shortlists: dict[tuple[ServiceName, str], Shortlist] = field(factory=dict)
+
+    def of(self, service: ServiceName, version: str) -> Shortlist:
+        """Return the shortlist of a service, or of one version of it."""
+        shortlist = self._shortlists.get((service, version))
+        if shortlist is None:
+            if len(self._shortlists) >= MAX_SHORTLISTS:
+                self._shortlists.clear()
+            shortlist = self._shortlists[service, version] = Shortlist(self._random)
+        return shortlist
--- a/packages/fulmarroad-serving/tests/test_placement_weights.py
+++ b/packages/fulmarroad-serving/tests/test_placement_weights.py
@@ -108,7 +108,7 @@
         table = OwnerTable(dispatcher.registry.usable, me="a")
         table.set_routers({f"r{n}": "fes" for n in range(20)})
         source = random.Random(1)
-        shortlist = dispatcher._shortlist("drafting", "")
+        shortlist = dispatcher._shortlists.of("drafting", "")
         usable = dispatcher.registry.usable("drafting")
 
         def orders(now):
