Refuse event ids that no event has

What callers saw, in a trial from outside: one caller with 4,500 digits in `Last-Event-Id`, at stand-ins of engines that fail to read it and end the connection: of 156 sound streams beside it 97 were served on, and 110 of 146 with the numbers of tokens bounded.

Cause: the text goes to the server as it is, and a server that ends its connections counts as crashed, for all callers.

Change: more than 64 characters are answered 400 unsent, which callers don't repeat. The two tests of longer ids failed before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -59,6 +59,9 @@
 TOO_LARGE_RETRY_S = 60.0
 """Retry delay of a call that no server can hold in its memory, today or later."""
 
+MAX_EVENT_ID_CHARS = 64
+"""Maximum length of the id of an event; servers number theirs."""
+
 MIN_DEADLINE_S = 0.005
 """Shortest remaining time with which a call is forwarded. With less, its deadline would
 pass before it reached a server."""
@@ -182,6 +185,9 @@
     ) -> ServedCall:
         if not head.request_id:
             raise BadRequest("The call has no id.")
+        if len(head.last_event_id) > MAX_EVENT_ID_CHARS:
+            # Servers that fail to read it would count as crashed for all callers.
+            raise BadRequest("No event has an id as long as `Last-Event-Id`.")
         path = scope.get("raw_path") or scope["path"].encode()
         route = index.route_for(head.host, path.decode("latin-1"))
         if route is None:
--- a/packages/fulmarroad-serving/tests/test_stated_numbers.py
+++ b/packages/fulmarroad-serving/tests/test_stated_numbers.py
@@ -211,6 +211,21 @@
 
         run(test)
 
+    @pytest.mark.parametrize(("digits", "status"), [(64, 200), (65, 400), (4500, 400)])
+    def test_an_event_id_that_no_event_has_is_refused_unsent(self, digits, status):
+        """Guard against one caller whose event ids let servers fail for all others."""
+
+        async def script(arrival, writer):
+            writer.write(answer(200, b"done", arrival.header("x-id")))
+
+        async def test(bed: Bed):
+            await bed.serve("s-1", script)
+            caller = await bed.call(headers={"last-event-id": "9" * digits})
+            assert caller.status == status
+            assert len(bed.arrivals) == (status == 200)
+
+        run(test)
+
     def test_plain_servers_get_calls_with_any_number_of_tokens(self):
         """Guard against shares that count what a caller of a plain service made up."""
 
