--- a/packages/fulmarroad-serving/tests/test_platform_days.py
+++ b/packages/fulmarroad-serving/tests/test_platform_days.py
@@ -58,6 +58,7 @@
 VARIANTS = {
     "srv_crash": "dark gone domain across",
     "srv_grey": "errors shed busy hang reset mute slow one_zone all",
+    "release": "newer rest",
     "srv_lying_health": "errors hang reset bad",
     "scale_in": "spot reclaim dry",
     "cold_return": "dark",
