Accept requests for places without a deadline, as calls that move send them

Cause: a call that leaves a silent server asks owners with an infinite time left, and read_float takes finite numbers only; the owner dropped the request.

Change: a request carries the largest number in place of infinity, and a router accepts infinity there, which routers of earlier releases send.

Measured: the new test failed before.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_messages.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import Any
 
 import msgpack
@@ -17,7 +18,12 @@
 from fulmarroad.types import RefusalReason, RouterName, ServerName
 from fulmarroad_serving._attempts import SendOutcome
 from fulmarroad_serving._demands import ColdServers, Demand
-from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
+from fulmarroad_serving.decoding import (
+    DECODE_ERRORS,
+    MAX_NUMBER,
+    read_float,
+    read_int,
+)
 
 REQUEST_FORMAT = 3
 REPLY_FORMAT = 4
@@ -125,7 +131,7 @@
         demand.version,
         list(request.cold.closed),
         list(request.full),
-        round(request.remaining_s, 3),
+        round(min(request.remaining_s, MAX_NUMBER), 3),
         demand.length_hint,
     ]
     return bytes(msgpack.packb(row))
@@ -155,7 +161,7 @@
         # Routers of the previous release don't list what they may not use.
         closed = tuple(str(name) for name in row[19]) if len(row) > 19 else ()
         full = tuple(str(name) for name in row[20]) if len(row) > 20 else ()
-        remaining_s = read_float(row[21]) if len(row) > 21 else 0.0
+        remaining_s = _read_remaining_s(row[21]) if len(row) > 21 else 0.0
         return PlacementRequest(
             str(row[1]),
             read_int(row[2]),
@@ -172,6 +178,11 @@
         raise MessageError("The placement request is not valid.") from error
 
 
+def _read_remaining_s(value: Any) -> float:
+    """Return the time until a deadline, for which earlier releases send infinity."""
+    return float(MAX_NUMBER) if value == math.inf else read_float(value)
+
+
 def pack_reply(reply: PlacementReply) -> bytes:
     """Encode a reply as a packet."""
     row = [
--- a/packages/fulmarroad-serving/tests/test_owner_messages.py
+++ b/packages/fulmarroad-serving/tests/test_owner_messages.py
@@ -1,7 +1,10 @@
 """Tests of the packets between routers and the owners of servers."""
 
+import math
+
 import msgpack
 import pytest
+from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -118,3 +121,13 @@
             read(unpack(data))
         except MessageError:
             pass
+
+
+class TestDeadlines:
+    def test_a_request_without_a_deadline_reaches_the_owner(self):
+        """Guard against calls that leave a silent server and find no other place."""
+        request = evolve(REQUEST, remaining_s=math.inf)
+        row = unpack(pack_request(request))
+        assert read_request(row).remaining_s > 1e9
+        row[21] = math.inf
+        assert read_request(row).remaining_s > 1e9
