Log by which entry and connection a stream was bound to a version

Callers of the users' systems held events of two software versions in one answer, many at once.

The lines now also have `server_start` (the start of the entry), `connected_s` (the age of the connection when the answer began, so that it can be held against the server's start) and `stream_version` (the version to which the stream is bound). No logic changes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -109,7 +109,9 @@
 
         connection.send(request, read_head)
         head = await self._read(run, connection, ticket, instance, connection.head)
-        self._dispatcher.registry.note_contact(instance, connection.contact)
+        contact = connection.contact
+        run.summary.connected_s = contact.heard_at - contact.opened_at
+        self._dispatcher.registry.note_contact(instance, contact)
         self._check_head(head, instance)
         if run.call.route.kind is CallKind.STREAM and head.status < 300:
             await self._forward_stream(run, connection, head, ticket, instance)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -68,7 +68,10 @@
     """Collect the values of a call's final log line."""
 
     server: ServerName = ""
-    server_version: str = ""
+    server_version: str = ""  # of its entry, as it was placed
+    server_start: int = 0  # in ms since 1970, of the same entry
+    connected_s: float = 0.0  # age of the connection at the answer's first part
+    stream_version: str = ""  # to which its stream is bound
     sends: int = 0
     first_s: float = 0.0
     cached: bool | None = None
@@ -89,7 +92,8 @@
         choice = placement.choice
         self.wait_s, self.use = placement.wait_s, placement.use
         self.server, self.cached = choice.server, choice.cached
-        self.server_version = placement.registered.instance.version
+        instance = placement.registered.instance
+        self.server_version, self.server_start = instance.version, instance.started_ms
         self.read_tokens = choice.tokens
         self.copies = choice.copies
         self.expected_s = choice.wait_s + choice.read_s
@@ -133,6 +137,7 @@
     def bind(self, version: str) -> None:
         """Let the call go on only at servers of the version that began its stream."""
         self.demand = evolve(self.demand, version=version)
+        self.summary.stream_version = version
 
     def remaining_s(self, now: float) -> float:
         """Return the seconds until the call's deadline."""
