Take a stream's version from the process that writes it, not from an entry

What callers saw: events of two software versions in one answer that ended as complete, or over their tries; many at once, as they begin at one server in the same second.

Cause: as a stream's first event came, the stream was bound to the version in the server's newest entry. A server that ends and starts again under its id writes for up to a second before its next entry is read. Routers that had no call at it, or whose check found the new process listening already, took its events for those of the version before, and bound the stream to it. The same trust let streams go on at such a server.

Change: - `ServerProcess` tells which connections surely lead to the process that wrote an entry: it was heard before the entry was written and after it was read, or beside a connection that is proven, or for so long that a later start would show. A new connection by itself proves nothing.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -238,6 +238,7 @@
             self._dispatcher.registry.note_contact(instance, connection.contact)
             whole = events.feed(chunk)
             if whole is not None:
+                self._check_version(run, connection, ticket, instance)
                 await self._forward_events(run, head, whole, ticket, instance)
         # Only a closed connection makes it ask whether the server crashed.
         error_type = (
@@ -272,10 +273,6 @@
         self._note_begun(run, ticket)
         self._note_good_run(run, ticket)
         if not run.responder.begun:
-            now = self._clock()
-            version = self._dispatcher.registry.version_of(instance, now)
-            run.bind(version)
-            self._on_stream_begun(run.call, version, now)
             run.summary.first_s = self._clock() - run.begun_at
             run.progress.answer_begun = True
             await run.responder.begin(head.status, list(head.forward))
@@ -285,6 +282,37 @@
         if whole.last_id:
             run.progress.last_event_id = whole.last_id
 
+    def _check_version(
+        self,
+        run: ActiveCall,
+        connection: BackendConnection,
+        ticket: Ticket,
+        instance: Instance,
+    ) -> None:
+        """Bind a stream to the version that writes it, before events are forwarded.
+
+        Raise `BrokenAnswerError` if another version may go on with it.
+        """
+        begins = not run.responder.begun
+        if run.proven is connection:
+            return
+        registry, now = self._dispatcher.registry, self._clock()
+        writer = registry.writer_version(instance, connection.contact)
+        if writer.is_proven:
+            run.proven = connection
+        if begins and not run.demand.version:
+            run.origin = connection
+        is_other = writer.version != run.demand.version
+        if run.origin is connection:
+            if begins or is_other:
+                run.bind(writer.version)
+                self._on_stream_begun(run.call, writer.version, now)
+            return
+        if is_other and (writer.is_proven or not ticket.begun):
+            raise BrokenAnswerError("Another version than the stream's may answer.")
+        if begins:
+            self._on_stream_begun(run.call, run.demand.version, now)
+
     async def _check_end(
         self, connection: BackendConnection, instance: Instance
     ) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_forwarding.py
@@ -372,7 +372,9 @@
         return await self._crash_detector.has_crashed(instance, since)
 
     def _note_lost_idle(self, instance: Instance, contact: Contact) -> None:
-        self._dispatcher.registry.suspect(instance.id, contact, self._clock())
+        registry, now = self._dispatcher.registry, self._clock()
+        registry.suspect(instance.id, contact, now)
+        registry.note_ended(instance, now)
 
     # final outcomes
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -32,6 +32,7 @@
     unpack,
 )
 from fulmarroad_serving._router_state import RouterState
+from fulmarroad_serving._server_ends import ServerEnds, is_server_end
 from fulmarroad_serving._stream_keepers import (
     KEEPER_SILENCE_S,
     Keeper,
@@ -133,6 +134,8 @@
             self.list_age_s,
         )
         beliefs.on_copy = self.streams.note_copy
+        registry = dispatcher.registry
+        self._server_ends = ServerEnds(me, registry, self.book.hosts, clock)
         self._replica_sync = ReplicaSync(host, port, beliefs, self.book, source, clock)
         self._started_at = float("-inf")
         self.seeds: tuple[str, ...] = ()
@@ -208,6 +211,7 @@
                 group.start_soon(self._send_reports, packets)
                 group.start_soon(self._owner_exchange.run, self._sender(packets))
                 group.start_soon(self.streams.run, self._sender(packets))
+                group.start_soon(self._server_ends.run, self._sender(packets))
                 group.start_soon(self._replica_sync.pull_changes)
                 group.start_soon(self._expire_periodically)
 
@@ -309,6 +313,9 @@
         if is_stream_message(row):
             self.streams.receive(row, host)
             return
+        if is_server_end(row):
+            self._server_ends.receive(row, host)
+            return
         now = self._clock()
         known = self.book.size
         era = era_of(self._router_state.replica.at)
@@ -395,6 +402,7 @@
             with continue_on_error("known routers"):
                 self._update_routers(now)
             with continue_on_error("lapsed streams"):
+                self._dispatcher.registry.note_current(now - self.list_age_s())
                 self.streams.expire()
             with continue_on_error("silent peers"):
                 alive = self._log_changes(alive, now)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from attrs import define, evolve, frozen
+from collections.abc import Callable
+
+from attrs import define, evolve, field, frozen
 
 from fulmarroad.types import DataCentreName, ServerName
 from fulmarroad_serving._catalog import Service, ServiceName
-from fulmarroad_serving._restarts import SUSPECT_S, Contact, RestartSuspicion
+from fulmarroad_serving._restarts import (
+    NEVER,
+    Contact,
+    RestartSuspicion,
+    ServerProcess,
+)
 
 LAPSE_GRACE_S = 2.0
 """Time in seconds that a server stays in use if its entry expires in a store outage.
@@ -52,11 +59,12 @@
     cold_until: float = 0.0
     suspicion: RestartSuspicion | None = None
     lapses_at: float | None = None
-    ended_until: float = 0.0  # its process seemed to end: another version may run
+    process: ServerProcess = field(factory=ServerProcess)
 
     def version(self, now: float) -> str:
         """Return the version of its software, as far as it is known."""
-        return UNKNOWN_VERSION if now < self.ended_until else self.instance.version
+        ended = self.process.has_ended(now)
+        return UNKNOWN_VERSION if ended else self.instance.version
 
     def serves(self, version: str, now: float) -> bool:
         """Return whether a stream that a version began may go on here; "" is none."""
@@ -71,6 +79,17 @@
         return now < self.cold_until or is_suspect
 
 
+@frozen
+class WriterVersion:
+    """Hold the software version of a process that answers over a connection."""
+
+    version: str  # as far as it is known
+    is_proven: bool = False  # else another process may answer than the entry's
+
+
+UNKNOWN_WRITER = WriterVersion(UNKNOWN_VERSION)
+
+
 class Registry:
     """Hold every registered backend server."""
 
@@ -86,6 +105,9 @@
         self._live_versions: dict[ServiceName, frozenset[str]] = {}
         self._former_versions: dict[tuple[ServiceName, str], float] = {}
         """When a server of a service and version was last dropped."""
+        self._current_at = NEVER
+        self.on_ended: Callable[[Instance], None] = lambda instance: None
+        """Called when a process seems to have ended, to tell the other routers."""
 
     @property
     def centres_left(self) -> frozenset[DataCentreName]:
@@ -116,10 +138,9 @@
         row.instance = instance
         self._usable.clear()
         row.lapses_at = None
-        if is_new_run:
-            row.ended_until = 0.0
         row.suspicion = None
         if is_new_run:
+            row.process = ServerProcess(now, self._current_at)
             # The first listing after a router's restart shows servers that have cached
             # their prompt parts. Treated as new, each of them would fetch its parts
             # from other engines.
@@ -224,31 +245,54 @@
     def note_contact(self, instance: Instance, contact: Contact) -> None:
         """Record that a run was heard; if it was running all the while, trust it."""
         row = self._rows.get(instance.id)
-        if row is None or row.suspicion is None:
+        if row is None:
+            return
+        row.process.note(contact, self._current_at)
+        if row.suspicion is None:
             return
         is_same_run = row.instance.started_ms == instance.started_ms
         if is_same_run and row.suspicion.is_refuted_by(contact):
             row.suspicion = None
 
     def note_ended(self, instance: Instance, now: float) -> None:
-        """Record that a run's process ended; the next one may have another version.
+        """Record that a run's process may have ended, and another version may run.
 
-        If it runs on, as a network cut may refuse connections too, its entry is still
-        there after `SUSPECT_S`.
+        If it runs on, its entry is still there after `SUSPECT_S`.
         """
-        row = self._rows.get(instance.id)
-        if row is not None and row.instance.started_ms == instance.started_ms:
-            row.ended_until = now + SUSPECT_S
+        if self.note_end(instance.id, instance.started_ms, now, now):
+            self.on_ended(instance)
 
-    def version_of(self, instance: Instance, now: float) -> str:
-        """Return the version of a run's software, as far as it is known."""
-        row = self._rows.get(instance.id)
+    def note_end(
+        self, server: ServerName, started_ms: int, at: float, now: float
+    ) -> bool:
+        """Record that a run's process ended at a time; return whether that is new."""
+        row = self._rows.get(server)
+        if row is None or row.instance.started_ms != started_ms:
+            return False
+        return row.process.note_end(at, now)
+
+    def note_current(self, at: float) -> None:
+        """Record the time up to which every change of the store was read."""
+        self._current_at = max(self._current_at, at)
+
+    def writer_version(self, instance: Instance, contact: Contact) -> WriterVersion:
+        """Return the version of the process that answers over a connection.
+
+        `instance` is the run to which the connection was opened. As long as the process
+        isn't proven to be the one that wrote the entry, its version is known only if
+        nobody saw a sign that the run ended before the connection was opened.
+        """
+        row, current_at = self._rows.get(instance.id), self._current_at
         if row is None:
-            return instance.version
-        if row.instance.started_ms != instance.started_ms:
-            # Which of the two runs answers is not known.
-            return UNKNOWN_VERSION
-        return row.version(now)
+            row, current_at = self._dropped.get(instance.id), NEVER
+        if row is None:
+            return UNKNOWN_WRITER
+        if row.process.wrote(contact, current_at):
+            return WriterVersion(row.instance.version, is_proven=True)
+        is_same_run = row.instance.started_ms == instance.started_ms
+        if not is_same_run or row.process.may_be_replaced(contact):
+            return UNKNOWN_WRITER
+        return WriterVersion(instance.version)
 
     def versions(self, service: ServiceName, now: float) -> set[str]:
         """Return the versions that serve, or that may have begun streams before."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -65,6 +65,9 @@
         """Record a send that brought no complete answer."""
         now = self._clock()
         broken = isinstance(error, ConnectionBrokenError)
+        if broken:
+            # A process that starts again at once accepts the connection of the check.
+            self._dispatcher.registry.note_ended(instance, now)
         crashed = broken and await self._crash_detector.has_crashed(instance, now)
         if crashed:
             self._note_crash(run, instance, ticket.answered_s(now))
@@ -92,7 +95,6 @@
     ) -> None:
         now = self._clock()
         self._dispatcher.health(instance.id).unreachable(now)
-        self._dispatcher.registry.note_ended(instance, now)
         end = crash_id(instance.id, instance.started_ms)
         run.suspects.note_crash(end, now, answered_s)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_served_call.py
@@ -128,6 +128,9 @@
     spilled: bool = False  # a second owner was asked
     moving: bool = False  # it looks for a place while its server is silent
     next_attempt: PreparedAttempt | None = None  # to be sent as it leaves its server
+    origin: BackendConnection | None = None  # over which its stream began
+    proven: BackendConnection | None = None
+    """Connection at which the version of the software is proven."""
 
     def take_next_attempt(self) -> PreparedAttempt | None:
         """Remove and return the attempt that was prepared, if any."""
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -38,6 +38,7 @@
 from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
+from fulmarroad_serving._server_ends import ServerEnds, is_server_end
 from fulmarroad_serving._stream_keepers import (
     KEEPER_SILENCE_S,
     Keeper,
@@ -208,7 +209,7 @@
         self.incarnation = incarnation
         self.alive, self.leaving, self.cut = True, False, False
         self.scopes = {}
-        self.list_age_s = 0.1
+        self.list_age_s = STORE_S
         self.touched_at = self.cut_at = anyio.current_time()
         clock = anyio.current_time
         self.dispatcher = Dispatcher(name, centre, self.bounds, incarnation)
@@ -238,6 +239,12 @@
             lambda: self.list_age_s,
         )
         self.state.on_copy = self.streams.note_copy
+        self.ends = ServerEnds(
+            name,
+            self.dispatcher.registry,
+            lambda: {name: name for name in fleet.routers},
+            clock,
+        )
         resumption = StreamResumption(self.streams, lambda: self.list_age_s, clock)
         self.state.on_catalog = resumption.note_catalog
         codec = PlainCodec()
@@ -273,6 +280,7 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(self.exchange.run, self.send)
                 group.start_soon(self.streams.run, self.send)
+                group.start_soon(self.ends.run, self.send)
 
     @contextlib.contextmanager
     def scope(self):
@@ -291,6 +299,8 @@
         row = unpack(data)
         if is_stream_message(row):
             self.streams.receive(row, host)
+        elif is_server_end(row):
+            self.ends.receive(row, host)
         else:
             self.exchange.receive(row, host)
 
@@ -542,6 +552,8 @@
             )
             if router.alive:
                 router.streams.note_list_age()
+                current_at = anyio.current_time() - router.list_age_s
+                router.dispatcher.registry.note_current(current_at)
             router.dispatcher.routers = sorted(self.routers)
 
     def keepers(self, router, believed):
@@ -622,13 +634,16 @@
 
         self.group.start_soon(expire)
 
-    def start_again(self, name, version):
-        """Start an engine again under its id, maybe with another version."""
+    def start_again(self, name, version, entry_after_s=0.0):
+        """Start an engine again under its id, maybe with another version.
+
+        Its entry is written `entry_after_s` later.
+        """
         engine = self.engines[name]
         engine.version, engine.up = version, True
         engine.started_ms += 1
         engine.started_at = anyio.current_time()
-        self.publish(InstanceFact(engine.instance()))
+        self.publish(InstanceFact(engine.instance()), STORE_S + entry_after_s)
 
     def serving(self, service, version):
         """Return how many engines of a version run, are known and don't leave."""
--- a/packages/fulmarroad-serving/tests/test_stream_versions.py
+++ b/packages/fulmarroad-serving/tests/test_stream_versions.py
@@ -17,9 +17,9 @@
     read_request,
 )
 from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._registry import UNKNOWN_VERSION
+from fulmarroad_serving._registry import UNKNOWN_VERSION, WriterVersion
 from fulmarroad_serving._reports import unpack
-from fulmarroad_serving._restarts import SUSPECT_S
+from fulmarroad_serving._restarts import SUSPECT_S, Contact
 
 
 def run_fleet(test, **more):
@@ -166,7 +166,11 @@
         (row,) = dispatcher.registry.usable("drafting")
         dispatcher.registry.note_ended(row.instance, 20.0)
         assert isinstance(dispatcher.place(BEGUN, 20.0 + SUSPECT_S), Placement)
-        assert dispatcher.registry.version_of(row.instance, 20.0 + SUSPECT_S) == "v2"
+        now = 20.0 + SUSPECT_S
+        dispatcher.registry.note_current(now)
+        contact = Contact(20.0, now)
+        writer = dispatcher.registry.writer_version(row.instance, contact)
+        assert writer == WriterVersion("v2", is_proven=True)
 
     def test_a_run_that_was_replaced_meanwhile_is_of_no_known_version(self):
         """Guard against a stream bound to the version of a run that ended before the
@@ -177,16 +181,19 @@
         (row,) = dispatcher.registry.usable("drafting")
         before = row.instance
         dispatcher.registry.put(evolve(before, version="v3", started_ms=2), 20.0)
-        assert dispatcher.registry.version_of(before, 20.1) == UNKNOWN_VERSION
+        contact = Contact(19.9, 20.05)
+        writer = dispatcher.registry.writer_version(before, contact)
+        assert writer.version == UNKNOWN_VERSION
 
     def test_a_stream_begun_at_a_server_of_unknown_version_goes_on_nowhere(self):
         dispatcher = make_dispatcher("a")
         set_versions(dispatcher, "v2", "v2", UNKNOWN_VERSION)
         instance = dispatcher.registry.get("drafting-0").instance
         dispatcher.registry.note_ended(instance, 20.0)
-        version = dispatcher.registry.version_of(instance, 20.0)
-        demand = evolve(CALL, version=version)
-        assert isinstance(dispatcher.place(demand, 20.0), Refusal)
+        contact = Contact(20.0, 20.2)
+        writer = dispatcher.registry.writer_version(instance, contact)
+        demand = evolve(CALL, version=writer.version)
+        assert isinstance(dispatcher.place(demand, 20.2), Refusal)
 
     def test_an_owner_that_has_a_server_of_the_version_is_asked(self):
         """Guard against a stream that is refused as its part's owner has no server of
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -106,6 +106,7 @@
     REST_NOT_FOLLOWED = EventKind(425, _W, "rest not followed as stated")
     SERVERS_NOT_USABLE = EventKind(426, _I, "backend servers without calls from here")
     SERVER_UNREACHABLE = EventKind(427, _W, "backend server can't be reached from here")
+    SERVER_END_TOLD = EventKind(428, _I, "peer saw that a backend server exited")
 
     # 430: workspaces
     WORKSPACE_TURNED_AWAY = EventKind(430, _I, "calls of a workspace rejected here")
