Let only the call's own body end with its connection

What was reported: a server stops in the middle of its answer's head and closes, and callers get a success with an empty or short body.

What was seen: a close right behind a 1xx head, or behind a late answer of another call without a length, counted as the end of the call's answer. The call was marked as answered, its connection ended by FIN in place of a reset, and the error said that parts came out of order, not that the server closed. So nobody asked whether the server had crashed: such a crash was charged to no request. Only the missing head kept the caller from an empty answer. A close behind an answer that was refused (nine 1xx heads) also marked it as answered.

Cause: the reader asked "in an answer, and no length seen", which is true of every complete head, whoever it belongs to.

Change: one flag says that the call's own head is complete and only the close ends its body; an end counts only then, and only while a call waits.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -126,7 +126,7 @@
         self._answered = True  # the last request has its complete answer
         self._written_at = 0.0
         self._unacked_bytes: int | None = None  # as last seen
-        self._in_answer = False
+        self._until_close = False  # only the close ends the body that is being read
         self._skipping = False  # this answer belongs to another call
         self._heads_before = 0  # the answer to the last request
         self._has_framing = False
@@ -169,8 +169,8 @@
                 break
 
     def eof_received(self) -> bool:
-        """Handle the end of the stream, which ends an answer without a length."""
-        if self._in_answer and not self._has_framing:
+        """Handle the end of the stream, which ends a body without a length."""
+        if self._awaiting_answer and self._until_close:
             self._ended_by_close = True
             self._finish()
         return False
@@ -206,7 +206,6 @@
         """Queue the head of the answer."""
         if not self._awaiting_answer:
             return
-        self._in_answer = True
         lengths = [v for n, v in self._headers if n.lower() == b"content-length"]
         chunked = any(n.lower() == b"transfer-encoding" for n, _ in self._headers)
         self._has_framing = bool(lengths) or chunked
@@ -223,6 +222,7 @@
             self._will_close = True
             self._note_head_before()
         else:
+            self._until_close = not self._has_framing
             self._add(head)
 
     def on_body(self, body: bytes) -> None:
@@ -244,7 +244,6 @@
             return
         if self._skipping:
             self._skipping = False
-            self._in_answer = False
         elif self._awaiting_answer:
             self._finish()
 
@@ -395,7 +394,7 @@
             self._waiter.set_result(None)
 
     def _finish(self) -> None:
-        self._in_answer = False
+        self._until_close = False
         self._awaiting_answer = False
         self._cancel_timer()
         # A server may answer a long request before it has read it.
