Send HTTP/1.0 callers no chunks, and reset what breaks off

What callers saw: an HTTP/1.0 caller of a stream, or of an answer too large to be read whole first, got chunk sizes between the bytes of the body, and a broken answer ended like a whole one, by an orderly close. HTTP/1.1 callers see a broken answer by the missing last chunk, and short ones have a length.

Cause: uvicorn answers a request of any version without a length in chunks, which HTTP/1.0 callers needn't know, and closes the connection in order when the application fails.

Change: such an answer goes to HTTP/1.0 callers without chunks and ends with its connection. The socket resets on close from the answer's head on until its end, so that an error, a drain or the end of the process shows as broken.

Not tried: the end of the process.

--- a/packages/fulmarroad-router/src/fulmarroad_router/_http_connection.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/_http_connection.py
@@ -24,6 +24,7 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad_router._half_close import HalfClosedCaller, can_probe
+from fulmarroad_router._undelimited import UndelimitedApp
 from fulmarroad_router.connection_ends import EXTENSION, ClosedBy, ConnectionEnd
 
 logger = logging.getLogger("fulmarroad.router")
@@ -166,6 +167,8 @@
     def _start_asgi_task(self, cycle: RequestResponseCycle, app: Any) -> None:
         """Record which of several pipelined requests is running."""
         self._running = cycle
+        if cycle.scope["http_version"] == "1.0":
+            app = UndelimitedApp(app, cycle)
         super()._start_asgi_task(cycle, app)
 
     def _unanswered_cycle(self) -> RequestResponseCycle | None:
