Test that no cut listing of a store is used

A reply without a length or chunks ends with its connection, cut or whole, and HttpClient hands it on as a whole one. Its only reader, PlatformStore, takes JSON objects, of which no part is one.

--- a/packages/fulmarroad-serving/tests/test_cut_answers.py
+++ b/packages/fulmarroad-serving/tests/test_cut_answers.py
@@ -19,7 +19,13 @@
 from serving_bed import Bed, PlainCodec
 
 from fulmarroad.delivery import CloseMode
-from fulmarroad_serving.exceptions import ConnectionBrokenError, SendError
+from fulmarroad_platform.store import PlatformStore
+from fulmarroad_serving.exceptions import (
+    ConnectionBrokenError,
+    SendError,
+    StoreError,
+)
+from fulmarroad_serving.http_client import HttpClient
 
 WHOLE_BODY = b"".join(EVENTS)
 
@@ -192,3 +198,45 @@
                     assert server.charged_crashes == crashed, cut
 
         asyncio.run(test())
+
+
+LISTING = b'{"At": 7, "Entries": [{"Key": "a/b", "Revision": 7, "Data": "e30="}]}'
+"""A store's reply of one page."""
+
+
+async def list_store(cut, ending, monkeypatch):
+    """List a store whose reply is cut; return None if it can't be used."""
+    connection = open_connection()
+
+    def reply(request):
+        if cut.data:
+            connection.data_received(cut.data)
+        ending.end(connection)
+
+    async def connect(client):
+        connection._transport.on_write = reply
+        return connection
+
+    monkeypatch.setattr(HttpClient, "_connect", connect)
+    try:
+        return await PlatformStore("h", 1).list_all()
+    except StoreError:
+        return None
+
+
+class TestStore:
+    @pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+    @pytest.mark.parametrize("framing", FRAMINGS)
+    @pytest.mark.parametrize("before", ["nothing", "103"])
+    def test_no_part_of_a_listing_is_used(self, before, framing, ending, monkeypatch):
+        """Guard against servers that a router forgets as a listing was cut off."""
+
+        async def test():
+            parts = FRAMINGS[framing](LISTING[:30], LISTING[30:])
+            for cut in cuts([*BEFORE[before], *parts]):
+                listing = await list_store(cut, ending, monkeypatch)
+                complete = is_whole(cut, ending) and cut.body == LISTING
+                assert (listing is not None) == complete, cut
+                assert listing is None or [row.key for row in listing.items] == ["a/b"]
+
+        asyncio.run(test())
