Test that a close behind an answer without a body does not end it

Broken on purpose, the check that a call still waits when its connection ends was held by no test, as the flag of the body was also cleared at the answer's end. The check alone remains, and a test of an answer of status 204 fails without it: its server would be looked at for a crash.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -126,7 +126,7 @@
         self._answered = True  # the last request has its complete answer
         self._written_at = 0.0
         self._unacked_bytes: int | None = None  # as last seen
-        self._until_close = False  # only the close ends the body that is being read
+        self._until_close = False  # the call's own body has neither length nor chunks
         self._skipping = False  # this answer belongs to another call
         self._heads_before = 0  # the answer to the last request
         self._has_framing = False
@@ -394,7 +394,6 @@
             self._waiter.set_result(None)
 
     def _finish(self) -> None:
-        self._until_close = False
         self._awaiting_answer = False
         self._cancel_timer()
         # A server may answer a long request before it has read it.
--- a/packages/fulmarroad-serving/tests/test_cut_answers.py
+++ b/packages/fulmarroad-serving/tests/test_cut_answers.py
@@ -11,6 +11,7 @@
     REQUEST_ID,
     CutServer,
     Ending,
+    Part,
     State,
     cuts,
     early_hints,
@@ -121,6 +122,12 @@
         """Guard against an end behind a 1xx head that counts as an answer's end."""
         check_all(BEFORE[before], ending, step)
 
+    def test_a_close_behind_an_answer_without_a_body_does_not_end_it(
+        self, ending, step
+    ):
+        """Guard against a look at the server of each answer that has no body."""
+        check_all([Part(b"HTTP/1.1 204 N\r\n\r\n", State.HEAD)], ending, step)
+
     def test_a_close_after_an_invalid_answer_answers_nothing(self, ending, step):
         """Guard against calls that count as answered once their answer was refused."""
 
