Split the connection to a backend server into modules of one job each

The fields of the queue became a class of their own, whose names lost their underscores; silence_fleet.py imports its three constants from the new place.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_connection.py
@@ -11,12 +11,10 @@
 
 import asyncio
 import socket
-from collections import deque
 from collections.abc import Callable, Sequence
 from typing import cast
 
 import httptools
-from attrs import frozen
 
 from fulmarroad.delivery import (
     CloseMode,
@@ -25,24 +23,23 @@
     reset_on_close,
     unacknowledged_bytes,
 )
+from fulmarroad_serving._answer_parts import (
+    AnswerParts,
+    Body,
+    Broken,
+    ConnectionClosed,
+    EndOfAnswer,
+    answer_error,
+)
+from fulmarroad_serving._dead_peers import MAX_UNACKED_S, enable_dead_peer_detection
 from fulmarroad_serving._restarts import Contact
 from fulmarroad_serving._silence import ServerActivity
-from fulmarroad_serving._timers import TIMER_RESOLUTION_S
 from fulmarroad_serving.contracts import AnswerHead, Header
-from fulmarroad_serving.exceptions import (
-    BrokenAnswerError,
-    ConnectionBrokenError,
-    SilentServerError,
-)
+from fulmarroad_serving.exceptions import SilentServerError
 
 PAUSE_READING_BYTES = 256 * 1024
 """Unread bytes of an answer above which reading pauses until the caller catches up."""
 
-MAX_UNACKED_S = 3.0
-"""Time without acknowledgement after which the kernel drops a connection, and with it
-the request. A path that drops all packets would otherwise block a call until its
-deadline."""
-
 MAX_HEAD_BYTES = 32 * 1024
 """Largest head of an answer: twice the usual limit. A faulty server may send header
 lines without end, which the parser would keep in memory."""
@@ -64,38 +61,10 @@
 
 FIRST_FINAL_STATUS = 200
 
-PROBE_IDLE_S = 2
-PROBE_INTERVAL_S = 1
-PROBE_COUNT = 2
-
-
 ReadHead = Callable[[int, Sequence[Header]], AnswerHead | None]
 """Decode the head of an answer; return `None` if it belongs to another call."""
 
 
-@frozen
-class _Body:
-    data: bytes
-
-
-@frozen
-class _EndOfAnswer:
-    pass
-
-
-@frozen
-class _Broken:
-    cause: str
-
-
-@frozen
-class _ConnectionClosed(_Broken):
-    """Report a connection that closed before the end of the answer."""
-
-
-_Part = AnswerHead | _Body | _EndOfAnswer | _Broken
-
-
 def _loop_time() -> float:
     return asyncio.get_running_loop().time()
 
@@ -115,10 +84,7 @@
         self._max_unacked_s = max_unacked_s
         self._transport: asyncio.Transport | None = None
         self._socket: socket.socket | None = None
-        self._parts: deque[_Part] = deque()
-        self._waiter: asyncio.Future[None] | None = None
-        self._timer: asyncio.TimerHandle | None = None
-        self._wake_at = 0.0  # of the waiter
+        self._parts = AnswerParts()
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[Header] = []
         self._read_head: ReadHead = lambda status, headers: None
@@ -134,7 +100,6 @@
         self._unread_bytes = 0
         self._framing_allowance = MAX_HEAD_BYTES  # bytes that may come before a body
         self._unusable = False
-        self._closed = False
         self._will_close = False
         self._interim = False  # a 1xx head, which precedes the final one
         self.keep_alive_s: float | None = None
@@ -178,17 +143,17 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Fail the pending call; the transport closes its socket next."""
         is_in_use = self._awaiting_answer or self._parts
-        if not (self._closed or is_in_use or self._will_close or self._unusable):
+        if not (self._parts.closed or is_in_use or self._will_close or self._unusable):
             self.on_lost_idle(self)
-        self._closed = True
-        self._cancel_timer()
+        self._parts.closed = True
+        self._parts.cancel_timer()
         self._on_closed(self.close_mode)
         if self._socket is not None:
             self._prepare_close(self._socket)
         if self._awaiting_answer:
             cause = repr(error) if error else "closed by the server"
-            self._add(_ConnectionClosed(cause))
-        self._wake()
+            self._parts.add(ConnectionClosed(cause))
+        self._parts.wake()
 
     # httptools callbacks
 
@@ -223,7 +188,7 @@
             self._note_head_before()
         else:
             self._until_close = not self._has_framing
-            self._add(head)
+            self._parts.add(head)
 
     def on_body(self, body: bytes) -> None:
         """Queue a part of the body."""
@@ -234,7 +199,7 @@
         if not self._awaiting_answer or self._skipping:
             return
         self._unread_bytes += len(body)
-        self._add(_Body(body))
+        self._parts.add(Body(body))
         if self._unread_bytes > PAUSE_READING_BYTES and self._transport:
             self._transport.pause_reading()
 
@@ -256,7 +221,7 @@
         If a request is not sent completely, the server would read the next request as
         its rest. After unexpected bytes, the next call could get a wrong answer.
         """
-        if self._transport is None or self._closed or self._unusable:
+        if self._transport is None or self._parts.closed or self._unusable:
             return False
         if self._awaiting_answer or self._will_close or self._parts:
             return False
@@ -309,10 +274,10 @@
 
     async def head(self, timeout_s: float) -> AnswerHead:
         """Return the head of the answer."""
-        part = await self._next(timeout_s)
+        part = await self._parts.next(timeout_s)
         if isinstance(part, AnswerHead):
             return part
-        raise _answer_error(part)
+        raise answer_error(part)
 
     async def body(self, timeout_s: float) -> bytes | None:
         """Return the next part of the body, or `None` at its end.
@@ -322,85 +287,29 @@
         """
         if timeout_s < -MAX_LATE_S:
             raise SilentServerError("The answer did not end in time.")
-        part = await self._next(timeout_s)
-        if isinstance(part, _Body):
+        part = await self._parts.next(timeout_s)
+        if isinstance(part, Body):
             self._unread_bytes -= len(part.data)
             self._resume_reading()
             return part.data
-        if isinstance(part, _EndOfAnswer):
+        if isinstance(part, EndOfAnswer):
             return None
-        raise _answer_error(part)
+        raise answer_error(part)
 
     def close(self) -> None:
         """Close immediately; a request without an answer is withdrawn by a reset."""
-        self._closed = True
+        self._parts.closed = True
         if self._transport is not None:
             self._transport.abort()
 
-    async def _next(self, timeout_s: float) -> _Part:
-        if not self._parts:
-            await self._wait(timeout_s)
-        return self._parts.popleft()
-
-    async def _wait(self, timeout_s: float) -> None:
-        if self._closed:
-            raise ConnectionBrokenError("The connection is closed.")
-        loop = asyncio.get_running_loop()
-        self._waiter = loop.create_future()
-        self._set_timer(loop, loop.time() + max(0.0, timeout_s))
-        try:
-            await self._waiter
-        finally:
-            self._waiter = None
-        if not self._parts:
-            if self._closed:
-                raise ConnectionBrokenError("The connection is closed.")
-            raise SilentServerError(f"No byte came for {timeout_s:.2f} s.")
-
-    def _set_timer(self, loop: asyncio.AbstractEventLoop, wake_at: float) -> None:
-        """Wake the waiter at a time.
-
-        A timer that is set already serves the next waits too, if it is not too late for
-        them: parts of a stream come faster than timers need to be exact.
-        """
-        self._wake_at = wake_at
-        if self._timer is not None:
-            if self._timer.when() <= wake_at:
-                return
-            self._timer.cancel()
-        self._timer = loop.call_at(wake_at, self._on_timer)
-
-    def _on_timer(self) -> None:
-        self._timer = None
-        if self._waiter is None or self._waiter.done():
-            return
-        loop = asyncio.get_running_loop()
-        if loop.time() >= self._wake_at - TIMER_RESOLUTION_S:
-            self._wake()
-        else:
-            self._timer = loop.call_at(self._wake_at, self._on_timer)
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
-
-    def _add(self, part: _Part) -> None:
-        self._parts.append(part)
-        self._wake()
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     def _finish(self) -> None:
         self._awaiting_answer = False
-        self._cancel_timer()
+        self._parts.cancel_timer()
         # A server may answer a long request before it has read it.
         self._answered = self._unsent_bytes == 0
         if not self._has_framing or not self._parser.should_keep_alive():
             self._will_close = True
-        self._add(_EndOfAnswer())
+        self._parts.add(EndOfAnswer())
 
     def _prepare_close(self, raw: socket.socket) -> None:
         if self._answered:
@@ -435,7 +344,7 @@
 
     def _break_answer(self, cause: str) -> None:
         if self._awaiting_answer:
-            self._add(_Broken(cause))
+            self._parts.add(Broken(cause))
         self._mark_unusable()
 
     def _mark_unusable(self) -> None:
@@ -457,30 +366,6 @@
                 self.keep_alive_s = _keep_alive_timeout(value)
 
 
-def _answer_error(part: _Part) -> BrokenAnswerError:
-    cause = part.cause if isinstance(part, _Broken) else "its parts came out of order"
-    kind = (
-        ConnectionBrokenError
-        if isinstance(part, _ConnectionClosed)
-        else BrokenAnswerError
-    )
-    return kind(f"The answer broke off: {cause}.")
-
-
-def enable_dead_peer_detection(raw: socket.socket, max_unacked_s: float) -> None:
-    """Make the kernel close a connection whose peer no longer responds.
-
-    A network path can fail without a reset, which would otherwise go unnoticed until a
-    call's deadline.
-    """
-    tcp = socket.IPPROTO_TCP
-    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    raw.setsockopt(tcp, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
-    raw.setsockopt(tcp, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
-    raw.setsockopt(tcp, socket.TCP_KEEPCNT, PROBE_COUNT)
-    raw.setsockopt(tcp, socket.TCP_USER_TIMEOUT, round(1000 * max_unacked_s))
-
-
 def _keep_alive_timeout(value: bytes) -> float | None:
     for item in value.split(b","):
         name, _, number = item.strip().partition(b"=")
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pool.py
@@ -13,7 +13,8 @@
 from fulmarroad.delivery import CloseMode
 from fulmarroad.types import ServerName
 from fulmarroad_serving._budgets import connection_share
-from fulmarroad_serving._connection import MAX_UNACKED_S, BackendConnection
+from fulmarroad_serving._connection import BackendConnection
+from fulmarroad_serving._dead_peers import MAX_UNACKED_S
 from fulmarroad_serving._demands import FleetBounds
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._restarts import Contact
--- a/packages/fulmarroad-serving/tests/silence_fleet.py
+++ b/packages/fulmarroad-serving/tests/silence_fleet.py
@@ -26,7 +26,7 @@
 )
 
 from fulmarroad_serving import FleetBounds
-from fulmarroad_serving._connection import PROBE_COUNT, PROBE_IDLE_S, PROBE_INTERVAL_S
+from fulmarroad_serving._dead_peers import PROBE_COUNT, PROBE_IDLE_S, PROBE_INTERVAL_S
 from fulmarroad_serving._pool import CONNECT_TIMEOUT_S
 from fulmarroad_serving.contracts import InstanceRemovedFact
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError, NotSentError
