--- a/packages/fulmarroad-serving/tests/crash_fleet.py
+++ b/packages/fulmarroad-serving/tests/crash_fleet.py
@@ -26,6 +26,7 @@
 from fulmarroad_serving._fleet_view import FleetView
 from fulmarroad_serving._owner_exchange import is_owner_message
 from fulmarroad_serving._reports import PeerReport, pack_report, read_report, unpack
+from fulmarroad_serving._server_ends import is_server_end
 from fulmarroad_serving._stream_keepers import is_stream_message
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
 
@@ -180,7 +181,7 @@
 
     def receive(self, data, host):
         row = unpack(data)
-        if is_owner_message(row) or is_stream_message(row):
+        if is_owner_message(row) or is_stream_message(row) or is_server_end(row):
             super().receive(data, host)
         elif is_digest(row):
             self.view.receive_digest(read_digest(row), self.fleet.now)
