Split the dispatcher into admission, choice of servers and accounts of calls

Now ServiceSettings says what the configuration and the optional features are for a service, RetryBook keeps the retry budgets, AdmissionControl refuses calls before a server is chosen, ServerChooser chooses servers, and CallAccounts records calls sent, begun and ended. Dispatcher puts them together and keeps its public methods, but for spilling_services and services_with_speeds, whose only caller asks its settings.

Tests change only where a private name moved: _features, _service and _catalog to settings, _retry_share to _retries.of, _bounds to _retries._bounds, _shortlists to _chooser._shortlists.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -276,7 +276,7 @@
             return ()
         return tuple(
             row
-            for service in self._dispatcher.services_with_speeds()
+            for service in self._dispatcher.settings.services_with_speeds()
             for row in self._dispatcher.speeds.classes(self.owners.owned(service).rows)
         )
 
@@ -287,7 +287,7 @@
         """
         rooms = [
             self._dispatcher.room(service, rows, now)
-            for service in self._dispatcher.spilling_services()
+            for service in self._dispatcher.settings.spilling_services()
             if (rows := self.owners.owned(service).rows)
         ]
         room = min(rooms, default=0)
--- a/packages/fulmarroad-serving/tests/queue_fleet.py
+++ b/packages/fulmarroad-serving/tests/queue_fleet.py
@@ -92,7 +92,7 @@
         super().__init__(fleet, name, centre, incarnation)
         mode = FeatureMode.ON if fleet.has_queue else FeatureMode.OFF
         settings = FeatureSettings({"admission_queue": mode})
-        self.dispatcher._features = FeatureBook(settings)
+        self.dispatcher.settings._features = FeatureBook(settings)
         self.dispatcher.load = self._slow_load(self.dispatcher.load)
         self.granter = self.exchange._granter
         self.queue = self.granter.queued.queue
--- a/packages/fulmarroad-serving/tests/spill_fleet.py
+++ b/packages/fulmarroad-serving/tests/spill_fleet.py
@@ -80,7 +80,7 @@
 
     def _dispatcher(self, name, engines):
         dispatcher = make_dispatcher(name, engines)
-        dispatcher._features = FeatureBook(parse_features(self.features))
+        dispatcher.settings._features = FeatureBook(parse_features(self.features))
         return dispatcher
 
     def _member(self, name, engines):
--- a/packages/fulmarroad-serving/tests/test_answer_lengths.py
+++ b/packages/fulmarroad-serving/tests/test_answer_lengths.py
@@ -169,7 +169,7 @@
 
     def check(self, test, settings=ON):
         async def started(bed):
-            bed.dispatcher._features._settings = settings
+            bed.dispatcher.settings._features._settings = settings
             profile = EngineProfile(16, step_tokens=10)
             services = make_catalog().services | {
                 "drafting": Service("drafting", 600, engine=profile)
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -490,7 +490,8 @@
         """
 
         async def test(bed):
-            bed.dispatcher._bounds = evolve(bed.dispatcher._bounds, retry_burst=12.0)
+            retries = bed.dispatcher._retries
+            retries._bounds = evolve(retries._bounds, retry_burst=12.0)
             await bed.serve("s-1", echo(500))
             await bed.serve("s-2", echo(500))
             for n in range(20):
--- a/packages/fulmarroad-serving/tests/test_owner_client.py
+++ b/packages/fulmarroad-serving/tests/test_owner_client.py
@@ -232,7 +232,7 @@
         async def test():
             bed = OwnerBed(warmup_rate=19.0)
             first = (await bed.place()).choice.server
-            service = bed.a._service("drafting")
+            service = bed.a.settings.service("drafting")
             bed.a.registry.suspect(first, Contact(bed.now, bed.now), bed.now)
             while bed.a.servers.accepts(bed.a.registry.get(first), service, bed.now):
                 bed.a.servers.note_cold_call(first, service, ColdBudget.SHARE, bed.now)
--- a/packages/fulmarroad-serving/tests/test_placement_weights.py
+++ b/packages/fulmarroad-serving/tests/test_placement_weights.py
@@ -95,7 +95,7 @@
 
 def make_weighted(classes, engines=70):
     dispatcher = make_dispatcher("a", engines)
-    dispatcher._features = FeatureBook(parse_features("weighted_parts=on"))
+    dispatcher.settings._features = FeatureBook(parse_features("weighted_parts=on"))
     dispatcher.servers.speed_class = lambda name: classes.get(name, 0)
     return dispatcher
 
@@ -108,7 +108,7 @@
         table = OwnerTable(dispatcher.registry.usable, me="a")
         table.set_routers({f"r{n}": "fes" for n in range(20)})
         source = random.Random(1)
-        shortlist = dispatcher._shortlists.of("drafting", "")
+        shortlist = dispatcher._chooser._shortlists.of("drafting", "")
         usable = dispatcher.registry.usable("drafting")
 
         def orders(now):
--- a/packages/fulmarroad-serving/tests/test_queued_requests.py
+++ b/packages/fulmarroad-serving/tests/test_queued_requests.py
@@ -44,7 +44,7 @@
 
 def queue_on(dispatcher):
     settings = FeatureSettings({"admission_queue": FeatureMode.ON})
-    dispatcher._features = FeatureBook(settings)
+    dispatcher.settings._features = FeatureBook(settings)
     return dispatcher
 
 
--- a/packages/fulmarroad-serving/tests/test_scheduled_retries.py
+++ b/packages/fulmarroad-serving/tests/test_scheduled_retries.py
@@ -220,7 +220,9 @@
 
     def __init__(self, mode=FeatureMode.ON):
         super().__init__()
-        self.b._features._settings = FeatureSettings({"scheduled_retries": mode})
+        self.b.settings._features._settings = FeatureSettings(
+            {"scheduled_retries": mode}
+        )
         self.tickets = []
 
     async def ask(self, key=0.5, *, may_wait=False):
--- a/packages/fulmarroad-serving/tests/test_silent_calls.py
+++ b/packages/fulmarroad-serving/tests/test_silent_calls.py
@@ -105,7 +105,7 @@
 
 def retries_of(router):
     """Return how many retries a router took from its budget."""
-    budget = router.dispatcher._retry_share("drafting")
+    budget = router.dispatcher._retries.of("drafting")
     return budget._retries.total(anyio.current_time())
 
 
--- a/packages/fulmarroad-serving/tests/test_speed_reports.py
+++ b/packages/fulmarroad-serving/tests/test_speed_reports.py
@@ -30,11 +30,11 @@
 
 def switch_on(*dispatchers):
     for dispatcher in dispatchers:
-        dispatcher._features = FeatureBook(parse_features("engine_speeds=on"))
+        dispatcher.settings._features = FeatureBook(parse_features("engine_speeds=on"))
 
 
 def candidate(dispatcher, server=ENGINE, now=100.0):
-    service = dispatcher._catalog.services["drafting"]
+    service = dispatcher.settings.catalog.services["drafting"]
     return dispatcher.servers.candidate(
         dispatcher.registry.get(server),
         service,
--- a/packages/fulmarroad-serving/tests/test_spilling.py
+++ b/packages/fulmarroad-serving/tests/test_spilling.py
@@ -303,7 +303,7 @@
 
 def spill_with(bed, client):
     """Let a router send refused calls on as a client decides; return the client."""
-    bed.dispatcher._features = FeatureBook(parse_features("spillover=on"))
+    bed.dispatcher.settings._features = FeatureBook(parse_features("spillover=on"))
     bed.forwarder.placer.owner_client = client
     bed.forwarder.placer.spiller = Spiller(client, bed.dispatcher, bed.now)
     return client
--- a/packages/fulmarroad-serving/tests/test_workspace_ends.py
+++ b/packages/fulmarroad-serving/tests/test_workspace_ends.py
@@ -186,7 +186,7 @@
         dispatcher.registry.suspect("drafting-0", Contact(8.0, 9.9), 10.0)
         dispatcher.registry.mark_cold("drafting-1", 5.0, 10.0)
         dispatcher.health("drafting-2").unreachable(10.0)
-        service = dispatcher._service("drafting")
+        service = dispatcher.settings.service("drafting")
         for server in ("drafting-0", "drafting-1"):
             dispatcher.servers.note_cold_call(server, service, ColdBudget.SHARE, 10.0)
         counts = dispatcher.servers.count_obstacles(service, 10.1)
