Move granted calls and reports of pauses out of the client of owners

GrantedCalls keeps the calls whose places owners granted, with the notes and lists that tell the owners of them; PaceReporter reports servers whose answers pause; AcceptedRequests, beside PendingRequest, remembers which grants were accepted.

Behaviour is unchanged, but that reports of pauses are numbered by themselves, no longer in one series with requests; receivers compare the former only with each other.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_client.py
@@ -1,4 +1,4 @@
-"""Ask the owner of a server for a place, and keep it informed of the call's progress.
+"""Ask the owner of a server for a place, and decide by its reply.
 
 Load pattern: an owner crashes, freezes or is cut off while scores of routers depend on
 its decisions. If they waited for the membership to notice, its servers would idle for
@@ -12,7 +12,6 @@
 import logging
 import math
 import random
-from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Mapping
 
 from attrs import define, field
@@ -24,18 +23,21 @@
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._demands import Demand, Grant, Placement, Refusal, Ticket
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._granted_calls import GrantedCalls
 from fulmarroad_serving._obstacles import Obstacle
 from fulmarroad_serving._owner_messages import (
     PlacementReply,
     PlacementRequest,
-    ProgressNote,
-    ProgressReport,
     ReplyKind,
-    pack_progress,
     pack_request,
 )
 from fulmarroad_serving._owners import OwnedServers, OwnerTable
-from fulmarroad_serving._pending_requests import LocalOwner, PendingRequest
+from fulmarroad_serving._pace_reporter import PaceReporter
+from fulmarroad_serving._pending_requests import (
+    AcceptedRequests,
+    LocalOwner,
+    PendingRequest,
+)
 from fulmarroad_serving._routing import Choice, part_id
 from fulmarroad_serving._silent_owners import SILENCE_S, SilentOwners
 from fulmarroad_serving._workspace_outcomes import (
@@ -45,7 +47,7 @@
     given_back,
 )
 from fulmarroad_serving.engines._pace import PaceBook
-from fulmarroad_serving.engines._pace_messages import PaceReport, pack_pace
+from fulmarroad_serving.engines._pace_messages import PaceReport
 from fulmarroad_serving.placement import SpillCounts
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -54,19 +56,11 @@
 """Time for the first answer of an owner: a round trip between data centres and two
 iterations of busy event loops."""
 
-EMPTY_LISTS = 6
-"""Lists without a call that an owner gets after the last one. If all of them are lost,
-for three seconds, the membership has noticed it and the owner drops what it counted."""
-
 LACKING_REASONS = (RefusalReason.NO_SERVERS, RefusalReason.STREAM_ORIGIN_GONE)
 """Reasons for which an owner's refusal says nothing about other owners' servers."""
 
 COLD_OBSTACLES = (Obstacle.COLD, Obstacle.SUSPECT)
 
-MAX_ACCEPTED = 512
-"""Maximum number of remembered grants that were accepted: more than a router accepts
-within the time for which the network may delay a packet's duplicate."""
-
 
 @define
 class OwnerClient:
@@ -93,12 +87,17 @@
     """What became of the requests, until the node logs it."""
     spilled: SpillCounts = field(factory=SpillCounts)
     """What became of the calls sent on to a second owner, until the node logs it."""
-    _tickets: dict[RouterName, dict[int, Ticket]] = field(factory=dict)
-    _notes: dict[RouterName, list[ProgressNote]] = field(factory=dict)
-    _cancelled: dict[RouterName, list[int]] = field(factory=dict)
-    _empty_lists: Counter[RouterName] = field(factory=Counter)
-    _accepted: OrderedDict[int, None] = field(factory=OrderedDict)
-    """Numbers of requests whose grants were accepted, the oldest first."""
+    _accepted: AcceptedRequests = field(factory=AcceptedRequests)
+    _granted: GrantedCalls = field(init=False)
+    _pace_reporter: PaceReporter = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._granted = GrantedCalls(
+            self.me, self._incarnation, self.requests, self._report
+        )
+        self._pace_reporter = PaceReporter(
+            self.me, self._incarnation, self._dispatcher, self._owners, self._left_out
+        )
 
     @property
     def pace(self) -> PaceBook:
@@ -196,18 +195,9 @@
 
     def cancel(self, owner: RouterName, request: PlacementRequest) -> None:
         """Let an owner drop an undecided request, or a grant whose reply was lost."""
-        self._begin_lists(owner)
+        self._granted.begin_lists(owner)
         if self._dispatcher.queues_calls(request.demand.service):
-            self._cancelled.setdefault(owner, []).append(request.number)
-            self._report(owner)
-
-    def _begin_lists(self, owner: RouterName) -> dict[int, Ticket]:
-        """Return the calls that lists to an owner name, and send some lists anew.
-
-        They replace notes that are lost: an owner drops what no list names.
-        """
-        self._empty_lists.pop(owner, None)
-        return self._tickets.setdefault(owner, {})
+            self._granted.cancel(owner, request.number)
 
     def new_request(
         self,
@@ -252,21 +242,7 @@
 
     def note_progress(self, ticket: Ticket) -> None:
         """Record that a granted call was sent, began or ended."""
-        grant = ticket.grant
-        assert grant is not None
-        tickets = self._begin_lists(grant.owner)
-        if ticket.ended:
-            tickets.pop(grant.number, None)
-        else:
-            if grant.number not in tickets:
-                workspace = ticket.demand.workspace
-                self.requests.note(workspace, RequestOutcome.SENT)
-            tickets[grant.number] = ticket
-        if ticket.begun or ticket.ended:
-            note = ProgressNote(
-                grant.number, ticket.begun, ticket.ended, ticket.outcome
-            )
-            self._add_note(grant.owner, note)
+        self._granted.note(ticket)
 
     def abandon(
         self,
@@ -286,38 +262,26 @@
         self.requests.note(grant.workspace, ended)
         if grant.owner == self.me:
             outcome = None  # as the owner, it noted the server's failure already
-        self._return(grant.owner, grant.number, outcome)
+        self._granted.give_back(grant.owner, grant.number, outcome)
 
     def pop_notes(self) -> list[tuple[RouterName, bytes]]:
         """Remove and return the packets with unreported progress, by owner."""
-        reports = [(owner, self._pop_report(owner)) for owner in self._reported()]
-        return [(owner, pack_progress(report)) for owner, report in reports]
-
-    def _reported(self) -> list[RouterName]:
-        """Return the owners for which there is unreported progress."""
-        return list(dict.fromkeys([*self._notes, *self._cancelled]))
-
-    def _pop_report(self, owner: RouterName) -> ProgressReport:
-        notes = tuple(self._notes.pop(owner, ()))
-        cancelled = tuple(self._cancelled.pop(owner, ()))
-        return ProgressReport(self.me, self._incarnation, notes, cancelled=cancelled)
+        return self._granted.pop_notes()
 
     def held_lists(self) -> list[tuple[RouterName, bytes]]:
         """Return the packets that list all granted calls, by owner."""
-        packets = []
-        for owner, tickets in list(self._tickets.items()):
-            if owner == self.me:
-                continue  # nothing is lost on the way
-            held = tuple(tickets)
-            report = ProgressReport(self.me, self._incarnation, held=held)
-            packets.append((owner, pack_progress(report)))
-            if tickets:
-                self._empty_lists.pop(owner, None)
-                continue
-            self._empty_lists[owner] += 1
-            if self._empty_lists[owner] >= EMPTY_LISTS:
-                del self._tickets[owner], self._empty_lists[owner]
-        return packets
+        return self._granted.held_lists()
+
+    def adopt_from_lost(self, alive: Mapping[RouterName, int]) -> None:
+        """Count the calls of owners that are gone or have restarted.
+
+        `alive` maps each live router to its incarnation.
+        """
+        for owner, numbers in self._granted.lost(alive).items():
+            for number in numbers:
+                ticket = self._granted.pop(owner, number)
+                self._dispatcher.adopt(ticket, self._clock())
+            emit(logger, Event.OWNER_LOST, owner=owner, calls=len(numbers))
 
     def receive_pace(self, report: PaceReport, now: float) -> None:
         """Apply another router's report on the gaps of a server's answers.
@@ -336,47 +300,7 @@
 
         Reports on servers of this router are applied at once.
         """
-        now, packets = self._clock(), []
-        for server, finding in self._dispatcher.speeds.pace.scan(now):
-            row = self._dispatcher.registry.get(server)
-            if row is None:
-                continue
-            table = self._owners.owners(row.instance.service, self._left_out())
-            owner = table.by_server.get(server)
-            self._number += 1
-            report = PaceReport(
-                self.me,
-                self._incarnation,
-                self._number,
-                server,
-                row.instance.started_ms,
-                finding.factor,
-                finding.answers,
-            )
-            if owner == self.me:
-                self._dispatcher.speeds.receive_pace(report, now)
-            elif owner is not None:
-                packets.append((owner, pack_pace(report)))
-        return packets
-
-    def adopt_from_lost(self, alive: Mapping[RouterName, int]) -> None:
-        """Count the calls of owners that are gone or have restarted.
-
-        `alive` maps each live router to its incarnation.
-        """
-        for owner, tickets in self._tickets.items():
-            if owner == self.me:
-                continue
-            lost = [
-                (number, ticket)
-                for number, ticket in tickets.items()
-                if ticket.grant is None or ticket.grant.incarnation != alive.get(owner)
-            ]
-            for number, ticket in lost:
-                del tickets[number]
-                self._dispatcher.adopt(ticket, self._clock())
-            if lost:
-                emit(logger, Event.OWNER_LOST, owner=owner, calls=len(lost))
+        return self._pace_reporter.pop_packets(self._clock())
 
     def _left_out(self) -> frozenset[RouterName]:
         """Return the routers that are not asked now."""
@@ -415,7 +339,7 @@
             self.requests.note(demand.workspace, given_back(obstacle))
             self._return_unused(reply)
             return None
-        self._note_accepted(reply.number)
+        self._accepted.add(reply.number)
         if reply.read_rate and reply.owner != self.me:
             self._dispatcher.speeds.note_read_rate(
                 demand.service, reply.server, reply.read_rate, self._clock()
@@ -459,26 +383,11 @@
 
     def _return_unused(self, reply: PlacementReply) -> None:
         if reply.kind is ReplyKind.GRANTED:
-            self._return(reply.owner, reply.number)
-
-    def _return(
-        self, owner: RouterName, number: int, outcome: SendOutcome | None = None
-    ) -> None:
-        note = ProgressNote(number, False, True, outcome, unused=True)
-        self._add_note(owner, note)
-
-    def _add_note(self, owner: RouterName, note: ProgressNote) -> None:
-        self._notes.setdefault(owner, []).append(note)
-        self._report(owner)
+            self._granted.give_back(reply.owner, reply.number)
 
     def _report(self, owner: RouterName) -> None:
         """Report progress, to this router itself at once."""
         if owner == self.me and self.local is not None:
-            self.local.receive_progress(self._pop_report(owner))
+            self.local.receive_progress(self._granted.pop_report(owner))
         else:
             self.on_notes()
-
-    def _note_accepted(self, number: int) -> None:
-        self._accepted[number] = None
-        if len(self._accepted) > MAX_ACCEPTED:
-            self._accepted.popitem(last=False)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_pending_requests.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_pending_requests.py
@@ -1,7 +1,8 @@
-"""Hold a request until its owner's reply comes, also if that is this router itself."""
+"""Hold requests until their owners reply, and know those whose grants were accepted."""
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import Protocol
 
 import anyio
@@ -15,6 +16,10 @@
 )
 from fulmarroad_serving._timers import wait_at_most
 
+MAX_ACCEPTED = 512
+"""Maximum number of remembered grants that were accepted: more than a router accepts
+within the time for which the network may delay a packet's duplicate."""
+
 
 class LocalOwner(Protocol):
     """Receive what this router sends to itself as the owner of servers."""
@@ -50,3 +55,19 @@
         reply, self.reply = self.reply, None
         self.replied = anyio.Event()
         return reply
+
+
+@define
+class AcceptedRequests:
+    """Remember the numbers of requests whose grants were accepted lately."""
+
+    _numbers: OrderedDict[int, None] = field(factory=OrderedDict)  # the oldest first
+
+    def __contains__(self, number: int) -> bool:
+        return number in self._numbers
+
+    def add(self, number: int) -> None:
+        """Remember a request, and forget the oldest beyond the maximum."""
+        self._numbers[number] = None
+        if len(self._numbers) > MAX_ACCEPTED:
+            self._numbers.popitem(last=False)
--- a/packages/fulmarroad-serving/tests/silence_checks.py
+++ b/packages/fulmarroad-serving/tests/silence_checks.py
@@ -130,7 +130,7 @@
         counts = {
             "grants": len(router.granter._granted),
             "requests": len(router.client._pending),
-            "tickets": sum(map(len, router.client._tickets.values())),
+            "tickets": sum(map(len, router.client._granted._tickets.values())),
             "connections": sum(
                 pool.open - len(pool.idle)
                 for pool in router.pool._server_pools.values()
