--- a/packages/fulmarroad-serving/tests/test_platform_facts.py
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -193,6 +193,24 @@
         fact = decode("op/config", CONFIG | {field: value})
         assert isinstance(fact, CatalogFact | UnusableFact)
 
+    @pytest.mark.parametrize(
+        "change",
+        [
+            *({name: value} for name in ("Routes", "Services") for value in ("", {})),
+            {"Tenants": ""},
+            {"Tenants": {}},
+            {"Tenants": False},
+            {"Tenants": [{"Name": "coop", "ApiKeys": "abc"}]},
+            {"Tenants": [{"Name": "coop", "ApiKeys": [None]}]},
+            {"Tenants": [{"Name": "coop", "ApiKeys": [""]}]},
+            {"Routes": [ROUTE | {"TrafficSplit": {}, "ServiceName": "a"}]},
+        ],
+    )
+    def test_a_configuration_with_another_value_for_a_list_is_unusable(self, change):
+        """Guard against a damaged configuration that ends all routes, or that lets
+        callers in without a key or with one that nobody was given."""
+        assert isinstance(decode("op/config", CONFIG | change), UnusableFact)
+
     def test_a_removed_configuration_is_ignored(self):
         assert decode("op/config", None) is None
 
