--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_dispatch.py
@@ -145,6 +145,10 @@
         """Return whether the speed of a service's engines is modelled."""
         return self.settings.learns_speeds(service)
 
+    def may_spill(self, service: ServiceName) -> bool:
+        """Return whether calls of a service may be sent on to a second owner."""
+        return self.settings.may_spill(service)
+
     def speed_classes(self, service: ServiceName, now: float) -> SpeedClasses:
         """Return the classes by which a service's servers are ranked for parts.
 
