--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_spilling.py
@@ -92,7 +92,7 @@
         return False
     if refusal.is_late:
         return False
-    return dispatcher.settings.may_spill(demand.service)
+    return dispatcher.may_spill(demand.service)
 
 
 def refuses_early(
