Test what a sign of an end and an entry prove of a server's process

Nine places of `ServerProcess`, `Registry` and `Exchanger` could be broken, one at a time, with the tests of server processes, registry, stream versions and ended servers green: among them the bound on the age of a new entry, an end that a process outlived, and binding a stream again as its entry comes.

Change: tables for these, for the messages of `ServerEnds`, and `Peers` over loopback.

--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -323,6 +323,34 @@
             beliefs.on_change = peers.trigger_report
         fleet.run(test)
 
+    def test_a_router_learns_from_a_peer_that_a_server_ended(self):
+        """Guard against a router that trusts an entry although a peer saw the end."""
+        fleet = Fleet(["a", "b"])
+
+        async def test():
+            registries = [row[0].registry for row in fleet.nodes.values()]
+            for _, beliefs, _ in fleet.nodes.values():
+                items = [ReplicaItem("servers/s", 2, b"x")]
+                beliefs.apply_listing(items, 2, 60.0, "store")
+            await until(lambda: fleet.nodes["a"][0].routers == ["a", "b"])
+            now = anyio.current_time()
+            registries[0].note_ended(registries[0].get("s").instance, now)
+            await until(lambda: registries[1].get("s").process.has_ended(now))
+
+        fleet.run(test)
+
+    def test_a_list_is_as_old_as_the_last_answer_of_the_store(self):
+        """Guard against a start that no entry shows as the store doesn't answer."""
+        fleet = Fleet(["a"])
+        fleet.ages["a"] = (50.0, 60.0)
+
+        async def test():
+            registry = fleet.nodes["a"][0].registry
+            await until(lambda: registry._current_at > float("-inf"))
+            assert anyio.current_time() - registry._current_at >= 50.0
+
+        fleet.run(test)
+
     def test_a_silent_peer_is_logged_once(self, caplog):
         """When a router fails, its peers log a single line for operators. A router that
         is known only from other peers' reports and never sent one itself must not be
--- a/packages/fulmarroad-serving/tests/test_server_processes.py
+++ b/packages/fulmarroad-serving/tests/test_server_processes.py
@@ -9,6 +9,8 @@
 
 from fulmarroad.exceptions import MessageError
 from fulmarroad.testing import run_virtual
+from fulmarroad_serving import Instance
+from fulmarroad_serving._registry import Registry
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving._restarts import (
     BUFFERED_S,
@@ -20,6 +22,7 @@
 from fulmarroad_serving._server_ends import (
     MAX_NAME_CHARS,
     RELAYS,
+    REPEAT_AFTER_S,
     SMALL_FLEET,
     ServerEnd,
     ServerEnds,
@@ -240,3 +243,146 @@
     process.note_end(11.0, 11.0)
     assert process.has_ended(11.0 + SUSPECT_S - 0.1)
     assert not process.has_ended(11.0 + SUSPECT_S)
+
+
+class TestSigns:
+    """Tests of what a sign of an end tells, and for how long."""
+
+    def test_a_late_word_of_an_end_that_a_process_outlived_is_ignored(self):
+        process = ServerProcess(LISTED_AT, LISTED_AFTER)
+        process.note(Contact(9.5, 13.0), 13.0)
+        assert not process.note_end(11.0, 13.0)
+
+    def test_two_signs_count_from_the_first_to_the_last(self):
+        """Guard against trust in a process that started between two ends."""
+        process = ServerProcess(LISTED_AT, LISTED_AFTER)
+        process.note_end(11.0, 11.0)
+        process.note_end(12.0, 12.0)
+        assert process.may_be_replaced(Contact(11.5, 12.5))
+        assert process.has_ended(12.0 + SUSPECT_S - 0.1)
+
+    @pytest.mark.parametrize(
+        ("opened_at", "replaced"), [(10.85, False), (10.95, True), (11.0, True)]
+    )
+    def test_a_connection_from_about_an_end_may_lead_to_the_next(
+        self, opened_at, replaced
+    ):
+        process = ServerProcess(LISTED_AT, LISTED_AFTER)
+        process.note_end(11.0, 11.0)
+        assert process.may_be_replaced(Contact(opened_at, 11.5)) is replaced
+
+    @pytest.mark.parametrize(
+        ("delay_s", "wrote"), [(ENTRY_DELAY_S, False), (SUSPECT_S, True)]
+    )
+    def test_after_a_sign_a_later_start_has_longer_to_show(self, delay_s, wrote):
+        process = ServerProcess(LISTED_AT, LISTED_AFTER)
+        process.note_end(11.0, 11.0)
+        assert process.wrote(Contact(11.2, 16.0), 11.2 + delay_s) is wrote
+
+    @pytest.mark.parametrize(("age_s", "ended"), [(0.0, True), (SUSPECT_S, False)])
+    def test_a_message_counts_from_the_end_and_not_from_its_arrival(self, age_s, ended):
+        registry = make_dispatcher("a", engines=1).registry
+        ends = ServerEnds("a", registry, dict, lambda: 20.0)
+        ends.receive(unpack(pack_end(ServerEnd("drafting-0", 0, age_s))), "b")
+        assert registry.get("drafting-0").process.has_ended(20.1) is ended
+
+    def test_a_lost_message_is_told_again_with_the_time_since_the_end(self):
+        """Guard against a router that trusts an entry as one packet was lost."""
+        rows = []
+
+        async def run():
+            registry = make_dispatcher("a", engines=1).registry
+            hosts = {"a": "a", "b": "b"}
+            ends = ServerEnds("a", registry, lambda: hosts, anyio.current_time)
+            async with anyio.create_task_group() as group:
+                group.start_soon(
+                    ends.run, lambda data, host: rows.append(read_end(unpack(data)))
+                )
+                registry.note_ended(registry.get("drafting-0").instance, 0.0)
+                await anyio.sleep(1.0)
+                group.cancel_scope.cancel()
+
+        run_virtual(run)
+        assert [row.age_s for row in rows] == [0.0, REPEAT_AFTER_S]
+
+
+class TestEntries:
+    """Tests of what the registry knows of the process behind an entry."""
+
+    RUN = Instance("s", "drafting", "h", 1, "fes", 8, started_ms=2, version="v1")
+
+    def make_registry(self):
+        registry = Registry()
+        registry.note_current(9.6)
+        registry.put(self.RUN, 10.0)
+        return registry
+
+    @pytest.mark.parametrize(("opened_at", "proven"), [(9.5, True), (9.8, False)])
+    def test_an_entry_may_be_as_young_as_the_list_before_it(self, opened_at, proven):
+        """Guard against a connection to a process that started after the entry's end,
+        just before the entry was read.
+        """
+        writer = self.make_registry().writer_version(self.RUN, Contact(opened_at, 10.3))
+        assert writer.is_proven is proven
+
+    def test_a_list_does_not_become_older(self):
+        registry = self.make_registry()
+        registry.note_current(30.0)
+        registry.note_current(10.0)
+        assert registry.writer_version(self.RUN, Contact(20.0, 25.0)).is_proven
+
+    def test_a_dropped_entry_shows_no_later_start(self):
+        registry = self.make_registry()
+        registry.note_current(30.0)
+        registry.remove("s", 12.0)
+        assert not registry.writer_version(self.RUN, Contact(20.0, 25.0)).is_proven
+
+    def test_the_end_of_another_start_tells_nothing(self):
+        registry = self.make_registry()
+        assert not registry.note_end("s", 1, 11.0, 11.0)
+        assert not registry.get("s").process.has_ended(11.1)
+
+
+def test_a_lost_idle_connection_is_a_sign_of_an_end():
+    """Guard against trust in an entry of a server that ended without calls."""
+
+    async def test(fleet):
+        fleet.add_engine("e-0", "v1")
+        await anyio.sleep(0.4)
+        router = next(iter(fleet.routers.values()))
+        row = router.dispatcher.registry.get("e-0")
+        now = anyio.current_time()
+        router.pool.on_lost_idle(row.instance, Contact(now - 0.2, now - 0.1))
+        assert row.process.has_ended(now)
+
+    run_virtual(StreamFleet(size=4).run, test)
+
+
+@pytest.mark.parametrize("lost", ["server", "routers"])
+def test_a_stream_is_bound_again_as_the_entry_of_its_process_is_read(lost):
+    """Guard against streams that go on at the version before, as they began at a new
+    process while nobody had seen the end of the one before.
+    """
+
+    async def test(fleet):
+        fleet.add_engine("e-0", "v1")
+        fleet.add_engine("e-1", "v1")
+        await anyio.sleep(3.0)
+        fleet.crash("e-0")
+        fleet.start_again("e-0", "v2", 0.3)
+        for number in range(40):
+            fleet.begin(number)
+        await anyio.sleep(0.8)
+        if lost == "server":
+            fleet.crash("e-0")
+        else:
+            for name in sorted(fleet.routers)[:3]:
+                fleet.kill(name)
+        await anyio.sleep(9.0)
+        assert not fleet.mixed()
+        assert {row.makers.pop()[1] for row in fleet.callers if row.makers} == {
+            "v1",
+            "v2",
+        }
+
+    run_virtual(StreamFleet(size=4).run, test)
