Take up streams after a loss of all routers if the store proves their version

After a loss of all routers at once, callers of every stream were refused with `stream_unknown`, also where one software version had served all the time: a router has to have watched the list of servers for as long as a stream can be old, and nobody had.

The store numbers its changes. A router that has listed it knows every change since a revision if each later revision is that of a listed item or of an event of the history, which is read once where the listing has gaps. That tells which versions served if the revision is old enough: it is the store's first, or half of the servers' entries (two at least) have later revisions and were written, by their starts and numbers of heartbeats, before the oldest stream began. Up to three intervals for each heartbeat and ten seconds for clocks are allowed for. A gap, a discarded history, a removed entry or a replaced run whose former version isn't shown leaves all as before: refused at once.

Versions that the changes show go to the registry's former versions, and the watch of the list starts as early as is proved, so the decisions themselves stay as they are.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -10,7 +10,7 @@
 
 import logging
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 
@@ -18,7 +18,7 @@
 from fulmarroad.supervision import continue_on_error
 from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving._router_state import RouterState
-from fulmarroad_serving.contracts import StateStore
+from fulmarroad_serving.contracts import Listing, StateStore
 from fulmarroad_serving.exceptions import HistoryLostError, StoreError
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -58,6 +58,8 @@
         self._answered_at = float("-inf")
         self._failed_at = float("-inf")
         self._is_unreachable = False
+        self.on_listed: Callable[[Listing], Awaitable[None]] | None = None
+        """Called after a complete listing was applied."""
 
     def age_s(self) -> float:
         """Return the seconds since the store last answered this router."""
@@ -115,6 +117,8 @@
                 items=len(listing.items),
                 changed=changed,
             )
+            if self.on_listed is not None:
+                await self.on_listed(listing)
             return
         listing = await self._store.watch(self._router_state.replica.at, WATCH_S)
         self._note_answer()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -41,6 +41,7 @@
     warmup_left_s: float = 0.0
     started_ms: int = 0  # Unix time of this start; a restart may reuse the id
     version: str = ""  # of its software
+    beats: int | None = None  # heartbeats up to its entry's last change, if stated
 
 
 @define
@@ -259,6 +260,10 @@
         }
         return former | self._versions_of_servers(service)
 
+    def note_version(self, service: ServiceName, version: str, now: float) -> None:
+        """Record that a version has served, whose servers may have left since."""
+        self._former_versions[service, version] = now
+
     def _versions_of_servers(self, service: ServiceName) -> frozenset[str]:
         versions = self._live_versions.get(service)
         if versions is None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
@@ -193,6 +193,12 @@
         if self._since is not None and now - self._current_at > MAX_LIST_AGE_S:
             self._since = now
 
+    def extend(self, seconds: float, now: float) -> None:
+        """Record that every server of the last `seconds` is known from elsewhere."""
+        self._current_at = now
+        since = now - seconds
+        self._since = since if self._since is None else min(self._since, since)
+
     def seconds(self, now: float) -> float:
         """Return for how long there was no gap."""
         return now - self._since if self._since is not None else 0.0
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -20,6 +20,9 @@
 from fulmarroad_serving._registry import Instance
 from fulmarroad_serving._replica import ReplicaItem
 
+DEFAULT_HEARTBEAT_S = 1.2
+"""Interval of servers' heartbeats in seconds where the settings state none."""
+
 Header = tuple[bytes, bytes]
 Headers = list[Header]
 
@@ -187,3 +190,4 @@
     bounds: FleetBounds = field(factory=FleetBounds)
     placement: str = DEFAULT_PLACEMENT  # name of the placement strategy
     features: FeatureSettings = field(factory=FeatureSettings)
+    heartbeat_s: float = DEFAULT_HEARTBEAT_S  # interval at which servers register
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -36,8 +36,14 @@
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._shedding_log import SheddingLog
 from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
+from fulmarroad_serving._store_history import StoreHistory
 from fulmarroad_serving.bounded_log import BoundedLog
-from fulmarroad_serving.contracts import CallCodec, ServingSettings, StateStore
+from fulmarroad_serving.contracts import (
+    CallCodec,
+    Listing,
+    ServingSettings,
+    StateStore,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -131,6 +137,14 @@
             self._peers.streams, self._peers.list_age_s, clock
         )
         self._router_state.on_catalog = self._apply_catalog
+        self._history = StoreHistory(
+            store,
+            self._dispatcher.registry,
+            self._peers.streams.watch,
+            settings.heartbeat_s,
+            clock,
+        )
+        self._reader.on_listed = self._look_back
         forwarder = Forwarder(
             self._dispatcher,
             self._pool,
@@ -210,6 +224,9 @@
     def _reads_store(self) -> bool:
         return self._peers.reads_store()
 
+    async def _look_back(self, listing: Listing) -> None:
+        await self._history.look_back(listing, self._router_state.catalog)
+
     def _apply_catalog(self, catalog: Catalog) -> None:
         self._resumption.note_catalog(catalog)
         limits = catalog.limits
--- a/packages/fulmarroad-serving/tests/test_platform_facts.py
+++ b/packages/fulmarroad-serving/tests/test_platform_facts.py
@@ -151,6 +151,15 @@
         assert isinstance(fact, UnusableFact)
         assert fact.server == "i-1"
 
+    @pytest.mark.parametrize(
+        ("sequence", "beats"),
+        [(4, 4), (0, 0), (-1, None), (True, None), ("4", None), (4.5, None)],
+    )
+    def test_a_server_is_usable_whatever_its_count_of_heartbeats(self, sequence, beats):
+        """Guard against a server without calls, for a field that no call needs."""
+        fact = decode("servers/i-1", ENTRY | {"Sequence": sequence})
+        assert fact.instance.beats == beats
+
     @settings(derandomize=True, deadline=None, max_examples=300)
     @given(
         st.one_of(
--- a/packages/fulmarroad-serving/tests/test_platform_settings.py
+++ b/packages/fulmarroad-serving/tests/test_platform_settings.py
@@ -10,6 +10,7 @@
 Zone = "a"
 InternalPortRange = [7400, 7415]
 SeedNodes = ["10.1.0.33:8785", "10.2.0.18:8785"]
+HeartbeatIntervalMs = 1500
 [ListenAddresses]
 Frontend = "10.1.0.33:8783"
 Readiness = "10.1.0.33:8780"
@@ -45,6 +46,7 @@
         assert serving.seeds == ("10.1.0.33", "10.2.0.18")
         assert serving.bounds.retry_burst == 54
         assert serving.bounds.drain_timeout_s == 3.0
+        assert serving.heartbeat_s == 1.5
         assert (settings.store_host, settings.store_port) == ("10.200.1.7", 8781)
 
     @pytest.mark.parametrize(
