Name no owner for calls bound to a version while no router is known

In the second after a router's start, callers that took up streams got answers of 500: with no router known yet the table of owners is empty, and ServiceOwners.order looked up the owner of each server of the call's version (KeyError). Calls without a version were served.

Servers without an owner are left out, as they are for other calls, so that the router places the call by itself. The test failed before in both cases.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owners.py
@@ -176,7 +176,9 @@
         if not version:
             return list(self.by_server)
         return [
-            row.instance.id for row in self.servers if row.instance.version == version
+            row.instance.id
+            for row in self.servers
+            if row.instance.version == version and row.instance.id in self.by_server
         ]
 
 
--- a/packages/fulmarroad-serving/tests/test_owners.py
+++ b/packages/fulmarroad-serving/tests/test_owners.py
@@ -3,6 +3,9 @@
 import random
 from collections import Counter
 
+import pytest
+from attrs import evolve
+
 from fulmarroad_serving import Instance
 from fulmarroad_serving._owners import SERVERS_PER_OWNER, OwnerTable, assign_owners
 from fulmarroad_serving._registry import Registered
@@ -96,6 +99,16 @@
 
 
 class TestTable:
+    @pytest.mark.parametrize("part", ["", "part-1"])
+    def test_a_router_that_knows_no_router_names_no_owner(self, part):
+        """Guard against answers of 500 just after a start, to calls that are bound to
+        a software version.
+        """
+        instances = [evolve(row.instance, version="v1") for row in make_rows(6)]
+        rows = tuple(Registered(row, 0.0) for row in instances)
+        owners = OwnerTable(lambda service: rows).owners("drafting")
+        assert owners.order(part_id(part), random.Random(1), "v1") == ()
+
     def make(self, rows):
         table = OwnerTable(lambda service: rows[0])
         table.set_routers(make_routers(67))
