Refuse unnamed take-ups where another process than the entry's may answer

What callers saw: streams of two versions, taken up with Last-Event-Id and without Resumes. Cause: such a call is bound to no version, so the first process that answered was taken for the one that begins the stream, known or not.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -11,7 +11,7 @@
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving._demands import Ticket
 from fulmarroad_serving._dispatch import Dispatcher
-from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._registry import UNKNOWN_VERSION, Instance
 from fulmarroad_serving._rests import read_rest_s
 from fulmarroad_serving._served_call import ActiveCall, ServedCall
 from fulmarroad_serving._silence import MIN_WAIT_S, SilentCall, leave_at
@@ -301,6 +301,8 @@
         if writer.is_proven:
             run.proven = connection
         if begins and not run.demand.version:
+            if run.call.takes_up_stream and writer.version == UNKNOWN_VERSION:
+                raise BrokenAnswerError("Another version than the stream's may answer.")
             run.origin = connection
         is_other = writer.version != run.demand.version
         if run.origin is connection:
