Check the process of an answer that ends a stream without an event

What callers saw: a part of a stream that ended as whole, as a server of another version that went on with it had no event left. Cause: only events were checked.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -249,6 +249,8 @@
         if not run.responder.begun and not run.call.head.last_event_id:
             raise error_type("The stream ended before its first event.")
         await self._check_end(connection, instance)
+        if not ticket.begun:
+            self._check_version(run, connection, ticket, instance)
         ticket.complete = from_start
         if not run.responder.begun:
             # Its caller has every event and lacks only the end.
