Take a refused connection as a sign that a server's process ended

What callers saw: streams of two versions at a server that ended while no router had a connection to it, so that only refused ones showed it. Cause: only connections that broke counted.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_crash_detector.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_crash_detector.py
@@ -79,6 +79,7 @@
             del self._checks[start]
             check_done.set()
         if ended:
+            self._registry.note_ended(instance, checked_at)
             emit(
                 logger,
                 Event.SERVER_ENDED,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -18,6 +18,7 @@
 from fulmarroad_serving._suspect_records import crash_id
 from fulmarroad_serving.exceptions import (
     ConnectionBrokenError,
+    ConnectionRefusedByHostError,
     NotSentError,
     OtherInstanceError,
     SendError,
@@ -133,6 +134,8 @@
     def note_unreachable(self, instance: Instance, error: NotSentError) -> None:
         """Record a server to which no connection could be opened."""
         health, now = self._dispatcher.health(instance.id), self._clock()
+        if isinstance(error, ConnectionRefusedByHostError):
+            self._dispatcher.registry.note_ended(instance, now)
         if health.unreachable(now):
             emit(
                 logger,
