Relay the end of a server also where the relay noticed it itself

What callers saw: nothing yet; in fleets of more than 17 routers those without a call at a server that ended would not have learned of it. Cause: a relay passed on only what was news to it.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_server_ends.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_server_ends.py
@@ -22,6 +22,7 @@
 from fulmarroad.ownership import watchers
 from fulmarroad.types import RouterName, ServerName
 from fulmarroad_serving._registry import Instance, Registry
+from fulmarroad_serving._restarts import SUSPECT_S
 from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -96,6 +97,7 @@
         self._hosts = hosts
         self._clock = clock
         self._ended: list[tuple[Instance, float]] = []
+        self._relayed: dict[tuple[ServerName, int], float] = {}
         self._due = anyio.Event()
         self._send: Send = lambda data, host: None
         registry.on_ended = self._note_ended
@@ -114,7 +116,11 @@
         """Apply a message; raise `MessageError` if it is not valid."""
         end, now = read_end(row), self._clock()
         at = now - end.age_s
-        if not self._registry.note_end(end.server, end.started_ms, at, now):
+        is_new = self._registry.note_end(end.server, end.started_ms, at, now)
+        if end.relays and self._is_due(end, now):
+            told = ServerEnd(end.server, end.started_ms, end.age_s)
+            self._send_to(told, self._others())
+        if not is_new:
             return
         emit(
             logger,
@@ -124,9 +130,17 @@
             age_s=round(end.age_s, 3),
             source=host,
         )
-        if end.relays:
-            told = ServerEnd(end.server, end.started_ms, end.age_s)
-            self._send_to(told, self._others())
+
+    def _is_due(self, end: ServerEnd, now: float) -> bool:
+        """Return whether a relay tells an end, which it may have noticed itself."""
+        self._relayed = {
+            run: at for run, at in self._relayed.items() if now - at < SUSPECT_S
+        }
+        run = (end.server, end.started_ms)
+        if run in self._relayed:
+            return False
+        self._relayed[run] = now
+        return True
 
     def _note_ended(self, instance: Instance) -> None:
         self._ended.append((instance, self._clock()))
