Take an entry of an earlier start for no process that may answer

What callers saw: nothing yet; a store restored from an older copy shows the entry of the start before, and a connection to the process that runs counted as proof of that entry's version.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -127,6 +127,7 @@
         """Add or update an entry; return whether the server has (re)started."""
         row = self._rows.get(instance.id) or self._take_back(instance)
         is_new_run = row is None or row.instance.started_ms != instance.started_ms
+        is_outdated = row is not None and instance.started_ms < row.instance.started_ms
         if row is None:
             row = self._rows[instance.id] = Registered(instance, now)
         if is_new_run or instance.draining:
@@ -141,7 +142,11 @@
         row.lapses_at = None
         row.suspicion = None
         if is_new_run:
-            row.process = ServerProcess(now, self._current_at)
+            row.process = (
+                ServerProcess.of_outdated_entry(now)
+                if is_outdated
+                else ServerProcess(now, self._current_at)
+            )
             # The first listing after a router's restart shows servers that have cached
             # their prompt parts. Treated as new, each of them would fetch its parts
             # from other engines.
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_restarts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_restarts.py
@@ -67,6 +67,16 @@
     _heard: Contact | None = None
     _seemed_to_end: Contact | None = None  # from the first to the last such moment
 
+    @classmethod
+    def of_outdated_entry(cls, now: float) -> ServerProcess:
+        """Return the process of an entry older than one that was read before.
+
+        A store restored from an older copy shows it, until the server writes its own.
+        """
+        process = cls(now + SUSPECT_S)
+        process.note_end(now, now)
+        return process
+
     def note(self, contact: Contact, current_at: float) -> None:
         """Record that a process was heard; `current_at` is as in `wrote`."""
         if not self.wrote(contact, current_at):
