Let an outage of the store prove no entry from before it

What callers saw: nothing yet; a server that started again while the store was away was taken for the one of its entry as soon as the store returned, before it could write its own. After a gap of more than a second in the list, an entry proves nothing for four seconds. The test failed before and passes now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -10,6 +10,7 @@
 from fulmarroad_serving._catalog import Service, ServiceName
 from fulmarroad_serving._restarts import (
     NEVER,
+    SUSPECT_S,
     Contact,
     RestartSuspicion,
     ServerProcess,
@@ -29,6 +30,10 @@
 UNKNOWN_VERSION = "?"
 """Version of a server that ended and may have started again with another one."""
 
+MAX_LIST_GAP_S = 1.0
+"""Time in seconds between two confirmations of the list above which servers may have
+missed their turn to write their entries."""
+
 MAX_REMOVED_SERVERS = 512
 """Maximum number of removed servers remembered; fewer are removed in the time that a
 restore of the store takes."""
@@ -106,7 +111,9 @@
         self._live_versions: dict[ServiceName, frozenset[str]] = {}
         self._former_versions: dict[tuple[ServiceName, str], float] = {}
         """When a server of a service and version was last dropped."""
+        self._read_at = self._settles_at = NEVER
         self._current_at = NEVER
+        """Time up to which each start of a server would show in its entry."""
         self.on_ended: Callable[[Instance], None] = lambda instance: None
         """Called when a process seems to have ended, to tell the other routers."""
 
@@ -278,8 +285,15 @@
         return row.process.note_end(at, now)
 
     def note_current(self, at: float) -> None:
-        """Record the time up to which every change of the store was read."""
-        self._current_at = max(self._current_at, at)
+        """Record the time up to which every change of the store was read.
+
+        After a gap, servers that started in it have yet to write their entries.
+        """
+        if at > self._read_at + MAX_LIST_GAP_S > NEVER:
+            self._settles_at = at + SUSPECT_S
+        self._read_at = max(self._read_at, at)
+        if self._read_at >= self._settles_at:
+            self._current_at = self._read_at
 
     def writer_version(self, instance: Instance, contact: Contact) -> WriterVersion:
         """Return the version of the process that answers over a connection.
