Find out from engines' caches which version began a stream

After a loss of all routers nobody remembers where a stream began, and callers who take it up are refused. The last part of a prompt belongs to its request or to its session, and engines list the parts that they have cached with their tokens, what was written included. A stream is placed where one version alone holds its part with as many tokens as the caller has, if all engines have answered with whole lists of the run that their entry names, no engine of another version can have evicted the part, and no server of another version left since the stream can have begun. All else is refused as before. Streams that come together share the lists; a list is never used for a stream that came after it. Until which servers left is known (EngineEvidence takes that as a function), no engine is asked.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -42,7 +42,7 @@
 from fulmarroad_serving._fingerprints import fingerprint_of
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._metrics import Metrics
-from fulmarroad_serving._resumption import StreamResumption
+from fulmarroad_serving._resumption import StreamResumption, evidence_name
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
@@ -237,6 +237,7 @@
             service=take_up.origin.service if take_up.origin else "",
             server_version=take_up.origin.version if take_up.origin else "",
             found=finding.origin is not None,
+            evidence=evidence_name(take_up, finding),
             versions=sorted({row.version for row in finding.versions}),
             asked=finding.asked,
             answered=finding.answered,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
@@ -6,7 +6,8 @@
 So a stream goes on where it began. If nobody knows that, it goes on only if a single
 version has served for as long as the stream can be old, as seen by a router that has
 watched the servers for that time. Routers that were all lost at once have seen nothing:
-the version that serves now may have come, or the other one gone, just before.
+the version that serves now may have come, or the other one gone, just before. Then
+engines are asked what they have cached.
 """
 
 from __future__ import annotations
@@ -17,6 +18,8 @@
 
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving._catalog import Catalog, ServedRoute, ServiceName
+from fulmarroad_serving._engine_evidence import Evidence
+from fulmarroad_serving._engine_lists import EngineEvidence
 from fulmarroad_serving._served_call import ServedCall
 from fulmarroad_serving._stream_keepers import (
     MAX_LIST_AGE_S,
@@ -43,6 +46,7 @@
 
     origin: StreamOrigin | None = None
     refusal: RefusalReason | None = None
+    evidence: Evidence | None = None  # of engines, if they were asked
 
 
 @attrs.define
@@ -107,6 +111,19 @@
     return TakeUp()
 
 
+def evidence_name(take_up: TakeUp, finding: Finding) -> str:
+    """Return by what a stream was placed, or why engines couldn't tell; "" is nothing.
+
+    It is for log lines.
+    """
+    if take_up.evidence is not None:
+        doubt = take_up.evidence.doubt
+        return doubt.value if doubt is not None else "engines"
+    if finding.origin is not None:
+        return "record"
+    return "watched" if take_up.refusal is None else ""
+
+
 class StreamResumption:
     """Bind calls that take up a stream to where it began."""
 
@@ -115,7 +132,9 @@
         keepers: StreamKeepers,
         list_age_s: Callable[[], float],
         clock: Callable[[], float],
+        engines: EngineEvidence | None = None,
     ) -> None:
+        self._engines = engines
         self._keepers = keepers
         self._list_age_s = list_age_s
         self._clock = clock
@@ -139,7 +158,28 @@
         take_up = decide_take_up(
             finding, services, recent, list_is_current=current, life_s=life_s
         )
-        return take_up, finding
+        is_unknown = take_up.refusal is RefusalReason.STREAM_UNKNOWN
+        if not is_unknown or not current:
+            return take_up, finding
+        return await self._ask_engines(call, take_up, services, life_s), finding
+
+    async def _ask_engines(
+        self,
+        call: ServedCall,
+        unknown: TakeUp,
+        services: frozenset[ServiceName],
+        life_s: float,
+    ) -> TakeUp:
+        """Return where a stream goes on of which no router knows."""
+        if self._engines is None:
+            return unknown
+        evidence = await self._engines.find(call.head, life_s)
+        origin = evidence.origin
+        if origin is None:
+            return attrs.evolve(unknown, evidence=evidence)
+        if origin.service not in services:
+            return TakeUp(None, RefusalReason.STREAM_ORIGIN_GONE, evidence)
+        return TakeUp(origin, evidence=evidence)
 
     def note_begun(self, call: ServedCall, version: str, now: float) -> None:
         """Remember where a stream began, just before its first event is sent."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 from attrs import evolve, field, frozen
@@ -39,6 +39,8 @@
     own_tokens: int = 0
     output_tokens: int = 0
     length_hint: int = 0  # output tokens that the caller expects; 0: not stated
+    own_part: str = ""  # name of the last part, which is the call's or its session's
+    own_part_tokens: int = 0
     forward: tuple[Header, ...] = ()
 
     @property
@@ -170,6 +172,25 @@
         """Return the decoded item, or None for one that routers don't use."""
 
 
+@frozen
+class EngineMemory:
+    """Hold what a run of an engine has cached; complete, or it isn't returned."""
+
+    started_ms: int  # Unix time of this run's start
+    capacity_tokens: int
+    parts: Mapping[str, int]  # tokens by the name of a part
+
+
+class EngineMemories(Protocol):
+    """Ask engines what they have cached; raise `StoreError` for no usable answer."""
+
+    async def read(self, instance: Instance, timeout_s: float) -> EngineMemory:
+        """Return what one run has cached.
+
+        It is the run that the start names, if that start was known before this call.
+        """
+
+
 @frozen
 class ServingSettings:
     """Hold the settings with which one process starts."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -22,6 +22,7 @@
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._engine_lists import EngineEvidence, EngineLists, engines_of
 from fulmarroad_serving._fingerprints import Fingerprint
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._lateness import LoopLateness
@@ -37,7 +38,12 @@
 from fulmarroad_serving._shedding_log import SheddingLog
 from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
 from fulmarroad_serving.bounded_log import BoundedLog
-from fulmarroad_serving.contracts import CallCodec, ServingSettings, StateStore
+from fulmarroad_serving.contracts import (
+    CallCodec,
+    EngineMemories,
+    ServingSettings,
+    StateStore,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -80,6 +86,7 @@
         log: BoundedLog,
         read_seeds: Callable[[], tuple[str, ...]],
         clock: Callable[[], float] = boot_clock,
+        engines: EngineMemories | None = None,
     ) -> None:
         self._settings = settings
         self._log = log
@@ -127,8 +134,18 @@
         self._dispatcher.speeds.on_slow_change = self._metrics.note_slow_change
         self._dispatcher.suspects.on_barred = _log_barred
         self._dispatcher.suspects.on_cleared = _log_cleared
+        self._engine_lists = EngineLists(
+            engines,
+            lambda: engines_of(
+                self._router_state.catalog, self._dispatcher.registry.rows()
+            ),
+            clock,
+        )
         self._resumption = resumption = StreamResumption(
-            self._peers.streams, self._peers.list_age_s, clock
+            self._peers.streams,
+            self._peers.list_age_s,
+            clock,
+            EngineEvidence(self._engine_lists),
         )
         self._router_state.on_catalog = self._apply_catalog
         forwarder = Forwarder(
@@ -196,6 +213,7 @@
             ChildSpec("reader", self._reader.run),
             ChildSpec("copies", self._peers.serve),
             ChildSpec("callers", self._callers.run),
+            ChildSpec("lists", self._engine_lists.run),
             ChildSpec("ready", self._page_server(ready, settings.readiness_port).run),
             ChildSpec("status", self._page_server(status, settings.admin_port).run),
             ChildSpec("metrics", self._page_server(metrics, settings.metrics_port).run),
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -91,6 +91,8 @@
     OWNER_SILENT = EventKind(326, _W, "no answer from the owner of servers")
     OWNER_LOST = EventKind(327, _W, "calls of a lost owner are counted here")
     STREAM_RECORDS_DROPPED = EventKind(328, _W, "records of streams dropped early")
+    ENGINES_LISTED = EventKind(329, _I, "engines asked what they have cached")
+    ENGINE_LIST_FAILED = EventKind(330, _W, "no list of an engine's cache")
 
     # 400: backend servers and data centres
     WARMTH_CHANGED = EventKind(400, _I, "backend server changed warmth")
