Remember of which versions servers left, and ask engines only then

An engine that is gone can't say that it began a stream, while one of another version may hold the same prompt. So streams are placed by engines' caches only while the list of servers was followed for as long as the stream can be old, and no server of another version left or restarted meanwhile.

An engine counts as one that evicted nothing while it has room for four parts as large as the largest listed: half of the memory was too strict.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_evidence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_evidence.py
@@ -18,11 +18,10 @@
 from fulmarroad_serving._stream_records import StreamOrigin
 from fulmarroad_serving.contracts import CallHead, EngineMemory
 
-MAX_FILL = 0.5
-"""Fraction of an engine's memory in parts up to which it has evicted none.
-
-Parts yield only to make room, and stay until then, so an engine that evicted some is
-nearly full."""
+LARGEST_PARTS = 4
+"""Number of parts as large as the largest that is known, for which an engine that has
+evicted nothing has room. Parts yield only to make room, so an engine that evicted some
+has less room than the largest of them."""
 
 
 class Doubt(Enum):
@@ -99,7 +98,8 @@
         # An earlier, shorter request of the session, or one that was cut by evictions.
         return Evidence(doubt=Doubt.HELD_IN_PART)
     others = [memory for origin, memory in memories if origin not in holders]
-    if any(_may_have_evicted(memory) for memory in others):
+    largest = max(max(memory.parts.values(), default=0) for _, memory in memories)
+    if any(_may_have_evicted(memory, largest) for memory in others):
         return Evidence(doubt=Doubt.MAY_BE_EVICTED)
     if departed is None:
         return Evidence(doubt=Doubt.DEPARTURES_UNKNOWN)
@@ -108,5 +108,6 @@
     return Evidence(holders.pop())
 
 
-def _may_have_evicted(memory: EngineMemory) -> bool:
-    return sum(memory.parts.values()) > MAX_FILL * memory.capacity_tokens
+def _may_have_evicted(memory: EngineMemory, largest: int) -> bool:
+    room = memory.capacity_tokens - sum(memory.parts.values())
+    return room <= LARGEST_PARTS * largest
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_lists.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_lists.py
@@ -66,10 +66,6 @@
     done: anyio.Event = field(factory=anyio.Event)
 
 
-def departures_unknown(within_s: float) -> None:
-    """Return None: nobody knows which servers left."""
-
-
 def engines_of(catalog: Catalog, rows: Sequence[Registered]) -> list[Instance]:
     """Return all servers that may be engines, also of services that have gone."""
     plain = {name for name, row in catalog.services.items() if row.engine is None}
@@ -173,7 +169,7 @@
     """Find the version that began a stream in the caches of all engines."""
 
     _lists: EngineLists
-    _departures: Departures = departures_unknown
+    _departures: Departures
 
     async def find(self, head: CallHead, life_s: float) -> Evidence:
         """Return which version began a stream that is at most `life_s` seconds old."""
@@ -186,5 +182,5 @@
         if isinstance(replies, Doubt):
             return Evidence(doubt=replies)
         # Servers may have left while engines were asked.
-        departed = self._departures(life_s + MAX_HOLD_S)
+        departed = self._departures(life_s)
         return decide_by_engines(claim, replies, departed)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -14,6 +14,7 @@
 
 from fulmarroad.audit import AuditTrail, Subject
 from fulmarroad.events import Event, emit, error_fields
+from fulmarroad.types import ServerName
 from fulmarroad_serving._catalog import Catalog, CatalogIndex
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._pool import ConnectionPool
@@ -74,6 +75,8 @@
         self.on_change: Callable[[], None] = lambda: None
         self.on_copy: Callable[[], None] = lambda: None
         """Called before a listing, or what a peer's copy has more, is applied."""
+        self.on_entry: Callable[[Instance], None] = lambda instance: None
+        self.on_removed: Callable[[ServerName], None] = lambda server: None
 
     @property
     def catalog(self) -> Catalog:
@@ -257,6 +260,7 @@
         self.on_catalog(catalog)
 
     def _apply_instance(self, instance: Instance, revision: int, source: str) -> None:
+        self.on_entry(instance)
         now = self._clock()
         if self._dispatcher.registry.put(instance, now):
             self._dispatcher.restarted(instance.id)
@@ -277,6 +281,7 @@
     def _apply_removal(
         self, fact: InstanceRemovedFact, revision: int, failure_age_s: float
     ) -> None:
+        self.on_removed(fact.server)
         registry = self._dispatcher.registry
         if registry.remove(
             fact.server, self._clock(), store_failure_age_s=failure_age_s
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -21,6 +21,7 @@
 from fulmarroad_serving._baselines import placement_named
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._catalog import Catalog
+from fulmarroad_serving._departures import ServerDepartures
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._engine_lists import EngineEvidence, EngineLists, engines_of
 from fulmarroad_serving._fingerprints import Fingerprint
@@ -134,6 +135,11 @@
         self._dispatcher.speeds.on_slow_change = self._metrics.note_slow_change
         self._dispatcher.suspects.on_barred = _log_barred
         self._dispatcher.suspects.on_cleared = _log_cleared
+        departures = ServerDepartures(
+            lambda: self._peers.streams.watch.seconds(clock()), clock
+        )
+        self._router_state.on_entry = departures.note_entry
+        self._router_state.on_removed = departures.note_removed
         self._engine_lists = EngineLists(
             engines,
             lambda: engines_of(
@@ -145,7 +151,7 @@
             self._peers.streams,
             self._peers.list_age_s,
             clock,
-            EngineEvidence(self._engine_lists),
+            EngineEvidence(self._engine_lists, departures.within),
         )
         self._router_state.on_catalog = self._apply_catalog
         forwarder = Forwarder(
