Know servers that left before a start from the history alone

A watch that is extended by who doesn't tell which servers left would let a stream be placed although its server has gone. Not seen in a run: found by reading.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_departures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_departures.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from fulmarroad.types import ServerName
 from fulmarroad_serving._registry import LAPSE_GRACE_S, Instance
@@ -22,6 +22,7 @@
     ) -> None:
         self._watched_s = watched_s
         self._clock = clock
+        self._followed_since = clock()
         self._runs: dict[ServerName, Instance] = {}
         self._left: dict[StreamOrigin, float] = {}
 
@@ -41,12 +42,24 @@
         if run is not None:
             self._note_left(run)
 
+    def note_history(self, seconds: float, left: Iterable[StreamOrigin]) -> None:
+        """Record the versions of all runs that ended in the last seconds.
+
+        They are known from elsewhere, for the time before this router's start.
+        """
+        now = self._clock()
+        self._followed_since = min(self._followed_since, now - seconds)
+        for origin in left:
+            self._left[origin] = now
+
     def within(self, seconds: float) -> frozenset[StreamOrigin] | None:
         """Return the versions of runs that ended lately, None if that isn't known."""
-        if self._watched_s() < seconds:
+        now = self._clock()
+        # The watch may have been extended by who doesn't know which servers left.
+        if min(self._watched_s(), now - self._followed_since) < seconds:
             return None
         # Other routers may have used a server for some time after it was removed.
-        since = self._clock() - seconds - LAPSE_GRACE_S
+        since = now - seconds - LAPSE_GRACE_S
         return frozenset(origin for origin, at in self._left.items() if at >= since)
 
     def _note_left(self, run: Instance) -> None:
--- a/packages/fulmarroad-serving/tests/test_departures.py
+++ b/packages/fulmarroad-serving/tests/test_departures.py
@@ -18,6 +18,7 @@
         self.now = 100.0
         self.departures = ServerDepartures(lambda: self.now - 90.0, lambda: self.now)
         self.departures.note_entry(entry())
+        self.departures.note_history(20.0, ())
 
     def test_heartbeats_are_no_departures(self):
         self.departures.note_entry(entry())
@@ -41,5 +42,12 @@
         self.departures.note_entry(entry("v2", 7))
         assert self.departures.within(9.0) == {V1, V2}
 
+    def test_what_left_before_the_start_is_known_from_the_history_alone(self):
+        """Guard against an extended watch that is taken for one that saw who left."""
+        departures = ServerDepartures(lambda: 90.0, lambda: self.now)
+        assert departures.within(9.0) is None
+        departures.note_history(9.0, [V2])
+        assert departures.within(9.0) == {V2}
+
     def test_before_the_watch_began_it_is_not_known(self):
         assert self.departures.within(10.1) is None
