--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -21,7 +21,9 @@
 from fulmarroad_serving._baselines import placement_named
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._catalog import Catalog
+from fulmarroad_serving._departures import ServerDepartures
 from fulmarroad_serving._dispatch import Dispatcher
+from fulmarroad_serving._engine_lists import EngineEvidence, EngineLists, engines_of
 from fulmarroad_serving._fingerprints import Fingerprint
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._lateness import LoopLateness
@@ -40,6 +42,7 @@
 from fulmarroad_serving.bounded_log import BoundedLog
 from fulmarroad_serving.contracts import (
     CallCodec,
+    EngineMemories,
     Listing,
     ServingSettings,
     StateStore,
@@ -86,6 +89,7 @@
         log: BoundedLog,
         read_seeds: Callable[[], tuple[str, ...]],
         clock: Callable[[], float] = boot_clock,
+        engines: EngineMemories | None = None,
     ) -> None:
         self._settings = settings
         self._log = log
@@ -133,8 +137,23 @@
         self._dispatcher.speeds.on_slow_change = self._metrics.note_slow_change
         self._dispatcher.suspects.on_barred = _log_barred
         self._dispatcher.suspects.on_cleared = _log_cleared
+        departures = ServerDepartures(
+            lambda: self._peers.streams.watch.seconds(clock()), clock
+        )
+        self._router_state.on_entry = departures.note_entry
+        self._router_state.on_removed = departures.note_removed
+        self._engine_lists = EngineLists(
+            engines,
+            lambda: engines_of(
+                self._router_state.catalog, self._dispatcher.registry.rows()
+            ),
+            clock,
+        )
         self._resumption = resumption = StreamResumption(
-            self._peers.streams, self._peers.list_age_s, clock
+            self._peers.streams,
+            self._peers.list_age_s,
+            clock,
+            EngineEvidence(self._engine_lists, departures.within),
         )
         self._router_state.on_catalog = self._apply_catalog
         self._history = StoreHistory(
@@ -210,6 +229,7 @@
             ChildSpec("reader", self._reader.run),
             ChildSpec("copies", self._peers.serve),
             ChildSpec("callers", self._callers.run),
+            ChildSpec("lists", self._engine_lists.run),
             ChildSpec("ready", self._page_server(ready, settings.readiness_port).run),
             ChildSpec("status", self._page_server(status, settings.admin_port).run),
             ChildSpec("metrics", self._page_server(metrics, settings.metrics_port).run),
