Tell engines' evidence which servers left before a router's start

After a loss of all routers a stream of one of two versions is placed by engines' caches only where it is known of which versions servers left meanwhile; a router that has just started didn't know it. The store's history, where it is complete, shows it: the runs whose entries were removed or replaced. 300 random histories: each version that served in the last seconds and is no longer listed is among them.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_store_history.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_store_history.py
@@ -25,7 +25,7 @@
 from fulmarroad_serving._replica import ReplicaItem
 from fulmarroad_serving._resumption import RECORD_MARGIN_S
 from fulmarroad_serving._stream_keepers import ListWatch
-from fulmarroad_serving._stream_records import MAX_LIFE_S
+from fulmarroad_serving._stream_records import MAX_LIFE_S, StreamOrigin
 from fulmarroad_serving.contracts import (
     InstanceFact,
     InstanceRemovedFact,
@@ -146,6 +146,10 @@
         self._clock = clock
         self._unix_time = unix_time
         self._read_at = float("-inf")
+        self.on_departures: Callable[[float, Iterable[StreamOrigin]], None] = (
+            lambda seconds, left: None
+        )
+        """Called with all versions of which runs ended in the last seconds."""
 
     async def look_back(self, listing: Listing, catalog: Catalog) -> None:
         """Search a listing, and the history behind it if it isn't enough."""
@@ -167,6 +171,7 @@
         for service, version in versions:
             self._registry.note_version(service, version, now)
         self._watch.extend(base.watched_s, now)
+        self.on_departures(base.watched_s, self._departures(items))
         self._log(base, listing, watched_s=base.watched_s)
 
     def _now_ms(self) -> float:
@@ -217,6 +222,20 @@
                 raise StoreError(f"The entry of {item.key} before is unknown.")
         return versions
 
+    def _departures(self, items: Iterable[ReplicaItem]) -> set[StreamOrigin]:
+        """Return the versions of runs that complete changes show to have ended."""
+        runs: dict[str, Instance] = {}
+        left: set[StreamOrigin] = set()
+        for item in sorted(items, key=lambda row: row.revision):
+            fact = self._store.decode(item)
+            before = runs.pop(item.key, None)
+            run = fact.instance if isinstance(fact, InstanceFact) else None
+            if before is not None and (run is None or not _is_same_run(before, run)):
+                left.add(StreamOrigin(before.service, before.version))
+            if run is not None:
+                runs[item.key] = run
+        return left
+
     def _shows_former(self, base: HistoryBase, fact: object) -> bool:
         """Return whether a key's first change tells what was there before."""
         if isinstance(fact, InstanceRemovedFact):
@@ -247,5 +266,10 @@
         )
 
 
+def _is_same_run(before: Instance, run: Instance) -> bool:
+    names = (before.service, before.version, before.started_ms)
+    return names == (run.service, run.version, run.started_ms)
+
+
 def _revisions(items: Iterable[ReplicaItem]) -> Iterable[int]:
     return (revision_of(item.revision) for item in items)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -163,6 +163,7 @@
             settings.heartbeat_s,
             clock,
         )
+        self._history.on_departures = departures.note_history
         self._reader.on_listed = self._look_back
         forwarder = Forwarder(
             self._dispatcher,
--- a/packages/fulmarroad-serving/tests/test_store_history.py
+++ b/packages/fulmarroad-serving/tests/test_store_history.py
@@ -35,8 +35,12 @@
     return Instance(name, SERVICE, "h", 1, "fes", 8, version=version, **values)
 
 
-def look_back(store, unix_s=NOW_MS / 1000, catalog=CATALOG, times=1):
-    """Return for how long a router that has just started knows the servers."""
+def look_back(store, unix_s=NOW_MS / 1000, catalog=CATALOG, times=1, left=None):
+    """Return for how long a router that has just started knows the servers.
+
+    The versions of runs that ended are added to `left`.
+    """
+    left = set() if left is None else left
     watch, registry = ListWatch(), Registry()
 
     async def go():
@@ -52,6 +56,9 @@
             anyio.current_time,
             lambda: unix_s,
         )
+        history.on_departures = lambda seconds, rows: left.update(
+            row.version for row in rows
+        )
         for _ in range(times):
             await history.look_back(store.listing(), catalog)
         now = anyio.current_time()
@@ -60,6 +67,11 @@
     return run_virtual(go)
 
 
+def listed_versions(store):
+    facts = [item.data for item in store.listing().items]
+    return {row.instance.version for row in facts if isinstance(row, InstanceFact)}
+
+
 def long_served():
     """Return a store whose servers run for long and whose beginning is forgotten."""
     store = HistoryStore(revision=500)
@@ -207,9 +219,10 @@
         store.put_server(server("old", "v0", age_s=2.0))
         store.put_server(server("new", "v1", age_s=1.0))
         store.remove_server("old")
-        watched_s, known = look_back(store)
+        left = set()
+        watched_s, known = look_back(store, left=left)
         assert watched_s >= LIFE_S
-        assert known == {"v0", "v1"}
+        assert (known, left) == ({"v0", "v1"}, {"v0"})
 
     def test_a_failing_store_is_not_read_again_at_once(self):
         """Guard against a store that forgets all history and is read in a loop."""
@@ -236,10 +249,13 @@
             history.run()
             skew_s = history.random.uniform(-5.0, 5.0)
             unix_s = 1_000_000 + history.now + skew_s
-            watched_s, versions = look_back(history.store, unix_s)
+            left = set()
+            watched_s, versions = look_back(history.store, unix_s, left=left)
             if watched_s >= LIFE_S:
                 known += 1
-                assert history.recent(LIFE_S) <= versions, f"seed {seed}"
+                recent = history.recent(LIFE_S)
+                assert recent <= versions, f"seed {seed}"
+                assert recent - listed_versions(history.store) <= left, f"seed {seed}"
             assert history.store.reads <= 1
         assert known > SEEDS / 20
 
