Move what knows of streams into a sub-package with a thin face

What places streams that callers take up, and what finds evidence for it, moves as it is into fulmarroad_serving.streams; the rest of the package imports from its face only. No logic changes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -42,13 +42,13 @@
 from fulmarroad_serving._fingerprints import fingerprint_of
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._metrics import Metrics
-from fulmarroad_serving._resumption import StreamResumption, evidence_name
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
 from fulmarroad_serving._workspace_outcomes import LATE, ON_TIME, WorkspaceOutcomes
 from fulmarroad_serving.contracts import CallCodec, CallHead
 from fulmarroad_serving.decoding import MAX_CALL_TOKENS
+from fulmarroad_serving.streams import StreamResumption, evidence_name
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -33,14 +33,14 @@
 )
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._server_ends import ServerEnds, is_server_end
-from fulmarroad_serving._stream_keepers import (
+from fulmarroad_serving._timers import wait_at_most
+from fulmarroad_serving.engines._book import SpeedClass
+from fulmarroad_serving.streams import (
     KEEPER_SILENCE_S,
     Keeper,
     StreamKeepers,
     is_stream_message,
 )
-from fulmarroad_serving._timers import wait_at_most
-from fulmarroad_serving.engines._book import SpeedClass
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -21,9 +21,7 @@
 from fulmarroad_serving._baselines import placement_named
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._catalog import Catalog
-from fulmarroad_serving._departures import ServerDepartures
 from fulmarroad_serving._dispatch import Dispatcher
-from fulmarroad_serving._engine_lists import EngineEvidence, EngineLists, engines_of
 from fulmarroad_serving._fingerprints import Fingerprint
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._lateness import LoopLateness
@@ -33,12 +31,10 @@
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._positions import era_of, revision_of
 from fulmarroad_serving._reader import StoreReader
-from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._shedding_log import SheddingLog
 from fulmarroad_serving._status import PageApp, json_page, readiness_page, text_page
-from fulmarroad_serving._store_history import StoreHistory
 from fulmarroad_serving.bounded_log import BoundedLog
 from fulmarroad_serving.contracts import (
     CallCodec,
@@ -47,6 +43,14 @@
     ServingSettings,
     StateStore,
 )
+from fulmarroad_serving.streams import (
+    EngineEvidence,
+    EngineLists,
+    ServerDepartures,
+    StoreHistory,
+    StreamResumption,
+    engines_of,
+)
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_departures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_departures.py
@@ -11,7 +11,7 @@
 
 from fulmarroad.types import ServerName
 from fulmarroad_serving._registry import LAPSE_GRACE_S, Instance
-from fulmarroad_serving._stream_records import MAX_LIFE_S, StreamOrigin
+from fulmarroad_serving.streams._records import MAX_LIFE_S, StreamOrigin
 
 
 class ServerDepartures:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_evidence.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_engine_evidence.py
@@ -15,8 +15,8 @@
 
 from attrs import frozen
 
-from fulmarroad_serving._stream_records import StreamOrigin
 from fulmarroad_serving.contracts import CallHead, EngineMemory
+from fulmarroad_serving.streams._records import StreamOrigin
 
 LARGEST_PARTS = 4
 """Number of parts as large as the largest that is known, for which an engine that has
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_engine_lists.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_engine_lists.py
@@ -16,17 +16,17 @@
 
 from fulmarroad.events import Event, emit
 from fulmarroad_serving._catalog import Catalog
-from fulmarroad_serving._engine_evidence import (
+from fulmarroad_serving._registry import Instance, Registered
+from fulmarroad_serving.contracts import CallHead, EngineMemories, EngineMemory
+from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.streams._engine_evidence import (
     Doubt,
     EngineReply,
     Evidence,
     claim_of,
     decide_by_engines,
 )
-from fulmarroad_serving._registry import Instance, Registered
-from fulmarroad_serving._stream_records import StreamOrigin
-from fulmarroad_serving.contracts import CallHead, EngineMemories, EngineMemory
-from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.streams._records import StreamOrigin
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
@@ -22,7 +22,7 @@
 from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._catalog import ServiceName
-from fulmarroad_serving._stream_messages import (
+from fulmarroad_serving.streams._messages import (
     FINDING_FORMAT,
     LOOKUP_FORMAT,
     MAX_RECORDS_PER_PACKET,
@@ -37,7 +37,7 @@
     read_kept,
     read_lookup,
 )
-from fulmarroad_serving._stream_records import (
+from fulmarroad_serving.streams._records import (
     MAX_LIFE_S,
     StreamKey,
     StreamOrigin,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_stream_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_messages.py
@@ -15,13 +15,13 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import RouterName
 from fulmarroad_serving._catalog import ServiceName
-from fulmarroad_serving._stream_records import (
+from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
+from fulmarroad_serving.streams._records import (
     KEY_BYTES,
     MAX_LIFE_S,
     StreamKey,
     StreamOrigin,
 )
-from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 
 RECORDS_FORMAT = 6
 LOOKUP_FORMAT = 7
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -18,15 +18,15 @@
 
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving._catalog import Catalog, ServedRoute, ServiceName
-from fulmarroad_serving._engine_evidence import Evidence
-from fulmarroad_serving._engine_lists import EngineEvidence
 from fulmarroad_serving._served_call import ServedCall
-from fulmarroad_serving._stream_keepers import (
+from fulmarroad_serving.streams._engine_evidence import Evidence
+from fulmarroad_serving.streams._engine_lists import EngineEvidence
+from fulmarroad_serving.streams._keepers import (
     MAX_LIST_AGE_S,
     Finding,
     StreamKeepers,
 )
-from fulmarroad_serving._stream_records import (
+from fulmarroad_serving.streams._records import (
     MAX_LIFE_S,
     StreamOrigin,
     stream_key,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_store_history.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
@@ -23,9 +23,6 @@
 from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving._registry import Instance, Registry
 from fulmarroad_serving._replica import ReplicaItem
-from fulmarroad_serving._resumption import RECORD_MARGIN_S
-from fulmarroad_serving._stream_keepers import ListWatch
-from fulmarroad_serving._stream_records import MAX_LIFE_S, StreamOrigin
 from fulmarroad_serving.contracts import (
     InstanceFact,
     InstanceRemovedFact,
@@ -34,6 +31,9 @@
     UnusableFact,
 )
 from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.streams._keepers import ListWatch
+from fulmarroad_serving.streams._records import MAX_LIFE_S, StreamOrigin
+from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
 
 logger = logging.getLogger("fulmarroad.serving")
 
--- a/packages/fulmarroad-serving/tests/crash_fleet.py
+++ b/packages/fulmarroad-serving/tests/crash_fleet.py
@@ -27,8 +27,8 @@
 from fulmarroad_serving._owner_exchange import is_owner_message
 from fulmarroad_serving._reports import PeerReport, pack_report, read_report, unpack
 from fulmarroad_serving._server_ends import is_server_end
-from fulmarroad_serving._stream_keepers import is_stream_message
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
+from fulmarroad_serving.streams._keepers import is_stream_message
 
 REPORT_S = 0.15
 CRASH_S = 0.08
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -35,24 +35,24 @@
 from fulmarroad_serving._owners import OwnerTable
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reports import unpack
-from fulmarroad_serving._resumption import StreamResumption
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._server_ends import ServerEnds, is_server_end
-from fulmarroad_serving._stream_keepers import (
-    KEEPER_SILENCE_S,
-    Keeper,
-    ListWatch,
-    StreamKeepers,
-    is_stream_message,
-)
-from fulmarroad_serving._stream_records import MAX_LIFE_S
 from fulmarroad_serving.contracts import (
     CatalogFact,
     InstanceFact,
     InstanceRemovedFact,
 )
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
+from fulmarroad_serving.streams._keepers import (
+    KEEPER_SILENCE_S,
+    Keeper,
+    ListWatch,
+    StreamKeepers,
+    is_stream_message,
+)
+from fulmarroad_serving.streams._records import MAX_LIFE_S
+from fulmarroad_serving.streams._resumption import StreamResumption
 
 EVENTS = 20
 FIRST_S = 0.05
--- a/packages/fulmarroad-serving/tests/test_departures.py
+++ b/packages/fulmarroad-serving/tests/test_departures.py
@@ -1,8 +1,8 @@
 """Versions of which servers left or started again lately."""
 
 from fulmarroad_serving import Instance
-from fulmarroad_serving._departures import ServerDepartures
-from fulmarroad_serving._stream_records import StreamOrigin
+from fulmarroad_serving.streams._departures import ServerDepartures
+from fulmarroad_serving.streams._records import StreamOrigin
 
 V1, V2 = StreamOrigin("drafting", "v1"), StreamOrigin("drafting", "v2")
 
--- a/packages/fulmarroad-serving/tests/test_engine_evidence.py
+++ b/packages/fulmarroad-serving/tests/test_engine_evidence.py
@@ -6,15 +6,15 @@
 import pytest
 from attrs import evolve
 
-from fulmarroad_serving._engine_evidence import (
+from fulmarroad_serving.contracts import CallHead, EngineMemory
+from fulmarroad_serving.streams._engine_evidence import (
     Doubt,
     EngineReply,
     StreamClaim,
     claim_of,
     decide_by_engines,
 )
-from fulmarroad_serving._stream_records import StreamOrigin
-from fulmarroad_serving.contracts import CallHead, EngineMemory
+from fulmarroad_serving.streams._records import StreamOrigin
 
 SEEDS = range(int(os.environ.get("ENGINE_EVIDENCE_SEEDS", "2000")))
 """Worlds in CI; a long run by hand sets the variable to 50,000 or more."""
--- a/packages/fulmarroad-serving/tests/test_engine_lists.py
+++ b/packages/fulmarroad-serving/tests/test_engine_lists.py
@@ -8,8 +8,11 @@
 from fulmarroad.types import RefusalReason
 from fulmarroad_serving import Instance, ServedRoute, Target
 from fulmarroad_serving._catalog import CallKind
-from fulmarroad_serving._engine_evidence import Doubt, Evidence
-from fulmarroad_serving._engine_lists import (
+from fulmarroad_serving._served_call import ServedCall
+from fulmarroad_serving.contracts import CallHead, EngineMemory
+from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.streams._engine_evidence import Doubt, Evidence
+from fulmarroad_serving.streams._engine_lists import (
     ASK_FOR_S,
     MAX_ENGINES,
     MAX_HOLD_S,
@@ -17,12 +20,9 @@
     EngineEvidence,
     EngineLists,
 )
-from fulmarroad_serving._resumption import StreamResumption
-from fulmarroad_serving._served_call import ServedCall
-from fulmarroad_serving._stream_keepers import StreamKeepers
-from fulmarroad_serving._stream_records import StreamOrigin
-from fulmarroad_serving.contracts import CallHead, EngineMemory
-from fulmarroad_serving.exceptions import StoreError
+from fulmarroad_serving.streams._keepers import StreamKeepers
+from fulmarroad_serving.streams._records import StreamOrigin
+from fulmarroad_serving.streams._resumption import StreamResumption
 
 SERVICE = "drafting"
 LIFE_S = 9.0
--- a/packages/fulmarroad-serving/tests/test_stated_numbers.py
+++ b/packages/fulmarroad-serving/tests/test_stated_numbers.py
@@ -47,7 +47,11 @@
     unpack_report,
 )
 from fulmarroad_serving._shares import ShareBook, WorkspaceCount
-from fulmarroad_serving._stream_messages import (
+from fulmarroad_serving._suspect_rows import SuspectRow
+from fulmarroad_serving.contracts import CatalogFact, UnusableFact
+from fulmarroad_serving.decoding import MAX_CALL_TOKENS
+from fulmarroad_serving.engines._pace_messages import PaceReport, pack_pace, read_pace
+from fulmarroad_serving.streams._messages import (
     KeptStream,
     StreamFinding,
     StreamLookup,
@@ -58,11 +62,7 @@
     read_kept,
     read_lookup,
 )
-from fulmarroad_serving._stream_records import KEY_BYTES, StreamOrigin
-from fulmarroad_serving._suspect_rows import SuspectRow
-from fulmarroad_serving.contracts import CatalogFact, UnusableFact
-from fulmarroad_serving.decoding import MAX_CALL_TOKENS
-from fulmarroad_serving.engines._pace_messages import PaceReport, pack_pace, read_pace
+from fulmarroad_serving.streams._records import KEY_BYTES, StreamOrigin
 
 ENTRY = {
     "ServiceName": "drafting",
--- a/packages/fulmarroad-serving/tests/test_store_history.py
+++ b/packages/fulmarroad-serving/tests/test_store_history.py
@@ -12,9 +12,6 @@
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving import Instance, Registry
-from fulmarroad_serving._resumption import RECORD_MARGIN_S
-from fulmarroad_serving._store_history import StoreHistory
-from fulmarroad_serving._stream_keepers import ListWatch
 from fulmarroad_serving.bounded_log import BoundedLog
 from fulmarroad_serving.contracts import (
     CatalogFact,
@@ -22,6 +19,9 @@
     InstanceRemovedFact,
 )
 from fulmarroad_serving.node import ServingNode
+from fulmarroad_serving.streams._keepers import ListWatch
+from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
+from fulmarroad_serving.streams._store_history import StoreHistory
 
 LIFE_S = DEADLINE_S + RECORD_MARGIN_S
 NOW_MS = 1_000_000_000
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -19,21 +19,14 @@
     Placement,
     Refusal,
     Target,
-    _stream_keepers,
     digest_key,
 )
 from fulmarroad_serving._registry import VERSION_MEMORY_S
 from fulmarroad_serving._reports import unpack
-from fulmarroad_serving._resumption import (
-    RECORD_MARGIN_S,
-    RouteServices,
-    StreamResumption,
-    TakeUp,
-    decide_take_up,
-    decide_unnamed,
-)
 from fulmarroad_serving._served_call import ServedCall
-from fulmarroad_serving._stream_keepers import (
+from fulmarroad_serving.contracts import CallHead
+from fulmarroad_serving.streams import _keepers
+from fulmarroad_serving.streams._keepers import (
     MAX_LOOKUPS,
     SMALL_FLEET,
     Finding,
@@ -42,7 +35,7 @@
     StreamKeepers,
     _PendingLookup,
 )
-from fulmarroad_serving._stream_messages import (
+from fulmarroad_serving.streams._messages import (
     MAX_RECORDS_PER_PACKET,
     KeptStream,
     StreamFinding,
@@ -54,7 +47,7 @@
     read_kept,
     read_lookup,
 )
-from fulmarroad_serving._stream_records import (
+from fulmarroad_serving.streams._records import (
     KEY_BYTES,
     MAX_LIFE_S,
     MAX_RECORDS,
@@ -63,7 +56,14 @@
     StreamRecords,
     stream_key,
 )
-from fulmarroad_serving.contracts import CallHead
+from fulmarroad_serving.streams._resumption import (
+    RECORD_MARGIN_S,
+    RouteServices,
+    StreamResumption,
+    TakeUp,
+    decide_take_up,
+    decide_unnamed,
+)
 
 V1, V2 = StreamOrigin("drafting", "v1"), StreamOrigin("drafting", "v2")
 DRAFTING = frozenset({"drafting"})
@@ -413,7 +413,7 @@
 
     def test_a_router_that_ends_in_good_order_hands_its_records_over(self, monkeypatch):
         """Guard against records that are lost one by one as routers are replaced."""
-        monkeypatch.setattr(_stream_keepers, "SMALL_FLEET", 0)
+        monkeypatch.setattr(_keepers, "SMALL_FLEET", 0)
 
         async def test(fleet):
             for number in range(40):
