--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
@@ -11,17 +11,18 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import Any
 
 import anyio
 from attrs import define, field, frozen
 
 from fulmarroad.events import Event, emit
-from fulmarroad.ownership import watchers
 from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._catalog import ServiceName
+from fulmarroad_serving.streams._keeper_table import Keeper, KeeperTable
+from fulmarroad_serving.streams._list_watch import ListWatch
 from fulmarroad_serving.streams._messages import (
     FINDING_FORMAT,
     LOOKUP_FORMAT,
@@ -47,30 +48,9 @@
 
 logger = logging.getLogger("fulmarroad.serving")
 
-LOCAL_KEEPERS = 2
-"""Number of routers of the own data centre that keep a record."""
-
-OTHER_KEEPERS = 2
-"""Number of further routers, of any data centre, that keep a record."""
-
-SPARE_KEEPERS = 3
-"""Number of routers asked beyond those that were told, of each kind: routers that came
-or went since then have moved the others in the order."""
-
-SMALL_FLEET = 16
-"""Number of other routers up to which all of them keep each record: most of a small
-fleet may be lost at once, and reports go to all of them too."""
-
 KEEPER_SILENCE_S = 0.6
 """Silence after which a router is not told: four missed reports."""
 
-MAX_KNOWN_FACTOR = 2
-"""Number of routers that were ever known, relative to the live ones, above which those
-that are gone are forgotten."""
-
-KEY_GROUPS = 256
-"""Number of groups of keys, each with its own order of routers."""
-
 FLUSH_INTERVAL_S = 0.01
 """Time for which records are collected into one packet: less than the time between two
 events of a stream."""
@@ -82,9 +62,6 @@
 LOOKUP_ATTEMPTS = 2
 """Number of times that a lookup is sent to routers that don't answer."""
 
-MAX_LIST_AGE_S = 3.0
-"""Age in seconds of the list of servers from which on an unknown version may serve."""
-
 MAX_LOOKUPS = 500
 """Maximum number of lookups at once, several times the streams of a lost router; each
 costs some ten packets, and a caller may name any call."""
@@ -93,117 +70,6 @@
 """Send a packet to a host."""
 
 
-@frozen
-class Keeper:
-    """Name one start of a router, which remembers nothing of an earlier start."""
-
-    router: RouterName
-    data_centre: DataCentreName
-    incarnation: int
-    heard_lately: bool = True  # else it may be lost, or be cut off
-
-
-@define
-class KeeperTable:
-    """Choose the routers that keep a stream's record; the same order everywhere.
-
-    The order of a group of keys covers all routers that were ever known, so that the
-    loss or return of one, which is frequent, needs no new order.
-    """
-
-    _me: RouterName
-    _centre: DataCentreName
-    _routers: dict[RouterName, Keeper] = field(factory=dict)
-    _known: set[RouterName] = field(factory=set)
-    _orders: dict[int, tuple[RouterName, ...]] = field(factory=dict)
-
-    def set_routers(self, routers: Iterable[Keeper]) -> bool:
-        """Replace the live routers and return whether they changed."""
-        others = {row.router: row for row in routers if row.router != self._me}
-        if others == self._routers:
-            return False
-        self._routers = others
-        if not others.keys() <= self._known:
-            self._known |= others.keys()
-            self._orders.clear()
-        elif len(self._known) > MAX_KNOWN_FACTOR * len(others) + SMALL_FLEET:
-            self._known = set(others)
-            self._orders.clear()
-        return True
-
-    def told(self, key: StreamKey) -> tuple[Keeper, ...]:
-        """Return the routers that keep a record of a stream that began here."""
-        heard = (row for row in self._in_order(key) if row.heard_lately)
-        return self._choose(heard, LOCAL_KEEPERS, OTHER_KEEPERS)
-
-    def asked(self, key: StreamKey) -> tuple[RouterName, ...]:
-        """Return the routers that may have the record of a stream, from anywhere."""
-        # Routers of another data centre skipped their own first ones there.
-        local, others = LOCAL_KEEPERS + SPARE_KEEPERS, OTHER_KEEPERS + SPARE_KEEPERS
-        chosen = self._choose(self._in_order(key), local, others)
-        return tuple(row.router for row in chosen)
-
-    def _in_order(self, key: StreamKey) -> Iterator[Keeper]:
-        group = key[0] % KEY_GROUPS
-        order = self._orders.get(group)
-        if order is None:
-            names = self._known
-            order = watchers(names, len(names), f"streams\0{group}")
-            self._orders[group] = order
-        return (self._routers[name] for name in order if name in self._routers)
-
-    def _choose(
-        self, ordered: Iterator[Keeper], local: int, others: int
-    ) -> tuple[Keeper, ...]:
-        """Return the first routers of the own data centre, and the first others."""
-        if len(self._routers) <= SMALL_FLEET:
-            return tuple(ordered)
-        near: list[Keeper] = []
-        rest: list[Keeper] = []
-        for keeper in ordered:
-            if keeper.data_centre == self._centre and len(near) < local:
-                near.append(keeper)
-            elif len(rest) < others:
-                rest.append(keeper)
-            if len(near) == local and len(rest) == others:
-                break
-        return (*near, *rest)
-
-
-@define
-class ListWatch:
-    """Track since when this router has seen every server come and go."""
-
-    _since: float | None = None
-    _current_at: float = float("-inf")
-
-    def note_age(self, list_age_s: float, now: float) -> None:
-        """Record the age of the list of servers."""
-        if list_age_s > MAX_LIST_AGE_S:
-            return
-        self._current_at = now
-        if self._since is None:
-            self._since = now
-
-    def note_copy(self, now: float) -> None:
-        """Record that the list was replaced by a copy without the changes between.
-
-        A version that served meanwhile may be in neither of them.
-        """
-        if self._since is not None and now - self._current_at > MAX_LIST_AGE_S:
-            self._since = now
-
-    def extend(self, seconds: float, now: float) -> None:
-        """Record that every server of the last `seconds` is known from elsewhere."""
-        self._current_at = now
-        since = now - seconds
-        self._since = since if self._since is None else min(self._since, since)
-
-    def seconds(self, now: float) -> float:
-        """Return for how long there was no gap."""
-        return now - self._since if self._since is not None else 0.0
-
-
 @frozen
 class Finding:
     """Hold what is known of a stream that a caller takes up."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -21,11 +21,8 @@
 from fulmarroad_serving._served_call import ServedCall
 from fulmarroad_serving.streams._engine_evidence import Evidence
 from fulmarroad_serving.streams._engine_lists import EngineEvidence
-from fulmarroad_serving.streams._keepers import (
-    MAX_LIST_AGE_S,
-    Finding,
-    StreamKeepers,
-)
+from fulmarroad_serving.streams._keepers import Finding, StreamKeepers
+from fulmarroad_serving.streams._list_watch import MAX_LIST_AGE_S
 from fulmarroad_serving.streams._records import (
     MAX_LIFE_S,
     StreamOrigin,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
@@ -31,7 +31,7 @@
     UnusableFact,
 )
 from fulmarroad_serving.exceptions import StoreError
-from fulmarroad_serving.streams._keepers import ListWatch
+from fulmarroad_serving.streams._list_watch import ListWatch
 from fulmarroad_serving.streams._records import MAX_LIFE_S, StreamOrigin
 from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
 
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -44,10 +44,9 @@
     InstanceRemovedFact,
 )
 from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
+from fulmarroad_serving.streams import Keeper, ListWatch
 from fulmarroad_serving.streams._keepers import (
     KEEPER_SILENCE_S,
-    Keeper,
-    ListWatch,
     StreamKeepers,
     is_stream_message,
 )
--- a/packages/fulmarroad-serving/tests/test_lost_fleets.py
+++ b/packages/fulmarroad-serving/tests/test_lost_fleets.py
@@ -10,7 +10,7 @@
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving.contracts import InstanceRemovedFact
-from fulmarroad_serving.streams._keepers import MAX_LIST_AGE_S, ListWatch
+from fulmarroad_serving.streams._list_watch import MAX_LIST_AGE_S, ListWatch
 from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
 
 STREAMS = 24
--- a/packages/fulmarroad-serving/tests/test_store_history.py
+++ b/packages/fulmarroad-serving/tests/test_store_history.py
@@ -19,7 +19,7 @@
     InstanceRemovedFact,
 )
 from fulmarroad_serving.node import ServingNode
-from fulmarroad_serving.streams._keepers import ListWatch
+from fulmarroad_serving.streams._list_watch import ListWatch
 from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
 from fulmarroad_serving.streams._store_history import StoreHistory
 
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -25,13 +25,11 @@
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving._served_call import ServedCall
 from fulmarroad_serving.contracts import CallHead
-from fulmarroad_serving.streams import _keepers
+from fulmarroad_serving.streams import _keeper_table
+from fulmarroad_serving.streams._keeper_table import SMALL_FLEET, Keeper, KeeperTable
 from fulmarroad_serving.streams._keepers import (
     MAX_LOOKUPS,
-    SMALL_FLEET,
     Finding,
-    Keeper,
-    KeeperTable,
     StreamKeepers,
     _PendingLookup,
 )
@@ -413,7 +411,7 @@
 
     def test_a_router_that_ends_in_good_order_hands_its_records_over(self, monkeypatch):
         """Guard against records that are lost one by one as routers are replaced."""
-        monkeypatch.setattr(_keepers, "SMALL_FLEET", 0)
+        monkeypatch.setattr(_keeper_table, "SMALL_FLEET", 0)
 
         async def test(fleet):
             for number in range(40):
--- a/packages/fulmarroad-serving/tests/test_stream_series.py
+++ b/packages/fulmarroad-serving/tests/test_stream_series.py
@@ -8,7 +8,7 @@
 from stream_fleet import StreamFleet, split_catalog
 
 from fulmarroad.testing import run_virtual
-from fulmarroad_serving.streams import _keepers
+from fulmarroad_serving.streams import _keeper_table
 
 SEEDS = sorted({*range(int(os.environ.get("STREAM_SERIES_SEEDS", "4"))), 148})
 """A few in CI; a long run by hand sets the variable to 50 or more."""
@@ -140,6 +140,6 @@
 
         if seed % 2:
             # As in a large fleet, a few routers keep each record.
-            monkeypatch.setattr(_keepers, "SMALL_FLEET", 0)
+            monkeypatch.setattr(_keeper_table, "SMALL_FLEET", 0)
         fleet = StreamFleet(size=8, seed=seed, loss=0.03)
         run_virtual(fleet.run, test)
