Tell by how old a list of servers a stream was placed

Callers got streams joined from two versions at one router. Its lines 513 said which versions it knew, not how old its list was, so a router out of step looked like one in step. Lines 513 and 514 now tell the age of the list and the store's revision up to which it is complete. No change of logic.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -42,6 +42,7 @@
 from fulmarroad_serving._fingerprints import fingerprint_of
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._metrics import Metrics
+from fulmarroad_serving._positions import revision_of
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._saturation import SaturationGuard
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
@@ -242,6 +243,8 @@
             asked=finding.asked,
             answered=finding.answered,
             watched_s=round(finding.watched_s, 1),
+            list_age_s=round(min(resumption.list_age_s(), 1e6), 2),
+            store_at=revision_of(self._router_state.replica.at),
             seconds=round(self._clock() - started, 4),
             reason=reason,
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -141,6 +141,10 @@
         """Apply another version of the configuration."""
         self._routes.note_catalog(catalog, self._clock())
 
+    def list_age_s(self) -> float:
+        """Return the age in seconds of the list of servers that decides now."""
+        return self._list_age_s()
+
     async def find(self, call: ServedCall) -> tuple[TakeUp, Finding]:
         """Return where the stream of a call goes on that takes one up."""
         services = services_of(call.route)
