--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -167,6 +167,9 @@
     RefusalReason.STREAM_UNKNOWN: (
         "Where this stream began is not known here. Send it anew."
     ),
+    RefusalReason.STREAM_UNCONFIRMED: (
+        "This router is cut off and can't tell where this stream began. Try another."
+    ),
     RefusalReason.CANNOT_FINISH: (
         "The answer can't end before the deadline. Allow more time or fewer tokens."
     ),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -243,6 +243,7 @@
             asked=finding.asked,
             answered=finding.answered,
             watched_s=round(finding.watched_s, 1),
+            confirmed_by=finding.confirmation.value,
             list_age_s=round(min(resumption.list_age_s(), 1e6), 2),
             store_at=revision_of(self._router_state.replica.at),
             seconds=round(self._clock() - started, 4),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -22,7 +22,7 @@
 from fulmarroad_serving._owner_client import OwnerClient
 from fulmarroad_serving._owner_exchange import OwnerExchange, Send, is_owner_message
 from fulmarroad_serving._owners import OwnerTable
-from fulmarroad_serving._positions import era_of
+from fulmarroad_serving._positions import Position, era_of
 from fulmarroad_serving._replica_sync import ReplicaSync
 from fulmarroad_serving._reports import (
     PeerBook,
@@ -37,6 +37,7 @@
 from fulmarroad_serving.engines._book import SpeedClass
 from fulmarroad_serving.streams import (
     KEEPER_SILENCE_S,
+    Confirm,
     Keeper,
     StreamKeepers,
     is_stream_message,
@@ -131,9 +132,12 @@
             lambda service: dispatcher.registry.versions(service, clock()),
             self.book.hosts,
             clock,
-            self.list_age_s,
+            lambda: beliefs.replica.at,
+            self._in_contact,
         )
-        beliefs.on_copy = self.streams.note_copy
+        beliefs.on_copy = self._note_copy
+        self.confirm_list: Confirm = _cannot_confirm
+        """Confirm this router's list of servers by the store."""
         registry = dispatcher.registry
         self._server_ends = ServerEnds(me, registry, self.book.hosts, clock)
         self._replica_sync = ReplicaSync(host, port, beliefs, self.book, source, clock)
@@ -211,6 +215,7 @@
                 group.start_soon(self._send_reports, packets)
                 group.start_soon(self._owner_exchange.run, self._sender(packets))
                 group.start_soon(self.streams.run, self._sender(packets))
+                group.start_soon(self.streams.confirm_for_others, self._confirm_list)
                 group.start_soon(self._server_ends.run, self._sender(packets))
                 group.start_soon(self._replica_sync.pull_changes)
                 group.start_soon(self._expire_periodically)
@@ -376,6 +381,28 @@
             if not peer.leaving
         ]
 
+    def _note_copy(self, at: Position, hides_changes: bool) -> None:
+        now = self._clock()
+        self.streams.watch.note_copy(at, now, hides_changes=hides_changes)
+
+    async def _confirm_list(self, timeout_s: float) -> bool:
+        return await self.confirm_list(timeout_s)
+
+    def _in_contact(self) -> list[RouterName]:
+        """Return the peers that the store answered lately, the latest first."""
+        ages = {
+            peer.router: peer.store_age_s + peer.age_s
+            for peer in self.book.members(self._clock())
+            if peer.store_age_s >= 0 and not peer.leaving
+        }
+        return sorted(ages, key=lambda router: ages[router])
+
+    def store_failure_age_s(self) -> float:
+        """Return the seconds since the store last failed for any router."""
+        members = self.book.members(self._clock())
+        ages = (peer.store_failure_age_s + peer.age_s for peer in members)
+        return min(self._store_ages()[1], *ages, float("inf"))
+
     def list_age_s(self) -> float:
         """Return the age of this router's list of servers, in seconds.
 
@@ -423,5 +450,9 @@
         return set(alive)
 
 
+async def _cannot_confirm(timeout_s: float) -> bool:
+    return False
+
+
 def _log_receive_error(error: OSError) -> None:
     emit(logger, Event.REPORT_REJECTED, cause=repr(error))
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
@@ -12,7 +12,7 @@
 
 from attrs import frozen
 
-from fulmarroad_serving._positions import Position
+from fulmarroad_serving._positions import Position, era_of
 
 MAX_KEPT_DELETIONS = 512
 """Deletions kept for peers; a peer that misses an older one gets the whole copy."""
@@ -57,6 +57,27 @@
         """Return whether a complete listing was ever received."""
         return self.at > 0
 
+    def hides_changes(
+        self, items: Iterable[ReplicaItem], at: Position, *, is_snapshot: bool
+    ) -> bool:
+        """Return whether a copy up to `at` may lack changes since this copy's position.
+
+        Every change takes one revision. An item that came and went meanwhile, or that
+        changed twice, takes one that the copy doesn't show.
+        """
+        if at <= self.at:
+            return False
+        if not self.known or era_of(at) != era_of(self.at):
+            return True
+        rows = {item.key: item for item in items}
+        shown = {row.revision for row in rows.values() if self.at < row.revision <= at}
+        deleted = sum(
+            row.data is not None and row.revision <= at and key not in rows
+            for key, row in self._items.items()
+            if is_snapshot
+        )
+        return len(shown) + deleted < at - self.at
+
     def merge(
         self, items: Iterable[ReplicaItem], at: Position = 0
     ) -> tuple[ReplicaItem, ...]:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -73,8 +73,12 @@
         self.index: CatalogIndex | None = None
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
         self.on_change: Callable[[], None] = lambda: None
-        self.on_copy: Callable[[], None] = lambda: None
-        """Called before a listing, or what a peer's copy has more, is applied."""
+        self.on_copy: Callable[[Position, bool], None] = lambda at, hides: None
+        """Called before a listing, or what a peer's copy has more, is applied.
+
+        It gets the position up to which that is complete, and whether changes of the
+        time between may be missing.
+        """
         self.on_entry: Callable[[Instance], None] = lambda instance: None
         self.on_removed: Callable[[ServerName], None] = lambda server: None
 
@@ -91,7 +95,9 @@
         source: str,
     ) -> int:
         """Apply a full listing of the store and return the number of changed items."""
-        self.on_copy()
+        items = tuple(items)
+        hides = self.replica.hides_changes(items, at, is_snapshot=True)
+        self.on_copy(at, hides)
         before = self.replica.at
         changed = self.replica.replace(items, at)
         self._apply(before, changed, failure_age_s, source)
@@ -112,7 +118,11 @@
         self, delta: ReplicaDelta, failure_age_s: float, source: str
     ) -> None:
         """Apply a delta from a peer."""
-        self.on_copy()
+        if delta.at:
+            hides = self.replica.hides_changes(
+                delta.items, delta.at, is_snapshot=delta.is_snapshot
+            )
+            self.on_copy(delta.at, hides)
         before = self.replica.at
         self._apply(before, self.replica.apply_delta(delta), failure_age_s, source)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_waits.py
@@ -81,7 +81,13 @@
 
 
 def refuse_stream(reason: RefusalReason, source: random.Random) -> Refusal:
-    """Refuse to go on with a stream, for a reason that stays for some time."""
+    """Refuse to go on with a stream.
+
+    A router that couldn't confirm its list of servers may be the only one; the other
+    reasons stay for some time.
+    """
+    if reason is RefusalReason.STREAM_UNCONFIRMED:
+        return Refusal(reason, source.uniform(*RETRY_AFTER_S))
     return Refusal(reason, source.uniform(*BROKEN_STREAM_RETRY_AFTER_S))
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -171,6 +171,13 @@
         because it was restored from an older copy.
         """
 
+    async def read_changes(self, at: Position, timeout_s: float) -> Listing:
+        """Return the changes after a position that were made before this call.
+
+        Later ones may be among them. It doesn't wait for a call of `watch`. Raise
+        `HistoryLostError` as `watch` does.
+        """
+
     def decode(self, item: ReplicaItem) -> Fact | None:
         """Return the decoded item, or None for one that routers don't use."""
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -46,6 +46,7 @@
 from fulmarroad_serving.streams import (
     EngineEvidence,
     EngineLists,
+    ListConfirmation,
     ServerDepartures,
     StoreHistory,
     StreamResumption,
@@ -134,6 +135,14 @@
             clock,
         )
         self._peers.seeds = settings.seeds
+        self._confirmation = ListConfirmation(
+            store,
+            self._router_state,
+            lambda: len(self._dispatcher.routers),
+            self._peers.store_failure_age_s,
+            clock,
+        )
+        self._peers.confirm_list = self._confirmation.confirm
         self._router_state.on_change = self._peers.trigger_report
         self._dispatcher.on_large_prompt = self._peers.trigger_load_report
         self._dispatcher.suspects.on_change = self._peers.trigger_report
@@ -155,9 +164,10 @@
         )
         self._resumption = resumption = StreamResumption(
             self._peers.streams,
-            self._peers.list_age_s,
+            self._confirmation.confirm,
             clock,
             EngineEvidence(self._engine_lists, departures.within),
+            self._peers.list_age_s,
         )
         self._router_state.on_catalog = self._apply_catalog
         self._history = StoreHistory(
@@ -235,6 +245,7 @@
             ChildSpec("copies", self._peers.serve),
             ChildSpec("callers", self._callers.run),
             ChildSpec("lists", self._engine_lists.run),
+            ChildSpec("confirmation", self._confirmation.run),
             ChildSpec("ready", self._page_server(ready, settings.readiness_port).run),
             ChildSpec("status", self._page_server(status, settings.admin_port).run),
             ChildSpec("metrics", self._page_server(metrics, settings.metrics_port).run),
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
@@ -75,6 +75,10 @@
             self._orders.clear()
         return True
 
+    def known(self) -> frozenset[RouterName]:
+        """Return the other routers that were ever live, as far as they are known."""
+        return frozenset(self._known)
+
     def told(self, key: StreamKey) -> tuple[Keeper, ...]:
         """Return the routers that keep a record of a stream that began here."""
         heard = (row for row in self._in_order(key) if row.heard_lately)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
@@ -11,18 +11,28 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping, Sequence
 from typing import Any
 
 import anyio
-from attrs import define, field, frozen
 
 from fulmarroad.events import Event, emit
 from fulmarroad.supervision import continue_on_error
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._catalog import ServiceName
-from fulmarroad_serving.streams._keeper_table import Keeper, KeeperTable
+from fulmarroad_serving._positions import Position
+from fulmarroad_serving.streams._keeper_table import (
+    SMALL_FLEET,
+    Keeper,
+    KeeperTable,
+)
 from fulmarroad_serving.streams._list_watch import ListWatch
+from fulmarroad_serving.streams._lookups import (
+    LOOKUP_TIMEOUT_S,
+    MAX_LOOKUPS,
+    Answers,
+    StreamLookups,
+)
 from fulmarroad_serving.streams._messages import (
     FINDING_FORMAT,
     LOOKUP_FORMAT,
@@ -33,7 +43,6 @@
     StreamLookup,
     pack_finding,
     pack_kept,
-    pack_lookup,
     read_finding,
     read_kept,
     read_lookup,
@@ -45,6 +54,7 @@
     StreamRecord,
     StreamRecords,
 )
+from fulmarroad_serving.streams._views import Confirmation, VersionView
 
 logger = logging.getLogger("fulmarroad.serving")
 
@@ -55,57 +65,11 @@
 """Time for which records are collected into one packet: less than the time between two
 events of a stream."""
 
-LOOKUP_TIMEOUT_S = 0.1
-"""Time for the answers to a lookup: a round trip between regions and a busy event
-loop."""
-
-LOOKUP_ATTEMPTS = 2
-"""Number of times that a lookup is sent to routers that don't answer."""
-
-MAX_LOOKUPS = 500
-"""Maximum number of lookups at once, several times the streams of a lost router; each
-costs some ten packets, and a caller may name any call."""
-
 Send = Callable[[bytes, str], None]
 """Send a packet to a host."""
 
-
-@frozen
-class Finding:
-    """Hold what is known of a stream that a caller takes up."""
-
-    origin: StreamOrigin | None
-    versions: frozenset[StreamOrigin]  # that routers know in the services concerned
-    asked: int = 0
-    answered: int = 0
-    watched_s: float = 0.0  # for how long one of them has known all versions
-
-
-@define
-class _PendingLookup:
-    key: StreamKey
-    waiting: set[RouterName]
-    enough_s: float = float("inf")  # a router that has watched for so long is enough
-    origin: StreamOrigin | None = None
-    versions: set[StreamOrigin] = field(factory=set)
-    watched_s: float = 0.0
-    done: anyio.Event = field(factory=anyio.Event)
-
-    def note(self, finding: StreamFinding) -> None:
-        if finding.key != self.key:
-            # It answers a lookup of an earlier start of this router.
-            return
-        self.waiting.discard(finding.router)
-        self.versions.update(finding.versions)
-        self.watched_s = max(self.watched_s, finding.watched_s)
-        if self.origin is None:
-            self.origin = finding.origin
-        if (
-            self.origin is not None
-            or not self.waiting
-            or self.watched_s >= self.enough_s
-        ):
-            self.done.set()
+Confirm = Callable[[float], Awaitable[bool]]
+"""Return whether the list of servers is complete as of now, within some seconds."""
 
 
 class StreamKeepers:
@@ -118,17 +82,20 @@
         versions: Callable[[ServiceName], Collection[str]],
         hosts: Callable[[], Mapping[RouterName, str]],
         clock: Callable[[], float],
-        list_age_s: Callable[[], float] = lambda: 0.0,
+        position: Callable[[], Position] = lambda: 0,
+        in_contact: Callable[[], Sequence[RouterName]] = tuple,
     ) -> None:
         self._me = me
-        self._list_age_s = list_age_s
+        self._position = position
+        self._in_contact = in_contact
         self.watch = ListWatch()
         self._versions = versions
         self._hosts = hosts
         self._clock = clock
         self._send: Send = lambda data, host: None
-        self._number = 0
-        self._lookups: dict[int, _PendingLookup] = {}
+        self.lookups = StreamLookups(me, self._send_to)
+        self._to_confirm: list[tuple[StreamLookup, str]] = []
+        self._confirmation_due = anyio.Event()
         self._outbox: dict[RouterName, list[KeptStream]] = {}
         self._due = anyio.Event()
         self._table = KeeperTable(me, centre)
@@ -159,62 +126,54 @@
             self._tell(record, now)
         self._flush()
 
-    def note_list_age(self) -> float:
-        """Record the age of the list of servers; return for how long it had no gap."""
-        now = self._clock()
-        self.watch.note_age(self._list_age_s(), now)
-        return self.watch.seconds(now)
+    def records_origin(self, key: StreamKey) -> StreamOrigin | None:
+        """Return where a stream began, or None if this router doesn't know it."""
+        return self.records.find(key, self._clock())
 
-    def note_copy(self) -> None:
-        """Record that the list of servers was replaced by a copy."""
-        self.watch.note_copy(self._clock())
-
-    async def find_versions(
-        self, key: StreamKey, services: Collection[ServiceName], life_s: float
-    ) -> Finding:
-        """Return the versions that may have begun a stream which nobody has named.
-
-        Other routers are asked only if this one hasn't watched for the time `life_s`.
-        """
-        watched_s = self.note_list_age()
-        if watched_s >= life_s:
-            known = frozenset(self._known_versions(services))
-            return Finding(None, known, watched_s=watched_s)
-        return await self.find(key, services, enough_s=life_s)
+    def view(
+        self, services: Collection[ServiceName], *, is_confirmed: bool = False
+    ) -> VersionView:
+        """Return the versions that this router knows, also from records of streams."""
+        listed = {
+            StreamOrigin(service, version)
+            for service in services
+            for version in self._versions(service)
+        }
+        begun = {row for row in self.records.origins() if row.service in services}
+        return VersionView(
+            frozenset(listed | begun),
+            self.watch.seconds(self._clock()),
+            self.watch.since_at,
+            self._position(),
+            Confirmation.STORE if is_confirmed else Confirmation.NONE,
+        )
 
-    async def find(
+    async def ask(
         self,
         key: StreamKey,
         services: Collection[ServiceName],
-        enough_s: float = float("inf"),
-    ) -> Finding:
-        """Return where a stream began, from memory or from other routers.
-
-        A router that has watched for the time `enough_s` ends the search, if nobody
-        can know the stream.
+        routers: Collection[RouterName] | None = None,
+        *,
+        confirms: bool = False,
+    ) -> Answers:
+        """Return what others know of a stream, by default those that may have it."""
+        asked = self._table.asked(key) if routers is None else routers
+        return await self.lookups.ask(key, services, asked, confirms=confirms)
+
+    def are_all(self, answers: Answers) -> bool:
+        """Return whether all other routers that can have begun streams have answered.
+
+        It is never known of a router that has not met any other.
         """
-        watched_s = self.note_list_age()
-        known = self._known_versions(services)
-        origin = self.records.find(key, self._clock())
-        if origin is not None or len(self._lookups) >= MAX_LOOKUPS:
-            return Finding(origin, frozenset(known), watched_s=watched_s)
-        asked = self._table.asked(key)
-        self._number += 1
-        lookup = StreamLookup(self._me, self._number, key, tuple(services))
-        pending = _PendingLookup(key, set(asked), enough_s)
-        self._lookups[lookup.number] = pending
-        try:
-            await self._ask(lookup, pending)
-        finally:
-            del self._lookups[lookup.number]
-        answered = len(asked) - len(pending.waiting)
-        versions = frozenset(pending.versions.union(known))
-        watched_s = max(watched_s, pending.watched_s)
-        return Finding(pending.origin, versions, len(asked), answered, watched_s)
+        known = (self._table.known() | answers.known) - {self._me}
+        return bool(known) and known <= answers.answered
+
+    def in_contact(self) -> Sequence[RouterName]:
+        """Return the routers that the store answered lately, the latest first."""
+        return self._in_contact()
 
     def expire(self) -> None:
         """Drop records whose time is over, and log those that were dropped early."""
-        self.note_list_age()
         self.records.current(self._clock())
         for key in [key for key in self._told if key not in self.records]:
             del self._told[key]
@@ -222,16 +181,6 @@
             emit(logger, Event.STREAM_RECORDS_DROPPED, records=self.records.dropped)
             self.records.dropped = 0
 
-    async def _ask(self, lookup: StreamLookup, pending: _PendingLookup) -> None:
-        data = pack_lookup(lookup)
-        for _ in range(LOOKUP_ATTEMPTS):
-            if pending.done.is_set() or not pending.waiting:
-                return
-            for router in sorted(pending.waiting):
-                self._send_to(router, data)
-            with anyio.move_on_after(LOOKUP_TIMEOUT_S):
-                await pending.done.wait()
-
     def receive(self, row: Any, host: str) -> None:
         """Apply a message; raise `MessageError` if it is not valid."""
         if row[0] == RECORDS_FORMAT:
@@ -240,12 +189,9 @@
                 record = StreamRecord(kept.key, kept.origin, now + kept.life_s)
                 self.records.keep(record)
         elif row[0] == LOOKUP_FORMAT:
-            self._send(pack_finding(self._answer(read_lookup(row))), host)
+            self._receive_lookup(read_lookup(row), host)
         else:
-            finding = read_finding(row)
-            pending = self._lookups.get(finding.number)
-            if pending is not None:
-                pending.note(finding)
+            self.lookups.note(read_finding(row))
 
     async def run(self, send: Send) -> None:
         """Send records in batches until cancelled."""
@@ -255,20 +201,38 @@
             await anyio.sleep(FLUSH_INTERVAL_S)
             self._flush()
 
-    def _answer(self, lookup: StreamLookup) -> StreamFinding:
-        origin = self.records.find(lookup.key, self._clock())
-        watched_s = self.note_list_age()
-        versions = tuple(self._known_versions(lookup.services))
-        return StreamFinding(
-            self._me, lookup.number, lookup.key, origin, versions, watched_s
+    def _receive_lookup(self, lookup: StreamLookup, host: str) -> None:
+        if not lookup.confirms:
+            self._answer(lookup, host, is_confirmed=False)
+        elif len(self._to_confirm) < MAX_LOOKUPS:
+            self._to_confirm.append((lookup, host))
+            self._confirmation_due.set()
+
+    async def confirm_for_others(self, confirm: Confirm) -> None:
+        """Answer lookups that ask for a complete list, until cancelled."""
+        while True:
+            await self._confirmation_due.wait()
+            self._confirmation_due = anyio.Event()
+            lookups, self._to_confirm = self._to_confirm, []
+            is_confirmed = await confirm(LOOKUP_TIMEOUT_S)
+            for lookup, host in lookups:
+                with continue_on_error("answer to a lookup"):
+                    self._answer(lookup, host, is_confirmed=is_confirmed)
+
+    def _answer(self, lookup: StreamLookup, host: str, *, is_confirmed: bool) -> None:
+        finding = StreamFinding(
+            self._me,
+            lookup.number,
+            lookup.key,
+            self.records_origin(lookup.key),
+            self.view(lookup.services, is_confirmed=is_confirmed),
+            self._routers_to_tell(),
         )
+        self._send(pack_finding(finding), host)
 
-    def _known_versions(self, services: Iterable[ServiceName]) -> set[StreamOrigin]:
-        return {
-            StreamOrigin(service, version)
-            for service in services
-            for version in self._versions(service)
-        }
+    def _routers_to_tell(self) -> tuple[RouterName, ...]:
+        known = self._table.known()
+        return tuple(known) if len(known) <= SMALL_FLEET else ()
 
     def _tell(self, record: StreamRecord, now: float) -> None:
         """Tell the keepers of a record that were not told of it before."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -15,6 +16,7 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.types import RouterName
 from fulmarroad_serving._catalog import ServiceName
+from fulmarroad_serving._positions import Position, era_of, position, revision_of
 from fulmarroad_serving.decoding import DECODE_ERRORS, read_float, read_int
 from fulmarroad_serving.streams._records import (
     KEY_BYTES,
@@ -22,6 +24,7 @@
     StreamKey,
     StreamOrigin,
 )
+from fulmarroad_serving.streams._views import Confirmation, VersionView
 
 RECORDS_FORMAT = 6
 LOOKUP_FORMAT = 7
@@ -31,6 +34,9 @@
 MAX_RECORDS_PER_PACKET = 24
 """Maximum number of records in a packet, which then stays below 1,400 bytes."""
 
+VIEW_FIELDS = 10
+"""Number of fields of an answer that says for which changes of the store it holds."""
+
 MAX_NAME_CHARS = 200
 """Maximum length of a service's name or a version in a message."""
 
@@ -52,6 +58,7 @@
     number: int  # of this lookup; the router never uses it again
     key: StreamKey
     services: tuple[ServiceName, ...]  # that may have begun it
+    confirms: bool = False  # ask the store first whether the list is complete
 
 
 @frozen
@@ -62,8 +69,8 @@
     number: int
     key: StreamKey
     origin: StreamOrigin | None
-    versions: tuple[StreamOrigin, ...] = ()  # of these services that it knows
-    watched_s: float = 0.0  # since when it has seen every server come and go
+    view: VersionView = VersionView()  # of the versions of these services
+    routers: tuple[RouterName, ...] = ()  # others that it knows, in a small fleet
 
 
 def pack_kept(streams: Sequence[KeptStream]) -> bytes:
@@ -89,7 +96,14 @@
 def pack_lookup(lookup: StreamLookup) -> bytes:
     """Encode a lookup as a packet."""
     services = list(lookup.services)
-    row = [LOOKUP_FORMAT, lookup.router, lookup.number, lookup.key, services]
+    row = [
+        LOOKUP_FORMAT,
+        lookup.router,
+        lookup.number,
+        lookup.key,
+        services,
+        lookup.confirms,
+    ]
     return bytes(msgpack.packb(row))
 
 
@@ -97,22 +111,30 @@
     """Decode a lookup; raise `MessageError` if it is not valid."""
     try:
         services = tuple(_name(service) for service in row[4])
-        return StreamLookup(_name(row[1]), read_int(row[2]), _key(row[3]), services)
+        # Routers of the previous release don't ask for it.
+        confirms = len(row) > 5 and bool(row[5])
+        return StreamLookup(
+            _name(row[1]), read_int(row[2]), _key(row[3]), services, confirms
+        )
     except DECODE_ERRORS as error:
         raise MessageError("The lookup of a stream is not valid.") from error
 
 
 def pack_finding(finding: StreamFinding) -> bytes:
     """Encode the answer to a lookup as a packet."""
-    origin = finding.origin
+    origin, view = finding.origin, finding.view
     row = [
         FINDING_FORMAT,
         finding.router,
         finding.number,
         finding.key,
         None if origin is None else [origin.service, origin.version],
-        [[row.service, row.version] for row in finding.versions],
-        round(min(finding.watched_s, MAX_LIFE_S), 1),
+        [[row.service, row.version] for row in view.versions],
+        _floor_s(min(view.watched_s, MAX_LIFE_S)),
+        _pack_position(view.since_at),
+        _pack_position(view.at),
+        view.confirmation is not Confirmation.NONE,
+        list(finding.routers),
     ]
     return bytes(msgpack.packb(row))
 
@@ -125,14 +147,43 @@
             read_int(row[2]),
             _key(row[3]),
             None if row[4] is None else _origin(*row[4]),
-            tuple(_origin(*origin) for origin in row[5]),
-            # Routers of the previous release don't say so.
-            read_float(row[6]) if len(row) > 6 else 0.0,
+            _read_view(row),
+            tuple(_name(name) for name in row[10]) if len(row) > VIEW_FIELDS else (),
         )
     except DECODE_ERRORS as error:
         raise MessageError("The answer to a lookup is not valid.") from error
 
 
+def _read_view(row: Any) -> VersionView:
+    versions = frozenset(_origin(*origin) for origin in row[5])
+    if len(row) < VIEW_FIELDS:
+        # Routers of earlier releases don't say up to when they know them.
+        return VersionView(versions)
+    is_confirmed = bool(row[9])
+    return VersionView(
+        versions,
+        read_float(row[6]),
+        _read_position(row[7]),
+        _read_position(row[8]),
+        Confirmation.PEER if is_confirmed else Confirmation.NONE,
+    )
+
+
+def _floor_s(seconds: float) -> float:
+    """Return a time in tenths of a second that is not longer."""
+    return math.floor(10 * seconds) / 10
+
+
+def _pack_position(at: Position) -> list[int]:
+    # An era and a revision are too large for one integer of a packet.
+    return [revision_of(at), era_of(at)]
+
+
+def _read_position(value: Any) -> Position:
+    revision, era = value
+    return position(read_int(era), read_int(revision))
+
+
 def _key(value: Any) -> StreamKey:
     if not isinstance(value, bytes) or len(value) != KEY_BYTES:
         raise ValueError("The key is not bytes of the expected length.")
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_records.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_records.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 
 from attrs import define, field, frozen
 
@@ -62,6 +62,7 @@
     """Hold the records of streams, bounded in number and time."""
 
     _records: OrderedDict[StreamKey, StreamRecord] = field(factory=OrderedDict)
+    _origins: Counter[StreamOrigin] = field(factory=Counter)
     dropped: int = 0
     """Records dropped early for want of room since this was last set to 0."""
 
@@ -73,10 +74,11 @@
 
     def keep(self, record: StreamRecord) -> None:
         """Add or replace a record."""
-        self._records.pop(record.key, None)
+        self._drop(record.key)
         self._records[record.key] = record
+        self._origins[record.origin] += 1
         if len(self._records) > MAX_RECORDS:
-            self._records.popitem(last=False)
+            self._drop(next(iter(self._records)))
             self.dropped += 1
 
     def find(self, key: StreamKey, now: float) -> StreamOrigin | None:
@@ -88,5 +90,17 @@
         """Drop the records whose time is over and return the others."""
         for key, record in list(self._records.items()):
             if now >= record.until:
-                del self._records[key]
+                self._drop(key)
         return list(self._records.values())
+
+    def origins(self) -> list[StreamOrigin]:
+        """Return where the streams began that are remembered."""
+        return list(self._origins)
+
+    def _drop(self, key: StreamKey) -> None:
+        record = self._records.pop(key, None)
+        if record is None:
+            return
+        self._origins[record.origin] -= 1
+        if not self._origins[record.origin]:
+            del self._origins[record.origin]
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -4,10 +4,11 @@
 of a second. Going on at another software version gives callers a text of which the
 halves don't fit together; refusing all of them makes callers ask for everything again.
 So a stream goes on where it began. If nobody knows that, it goes on only if a single
-version has served for as long as the stream can be old, as seen by a router that has
-watched the servers for that time. Routers that were all lost at once have seen nothing:
-the version that serves now may have come, or the other one gone, just before. Then
-engines are asked what they have cached.
+version has served for as long as the stream can be old, as seen by routers that have
+watched the servers for that time, and by a read of the store that began after the call
+came: a list that may be old proves nothing by what it doesn't name. Routers that were
+all lost at once have seen nothing: the version that serves now may have come, or the
+other one gone, just before. Then engines are asked what they have cached.
 """
 
 from __future__ import annotations
@@ -21,13 +22,14 @@
 from fulmarroad_serving._served_call import ServedCall
 from fulmarroad_serving.streams._engine_evidence import Evidence
 from fulmarroad_serving.streams._engine_lists import EngineEvidence
-from fulmarroad_serving.streams._keepers import Finding, StreamKeepers
-from fulmarroad_serving.streams._list_watch import MAX_LIST_AGE_S
+from fulmarroad_serving.streams._keepers import Confirm, StreamKeepers
 from fulmarroad_serving.streams._records import (
     MAX_LIFE_S,
     StreamOrigin,
     stream_key,
 )
+from fulmarroad_serving.streams._version_search import Finding, VersionSearch
+from fulmarroad_serving.streams._views import Confirmation
 
 RECORD_MARGIN_S = 1.0
 """Time in seconds for which a stream is remembered beyond its caller's deadline."""
@@ -66,9 +68,10 @@
 
     def recent(self, route: ServedRoute, now: float) -> frozenset[ServiceName]:
         """Return the services of a route, with those that it left lately."""
-        former = self._former.get((route.host, route.path_prefix), {})
+        key = (route.host, route.path_prefix)
+        former = self._former.get(key, {})
         kept = {name for name, at in former.items() if now - at < MAX_LIFE_S}
-        return services_of(route) | kept
+        return services_of(route) | self._services.get(key, frozenset()) | kept
 
 
 def services_of(route: ServedRoute) -> frozenset[ServiceName]:
@@ -81,7 +84,6 @@
     services: frozenset[ServiceName],
     recent: frozenset[ServiceName],
     *,
-    list_is_current: bool,
     life_s: float,
 ) -> TakeUp:
     """Return where a stream goes on that its caller names.
@@ -94,18 +96,28 @@
         if origin.service not in services:
             return TakeUp(refusal=RefusalReason.STREAM_ORIGIN_GONE)
         return TakeUp(origin)
-    is_watched = list_is_current and finding.watched_s >= life_s
-    if len(recent) == 1 and len(finding.versions) <= 1 and is_watched:
-        return TakeUp(next(iter(finding.versions), None))
-    return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
+    if len(recent) > 1 or len(finding.versions) > 1:
+        return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
+    refusal = _refusal_unless_complete(finding, life_s)
+    if refusal is not None:
+        return TakeUp(refusal=refusal)
+    return TakeUp(next(iter(finding.versions), None))
 
 
 def decide_unnamed(finding: Finding, life_s: float) -> TakeUp:
     """Return where a stream goes on whose caller doesn't name it."""
     services = {row.service for row in finding.versions}
-    if len(finding.versions) > len(services) or finding.watched_s < life_s:
+    if len(finding.versions) > len(services):
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
-    return TakeUp()
+    return TakeUp(refusal=_refusal_unless_complete(finding, life_s))
+
+
+def _refusal_unless_complete(finding: Finding, life_s: float) -> RefusalReason | None:
+    if finding.is_complete(life_s):
+        return None
+    if finding.confirmation is Confirmation.NONE:
+        return RefusalReason.STREAM_UNCONFIRMED
+    return RefusalReason.STREAM_UNKNOWN
 
 
 def evidence_name(take_up: TakeUp, finding: Finding) -> str:
@@ -127,13 +139,15 @@
     def __init__(
         self,
         keepers: StreamKeepers,
-        list_age_s: Callable[[], float],
+        confirm: Confirm,
         clock: Callable[[], float],
         engines: EngineEvidence | None = None,
+        list_age_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._engines = engines
+        self.list_age_s = list_age_s
         self._keepers = keepers
-        self._list_age_s = list_age_s
+        self._search = VersionSearch(keepers, confirm)
         self._clock = clock
         self._routes = RouteServices()
 
@@ -141,28 +155,36 @@
         """Apply another version of the configuration."""
         self._routes.note_catalog(catalog, self._clock())
 
-    def list_age_s(self) -> float:
-        """Return the age in seconds of the list of servers that decides now."""
-        return self._list_age_s()
-
     async def find(self, call: ServedCall) -> tuple[TakeUp, Finding]:
         """Return where the stream of a call goes on that takes one up."""
-        services = services_of(call.route)
-        recent = self._routes.recent(call.route, self._clock())
-        life_s = min(MAX_LIFE_S, call.route.timeout_s + RECORD_MARGIN_S)
-        key = stream_key(call.workspace, call.route, call.head.resumes)
+        route = call.route
+        services = services_of(route)
+        life_s = min(MAX_LIFE_S, route.timeout_s + RECORD_MARGIN_S)
+        key = stream_key(call.workspace, route, call.head.resumes)
+        asked = self._routes.recent(route, self._clock())
         if not call.head.resumes:
-            finding = await self._keepers.find_versions(key, services, life_s)
-            return decide_unnamed(finding, life_s), finding
-        finding = await self._keepers.find(key, recent)
-        current = self._list_age_s() <= MAX_LIST_AGE_S
-        take_up = decide_take_up(
-            finding, services, recent, list_is_current=current, life_s=life_s
-        )
+            finding = await self._search.find_unnamed(key, asked, life_s)
+            unnamed = decide_unnamed(finding, life_s)
+            return self._unless_changed(call, asked, unnamed), finding
+        finding = await self._search.find_named(key, asked, life_s)
+        take_up = decide_take_up(finding, services, asked, life_s=life_s)
         is_unknown = take_up.refusal is RefusalReason.STREAM_UNKNOWN
-        if not is_unknown or not current:
+        if is_unknown and finding.list_is_complete:
+            take_up = await self._ask_engines(call, take_up, services, life_s)
+        if finding.origin is not None:
             return take_up, finding
-        return await self._ask_engines(call, take_up, services, life_s), finding
+        return self._unless_changed(call, asked, take_up), finding
+
+    def _unless_changed(
+        self, call: ServedCall, asked: frozenset[ServiceName], take_up: TakeUp
+    ) -> TakeUp:
+        """Return a decision, or a refusal if its route led elsewhere when it was made.
+
+        The configuration may be as old as the list of servers was when the call came.
+        """
+        if self._routes.recent(call.route, self._clock()) <= asked:
+            return take_up
+        return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
 
     async def _ask_engines(
         self,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
@@ -170,7 +170,8 @@
             return
         for service, version in versions:
             self._registry.note_version(service, version, now)
-        self._watch.extend(base.watched_s, now)
+        since_at = position(era_of(listing.at), base.revision)
+        self._watch.extend(base.watched_s, since_at, now)
         self.on_departures(base.watched_s, self._departures(items))
         self._log(base, listing, watched_s=base.watched_s)
 
--- a/packages/fulmarroad-serving/tests/history_store.py
+++ b/packages/fulmarroad-serving/tests/history_store.py
@@ -63,6 +63,12 @@
     async def watch(self, at, wait_s):
         self.reads += 1
         await anyio.sleep(0.004)
+        return self.changes_after(at)
+
+    async def read_changes(self, at, timeout_s):
+        return await self.watch(at, 0.001)
+
+    def changes_after(self, at):
         after = at - position(self.era, 0)
         if after < self.discarded:
             raise HistoryLostError("gone")
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -12,6 +12,7 @@
 
 import anyio
 from attrs import define, evolve, field
+from history_store import HistoryStore
 from serving_bed import KEY, SHORT, STREAM, PlainCodec, make_catalog, stream_head
 
 from fulmarroad.audit import AuditTrail
@@ -43,8 +44,12 @@
     InstanceFact,
     InstanceRemovedFact,
 )
-from fulmarroad_serving.exceptions import ConnectionRefusedByHostError
-from fulmarroad_serving.streams import Keeper, ListWatch
+from fulmarroad_serving.exceptions import (
+    ConnectionRefusedByHostError,
+    HistoryLostError,
+    StoreError,
+)
+from fulmarroad_serving.streams import Keeper, ListConfirmation, ListWatch
 from fulmarroad_serving.streams._keepers import (
     KEEPER_SILENCE_S,
     StreamKeepers,
@@ -198,6 +203,27 @@
             self.protocol.data_received(data)
 
 
+class StoreLink:
+    """The store as one router reaches it."""
+
+    def __init__(self, fleet, router):
+        self.fleet, self.router = fleet, router
+
+    def decode(self, item):
+        return self.fleet.store.decode(item)
+
+    async def read_changes(self, at, timeout_s):
+        """Answer with the changes as of now; a router without contact waits in vain."""
+        await anyio.sleep(NETWORK_S)
+        if self.router.store_cut:
+            await anyio.sleep(timeout_s)
+            raise StoreError("no answer")
+        listing = self.fleet.store.changes_after(at)
+        self.fleet.store_reads += 1
+        await anyio.sleep(NETWORK_S)
+        return listing
+
+
 class FleetRouter:
     """One router with everything that decides on calls."""
 
@@ -208,13 +234,14 @@
         self.incarnation = incarnation
         self.alive, self.leaving, self.cut = True, False, False
         self.scopes = {}
-        self.list_age_s = STORE_S
+        self.store_cut, self.store_read_at = False, anyio.current_time()
         self.touched_at = self.cut_at = anyio.current_time()
         clock = anyio.current_time
         self.dispatcher = Dispatcher(name, centre, self.bounds, incarnation)
         self.pool = ConnectionPool(clock)
         self.pool._connect = self.connect
-        self.state = RouterState(None, self.dispatcher, self.pool, AuditTrail(), clock)
+        store = StoreLink(fleet, self)
+        self.state = RouterState(store, self.dispatcher, self.pool, AuditTrail(), clock)
         source = random.Random(incarnation)
         owners = self.owners = OwnerTable(self.dispatcher.registry.usable, me=name)
         self.client = OwnerClient(
@@ -235,17 +262,27 @@
             lambda service: self.dispatcher.registry.versions(service, clock()),
             lambda: {name: name for name in fleet.routers},
             clock,
-            lambda: self.list_age_s,
+            lambda: self.state.replica.at,
+            fleet.in_contact,
+        )
+        self.state.on_copy = self.note_copy
+        self.confirmation = ListConfirmation(
+            store, self.state, lambda: len(fleet.routers), lambda: 60.0, clock
         )
-        self.state.on_copy = self.streams.note_copy
         self.ends = ServerEnds(
             name,
             self.dispatcher.registry,
             lambda: {name: name for name in fleet.routers},
             clock,
         )
-        resumption = StreamResumption(self.streams, lambda: self.list_age_s, clock)
+        resumption = StreamResumption(
+            self.streams,
+            self.confirmation.confirm,
+            clock,
+            list_age_s=lambda: self.list_age_s,
+        )
         self.state.on_catalog = resumption.note_catalog
+        self.search = resumption._search
         codec = PlainCodec()
         forwarder = Forwarder(
             self.dispatcher,
@@ -280,6 +317,10 @@
                 group.start_soon(self.exchange.run, self.send)
                 group.start_soon(self.streams.run, self.send)
                 group.start_soon(self.ends.run, self.send)
+                group.start_soon(self.confirmation.run)
+                group.start_soon(
+                    self.streams.confirm_for_others, self.confirmation.confirm
+                )
 
     @contextlib.contextmanager
     def scope(self):
@@ -303,8 +344,27 @@
         else:
             self.exchange.receive(row, host)
 
-    def apply(self, fact):
-        self.state._apply_fact(fact, 1, 60.0, "test")
+    @property
+    def list_age_s(self):
+        return anyio.current_time() - self.store_read_at + STORE_S
+
+    def note_copy(self, at, hides_changes):
+        now = anyio.current_time()
+        self.streams.watch.note_copy(at, now, hides_changes=hides_changes)
+
+    def read_store(self):
+        """Read what has changed, as far as the store is reached."""
+        if not self.alive or self.store_cut:
+            return
+        self.store_read_at = anyio.current_time()
+        store, state = self.fleet.store, self.state
+        try:
+            listing = store.changes_after(state.replica.at)
+        except HistoryLostError:
+            listing = store.listing()
+            state.apply_listing(listing.items, listing.at, 60.0, "test")
+        else:
+            state.apply_changes(listing.items, listing.at, 60.0, "test")
 
     def kill(self):
         self.alive = False
@@ -470,13 +530,14 @@
         self.engines = {}
         self.callers = []
         self.group = None
+        self.store, self.store_reads = HistoryStore(), 0
         self.catalog = make_catalog(routes=(LONG_STREAM, SHORT))
-        self.facts = []
         self._numbers = itertools.count(1)
 
     async def run(self, test):
         async with anyio.create_task_group() as group:
             self.group = group
+            self.store.put("op/config", CatalogFact(self.catalog))
             for number in range(self.size):
                 router = self.start_router(f"router-{number}")
                 # The fleet has been in service for a while.
@@ -493,12 +554,8 @@
         centre = CENTRES[int(name.partition("-")[2]) % len(CENTRES)]
         router = self.routers[name] = self.router_type(self, name, centre, number)
         self.gone_at.pop(name, None)
-        router.apply(CatalogFact(self.catalog))
-        for engine in self.engines.values():
-            if engine.up:
-                entry = engine.instance(draining=engine.leaving)
-                router.apply(InstanceFact(entry))
-        router.dispatcher.registry.note_listed()
+        listing = self.store.listing()
+        router.state.apply_listing(listing.items, listing.at, 60.0, "test")
         self.group.start_soon(router.run)
         self.update_membership()
         return router
@@ -524,6 +581,18 @@
         router.cut = False
         router.touched_at = anyio.current_time()
 
+    async def cut_store(self, name, for_s):
+        """Let the store be silent for one router for a while."""
+        router = self.routers[name]
+        router.store_cut = True
+        await anyio.sleep(for_s)
+        router.store_cut = False
+        router.read_store()
+
+    def in_contact(self):
+        """Return the routers that reach the store, as far as others know."""
+        return [name for name, row in self.routers.items() if not row.store_cut]
+
     async def restart(self, name, after_s=0.5):
         self.kill(name)
         await anyio.sleep(after_s)
@@ -550,7 +619,7 @@
                 self.keepers(router, believed), anyio.current_time()
             )
             if router.alive:
-                router.streams.note_list_age()
+                router.read_store()
                 current_at = anyio.current_time() - router.list_age_s
                 router.dispatcher.registry.note_current(current_at)
             router.dispatcher.routers = sorted(self.routers)
@@ -663,12 +732,25 @@
         self.publish(CatalogFact(self.catalog))
 
     def publish(self, fact, after_s=STORE_S):
-        async def apply():
-            await anyio.sleep(after_s)
+        """Write a fact to the store so that routers read it `after_s` from now."""
+        read_s = min(after_s, STORE_S)
+
+        async def write():
+            await anyio.sleep(after_s - read_s)
+            self.write(fact)
+            await anyio.sleep(read_s)
             for router in self.routers.values():
-                router.apply(fact)
+                router.read_store()
+
+        self.group.start_soon(write)
 
-        self.group.start_soon(apply)
+    def write(self, fact):
+        if isinstance(fact, InstanceFact):
+            self.store.put_server(fact.instance)
+        elif isinstance(fact, InstanceRemovedFact):
+            self.store.remove_server(fact.server)
+        else:
+            self.store.put("op/config", fact)
 
     # callers
 
--- a/packages/fulmarroad-serving/tests/test_engine_lists.py
+++ b/packages/fulmarroad-serving/tests/test_engine_lists.py
@@ -161,7 +161,7 @@
 
 
 class TestTakeUps:
-    def find(self, memories, departed=frozenset(), route=ROUTE):
+    def find(self, memories, departed=frozenset(), route=ROUTE, *, is_confirmed=True):
         """Return what becomes of a stream that no router knows, of two versions."""
         found = []
 
@@ -169,8 +169,12 @@
             keepers = StreamKeepers(
                 "r", "centre", lambda service: {"v1", "v2"}, dict, anyio.current_time
             )
+
+            async def confirm(timeout_s):
+                return is_confirmed
+
             resumption = StreamResumption(
-                keepers, lambda: 0.0, anyio.current_time, evidence
+                keepers, confirm, anyio.current_time, evidence
             )
             call = ServedCall(HEAD, "POST", b"/", b"", route, SERVICE, "w", 9.0)
             found.append((await resumption.find(call))[0])
@@ -194,6 +198,15 @@
         take_up = self.find(Memories(), route=route)
         assert take_up.refusal is RefusalReason.STREAM_ORIGIN_GONE
 
+    def test_engines_are_not_asked_while_the_list_may_lack_some(self):
+        """Guard against a stream placed by the caches of the engines of one version,
+        as the router doesn't know yet that engines of another one have joined.
+        """
+        memories = Memories()
+        take_up = self.find(memories, is_confirmed=False)
+        assert take_up.refusal is RefusalReason.STREAM_UNKNOWN
+        assert memories.asked == []
+
     def test_engines_are_not_asked_while_it_is_unknown_which_servers_left(self):
         """Guard against lists that delay engines and can't place anything."""
         memories = Memories()
--- a/packages/fulmarroad-serving/tests/test_lost_fleets.py
+++ b/packages/fulmarroad-serving/tests/test_lost_fleets.py
@@ -10,7 +10,7 @@
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving.contracts import InstanceRemovedFact
-from fulmarroad_serving.streams._list_watch import MAX_LIST_AGE_S, ListWatch
+from fulmarroad_serving.streams import ListWatch
 from fulmarroad_serving.streams._resumption import RECORD_MARGIN_S
 
 STREAMS = 24
@@ -143,29 +143,40 @@
         async def test(fleet):
             await begin(fleet, names_stream, ["v1"])
             survivor = fleet.routers["router-0"]
-            survivor.list_age_s = MAX_LIST_AGE_S + 1.0
-            await anyio.sleep(MAX_LIST_AGE_S + 1.0)
-            survivor.state.on_copy()
-            survivor.list_age_s = 0.1
-            assert survivor.streams.note_list_age() == 0.0
+            fleet.group.start_soon(fleet.cut_store, "router-0", 0.5)
+            await anyio.sleep(0.1)
+            fleet.add_engine("v2-0", "v2")
+            fleet.publish(InstanceRemovedFact("v2-0"), after_s=0.0)
+            await anyio.sleep(0.1)
+            fleet.store.discard()
+            await anyio.sleep(0.4)
+            assert survivor.streams.watch.seconds(anyio.current_time()) < 0.2
 
         run_virtual(StreamFleet().run, test)
 
 
 class TestListWatch:
-    def test_an_outage_without_a_copy_leaves_no_gap(self):
+    def test_an_outage_without_a_hidden_change_leaves_no_gap(self):
         """Guard against streams that are refused after each outage of the store, whose
         changes are all read once it is back.
         """
         watch = ListWatch()
-        watch.note_age(0.1, 10.0)
-        watch.note_age(5.0, 15.0)
-        watch.note_age(0.1, 20.0)
-        assert watch.seconds(21.0) == 11.0
-        watch.note_copy(20.5)
-        assert watch.seconds(21.0) == 11.0
-        watch.note_copy(24.0)
-        assert watch.seconds(25.0) == 1.0
+        watch.note_copy(7, 10.0, hides_changes=True)
+        watch.note_copy(9, 20.5, hides_changes=False)
+        assert (watch.seconds(21.0), watch.since_at) == (11.0, 7)
+
+    def test_a_copy_that_may_hide_a_change_leaves_a_gap_however_short(self):
+        """Guard against a version that came and went between two copies."""
+        watch = ListWatch()
+        watch.note_copy(7, 10.0, hides_changes=True)
+        watch.note_copy(9, 10.1, hides_changes=True)
+        assert (watch.seconds(11.1), watch.since_at) == (1.0, 9)
+
+    def test_what_is_known_from_elsewhere_only_extends_it(self):
+        watch = ListWatch()
+        watch.extend(9.0, 3, 10.0)
+        watch.extend(2.0, 8, 11.0)
+        assert (watch.seconds(11.0), watch.since_at) == (10.0, 3)
 
 
 class Series:
--- a/packages/fulmarroad-serving/tests/test_stated_numbers.py
+++ b/packages/fulmarroad-serving/tests/test_stated_numbers.py
@@ -63,6 +63,7 @@
     read_lookup,
 )
 from fulmarroad_serving.streams._records import KEY_BYTES, StreamOrigin
+from fulmarroad_serving.streams._views import VersionView
 
 ENTRY = {
     "ServiceName": "drafting",
@@ -320,7 +321,7 @@
     "finding": (
         read_finding,
         pack_finding,
-        StreamFinding("r", 1, KEY, ORIGIN, (ORIGIN,)),
+        StreamFinding("r", 1, KEY, ORIGIN, VersionView(frozenset({ORIGIN}))),
     ),
     "pace": (read_pace, pack_pace, PaceReport("r", 1, 2, "e-1", 7, 2.0, 3)),
 }
--- a/packages/fulmarroad-serving/tests/test_store_history.py
+++ b/packages/fulmarroad-serving/tests/test_store_history.py
@@ -271,7 +271,8 @@
             node = ServingNode(settings(), KeylessCodec(), store, log, tuple)
             with caplog.at_level("INFO", "fulmarroad.serving"):
                 await node._reader._read()
-            assert node._peers.streams.note_list_age() >= LIFE_S
+            watch = node._peers.streams.watch
+            assert watch.seconds(node._clock()) >= LIFE_S
 
         anyio.run(test)
         rows = [vars(row) for row in caplog.records]
@@ -284,17 +285,6 @@
 class StoredFleet(StreamFleet):
     """A fleet whose starting routers look back in the store."""
 
-    def __init__(self, **more):
-        super().__init__(**more)
-        self.store = HistoryStore()
-
-    def publish(self, fact, **more):
-        if isinstance(fact, InstanceFact):
-            self.store.put_server(fact.instance)
-        elif isinstance(fact, InstanceRemovedFact):
-            self.store.remove_server(fact.server)
-        super().publish(fact, **more)
-
     def start_router(self, name):
         router = super().start_router(name)
         history = StoreHistory(
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -20,19 +20,17 @@
     Refusal,
     Target,
     digest_key,
+    position,
 )
 from fulmarroad_serving._registry import VERSION_MEMORY_S
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving._served_call import ServedCall
+from fulmarroad_serving._waits import refuse_stream
 from fulmarroad_serving.contracts import CallHead
 from fulmarroad_serving.streams import _keeper_table
 from fulmarroad_serving.streams._keeper_table import SMALL_FLEET, Keeper, KeeperTable
-from fulmarroad_serving.streams._keepers import (
-    MAX_LOOKUPS,
-    Finding,
-    StreamKeepers,
-    _PendingLookup,
-)
+from fulmarroad_serving.streams._keepers import StreamKeepers
+from fulmarroad_serving.streams._lookups import MAX_LOOKUPS, _PendingLookup
 from fulmarroad_serving.streams._messages import (
     MAX_RECORDS_PER_PACKET,
     KeptStream,
@@ -62,7 +60,11 @@
     decide_take_up,
     decide_unnamed,
 )
+from fulmarroad_serving.streams._version_search import Finding
+from fulmarroad_serving.streams._views import Confirmation, VersionView
 
+UNCONFIRMED = Confirmation.NONE
+REFUSED = TakeUp(refusal=RefusalReason.STREAM_UNCONFIRMED)
 V1, V2 = StreamOrigin("drafting", "v1"), StreamOrigin("drafting", "v2")
 DRAFTING = frozenset({"drafting"})
 
@@ -179,8 +181,26 @@
         lookup = StreamLookup("r-1", 7, key_of(1), ("drafting", "other"))
         assert read_lookup(unpack(pack_lookup(lookup))) == lookup
         for origin in (V1, None):
-            finding = StreamFinding("r-2", 7, key_of(1), origin, (V1, V2))
+            view = VersionView(frozenset({V1, V2}), 8.3, position(2, 7), position(3, 9))
+            finding = StreamFinding("r-2", 7, key_of(1), origin, view, ("r-3", "r-4"))
             assert read_finding(unpack(pack_finding(finding))) == finding
+            confirmed = evolve(view, confirmation=Confirmation.STORE)
+            row = unpack(pack_finding(evolve(finding, view=confirmed)))
+            assert read_finding(row).view.confirmation is Confirmation.PEER
+
+    def test_a_router_never_tells_a_longer_watch_than_it_had(self):
+        """Guard against a version that left just before the watch began."""
+        view = VersionView(frozenset({V1}), watched_s=8.97)
+        row = unpack(pack_finding(StreamFinding("r", 1, key_of(1), None, view)))
+        assert read_finding(row).view.watched_s == pytest.approx(8.9)
+
+    def test_an_answer_of_the_previous_release_confirms_nothing(self):
+        """Guard against a take-up by the word of a router that can't say for which
+        changes of the store it holds, while releases of routers overlap.
+        """
+        view = VersionView(frozenset({V1}), 60.0, 1, 9, Confirmation.STORE)
+        row = unpack(pack_finding(StreamFinding("r", 1, key_of(1), None, view)))
+        assert read_finding(row[:7]).view == VersionView(frozenset({V1}))
 
     def test_a_packet_fits_into_one_datagram(self):
         origin = StreamOrigin("s" * 12, "2026.12.03-rc1")
@@ -233,9 +253,9 @@
     def test_a_caller_cannot_start_any_number_of_lookups(self):
         async def test(fleet):
             streams = fleet.routers["router-0"].streams
-            streams._lookups.update(dict.fromkeys(range(-MAX_LOOKUPS, 0)))
-            finding = await streams.find(key_of(1), ["drafting"])
-            assert (finding.origin, finding.asked) == (None, 0)
+            streams.lookups._pending.update(dict.fromkeys(range(-MAX_LOOKUPS, 0)))
+            answers = await streams.ask(key_of(1), ["drafting"])
+            assert (answers.origin, answers.asked) == (None, 0)
 
         run_two_versions(test)
 
@@ -243,16 +263,18 @@
 class TestDecision:
     def decide(self, origin, versions, services=DRAFTING, recent=None, **more):
         watched_s = more.get("watched_s", 9.0)
-        finding = Finding(origin, frozenset(versions), watched_s=watched_s)
-        current = more.get("current", True)
-        recent = services if recent is None else recent
-        return decide_take_up(
-            finding, services, recent, list_is_current=current, life_s=9.0
+        finding = Finding(
+            origin,
+            frozenset(versions),
+            watched_s=watched_s,
+            confirmation=more.get("confirmation", Confirmation.STORE),
         )
+        recent = services if recent is None else recent
+        return decide_take_up(finding, services, recent, life_s=9.0)
 
     def test_a_known_stream_goes_on_where_it_began(self):
         assert self.decide(V1, {V1, V2}) == TakeUp(V1)
-        assert self.decide(V1, {V1, V2}, current=False) == TakeUp(V1)
+        assert self.decide(V1, {V1, V2}, confirmation=UNCONFIRMED) == TakeUp(V1)
 
     def test_a_stream_of_a_service_that_left_its_route_is_refused(self):
         """Guard against calls to a service that the configuration has taken away."""
@@ -266,19 +288,27 @@
         ("versions", "services", "more"),
         [
             ({V1, V2}, DRAFTING, {}),
-            ({V1}, DRAFTING, {"current": False}),
             ({V1}, DRAFTING, {"watched_s": 8.9}),
             ({V1}, frozenset({"drafting", "other"}), {}),
         ],
     )
     def test_an_unknown_stream_is_refused_otherwise(self, versions, services, more):
-        """Guard against a guess: by an old list of servers, by a list that nobody has
-        watched for long enough, between versions, or between the services of a split
-        route.
+        """Guard against a guess: by a list of servers that may be old, by a list that
+        nobody has watched for long enough, between versions, or between the services
+        of a split route.
         """
         decided = self.decide(None, versions, services, **more)
         assert decided.refusal is RefusalReason.STREAM_UNKNOWN
 
+    def test_a_list_that_nobody_confirms_tells_nothing_by_what_it_lacks(self):
+        """Guard against a stream that goes on at the only version of an old list; its
+        caller may find a router in step at once.
+        """
+        decided = self.decide(None, {V1}, confirmation=UNCONFIRMED)
+        assert decided.refusal is RefusalReason.STREAM_UNCONFIRMED
+        refusal = refuse_stream(decided.refusal, random.Random(1))
+        assert refusal.retry_after_s < 1.0
+
     def test_a_service_that_left_the_route_lately_may_have_begun_the_stream(self):
         recent = frozenset({"drafting", "former"})
         decided = self.decide(None, {V1}, DRAFTING, recent)
@@ -296,8 +326,15 @@
     def test_a_stream_that_is_not_named_goes_on_anywhere_in_a_single_version(self):
         other = StreamOrigin("other", "v7")
         for versions in ({V1}, {V1, other}):
-            finding = Finding(None, frozenset(versions), watched_s=9.0)
+            finding = Finding(
+                None,
+                frozenset(versions),
+                watched_s=9.0,
+                confirmation=Confirmation.STORE,
+            )
             assert decide_unnamed(finding, 9.0) == TakeUp()
+            unconfirmed = evolve(finding, confirmation=UNCONFIRMED)
+            assert decide_unnamed(unconfirmed, 9.0) == REFUSED
             decided = decide_unnamed(finding, 9.5)
             assert decided.refusal is RefusalReason.STREAM_UNKNOWN
         finding = Finding(None, frozenset({V1, V2}), watched_s=9.0)
@@ -444,8 +481,10 @@
 
     async def found(self, fleet, router):
         """Return how many of forty streams a router can find."""
-        streams = fleet.routers[router].streams
-        found = [await streams.find(key_of(n), ["drafting"]) for n in range(40)]
+        search = fleet.routers[router].search
+        found = [
+            await search.find_named(key_of(n), ["drafting"], 9.0) for n in range(40)
+        ]
         return sum(row.origin == V1 for row in found)
 
     @pytest.mark.parametrize("resumes", ["c-1-0", "c-7-0", "c-404", "x" * 64])
--- a/packages/fulmarroad/src/fulmarroad/events.py
+++ b/packages/fulmarroad/src/fulmarroad/events.py
@@ -72,6 +72,7 @@
         217, _W, "unknown field or header of the platform"
     )
     STORE_LOOKED_BACK = EventKind(218, _I, "servers of before looked up in the store")
+    LIST_UNCONFIRMED = EventKind(219, _W, "list of servers not confirmed by the store")
 
     # 300: membership and roles
     MEMBER_CHANGED = EventKind(300, _I, "member changed state")
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -94,6 +94,7 @@
     SERVERS_REST = "servers_rest"
     STREAM_ORIGIN_GONE = "stream_origin_gone"
     STREAM_UNKNOWN = "stream_unknown"
+    STREAM_UNCONFIRMED = "stream_unconfirmed"
     CANNOT_FINISH = "cannot_finish"
     CALL_TOO_LARGE = "call_too_large"
 
