Take changes of the store with a revision missing for a gap in the list's watch

After a time out of step a router reads on from where it was. A store that gives only the last change of each key would hide a version that joined and left meanwhile, and the router would go on to count the time as watched. Changes are now counted as copies are: each takes one revision.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
@@ -60,19 +60,20 @@
     def hides_changes(
         self, items: Iterable[ReplicaItem], at: Position, *, is_snapshot: bool
     ) -> bool:
-        """Return whether a copy up to `at` may lack changes since this copy's position.
+        """Return whether items up to `at` may lack changes since this copy's position.
 
         Every change takes one revision. An item that came and went meanwhile, or that
-        changed twice, takes one that the copy doesn't show.
+        changed twice, takes one that a copy doesn't show.
         """
         if at <= self.at:
             return False
         if not self.known or era_of(at) != era_of(self.at):
             return True
-        rows = {item.key: item for item in items}
-        shown = {row.revision for row in rows.values() if self.at < row.revision <= at}
+        items = tuple(items)
+        keys = {row.key for row in items}
+        shown = {row.revision for row in items if self.at < row.revision <= at}
         deleted = sum(
-            row.data is not None and row.revision <= at and key not in rows
+            row.data is not None and row.revision <= at and key not in keys
             for key, row in self._items.items()
             if is_snapshot
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -74,9 +74,9 @@
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
         self.on_change: Callable[[], None] = lambda: None
         self.on_copy: Callable[[Position, bool], None] = lambda at, hides: None
-        """Called before a listing, or what a peer's copy has more, is applied.
+        """Called before items are applied, unless they are all changes since the last.
 
-        It gets the position up to which that is complete, and whether changes of the
+        It gets the position up to which they are complete, and whether changes of the
         time between may be missing.
         """
         self.on_entry: Callable[[Instance], None] = lambda instance: None
@@ -111,7 +111,10 @@
         source: str,
     ) -> None:
         """Apply changes of the store."""
+        items = tuple(items)
         before = self.replica.at
+        if before and self.replica.hides_changes(items, at, is_snapshot=False):
+            self.on_copy(at, True)
         self._apply(before, self.replica.merge(items, at), failure_age_s, source)
 
     def apply_delta(
--- a/packages/fulmarroad-serving/tests/test_replica.py
+++ b/packages/fulmarroad-serving/tests/test_replica.py
@@ -10,6 +10,31 @@
     return ReplicaItem(key, revision, data)
 
 
+class TestHiddenChanges:
+    """What a copy may lack that came and went since the last one."""
+
+    def hides(self, items, at, *, is_snapshot):
+        copy = StateReplica()
+        copy.replace([item("a", 4), item("b", 5)], 5)
+        return copy.hides_changes(items, at, is_snapshot=is_snapshot)
+
+    def test_a_copy_that_shows_each_revision_hides_nothing(self):
+        assert not self.hides([item("c", 6), item("b", 7)], 7, is_snapshot=False)
+        listed = [item("a", 4), item("c", 6)]
+        assert not self.hides(listed, 7, is_snapshot=True)  # the other deleted "b"
+        assert not self.hides([item("a", 4)], 5, is_snapshot=True)
+
+    def test_a_revision_that_is_not_shown_may_be_of_a_server_that_left(self):
+        """Guard against a version that joined and left between two copies."""
+        listed = [item("a", 4), item("b", 5), item("c", 6)]
+        assert self.hides(listed, 7, is_snapshot=True)
+        assert self.hides([item("b", 7)], 7, is_snapshot=False)
+        assert self.hides([item("c", 7, None)], 7, is_snapshot=False)
+
+    def test_a_later_change_than_the_copy_shows_no_earlier_one(self):
+        assert self.hides([item("c", 9)], 7, is_snapshot=False)
+
+
 class TestMerging:
     def test_an_older_item_that_arrives_late_changes_nothing(self):
         """A router gets a change from the store and later the former value from a slow
