Bind streams that their callers don't name to the version they go on at

A caller without `Resumes` could get a text joined from two versions in any release: the only version was confirmed when the call came, the call then waited for room, and servers of another version that had joined meanwhile got it. It was bound to nothing. It is bound to the version now, and refused between versions, also where the services of a split route differ.

The test that asked for an unbound call is replaced: it asked to go on anywhere, also at a service of another version.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -250,13 +250,12 @@
             reason=reason,
         )
         self._metrics.taken_up.labels(reason).inc()
-        if take_up.refusal is not None:
-            refusal = self._forwarder.refuse_stream(take_up.refusal)
+        origin = take_up.origin
+        if origin is None:
+            cause = take_up.refusal or RefusalReason.STREAM_UNKNOWN
+            refusal = self._forwarder.refuse_stream(cause)
             raise Refused(refusal.reason, refusal.retry_after_s)
-        if take_up.origin is None:
-            return call
-        version = take_up.origin.version
-        return evolve(call, service=take_up.origin.service, version=version)
+        return evolve(call, service=origin.service, version=origin.version)
 
     def _key_holder(
         self, head: CallHead, route: ServedRoute, index: CatalogIndex
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -41,7 +41,7 @@
 
 @attrs.frozen
 class TakeUp:
-    """Hold where a stream goes on, or why it can't; both unset: anywhere."""
+    """Hold where a stream goes on, or why it can't."""
 
     origin: StreamOrigin | None = None
     refusal: RefusalReason | None = None
@@ -96,20 +96,27 @@
         if origin.service not in services:
             return TakeUp(refusal=RefusalReason.STREAM_ORIGIN_GONE)
         return TakeUp(origin)
-    if len(recent) > 1 or len(finding.versions) > 1:
+    if len(recent) > 1 or len(finding.versions) != 1:
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
     refusal = _refusal_unless_complete(finding, life_s)
     if refusal is not None:
         return TakeUp(refusal=refusal)
-    return TakeUp(next(iter(finding.versions), None))
+    return TakeUp(next(iter(finding.versions)))
 
 
-def decide_unnamed(finding: Finding, life_s: float) -> TakeUp:
-    """Return where a stream goes on whose caller doesn't name it."""
-    services = {row.service for row in finding.versions}
-    if len(finding.versions) > len(services):
+def decide_unnamed(finding: Finding, service: ServiceName, life_s: float) -> TakeUp:
+    """Return where a stream goes on whose caller doesn't name it.
+
+    `service` is the one that its call was given. The stream is bound to the version,
+    as another one may join while the call waits for a place.
+    """
+    versions = {row.version for row in finding.versions}
+    if len(versions) != 1:
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
-    return TakeUp(refusal=_refusal_unless_complete(finding, life_s))
+    refusal = _refusal_unless_complete(finding, life_s)
+    if refusal is not None:
+        return TakeUp(refusal=refusal)
+    return TakeUp(StreamOrigin(service, versions.pop()))
 
 
 def _refusal_unless_complete(finding: Finding, life_s: float) -> RefusalReason | None:
@@ -164,7 +171,7 @@
         asked = self._routes.recent(route, self._clock())
         if not call.head.resumes:
             finding = await self._search.find_unnamed(key, asked, life_s)
-            unnamed = decide_unnamed(finding, life_s)
+            unnamed = decide_unnamed(finding, call.service, life_s)
             return self._unless_changed(call, asked, unnamed), finding
         finding = await self._search.find_named(key, asked, life_s)
         take_up = decide_take_up(finding, services, asked, life_s=life_s)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_version_search.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_version_search.py
@@ -91,8 +91,8 @@
         """Return the versions that can have begun a stream that nobody has named."""
         search = _Search(key, services, life_s)
         finding = self._finding(search)
-        if len(finding.versions) > len(services):
-            # Two versions are known, and no more can make it one.
+        if len({row.version for row in finding.versions}) > 1:
+            # However many more are found, it isn't one.
             return finding
         await self._confirm_own(search, FIRST_READ_S)
         if self._finding(search).is_complete(life_s):
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -323,8 +323,11 @@
         assert routes.recent(after, 21.0) == {"drafting", "other"}
         assert routes.recent(after, 20.0 + MAX_LIFE_S) == DRAFTING
 
-    def test_a_stream_that_is_not_named_goes_on_anywhere_in_a_single_version(self):
-        other = StreamOrigin("other", "v7")
+    def test_a_stream_that_is_not_named_goes_on_in_the_single_version_only(self):
+        """Guard against a stream that waits for a place unbound, while servers of
+        another version join.
+        """
+        other = StreamOrigin("other", "v1")
         for versions in ({V1}, {V1, other}):
             finding = Finding(
                 None,
@@ -332,13 +335,26 @@
                 watched_s=9.0,
                 confirmation=Confirmation.STORE,
             )
-            assert decide_unnamed(finding, 9.0) == TakeUp()
+            for service in ("drafting", "other"):
+                origin = StreamOrigin(service, "v1")
+                assert decide_unnamed(finding, service, 9.0) == TakeUp(origin)
             unconfirmed = evolve(finding, confirmation=UNCONFIRMED)
-            assert decide_unnamed(unconfirmed, 9.0) == REFUSED
-            decided = decide_unnamed(finding, 9.5)
+            assert decide_unnamed(unconfirmed, "drafting", 9.0) == REFUSED
+            decided = decide_unnamed(finding, "drafting", 9.5)
             assert decided.refusal is RefusalReason.STREAM_UNKNOWN
-        finding = Finding(None, frozenset({V1, V2}), watched_s=9.0)
-        decided = decide_unnamed(finding, 9.0)
+
+    @pytest.mark.parametrize(
+        "versions", [{V1, V2}, {V1, StreamOrigin("other", "v7")}, set()]
+    )
+    def test_a_stream_that_is_not_named_is_refused_between_versions(self, versions):
+        """Guard against a text joined from two versions, also of two services."""
+        finding = Finding(
+            None,
+            frozenset(versions),
+            watched_s=9.0,
+            confirmation=Confirmation.STORE,
+        )
+        decided = decide_unnamed(finding, "drafting", 9.0)
         assert decided.refusal is RefusalReason.STREAM_UNKNOWN
 
 
