Take the word of all routers only where each of them can be named

While the store answers nobody, routers that were cut off together took themselves for the whole fleet, and joined streams of two versions: in fleets of 20 to 40, where they forgot the others; where those that were asked knew too many others to name them and said none; and where two routers that had started cut off had met only each other.

Routers remember all that they ever met, or that they are too many to name, and tell either. The word of all counts only if each can be named and has answered, the seeds among them.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -134,6 +134,7 @@
             clock,
             lambda: beliefs.replica.at,
             self._in_contact,
+            lambda: set(self.seeds) - {host},
         )
         beliefs.on_copy = self._note_copy
         self.confirm_list: Confirm = _cannot_confirm
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
@@ -59,11 +59,14 @@
     _centre: DataCentreName
     _routers: dict[RouterName, Keeper] = field(factory=dict)
     _known: set[RouterName] = field(factory=set)
+    _met: set[RouterName] = field(factory=set)
     _orders: dict[int, tuple[RouterName, ...]] = field(factory=dict)
 
     def set_routers(self, routers: Iterable[Keeper]) -> bool:
         """Replace the live routers and return whether they changed."""
         others = {row.router: row for row in routers if row.router != self._me}
+        if self.can_name_all:
+            self._met |= others.keys()
         if others == self._routers:
             return False
         self._routers = others
@@ -75,9 +78,17 @@
             self._orders.clear()
         return True
 
-    def known(self) -> frozenset[RouterName]:
-        """Return the other routers that were ever live, as far as they are known."""
-        return frozenset(self._known)
+    @property
+    def can_name_all(self) -> bool:
+        """Return whether this router names all others that it has ever met.
+
+        Above `SMALL_FLEET` it never does again: some may be cut off with it.
+        """
+        return len(self._met) <= SMALL_FLEET
+
+    def met(self) -> frozenset[RouterName] | None:
+        """Return the others that were ever live, None if they are too many to name."""
+        return frozenset(self._met) if self.can_name_all else None
 
     def told(self, key: StreamKey) -> tuple[Keeper, ...]:
         """Return the routers that keep a record of a stream that began here."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
@@ -21,11 +21,7 @@
 from fulmarroad.types import DataCentreName, RouterName
 from fulmarroad_serving._catalog import ServiceName
 from fulmarroad_serving._positions import Position
-from fulmarroad_serving.streams._keeper_table import (
-    SMALL_FLEET,
-    Keeper,
-    KeeperTable,
-)
+from fulmarroad_serving.streams._keeper_table import Keeper, KeeperTable
 from fulmarroad_serving.streams._list_watch import ListWatch
 from fulmarroad_serving.streams._lookups import (
     LOOKUP_TIMEOUT_S,
@@ -84,7 +80,9 @@
         clock: Callable[[], float],
         position: Callable[[], Position] = lambda: 0,
         in_contact: Callable[[], Sequence[RouterName]] = tuple,
+        seeds: Callable[[], Collection[str]] = tuple,
     ) -> None:
+        self._seeds = seeds
         self._me = me
         self._position = position
         self._in_contact = in_contact
@@ -163,10 +161,17 @@
     def are_all(self, answers: Answers) -> bool:
         """Return whether all other routers that can have begun streams have answered.
 
-        It is never known of a router that has not met any other.
+        It is never known in a fleet too large to name them, nor while a seed is
+        silent: routers that started cut off may have met only each other.
         """
-        known = (self._table.known() | answers.known) - {self._me}
-        return bool(known) and known <= answers.answered
+        met = self._table.met()
+        if not met or answers.met is None:
+            return False
+        hosts, answered = self._hosts(), answers.answered
+        reached = {hosts[router] for router in answered if router in hosts}
+        return (met | answers.met) - {self._me} <= answered and (
+            set(self._seeds()) <= reached
+        )
 
     def in_contact(self) -> Sequence[RouterName]:
         """Return the routers that the store answered lately, the latest first."""
@@ -226,13 +231,13 @@
             lookup.key,
             self.records_origin(lookup.key),
             self.view(lookup.services, is_confirmed=is_confirmed),
-            self._routers_to_tell(),
+            self._met_to_tell(),
         )
         self._send(pack_finding(finding), host)
 
-    def _routers_to_tell(self) -> tuple[RouterName, ...]:
-        known = self._table.known()
-        return tuple(known) if len(known) <= SMALL_FLEET else ()
+    def _met_to_tell(self) -> tuple[RouterName, ...] | None:
+        met = self._table.met()
+        return None if met is None else tuple(met)
 
     def _tell(self, record: StreamRecord, now: float) -> None:
         """Tell the keepers of a record that were not told of it before."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_lookups.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_lookups.py
@@ -40,7 +40,7 @@
     views: tuple[VersionView, ...] = ()
     asked: int = 0
     answered: frozenset[RouterName] = frozenset()
-    known: frozenset[RouterName] = frozenset()  # routers that these know
+    met: frozenset[RouterName] | None = frozenset()  # by these, None: not known
 
 
 @define
@@ -49,7 +49,7 @@
     waiting: set[RouterName]
     origin: StreamOrigin | None = None
     views: dict[RouterName, VersionView] = field(factory=dict)
-    known: set[RouterName] = field(factory=set)
+    met: set[RouterName] | None = field(factory=set)
     done: anyio.Event = field(factory=anyio.Event)
 
     def note(self, finding: StreamFinding) -> None:
@@ -58,7 +58,10 @@
             return
         self.waiting.discard(finding.router)
         self.views[finding.router] = finding.view
-        self.known.update(finding.routers)
+        if finding.met is None:
+            self.met = None
+        elif self.met is not None:
+            self.met.update(finding.met)
         if self.origin is None:
             self.origin = finding.origin
         if self.origin is not None or not self.waiting:
@@ -102,7 +105,7 @@
             tuple(pending.views.values()),
             len(asked),
             frozenset(pending.views),
-            frozenset(pending.known),
+            None if pending.met is None else frozenset(pending.met),
         )
 
     def note(self, finding: StreamFinding) -> None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_messages.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_messages.py
@@ -34,8 +34,10 @@
 MAX_RECORDS_PER_PACKET = 24
 """Maximum number of records in a packet, which then stays below 1,400 bytes."""
 
-VIEW_FIELDS = 10
-"""Number of fields of an answer that says for which changes of the store it holds."""
+FIELDS_WITH_VIEW = 10
+FIELDS_WITH_MET = 11
+"""Numbers of fields of an answer that says for which changes of the store it holds, and
+which routers there are; earlier releases send shorter ones."""
 
 MAX_NAME_CHARS = 200
 """Maximum length of a service's name or a version in a message."""
@@ -70,7 +72,7 @@
     key: StreamKey
     origin: StreamOrigin | None
     view: VersionView = VersionView()  # of the versions of these services
-    routers: tuple[RouterName, ...] = ()  # others that it knows, in a small fleet
+    met: tuple[RouterName, ...] | None = None  # all others ever, if few
 
 
 def pack_kept(streams: Sequence[KeptStream]) -> bytes:
@@ -134,7 +136,7 @@
         _pack_position(view.since_at),
         _pack_position(view.at),
         view.confirmation is not Confirmation.NONE,
-        list(finding.routers),
+        None if finding.met is None else list(finding.met),
     ]
     return bytes(msgpack.packb(row))
 
@@ -148,7 +150,7 @@
             _key(row[3]),
             None if row[4] is None else _origin(*row[4]),
             _read_view(row),
-            tuple(_name(name) for name in row[10]) if len(row) > VIEW_FIELDS else (),
+            _read_met(row),
         )
     except DECODE_ERRORS as error:
         raise MessageError("The answer to a lookup is not valid.") from error
@@ -156,7 +158,7 @@
 
 def _read_view(row: Any) -> VersionView:
     versions = frozenset(_origin(*origin) for origin in row[5])
-    if len(row) < VIEW_FIELDS:
+    if len(row) < FIELDS_WITH_VIEW:
         # Routers of earlier releases don't say up to when they know them.
         return VersionView(versions)
     is_confirmed = bool(row[9])
@@ -169,6 +171,12 @@
     )
 
 
+def _read_met(row: Any) -> tuple[RouterName, ...] | None:
+    if len(row) < FIELDS_WITH_MET or row[10] is None:
+        return None
+    return tuple(_name(name) for name in row[10])
+
+
 def _floor_s(seconds: float) -> float:
     """Return a time in tenths of a second that is not longer."""
     return math.floor(10 * seconds) / 10
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -264,6 +264,7 @@
             clock,
             lambda: self.state.replica.at,
             fleet.in_contact,
+            lambda: set(fleet.seeds) - {name},
         )
         self.state.on_copy = self.note_copy
         self.confirmation = ListConfirmation(
@@ -519,6 +520,7 @@
     connection_type = EngineConnection
     caller_type = StreamCaller
     patience_s = PATIENCE_S
+    seeds = ("router-0", "router-1", "router-2")
 
     def __init__(self, size=4, seed=1, loss=0.0):
         self.seed = seed
--- a/packages/fulmarroad-serving/tests/test_stream_keepers.py
+++ b/packages/fulmarroad-serving/tests/test_stream_keepers.py
@@ -182,7 +182,8 @@
         assert read_lookup(unpack(pack_lookup(lookup))) == lookup
         for origin in (V1, None):
             view = VersionView(frozenset({V1, V2}), 8.3, position(2, 7), position(3, 9))
-            finding = StreamFinding("r-2", 7, key_of(1), origin, view, ("r-3", "r-4"))
+            met = ("r-3", "r-4") if origin else None
+            finding = StreamFinding("r-2", 7, key_of(1), origin, view, met)
             assert read_finding(unpack(pack_finding(finding))) == finding
             confirmed = evolve(view, confirmation=Confirmation.STORE)
             row = unpack(pack_finding(evolve(finding, view=confirmed)))
