Let a gap of the watch stand that shows while the store's history is read

A router that had just started extended its watch over a copy of a peer that came while it waited for the history, and that may hide a version.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_store_history.py
@@ -159,6 +159,7 @@
         if now - self._read_at < READ_INTERVAL_S:
             return
         self._read_at = now
+        watched_from = self._watch.since_at
         base = choose_base(
             self._servers(listing.items), self._heartbeat_s, life_s, self._now_ms()
         )
@@ -168,6 +169,10 @@
         except StoreError as error:
             self._log(base, listing, watched_s=0.0, cause=error.message)
             return
+        if self._watch.since_at != watched_from:
+            cause = "A copy that may hide changes came meanwhile."
+            self._log(base, listing, watched_s=0.0, cause=cause)
+            return
         for service, version in versions:
             self._registry.note_version(service, version, now)
         since_at = position(era_of(listing.at), base.revision)
