Count a listing in several pages for a gap of the watch

What leaves between two pages isn't listed, as if it had left before the first one, so its removal was counted in place of a change that the listing hides.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -106,7 +106,11 @@
             self._needs_listing = False
             known_at = self._router_state.replica.at
             changed = self._router_state.apply_listing(
-                listing.items, listing.at, self.failure_age_s(), "store"
+                listing.items,
+                listing.at,
+                self.failure_age_s(),
+                "store",
+                is_paged=listing.is_paged,
             )
             emit(
                 logger,
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -93,11 +93,14 @@
         at: Position,
         failure_age_s: float,
         source: str,
+        *,
+        is_paged: bool = False,
     ) -> int:
         """Apply a full listing of the store and return the number of changed items."""
         items = tuple(items)
         hides = self.replica.hides_changes(items, at, is_snapshot=True)
-        self.on_copy(at, hides)
+        # What left between two pages isn't in the listing, as if it had left before.
+        self.on_copy(at, hides or is_paged)
         before = self.replica.at
         changed = self.replica.replace(items, at)
         self._apply(before, changed, failure_age_s, source)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/contracts.py
@@ -156,6 +156,7 @@
 
     at: Position
     items: tuple[ReplicaItem, ...]
+    is_paged: bool = False  # items may have changed or gone between its pages
 
 
 class StateStore(Protocol):
