Remember former services of routes that come back or take calls over

A route that was removed and added again with another service, or one with a longer prefix, forgot which service had begun the streams of its calls.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -13,7 +13,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -38,6 +38,8 @@
 _RouteKey = tuple[str, str]
 """Host and path prefix of a route."""
 
+_Services = Mapping[_RouteKey, frozenset[ServiceName]]
+
 
 @attrs.frozen
 class TakeUp:
@@ -57,13 +59,24 @@
 
     def note_catalog(self, catalog: Catalog, now: float) -> None:
         """Apply another version of the configuration."""
-        before, self._services = self._services, {}
-        for route in catalog.routes:
-            key, services = (route.host, route.path_prefix), services_of(route)
-            self._services[key] = services
-            for service in before.get(key, services) - services:
-                self._former.setdefault(key, {})[service] = now
-        for key in self._former.keys() - self._services.keys():
+        before = self._services
+        self._services = {
+            (route.host, route.path_prefix): services_of(route)
+            for route in catalog.routes
+        }
+        for key in before.keys() | self._services.keys():
+            left = _services_before(key, before, self._services)
+            self._note_left(key, left - self._services.get(key, frozenset()), now)
+
+    def _note_left(
+        self, key: _RouteKey, services: Iterable[ServiceName], now: float
+    ) -> None:
+        former = self._former.setdefault(key, {})
+        former.update(dict.fromkeys(services, now))
+        for service, left_at in list(former.items()):
+            if now - left_at >= MAX_LIFE_S:
+                del former[service]
+        if not former:
             del self._former[key]
 
     def recent(self, route: ServedRoute, now: float) -> frozenset[ServiceName]:
@@ -74,6 +87,28 @@
         return services_of(route) | self._services.get(key, frozenset()) | kept
 
 
+def _services_before(
+    key: _RouteKey, before: _Services, now: _Services
+) -> frozenset[ServiceName]:
+    """Return where the calls of a route may have gone before a change.
+
+    A route that is new takes calls over from others, and so does one that stays from
+    those that were removed.
+    """
+    if key in before and before.keys() <= now.keys():
+        return before[key]
+    sources = before.keys() - now.keys() if key in before else before.keys()
+    rows = (before[other] for other in sources if _overlap(key, other))
+    return before.get(key, frozenset()).union(*rows)
+
+
+def _overlap(key: _RouteKey, other: _RouteKey) -> bool:
+    """Return whether some calls match the prefixes of both routes."""
+    if key[0] != other[0]:
+        return False
+    return key[1].startswith(other[1]) or other[1].startswith(key[1])
+
+
 def services_of(route: ServedRoute) -> frozenset[ServiceName]:
     """Return the services to which a route sends calls."""
     return frozenset(row.service for row in route.targets if row.weight > 0)
