Confirm a list by other routers only where this one has read as much as they

The search is bounded by the call's time, and a slow store counts.

- Others confirmed the servers of the services to which an old configuration led: a stream that began at another service after a change of its route went on at the former one.
Their word counts only if this router's copy of the store, with the configuration in it, is as new as theirs.
- A store that answers after half a second confirmed nothing, as a read was given up after 0.4 s, and a second try asked for one begun after itself.
Both tries ask for a read begun after the call, which has 0.8 s.
- A caller with 0.3 s left was held for 0.8 s.
A call is held for a quarter of its time at most.
- A caller of unknown streams could force 50 reads a second at each router; it is 20 now.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -386,8 +386,8 @@
         now = self._clock()
         self.streams.watch.note_copy(at, now, hides_changes=hides_changes)
 
-    async def _confirm_list(self, timeout_s: float) -> bool:
-        return await self.confirm_list(timeout_s)
+    async def _confirm_list(self, since: float, timeout_s: float) -> bool:
+        return await self.confirm_list(since, timeout_s)
 
     def _in_contact(self) -> list[RouterName]:
         """Return the peers that the store answered lately, the latest first."""
@@ -451,7 +451,7 @@
         return set(alive)
 
 
-async def _cannot_confirm(timeout_s: float) -> bool:
+async def _cannot_confirm(since: float, timeout_s: float) -> bool:
     return False
 
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
@@ -21,15 +21,19 @@
 
 logger = logging.getLogger("fulmarroad.serving")
 
-READ_TIMEOUT_S = 0.4
-"""Time in seconds for a read; the store answers in milliseconds."""
+READ_TIMEOUT_S = 0.8
+"""Time in seconds for a read; the store answers in milliseconds, or half a second when
+it is slow."""
 
 FLEET_READS_PER_S = 500.0
 """Maximum number of reads per second of all routers together: a quarter of what stores
 allow, as readers of changes need the rest."""
 
-MIN_INTERVAL_S = 0.02
-"""Least time in seconds between two reads."""
+MIN_INTERVAL_S = 0.05
+"""Least time in seconds between two reads, which callers may force."""
+
+READS_AWAITED = 2
+"""Number of reads after which a call knows: the first may have begun before it."""
 
 
 class ListConfirmation:
@@ -49,34 +53,32 @@
         self._failure_age_s = failure_age_s
         self._failed_at = float("-inf")
         self._clock = clock
-        self._asked_at = float("-inf")
+        self._confirmed_as_of = float("-inf")
         """When the newest read began that was answered."""
-        self._begun_at = float("-inf")
+        self._last_read_at = float("-inf")
         self._due = anyio.Event()
         self._ended = anyio.Event()
 
-    async def confirm(self, timeout_s: float) -> bool:
-        """Return whether the list is complete as of this call.
+    async def confirm(self, since: float, timeout_s: float) -> bool:
+        """Return whether the list is complete as of a time of the router's clock.
 
         False if the store gives no usable answer within `timeout_s` seconds.
         """
-        called_at = self._clock()
         with anyio.move_on_after(timeout_s):
-            # A read that was on its way may have been answered before this call.
-            for _ in range(2):
+            for _ in range(READS_AWAITED):
+                if self._confirmed_as_of >= since:
+                    return True
                 ended = self._ended
                 self._due.set()
                 await ended.wait()
-                if self._asked_at >= called_at:
-                    return True
-        return False
+        return self._confirmed_as_of >= since
 
     async def run(self) -> None:
         """Read when calls wait for it, until cancelled."""
         while True:
             await self._due.wait()
             pause_s = max(MIN_INTERVAL_S, self._fleet_size() / FLEET_READS_PER_S)
-            next_at = self._begun_at + pause_s
+            next_at = self._last_read_at + pause_s
             await anyio.sleep(max(0.0, next_at - self._clock()))
             self._due = anyio.Event()
             try:
@@ -87,7 +89,7 @@
 
     async def _read(self) -> None:
         state = self._router_state
-        begun_at = self._begun_at = self._clock()
+        begun_at = self._last_read_at = self._clock()
         if not state.replica.known:
             return
         try:
@@ -108,4 +110,4 @@
         # Entries that lapsed in an outage are kept for a while after it.
         age_s = min(self._failure_age_s(), self._clock() - self._failed_at)
         state.apply_changes(listing.items, listing.at, age_s, "confirmation")
-        self._asked_at = begun_at
+        self._confirmed_as_of = begun_at
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keepers.py
@@ -12,7 +12,7 @@
 
 import logging
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping, Sequence
-from typing import Any
+from typing import Any, Protocol
 
 import anyio
 
@@ -64,8 +64,12 @@
 Send = Callable[[bytes, str], None]
 """Send a packet to a host."""
 
-Confirm = Callable[[float], Awaitable[bool]]
-"""Return whether the list of servers is complete as of now, within some seconds."""
+
+class Confirm(Protocol):
+    """Return whether this router's list of servers is complete as of a time."""
+
+    def __call__(self, since: float, timeout_s: float) -> Awaitable[bool]:
+        """Return it within `timeout_s` seconds; False if it can't be shown."""
 
 
 class StreamKeepers:
@@ -219,7 +223,7 @@
             await self._confirmation_due.wait()
             self._confirmation_due = anyio.Event()
             lookups, self._to_confirm = self._to_confirm, []
-            is_confirmed = await confirm(LOOKUP_TIMEOUT_S)
+            is_confirmed = await confirm(self._clock(), LOOKUP_TIMEOUT_S)
             for lookup, host in lookups:
                 with continue_on_error("answer to a lookup"):
                     self._answer(lookup, host, is_confirmed=is_confirmed)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -15,6 +15,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+import anyio
 import attrs
 
 from fulmarroad.types import RefusalReason
@@ -31,6 +32,10 @@
 from fulmarroad_serving.streams._version_search import Finding, VersionSearch
 from fulmarroad_serving.streams._views import Confirmation
 
+MAX_HOLD_FRACTION = 0.25
+"""Part of the time left for which a call is held until its stream is found: the rest is
+for going on, or for a try elsewhere."""
+
 RECORD_MARGIN_S = 1.0
 """Time in seconds for which a stream is remembered beyond its caller's deadline."""
 
@@ -131,7 +136,7 @@
         if origin.service not in services:
             return TakeUp(refusal=RefusalReason.STREAM_ORIGIN_GONE)
         return TakeUp(origin)
-    if len(recent) > 1 or len(finding.versions) != 1:
+    if len(recent) > 1 or len(finding.versions) > 1:
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
     refusal = _refusal_unless_complete(finding, life_s)
     if refusal is not None:
@@ -146,7 +151,7 @@
     as another one may join while the call waits for a place.
     """
     versions = {row.version for row in finding.versions}
-    if len(versions) != 1:
+    if len(versions) > 1:
         return TakeUp(refusal=RefusalReason.STREAM_UNKNOWN)
     refusal = _refusal_unless_complete(finding, life_s)
     if refusal is not None:
@@ -155,7 +160,7 @@
 
 
 def _refusal_unless_complete(finding: Finding, life_s: float) -> RefusalReason | None:
-    if finding.is_complete(life_s):
+    if finding.is_complete(life_s) and finding.versions:
         return None
     if finding.confirmation is Confirmation.NONE:
         return RefusalReason.STREAM_UNCONFIRMED
@@ -189,7 +194,7 @@
         self._engines = engines
         self.list_age_s = list_age_s
         self._keepers = keepers
-        self._search = VersionSearch(keepers, confirm)
+        self._search = VersionSearch(keepers, confirm, clock)
         self._clock = clock
         self._routes = RouteServices()
 
@@ -204,11 +209,16 @@
         life_s = min(MAX_LIFE_S, route.timeout_s + RECORD_MARGIN_S)
         key = stream_key(call.workspace, route, call.head.resumes)
         asked = self._routes.recent(route, self._clock())
+        left_s = call.deadline - self._clock()
+        finding = Finding(None, frozenset())
+        with anyio.move_on_after(MAX_HOLD_FRACTION * left_s):
+            if call.head.resumes:
+                finding = await self._search.find_named(key, asked, life_s)
+            else:
+                finding = await self._search.find_unnamed(key, asked, life_s)
         if not call.head.resumes:
-            finding = await self._search.find_unnamed(key, asked, life_s)
             unnamed = decide_unnamed(finding, call.service, life_s)
             return self._unless_changed(call, asked, unnamed), finding
-        finding = await self._search.find_named(key, asked, life_s)
         take_up = decide_take_up(finding, services, asked, life_s=life_s)
         is_unknown = take_up.refusal is RefusalReason.STREAM_UNKNOWN
         if is_unknown and finding.list_is_complete:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_version_search.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_version_search.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 import anyio
 from attrs import define, frozen
@@ -27,7 +27,7 @@
 """Further time in seconds for the answer of a slow store."""
 
 MAX_CONFIRMING = 2
-"""Number of routers asked to read the store; all of them would take its limit."""
+"""Number of routers asked to read the store; more would use up its limit of calls."""
 
 
 @frozen
@@ -40,7 +40,7 @@
     answered: int = 0
     watched_s: float = 0.0  # for how long they have known all versions
     confirmation: Confirmation = Confirmation.NONE  # that these are all
-    list_is_complete: bool = False  # this router's, so it names all engines
+    list_is_complete: bool = False  # of this router, so that it names all engines
 
     def is_complete(self, life_s: float) -> bool:
         """Return whether no other version served in the last `life_s` seconds."""
@@ -55,6 +55,7 @@
     key: StreamKey
     services: Collection[ServiceName]
     life_s: float
+    began_at: float
     answers: Answers = Answers()
     is_confirmed: bool = False  # this router's own list
     confirmed_views: tuple[VersionView, ...] = ()
@@ -63,9 +64,12 @@
 class VersionSearch:
     """Search for streams of which this router has no record."""
 
-    def __init__(self, keepers: StreamKeepers, confirm: Confirm) -> None:
+    def __init__(
+        self, keepers: StreamKeepers, confirm: Confirm, clock: Callable[[], float]
+    ) -> None:
         self._keepers = keepers
         self._confirm = confirm
+        self._clock = clock
 
     async def find_named(
         self, key: StreamKey, services: Collection[ServiceName], life_s: float
@@ -77,8 +81,8 @@
         origin = self._keepers.records_origin(key)
         if origin is not None:
             return Finding(origin, frozenset({origin}))
-        answers = await self._keepers.ask(key, services)
-        search = _Search(key, services, life_s, answers)
+        search = _Search(key, services, life_s, self._clock())
+        search.answers = await self._keepers.ask(key, services)
         finding = self._finding(search)
         if finding.origin is not None:
             return finding
@@ -89,7 +93,7 @@
         self, key: StreamKey, services: Collection[ServiceName], life_s: float
     ) -> Finding:
         """Return the versions that can have begun a stream that nobody has named."""
-        search = _Search(key, services, life_s)
+        search = _Search(key, services, life_s, self._clock())
         finding = self._finding(search)
         if len({row.version for row in finding.versions}) > 1:
             # However many more are found, it isn't one.
@@ -113,7 +117,7 @@
         return self._finding(search)
 
     async def _confirm_own(self, search: _Search, timeout_s: float) -> None:
-        search.is_confirmed = await self._confirm(timeout_s)
+        search.is_confirmed = await self._confirm(search.began_at, timeout_s)
 
     async def _confirm_elsewhere(self, search: _Search) -> None:
         routers = self._keepers.in_contact()[:MAX_CONFIRMING]
@@ -128,17 +132,11 @@
         origin = keepers.records_origin(search.key) or answers.origin
         own = keepers.view(search.services, is_confirmed=search.is_confirmed)
         known = join_views(
-            (own, *answers.views, *search.confirmed_views),
+            own,
+            (*answers.views, *search.confirmed_views),
             all_answered=keepers.are_all(answers),
         )
-        newest = max(
-            (
-                view.at
-                for view in search.confirmed_views
-                if view.confirmation is not Confirmation.NONE
-            ),
-            default=None,
-        )
+        is_confirmed = known.confirmation in (Confirmation.STORE, Confirmation.PEER)
         return Finding(
             origin,
             known.versions,
@@ -146,5 +144,5 @@
             len(answers.answered),
             known.watched_s,
             known.confirmation,
-            search.is_confirmed or (newest is not None and newest <= own.at),
+            list_is_complete=is_confirmed,
         )
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_views.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_views.py
@@ -10,7 +10,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection
 from enum import Enum
 
 from attrs import frozen
@@ -55,20 +55,28 @@
     confirmation: Confirmation = Confirmation.NONE
 
 
-def join_views(views: Sequence[VersionView], *, all_answered: bool) -> KnownVersions:
+def join_views(
+    own: VersionView, others: Collection[VersionView], *, all_answered: bool
+) -> KnownVersions:
     """Return what routers know together of the versions that have served.
 
-    `all_answered` says that `views` are those of all routers that can have begun
-    streams, each given after the call came.
+    `all_answered` says that `others` are those of all other routers that can have begun
+    streams, each given after the call came. Others confirm a list only for a router
+    that has read as much as they have: its configuration chose the services.
     """
+    views = (own, *others)
     versions = frozenset[StreamOrigin]().union(*(view.versions for view in views))
-    confirmed = [row for row in views if row.confirmation is not Confirmation.NONE]
+    confirmed = [
+        row
+        for row in views
+        if row.confirmation is not Confirmation.NONE and row.at <= own.at
+    ]
     if confirmed:
         newest = max(confirmed, key=lambda row: _watched_s(row, views))
         watched_s = _watched_s(newest, views)
         return KnownVersions(versions, watched_s, newest.confirmation)
     watched_s = min((view.watched_s for view in views), default=0.0)
-    if all_answered:
+    if all_answered and all(view.at <= own.at for view in others):
         # Each knows all versions that it can have used itself in that time.
         return KnownVersions(versions, watched_s, Confirmation.ROUTERS)
     watched_s = max((view.watched_s for view in views), default=0.0)
--- a/packages/fulmarroad-serving/tests/test_engine_lists.py
+++ b/packages/fulmarroad-serving/tests/test_engine_lists.py
@@ -170,7 +170,7 @@
                 "r", "centre", lambda service: {"v1", "v2"}, dict, anyio.current_time
             )
 
-            async def confirm(timeout_s):
+            async def confirm(since, timeout_s):
                 return is_confirmed
 
             resumption = StreamResumption(
