Keep versions in mind while a router that may use them is silent

A router that is cut off together with its servers goes on using them after the store has dropped their entries. The others forgot their version 60 s later, and a stream that had begun there went on at another version once that router was lost. The 60 s begin anew while a known router is silent that didn't say that it leaves; such routers are known for two minutes, so cuts of over three minutes are still open.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -432,6 +432,8 @@
             with continue_on_error("lapsed streams"):
                 self._dispatcher.registry.note_current(now - self.list_age_s())
                 self.streams.expire()
+                if self.book.has_silent(now):
+                    self._dispatcher.registry.keep_former_versions(now)
             with continue_on_error("silent peers"):
                 alive = self._log_changes(alive, now)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -327,6 +327,14 @@
         """Record that a version has served, whose servers may have left since."""
         self._former_versions[service, version] = now
 
+    def keep_former_versions(self, now: float) -> None:
+        """Let the time for which former versions count begin anew.
+
+        A router that is cut off goes on using servers whose entries are gone.
+        """
+        for key in self._former_versions:
+            self._former_versions[key] = now
+
     def _versions_of_servers(self, service: ServiceName) -> frozenset[str]:
         versions = self._live_versions.get(service)
         if versions is None:
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reports.py
@@ -400,6 +400,13 @@
                 self._hosts.pop(name, None)
         return sorted({self._me, *self._hosts})
 
+    def has_silent(self, now: float) -> bool:
+        """Return whether a known peer is silent that didn't say that it leaves."""
+        return any(
+            now - peer.updated_at >= PEER_TIMEOUT_S and not peer.report.leaving
+            for peer in self._peers.values()
+        )
+
     def data_centres(self) -> list[DataCentreName]:
         """Return the data centre of every known peer."""
         return [peer.report.data_centre for peer in self._peers.values()]
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -624,6 +624,9 @@
                 router.read_store()
                 current_at = anyio.current_time() - router.list_age_s
                 router.dispatcher.registry.note_current(current_at)
+                if self.has_silent_peer(router, believed):
+                    now = anyio.current_time()
+                    router.dispatcher.registry.keep_former_versions(now)
             router.dispatcher.routers = sorted(self.routers)
 
     def keepers(self, router, believed):
@@ -638,6 +641,12 @@
             for name, centre in believed.items()
         ]
 
+    def has_silent_peer(self, router, believed):
+        """Return whether a router doesn't hear another one, as `PeerBook` tells."""
+        heard = {row.router for row in self.keepers(router, believed)}
+        others = {name for name, row in self.routers.items() if not row.leaving}
+        return bool(others - heard)
+
     def heard_lately(self, router, other):
         now = anyio.current_time()
         silent_since = [row.cut_at for row in (router, other) if row.cut]
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -25,6 +25,7 @@
 from fulmarroad_serving._peers import FIRST_REPLICA_WAIT_S, Peers
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._registry import Registry
 from fulmarroad_serving._replica import ReplicaDelta
 from fulmarroad_serving._replica_sync import ReplicaSync, _decode_request, _read_delta
 from fulmarroad_serving._reports import (
@@ -282,6 +283,27 @@
         fleet.run(test)
 
 
+class TestSilentPeers:
+    def test_a_peer_that_is_cut_off_is_told_from_one_that_left(self):
+        """Guard against versions that are forgotten while a router that is cut off
+        still uses their servers, and against ones that are kept for good.
+        """
+        book = PeerBook("me", "h")
+        report = PeerReport("r", 1, 1, "fes", "h-2", False, 0, 0.1, 60.0)
+        book.receive_report(report, 10.0)
+        assert not book.has_silent(11.0)
+        assert book.has_silent(13.0)
+        book.receive_report(evolve(report, sequence=2, leaving=True), 14.0)
+        assert not book.has_silent(20.0)
+
+    def test_versions_are_kept_while_a_peer_is_silent(self):
+        registry = Registry()
+        registry.note_version("drafting", "v1", 0.0)
+        registry.keep_former_versions(50.0)
+        assert registry.versions("drafting", 109.0) == {"v1"}
+        assert registry.versions("drafting", 111.0) == set()
+
+
 class TestPeers:
     def test_routers_find_each_other_by_one_seed(self):
         fleet = Fleet(["a", "b", "c"])
