--- /dev/null
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -0,0 +1,100 @@
+"""Odd entries of other writers that stay in the store while the fleet goes on."""
+
+import contextlib
+
+import anyio
+import pytest
+from platform_store import FakePlatformStore
+from store_items import CONFIG, ENTRY, SOUND, Router
+
+from fulmarroad_serving._reader import StoreReader
+
+
+class PagedStore(FakePlatformStore):
+    """A store that lists in pages, and may say any item in an odd way."""
+
+    page_items = 500
+
+    def __init__(self):
+        super().__init__()
+        self.odd = {}  # what replaces fields of a key's row
+
+    async def _answer(self, path, query):
+        status, body = await super()._answer(path, query)
+        if path == "/api/kv-range":
+            rows = sorted(body["Entries"], key=lambda row: row["Key"])
+            rows = [row for row in rows if row["Key"] > query.get("After", "")]
+            page = rows[: self.page_items]
+            body |= {"Entries": page, "Truncated": len(rows) > len(page)}
+        for name in ("Entries", "events"):
+            if name in body:
+                rows = [row | self.odd.get(row["Key"], {}) for row in body[name]]
+                body |= {name: rows}
+        return status, body
+
+
+@contextlib.asynccontextmanager
+async def reading(store, page_items=500):
+    """Serve a store, and run a router that reads it."""
+    store.page_items = page_items
+    await store.start()
+    router = Router(store.port)
+    reader = StoreReader(
+        router.store, router.state, lambda: True, anyio.current_time, 1
+    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(reader.run)
+        yield router
+        group.cancel_scope.cancel()
+    await store.stop()
+
+
+async def until(condition, seconds=5):
+    with anyio.fail_after(seconds):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+def stored(*names):
+    store = PagedStore()
+    store.put("op/config", CONFIG)
+    for name in names:
+        store.put(name, ENTRY)
+    return store
+
+
+async def follows(store, router):
+    """Check that the router goes on with what joins, leaves and is configured."""
+    await until(lambda: set(SOUND) <= set(router.servers))
+    store.put("servers/y-1", ENTRY)
+    store.remove(SOUND[0])
+    store.put("op/config", CONFIG | {"Version": 8})
+    await until(lambda: set(router.servers) == {*SOUND[1:], "servers/y-1"})
+    assert router.state.catalog.version == 8
+
+
+class TestPages:
+    @pytest.mark.parametrize("page_items", [1, 2, 3])
+    @pytest.mark.parametrize("key", ["a", "servers/b-1", "servers/m-2", "z"])
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            {"Revision": "x"},
+            {"Revision": 1e300},
+            {"Revision": None},
+            {"Data": "%"},
+            {"Data": None},
+            {"Deleted": "x"},
+        ],
+    )
+    def test_an_odd_row_at_the_border_of_a_page(self, page_items, key, odd):
+        """Guard against a row that ends the listing where it fills or ends a page."""
+
+        async def test():
+            store = stored(*SOUND)
+            store.put(key, {})
+            store.odd[key] = odd
+            async with reading(store, page_items) as router:
+                await follows(store, router)
+
+        anyio.run(test)
