--- a/packages/fulmarroad-serving/src/fulmarroad_serving/exceptions.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/exceptions.py
@@ -76,5 +76,9 @@
     """Report that the platform's store gave no usable answer."""
 
 
+class ReplyTooLargeError(StoreError):
+    """Report an answer of the store that is larger than any page of a listing."""
+
+
 class HistoryLostError(StoreError):
     """Report that the store no longer has the requested changes."""
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
@@ -10,7 +10,11 @@
 
 from fulmarroad_serving._connection import BackendConnection
 from fulmarroad_serving.contracts import AnswerHead, Header
-from fulmarroad_serving.exceptions import SendError, StoreError
+from fulmarroad_serving.exceptions import (
+    ReplyTooLargeError,
+    SendError,
+    StoreError,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """Limit on opening a connection. A store answers in milliseconds; the rest allows for a
@@ -79,7 +83,7 @@
                 parts.append(chunk)
                 size += len(chunk)
                 if size > MAX_REPLY_BYTES:
-                    raise StoreError(
+                    raise ReplyTooLargeError(
                         f"The reply of {self._host} has more than {MAX_REPLY_BYTES} "
                         "bytes; check that the address is that of the store."
                     )
--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -9,6 +9,10 @@
 
 from fulmarroad_serving._reader import StoreReader
 
+ITEM_BYTES = 1_048_576
+PAGE_BYTES = 1_000_000
+"""Maximum size of an item's data and, beyond one item, of a page in the store."""
+
 
 class PagedStore(FakePlatformStore):
     """A store that lists in pages, and may say any item in an odd way."""
@@ -24,7 +28,12 @@
         if path == "/api/kv-range":
             rows = sorted(body["Entries"], key=lambda row: row["Key"])
             rows = [row for row in rows if row["Key"] > query.get("After", "")]
-            page = rows[: self.page_items]
+            page, size = [], 0
+            for row in rows[: self.page_items]:
+                size += len(row["Data"])
+                if page and size > PAGE_BYTES:
+                    break
+                page.append(row)
             body |= {"Entries": page, "Truncated": len(rows) > len(page)}
         for name in ("Entries", "events"):
             if name in body:
@@ -98,3 +107,21 @@
                 await follows(store, router)
 
         anyio.run(test)
+
+
+class TestLargeChanges:
+    @pytest.mark.parametrize("prefix", ["servers/b-{}", "other/{}"])
+    def test_changes_that_are_too_large_for_one_answer(self, prefix):
+        """Guard against large items of another writer, written within one watch, that
+        keep all later changes out.
+        """
+
+        async def test():
+            store = stored(*SOUND)
+            async with reading(store) as router:
+                await until(lambda: router.serves)
+                for number in range(14):
+                    store.put(prefix.format(number), "x" * (ITEM_BYTES - 2))
+                await follows(store, router)
+
+        anyio.run(test)
