--- a/packages/fulmarroad-serving/tests/platform_store.py
+++ b/packages/fulmarroad-serving/tests/platform_store.py
@@ -36,7 +36,10 @@
 
     def put(self, key, value):
         """Write an item as operators and servers do."""
-        data = value if value is None else json.dumps(value).encode()
+        self.put_bytes(key, value if value is None else json.dumps(value).encode())
+
+    def put_bytes(self, key, data):
+        """Write an item as another writer may do."""
         self.revision += 1
         self._items[key] = _Item(self.revision, data)
         self._wake()
--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -1,13 +1,16 @@
 """Odd entries of other writers that stay in the store while the fleet goes on."""
 
 import contextlib
+import json
 
 import anyio
 import pytest
 from platform_store import FakePlatformStore
 from store_items import CONFIG, ENTRY, SOUND, Router
 
+from fulmarroad_platform import facts
 from fulmarroad_serving._reader import StoreReader
+from fulmarroad_serving._replica_sync import MAX_PULL_BYTES, _encode_delta, _read_delta
 
 ITEM_BYTES = 1_048_576
 PAGE_BYTES = 1_000_000
@@ -125,3 +128,54 @@
                 await follows(store, router)
 
         anyio.run(test)
+
+
+ODD_DATA = [
+    b"[" * 16_000,
+    b'{"a":' * 3_000,
+    b"\xff" * 16_000,
+    b"9" * 16_000,
+    b"[" + b"1e400," * 2_500 + b"1]",
+    b"[" + b"9" * 4_299 + b"]",
+    b'{"x":"' + b"\\ud800" * 2_500 + b'"}',
+    json.dumps(ENTRY | {"Zone": "x" * 15_000}).encode(),
+    json.dumps(ENTRY | {"Capacity": "x", "LoadedModels": "x" * 15_000}).encode(),
+]
+
+
+class TestManyOddEntries:
+    @pytest.mark.parametrize("data", ODD_DATA)
+    def test_copies_hold_sound_entries_beside_many_odd_ones(self, data):
+        """Guard against copies that are too large for a transfer between routers."""
+
+        async def test():
+            store = stored(*SOUND)
+            for number in range(600):
+                store.put_bytes(f"servers/b-{number}", data)
+            async with reading(store) as router:
+                await until(lambda: set(SOUND) <= set(router.servers))
+                copy = _encode_delta(router.state.replica.since(0))
+            assert len(copy) < MAX_PULL_BYTES / 8
+            after = Router()
+            after.state.apply_delta(_read_delta(copy), 60.0, "test")
+            assert after.serves
+
+        anyio.run(test)
+
+    def test_an_error_that_nobody_expects_leaves_the_other_entries(self, monkeypatch):
+        """Guard against an entry that ends the listing as its size is checked."""
+
+        def fail(server, raw):
+            if server == "b":
+                raise MemoryError
+            return decode(server, raw)
+
+        async def test():
+            store = stored(*SOUND)
+            store.put("servers/b", {"x": "x" * 2_000})
+            async with reading(store) as router:
+                await follows(store, router)
+
+        decode = facts._instance
+        monkeypatch.setattr(facts, "_instance", fail)
+        anyio.run(test)
