--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from platform_store import FakePlatformStore
-from store_items import CONFIG, ENTRY, SOUND, Router
+from store_items import CONFIG, ENTRY, SOUND, Router, item, sound_items
 
 from fulmarroad_platform import facts
 from fulmarroad_serving._reader import StoreReader
@@ -85,6 +85,45 @@
     assert router.state.catalog.version == 8
 
 
+class TestOddAddresses:
+    @pytest.mark.parametrize(
+        "address",
+        [
+            *(
+                f"127.0.0.1:{port}"
+                for port in [
+                    "0",
+                    "65536",
+                    "-1",
+                    "1e3",
+                    " 80",
+                    "80 ",
+                    "８０",
+                    "٨٠",
+                    "80.5",
+                    "",
+                    "0x50",
+                    "+80",
+                    "8_0",
+                ]
+            ),
+            f"127.0.0.1:{'9' * 5_000}",
+            *(f"{host}:80" for host in ("::1%\0", "::1%lo", "::1%\r\n", "127.0.0.1\n")),
+            *(
+                f"{host}:80"
+                for host in ("[::1]", "127.1", "0.0.0.0", "::", "127.0.0.01")
+            ),
+        ],
+    )
+    def test_an_odd_address_names_no_server(self, address):
+        """Guard against calls to an address that another writer spelled."""
+        router = Router()
+        router.list(
+            [*sound_items(), item("servers/b", ENTRY | {"Address": address}, 9)]
+        )
+        assert router.serves
+
+
 class TestPages:
     @pytest.mark.parametrize("page_items", [1, 2, 3])
     @pytest.mark.parametrize("key", ["a", "servers/b-1", "servers/m-2", "z"])
