--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -124,6 +124,24 @@
         assert router.serves
 
 
+class TestOddKeys:
+    @pytest.mark.parametrize("name", ["", "a\r\nb: c", "a\0", "a\x7f", "a\u2028b"])
+    def test_an_id_that_no_header_can_hold_names_no_server(self, name):
+        """Guard against calls with a header that the key of another writer adds."""
+        router = Router()
+        router.list([*sound_items(), item(f"servers/{name}", ENTRY, 9)])
+        assert router.serves
+
+    @pytest.mark.parametrize("name", ["", "a b", "\0", "é", "x" * 900, "a/b", "%2F"])
+    def test_a_data_centre_of_any_name_can_be_left(self, name):
+        """Guard against an evacuation of another name that ends the others."""
+        router = Router()
+        router.list([item(f"op/evacuate/{name}", None, 2), *sound_items()])
+        router.change([item(f"op/evacuate/{name}", b"", 20), item("x" * 900, b"", 21)])
+        assert router.serves
+        assert router.dispatcher.registry.centres_left == {name}
+
+
 class TestPages:
     @pytest.mark.parametrize("page_items", [1, 2, 3])
     @pytest.mark.parametrize("key", ["a", "servers/b-1", "servers/m-2", "z"])
