--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -8,7 +8,10 @@
 from platform_store import FakePlatformStore
 from store_items import CONFIG, ENTRY, SOUND, Router, item, sound_items
 
+from fulmarroad.events import MAX_CAUSE_CHARS
 from fulmarroad_platform import facts
+from fulmarroad_platform.facts import decode_item
+from fulmarroad_serving import ReplicaItem
 from fulmarroad_serving._reader import StoreReader
 from fulmarroad_serving._replica_sync import MAX_PULL_BYTES, _encode_delta, _read_delta
 
@@ -142,6 +145,17 @@
         assert router.dispatcher.registry.centres_left == {name}
 
 
+class TestLogLines:
+    @pytest.mark.parametrize("key", ["op/config", "servers/b"])
+    @pytest.mark.parametrize(
+        "data", [b"\xff" * 16_000, b'{"' + b"\\ud800" * 2_000 + b'": 1}']
+    )
+    def test_the_cause_of_a_large_item_is_cut(self, key, data):
+        """Guard against log lines as large as the items that can't be read."""
+        fact = decode_item(ReplicaItem(key, 3, data))
+        assert (fact.key, len(fact.cause)) <= (key, MAX_CAUSE_CHARS)
+
+
 class TestPages:
     @pytest.mark.parametrize("page_items", [1, 2, 3])
     @pytest.mark.parametrize("key", ["a", "servers/b-1", "servers/m-2", "z"])
