--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -1,121 +1,48 @@
 """Odd entries of other writers that stay in the store while the fleet goes on."""
 
-import contextlib
 import json
 
 import anyio
 import pytest
-from platform_store import FakePlatformStore
-from store_items import CONFIG, ENTRY, SOUND, Router, item, sound_items
+from paged_store import ITEM_BYTES, follows, reading, stored, until
+from store_items import ENTRY, SOUND, Router, item, sound_items
 
 from fulmarroad.events import MAX_CAUSE_CHARS
 from fulmarroad_platform import facts
 from fulmarroad_platform.facts import decode_item
 from fulmarroad_serving import ReplicaItem
-from fulmarroad_serving._reader import StoreReader
 from fulmarroad_serving._replica_sync import MAX_PULL_BYTES, _encode_delta, _read_delta
 
-ITEM_BYTES = 1_048_576
-PAGE_BYTES = 1_000_000
-"""Maximum size of an item's data and, beyond one item, of a page in the store."""
-
-
-class PagedStore(FakePlatformStore):
-    """A store that lists in pages, and may say any item in an odd way."""
-
-    page_items = 500
-
-    def __init__(self):
-        super().__init__()
-        self.odd = {}  # what replaces fields of a key's row
-
-    async def _answer(self, path, query):
-        status, body = await super()._answer(path, query)
-        if path == "/api/kv-range":
-            rows = sorted(body["Entries"], key=lambda row: row["Key"])
-            rows = [row for row in rows if row["Key"] > query.get("After", "")]
-            page, size = [], 0
-            for row in rows[: self.page_items]:
-                size += len(row["Data"])
-                if page and size > PAGE_BYTES:
-                    break
-                page.append(row)
-            body |= {"Entries": page, "Truncated": len(rows) > len(page)}
-        for name in ("Entries", "events"):
-            if name in body:
-                rows = [row | self.odd.get(row["Key"], {}) for row in body[name]]
-                body |= {name: rows}
-        return status, body
-
-
-@contextlib.asynccontextmanager
-async def reading(store, page_items=500):
-    """Serve a store, and run a router that reads it."""
-    store.page_items = page_items
-    await store.start()
-    router = Router(store.port)
-    reader = StoreReader(
-        router.store, router.state, lambda: True, anyio.current_time, 1
-    )
-    async with anyio.create_task_group() as group:
-        group.start_soon(reader.run)
-        yield router
-        group.cancel_scope.cancel()
-    await store.stop()
-
-
-async def until(condition, seconds=5):
-    with anyio.fail_after(seconds):
-        while not condition():
-            await anyio.sleep(0.01)
-
-
-def stored(*names):
-    store = PagedStore()
-    store.put("op/config", CONFIG)
-    for name in names:
-        store.put(name, ENTRY)
-    return store
-
-
-async def follows(store, router):
-    """Check that the router goes on with what joins, leaves and is configured."""
-    await until(lambda: set(SOUND) <= set(router.servers))
-    store.put("servers/y-1", ENTRY)
-    store.remove(SOUND[0])
-    store.put("op/config", CONFIG | {"Version": 8})
-    await until(lambda: set(router.servers) == {*SOUND[1:], "servers/y-1"})
-    assert router.state.catalog.version == 8
+ODD_PORTS = [
+    *[
+        "0",
+        "65536",
+        "-1",
+        "1e3",
+        " 80",
+        "80 ",
+        "８０",
+        "٨٠",
+        "80.5",
+        "",
+        "0x50",
+        "+80",
+        "8_0",
+    ],
+    "9" * 5_000,
+]
+ODD_HOSTS = [
+    *("::1%\0", "::1%lo", "::1%\r\n", "127.0.0.1\n"),
+    *("[::1]", "127.1", "127.0.0.01", "0.0.0.0", "::", "::ffff:0.0.0.0"),
+]
 
 
 class TestOddAddresses:
     @pytest.mark.parametrize(
         "address",
         [
-            *(
-                f"127.0.0.1:{port}"
-                for port in [
-                    "0",
-                    "65536",
-                    "-1",
-                    "1e3",
-                    " 80",
-                    "80 ",
-                    "８０",
-                    "٨٠",
-                    "80.5",
-                    "",
-                    "0x50",
-                    "+80",
-                    "8_0",
-                ]
-            ),
-            f"127.0.0.1:{'9' * 5_000}",
-            *(f"{host}:80" for host in ("::1%\0", "::1%lo", "::1%\r\n", "127.0.0.1\n")),
-            *(
-                f"{host}:80"
-                for host in ("[::1]", "127.1", "0.0.0.0", "::", "127.0.0.01")
-            ),
+            *(f"127.0.0.1:{port}" for port in ODD_PORTS),
+            *(f"{host}:80" for host in ODD_HOSTS),
         ],
     )
     def test_an_odd_address_names_no_server(self, address):
