--- a/packages/fulmarroad-serving/tests/store_items.py
+++ b/packages/fulmarroad-serving/tests/store_items.py
@@ -54,11 +54,12 @@
     """State of one router with the platform's decoder."""
 
     def __init__(self, port=1):
+        self.now = 0.0
         self.dispatcher = Dispatcher("router-a", "fes", FleetBounds(), 1)
-        self.pool = ConnectionPool(lambda: 0.0)
+        self.pool = ConnectionPool(lambda: self.now)
         self.store = PlatformStore("127.0.0.1", port)
         self.state = RouterState(
-            self.store, self.dispatcher, self.pool, AuditTrail(), lambda: 0.0
+            self.store, self.dispatcher, self.pool, AuditTrail(), lambda: self.now
         )
 
     @property
