--- a/packages/fulmarroad-serving/tests/test_odd_values.py
+++ b/packages/fulmarroad-serving/tests/test_odd_values.py
@@ -2,8 +2,10 @@
 reading them.
 """
 
+import contextlib
 import json
 import logging
+from copy import deepcopy
 from urllib.parse import parse_qsl
 
 import anyio
@@ -13,11 +15,12 @@
 from store_items import CONFIG, ENTRY, SOUND, Router
 
 from fulmarroad.events import Event
+from fulmarroad_platform import facts
 from fulmarroad_platform.facts import decode_item
 from fulmarroad_serving import ReplicaItem
 from fulmarroad_serving._replica_sync import _encode_delta, _read_delta
 from fulmarroad_serving.contracts import CatalogFact, InstanceFact
-from fulmarroad_serving.exceptions import HistoryLostError
+from fulmarroad_serving.exceptions import HistoryLostError, StoreError
 from fulmarroad_serving.http_client import Reply
 from fulmarroad_serving.streams._confirmation import ListConfirmation
 
@@ -31,6 +34,16 @@
 ]
 """JSON, and what only looks like it."""
 
+FULL_CONFIG = CONFIG | {
+    "Version": 8,
+    "Routes": [
+        CONFIG["Routes"][0] | {"TrafficSplit": [{"ServiceName": "ledger", "Weight": 1}]}
+    ],
+    "Services": [{"Name": "ledger", "InferenceEngine": {"Capacity": 6}}],
+    "Tenants": [{"Name": "w", "ApiKeys": ["k"]}],
+    "Limits": {"MaxHeaderBytes": 8_000},
+}
+
 ENTRY_FIELDS = [*ENTRY, "LoadedModels", "\\ud800", "x" * 300]
 CONFIG_FIELDS = [*CONFIG, "Tenants", "Limits", "Other"]
 ROW_FIELDS = ["Key", "Data", "Revision", "Created", "LeaseId", "Deleted", "Other"]
@@ -42,6 +55,15 @@
 PLACEHOLDER = "@odd@"
 
 
+def is_json(text):
+    """Return whether a text can be read; no answer that holds another one can."""
+    try:
+        json.loads(text)
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
 def with_field(value, name, odd):
     """Return a JSON object in which a field has an odd value, also two of a name."""
     rest = json.dumps({key: row for key, row in value.items() if key != name})
@@ -130,6 +152,10 @@
         self.sound = set(SOUND)
         self.version = 7
 
+    async def start(self):
+        await list_store(self.router)
+        await copy(self.follower, self.peer)
+
     async def step(self):
         await self.read(self.router)
         await copy(self.follower, self.peer)
@@ -186,7 +212,7 @@
 
 async def pass_by(way, page_items, key, odd, restores):
     case = Case(way, page_items)
-    await list_store(case.router)
+    await case.start()
     case.put(key, odd)
     await case.step()
     if restores:
@@ -217,3 +243,108 @@
             decode_item(ReplicaItem(key, 1, data)), InstanceFact
         )
         assert not (key.startswith("servers/") and names_none) or key in keys
+
+
+async def pass_by_row(way, page_items, key, field, odd):
+    # No page follows one whose only item has no key.
+    case = Case(way, 500 if field == "Key" else page_items)
+    await case.start()
+    case.store.odd_value = odd
+    case.store.odd[key] = {field: PLACEHOLDER}
+    case.store.put_bytes(key, json.dumps(ENTRY).encode())
+    case.sound.discard(key)
+    await case.read(case.router)
+    await copy(case.follower, case.peer)
+    del case.store.odd[key]
+    case.put(key, json.dumps(ENTRY | {"born": 3_000}).encode())
+    await case.step()
+    await case.join_and_leave()
+
+
+async def pass_by_answer(way, page_items, field, odd, era):
+    case = Case(way, page_items)
+    await case.start()
+    case.store.odd_field, case.store.odd_value = field, odd
+    case.store.odd_era = era
+    with contextlib.suppress(StoreError):
+        await case.read(case.router)
+    case.store.odd_field, case.store.odd_era = "", b""
+    await case.step()
+    await case.join_and_leave()
+
+
+class TestOddAnswers:
+    @PROPERTY
+    @given(
+        *DRAWS,
+        st.sampled_from(["servers/a-0", "servers/m-1", "servers/z-2"]),
+        st.sampled_from(ROW_FIELDS),
+        st.sampled_from([odd for odd in ODD_VALUES if is_json(odd)]),
+    )
+    def test_an_odd_row_leaves_the_others(self, way, page_items, key, field, odd):
+        """Guard against a row after which the list no longer changes."""
+        run(pass_by_row, way, page_items, key, field, odd)
+
+    @PROPERTY
+    @given(
+        *DRAWS,
+        st.sampled_from(BODY_FIELDS),
+        st.sampled_from(sorted(set(ODD_VALUES) - {"[]"})),
+        st.sampled_from([b"", b"x", b"-1", b"1e3", b"9" * 5_000, b"2147483649"]),
+    )
+    def test_an_odd_answer_leaves_the_next_ones(self, way, page_items, field, odd, era):
+        """Guard against an answer after which the list no longer changes."""
+        run(pass_by_answer, way, page_items, field, odd, era)
+
+
+async def pass_by_configuration(way, page_items, data):
+    case = Case(way, page_items)
+    await case.start()
+    case.put("op/config", data)
+    await case.step()
+    case.put("op/config", json.dumps(CONFIG | {"Version": 800}).encode())
+    await case.step()
+    case.put("op/config", data)
+    await case.step()
+    await case.join_and_leave()
+
+
+def configurations():
+    """Yield the path of each field of a configuration, known and unknown."""
+    for field in (*CONFIG_FIELDS,):
+        yield (field,)
+    for field in sorted(facts.ROUTE_FIELDS) + ["Other"]:
+        yield ("Routes", 0, field)
+    for field in sorted(facts.SERVICE_FIELDS) + ["Other"]:
+        yield ("Services", 0, field)
+    for field in sorted(facts.ENGINE_FIELDS) + ["Other"]:
+        yield ("Services", 0, "InferenceEngine", field)
+    for field in sorted(facts.WORKSPACE_FIELDS) + ["Other"]:
+        yield ("Tenants", 0, field)
+    for field in sorted(facts.LIMIT_FIELDS) + ["Other"]:
+        yield ("Limits", field)
+    for field in ("ServiceName", "Weight", "Other"):
+        yield ("Routes", 0, "TrafficSplit", 0, field)
+
+
+def configuration(path, odd):
+    value = deepcopy(FULL_CONFIG)
+    place = value
+    for name in path[:-1]:
+        place = place[name]
+    place[path[-1]] = PLACEHOLDER
+    return json.dumps(value).replace(f'"{PLACEHOLDER}"', odd).encode()
+
+
+class TestOddConfigurations:
+    @PROPERTY
+    @given(
+        *DRAWS,
+        st.sampled_from(sorted(configurations(), key=str)),
+        st.sampled_from(ODD_VALUES),
+    )
+    def test_an_odd_configuration_is_replaced_by_a_sound_one(
+        self, way, page_items, path, odd
+    ):
+        """Guard against a configuration after which none comes into force."""
+        run(pass_by_configuration, way, page_items, configuration(path, odd))
