Go on confirming the list after an answer that raises

Callers that take up unknown streams would get 503, and all others after ten such answers in 30 s, as the process ends.

Cause: the task that confirms the list caught the store's errors only. Any other error of reading or applying its answer ended the task, which counts against its restarts.

Evidence: the new test ended with the error in place of a confirmation.

The next call reads again.

Result: the test passes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
@@ -14,6 +14,7 @@
 import anyio
 
 from fulmarroad.events import Event, emit
+from fulmarroad.supervision import continue_on_error
 from fulmarroad_serving._positions import revision_of
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving.contracts import StateStore
@@ -80,7 +81,8 @@
             await anyio.sleep(max(0.0, next_at - self._clock()))
             self._due = anyio.Event()
             try:
-                await self._read()
+                with continue_on_error("confirming the list"):
+                    await self._read()
             finally:
                 ended, self._ended = self._ended, anyio.Event()
                 ended.set()
--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 from fulmarroad_platform.facts import decode_item
 from fulmarroad_serving import ReplicaItem
 from fulmarroad_serving._replica_sync import MAX_PULL_BYTES, _encode_delta, _read_delta
+from fulmarroad_serving.streams._confirmation import ListConfirmation
 
 ODD_PORTS = [
     *[
@@ -177,3 +178,36 @@
         decode = facts._instance
         monkeypatch.setattr(facts, "_instance", fail)
         anyio.run(test)
+
+
+class TestConfirmation:
+    def test_an_answer_that_raises_leaves_the_next_ones(self, monkeypatch):
+        """Guard against an answer that ends the task which confirms the list, and the
+        process when it comes again and again.
+        """
+
+        async def test():
+            store = stored(*SOUND)
+            async with reading(store) as router:
+                await until(lambda: router.serves)
+                confirmation = ListConfirmation(
+                    router.store,
+                    router.state,
+                    lambda: 1,
+                    lambda: 60.0,
+                    anyio.current_time,
+                )
+                async with anyio.create_task_group() as group:
+                    group.start_soon(confirmation.run)
+                    with monkeypatch.context() as patch:
+                        patch.setattr(router.store, "read_changes", fail)
+                        assert not await confirmation.confirm(0.2)
+                    store.put("servers/y-1", ENTRY)
+                    assert await confirmation.confirm(1.0)
+                    assert "servers/y-1" in router.servers
+                    group.cancel_scope.cancel()
+
+        async def fail(at, timeout_s):
+            raise RecursionError
+
+        anyio.run(test)
