Report to the other routers beside a seed that is no address

Peers would take a router for lost whose settings file has a seed with a NUL in it: the error of sending to it isn't one of the network and left out all receivers behind it.

Evidence: the new test raised TypeError.

Change: such a receiver is logged (REPORT_UNSENT) and left out.

Result: the test passes.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -253,7 +253,7 @@
         for host in hosts:
             try:
                 packets.send(data, host, self._port)
-            except (OSError, OverflowError) as error:
+            except (OSError, ValueError, TypeError, OverflowError) as error:
                 # The next report replaces the one that was not sent.
                 emit(logger, Event.REPORT_UNSENT, peer=host, cause=repr(error))
 
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -1,6 +1,7 @@
 """Store reads and replication between peers, in virtual time or on loopback."""
 
 import random
+import socket
 
 import anyio
 import msgpack
@@ -652,3 +653,26 @@
         for end in range(len(whole)):
             with pytest.raises(MessageError):
                 unpack_report(whole[:end])
+
+
+class UnboundPackets(PacketSocket):
+    """A socket that sends nothing to hosts that can be reached."""
+
+    def __init__(self, sock):
+        self._socket = sock
+        self.hosts = []
+
+    def send(self, data, host, port):
+        if host != "127.0.0.9":
+            super().send(data, host, port)
+        self.hosts.append(host)
+
+
+class TestOddHosts:
+    def test_a_host_that_is_no_address_leaves_the_others(self):
+        """Guard against a seed after which no peer hears of this router."""
+        _, _, peers = Fleet(["a"]).nodes["a"]
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            packets = UnboundPackets(sock)
+            peers._send(packets, b"x", ("127.0.0.1\0", "127.0.0.9"))
+        assert packets.hosts == ["127.0.0.9"]
