List the store when a large answer of changes doesn't come in time

Callers would be sent to servers that left: a reader whose link takes more than two seconds for the changes since its position asks for the same ones at every try.

Cause: a large answer ended the watch only beyond 16 MiB.

Evidence: the new test, six MiB of a longer answer that then stops, got a plain error of the store; one MiB still does, as a store that fails.

Change: an answer that breaks off beyond 4 MiB, which no page reaches, counts as too large, so that the reader lists.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
@@ -20,6 +20,9 @@
 """Limit on opening a connection. A store answers in milliseconds; the rest allows for a
 lost first packet and a new attempt."""
 
+MAX_PAGE_BYTES = 4 * 1024 * 1024
+"""Size in bytes that no page of the store's listing reaches."""
+
 MAX_REPLY_BYTES = 16 * 1024 * 1024
 """Largest body of a reply: several times a page of the store, and a tenth of the memory
 of a small VM."""
@@ -46,6 +49,7 @@
         self._host = host
         self._port = port
         self._connection: BackendConnection | None = None
+        self._received_bytes = 0  # of the body of the newest reply
 
     async def get(self, target: str, timeout_s: float) -> Reply:
         """Return the answer to a GET.
@@ -57,7 +61,10 @@
             with anyio.fail_after(timeout_s):
                 return await self._exchange(target, timeout_s)
         except (OSError, TimeoutError, SendError) as error:
-            raise StoreError(f"No answer from {self._host}: {error!r}.") from error
+            # A reply that can't be read in time isn't read at the next try either.
+            is_large = self._received_bytes > MAX_PAGE_BYTES
+            kind = ReplyTooLargeError if is_large else StoreError
+            raise kind(f"No answer from {self._host}: {error!r}.") from error
 
     def close(self) -> None:
         """Close the connection."""
@@ -68,6 +75,7 @@
     async def _exchange(self, target: str, timeout_s: float) -> Reply:
         connection = self._connection
         self._connection = None
+        self._received_bytes = 0
         if connection is None or not connection.reusable:
             if connection is not None:
                 connection.close()
@@ -78,11 +86,11 @@
             request = f"GET {target} HTTP/1.1\r\nhost: {host}\r\n\r\n"
             connection.send(request.encode(), _read_head)
             head = await connection.head(timeout_s)
-            parts, size = [], 0
+            parts = []
             while (chunk := await connection.body(timeout_s)) is not None:
                 parts.append(chunk)
-                size += len(chunk)
-                if size > MAX_REPLY_BYTES:
+                self._received_bytes += len(chunk)
+                if self._received_bytes > MAX_REPLY_BYTES:
                     raise ReplyTooLargeError(
                         f"The reply of {self._host} has more than {MAX_REPLY_BYTES} "
                         "bytes; check that the address is that of the store."
--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -6,12 +6,15 @@
 import pytest
 from paged_store import ITEM_BYTES, follows, reading, stored, until
 from store_items import ENTRY, SOUND, Router, item, sound_items
+from stream_listener import start_listener
 
 from fulmarroad.events import MAX_CAUSE_CHARS
 from fulmarroad_platform import facts
 from fulmarroad_platform.facts import decode_item
+from fulmarroad_platform.store import PlatformStore
 from fulmarroad_serving import ReplicaItem
 from fulmarroad_serving._replica_sync import MAX_PULL_BYTES, _encode_delta, _read_delta
+from fulmarroad_serving.exceptions import HistoryLostError, StoreError
 from fulmarroad_serving.streams._confirmation import ListConfirmation
 
 ODD_PORTS = [
@@ -128,6 +131,29 @@
 
         anyio.run(test)
 
+    @pytest.mark.parametrize(
+        ("size", "is_large"), [(6 * ITEM_BYTES, True), (ITEM_BYTES, False)]
+    )
+    def test_a_large_answer_that_does_not_end_in_time(self, size, is_large):
+        """Guard against an answer that is asked for again and never read whole."""
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 X\r\ncontent-length: 99999999\r\n\r\n")
+            writer.write(b" " * size)
+            await writer.drain()
+            await reader.read()
+
+        async def test():
+            listener = await start_listener(answer)
+            store = PlatformStore("127.0.0.1", listener.port)
+            with pytest.raises(StoreError) as failure:
+                await store.read_changes(5, 0.3)
+            assert isinstance(failure.value, HistoryLostError) == is_large
+            await listener.aclose()
+
+        anyio.run(test)
+
 
 ODD_DATA = [
     b"[" * 16_000,
