Deny no route or key for good by a configuration that may be outdated

What callers would see: a router that was cut off or stood still while the operator added a route or a key answers 404 or 401. No client comes back after these, though every other router would serve the call.

Cause: "not in my configuration" was taken for "in none", however old the configuration was.

Evidence: `test_an_old_configuration_denies_nothing_for_good` (404 and 401 at a view 2.1 s old) failed before, two of its four cases.

Change: while neither the store nor a peer in touch confirmed the copy for `ConfigApplyMs` (read from the settings now), such a call gets 503 `configuration_unconfirmed` and comes back after 0.5 s, elsewhere in most cases. No call to the store is made for it, so unknown paths cost nothing. What the configuration allows is served as before, and errors of the call itself (400, 413, 431) stay.

--- a/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
+++ b/packages/fulmarroad-router/src/fulmarroad_router/exceptions.py
@@ -176,6 +176,9 @@
     RefusalReason.CALL_TOO_LARGE: (
         "No backend server has memory for this call. Send fewer tokens."
     ),
+    RefusalReason.CONFIGURATION_UNCONFIRMED: (
+        "This router is cut off and can't tell whether this is allowed. Try another."
+    ),
     RefusalReason.SHUTTING_DOWN: "This router is shutting down. Try again at once.",
     RefusalReason.ABOVE_SHARE: ("Your workspace uses its share. Come back later."),
     RefusalReason.ROUTER_BUSY: "This router is busy. Try another one at once.",
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_callers.py
@@ -32,11 +32,15 @@
     Unauthorized,
 )
 from fulmarroad_router.gate import CallGate, GateState
+from fulmarroad_serving._call_checks import (
+    ALWAYS_CONFIRMED,
+    ConfigurationAge,
+    check_size,
+)
 from fulmarroad_serving._catalog import (
     CatalogIndex,
     KeyHolder,
     ServedRoute,
-    Service,
     pick_target,
 )
 from fulmarroad_serving._fingerprints import fingerprint_of
@@ -48,7 +52,6 @@
 from fulmarroad_serving._served_call import CallSummary, ServedCall, request_fields
 from fulmarroad_serving._workspace_outcomes import LATE, ON_TIME, WorkspaceOutcomes
 from fulmarroad_serving.contracts import CallCodec, CallHead
-from fulmarroad_serving.decoding import MAX_CALL_TOKENS
 from fulmarroad_serving.streams import StreamResumption, evidence_name
 
 logger = logging.getLogger("fulmarroad.serving")
@@ -57,9 +60,6 @@
 """Retry delay sent by a router that has no configuration yet; it loads one within this
 time after a start."""
 
-TOO_LARGE_RETRY_S = 60.0
-"""Retry delay of a call that no server can hold in its memory, today or later."""
-
 MAX_EVENT_ID_CHARS = 64
 """Maximum length of the id of an event; servers number theirs."""
 
@@ -94,8 +94,10 @@
         saturation: SaturationGuard,
         clock: Callable[[], float],
         resumption: StreamResumption | None = None,
+        configuration_age: ConfigurationAge = ALWAYS_CONFIRMED,
     ) -> None:
         self._resumption = resumption
+        self._configuration_age = configuration_age
         self._codec = codec
         self._router_state = beliefs
         self._forwarder = forwarder
@@ -122,7 +124,8 @@
             record.outcome = "served"
         except CallerDisconnected:
             record.outcome = "caller_left"
-        except CallError as error:
+        except CallError as raised:
+            error = self._configuration_age.error(raised)
             record.outcome = error.code
             await self._send_error(error, responder, record, extra_headers)
         except Exception as error:
@@ -205,7 +208,7 @@
         deadline = record.arrived_at + timeout_s
         if deadline - self._clock() < MIN_DEADLINE_S:
             raise Refused(RefusalReason.DEADLINE_PASSED, NOT_READY_RETRY_S)
-        head = _check_size(head, index.catalog.services.get(service))
+        head = check_size(head, index.catalog.services.get(service))
         query = scope.get("query_string", b"")
         target = path + (b"?" + query if query else b"")
         names = {name for name, _ in scope["headers"]}
@@ -341,21 +344,6 @@
         )
 
 
-def _check_size(head: CallHead, service: Service | None) -> CallHead:
-    """Return the call as it counts; raise `Refused` if no server can hold it.
-
-    Refused by each of its servers as full, it would also use up retries, and it would
-    count in the shares of all workspaces by numbers that its caller made up.
-    """
-    engine = service.engine if service is not None else None
-    if engine is None:
-        # Plain servers have no memory for tokens.
-        return head if head.tokens < MAX_CALL_TOKENS else head.without_tokens()
-    if not engine.holds(head.tokens):
-        raise Refused(RefusalReason.CALL_TOO_LARGE, TOO_LARGE_RETRY_S)
-    return head
-
-
 _REFUSED_OUTCOMES = {reason.value for reason in RefusalReason} | {
     error.code
     for error in (
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_demands.py
@@ -32,6 +32,7 @@
     warmup_tolerance: float = 0.0
     share_window_s: float = 4.0
     drain_timeout_s: float = 2.0  # in which requests may still reach a leaving server
+    config_apply_s: float = 2.0  # in which routers apply a new configuration
 
 
 @frozen
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/node.py
@@ -19,6 +19,7 @@
 from fulmarroad_router.gate import CallGate, GateState
 from fulmarroad_router.http_server import HttpServer
 from fulmarroad_serving._baselines import placement_named
+from fulmarroad_serving._call_checks import ConfigurationAge
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._catalog import Catalog
 from fulmarroad_serving._dispatch import Dispatcher
@@ -199,6 +200,7 @@
             self._saturation,
             clock,
             resumption,
+            ConfigurationAge(self._peers.list_age_s, settings.bounds.config_apply_s),
         )
         self._outcome_log = OutcomeLog(
             self._dispatcher,
--- a/packages/fulmarroad-serving/tests/serving_bed.py
+++ b/packages/fulmarroad-serving/tests/serving_bed.py
@@ -26,6 +26,7 @@
     Target,
     digest_key,
 )
+from fulmarroad_serving._call_checks import ConfigurationAge
 from fulmarroad_serving._callers import ServingApp
 from fulmarroad_serving._forwarding import Forwarder
 from fulmarroad_serving._lateness import LoopLateness
@@ -199,6 +200,7 @@
         self._servers = []
         self._connections = 0
         self.skipped_s = 0.0
+        self.list_age_s = 0.0
 
         def clock():
             return time.monotonic() + self.skipped_s
@@ -226,6 +228,7 @@
             Metrics(),
             self.saturation,
             clock,
+            configuration_age=ConfigurationAge(lambda: self.list_age_s, 2.0),
         )
         self.apply_fact(CatalogFact(make_catalog()))
 
--- a/packages/fulmarroad-serving/tests/test_callers.py
+++ b/packages/fulmarroad-serving/tests/test_callers.py
@@ -83,6 +83,36 @@
 
         run(test)
 
+    @pytest.mark.parametrize("path", ["/new/1", "/look/1"])
+    @pytest.mark.parametrize(("age_s", "denied"), [(1.9, True), (2.1, False)])
+    def test_an_old_configuration_denies_nothing_for_good(self, path, age_s, denied):
+        """Guard against callers who give up on a route or key that a router doesn't
+        know yet, as it was cut off or stood still while the operator added them.
+        """
+
+        async def test(bed):
+            bed.list_age_s = age_s
+            caller = await bed.call(path, key=b"new")
+            if denied:
+                assert caller.status in (401, 404)
+                assert b"retry-after" not in caller.headers
+            else:
+                assert caller.status == 503
+                assert 0 < float(caller.headers[b"retry-after"]) <= 1.0
+
+        run(test)
+
+    def test_an_old_configuration_serves_what_it_allows(self):
+        """Guard against a cut-off data centre that refuses all of its callers."""
+
+        async def test(bed):
+            await bed.serve("s-1", echo)
+            bed.list_age_s = 60.0
+            assert (await bed.call()).status == 200
+            assert (await bed.call(headers={"x-large": "x" * 20_000})).status == 431
+
+        run(test)
+
     def test_headers_above_the_limit_are_rejected(self):
         async def test(bed):
             await bed.serve("s-1", echo)
--- a/packages/fulmarroad-serving/tests/test_platform_settings.py
+++ b/packages/fulmarroad-serving/tests/test_platform_settings.py
@@ -21,6 +21,7 @@
 GracePeriodS = 8
 ContactWindowMs = 3000
 DrainTimeoutMs = 3000
+ConfigApplyMs = 4000
 RetryBudgetRatio = 0.2
 RetryBurst = 54
 [Platform]
@@ -46,6 +47,7 @@
         assert serving.seeds == ("10.1.0.33", "10.2.0.18")
         assert serving.bounds.retry_burst == 54
         assert serving.bounds.drain_timeout_s == 3.0
+        assert serving.bounds.config_apply_s == 4.0
         assert serving.heartbeat_s == 1.5
         assert (settings.store_host, settings.store_port) == ("10.200.1.7", 8781)
 
--- a/packages/fulmarroad/src/fulmarroad/types.py
+++ b/packages/fulmarroad/src/fulmarroad/types.py
@@ -97,6 +97,7 @@
     STREAM_UNCONFIRMED = "stream_unconfirmed"
     CANNOT_FINISH = "cannot_finish"
     CALL_TOO_LARGE = "call_too_large"
+    CONFIGURATION_UNCONFIRMED = "configuration_unconfirmed"
 
 
 class MemberState(enum.StrEnum):
