Read what came while the process stood still before its timers conclude silence

What callers would see: a router stands still (its VM is paused) until after a call's deadline. The answer came in time and waits in the socket, but its caller gets 504, a stream is broken off, or a call that may be repeated runs again elsewhere. Store calls fail, which all routers are told as a failure of the store, so that they keep removed servers for two seconds; owners whose reply waits are left out for a second; peers count as silent and calls as lost with their owner until their packets are read.

Cause: SIGCONT ends the event loop's wait early, and it runs the timers that are due before it polls its sockets. What they conclude from is as old as the pause.

Change: a wait that ends more than 0.25 s late lets the event loop read for 10 ms before it concludes anything (`read_if_held_up`, in one place). Calls of `HttpClient` end by the waits of their connection, as a cancel scope has no such look; only opening one keeps its scope. The loops that expire peers, and that end calls of lost routers, sleep in the same way. A server that sent nothing is silent as before, at most 10 ms later.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_answer_parts.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_answer_parts.py
@@ -7,7 +7,7 @@
 
 from attrs import frozen
 
-from fulmarroad_serving._timers import TIMER_RESOLUTION_S
+from fulmarroad_serving._timers import TIMER_RESOLUTION_S, read_if_held_up
 from fulmarroad_serving.contracts import AnswerHead
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -92,6 +92,8 @@
             await self._waiter
         finally:
             self._waiter = None
+        if not self._parts and not self.closed:
+            await read_if_held_up(self._wake_at)
         if not self._parts:
             if self.closed:
                 raise ConnectionBrokenError("The connection is closed.")
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_exchange.py
@@ -17,6 +17,7 @@
 from fulmarroad_serving._silence import MIN_WAIT_S, SilentCall, leave_at
 from fulmarroad_serving._stream import EventSplitter, StreamEvents
 from fulmarroad_serving._suspects import MAX_SUSPECT_ANSWERING_S
+from fulmarroad_serving._timers import READ_GRACE_S
 from fulmarroad_serving.contracts import AnswerHead, CallCodec
 from fulmarroad_serving.exceptions import (
     BrokenAnswerError,
@@ -36,9 +37,6 @@
 END_CHECK_INTERVAL_S = 1.0
 """Time between two looks whether a silent server refuses connections by now."""
 
-READ_GRACE_S = 0.01
-"""Time in which bytes that have arrived are read before a call leaves its server."""
-
 LOOK_INTERVAL_S = 0.2
 """Time between two looks whether a call may leave a silent server."""
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_owner_exchange.py
@@ -22,7 +22,7 @@
     read_reply,
     read_request,
 )
-from fulmarroad_serving._timers import wait_at_most
+from fulmarroad_serving._timers import sleep_and_read, wait_at_most
 from fulmarroad_serving.engines._pace import SCAN_S
 from fulmarroad_serving.engines._pace_messages import PACE_FORMAT, read_pace
 
@@ -133,7 +133,7 @@
     async def _keep_in_step(self) -> None:
         """Replace progress that was lost, and drop the calls of lost routers."""
         while True:
-            await anyio.sleep(HELD_LIST_INTERVAL_S)
+            await sleep_and_read(HELD_LIST_INTERVAL_S)
             with continue_on_error("granted calls"):
                 for owner, data in self._client.held_lists():
                     self._send_to(owner, data)
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -33,7 +33,7 @@
 )
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._server_ends import ServerEnds, is_server_end
-from fulmarroad_serving._timers import wait_at_most
+from fulmarroad_serving._timers import sleep_and_read, wait_at_most
 from fulmarroad_serving.engines._book import SpeedClass
 from fulmarroad_serving.streams import (
     KEEPER_SILENCE_S,
@@ -422,7 +422,7 @@
     async def _expire_periodically(self) -> None:
         alive: set[RouterName] = set()
         while True:
-            await anyio.sleep(EXPIRY_INTERVAL_S)
+            await sleep_and_read(EXPIRY_INTERVAL_S)
             now = self._clock()
             with continue_on_error("lapsed servers"):
                 self._router_state.expire()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/http_client.py
@@ -49,9 +49,11 @@
         A connection without a complete answer is closed. Otherwise the next request
         could get this answer, or wait for one that never comes.
         """
+        # A cancel scope would end the call before an answer is read that came while the
+        # process stood still.
+        deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            with anyio.fail_after(timeout_s):
-                return await self._exchange(target, timeout_s)
+            return await self._exchange(target, deadline)
         except (OSError, TimeoutError, SendError) as error:
             raise StoreError(f"No answer from {self._host}: {error!r}.") from error
 
@@ -61,21 +63,23 @@
             self._connection.close()
             self._connection = None
 
-    async def _exchange(self, target: str, timeout_s: float) -> Reply:
+    async def _exchange(self, target: str, deadline: float) -> Reply:
+        clock = asyncio.get_running_loop().time
         connection = self._connection
         self._connection = None
         if connection is None or not connection.reusable:
             if connection is not None:
                 connection.close()
-            connection = await self._connect()
+            with anyio.fail_after(deadline - clock()):
+                connection = await self._connect()
         complete = False
         try:
             host = f"{self._host}:{self._port}"
             request = f"GET {target} HTTP/1.1\r\nhost: {host}\r\n\r\n"
             connection.send(request.encode(), _read_head)
-            head = await connection.head(timeout_s)
+            head = await connection.head(deadline - clock())
             parts, size = [], 0
-            while (chunk := await connection.body(timeout_s)) is not None:
+            while (chunk := await connection.body(deadline - clock())) is not None:
                 parts.append(chunk)
                 size += len(chunk)
                 if size > MAX_REPLY_BYTES:
