Trust no list read right after a pause, and settle on that of a lone reader

What callers would see, in two ways: - A router stands still for 0.8 s or so. The store's answer that waited in its socket counts as new when it is read, so the entry of a server that started again unnoticed seems proven, and a stream of the new version is bound to the old one; when its server breaks, it goes on there. - In a fleet of one data centre, or of two whose readers wait at the same time, a calm store confirms the list each 1.15 s. A gap above 1 s counted as an outage, so the list never settled: after one broken connection no later one to that server was proven, ever, and streams that began there had no known version and could not go on.

Cause: one constant stood for two things, a store that is away and an answer that is old.

Change: a process that stood still begins a gap, whatever its list seems to be; a gap between two confirmations counts above 1.5 s. Being cut off needs neither: no server misses its turn to write, and the list isn't younger than it seems.

An outage of the store of 1 to 1.5 s alone is no gap any more; this was weighed, not run.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -422,8 +422,11 @@
     async def _expire_periodically(self) -> None:
         alive: set[RouterName] = set()
         while True:
-            await sleep_and_read(EXPIRY_INTERVAL_S)
+            stood_still = await sleep_and_read(EXPIRY_INTERVAL_S)
             now = self._clock()
+            if stood_still:
+                # An answer of the store that waited in its socket seems to be new.
+                self._dispatcher.registry.note_gap(now)
             with continue_on_error("lapsed servers"):
                 self._router_state.expire()
             with continue_on_error("known routers"):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -30,9 +30,9 @@
 UNKNOWN_VERSION = "?"
 """Version of a server that ended and may have started again with another one."""
 
-MAX_LIST_GAP_S = 1.0
+MAX_LIST_GAP_S = 1.5
 """Time in seconds between two confirmations of the list above which servers may have
-missed their turn to write their entries."""
+missed their turn to write their entries. A calm store confirms it each 1.2 s."""
 
 MAX_REMOVED_SERVERS = 512
 """Maximum number of removed servers remembered; fewer are removed in the time that a
@@ -290,11 +290,15 @@
         After a gap, servers that started in it have yet to write their entries.
         """
         if at > self._read_at + MAX_LIST_GAP_S > NEVER:
-            self._settles_at = at + SUSPECT_S
+            self.note_gap(at)
         self._read_at = max(self._read_at, at)
         if self._read_at >= self._settles_at:
             self._current_at = self._read_at
 
+    def note_gap(self, at: float) -> None:
+        """Record that changes of the store up to a time may not have been read."""
+        self._settles_at = at + SUSPECT_S
+
     def writer_version(self, instance: Instance, contact: Contact) -> WriterVersion:
         """Return the version of the process that answers over a connection.
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_timers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_timers.py
@@ -22,20 +22,22 @@
 """Time in which the event loop reads what has arrived."""
 
 
-async def read_if_held_up(due: float) -> None:
-    """Let the event loop read what came while it stood still.
+async def read_if_held_up(due: float) -> bool:
+    """Let the event loop read what came if it stood still, and return whether it did.
 
     `due` is the time of the loop's clock at which this was to run.
     """
-    if asyncio.get_running_loop().time() > due + HELD_UP_S:
+    stood_still = asyncio.get_running_loop().time() > due + HELD_UP_S
+    if stood_still:
         await anyio.sleep(READ_GRACE_S)
+    return stood_still
 
 
-async def sleep_and_read(seconds: float) -> None:
-    """Sleep, and let the event loop read what came if it stood still meanwhile."""
+async def sleep_and_read(seconds: float) -> bool:
+    """Sleep, read what came if the process stood still, and return whether it did."""
     due = asyncio.get_running_loop().time() + seconds
     await anyio.sleep(seconds)
-    await read_if_held_up(due)
+    return await read_if_held_up(due)
 
 
 async def wait_at_most(event: anyio.Event, timeout_s: float) -> None:
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -1,5 +1,6 @@
 """Store reads and replication between peers, in virtual time or on loopback."""
 
+import asyncio
 import random
 
 import anyio
@@ -35,6 +36,7 @@
     pack_report,
     unpack_report,
 )
+from fulmarroad_serving._restarts import SUSPECT_S
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving.contracts import (
@@ -351,6 +353,33 @@
 
         fleet.run(test)
 
+    @pytest.mark.parametrize("seconds", [0.7, 1.2])
+    def test_a_list_read_after_standing_still_proves_nothing_at_once(self, seconds):
+        """Guard against a stream bound to the version of a server's entry, though
+        another process answers: what waited in the sockets of a router that stood
+        still seems to be new.
+        """
+        fleet = Fleet(["a"])
+        fleet.ages["a"] = (0.0, 60.0)
+
+        dispatcher, _, peers = fleet.nodes["a"]
+        registry = dispatcher.registry
+
+        async def test():
+            async with anyio.create_task_group() as group:
+                group.start_soon(peers._expire_periodically)
+                await anyio.sleep(5.01)
+                current_at = registry._current_at
+                assert current_at >= 4.75
+                asyncio.get_running_loop()._now += seconds
+                await anyio.sleep(1.0)
+                assert registry._current_at == current_at
+                await anyio.sleep(SUSPECT_S)
+                assert anyio.current_time() - registry._current_at < 0.5
+                group.cancel_scope.cancel()
+
+        run_virtual(test)
+
     def test_a_silent_peer_is_logged_once(self, caplog):
         """When a router fails, its peers log a single line for operators. A router that
         is known only from other peers' reports and never sent one itself must not be
--- a/packages/fulmarroad-serving/tests/test_server_processes.py
+++ b/packages/fulmarroad-serving/tests/test_server_processes.py
@@ -10,6 +10,7 @@
 from fulmarroad.exceptions import MessageError
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving import Instance
+from fulmarroad_serving._reader import BATCH_S, WATCH_S
 from fulmarroad_serving._registry import Registry
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving._restarts import (
@@ -336,6 +337,17 @@
         registry.note_current(10.0)
         assert registry.writer_version(self.RUN, Contact(20.0, 25.0)).is_proven
 
+    def test_a_calm_store_with_one_reader_proves_an_entry(self):
+        """Guard against streams that can't go on, as no connection to a server that
+        broke one is ever trusted again: the list of a lone reader never settles.
+        """
+        registry = self.make_registry()
+        registry.note_ended(self.RUN, 10.0)
+        for count in range(15):
+            registry.note_current(10.0 + count * (WATCH_S + BATCH_S + 0.05))
+        writer = registry.writer_version(self.RUN, Contact(15.0, 26.0))
+        assert writer.is_proven
+
     def test_a_dropped_entry_shows_no_later_start(self):
         registry = self.make_registry()
         read_without_gap(registry, 30)
