Count a store's answer that waited through a pause as old as its call

What callers would see: a router stood still for three seconds while the operator added a route.

Cause: the age of the copy was counted from when an answer was read.

Evidence: `test_an_answer_is_as_old_as_its_call_if_it_was_held_up[3.0]` failed before.

Change: a watch that took 0.8 s longer than its wait, more than any store's answer may, is known to be newer than its call only. Calls to the store are as many as before.

Measured: the age is 3 s right after such a pause and below 1.3 s within 1.3 s more.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_reader.py
@@ -35,6 +35,10 @@
 """Range in seconds of the pause after a failed call; it allows several attempts within
 two seconds, the time in which a change must be in force."""
 
+MAX_CALL_S = WATCH_S + 0.8
+"""Time in seconds of a watch above which this process stood still meanwhile. Its answer
+may have waited in the socket and is only known to be newer than the call."""
+
 IDLE_CHECK_S = 0.1
 
 
@@ -102,7 +106,7 @@
     async def _read(self) -> None:
         if self._needs_listing or not self._router_state.replica.known:
             listing = await self._store.list_all()
-            self._note_answer()
+            self._note_answer(self._clock())
             self._needs_listing = False
             known_at = self._router_state.replica.at
             changed = self._router_state.apply_listing(
@@ -120,15 +124,17 @@
             if self.on_listed is not None:
                 await self.on_listed(listing)
             return
+        called_at = self._clock()
         listing = await self._store.watch(self._router_state.replica.at, WATCH_S)
-        self._note_answer()
+        now = self._clock()
+        self._note_answer(now if now <= called_at + MAX_CALL_S else called_at)
         self._router_state.apply_changes(
             listing.items, listing.at, self.failure_age_s(), "store"
         )
         await anyio.sleep(BATCH_S)
 
-    def _note_answer(self) -> None:
-        self._answered_at = self._clock()
+    def _note_answer(self, at: float) -> None:
+        self._answered_at = at
         if self._is_unreachable:
             self._is_unreachable = False
             emit(
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -185,6 +185,35 @@
         read(test)
 
 
+class TestAge:
+    @pytest.mark.parametrize(
+        ("seconds", "least_s", "most_s"), [(0.0, 0.0, 1.3), (3.0, 3.0, 4.2)]
+    )
+    def test_an_answer_is_as_old_as_its_call_if_it_was_held_up(
+        self, seconds, least_s, most_s
+    ):
+        """Guard against 404 for a route that was added while this router stood still:
+        the answer that waited in its socket would make its configuration seem new.
+        """
+
+        async def test():
+            store, clock = FakeStore(), anyio.current_time
+            store.put("op/config", b"7")
+            _, beliefs = make_beliefs(store, clock)
+            reader = StoreReader(store, beliefs, lambda: True, clock, 1)
+            async with anyio.create_task_group() as group:
+                group.start_soon(reader.run)
+                await anyio.sleep(0.5)
+                asyncio.get_running_loop()._now += seconds
+                await anyio.sleep(0.1)
+                assert least_s <= reader.age_s() <= most_s
+                await anyio.sleep(1.3)
+                assert reader.age_s() <= 1.3
+                group.cancel_scope.cancel()
+
+        run_virtual(test)
+
+
 class Fleet:
     """Routers on separate loopback addresses that share a fake store."""
 
