Keep a later start of a server whose former address answers for another one

What callers would see: a server starts again under its id at another address. A router whose list is old sends a call to the former address, which another server has by now, and reads of the new start before that one's 421 comes. It takes the new start out of its list, and as the entry of a calm server doesn't change, gets it back with the next listing only: no call there for minutes, and no server at all if it was the only one.

Cause: the answer is about the run to which the call was sent, but was applied to its id.

Evidence: `test_a_misdirected_answer_keeps_a_later_start_of_the_server` failed before.

Change: 421 of another server removes a run only while no later start of it is known.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_send_failures.py
@@ -73,8 +73,10 @@
         if crashed:
             self._note_crash(run, instance, ticket.answered_s(now))
         if isinstance(error, OtherInstanceError):
-            # Another server has this address now, so the instance no longer exists.
-            self._dispatcher.registry.remove(instance.id, now)
+            # Another server has this address now, so the instance no longer exists. A
+            # later start of its server may have been read of meanwhile.
+            if not self._dispatcher.registry.has_ended(instance):
+                self._dispatcher.registry.remove(instance.id, now)
         elif broken:
             # An answer that is wrong in another way comes from a process that runs.
             self._dispatcher.registry.suspect(instance.id, contact, now)
--- a/packages/fulmarroad-serving/tests/test_forwarding.py
+++ b/packages/fulmarroad-serving/tests/test_forwarding.py
@@ -290,6 +290,30 @@
 
         run(test)
 
+    def test_a_misdirected_answer_keeps_a_later_start_of_the_server(self):
+        """Guard against a server that gets no call until its entry changes: a router
+        whose list was old sent a call to its former address, and read of the new start
+        before the answer came.
+        """
+
+        async def test(bed):
+            await bed.serve("s-2", echo())
+            registry = bed.dispatcher.registry
+            moved = evolve(registry.get("s-2").instance, id="s-1", started_ms=2)
+            bed.apply_fact(InstanceRemovedFact("s-2"))
+
+            async def answer_late(arrival, writer):
+                bed.apply_fact(InstanceFact(moved))
+                await echo(421, extra="x-not-run: 1\r\n")(arrival, writer)
+
+            await bed.serve("s-1", answer_late)
+            await bed.call("/post/1", method="POST", body=b"x")
+            assert registry.get("s-1").instance == moved
+            caller = await bed.call("/post/1", method="POST", body=b"x")
+            assert caller.status == 200
+
+        run(test)
+
     def test_a_server_that_refuses_what_a_caller_asks_for_stays_in_use(self):
         """Guard against one caller whose conditions, which no server meets, take all
         servers away from the others.
