--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -1,5 +1,6 @@
 """Store reads and replication between peers, in virtual time or on loopback."""
 
+import asyncio
 import random
 import socket
 
@@ -37,6 +38,7 @@
     pack_report,
     unpack_report,
 )
+from fulmarroad_serving._restarts import SUSPECT_S
 from fulmarroad_serving._router_state import RouterState
 from fulmarroad_serving._shares import WorkspaceCount
 from fulmarroad_serving.contracts import (
@@ -185,6 +187,35 @@
         read(test)
 
 
+class TestAge:
+    @pytest.mark.parametrize(
+        ("seconds", "least_s", "most_s"), [(0.0, 0.0, 1.3), (3.0, 3.0, 4.2)]
+    )
+    def test_an_answer_is_as_old_as_its_call_if_it_was_held_up(
+        self, seconds, least_s, most_s
+    ):
+        """Guard against 404 for a route that was added while this router stood still:
+        the answer that waited in its socket would make its configuration seem new.
+        """
+
+        async def test():
+            store, clock = FakeStore(), anyio.current_time
+            store.put("op/config", b"7")
+            _, beliefs = make_beliefs(store, clock)
+            reader = StoreReader(store, beliefs, lambda: True, clock, 1)
+            async with anyio.create_task_group() as group:
+                group.start_soon(reader.run)
+                await anyio.sleep(0.5)
+                asyncio.get_running_loop()._now += seconds
+                await anyio.sleep(0.1)
+                assert least_s <= reader.age_s() <= most_s
+                await anyio.sleep(1.3)
+                assert reader.age_s() <= 1.3
+                group.cancel_scope.cancel()
+
+        run_virtual(test)
+
+
 class Fleet:
     """Routers on separate loopback addresses that share a fake store."""
 
@@ -374,6 +405,33 @@
 
         fleet.run(test)
 
+    @pytest.mark.parametrize("seconds", [0.7, 1.2])
+    def test_a_list_read_after_standing_still_proves_nothing_at_once(self, seconds):
+        """Guard against a stream bound to the version of a server's entry, though
+        another process answers: what waited in the sockets of a router that stood
+        still seems to be new.
+        """
+        fleet = Fleet(["a"])
+        fleet.ages["a"] = (0.0, 60.0)
+
+        dispatcher, _, peers = fleet.nodes["a"]
+        registry = dispatcher.registry
+
+        async def test():
+            async with anyio.create_task_group() as group:
+                group.start_soon(peers._expire_periodically)
+                await anyio.sleep(5.01)
+                current_at = registry._current_at
+                assert current_at >= 4.75
+                asyncio.get_running_loop()._now += seconds
+                await anyio.sleep(1.0)
+                assert registry._current_at == current_at
+                await anyio.sleep(SUSPECT_S)
+                assert anyio.current_time() - registry._current_at < 0.5
+                group.cancel_scope.cancel()
+
+        run_virtual(test)
+
     def test_a_silent_peer_is_logged_once(self, caplog):
         """When a router fails, its peers log a single line for operators. A router that
         is known only from other peers' reports and never sent one itself must not be
