Try streams that are taken up at a router out of step, with processes

Four routers run as processes; one is cut off from the store and from the others by relays on loopback while servers of v2 join, and the other three are killed. Callers take their streams up at it.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_silence_run.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import os
 import random
-import signal
-import sys
 import time
 from pathlib import Path
 from typing import Any
@@ -14,13 +11,11 @@
 from anyio.abc import TaskGroup
 from attrs import define, field, frozen
 
-from fulmarroad_bench._processes import (
-    Child,
-    ProcessError,
-    Processes,
-    processes,
-    wait_ready,
+from fulmarroad_bench._platform_routers import (
+    fail_on_termination,
+    start_platform_router,
 )
+from fulmarroad_bench._processes import Child, Processes, processes, wait_ready
 from fulmarroad_bench._silence_callers import (
     DEADLINE_S,
     WORKSPACES,
@@ -33,7 +28,6 @@
 from fulmarroad_bench._silence_engine import SilentEngine
 from fulmarroad_bench._silence_forms import Form
 from fulmarroad_platform.standin import (
-    SETTINGS_PATH_VARIABLE,
     StandInRoute,
     catalog,
     server_entry,
@@ -61,7 +55,6 @@
 ROUTER_PORTS = (7420, 7421, 7422, 7400)
 """Ports for callers, readiness, control and other routers."""
 
-METRICS_PORT = 7410
 STORE_PORT = 7430
 ENGINE_PORT = 7431
 
@@ -75,7 +68,6 @@
     max_attempts=2,
     timeout_s=DEADLINE_S,
 )
-PASSED_VARIABLES = ("PATH", "HOME", "LANG", "FULMARROAD_FEATURES")
 
 
 @frozen
@@ -94,30 +86,18 @@
         return f"{self.network}.{number}"
 
 
-def loopback_network(number: int) -> str:
-    """Return the first numbers of addresses that only one run of one process uses."""
-    return f"127.{1 + os.getpid() % 250}.{1 + number % 250}"
-
-
 async def run_load(plan: RunPlan) -> dict[str, Any]:
     """Run the load with its own routers and return its figures.
 
     Raises `ProcessError` if this process is asked to terminate.
     """
     async with processes(plan.logs) as starter, anyio.create_task_group() as group:
-        group.start_soon(_fail_on_termination)
+        group.start_soon(fail_on_termination)
         figures = await SilenceRun(plan, starter).run()
         group.cancel_scope.cancel()
     return figures
 
 
-async def _fail_on_termination() -> None:
-    """Raise `ProcessError` on SIGTERM, so that the routers are stopped too."""
-    with anyio.open_signal_receiver(signal.SIGTERM) as signals:
-        async for _ in signals:
-            raise ProcessError("The run was terminated.")
-
-
 @define(eq=False)
 class SilenceRun:
     """Run one form of the load."""
@@ -183,22 +163,9 @@
 
     async def _start_router(self, name: str, host: str, seeds: list[str]) -> None:
         store = f"{self._plan.host(STORE_HOST)}:{STORE_PORT}"
-        settings = self._starter.directory / f"{name}.toml"
         burst = self._plan.retry_burst
         text = settings_text(name, host, ROUTER_PORTS, seeds, store, burst)
-        settings.write_text(text)
-        # PYTHONPATH is not passed on: it may name another checkout.
-        environment = {
-            name: os.environ[name] for name in PASSED_VARIABLES if name in os.environ
-        }
-        environment["PYTHONDONTWRITEBYTECODE"] = "1"
-        environment[SETTINGS_PATH_VARIABLE] = str(settings)
-        child = await self._starter.start_program(
-            name,
-            [sys.executable, "deploy/router.py", str(METRICS_PORT)],
-            directory=self._plan.tree,
-            environment=environment,
-        )
+        child = await start_platform_router(self._starter, self._plan.tree, name, text)
         self._routers.append(child)
 
     def _processor_s(self) -> float:
--- /dev/null
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_counts.py
@@ -0,0 +1,54 @@
+"""Figures of streams that were taken up, from what their callers received."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any
+
+from fulmarroad_bench._soak_callers import Stream
+
+
+def count_streams(streams: Sequence[Stream], fresh: Sequence[Stream]) -> dict[str, Any]:
+    """Return the figures of one run."""
+    taken_up = [row for row in streams if row.taken_up is not None]
+    kinds = {
+        "named": [row for row in taken_up if row.named],
+        "unnamed": [row for row in taken_up if not row.named],
+    }
+    return {
+        "streams": len(streams),
+        "not_begun": sum(not row.last_event for row in streams),
+        "taken_up": len(taken_up),
+        **{name: _count_kind(rows) for name, rows in kinds.items()},
+        "two_versions": sum(holds_two_versions(row) for row in (*streams, *fresh)),
+        "fresh": len(fresh),
+        "fresh_served": sum(row.begun.complete and row.whole for row in fresh),
+        "slowest_refusal_s": round(max(_refusal_seconds(taken_up), default=0.0), 3),
+    }
+
+
+def holds_two_versions(stream: Stream) -> bool:
+    """Return whether a caller got a text of two versions."""
+    return len(set(stream.versions)) > 1
+
+
+def _count_kind(taken_up: Sequence[Stream]) -> dict[str, Any]:
+    refused = Counter(
+        row.taken_up.status
+        for row in taken_up
+        if row.taken_up is not None and row.taken_up.status != 200
+    )
+    begun_on = Counter(row.versions[0] for row in taken_up)
+    return {
+        "taken_up": len(taken_up),
+        "begun_on": dict(sorted(begun_on.items())),
+        "went_on": sum(row.whole for row in taken_up),
+        "two_versions": sum(holds_two_versions(row) for row in taken_up),
+        "refused": {str(status): refused[status] for status in sorted(refused)},
+    }
+
+
+def _refusal_seconds(taken_up: Sequence[Stream]) -> list[float]:
+    answers = [row.taken_up for row in taken_up if row.taken_up is not None]
+    return [row.seconds for row in answers if row.status != 200]
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/silences.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/silences.py
@@ -17,18 +17,14 @@
 
 import fire
 
+from fulmarroad_bench._platform_routers import default_tree, loopback_network
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._silence_forms import FORMS
-from fulmarroad_bench._silence_run import RunPlan, loopback_network, run_load
+from fulmarroad_bench._silence_run import RunPlan, run_load
 
 USUAL_RETRY_BURST = 50
 
 
-def default_tree() -> Path:
-    """Return the checkout that this module is part of."""
-    return Path(__file__).parents[4]
-
-
 def main(
     form: str | Sequence[str] = "",
     seeds: int = 1,
