--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(addprefix $(CURDIR)/,$(SRC)))
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: setup check format test demo bench lab hard-load silences capacity
+.PHONY: setup check format test demo bench lab hard-load silences out-of-step capacity
 
 setup: $(VENV)/.ready
 
@@ -58,5 +58,9 @@
 	$(PY) -m fulmarroad_bench.silences --form "$(FORMS)" --seeds $(SEEDS) \
 		--tree "$(TREE)"
 
+out-of-step: setup
+	$(PY) -m fulmarroad_bench.out_of_step --form "$(FORMS)" --seeds $(SEEDS) \
+		--tree "$(TREE)"
+
 capacity: setup
 	$(PY) -m fulmarroad_bench.capacity
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_counts.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_counts.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from typing import Any
 
-from fulmarroad_bench._soak_callers import Stream
+from fulmarroad_bench._soak_callers import Answer, Stream
 
 
 def count_streams(streams: Sequence[Stream], fresh: Sequence[Stream]) -> dict[str, Any]:
@@ -18,7 +18,7 @@
     }
     return {
         "streams": len(streams),
-        "not_begun": sum(not row.last_event for row in streams),
+        "not_begun": _statuses(row.begun for row in streams if not row.last_event),
         "taken_up": len(taken_up),
         **{name: _count_kind(rows) for name, rows in kinds.items()},
         "two_versions": sum(holds_two_versions(row) for row in (*streams, *fresh)),
@@ -34,21 +34,23 @@
 
 
 def _count_kind(taken_up: Sequence[Stream]) -> dict[str, Any]:
-    refused = Counter(
-        row.taken_up.status
-        for row in taken_up
-        if row.taken_up is not None and row.taken_up.status != 200
-    )
+    answers = [row.taken_up for row in taken_up if row.taken_up is not None]
     begun_on = Counter(row.versions[0] for row in taken_up)
     return {
         "taken_up": len(taken_up),
         "begun_on": dict(sorted(begun_on.items())),
         "went_on": sum(row.whole for row in taken_up),
         "two_versions": sum(holds_two_versions(row) for row in taken_up),
-        "refused": {str(status): refused[status] for status in sorted(refused)},
+        "refused": _statuses(row for row in answers if row.status != 200),
     }
 
 
+def _statuses(answers: Iterable[Answer]) -> dict[str, int]:
+    """Count answers by status; 0 is none at all."""
+    counts = Counter(row.status for row in answers)
+    return {str(status): counts[status] for status in sorted(counts)}
+
+
 def _refusal_seconds(taken_up: Sequence[Stream]) -> list[float]:
     answers = [row.taken_up for row in taken_up if row.taken_up is not None]
     return [row.seconds for row in answers if row.status != 200]
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_engine.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_engine.py
@@ -145,5 +145,7 @@
     events = []
     for block in body.split(b"\n\n")[:-1]:
         number, version = block.decode().split("\n")
-        events.append((int(number.removeprefix("id: ")), version.removeprefix("data: ")))
+        events.append(
+            (int(number.removeprefix("id: ")), version.removeprefix("data: "))
+        )
     return events
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
@@ -88,11 +88,14 @@
         async with stream:
             await self._wait_whole(pair)
             with suppress(*_CLOSED):
-                async with await anyio.connect_tcp(
-                    self.hosts[receiver],
-                    self.ports[receiver],
-                    local_host=self.hosts[sender],
-                ) as onward, anyio.create_task_group() as group:
+                async with (
+                    await anyio.connect_tcp(
+                        self.hosts[receiver],
+                        self.ports[receiver],
+                        local_host=self.hosts[sender],
+                    ) as onward,
+                    anyio.create_task_group() as group,
+                ):
                     group.start_soon(self._pump, stream, onward, pair)
                     group.start_soon(self._pump, onward, stream, pair)
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_run.py
@@ -24,9 +24,11 @@
 """Seconds from getting out of step until servers of the other version join."""
 
 STREAM_AGE_S = 0.75
-"""Age of streams when they break."""
+"""Age of the oldest streams when they break."""
 
 MAX_JITTER_S = 0.05
+BEGIN_SPREAD_S = 0.2
+"""Seconds within which the streams begin."""
 
 
 @frozen
@@ -132,6 +134,7 @@
 
     async def _call(self, stream: Stream) -> None:
         router = self._random.choice(self._others())
+        await anyio.sleep(self._random.uniform(0.0, BEGIN_SPREAD_S))
         await begin(stream, self._world.address(router))
         await take_up(stream, self._world.address(self._late))
 
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
@@ -6,7 +6,8 @@
 
 Four routers run as processes on loopback; servers, callers, the store and what lies
 between the routers run in this process. The exit code is 1 if a caller got a text of
-two versions, 2 for invalid options. `docs/MEASURES.md` defines the output.
+two versions, 2 for invalid options, 3 if a run could not be completed.
+`docs/MEASURES.md` defines the output.
 """
 
 from __future__ import annotations
@@ -16,16 +17,18 @@
 import sys
 from collections.abc import Sequence
 from pathlib import Path
+from typing import NoReturn
 
 import fire
 
+from fulmarroad.exceptions import FulmarroadError
 from fulmarroad_bench._platform_routers import default_tree, loopback_network
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._soak_forms import FORMS
 from fulmarroad_bench._soak_run import RunPlan, run_form
 from fulmarroad_bench._soak_world import WorldPlan
 
-EXIT_TWO_VERSIONS, EXIT_USAGE = 1, 2
+EXIT_TWO_VERSIONS, EXIT_USAGE, EXIT_NOT_RUN = 1, 2, 3
 
 
 def main(
@@ -53,7 +56,10 @@
     for number, (name, seed) in enumerate(runs):
         world = WorldPlan(checkout, loopback_network(number))
         plan = RunPlan(FORMS[name], seed, world, _log_directory(logs, name, seed))
-        line = run_main(functools.partial(run_form, plan))
+        try:
+            line = run_main(functools.partial(run_form, plan))
+        except FulmarroadError as error:
+            _exit(error.message, EXIT_NOT_RUN)
         print(json.dumps({"form": name, "seed": seed, **line}), flush=True)
         two_versions += line["two_versions"]
     if two_versions:
@@ -86,9 +92,9 @@
     return checkout
 
 
-def _exit(message: str) -> None:
+def _exit(message: str, code: int = EXIT_USAGE) -> NoReturn:
     print(message, file=sys.stderr)
-    sys.exit(EXIT_USAGE)
+    sys.exit(code)
 
 
 def _log_directory(logs: str, form: str, seed: int) -> Path | None:
--- a/packages/fulmarroad-serving/tests/test_platform_standin.py
+++ b/packages/fulmarroad-serving/tests/test_platform_standin.py
@@ -69,3 +69,19 @@
         request = read_request(b"\r\n".join(rows))
         assert (request.id, request.instance, request.last_event) == ("s-1", "e-1", 7)
         assert request.deadline_s == 2.0
+
+    def test_a_call_that_takes_a_stream_up_says_where_and_which(self):
+        """Guard against callers whose streams begin again at the router."""
+        raw = request_bytes(
+            "s-2", "/draft/x", "key", 8.0, (100, 24), "b:100", b"x", 7, "s-1"
+        )
+        lines = raw.split(b"\r\n\r\n")[0].split(b"\r\n")[1:]
+        pairs = (line.split(b": ", 1) for line in lines)
+        head = PlatformCodec().read_call([(name, value) for name, value in pairs])
+        assert (head.last_event_id, head.resumes) == ("7", "s-1")
+        request = read_request(raw)
+        assert (request.path, request.own_part, request.own_part_tokens) == (
+            "/draft/x",
+            "b",
+            100,
+        )
