Let two routers be out of step, and count refusals by their reasons

Forms in which two routers are late together, in which servers of v2 leave the store's list at once, and in which a cut ends just after streams break. A run beside load showed refusals with router_busy, which the figures now tell apart.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_counts.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_counts.py
@@ -4,9 +4,12 @@
 
 from collections import Counter
 from collections.abc import Iterable, Sequence
+from pathlib import Path
 from typing import Any
 
+from fulmarroad.events import Event
 from fulmarroad_bench._soak_callers import Answer, Stream
+from fulmarroad_bench.losses import read_lines
 
 
 def count_streams(streams: Sequence[Stream], fresh: Sequence[Stream]) -> dict[str, Any]:
@@ -28,6 +31,19 @@
     }
 
 
+def count_reasons(logs: Iterable[Path]) -> dict[str, int]:
+    """Count the refusals in routers' logs by their reasons, most frequent first."""
+    lines = (
+        line for log in logs for line in log.read_text(errors="replace").splitlines()
+    )
+    reasons = Counter(
+        row["outcome"]
+        for row in read_lines(lines)
+        if row["event"] == Event.REQUEST_REFUSED.value.number
+    )
+    return dict(reasons.most_common())
+
+
 def holds_two_versions(stream: Stream) -> bool:
     """Return whether a caller got a text of two versions."""
     return len(set(stream.versions)) > 1
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from contextlib import suppress
 
 import anyio
@@ -36,7 +36,7 @@
     hosts: Sequence[str]
     ports: Sequence[int]  # peer port of each router
     _packets: dict[Pair, UDPSocket] = field(factory=dict)
-    _isolated: set[int] = field(factory=set)
+    _isolated: frozenset[int] = frozenset()
 
     async def serve(self, group: TaskGroup) -> None:
         """Listen and relay until the task group is cancelled."""
@@ -47,16 +47,16 @@
         for pair in pairs:
             group.start_soon(self._relay_packets, pair)
 
-    def isolate(self, router: int) -> None:
-        """Cut a router off from all others."""
-        self._isolated.add(router)
+    def isolate(self, routers: Iterable[int]) -> None:
+        """Cut some routers off from all others, but not from each other."""
+        self._isolated = frozenset(routers)
 
-    def rejoin(self, router: int) -> None:
+    def rejoin(self) -> None:
         """End the cut; bytes of connections that were held back pass now."""
-        self._isolated.discard(router)
+        self._isolated = frozenset()
 
     def _is_cut(self, pair: Pair) -> bool:
-        return not self._isolated.isdisjoint(pair)
+        return len(self._isolated.intersection(pair)) == 1
 
     async def _listen(self, pair: Pair, group: TaskGroup) -> None:
         sender, receiver = pair
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_run.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_run.py
@@ -1,8 +1,9 @@
-"""One run of a form: get a router out of step, break streams, take them up there."""
+"""One run of a form: get routers out of step, break streams, take them up there."""
 
 from __future__ import annotations
 
 import random
+import time
 from pathlib import Path
 from typing import Any
 
@@ -11,8 +12,14 @@
 
 from fulmarroad_bench._platform_routers import fail_on_termination
 from fulmarroad_bench._processes import processes
-from fulmarroad_bench._soak_callers import Stream, begin, plan_streams, take_up
-from fulmarroad_bench._soak_counts import count_streams
+from fulmarroad_bench._soak_callers import (
+    Address,
+    Stream,
+    begin,
+    plan_streams,
+    take_up,
+)
+from fulmarroad_bench._soak_counts import count_reasons, count_streams
 from fulmarroad_bench._soak_forms import Breakage, Form, Lateness
 from fulmarroad_bench._soak_world import ROUTERS, SoakWorld, WorldPlan
 
@@ -27,6 +34,7 @@
 """Age of the oldest streams when they break."""
 
 MAX_JITTER_S = 0.05
+DELAY_CHECK_S = 0.02
 BEGIN_SPREAD_S = 0.2
 """Seconds within which the streams begin."""
 
@@ -59,12 +67,13 @@
     _plan: RunPlan
     _world: SoakWorld
     _random: random.Random = field(init=False)
-    _late: int = field(init=False)  # the router that gets out of step
+    _late: list[int] = field(init=False)  # routers that get out of step
+    _worst_delay_s: float = 0.0  # of this process
     _broken: anyio.Event = field(factory=anyio.Event)
 
     def __attrs_post_init__(self) -> None:
         self._random = random.Random(self._plan.seed)
-        self._late = self._random.randrange(ROUTERS)
+        self._late = self._random.sample(range(ROUTERS), self._form.late_routers)
 
     @property
     def _form(self) -> Form:
@@ -74,14 +83,28 @@
         streams = plan_streams(self._random, STREAMS, "b")
         fresh = plan_streams(self._random, FRESH_STREAMS, "f")
         await self._world.start(FORMER)
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._send_streams, streams)
-            group.start_soon(self._change_world)
-            group.start_soon(self._send_fresh, fresh)
-        return {"late_router": self._late + 1, **count_streams(streams, fresh)}
+        async with anyio.create_task_group() as background:
+            background.start_soon(self._watch_delays)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_streams, streams)
+                group.start_soon(self._change_world)
+                group.start_soon(self._send_fresh, fresh)
+            background.cancel_scope.cancel()
+        return {
+            "late_routers": [number + 1 for number in self._late],
+            **count_streams(streams, fresh),
+            "reasons": count_reasons(self._world.logs(self._late)),
+            "worst_delay_s": round(self._worst_delay_s, 3),
+        }
+
+    async def _watch_delays(self) -> None:
+        while True:
+            due = time.monotonic() + DELAY_CHECK_S
+            await anyio.sleep(DELAY_CHECK_S)
+            self._worst_delay_s = max(self._worst_delay_s, time.monotonic() - due)
 
     async def _change_world(self) -> None:
-        """Take the router out of step, let servers join, break the streams."""
+        """Take routers out of step, let servers join, break the streams."""
         form = self._form
         self._take_out_of_step()
         await anyio.sleep(JOIN_S)
@@ -95,6 +118,9 @@
         elif form.lateness is Lateness.STOPPED:
             self._wake()
         self._break_streams()
+        if form.heals_s is not None:
+            await anyio.sleep(form.heals_s)
+            self._bring_back()
 
     def _take_out_of_step(self) -> None:
         world, lateness = self._world, self._form.lateness
@@ -106,8 +132,8 @@
             world.stop(self._late)
 
     def _bring_back(self) -> None:
-        self._world.mend_store(self._late)
-        self._world.rejoin(self._late)
+        self._world.mend_store()
+        self._world.rejoin()
         self._world.resume(self._late)
 
     def _wake(self) -> None:
@@ -118,13 +144,17 @@
     def _break_streams(self) -> None:
         if self._form.breakage is Breakage.SERVERS_ENDED:
             self._world.end_servers(JOINED)
+        elif self._form.breakage is Breakage.SERVERS_LEFT:
+            self._world.end_servers(JOINED, expiry_s=0.0)
         else:
-            for router in self._others():
-                self._world.kill(router)
+            self._world.kill(self._others())
         self._broken.set()
 
+    def _late_address(self) -> Address:
+        return self._world.address(self._random.choice(self._late))
+
     def _others(self) -> list[int]:
-        return [number for number in range(ROUTERS) if number != self._late]
+        return [number for number in range(ROUTERS) if number not in self._late]
 
     async def _send_streams(self, streams: list[Stream]) -> None:
         await anyio.sleep(self._form.late_s + (self._form.back_s or 0.0) - STREAM_AGE_S)
@@ -136,13 +166,13 @@
         router = self._random.choice(self._others())
         await anyio.sleep(self._random.uniform(0.0, BEGIN_SPREAD_S))
         await begin(stream, self._world.address(router))
-        await take_up(stream, self._world.address(self._late))
+        await take_up(stream, self._late_address())
 
     async def _send_fresh(self, fresh: list[Stream]) -> None:
         await self._broken.wait()
         if self._form.store_silent_s:
             await anyio.sleep(self._form.store_silent_s)
-            self._world.mend_store(self._late)
+            self._world.mend_store()
         async with anyio.create_task_group() as group:
             for stream in fresh:
-                group.start_soon(begin, stream, self._world.address(self._late))
+                group.start_soon(begin, stream, self._late_address())
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_world.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+from collections.abc import Iterable
 from pathlib import Path
 
 import anyio
@@ -103,6 +104,10 @@
         """Return where a router listens for callers."""
         return Address(self._network.hosts[router], CALLERS_PORT)
 
+    def logs(self, routers: Iterable[int]) -> list[Path]:
+        """Return the log files of routers."""
+        return [self._routers[router].log for router in routers]
+
     async def join(self, version: str) -> None:
         """Let servers of a version start and write their entries."""
         for _ in range(SERVERS):
@@ -113,40 +118,46 @@
             self._engines.append(engine)
             self._store.put_server(engine.name, engine.entry())
 
-    def end_servers(self, version: str) -> None:
-        """Let the servers of a version crash; their entries go later."""
+    def end_servers(self, version: str, expiry_s: float = EXPIRY_S) -> None:
+        """Let the servers of a version end; their entries are removed later."""
         for engine in self._engines:
             if engine.version == version:
                 engine.end()
-                self._group.start_soon(self._expire, engine)
+                self._group.start_soon(self._expire, engine, expiry_s)
+
+    def kill(self, routers: Iterable[int]) -> None:
+        """Kill the processes of routers."""
+        self._signal(routers, signal.SIGKILL)
 
-    def kill(self, router: int) -> None:
-        """Kill a router's process."""
-        self._routers[router].send(signal.SIGKILL)
+    def stop(self, routers: Iterable[int]) -> None:
+        """Let the processes of routers stand still."""
+        self._signal(routers, signal.SIGSTOP)
 
-    def stop(self, router: int) -> None:
-        """Let a router's process stand still."""
-        self._routers[router].send(signal.SIGSTOP)
+    def resume(self, routers: Iterable[int]) -> None:
+        """Let the processes of routers go on."""
+        self._signal(routers, signal.SIGCONT)
 
-    def resume(self, router: int) -> None:
-        """Let a router's process go on."""
-        self._routers[router].send(signal.SIGCONT)
+    def cut_store(self, routers: Iterable[int]) -> None:
+        """Cut routers off from the store."""
+        for router in routers:
+            self._links[router].cut()
 
-    def cut_store(self, router: int) -> None:
-        """Cut a router off from the store."""
-        self._links[router].cut()
+    def mend_store(self) -> None:
+        """Let all routers reach the store."""
+        for link in self._links:
+            link.mend()
 
-    def mend_store(self, router: int) -> None:
-        """Let a router reach the store again."""
-        self._links[router].mend()
+    def isolate(self, routers: Iterable[int]) -> None:
+        """Cut routers off from the others, but not from each other."""
+        self._network.isolate(routers)
 
-    def isolate(self, router: int) -> None:
-        """Cut a router off from the other routers."""
-        self._network.isolate(router)
+    def rejoin(self) -> None:
+        """Let all routers reach each other."""
+        self._network.rejoin()
 
-    def rejoin(self, router: int) -> None:
-        """Let a router reach the other routers again."""
-        self._network.rejoin(router)
+    def _signal(self, routers: Iterable[int], number: int) -> None:
+        for router in routers:
+            self._routers[router].send(number)
 
     async def _start_router(self, number: int) -> Child:
         name = f"router-{number + 1}"
@@ -166,6 +177,6 @@
                 if not engine.ended:
                     self._store.put_server(engine.name, engine.entry())
 
-    async def _expire(self, engine: VersionedEngine) -> None:
-        await anyio.sleep(EXPIRY_S)
+    async def _expire(self, engine: VersionedEngine, expiry_s: float) -> None:
+        await anyio.sleep(expiry_s)
         self._store.remove_server(engine.name)
--- a/packages/fulmarroad-bench/tests/test_out_of_step.py
+++ b/packages/fulmarroad-bench/tests/test_out_of_step.py
@@ -85,10 +85,10 @@
                 for name, port in zip(hosts, ports, strict=True)
             ]
             async with first, second:
-                network.isolate(1)
+                network.isolate([1])
                 await first.sendto(b"lost", hosts[1], ports[0])
                 await anyio.sleep(0.05)
-                network.rejoin(1)
+                network.rejoin()
                 await first.sendto(b"sent", hosts[1], ports[0])
                 with anyio.fail_after(5):
                     assert await second.receive() == (b"sent", (hosts[0], ports[1]))
@@ -104,12 +104,12 @@
                 local_host=hosts[1], local_port=ports[1]
             )
             group.start_soon(listener.serve, _greet)
-            network.isolate(0)
+            network.isolate([0])
             async with await anyio.connect_tcp(hosts[1], ports[0]) as stream:
                 with anyio.move_on_after(0.1) as wait:
                     await stream.receive()
                 assert wait.cancelled_caught
-                network.rejoin(0)
+                network.rejoin()
                 with anyio.fail_after(5):
                     assert await stream.receive() == b"hello"
             group.cancel_scope.cancel()
