--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_forms.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_forms.py
@@ -62,7 +62,7 @@
     "stopped_2_left": Form(_STOPPED, 2.1, _LEFT),
     "healed_killed": Form(_CUT, 2.1, heals_s=0.1),
     "healed_left": Form(_CUT, 2.1, _LEFT, heals_s=0.1),
-    "pair_cut_killed": Form(_CUT, 2.1, late_routers=2),
+    "pair_cut_killed": Form(_CUT, 4.1, late_routers=2),
     "pair_stopped_killed": Form(_STOPPED, 2.1, late_routers=2),
     "pair_store_killed": Form(Lateness.NO_STORE, 2.1, late_routers=2),
     "in_step_killed": Form(Lateness.NONE, 1.4),
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_world.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_world.py
@@ -25,8 +25,9 @@
 SERVERS = 4
 """Servers of each version."""
 
-SETTLE_S = 2.0
-"""Seconds from readiness to the first event, in which the routers find each other."""
+USUAL_SETTLE_S = 6.5
+"""Seconds from readiness to the first event. Routers find each other sooner, but ask
+engines about streams in their first seconds only."""
 
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3.6
@@ -58,6 +59,7 @@
 
     tree: Path  # checkout whose routers are run
     network: str  # first three numbers of its addresses
+    settle_s: float = USUAL_SETTLE_S
 
     def host(self, number: int) -> str:
         """Return an address of the run."""
@@ -98,7 +100,7 @@
             self._routers.append(await self._start_router(number))
         for child, host in zip(self._routers, self._network.hosts, strict=True):
             await wait_ready(child, f"{host}:{READINESS_PORT}")
-        await anyio.sleep(SETTLE_S)
+        await anyio.sleep(self.plan.settle_s)
 
     def address(self, router: int) -> Address:
         """Return where a router listens for callers."""
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
@@ -26,10 +26,12 @@
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._soak_forms import FORMS
 from fulmarroad_bench._soak_run import RunPlan, run_form
-from fulmarroad_bench._soak_world import WorldPlan
+from fulmarroad_bench._soak_world import USUAL_SETTLE_S, WorldPlan
 
 EXIT_TWO_VERSIONS, EXIT_USAGE, EXIT_NOT_RUN = 1, 2, 3
 
+MAX_SETTLE_S = 600
+
 
 def main(
     form: str | Sequence[str] = "",
@@ -37,6 +39,7 @@
     first_seed: int = 1,
     tree: str = "",
     logs: str = "",
+    settle: float = USUAL_SETTLE_S,
 ) -> None:
     """Run forms and print one JSON line for each form and seed.
 
@@ -46,15 +49,16 @@
         first_seed: Seed of the first run.
         tree: Checkout whose routers are run; empty for this one.
         logs: Directory for the routers' logs; they are removed without it.
+        settle: Seconds from the routers' readiness to the first event.
 
     """
     names = form_names(form)
     numbers = seed_numbers(seeds, first_seed)
-    checkout = checkout_of(tree)
+    checkout, wait_s = checkout_of(tree), settle_seconds(settle)
     two_versions = 0
     runs = [(name, seed) for name in names for seed in numbers]
     for number, (name, seed) in enumerate(runs):
-        world = WorldPlan(checkout, loopback_network(number))
+        world = WorldPlan(checkout, loopback_network(number), wait_s)
         plan = RunPlan(FORMS[name], seed, world, _log_directory(logs, name, seed))
         try:
             line = run_main(functools.partial(run_form, plan))
@@ -84,6 +88,13 @@
     return range(first_seed, first_seed + seeds)
 
 
+def settle_seconds(settle: float) -> float:
+    """Return the time to settle; exit with a message if it is none."""
+    if not isinstance(settle, int | float) or not 0 <= settle <= MAX_SETTLE_S:
+        _exit(f"The time to settle is 0 to {MAX_SETTLE_S} seconds: not {settle!r}.")
+    return settle
+
+
 def checkout_of(tree: str) -> Path:
     """Return the checkout to run; exit with a message if it has no router."""
     checkout = Path(str(tree)).resolve() if tree else default_tree()
--- a/packages/fulmarroad-bench/tests/test_out_of_step.py
+++ b/packages/fulmarroad-bench/tests/test_out_of_step.py
@@ -23,6 +23,7 @@
 
 COMMAND = [sys.executable, "-m", "fulmarroad_bench.out_of_step"]
 MODULE_NETWORKS = iter(range(1, 100))
+SETTLE_S = 2.0
 
 
 @pytest.fixture
@@ -155,6 +156,7 @@
             (["--form", "cut_1_kiled"], "cut_1_kiled"),
             (["--seeds", "0"], "at least one"),
             (["--seeds", "many"], "'many'"),
+            (["--settle", "soon"], "'soon'"),
             (["--tree", "/no/such/checkout"], "/no/such/checkout"),
         ],
     )
@@ -168,7 +170,8 @@
     def test_no_process_stays_when_it_is_interrupted(self, number):
         """Guard against routers that stand still for good after Ctrl-C."""
         tool = subprocess.Popen(
-            [*COMMAND, "--form", "stopped_6_killed"], stderr=subprocess.DEVNULL
+            [*COMMAND, "--form", "stopped_6_killed", "--settle", "1"],
+            stderr=subprocess.DEVNULL,
         )
         children = _wait_for_stopped_child(tool)
         tool.send_signal(number)
@@ -190,7 +193,8 @@
     @pytest.mark.parametrize("form", ["cut_1_killed", "one_version_back"])
     def test_no_caller_gets_a_text_of_two_versions(self, form):
         """Guard against routers that take an old list of servers for complete."""
-        world = WorldPlan(default_tree(), loopback_network(next(MODULE_NETWORKS)))
+        network = loopback_network(next(MODULE_NETWORKS))
+        world = WorldPlan(default_tree(), network, SETTLE_S)
         figures = run_main(functools.partial(run_form, RunPlan(FORMS[form], 1, world)))
         assert figures["taken_up"] > 0
         assert figures["two_versions"] == 0
