Share the options of commands that run forms with seeds

silences and out_of_step had the same code for names of forms, seeds and log directories. An invalid option is a typed error, which each command turns into its own exit code.

--- a/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/out_of_step.py
@@ -13,15 +13,21 @@
 from __future__ import annotations
 
 import functools
+import itertools
 import json
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
-from typing import NoReturn
 
 import fire
 
 from fulmarroad.exceptions import FulmarroadError
+from fulmarroad_bench._form_options import (
+    OptionError,
+    chosen_forms,
+    chosen_seeds,
+    log_directory,
+)
 from fulmarroad_bench._platform_routers import default_tree, loopback_network
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._soak_forms import FORMS
@@ -52,68 +58,56 @@
         settle: Seconds from the routers' readiness to the first event.
 
     """
-    names = form_names(form)
-    numbers = seed_numbers(seeds, first_seed)
-    checkout, wait_s = checkout_of(tree), settle_seconds(settle)
-    two_versions = 0
-    runs = [(name, seed) for name in names for seed in numbers]
-    for number, (name, seed) in enumerate(runs):
-        world = WorldPlan(checkout, loopback_network(number), wait_s)
-        plan = RunPlan(FORMS[name], seed, world, _log_directory(logs, name, seed))
-        try:
-            line = run_main(functools.partial(run_form, plan))
-        except FulmarroadError as error:
-            _exit(error.message, EXIT_NOT_RUN)
-        print(json.dumps({"form": name, "seed": seed, **line}), flush=True)
-        two_versions += line["two_versions"]
+    try:
+        names = chosen_forms(form, FORMS)
+        numbers = chosen_seeds(seeds, first_seed)
+        checkout, wait_s = checkout_of(tree), settle_seconds(settle)
+        plans = [
+            (
+                name,
+                RunPlan(
+                    FORMS[name],
+                    seed,
+                    WorldPlan(checkout, loopback_network(number), wait_s),
+                    log_directory(logs, name, seed),
+                ),
+            )
+            for number, (name, seed) in enumerate(itertools.product(names, numbers))
+        ]
+        two_versions = _run_all(plans)
+    except FulmarroadError as error:
+        print(error.format_message(), file=sys.stderr)
+        is_usage = isinstance(error, OptionError)
+        sys.exit(EXIT_USAGE if is_usage else EXIT_NOT_RUN)
     if two_versions:
         sys.exit(EXIT_TWO_VERSIONS)
 
 
-def form_names(form: str | Sequence[str]) -> list[str]:
-    """Return the chosen forms, or all; exit with a message for an unknown one."""
-    # The command line turns names separated by commas into a tuple.
-    names = str(form).split(",") if not isinstance(form, list | tuple) else list(form)
-    names = names if form else list(FORMS)
-    for name in names:
-        if name not in FORMS:
-            _exit(f"Unknown form {name!r}. Use one of {', '.join(FORMS)}.")
-    return names
-
-
-def seed_numbers(seeds: int, first_seed: int) -> range:
-    """Return the seeds to run; exit with a message if there are none."""
-    if not isinstance(seeds, int) or not isinstance(first_seed, int) or seeds < 1:
-        _exit(f"Seeds are whole numbers, at least one: not {seeds!r}, {first_seed!r}.")
-    return range(first_seed, first_seed + seeds)
-
-
 def settle_seconds(settle: float) -> float:
-    """Return the time to settle; exit with a message if it is none."""
+    """Return the time to settle; raise `OptionError` if it is none."""
     if not isinstance(settle, int | float) or not 0 <= settle <= MAX_SETTLE_S:
-        _exit(f"The time to settle is 0 to {MAX_SETTLE_S} seconds: not {settle!r}.")
+        raise OptionError(
+            f"The time to settle is 0 to {MAX_SETTLE_S} seconds: not {settle!r}."
+        )
     return settle
 
 
 def checkout_of(tree: str) -> Path:
-    """Return the checkout to run; exit with a message if it has no router."""
+    """Return the checkout to run; raise `OptionError` if it has no router."""
     checkout = Path(str(tree)).resolve() if tree else default_tree()
     if not (checkout / "deploy" / "router.py").is_file():
-        _exit(f"{checkout} is no checkout: it has no deploy/router.py.")
+        raise OptionError(f"{checkout} is no checkout: it has no deploy/router.py.")
     return checkout
 
 
-def _exit(message: str, code: int = EXIT_USAGE) -> NoReturn:
-    print(message, file=sys.stderr)
-    sys.exit(code)
-
-
-def _log_directory(logs: str, form: str, seed: int) -> Path | None:
-    if not logs:
-        return None
-    directory = Path(logs).resolve() / f"{form}-{seed}"
-    directory.mkdir(parents=True, exist_ok=True)
-    return directory
+def _run_all(runs: Iterable[tuple[str, RunPlan]]) -> int:
+    """Run plans by the names of their forms; return the texts of two versions."""
+    two_versions = 0
+    for name, plan in runs:
+        line = run_main(functools.partial(run_form, plan))
+        print(json.dumps({"form": name, "seed": plan.seed, **line}), flush=True)
+        two_versions += line["two_versions"]
+    return two_versions
 
 
 if __name__ == "__main__":
--- a/packages/fulmarroad-bench/src/fulmarroad_bench/silences.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/silences.py
@@ -17,6 +17,7 @@
 
 import fire
 
+from fulmarroad_bench._form_options import OptionError, chosen_forms, log_directory
 from fulmarroad_bench._platform_routers import default_tree, loopback_network
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._silence_forms import FORMS
@@ -54,7 +55,7 @@
             checkout,
             retry_burst,
             loopback_network(number),
-            _log_directory(logs, name, seed),
+            log_directory(logs, name, seed),
         )
         line = run_main(functools.partial(run_load, plan))
         print(json.dumps({"form": name, "seed": seed, **line}), flush=True)
@@ -62,21 +63,10 @@
 
 def form_names(form: str | Sequence[str]) -> list[str]:
     """Return the chosen forms, or all; exit with a message for an unknown one."""
-    # The command line turns names separated by commas into a tuple.
-    names = form.split(",") if isinstance(form, str) else list(form)
-    names = names if form else list(FORMS)
-    for name in names:
-        if name not in FORMS:
-            raise SystemExit(f"Unknown form {name!r}. Use one of {', '.join(FORMS)}.")
-    return names
-
-
-def _log_directory(logs: str, form: str, seed: int) -> Path | None:
-    if not logs:
-        return None
-    directory = Path(logs).resolve() / f"{form}-{seed}"
-    directory.mkdir(parents=True, exist_ok=True)
-    return directory
+    try:
+        return chosen_forms(form, FORMS)
+    except OptionError as error:
+        raise SystemExit(error.message) from error
 
 
 if __name__ == "__main__":
