--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_soak_network.py
@@ -96,19 +96,24 @@
                     ) as onward,
                     anyio.create_task_group() as group,
                 ):
-                    group.start_soon(self._pump, stream, onward, pair)
-                    group.start_soon(self._pump, onward, stream, pair)
+                    scope = group.cancel_scope
+                    group.start_soon(self._pump, stream, onward, pair, scope)
+                    group.start_soon(self._pump, onward, stream, pair, scope)
 
     async def _pump(
-        self, source: SocketStream, target: SocketStream, pair: Pair
+        self,
+        source: SocketStream,
+        target: SocketStream,
+        pair: Pair,
+        both: anyio.CancelScope,
     ) -> None:
+        """Pass one direction on, and end both when it is closed."""
         with suppress(*_CLOSED):
             while True:
                 data = await source.receive(RECEIVE_BYTES)
                 await self._wait_whole(pair)
                 await target.send(data)
-        with suppress(*_CLOSED):
-            await target.send_eof()
+        both.cancel()
 
     async def _wait_whole(self, pair: Pair) -> None:
         while self._is_cut(pair):
