--- a/packages/fulmarroad-serving/tests/crash_fleet.py
+++ b/packages/fulmarroad-serving/tests/crash_fleet.py
@@ -10,6 +10,7 @@
 import anyio
 from attrs import define
 from serving_bed import make_catalog, stream_head
+from stream_callers import StreamCaller
 from stream_fleet import (
     CONTACT_S,
     FIRST_S,
@@ -17,7 +18,6 @@
     NETWORK_S,
     EngineConnection,
     FleetRouter,
-    StreamCaller,
     StreamFleet,
 )
 
--- a/packages/fulmarroad-serving/tests/path_fleet.py
+++ b/packages/fulmarroad-serving/tests/path_fleet.py
@@ -13,9 +13,9 @@
 import anyio
 from attrs import define, evolve, field
 from serving_bed import KEY, ONCE, PLAIN, SHORT, answer, make_catalog
+from stream_callers import DEADLINE_S
 from stream_fleet import (
     CENTRES,
-    DEADLINE_S,
     LONG_STREAM,
     NETWORK_S,
     STORE_S,
--- a/packages/fulmarroad-serving/tests/silence_fleet.py
+++ b/packages/fulmarroad-serving/tests/silence_fleet.py
@@ -13,15 +13,14 @@
 import anyio
 from attrs import Factory, define, evolve, field
 from serving_bed import PLAIN, SHORT, STREAM, answer, make_catalog, stream_head
+from stream_callers import DEADLINE_S, StreamCaller
 from stream_fleet import (
-    DEADLINE_S,
     EVENT_S,
     EVENTS,
     FIRST_S,
     Engine,
     EngineConnection,
     FleetRouter,
-    StreamCaller,
     StreamFleet,
 )
 
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -1,19 +1,17 @@
 """A fleet of routers in virtual time whose callers take up broken streams elsewhere.
 
 Routers are real down to their connections; engines, packets and callers are simulated.
-A caller keeps each event with the service and version of the engine that made it, so
-that tests check what callers hold.
 """
 
 import contextlib
 import itertools
-import json
 import random
 
 import anyio
 from attrs import define, evolve, field
 from history_store import HistoryStore
-from serving_bed import KEY, SHORT, STREAM, PlainCodec, make_catalog, stream_head
+from serving_bed import SHORT, STREAM, PlainCodec, make_catalog, stream_head
+from stream_callers import DEADLINE_S, PATIENCE_S, StreamCaller
 
 from fulmarroad.audit import AuditTrail
 from fulmarroad_router.gate import CallGate
@@ -68,10 +66,6 @@
 DETECTION_S = 2.0
 """Time until routers notice that another one is gone."""
 
-PATIENCE_S = 2.0
-"""Time without an event after which a caller gives up a try."""
-
-DEADLINE_S = 8.0
 CONTACT_S = 3.0
 """Time after a start or a cut from which a router counts as in touch."""
 
@@ -79,15 +73,6 @@
 CENTRES = ("fes", "rabat", "taza")
 
 
-@define(frozen=True)
-class HeldEvent:
-    """One event as its caller holds it."""
-
-    service: str
-    version: str
-    number: int
-
-
 @define(eq=False)
 class Engine:
     """Simulate an engine that streams events which name its service and version."""
@@ -372,145 +357,6 @@
             scope.cancel()
 
 
-@define(eq=False)
-class Try:
-    """One try of a caller."""
-
-    router: str
-    resumes: str
-    status: int = 0
-    at: float = 0.0
-    got: int = 0  # events of this try
-    code: str = ""  # of a refusal
-    retry_after_s: float = 0.0
-    in_touch: bool = True  # the router had reached the others for a while
-    left: bool = False  # its caller gave it up
-    answered_at: float = 0.0  # when its head came
-    servers: int = 0  # of its stream's version, at its begin
-
-
-@define(eq=False)
-class StreamCaller:
-    """A caller of one stream, who comes back with what it holds."""
-
-    fleet: "StreamFleet"
-    number: int
-    path: str = "/draft/1"
-    workspace_key: bytes = KEY
-    parts: str = ""
-    names_stream: bool = True  # else it tells only the last event that it has
-    events: list = field(factory=list)
-    tries: list = field(factory=list)
-    resumes: str = ""
-    whole: bool = False
-
-    async def run(self, router=None, tries=4):
-        deadline = anyio.current_time() + DEADLINE_S
-        for attempt in range(tries):
-            left_s = deadline - anyio.current_time()
-            if left_s <= 0.1 or self.whole:
-                return
-            router = router or await self.fleet.wait_for_router(self.number, attempt)
-            pause_s = await self.attempt(router, f"c-{self.number}-{attempt}", left_s)
-            router = None
-            await anyio.sleep(min(pause_s, left_s / 3))
-
-    async def attempt(self, router, attempt_id, left_s):
-        row = Try(router.name, self.resumes, at=anyio.current_time())
-        row.in_touch = router.in_touch
-        self.tries.append(row)
-        if self.events:
-            last = self.events[-1]
-            row.servers = self.fleet.serving(last.service, last.version)
-        headers = [
-            (b"host", b"svc.example"),
-            (b"x-id", attempt_id.encode()),
-            (b"x-key", self.workspace_key),
-            (b"x-part", self.parts.encode() or b"part-%d" % (self.number % 7)),
-            (b"x-deadline-ms", str(int(left_s * 1000)).encode()),
-        ]
-        if self.resumes:
-            if self.names_stream:
-                headers.append((b"resumes", self.resumes.encode()))
-            last = self.events[-1].number if self.events else 3
-            headers.append((b"last-event-id", str(last).encode()))
-        scope = {
-            "type": "http",
-            "method": "POST",
-            "path": self.path,
-            "raw_path": self.path.encode(),
-            "query_string": b"",
-            "headers": headers,
-        }
-        sent = False
-        left = anyio.Event()
-        retry_after_s = 0.0
-        heard_at = anyio.current_time()
-
-        async def receive():
-            nonlocal sent
-            if not sent:
-                sent = True
-                return {"type": "http.request", "body": self.body, "more_body": False}
-            await left.wait()
-            return {"type": "http.disconnect"}
-
-        async def send(message):
-            nonlocal retry_after_s, heard_at
-            heard_at = anyio.current_time()
-            if message["type"] == "http.response.start":
-                row.status, row.answered_at = message["status"], heard_at
-                after = dict(message["headers"]).get(b"retry-after", b"0")
-                row.retry_after_s = retry_after_s = float(after)
-            elif row.status != 200:
-                row.code = json.loads(message["body"])["error"]["code"]
-            else:
-                self.hold(message["body"], attempt_id, row)
-                self.whole = not message.get("more_body", False)
-
-        async def watch():
-            while self.stays(heard_at):
-                await anyio.sleep(0.1)
-            row.left = True
-            left.set()
-
-        with contextlib.suppress(Exception), router.scope():
-            async with anyio.create_task_group() as group:
-                group.start_soon(watch)
-                try:
-                    await router.app(scope, receive, send)
-                finally:
-                    group.cancel_scope.cancel()
-        return max(retry_after_s, 0.02)
-
-    def stays(self, heard_at):
-        """Return whether the caller waits on, with its last byte at a time."""
-        return anyio.current_time() - heard_at < self.fleet.patience_s
-
-    def hold(self, body, attempt_id, row):
-        for text in body.decode().split("\n\n"):
-            if "data: " not in text:
-                continue
-            service, version, number = text.partition("data: ")[2].split()
-            self.events.append(HeldEvent(service, version, int(number)))
-            self.resumes = self.resumes or attempt_id
-            row.got += 1
-
-    @property
-    def body(self):
-        return b"p"
-
-    @property
-    def makers(self):
-        """Return the services and versions whose events the caller holds."""
-        return {(row.service, row.version) for row in self.events}
-
-    @property
-    def in_order(self):
-        numbers = [row.number for row in self.events]
-        return numbers == list(range(1, len(numbers) + 1))
-
-
 class StreamFleet:
     """Routers, engines and the store between them."""
 
--- a/packages/fulmarroad-serving/tests/test_configuration_changes.py
+++ b/packages/fulmarroad-serving/tests/test_configuration_changes.py
@@ -7,8 +7,8 @@
 import pytest
 from attrs import define, evolve
 from serving_bed import KEY, PLAIN, SHORT, make_catalog
+from stream_callers import DEADLINE_S
 from stream_fleet import (
-    DEADLINE_S,
     EVENT_S,
     EVENTS,
     FIRST_S,
--- a/packages/fulmarroad-serving/tests/test_lost_fleets.py
+++ b/packages/fulmarroad-serving/tests/test_lost_fleets.py
@@ -6,7 +6,8 @@
 import anyio
 import pytest
 from attrs import evolve
-from stream_fleet import DEADLINE_S, LONG_STREAM, StreamFleet
+from stream_callers import DEADLINE_S
+from stream_fleet import LONG_STREAM, StreamFleet
 
 from fulmarroad.testing import run_virtual
 from fulmarroad_serving.contracts import InstanceRemovedFact
--- a/packages/fulmarroad-serving/tests/test_store_history.py
+++ b/packages/fulmarroad-serving/tests/test_store_history.py
@@ -7,7 +7,8 @@
 from attrs import evolve
 from history_store import HEARTBEAT_S, SERVICE, History, HistoryStore
 from serving_bed import SHORT, make_catalog
-from stream_fleet import DEADLINE_S, LONG_STREAM, StreamFleet
+from stream_callers import DEADLINE_S
+from stream_fleet import LONG_STREAM, StreamFleet
 from test_node import KeylessCodec, settings
 
 from fulmarroad.testing import run_virtual
