--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -496,14 +496,17 @@
 
     def pick(self, client, attempt):
         """Return a router as a balancer would, another one for each attempt."""
-        names = sorted(
-            name for name, row in self.routers.items() if row.alive and not row.leaving
-        )
+        names = self.ready()
         return self.routers[names[(client + 3 * attempt) % len(names)]]
 
+    def ready(self):
+        """Return the names of the routers that get calls."""
+        rows = self.routers.items()
+        return sorted(name for name, row in rows if row.alive and not row.leaving)
+
     async def wait_for_router(self, client, attempt):
         """Return a router as `pick` does, once any is up."""
-        while not any(row.alive and not row.leaving for row in self.routers.values()):
+        while not self.ready():
             await anyio.sleep(0.1)
         return self.pick(client, attempt)
 
