--- a/packages/fulmarroad-serving/tests/fleet_views.py
+++ b/packages/fulmarroad-serving/tests/fleet_views.py
@@ -262,6 +262,11 @@
     def write(self, data):
         self.fleet.context.copy().run(super().write, data)
 
+    def head(self, request_id):
+        # A router may then tell that an idle connection ended before its time.
+        line = b"keep-alive: timeout=30\r\n\r\n"
+        return super().head(request_id).removesuffix(b"\r\n") + line
+
     def send(self, data):
         if self in self.engine.connections and self.router.alive:
             receive = self.protocol.data_received
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -175,7 +175,7 @@
     async def stream(self, headers):
         engine = self.engine
         await anyio.sleep(FIRST_S)
-        self.send(stream_head(headers["x-id"]))
+        self.send(self.head(headers["x-id"]))
         for number in range(int(headers["last-event-id"] or 0) + 1, EVENTS + 1):
             data = f"{engine.service} {engine.version} {number}"
             text = f"id: {number}\ndata: {data}\n\n".encode()
@@ -183,6 +183,9 @@
             await anyio.sleep(EVENT_S)
         self.send(b"0\r\n\r\n")
 
+    def head(self, request_id):
+        return stream_head(request_id)
+
     def send(self, data):
         if self in self.engine.connections:
             self.protocol.data_received(data)
