--- a/packages/fulmarroad-serving/tests/fleet_views.py
+++ b/packages/fulmarroad-serving/tests/fleet_views.py
@@ -403,8 +403,9 @@
         pairs = list(pairs)
         self.cuts.update(pairs)
         await anyio.sleep(for_s)
+        cut = [name for name in self.names if self.is_cut(name)]
         self.cuts.subtract(pairs)
-        for name in {name for pair in pairs for name in pair} & self.routers.keys():
+        for name in cut:
             self.routers[name].touched_at = anyio.current_time()
 
     async def cut(self, name, for_s):
@@ -422,7 +423,10 @@
         return not self.cuts[sender, to]
 
     def is_cut(self, name):
-        return any(count and name in pair for pair, count in self.cuts.items())
+        """Return whether a router doesn't reach the store, or half of the others."""
+        pairs = [pair for pair, count in self.cuts.items() if count and name in pair]
+        lost = {other for pair in pairs for other in pair} - {name}
+        return STORE in lost or 2 * len(lost) >= len(self.names)
 
     def deliver(self, data, sender, to):
         link = self._links.get((sender, to))
