--- a/packages/fulmarroad-serving/tests/test_known_versions.py
+++ b/packages/fulmarroad-serving/tests/test_known_versions.py
@@ -20,7 +20,7 @@
 from fulmarroad_serving.exceptions import HistoryLostError
 from fulmarroad_serving.streams._keepers import StreamKeepers
 from fulmarroad_serving.streams._records import StreamOrigin
-from fulmarroad_serving.streams._views import Confirmation, join_views
+from fulmarroad_serving.streams._views import Confirmation, VersionView, join_views
 
 SERVICE = "drafting"
 STEP_S = 1.0
@@ -30,6 +30,7 @@
 OPERATIONS = st.one_of(
     st.tuples(st.just("put"), st.sampled_from(NAMES), st.sampled_from("abcd")),
     st.tuples(st.just("remove"), st.sampled_from(NAMES)),
+    st.tuples(st.just("pass_by"), st.sampled_from("efgh")),
     st.tuples(st.just("configure")),
     st.tuples(st.just("discard")),
     st.tuples(st.just("restore"), st.integers(1, 4)),
@@ -102,6 +103,11 @@
         self.served = {}
         """When an entry of each version was last in the store."""
         self.routers = [self.new_router() for _ in range(ROUTERS)]
+        self.put("s-1", "a")
+        for number in range(ROUTERS):
+            self.list_all(number)
+        self.wait()
+        self.note_served()
 
     def new_router(self):
         return RouterView(self.store, lambda: self.now)
@@ -132,6 +138,12 @@
         if self.live.pop(name, None) is not None:
             self.store.remove_server(name)
 
+    def pass_by(self, version):
+        """Let a version come and go between two reads of most routers."""
+        self.put("s-9", version)
+        self.note_served()
+        self.remove("s-9")
+
     def configure(self):
         self.store.put("op/other", object())
 
@@ -173,7 +185,7 @@
 
 
 class TestKnownVersions:
-    @settings(derandomize=True, deadline=None, max_examples=400)
+    @settings(derandomize=True, deadline=None, max_examples=500)
     @given(HISTORIES, st.sets(st.integers(0, ROUTERS - 1), min_size=1), st.data())
     def test_a_list_that_the_store_confirms_names_every_version_that_served(
         self, history, asked, data
@@ -233,6 +245,61 @@
         assert recent <= known.versions
 
 
+def make_view(versions="a", **changes):
+    names = frozenset(StreamOrigin(SERVICE, name) for name in versions)
+    return VersionView(names, **changes)
+
+
+class TestJoinedViews:
+    def test_the_confirmed_view_that_reaches_back_furthest_counts(self):
+        """Guard against streams refused as a router that is asked too has just started
+        and read a change that came after this router's confirmation.
+        """
+        store, peer = Confirmation.STORE, Confirmation.PEER
+        own = make_view(watched_s=60.0, since_at=2, at=9, confirmation=store)
+        young = make_view(watched_s=1.0, since_at=10, at=11, confirmation=peer)
+        for views in ((young, own), (own, young)):
+            known = join_views(views, all_answered=False)
+            assert (known.watched_s, known.confirmation) == (60.0, store)
+
+    def test_views_join_over_several_routers(self):
+        """Guard against streams refused in a rolling restart, in which each router has
+        watched since just before the next one ended.
+        """
+        confirmed = Confirmation.STORE
+        views = [
+            make_view("a", watched_s=1.0, since_at=8, at=9, confirmation=confirmed),
+            make_view("b", watched_s=5.0, since_at=5, at=8),
+            make_view("c", watched_s=9.0, since_at=3, at=5),
+        ]
+        known = join_views(views, all_answered=False)
+        assert known.watched_s == 9.0
+        assert known.versions == make_view("abc").versions
+
+    def test_a_view_that_ends_before_the_next_one_begins_leaves_a_gap(self):
+        """Guard against a version that came and went between two views."""
+        confirmed = Confirmation.STORE
+        views = [
+            make_view(watched_s=1.0, since_at=8, at=9, confirmation=confirmed),
+            make_view(watched_s=9.0, since_at=3, at=7),
+        ]
+        assert join_views(views, all_answered=False).watched_s == 1.0
+
+    def test_a_view_that_never_began_joins_none(self):
+        """Guard against a router that has read nothing and is joined by position 0."""
+        confirmed = Confirmation.STORE
+        views = [
+            make_view(watched_s=1.0, since_at=0, at=9, confirmation=confirmed),
+            make_view(watched_s=9.0, since_at=0, at=0),
+        ]
+        assert join_views(views, all_answered=False).watched_s == 1.0
+
+    def test_without_a_confirmation_the_time_is_still_told(self):
+        """Guard against log lines that hide how long a router has watched."""
+        known = join_views([make_view(watched_s=9.0)], all_answered=False)
+        assert (known.watched_s, known.confirmation) == (9.0, Confirmation.NONE)
+
+
 class TestHiddenChanges:
     @settings(derandomize=True, deadline=None, max_examples=300)
     @given(HISTORIES, HISTORIES, st.booleans())
