Drop no lapsed server by a list that can't show its return

What callers would see: an outage of the store ends, all entries have lapsed, and servers write them again within two seconds. A router, or its data centre, that is cut off in these two seconds drops all of its servers as its grace ends, and refuses every call until it is back, though all servers run and it reaches them.

Cause: "not back in my list after two seconds" was concluded from a list that nobody had confirmed for most of this time.

Evidence: `test_servers_stay_in_use_while_nobody_can_see_that_they_are_back` failed before (outage of 2 s, 1 s of contact, cut off for 5 s).

Change: the grace counts up to the time of the list, less 1.5 s, which a list in step reaches at once. So in step a server is dropped as before, and a router that is back in step drops what is missing as soon as it has read.

--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -428,7 +428,7 @@
                 # An answer of the store that waited in its socket seems to be new.
                 self._dispatcher.registry.note_gap(now)
             with continue_on_error("lapsed servers"):
-                self._router_state.expire()
+                self._router_state.expire(self.list_age_s())
             with continue_on_error("known routers"):
                 self._update_routers(now)
             with continue_on_error("lapsed streams"):
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_registry.py
@@ -214,7 +214,7 @@
         return left is not None and instance.started_ms <= left
 
     def expire(self, now: float) -> list[ServerName]:
-        """Remove and return servers whose entries did not return in time."""
+        """Remove and return servers whose entries did not return by a time."""
         expired = [
             name
             for name, row in self._rows.items()
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -19,7 +19,7 @@
 from fulmarroad_serving._dispatch import Dispatcher
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._positions import Position, era_of, revision_of
-from fulmarroad_serving._registry import Instance
+from fulmarroad_serving._registry import MAX_LIST_GAP_S, Instance
 from fulmarroad_serving._replica import ReplicaDelta, ReplicaItem, StateReplica
 from fulmarroad_serving.contracts import (
     CatalogFact,
@@ -126,11 +126,16 @@
         before = self.replica.at
         self._apply(before, self.replica.apply_delta(delta), failure_age_s, source)
 
-    def expire(self) -> None:
-        """Drop lapsed servers and idle connections, and apply deferred facts."""
+    def expire(self, list_age_s: float = 0.0) -> None:
+        """Drop lapsed servers and idle connections, and apply deferred facts.
+
+        `list_age_s` is the age of the list of servers. An old one doesn't show which of
+        them are back.
+        """
         self._pool.prune()
         now = self._clock()
-        for server in self._dispatcher.expire(now):
+        seen_until = now - max(0.0, list_age_s - MAX_LIST_GAP_S)
+        for server in self._dispatcher.expire(seen_until):
             self._forget_server(server, "lapsed", 0)
         for key, row in list(self._deferred.items()):
             if now >= row.due:
--- a/packages/fulmarroad-serving/tests/test_reading.py
+++ b/packages/fulmarroad-serving/tests/test_reading.py
@@ -117,7 +117,7 @@
         reader = StoreReader(store, beliefs, lambda: True, clock, 1)
 
         def servers():
-            beliefs.expire()
+            beliefs.expire(reader.age_s())
             return sorted(row.instance.id for row in dispatcher.registry.rows())
 
         async with anyio.create_task_group() as group:
@@ -176,6 +176,29 @@
 
         read(test)
 
+    def test_servers_stay_in_use_while_nobody_can_see_that_they_are_back(self):
+        """Guard against a cut-off data centre without servers: they wrote their entries
+        again after an outage of the store, but it reads none any more.
+        """
+
+        async def test(store, beliefs, servers):
+            store.offline = True
+            await anyio.sleep(2)
+            store.remove("servers/s-1")
+            store.remove("servers/s-2")
+            store.offline = False
+            await anyio.sleep(1)
+            store.offline = True
+            for _ in range(50):
+                await anyio.sleep(0.1)
+                assert servers() == ["s-1", "s-2"]
+            store.put("servers/s-1")
+            store.offline = False
+            await anyio.sleep(1)
+            assert servers() == ["s-1"]
+
+        read(test)
+
     def test_a_lower_catalog_version_is_ignored(self):
         async def test(store, beliefs, servers):
             store.put("op/config", b"6")
