--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -227,9 +227,9 @@
                     group.start_soon(confirmation.run)
                     with monkeypatch.context() as patch:
                         patch.setattr(router.store, "read_changes", fail)
-                        assert not await confirmation.confirm(0.2)
+                        assert not await confirmation.confirm(anyio.current_time(), 0.2)
                     store.put("servers/y-1", ENTRY)
-                    assert await confirmation.confirm(1.0)
+                    assert await confirmation.confirm(anyio.current_time(), 1.0)
                     assert "servers/y-1" in router.servers
                     group.cancel_scope.cancel()
 
