--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_peers.py
@@ -136,7 +136,7 @@
             self._in_contact,
             lambda: set(self.seeds) - {host},
         )
-        beliefs.on_copy = self._note_copy
+        beliefs.on_items = self._note_copy
         self.confirm_list: Confirm = _cannot_confirm
         """Confirm this router's list of servers by the store."""
         registry = dispatcher.registry
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_replica.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from attrs import frozen
 
@@ -72,12 +72,15 @@
         items = tuple(items)
         keys = {row.key for row in items}
         shown = {row.revision for row in items if self.at < row.revision <= at}
-        deleted = sum(
-            row.data is not None and row.revision <= at and key not in keys
+        deleted = self._count_deleted(keys, at) if is_snapshot else 0
+        return len(shown) + deleted < at - self.at
+
+    def _count_deleted(self, listed: Collection[str], at: Position) -> int:
+        """Count the items that a listing up to `at` shows to be deleted."""
+        return sum(
+            row.data is not None and row.revision <= at and key not in listed
             for key, row in self._items.items()
-            if is_snapshot
         )
-        return len(shown) + deleted < at - self.at
 
     def merge(
         self, items: Iterable[ReplicaItem], at: Position = 0
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/_router_state.py
@@ -73,7 +73,7 @@
         self.index: CatalogIndex | None = None
         self.on_catalog: Callable[[Catalog], None] = lambda catalog: None
         self.on_change: Callable[[], None] = lambda: None
-        self.on_copy: Callable[[Position, bool], None] = lambda at, hides: None
+        self.on_items: Callable[[Position, bool], None] = lambda at, hides: None
         """Called before items are applied, unless they are all changes since the last.
 
         It gets the position up to which they are complete, and whether changes of the
@@ -100,7 +100,7 @@
         items = tuple(items)
         hides = self.replica.hides_changes(items, at, is_snapshot=True)
         # What left between two pages isn't in the listing, as if it had left before.
-        self.on_copy(at, hides or is_paged)
+        self.on_items(at, hides or is_paged)
         before = self.replica.at
         changed = self.replica.replace(items, at)
         self._apply(before, changed, failure_age_s, source)
@@ -117,7 +117,7 @@
         items = tuple(items)
         before = self.replica.at
         if before and self.replica.hides_changes(items, at, is_snapshot=False):
-            self.on_copy(at, True)
+            self.on_items(at, True)
         self._apply(before, self.replica.merge(items, at), failure_age_s, source)
 
     def apply_delta(
@@ -128,7 +128,7 @@
             hides = self.replica.hides_changes(
                 delta.items, delta.at, is_snapshot=delta.is_snapshot
             )
-            self.on_copy(delta.at, hides)
+            self.on_items(delta.at, hides)
         before = self.replica.at
         self._apply(before, self.replica.apply_delta(delta), failure_age_s, source)
 
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_confirmation.py
@@ -109,7 +109,7 @@
                 seconds=round(self._clock() - begun_at, 3),
             )
             return
-        # Entries that lapsed in an outage are kept for a while after it.
+        # Removals read just after a failure may be entries that lapsed in an outage.
         age_s = min(self._failure_age_s(), self._clock() - self._failed_at)
         state.apply_changes(listing.items, listing.at, age_s, "confirmation")
         self._confirmed_as_of = begun_at
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_keeper_table.py
@@ -80,7 +80,7 @@
 
     @property
     def can_name_all(self) -> bool:
-        """Return whether this router names all others that it has ever met.
+        """Return whether this router names all others that it has met since its start.
 
         Above `SMALL_FLEET` it never does again: some may be cut off with it.
         """
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_resumption.py
@@ -230,9 +230,9 @@
     def _unless_changed(
         self, call: ServedCall, asked: frozenset[ServiceName], take_up: TakeUp
     ) -> TakeUp:
-        """Return a decision, or a refusal if its route led elsewhere when it was made.
+        """Return a decision unless the route leads to other services by now.
 
-        The configuration may be as old as the list of servers was when the call came.
+        The configuration that came with a confirmation may be newer than the call's.
         """
         if self._routes.recent(call.route, self._clock()) <= asked:
             return take_up
--- a/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_views.py
+++ b/packages/fulmarroad-serving/src/fulmarroad_serving/streams/_views.py
@@ -85,12 +85,11 @@
 
 def _watched_s(newest: VersionView, views: Collection[VersionView]) -> float:
     """Return how far back the newest view reaches, joined with views before it."""
-    watched_s, since_at = newest.watched_s, newest.since_at
-    earlier = [view for view in views if view.at >= since_at > 0]
-    while earlier:
-        best = max(earlier, key=lambda view: view.watched_s)
-        if best.watched_s <= watched_s:
-            break
-        watched_s, since_at = best.watched_s, best.since_at
-        earlier = [view for view in views if view.at >= since_at > 0]
-    return watched_s
+    first = newest
+    while True:
+        # A view joins another one that ends no earlier than it begins.
+        joining = [view for view in views if view.at >= first.since_at > 0]
+        best = max((first, *joining), key=lambda view: view.watched_s)
+        if best.watched_s <= first.watched_s:
+            return first.watched_s
+        first = best
--- a/packages/fulmarroad-serving/tests/stream_fleet.py
+++ b/packages/fulmarroad-serving/tests/stream_fleet.py
@@ -254,7 +254,7 @@
             fleet.in_contact,
             lambda: set(fleet.seeds) - {name},
         )
-        self.state.on_copy = self.note_copy
+        self.state.on_items = self.note_copy
         self.confirmation = ListConfirmation(
             store, self.state, lambda: len(fleet.routers), lambda: 60.0, clock
         )
--- a/packages/fulmarroad-serving/tests/test_known_versions.py
+++ b/packages/fulmarroad-serving/tests/test_known_versions.py
@@ -64,7 +64,7 @@
             clock,
             lambda: self.state.replica.at,
         )
-        self.state.on_copy = self.note_copy
+        self.state.on_items = self.note_copy
 
     def note_copy(self, at, hides_changes):
         self.keepers.watch.note_copy(at, self.clock(), hides_changes=hides_changes)
