--- a/packages/fulmarroad-serving/tests/test_known_versions.py
+++ b/packages/fulmarroad-serving/tests/test_known_versions.py
@@ -13,6 +13,7 @@
     Instance,
     ReplicaItem,
     StateReplica,
+    position,
 )
 from fulmarroad_serving._pool import ConnectionPool
 from fulmarroad_serving._router_state import RouterState
@@ -354,3 +355,30 @@
         assert not copy.hides_changes(changes, 7, is_snapshot=False)
         assert not copy.hides_changes(changes[:1], 7, is_snapshot=True)
         assert not copy.hides_changes((), 5, is_snapshot=False)
+
+    def test_a_deletion_that_was_read_before_is_not_counted_again(self):
+        """Guard against a removed server that makes up for a hidden change."""
+        copy = StateReplica()
+        copy.replace([ReplicaItem("a", 1, b"x"), ReplicaItem("b", 2, b"x")], 2)
+        copy.merge([ReplicaItem("a", 3)], 3)
+        assert copy.hides_changes([ReplicaItem("b", 2, b"x")], 4, is_snapshot=True)
+
+    def test_an_item_newer_than_a_copy_is_not_counted_in_it(self):
+        """Guard against an item that a peer got from elsewhere and that makes up for a
+        hidden change, or that this router has and the peer doesn't.
+        """
+        copy = StateReplica()
+        copy.replace([ReplicaItem("a", 1, b"x")], 5)
+        assert copy.hides_changes([ReplicaItem("b", 8, b"y")], 6, is_snapshot=False)
+        copy.merge([ReplicaItem("b", 8, b"y")])
+        assert copy.hides_changes([ReplicaItem("a", 1, b"x")], 6, is_snapshot=True)
+
+    def test_a_copy_from_before_a_restore_leaves_no_gap(self):
+        """Guard against a gap each time that a peer sends what it has read before the
+        store was restored: nothing of it is applied.
+        """
+        copy = StateReplica()
+        copy.replace([ReplicaItem("a", position(2, 1), b"x")], position(2, 3))
+        items = [ReplicaItem("a", position(1, 7), b"y")]
+        assert not copy.hides_changes(items, position(1, 9), is_snapshot=False)
+        assert copy.hides_changes(items, position(3, 1), is_snapshot=True)
