--- a/packages/fulmarroad-serving/tests/test_views_in_step.py
+++ b/packages/fulmarroad-serving/tests/test_views_in_step.py
@@ -1,6 +1,7 @@
 """Streams at routers that are in step, which confirmations may not hold up."""
 
 import anyio
+import fleet_views
 import pytest
 from fleet_views import STORE, ViewFleet
 from paused_processes import run_processes
@@ -124,6 +125,44 @@
         run_processes(ViewFleet(size=4).run, test)
 
 
+@pytest.mark.parametrize("names_stream", [True, False])
+class TestConfirmedLate:
+    """One router is gone, so that not all of them can answer."""
+
+    def test_a_router_without_the_store_asks_those_that_reach_it(self, names_stream):
+        """Guard against callers refused at a router that only its store has left."""
+
+        async def test(fleet):
+            await begin_fleet(fleet)
+            fleet.kill("router-3")
+            fleet.spawn(fleet.cut_store, LATE, 20.0)
+            await anyio.sleep(3.0)
+            late = take_up(fleet, LATE, names_stream)
+            await anyio.sleep(3.0)
+            assert all(row.whole for row in late)
+
+        run_processes(ViewFleet(size=4).run, test)
+
+    @pytest.mark.parametrize("answer_s", [0.18, 0.3])
+    def test_a_slow_store_confirms_the_list_too(
+        self, names_stream, answer_s, monkeypatch
+    ):
+        """Guard against callers refused by a store that answers within the time for
+        late answers, as the read that began first after the call isn't used.
+        """
+        monkeypatch.setattr(fleet_views, "CALL_DELAY_S", (answer_s, answer_s))
+
+        async def test(fleet):
+            await begin_fleet(fleet)
+            fleet.kill("router-3")
+            await anyio.sleep(3.0)
+            late = take_up(fleet, LATE, names_stream)
+            await anyio.sleep(3.0)
+            assert all(row.whole for row in late)
+
+        run_processes(ViewFleet(size=4).run, test)
+
+
 class TestFreshStreams:
     @pytest.mark.parametrize("store", ["stable", "down"])
     def test_fresh_streams_wait_for_no_confirmation(self, store):
