--- a/packages/fulmarroad-serving/tests/test_views_in_step.py
+++ b/packages/fulmarroad-serving/tests/test_views_in_step.py
@@ -5,12 +5,18 @@
 import pytest
 from fleet_views import STORE, ViewFleet
 from paused_processes import run_processes
-from stream_fleet import FIRST_S
+from stream_callers import DEADLINE_S
+from stream_fleet import FIRST_S, LONG_STREAM
 from test_stream_series import MIN_TAKEN_UP, Series
 
 from fulmarroad_serving._reports import unpack
 from fulmarroad_serving.streams import ListWatch, _keeper_table, is_stream_message
 from fulmarroad_serving.streams._messages import LOOKUP_FORMAT, read_lookup
+from fulmarroad_serving.streams._records import (
+    StreamOrigin,
+    StreamRecord,
+    stream_key,
+)
 
 SEEDS = range(3)
 STREAMS = 24
@@ -256,6 +262,28 @@
         run_processes(ViewFleet(size=4).run, test)
 
 
+class TestRecordsThatComeLate:
+    def test_a_record_that_comes_during_the_search_decides(self):
+        """Guard against a stream refused by what was known before others were asked:
+        a router that was paused has the packets with the records still to read.
+        """
+
+        async def test(fleet):
+            await begin_fleet(fleet, ("v1", "v2"))
+            router = fleet.routers[LATE]
+            caller = take_up(fleet, LATE, names_stream=True)[0]
+            await anyio.sleep(0.001)
+            key = stream_key("coop", LONG_STREAM, "c-404")
+            origin = StreamOrigin("drafting", "v2")
+            until = anyio.current_time() + DEADLINE_S
+            router.streams.records.keep(StreamRecord(key, origin, until))
+            await anyio.sleep(3.0)
+            assert caller.whole
+            assert caller.makers == {("drafting", "v2")}
+
+        run_processes(ViewFleet(size=4).run, test)
+
+
 class TestPauses:
     def test_a_paused_router_does_nothing_until_it_goes_on(self):
         """Guard against a simulated pause in which timers run or packets leave, so
