--- a/packages/fulmarroad-bench/src/fulmarroad_bench/_form_options.py
+++ b/packages/fulmarroad-bench/src/fulmarroad_bench/_form_options.py
@@ -33,9 +33,11 @@
 
 
 def log_directory(logs: str, form: str, seed: int) -> Path | None:
-    """Return the directory for the logs of one run, made if it is missing."""
+    """Return the directory for the logs of one run, without logs of an earlier one."""
     if not logs:
         return None
     directory = Path(logs).resolve() / f"{form}-{seed}"
     directory.mkdir(parents=True, exist_ok=True)
+    for log in directory.glob("*.log"):
+        log.unlink()
     return directory
--- a/packages/fulmarroad-bench/tests/test_out_of_step.py
+++ b/packages/fulmarroad-bench/tests/test_out_of_step.py
@@ -10,10 +10,11 @@
 import psutil
 import pytest
 
+from fulmarroad_bench._form_options import log_directory
 from fulmarroad_bench._platform_routers import default_tree, loopback_network
 from fulmarroad_bench._processes import run_main
 from fulmarroad_bench._soak_callers import Answer, Stream
-from fulmarroad_bench._soak_counts import count_streams
+from fulmarroad_bench._soak_counts import count_reasons, count_streams
 from fulmarroad_bench._soak_engine import EVENTS
 from fulmarroad_bench._soak_forms import FORMS
 from fulmarroad_bench._soak_network import PeerNetwork
@@ -73,6 +74,18 @@
         assert figures["unnamed"]["taken_up"] == 0
 
 
+class TestReasons:
+    def test_logs_of_an_earlier_run_do_not_count(self, tmp_path):
+        """Guard against figures that add up two runs with the same log directory."""
+        line = '{"event": 501, "route": "r", "outcome": "stream_unknown"}\n'
+        for _ in range(2):
+            directory = log_directory(str(tmp_path), "cut_1_killed", 1)
+            with (directory / "router-1.log").open("a") as log:
+                log.write(line)
+        logs = [directory / "router-1.log"]
+        assert count_reasons(logs) == {"stream_unknown": 1}
+
+
 class TestPeerNetwork:
     @pytest.mark.anyio
     async def test_packets_pass_with_their_senders_host_unless_cut(self, host):
