Import the check of a call's size from its new module in its test

The test of stated numbers imported `_check_size` from `_callers`, from where moved it as `check_size`; its collection failed since. Only the name changed.

--- a/packages/fulmarroad-serving/tests/test_stated_numbers.py
+++ b/packages/fulmarroad-serving/tests/test_stated_numbers.py
@@ -13,7 +13,7 @@
 from fulmarroad_platform.facts import decode_item
 from fulmarroad_router.exceptions import Refused
 from fulmarroad_serving import EngineProfile, ReplicaItem, Service
-from fulmarroad_serving._callers import _check_size
+from fulmarroad_serving._call_checks import check_size
 from fulmarroad_serving._demands import Demand
 from fulmarroad_serving._digests import (
     Digest,
@@ -164,7 +164,7 @@
 
     def test_the_sum_of_the_largest_calls_at_all_routers_can_be_sent(self):
         """Guard against numbers that are in range while their sums aren't."""
-        head = _check_size(largest_head(), Service("s", engine=EngineProfile(16)))
+        head = check_size(largest_head(), Service("s", engine=EngineProfile(16)))
         report = report_of(head)
         total = merge([(sum_reports([(report, 0.1)]), 0.1)] * ROUTERS)
         assert total.counts["coop"].asked > ROUTERS * CALLS * head.tokens
@@ -246,9 +246,9 @@
     def test_a_call_of_the_largest_number_is_refused_where_no_memory_is_stated(self):
         """Guard against a service whose configuration leaves its memory out."""
         service = Service("drafting", engine=EngineProfile(16))
-        assert _check_size(largest_head(), service) == largest_head()
+        assert check_size(largest_head(), service) == largest_head()
         with pytest.raises(Refused):
-            _check_size(read_head("9" * 20), service)
+            check_size(read_head("9" * 20), service)
 
 
 HOSTILE = [
