--- a/packages/fulmarroad-serving/tests/test_version_search.py
+++ b/packages/fulmarroad-serving/tests/test_version_search.py
@@ -26,14 +26,16 @@
 
     confirmed_at: int | None = None
     is_all: bool = False
+    own: VersionView = OWN
+    origin: StreamOrigin | None = None
     asked: list = field(factory=list)
 
     def records_origin(self, key):
-        return None
+        return self.origin
 
     def view(self, services, *, is_confirmed=False):
         confirmation = Confirmation.STORE if is_confirmed else Confirmation.NONE
-        return evolve(OWN, confirmation=confirmation)
+        return evolve(self.own, confirmation=confirmation)
 
     async def ask(self, key, services, routers=None, *, confirms=False):
         self.asked.append(confirms)
@@ -69,6 +71,35 @@
     return run_virtual(main)
 
 
+class TestJoins:
+    @pytest.mark.parametrize("names_stream", [True, False])
+    def test_a_young_router_that_reads_the_store_is_joined_by_others(
+        self, names_stream
+    ):
+        """Guard against streams refused at a router that has just started, although
+        others have watched for long up to its first list.
+        """
+        own = evolve(OWN, watched_s=1.0, since_at=4)
+        keepers = ScriptedKeepers(own=own)
+        finding, _, _ = search(keepers, reaches_store=True, names_stream=names_stream)
+        assert finding.is_complete(LIFE_S)
+        assert keepers.asked == [False]
+
+    def test_versions_that_only_this_router_knows_count(self):
+        """Guard against the others' list taken for all, as one of them confirmed it."""
+        other = frozenset({StreamOrigin("drafting", "v2")})
+        keepers = ScriptedKeepers(confirmed_at=5, own=evolve(OWN, versions=other))
+        finding, _, _ = search(keepers)
+        assert finding.versions == V1 | other
+
+    def test_a_record_of_this_router_asks_nobody(self):
+        """Guard against packets and reads for streams that are known here."""
+        keepers = ScriptedKeepers(origin=StreamOrigin("drafting", "v1"))
+        finding, waits, seconds = search(keepers)
+        assert finding.origin == keepers.origin
+        assert (keepers.asked, waits, seconds) == ([], [], 0.0)
+
+
 class TestCompleteLists:
     def test_a_list_behind_the_one_that_was_confirmed_names_not_all_engines(self):
         """Guard against evidence of the engines that an old list names: none of them
