Name the users' calls in platform alone

Two new test modules spelled calls of the platform's store. The stand-in names the path of a watch now, and the paged stand-in's module says whose store it is. No check changes.

--- a/packages/fulmarroad-bench/tests/test_out_of_step.py
+++ b/packages/fulmarroad-bench/tests/test_out_of_step.py
@@ -20,7 +20,7 @@
 from fulmarroad_bench._soak_network import PeerNetwork
 from fulmarroad_bench._soak_run import RunPlan, run_form
 from fulmarroad_bench._soak_world import WorldPlan
-from fulmarroad_platform.standin_store import StandInStore, StoreLink
+from fulmarroad_platform.standin_store import WATCH_PATH, StandInStore, StoreLink
 
 COMMAND = [sys.executable, "-m", "fulmarroad_bench.out_of_step"]
 MODULE_NETWORKS = iter(range(1, 100))
@@ -144,7 +144,8 @@
         """Guard against cuts that answer the late router, or silence the others."""
         store, cut, whole = StandInStore(), StoreLink(), StoreLink()
         store.put_server("s-1", {})
-        request = b"GET /api/kv-watch?After=1&WaitTimeMs=1 HTTP/1.1\r\n\r\n"
+        target = f"{WATCH_PATH}?After=1&WaitTimeMs=1"
+        request = f"GET {target} HTTP/1.1\r\n\r\n".encode()
         async with anyio.create_task_group() as group:
             await store.serve(host(1), 7430, group, cut)
             await store.serve(host(1), 7431, group, whole)
--- a/packages/fulmarroad-serving/tests/test_odd_entries.py
+++ b/packages/fulmarroad-serving/tests/test_odd_entries.py
@@ -4,7 +4,7 @@
 
 import anyio
 import pytest
-from paged_store import ITEM_BYTES, follows, reading, stored, until
+from paged_platform_store import ITEM_BYTES, follows, reading, stored, until
 from store_items import ENTRY, SOUND, Router, item, sound_items
 from stream_listener import start_listener
 
--- a/packages/fulmarroad-serving/tests/test_odd_values.py
+++ b/packages/fulmarroad-serving/tests/test_odd_values.py
@@ -11,7 +11,7 @@
 import anyio
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from paged_store import PagedStore
+from paged_platform_store import PagedStore
 from store_items import CONFIG, ENTRY, SOUND, Router
 
 from fulmarroad.events import Event
